[Base] Lay down the skeleton: seams, wire records, build, checks

The headers and the two .proto files fix what the parts owe each other, so that they can be written side by side. Base (ids, verdicts, rendezvous, state charts), the event log, the log service's client and its fake are in place; the other parts have their headers only.

--- /dev/null
+++ b/cmake/Parts.cmake
@@ -0,0 +1,101 @@
+# Helpers that turn a folder into a target. Sources are found by folder, so that
+# adding a file needs no change here.
+
+set(SEQUOIAGATE_WARNINGS -Wall -Wextra -Wshadow -Wnon-virtual-dtor -Woverloaded-virtual
+    -Wno-missing-field-initializers)
+if(SEQUOIAGATE_WERROR)
+    list(APPEND SEQUOIAGATE_WARNINGS -Werror)
+endif()
+
+function(sequoiagate_common target)
+    target_compile_options(${target} PRIVATE ${SEQUOIAGATE_WARNINGS})
+    target_compile_definitions(${target} PRIVATE
+        SEQUOIAGATE_VERSION="${PROJECT_VERSION}" SEQUOIAGATE_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
+        SEQUOIAGATE_BINARY_DIR="${CMAKE_BINARY_DIR}")
+endfunction()
+
+function(sequoiagate_wire)
+    file(GLOB sources CONFIGURE_DEPENDS lib/Wire/proto/*.pb.cc)
+    add_library(Wire STATIC ${sources})
+    target_include_directories(Wire SYSTEM PUBLIC lib/Wire)
+    target_link_libraries(Wire PUBLIC protobuf::libprotobuf gRPC::grpc++)
+endfunction()
+
+# sequoiagate_library(Part DEPENDS target...)
+function(sequoiagate_library part)
+    cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS lib/${part}/*.cpp)
+    if(NOT sources)
+        add_library(${part} INTERFACE)
+        target_include_directories(${part} INTERFACE include)
+        target_link_libraries(${part} INTERFACE ${ARG_DEPENDS})
+        return()
+    endif()
+    add_library(${part} STATIC ${sources})
+    target_include_directories(${part} PUBLIC include PRIVATE lib)
+    target_link_libraries(${part} PUBLIC ${ARG_DEPENDS})
+    sequoiagate_common(${part})
+endfunction()
+
+# sequoiagate_tool(program library...): made when tools/program has sources.
+function(sequoiagate_tool program)
+    file(GLOB sources CONFIGURE_DEPENDS tools/${program}/*.cpp)
+    if(NOT sources)
+        return()
+    endif()
+    add_executable(${program} ${sources})
+    target_link_libraries(${program} PRIVATE ${ARGN})
+    set_target_properties(${program} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+    sequoiagate_common(${program})
+    set_property(GLOBAL APPEND PROPERTY SEQUOIAGATE_TOOLS ${program})
+endfunction()
+
+# One test program a folder of unittests/ and of test/. Folders named Support
+# hold what the other folders share.
+function(sequoiagate_tests)
+    get_property(tools GLOBAL PROPERTY SEQUOIAGATE_TOOLS)
+    file(GLOB support CONFIGURE_DEPENDS unittests/Support/*.cpp test/Support/*.cpp)
+    add_library(TestSupport STATIC ${support})
+    target_include_directories(TestSupport PUBLIC include ${CMAKE_SOURCE_DIR})
+    target_link_libraries(TestSupport PUBLIC Base Service Platform Ledger Config Members Decisions
+        History Keeper Router Operate Load Standins rapidcheck GTest::gtest GTest::gtest_main)
+    sequoiagate_common(TestSupport)
+    file(GLOB folders CONFIGURE_DEPENDS LIST_DIRECTORIES true unittests/* test/*)
+    foreach(folder ${folders})
+        get_filename_component(name ${folder} NAME)
+        file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
+        if(NOT sources OR name STREQUAL "Support")
+            continue()
+        endif()
+        get_filename_component(kind ${folder} DIRECTORY)
+        get_filename_component(kind ${kind} NAME)
+        set(target ${kind}-${name})
+        add_executable(${target} ${sources})
+        target_link_libraries(${target} PRIVATE TestSupport)
+        sequoiagate_common(${target})
+        add_test(NAME ${target} COMMAND ${target})
+        # A fixed seed: the same verdict every run. Soak runs vary it.
+        set_tests_properties(${target} PROPERTIES TIMEOUT 600 LABELS ${kind}
+            ENVIRONMENT "RC_PARAMS=seed=20261202 max_success=200")
+        if(kind STREQUAL "test")
+            add_dependencies(${target} ${tools})
+        endif()
+    endforeach()
+endfunction()
+
+function(sequoiagate_benches)
+    file(GLOB folders CONFIGURE_DEPENDS LIST_DIRECTORIES true bench/*)
+    foreach(folder ${folders})
+        get_filename_component(name ${folder} NAME)
+        file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cpp)
+        if(NOT sources)
+            continue()
+        endif()
+        add_executable(bench-${name} ${sources})
+        target_include_directories(bench-${name} PRIVATE ${CMAKE_SOURCE_DIR})
+        target_link_libraries(bench-${name} PRIVATE TestSupport benchmark::benchmark)
+        set_target_properties(bench-${name} PROPERTIES
+            RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bench)
+        sequoiagate_common(bench-${name})
+    endforeach()
+endfunction()
--- /dev/null
+++ b/include/sequoiagate/Base/Ids.h
@@ -0,0 +1,75 @@
+#ifndef SEQUOIAGATE_BASE_IDS_H
+#define SEQUOIAGATE_BASE_IDS_H
+
+/// Names of things as distinct types, so that a host can't be passed where a
+/// workspace is meant.
+
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace sequoiagate {
+
+/// A string that names one kind of thing. Value type; comparing two kinds
+/// doesn't compile.
+template <typename Tag>
+class Id
+{
+public:
+    Id() = default;
+    explicit Id(std::string text) : text_(std::move(text)) {}
+
+    const std::string &text() const { return text_; }
+    bool empty() const { return text_.empty(); }
+
+    friend bool operator==(const Id &, const Id &) = default;
+    friend auto operator<=>(const Id &, const Id &) = default;
+    template <typename H>
+    friend H AbslHashValue(H state, const Id &id)
+    {
+        return H::combine(std::move(state), id.text_);
+    }
+    friend std::ostream &operator<<(std::ostream &out, const Id &id) { return out << id.text_; }
+
+private:
+    std::string text_;
+};
+
+using HostId = Id<struct HostTag>;
+using DomainId = Id<struct DomainTag>;
+using WorkspaceId = Id<struct WorkspaceTag>;
+using EndpointId = Id<struct EndpointTag>;
+using RequestId = Id<struct RequestTag>;
+using GrantId = Id<struct GrantTag>;
+using ReservationId = Id<struct ReservationTag>;
+using AttemptId = Id<struct AttemptTag>;
+using RunKey = Id<struct RunKeyTag>;
+using ServiceId = Id<struct ServiceTag>; ///< a model or a plain service that callers name
+
+/// One life of one process: random at each start, never used again. What a
+/// process promised ends with its incarnation.
+using Incarnation = Id<struct IncarnationTag>;
+
+/// A random 128-bit name in 32 hex digits. Thread safe.
+/// \throws std::runtime_error if the system gives no randomness.
+std::string randomHex128();
+
+template <typename IdType>
+IdType randomId()
+{
+    return IdType(randomHex128());
+}
+
+} // namespace sequoiagate
+
+template <typename Tag>
+struct std::hash<sequoiagate::Id<Tag>>
+{
+    std::size_t operator()(const sequoiagate::Id<Tag> &id) const noexcept
+    {
+        return std::hash<std::string>()(id.text());
+    }
+};
+
+#endif
--- /dev/null
+++ b/include/sequoiagate/Base/Statechart.h
@@ -0,0 +1,78 @@
+#ifndef SEQUOIAGATE_BASE_STATECHART_H
+#define SEQUOIAGATE_BASE_STATECHART_H
+
+/// State charts that stand in files (share/statecharts/*.json) and are
+/// interpreted. The file is the one place where a life's states are listed:
+///   {"name": "drain", "initial": "serving", "final": ["stopped"],
+///    "events": ["stop", "empty"],
+///    "states": {"serving": {"stop": "draining", "empty": "serving"}, ...}}
+
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sequoiagate {
+
+class StatechartError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// Immutable once loaded, so thread safe.
+class Statechart
+{
+public:
+    /// Reads and checks a chart: no unreachable state, no unhandled event, every
+    /// state leads to a final one.
+    /// \throws StatechartError naming the state or event at fault.
+    static Statechart parse(const std::string &json);
+
+    const std::string &name() const { return name_; }
+    const std::string &initial() const { return initial_; }
+    bool isFinal(std::string_view state) const;
+    /// The state after \p event. \throws StatechartError for an unknown state or event.
+    const std::string &next(std::string_view state, std::string_view event) const;
+
+private:
+    struct Transition
+    {
+        std::string state;
+        std::string event;
+        std::string target;
+    };
+
+    void check() const;
+    void checkReachable() const;
+    void checkComplete() const;
+    void checkEnds() const;
+
+    std::string name_;
+    std::string initial_;
+    std::vector<std::string> finals_;
+    std::vector<std::string> events_;
+    std::vector<std::string> states_;
+    std::vector<Transition> transitions_;
+};
+
+/// One thing's position in a chart. Not thread safe.
+class StatechartPosition
+{
+public:
+    /// \pre chart outlives this.
+    explicit StatechartPosition(const Statechart &chart) : chart_(&chart), state_(chart.initial())
+    {}
+    const std::string &state() const { return state_; }
+    bool ended() const { return chart_->isFinal(state_); }
+    void handle(std::string_view event) { state_ = chart_->next(state_, event); }
+
+private:
+    const Statechart *chart_;
+    std::string state_;
+};
+
+} // namespace sequoiagate
+
+#endif
--- /dev/null
+++ b/include/sequoiagate/Service/Program.h
@@ -0,0 +1,56 @@
+#ifndef SEQUOIAGATE_SERVICE_PROGRAM_H
+#define SEQUOIAGATE_SERVICE_PROGRAM_H
+
+/// What every daemon's main does: options, settings, logs, and a planned stop.
+
+#include <functional>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "sequoiagate/Service/EventLog.h"
+
+namespace sequoiagate {
+
+/// Exit codes that all programs share; docs/Operations.md lists them.
+enum ExitCode : int {
+    ExitOk = 0,
+    ExitFailure = 1,
+    ExitBadInput = 2,    ///< options, settings or a file given by the user
+    ExitUnavailable = 3, ///< what was asked couldn't be reached
+    ExitConflict = 4,    ///< somebody else's change won
+};
+
+/// Blocks SIGTERM and SIGINT in the calling thread and those it starts later, and
+/// waits for them. Construct it first thing in main.
+class StopSignal
+{
+public:
+    StopSignal();
+    /// Returns when the process is asked to stop. Call from one thread.
+    void wait();
+};
+
+/// What a daemon's body is given.
+struct DaemonContext
+{
+    nlohmann::json settings;
+    EventLog &log;
+    StopSignal &stop;
+};
+
+/// Parses --help, --version, --settings FILE and --check-settings, loads the
+/// settings by the schema named \p program in share/schemas, and runs \p body.
+/// Settings common to all daemons: host, domain.
+/// \returns the process's exit code; an exception from \p body is logged and
+/// gives ExitFailure.
+int runDaemon(int argc, char **argv, const std::string &program, const std::string &summary,
+              const std::function<int(DaemonContext &)> &body);
+
+/// The text of share/<relativePath>, from the source tree or beside the program.
+/// \throws SettingsError
+std::string readShareFile(const std::string &relativePath);
+
+} // namespace sequoiagate
+
+#endif
