--- a/include/sequoiagate/Platform/HttpLogService.h
+++ b/include/sequoiagate/Platform/HttpLogService.h
@@ -8,6 +8,7 @@
 
 #include <string>
 
+#include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Platform/LogService.h"
 
 namespace sequoiagate {
@@ -15,8 +16,9 @@
 class HttpLogService : public LogService
 {
 public:
+    /// \param sender this host's name, for the service's own records of who calls
     /// \pre address is IP:port.
-    explicit HttpLogService(std::string address);
+    explicit HttpLogService(std::string address, HostId sender = HostId());
 
     LogOffset append(const std::string &stream, const std::vector<std::string> &batch,
                      Instant deadline) override;
@@ -25,6 +27,7 @@
 
 private:
     std::string address_;
+    HostId sender_;
 };
 
 } // namespace sequoiagate
--- a/lib/Platform/HttpLogService.cpp
+++ b/lib/Platform/HttpLogService.cpp
@@ -23,9 +23,10 @@
 /// One connection a call: httplib sends a request again when a kept connection
 /// turns out stale, and an append sent twice under one answer would be read as
 /// one. The pair (writer, sequence) makes that harmless, but it costs appends.
-httplib::Client connect(const std::string &address, Millis readTimeout)
+httplib::Client connect(const std::string &address, const HostId &sender, Millis readTimeout)
 {
     httplib::Client client("http://" + address);
+    client.set_default_headers({{"X-Sender", sender.text()}});
     client.set_keep_alive(false);
     client.set_connection_timeout(ConnectTimeout);
     client.set_read_timeout(readTimeout);
@@ -59,7 +60,9 @@
 
 } // namespace
 
-HttpLogService::HttpLogService(std::string address) : address_(std::move(address)) {}
+HttpLogService::HttpLogService(std::string address, HostId sender)
+    : address_(std::move(address)), sender_(std::move(sender))
+{}
 
 LogOffset HttpLogService::append(const std::string &stream, const std::vector<std::string> &batch,
                                  Instant deadline)
@@ -69,7 +72,8 @@
     for (const std::string &record : batch) {
         body["records"].push_back(absl::Base64Escape(record));
     }
-    httplib::Client client = connect(address_, until(deadline, std::chrono::steady_clock::now()));
+    httplib::Client client =
+            connect(address_, sender_, until(deadline, std::chrono::steady_clock::now()));
     const httplib::Result result = client.Post(fmt::format("/v1/streams/{}/append", stream).c_str(),
                                                body.dump(), "application/json");
     const nlohmann::json answer = parseAnswer(result, Execution::MayHaveRun);
@@ -83,7 +87,7 @@
                               Instant waitUntil)
 {
     const Millis wait = until(waitUntil, std::chrono::steady_clock::now());
-    httplib::Client client = connect(address_, wait + ReadSlack);
+    httplib::Client client = connect(address_, sender_, wait + ReadSlack);
     const std::string path = fmt::format("/v1/streams/{}/records?from={}&limit={}&wait_ms={}",
                                          stream, from, limit, wait.count());
     const httplib::Result result = client.Get(path.c_str());
