[Decisions] Add first bodies: bounded queue, least in flight, retry budget

Cause: the router can't link without bodies behind the seam. Change: a queue bounded in length and time, the endpoint with the least in flight, and a retry budget that is final; RetryBudget has a header of its own. Measured: unittests-Decisions passes.

--- a/include/sequoiagate/Decisions/Admission.h
+++ b/include/sequoiagate/Decisions/Admission.h
@@ -5,7 +5,10 @@
 /// no network, no clock, no threads.
 
 #include <cstdint>
+#include <deque>
+#include <random>
 #include <string>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -88,7 +91,19 @@
     uint32_t waiting() const;
 
 private:
+    struct Waiting
+    {
+        WorkItem item;
+        Instant until;
+    };
+
+    void admitWaiting(std::vector<QueueRelease> &released);
+    Instant comeBackAt(Instant now);
+
     AdmissionSettings settings_;
+    std::unordered_set<RequestId> inFlight_;
+    std::deque<Waiting> queue_;
+    std::mt19937_64 jitter_;
 };
 
 } // namespace sequoiagate
--- a/include/sequoiagate/Decisions/EndpointChoice.h
+++ b/include/sequoiagate/Decisions/EndpointChoice.h
@@ -14,6 +14,7 @@
 #include "sequoiagate/Base/Time.h"
 #include "sequoiagate/Base/Verdict.h"
 #include "sequoiagate/Decisions/Admission.h"
+#include "sequoiagate/Decisions/RetryBudget.h"
 
 namespace sequoiagate {
 
@@ -83,23 +84,17 @@
     uint32_t totalSlots(Instant now) const;
 
 private:
-    DomainId self_;
-};
+    struct Endpoint
+    {
+        EndpointSpec spec;
+        LoadReport report;
+        uint32_t inFlight = 0;
+    };
 
-/// Bounds how much retries add to the load. Not thread safe.
-class RetryBudget
-{
-public:
-    /// \param ratio retries allowed per first try, 0 to 1
-    explicit RetryBudget(double ratio = 0.1);
-    void onFirstTry(Instant now);
-    /// Whether the failed try may be made again; counts it if so. Never for a call
-    /// that isn't idempotent unless the verdict is NotRun.
-    bool mayRetry(const Verdict &verdict, bool idempotent, Instant now);
+    Endpoint *find(const EndpointId &id);
 
-private:
-    double ratio_;
-    double tokens_ = 0.0;
+    DomainId self_;
+    std::vector<Endpoint> endpoints_;
 };
 
 } // namespace sequoiagate
--- /dev/null
+++ b/lib/Decisions/RetryBudget.cpp
@@ -0,0 +1,37 @@
+#include "sequoiagate/Decisions/RetryBudget.h"
+
+#include <algorithm>
+
+namespace sequoiagate {
+
+namespace {
+
+constexpr double MostSavedRetries = 10.0;
+
+bool safeToRepeat(const Verdict &verdict, bool idempotent)
+{
+    if (verdict.execution == Execution::Ran) {
+        return false;
+    }
+    return idempotent || verdict.execution == Execution::NotRun;
+}
+
+} // namespace
+
+RetryBudget::RetryBudget(double ratio) : ratio_(ratio), tokens_(MostSavedRetries) {}
+
+void RetryBudget::onFirstTry(Instant /*now*/)
+{
+    tokens_ = std::min(tokens_ + ratio_, MostSavedRetries);
+}
+
+bool RetryBudget::mayRetry(const Verdict &verdict, bool idempotent, Instant /*now*/)
+{
+    if (!safeToRepeat(verdict, idempotent) || tokens_ < 1.0) {
+        return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+}
+
+} // namespace sequoiagate
