--- /dev/null
+++ b/lib/History/Checks.cpp
@@ -0,0 +1,263 @@
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+
+#include <fmt/format.h>
+
+#include "sequoiagate/History/History.h"
+#include "sequoiagate/Service/Events.h"
+
+namespace sequoiagate {
+
+namespace {
+
+/// How long after an endpoint says that it leaves work may still reach it.
+constexpr Seconds LeavingGrace{3};
+
+/// Names one request or call: ids are scoped to a workspace.
+struct CallId
+{
+    std::string workspace;
+    std::string id;
+
+    friend auto operator<=>(const CallId &, const CallId &) = default;
+};
+
+CallId requestOf(const HistoryEvent &event)
+{
+    return {event.text("workspace"), event.text("request")};
+}
+
+CallId keyOf(const HistoryEvent &event)
+{
+    return {event.text("workspace"), event.text("key")};
+}
+
+std::string describeCall(const CallId &call)
+{
+    return fmt::format("workspace {} request {}", call.workspace, call.id);
+}
+
+/// What a check has to work with.
+class Check
+{
+public:
+    Check(std::string property, const History &history, std::vector<Violation> &violations)
+        : property_(std::move(property)), history_(history), violations_(violations)
+    {}
+
+    const History &history() const { return history_; }
+    void violated(std::string what) { violations_.push_back({property_, std::move(what)}); }
+
+    template <typename Visit>
+    void forEach(std::string_view name, const Visit &visit) const
+    {
+        for (const HistoryEvent &event : history_.events) {
+            if (event.name == name) {
+                visit(event);
+            }
+        }
+    }
+
+private:
+    std::string property_;
+    const History &history_;
+    std::vector<Violation> &violations_;
+};
+
+/// Tokens that endpoints generated or read, by their own account, never pass what
+/// was prepaid.
+void checkOverspend(Check &check)
+{
+    std::map<std::string, uint64_t> served;
+    check.forEach(events::EndpointRan, [&](const HistoryEvent &event) {
+        served[event.text("workspace")] += event.number("tokens");
+    });
+    for (const FinalBudget &budget : check.history().budgets) {
+        const uint64_t tokens = served[budget.workspace.text()];
+        if (tokens > budget.prepaid) {
+            check.violated(fmt::format("workspace {} was served {} tokens of {} prepaid",
+                                       budget.workspace.text(), tokens, budget.prepaid));
+        }
+    }
+}
+
+/// Every chat answered whole has one bill, and the bill is what some run cost.
+void checkBilledOnce(Check &check)
+{
+    std::map<CallId, std::set<uint64_t>> costs;
+    check.forEach(events::EndpointRan, [&](const HistoryEvent &event) {
+        costs[requestOf(event)].insert(event.number("tokens"));
+    });
+    std::map<CallId, int> bills;
+    for (const FinalBill &bill : check.history().bills) {
+        const CallId call{bill.workspace.text(), bill.request.text()};
+        if (++bills[call] > 1) {
+            check.violated(describeCall(call) + " has more than one bill");
+        }
+        const bool matches = bill.inDoubt || bill.tokens == 0 || costs[call].count(bill.tokens) > 0;
+        if (!matches) {
+            check.violated(fmt::format("{} is billed {} tokens, which no run of it cost",
+                                       describeCall(call), bill.tokens));
+        }
+    }
+    check.forEach(events::CallerGot, [&](const HistoryEvent &event) {
+        const bool wholeChat = event.flag("whole") && !event.text("request").empty();
+        if (wholeChat && bills[requestOf(event)] == 0) {
+            check.violated(describeCall(requestOf(event)) + " was answered and never billed");
+        }
+    });
+}
+
+/// An answer that the caller took for whole is what an endpoint made for just
+/// that request. Resumed streams hold a part only; their test joins the parts.
+void checkOwnAnswer(Check &check)
+{
+    std::map<CallId, std::set<std::string>> answers;
+    check.forEach(events::EndpointRan, [&](const HistoryEvent &event) {
+        if (!event.flag("cancelled")) {
+            answers[requestOf(event)].insert(event.text("answer_hash"));
+        }
+    });
+    check.forEach(events::CallerGot, [&](const HistoryEvent &event) {
+        const bool judged = event.flag("whole") && !event.flag("resumes")
+                            && !event.text("request").empty()
+                            && event.fields.value("status", 0) == 200;
+        if (judged && answers[requestOf(event)].count(event.text("answer_hash")) == 0) {
+            check.violated(describeCall(requestOf(event))
+                           + " got an answer that no endpoint made for it");
+        }
+    });
+}
+
+/// One try of a caller, from its sending to its answer.
+struct CallerTry
+{
+    std::string sentStamp;
+    bool toldNotRun = false;
+};
+
+/// Whatever reached an endpoint was sent by a caller who wasn't told "not run".
+/// A try that began later can't be the cause, and a try without an answer might.
+void checkNotRun(Check &check)
+{
+    std::map<CallId, std::map<std::string, CallerTry>> tries;
+    const auto callOf = [](const HistoryEvent &event) {
+        return event.text("key").empty() ? requestOf(event) : keyOf(event);
+    };
+    check.forEach(events::CallerSent, [&](const HistoryEvent &event) {
+        tries[callOf(event)][event.text("try")].sentStamp = event.stamp;
+    });
+    check.forEach(events::CallerGot, [&](const HistoryEvent &event) {
+        tries[callOf(event)][event.text("try")].toldNotRun = event.text("execution") == "not_run";
+    });
+    check.forEach(events::EndpointReceived, [&](const HistoryEvent &event) {
+        const CallId call = callOf(event);
+        bool known = false;
+        bool explained = false;
+        for (const auto &[name, callerTry] : tries[call]) {
+            known = true;
+            explained |= !callerTry.toldNotRun && callerTry.sentStamp < event.stamp;
+        }
+        if (known && !explained) {
+            check.violated(describeCall(call) + " was said not to have run, and reached "
+                           + event.text("endpoint"));
+        }
+    });
+}
+
+/// A call under an idempotency key took effect at most once.
+void checkAtMostOnce(Check &check)
+{
+    std::map<CallId, int> runs;
+    check.forEach(events::EndpointRan, [&](const HistoryEvent &event) {
+        const bool counts = !event.text("key").empty() && !event.flag("idempotent");
+        if (counts && ++runs[keyOf(event)] > 1) {
+            check.violated(describeCall(keyOf(event)) + " ran more than once");
+        }
+    });
+}
+
+/// Some seconds after an endpoint said that it leaves, no new work reaches it.
+void checkLeaving(Check &check)
+{
+    std::map<std::string, WallTime> leaving;
+    check.forEach(events::EndpointLeaving, [&](const HistoryEvent &event) {
+        leaving.emplace(event.text("endpoint"), event.wall());
+    });
+    check.forEach(events::EndpointReceived, [&](const HistoryEvent &event) {
+        const auto left = leaving.find(event.text("endpoint"));
+        if (left != leaving.end() && event.wall() > left->second + LeavingGrace) {
+            check.violated(fmt::format("endpoint {} got {} after it had left",
+                                       event.text("endpoint"), describeCall(requestOf(event))));
+        }
+    });
+}
+
+/// A planned stop cuts nothing off and strands nothing.
+void checkPlannedStop(Check &check)
+{
+    check.forEach(events::ProcessStopped, [&](const HistoryEvent &event) {
+        if (event.number("cut_off") > 0 || event.number("stranded_tokens") > 0) {
+            check.violated(fmt::format("{} on {} cut off {} requests and stranded {} tokens",
+                                       event.program, event.host.text(), event.number("cut_off"),
+                                       event.number("stranded_tokens")));
+        }
+    });
+}
+
+/// On no host does a program go back to an older configuration, be it by a restart.
+void checkConfigNeverReverts(Check &check)
+{
+    std::map<CallId, uint64_t> inForce;
+    check.forEach(events::ConfigInForce, [&](const HistoryEvent &event) {
+        uint64_t &highest = inForce[{event.host.text(), event.program}];
+        const uint64_t version = event.number("version");
+        if (version < highest) {
+            check.violated(fmt::format("{} on {} went from version {} back to {}", event.program,
+                                       event.host.text(), highest, version));
+        }
+        highest = std::max(highest, version);
+    });
+}
+
+struct NamedCheck
+{
+    const char *property;
+    void (*run)(Check &);
+};
+
+constexpr std::array Checks = {
+        NamedCheck{"overspend", checkOverspend},
+        NamedCheck{"billed_once", checkBilledOnce},
+        NamedCheck{"own_answer", checkOwnAnswer},
+        NamedCheck{"not_run_is_true", checkNotRun},
+        NamedCheck{"at_most_once", checkAtMostOnce},
+        NamedCheck{"leaving_endpoint", checkLeaving},
+        NamedCheck{"planned_stop", checkPlannedStop},
+        NamedCheck{"config_never_reverts", checkConfigNeverReverts},
+};
+
+} // namespace
+
+std::vector<Violation> checkHistory(const History &history)
+{
+    std::vector<Violation> violations;
+    for (const NamedCheck &named : Checks) {
+        Check check(named.property, history, violations);
+        named.run(check);
+    }
+    return violations;
+}
+
+std::vector<std::string> historyProperties()
+{
+    std::vector<std::string> names;
+    for (const NamedCheck &named : Checks) {
+        names.emplace_back(named.property);
+    }
+    return names;
+}
+
+} // namespace sequoiagate
--- a/test/Support/Caller.cpp
+++ b/test/Support/Caller.cpp
@@ -163,7 +163,9 @@
 
 CallerAnswer Caller::chat(const ChatCall &call)
 {
+    const AttemptId callerTry = randomId<AttemptId>();
     log_.write(Event(events::CallerSent)
+                       .with("try", callerTry)
                        .with("request", call.request)
                        .with("workspace", call.workspace)
                        .with("router", call.router)
@@ -185,13 +187,14 @@
     if (result && !isEventStream) {
         readWholeChat(plainBody, answer);
     }
-    sawChat(call, answer);
+    sawChat(call, callerTry, answer);
     return answer;
 }
 
-void Caller::sawChat(const ChatCall &call, const CallerAnswer &answer)
+void Caller::sawChat(const ChatCall &call, const AttemptId &callerTry, const CallerAnswer &answer)
 {
     log_.write(Event(events::CallerGot)
+                       .with("try", callerTry)
                        .with("request", call.request)
                        .with("workspace", call.workspace)
                        .with("router", call.router)
@@ -205,7 +208,9 @@
 
 CallerAnswer Caller::plain(const PlainCall &call)
 {
+    const AttemptId callerTry = randomId<AttemptId>();
     log_.write(Event(events::CallerSent)
+                       .with("try", callerTry)
                        .with("key", call.idempotencyKey)
                        .with("workspace", call.workspace)
                        .with("router", call.router));
@@ -223,6 +228,7 @@
         readError(nlohmann::json::parse(result->body, nullptr, false), answer);
     }
     log_.write(Event(events::CallerGot)
+                       .with("try", callerTry)
                        .with("key", call.idempotencyKey)
                        .with("workspace", call.workspace)
                        .with("router", call.router)
--- a/test/Support/Caller.h
+++ b/test/Support/Caller.h
@@ -67,7 +67,7 @@
     CallerAnswer plain(const PlainCall &call);
 
 private:
-    void sawChat(const ChatCall &call, const CallerAnswer &answer);
+    void sawChat(const ChatCall &call, const AttemptId &callerTry, const CallerAnswer &answer);
 
     std::FILE *file_;
     EventLog log_;
