--- a/cmake/Parts.cmake
+++ b/cmake/Parts.cmake
@@ -51,15 +51,20 @@
 endfunction()
 
 # One test program a folder of unittests/ and of test/. Folders named Support
-# hold what the other folders share.
+# hold what the other folders share: unittests/Support the fakes, test/Support
+# what runs real processes.
 function(sequoiagate_tests)
     get_property(tools GLOBAL PROPERTY SEQUOIAGATE_TOOLS)
-    file(GLOB support CONFIGURE_DEPENDS unittests/Support/*.cpp test/Support/*.cpp)
+    file(GLOB support CONFIGURE_DEPENDS unittests/Support/*.cpp)
     add_library(TestSupport STATIC ${support})
     target_include_directories(TestSupport PUBLIC include ${CMAKE_SOURCE_DIR})
     target_link_libraries(TestSupport PUBLIC Base Service Platform Ledger Config Members Decisions
         History Keeper Router Operate Load Standins rapidcheck GTest::gtest GTest::gtest_main)
     sequoiagate_common(TestSupport)
+    file(GLOB fleet CONFIGURE_DEPENDS test/Support/*.cpp)
+    add_library(FleetSupport STATIC ${fleet})
+    target_link_libraries(FleetSupport PUBLIC TestSupport)
+    sequoiagate_common(FleetSupport)
     file(GLOB folders CONFIGURE_DEPENDS LIST_DIRECTORIES true unittests/* test/*)
     foreach(folder ${folders})
         get_filename_component(name ${folder} NAME)
@@ -72,6 +77,9 @@
         set(target ${kind}-${name})
         add_executable(${target} ${sources})
         target_link_libraries(${target} PRIVATE TestSupport)
+        if(kind STREQUAL "test")
+            target_link_libraries(${target} PRIVATE FleetSupport)
+        endif()
         sequoiagate_common(${target})
         add_test(NAME ${target} COMMAND ${target})
         # A fixed seed: the same verdict every run. Soak runs vary it.
@@ -93,7 +101,7 @@
         endif()
         add_executable(bench-${name} ${sources})
         target_include_directories(bench-${name} PRIVATE ${CMAKE_SOURCE_DIR})
-        target_link_libraries(bench-${name} PRIVATE TestSupport benchmark::benchmark)
+        target_link_libraries(bench-${name} PRIVATE TestSupport FleetSupport benchmark::benchmark)
         set_target_properties(bench-${name} PROPERTIES
             RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bench)
         sequoiagate_common(bench-${name})
