[Service] Render counters, gauges and histograms in the text format

Cause: the metrics were a thin body that recorded nothing. A metric takes 512 series at most; what goes past is counted as dropped, since one label with a request id in it would otherwise grow without end. Conclusion: unittests-Service covers rendering, escaping and the limit.

--- a/include/sequoiagate/Service/Metrics.h
+++ b/include/sequoiagate/Service/Metrics.h
@@ -21,13 +21,16 @@
     std::string value;
 };
 
-/// All methods are thread safe. A metric is made on first use.
+/// All methods are thread safe. A metric is made on first use. A metric takes a
+/// bounded number of label values: what goes past it is counted as dropped.
 class Metrics
 {
 public:
     Metrics();
     ~Metrics();
 
+    /// Sets the help line of \p name; without one the page has none.
+    void describe(std::string_view name, std::string_view help);
     /// Adds to a counter; \p name ends in _total.
     void count(std::string_view name, const std::vector<MetricLabel> &labels = {},
                uint64_t amount = 1);
