[Service] Check settings by schema and share the command-line options

Files of share/ are also found beside an installed program. What escapes a daemon's body is logged as process.failed. Ruled out: passing on the validator's own messages, which name neither the value nor the limits in one line.

--- a/lib/Service/Program.cpp
+++ b/lib/Service/Program.cpp
@@ -1,13 +1,14 @@
 #include "sequoiagate/Service/Program.h"
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 
 #include "sequoiagate/Service/Events.h"
+#include "sequoiagate/Service/Options.h"
 #include "sequoiagate/Service/Settings.h"
 
 namespace sequoiagate {
@@ -33,6 +34,19 @@
     return identity;
 }
 
+/// Runs the body; what escapes it is logged, where the time line shows it.
+int runBody(DaemonContext &context, const std::function<int(DaemonContext &)> &body)
+{
+    try {
+        return body(context);
+    } catch (const SettingsError &) {
+        throw;
+    } catch (const std::exception &error) {
+        context.log.write(Event("process.failed").with("error", error.what()));
+        return ExitFailure;
+    }
+}
+
 } // namespace
 
 StopSignal::StopSignal()
@@ -52,12 +66,20 @@
 
 std::string readShareFile(const std::string &relativePath)
 {
-    const std::string path = std::string(SEQUOIAGATE_SOURCE_DIR) + "/share/" + relativePath;
-    std::ifstream file(path);
-    if (!file) {
-        throw SettingsError(fmt::format("'{}' can't be opened", path));
+    // An installed program finds share/ in the folder above its own.
+    std::error_code unreadable;
+    const std::filesystem::path program =
+            std::filesystem::read_symlink("/proc/self/exe", unreadable);
+    const std::filesystem::path candidates[] = {
+            std::filesystem::path(SEQUOIAGATE_SOURCE_DIR) / "share" / relativePath,
+            program.parent_path().parent_path() / "share" / relativePath};
+    for (const std::filesystem::path &path : candidates) {
+        std::ifstream file(path);
+        if (file) {
+            return std::string(std::istreambuf_iterator<char>(file), {});
+        }
     }
-    return std::string(std::istreambuf_iterator<char>(file), {});
+    throw SettingsError(fmt::format("'{}' can't be opened", candidates[0].string()));
 }
 
 int runDaemon(int argc, char **argv, const std::string &program, const std::string &summary,
@@ -65,30 +87,20 @@
 {
     StopSignal stop;
     cxxopts::Options options(program, summary);
-    options.add_options()("h,help", "print this help and exit")("version",
-                                                                "print the version and exit")(
-            "settings", "the JSON settings file",
-            cxxopts::value<std::string>())("check-settings", "check the settings file and exit");
+    addCommonOptions(options);
     try {
-        const cxxopts::ParseResult parsed = options.parse(argc, argv);
-        if (parsed.count("help") > 0) {
-            fmt::print("{}", options.help());
+        const std::optional<cxxopts::ParseResult> parsed = parseOptions(options, argc, argv);
+        if (!parsed) {
             return ExitOk;
         }
-        if (parsed.count("version") > 0) {
-            fmt::print("{} {}\n", program, SEQUOIAGATE_VERSION);
-            return ExitOk;
-        }
-        const nlohmann::json schema =
-                nlohmann::json::parse(readShareFile("schemas/" + program + ".json"));
-        const nlohmann::json settings = loadSettings(parsed["settings"].as<std::string>(), schema);
-        if (parsed.count("check-settings") > 0) {
+        const nlohmann::json settings = settingsFromOptions(*parsed, program);
+        if (parsed->count("check-settings") > 0) {
             fmt::print("settings are good\n");
             return ExitOk;
         }
         EventLog log(identityFrom(settings, program));
         DaemonContext context{settings, log, stop};
-        return body(context);
+        return runBody(context, body);
     } catch (const cxxopts::exceptions::exception &error) {
         fmt::print(stderr, "{}: {}\n", program, error.what());
         return ExitBadInput;
