--- /dev/null
+++ b/include/sequoiagate/Router/KeeperClient.h
@@ -0,0 +1,87 @@
+#ifndef SEQUOIAGATE_ROUTER_KEEPERCLIENT_H
+#define SEQUOIAGATE_ROUTER_KEEPERCLIENT_H
+
+/// How a router reaches the keepers of its failure domain. A workspace's calls
+/// go to its home keeper, the rendezvous choice among those believed live; the
+/// next choice is asked when the home doesn't answer or drains. Two routers that
+/// disagree about the home cost grants, never safety.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/synchronization/mutex.h>
+
+#include "proto/keeper.grpc.pb.h"
+
+#include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Base/Verdict.h"
+#include "sequoiagate/Transport/Security.h"
+
+namespace sequoiagate {
+
+/// A wire verdict as a local one, and back.
+Verdict verdictFromWire(const wire::WireVerdict &wire, Instant now);
+wire::Execution executionToWire(Execution execution);
+Execution executionFromWire(wire::Execution execution);
+
+/// Thread safe.
+class KeeperClient
+{
+public:
+    /// \param seeds gRPC addresses used until a view names the keepers
+    KeeperClient(const std::vector<std::string> &seeds, Security &security, Millis timeout,
+                 Millis claimTimeout);
+
+    /// Replaces what is known. An empty list is ignored: the seeds are better than none.
+    void setKeepers(const std::vector<wire::KeeperEntry> &keepers);
+
+    /// \throws VerdictError with KeeperUnreachable, NotRun, when no keeper answers.
+    wire::ReserveReply reserve(const wire::ReserveRequest &request);
+    wire::ClaimRunReply claimRun(const wire::ClaimRunRequest &request);
+    wire::SettleReply settle(const wire::SettleRequest &request);
+    wire::FinishRunReply finishRun(const wire::FinishRunRequest &request);
+    wire::ReadViewReply readView(const wire::ReadViewRequest &request, Millis wait);
+    /// Ends a readView that waits, and fails later ones at once: the process stops.
+    void cancelReadView();
+    /// The keeper that answered the last readView; its view serials are its own.
+    std::string viewSource() const;
+
+private:
+    struct Keeper
+    {
+        std::string name; ///< host, or the address of a seed
+        std::string address;
+        std::unique_ptr<wire::KeeperService::Stub> stub;
+        bool draining = false;
+        Instant avoidUntil; ///< it didn't answer: others are asked first until then
+    };
+    using KeeperPtr = std::shared_ptr<Keeper>;
+
+    template <typename Request, typename Reply>
+    using Method = grpc::Status (wire::KeeperService::Stub::*)(grpc::ClientContext *,
+                                                               const Request &, Reply *);
+
+    KeeperPtr keeperAt(const std::string &name, const std::string &address);
+    std::vector<KeeperPtr> orderFor(const std::string &key) const;
+    void avoid(Keeper &keeper);
+    void setOpenView(grpc::ClientContext *context);
+
+    template <typename Request, typename Reply>
+    Reply call(Method<Request, Reply> method, const std::string &key, const Request &request,
+               Millis timeout);
+
+    Security &security_;
+    Millis timeout_;
+    Millis claimTimeout_;
+    mutable absl::Mutex mutex_;
+    std::vector<KeeperPtr> keepers_;
+    std::string viewSource_;
+    grpc::ClientContext *openView_ = nullptr; ///< of the readView in progress
+    bool viewCancelled_ = false;
+};
+
+} // namespace sequoiagate
+
+#endif
--- /dev/null
+++ b/lib/Router/KeeperClient.cpp
@@ -0,0 +1,229 @@
+#include "sequoiagate/Router/KeeperClient.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "sequoiagate/Base/Rendezvous.h"
+
+namespace sequoiagate {
+
+namespace {
+
+/// A keeper that didn't answer is asked last for so long. Long enough that a dead
+/// home doesn't cost each request a timeout, short enough that a keeper back from
+/// a pause gets its workspaces back before their grants elsewhere have grown.
+constexpr Millis AvoidFor{2000};
+constexpr Millis ComeBackAfter{1000};
+/// Longer than the keeper holds a view, by what an answer may take.
+constexpr Millis ViewSlack{1000};
+
+/// Whether the keeper passes the request on to another by its answer.
+bool passesOn(const wire::WireVerdict &refused)
+{
+    const std::optional<Reason> reason = reasonFromName(refused.reason());
+    return reason == Reason::Draining || reason == Reason::NotReady;
+}
+
+template <typename Reply>
+bool passesOn(const Reply &reply)
+{
+    if constexpr (requires { reply.refused(); }) {
+        return reply.has_refused() && passesOn(reply.refused());
+    } else {
+        return false;
+    }
+}
+
+} // namespace
+
+Verdict verdictFromWire(const wire::WireVerdict &wire, Instant now)
+{
+    Verdict verdict;
+    verdict.execution = executionFromWire(wire.execution());
+    verdict.reason = reasonFromName(wire.reason()).value_or(Reason::Internal);
+    verdict.detail = wire.detail();
+    if (wire.retry_after_ms() > 0) {
+        verdict.comeBackAt = now + Millis(wire.retry_after_ms());
+    }
+    return verdict;
+}
+
+wire::Execution executionToWire(Execution execution)
+{
+    switch (execution) {
+    case Execution::NotRun:
+        return wire::NOT_RUN;
+    case Execution::MayHaveRun:
+        return wire::MAY_HAVE_RUN;
+    case Execution::Ran:
+        return wire::RAN;
+    }
+    return wire::MAY_HAVE_RUN;
+}
+
+Execution executionFromWire(wire::Execution execution)
+{
+    switch (execution) {
+    case wire::NOT_RUN:
+        return Execution::NotRun;
+    case wire::RAN:
+        return Execution::Ran;
+    default:
+        return Execution::MayHaveRun; // unset or unknown: the careful reading
+    }
+}
+
+KeeperClient::KeeperClient(const std::vector<std::string> &seeds, Security &security,
+                           Millis timeout, Millis claimTimeout)
+    : security_(security), timeout_(timeout), claimTimeout_(claimTimeout)
+{
+    for (const std::string &address : seeds) {
+        keepers_.push_back(keeperAt(address, address));
+    }
+}
+
+void KeeperClient::setKeepers(const std::vector<wire::KeeperEntry> &entries)
+{
+    if (entries.empty()) {
+        return;
+    }
+    absl::MutexLock lock(&mutex_);
+    std::vector<KeeperPtr> next;
+    for (const wire::KeeperEntry &entry : entries) {
+        const auto known =
+                std::find_if(keepers_.begin(), keepers_.end(), [&](const KeeperPtr &keeper) {
+                    return keeper->name == entry.host() && keeper->address == entry.address();
+                });
+        next.push_back(known != keepers_.end() ? *known : keeperAt(entry.host(), entry.address()));
+        next.back()->draining = entry.draining();
+    }
+    keepers_ = std::move(next);
+}
+
+wire::ReserveReply KeeperClient::reserve(const wire::ReserveRequest &request)
+{
+    return call(&wire::KeeperService::Stub::Reserve, request.workspace(), request, timeout_);
+}
+
+wire::ClaimRunReply KeeperClient::claimRun(const wire::ClaimRunRequest &request)
+{
+    return call(&wire::KeeperService::Stub::ClaimRun, request.claim().workspace(), request,
+                claimTimeout_);
+}
+
+wire::SettleReply KeeperClient::settle(const wire::SettleRequest &request)
+{
+    return call(&wire::KeeperService::Stub::Settle, request.bill().workspace(), request, timeout_);
+}
+
+wire::FinishRunReply KeeperClient::finishRun(const wire::FinishRunRequest &request)
+{
+    return call(&wire::KeeperService::Stub::FinishRun, request.outcome().workspace(), request,
+                timeout_);
+}
+
+wire::ReadViewReply KeeperClient::readView(const wire::ReadViewRequest &request, Millis wait)
+{
+    return call(&wire::KeeperService::Stub::ReadView, request.router(), request, wait + ViewSlack);
+}
+
+std::string KeeperClient::viewSource() const
+{
+    absl::MutexLock lock(&mutex_);
+    return viewSource_;
+}
+
+KeeperClient::KeeperPtr KeeperClient::keeperAt(const std::string &name, const std::string &address)
+{
+    auto keeper = std::make_shared<Keeper>();
+    keeper->name = name;
+    keeper->address = address;
+    keeper->stub = wire::KeeperService::NewStub(security_.channel(address));
+    return keeper;
+}
+
+std::vector<KeeperClient::KeeperPtr> KeeperClient::orderFor(const std::string &key) const
+{
+    const Instant now = std::chrono::steady_clock::now();
+    absl::MutexLock lock(&mutex_);
+    std::vector<KeeperPtr> order = keepers_;
+    const auto rank = [&](const KeeperPtr &keeper) {
+        return (keeper->draining ? 2 : 0) + (keeper->avoidUntil > now ? 1 : 0);
+    };
+    std::sort(order.begin(), order.end(), [&](const KeeperPtr &a, const KeeperPtr &b) {
+        if (rank(a) != rank(b)) {
+            return rank(a) < rank(b);
+        }
+        const uint64_t weightA = rendezvousWeight(key, a->name);
+        const uint64_t weightB = rendezvousWeight(key, b->name);
+        return weightA != weightB ? weightA > weightB : a->name < b->name;
+    });
+    return order;
+}
+
+void KeeperClient::avoid(Keeper &keeper)
+{
+    absl::MutexLock lock(&mutex_);
+    keeper.avoidUntil = std::chrono::steady_clock::now() + AvoidFor;
+}
+
+void KeeperClient::setOpenView(grpc::ClientContext *context)
+{
+    absl::MutexLock lock(&mutex_);
+    openView_ = context;
+    if (context != nullptr && viewCancelled_) {
+        context->TryCancel();
+    }
+}
+
+void KeeperClient::cancelReadView()
+{
+    absl::MutexLock lock(&mutex_);
+    viewCancelled_ = true;
+    if (openView_ != nullptr) {
+        openView_->TryCancel();
+    }
+}
+
+template <typename Request, typename Reply>
+Reply KeeperClient::call(Method<Request, Reply> method, const std::string &key,
+                         const Request &request, Millis timeout)
+{
+    std::string failure = "no keeper is known";
+    std::optional<Reply> passedOn;
+    for (const KeeperPtr &keeper : orderFor(key)) {
+        grpc::ClientContext context;
+        context.set_deadline(std::chrono::system_clock::now() + timeout);
+        Reply reply;
+        constexpr bool IsView = std::is_same_v<Reply, wire::ReadViewReply>;
+        if (IsView) {
+            setOpenView(&context);
+        }
+        const grpc::Status status = (keeper->stub.get()->*method)(&context, request, &reply);
+        if (IsView) {
+            setOpenView(nullptr);
+        }
+        if (!status.ok()) {
+            avoid(*keeper);
+            failure = fmt::format("keeper {}: {}", keeper->name, status.error_message());
+            continue;
+        }
+        if (passesOn(reply)) {
+            passedOn = std::move(reply);
+            continue;
+        }
+        if (IsView) {
+            absl::MutexLock lock(&mutex_);
+            viewSource_ = keeper->name;
+        }
+        return reply;
+    }
+    if (passedOn) {
+        return *passedOn;
+    }
+    throw VerdictError(Verdict{Execution::NotRun, Reason::KeeperUnreachable, failure,
+                               std::chrono::steady_clock::now() + ComeBackAfter});
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/test/Router/FakeKeeper.h
@@ -0,0 +1,64 @@
+#ifndef TEST_ROUTER_FAKEKEEPER_H
+#define TEST_ROUTER_FAKEKEEPER_H
+
+/// A keeper in memory, for tests of the router alone: it grants what is asked,
+/// keeps the first bill and the first claim, and can be told to misbehave.
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/synchronization/mutex.h>
+#include <grpcpp/grpcpp.h>
+
+#include "proto/keeper.grpc.pb.h"
+
+namespace sequoiagate {
+
+/// Thread safe.
+class FakeKeeper : public wire::KeeperService::Service
+{
+public:
+    explicit FakeKeeper(wire::ConfigState config);
+    ~FakeKeeper() override;
+
+    const std::string &address() const { return address_; }
+    /// The reply to every Reserve from now on; an unset outcome grants again.
+    void answerReserves(wire::ReserveReply reply);
+    /// Claims are made, and their answers lost.
+    void loseClaimAnswers(bool lose);
+    std::vector<wire::Bill> bills() const;
+    std::vector<wire::RunOutcome> outcomes() const;
+    /// Waits until \p count bills are there.
+    void awaitBills(std::size_t count) const;
+    void awaitOutcomes(std::size_t count) const;
+
+    grpc::Status Reserve(grpc::ServerContext *context, const wire::ReserveRequest *request,
+                         wire::ReserveReply *reply) override;
+    grpc::Status Settle(grpc::ServerContext *context, const wire::SettleRequest *request,
+                        wire::SettleReply *reply) override;
+    grpc::Status ClaimRun(grpc::ServerContext *context, const wire::ClaimRunRequest *request,
+                          wire::ClaimRunReply *reply) override;
+    grpc::Status FinishRun(grpc::ServerContext *context, const wire::FinishRunRequest *request,
+                           wire::FinishRunReply *reply) override;
+    grpc::Status ReadView(grpc::ServerContext *context, const wire::ReadViewRequest *request,
+                          wire::ReadViewReply *reply) override;
+
+private:
+    mutable absl::Mutex mutex_;
+    wire::ConfigState config_;
+    wire::ReserveReply reserveReply_;
+    bool loseClaimAnswers_ = false;
+    std::map<std::string, wire::Bill> bills_; ///< by workspace and request
+    std::map<std::string, wire::RunState> runs_;
+    std::vector<wire::RunOutcome> outcomes_;
+    uint64_t reservations_ = 0;
+    bool stopping_ = false;
+    std::string address_;
+    std::unique_ptr<grpc::Server> server_;
+};
+
+} // namespace sequoiagate
+
+#endif
