[Ledger] Fold the ledger and the configuration, and hold grants

The seams had no body behind them. LedgerFold folds every record rule of proto/records.proto: doubles by (writer, sequence), funding, claim, return, seal, rewitness, close, attest, first-wins bills and run claims. ConfigFold accepts a change only upon the current version, applies a top-up id once for ever (also when the workspace was removed in between) and refuses an API key of two workspaces. GrantHolder and GrantWitness go from claim to window to reservation and settlement; what a holder may do to one grant stands in GrantAccount, when to do it in GrantHolder.

GrantHolder::onWindowRefused is new: a witness that gave the holder up answers so, and the holder must choose another one instead of asking for ever. Constructors take an optional Safeguards struct, by which tests show what each safeguard is for.

Two record rules follow from the return of tokens: a return may not go under what the present witness counts from, and a seal refunds at most what is left after returns. An ended grant keeps what it counts as spent, so that a holder that was attested off while alive spends no more than the operator said.

--- a/include/sequoiagate/Config/ConfigFold.h
+++ b/include/sequoiagate/Config/ConfigFold.h
@@ -4,7 +4,9 @@
 /// The deterministic fold of the configuration stream: versions by compare-and-
 /// swap, so that of two operators who race one wins and the other is told.
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -20,28 +22,55 @@
 class ConfigFold
 {
 public:
-    /// Folds the record at \p offset. \pre offset == state().offset().
+    explicit ConfigFold(ConfigSafeguards safeguards = {}) : safeguards_(safeguards) {}
+
+    /// Folds the record at \p offset. A refused change has no effect at all.
+    /// \pre offset == state().offset().
     FoldResult apply(const wire::Record &record, uint64_t offset);
     /// Takes a peer's or a checkpoint's state if it is newer. A version never goes
     /// down. \returns whether it was taken.
     bool takeNewer(const wire::ConfigState &state);
 
+    /// The state as a checkpoint: equal states give equal bytes.
     const wire::ConfigState &state() const { return state_; }
     uint64_t version() const { return state_.version(); }
-    /// Who wrote (writer, sequence)'s outcome: nullopt while not folded.
+    /// What became of (writer, sequence): nullopt while not folded. Known for the
+    /// latest OutcomesKept records, and for accepted ones as long as the history
+    /// holds them.
     std::optional<FoldOutcome> outcomeOf(const Incarnation &writer, uint64_t sequence) const;
 
-    /// nullptr: unknown.
+    /// nullptr: unknown. Pointers hold until the next apply or takeNewer.
     const wire::WorkspaceConfig *workspace(const WorkspaceId &workspace) const;
     /// The workspace whose API key has this hex SHA-256.
     const wire::WorkspaceConfig *workspaceOfKeyHash(const std::string &keyHash) const;
 
+    static constexpr std::size_t OutcomesKept = 1024;
+    static constexpr int HistoryKept = 128; ///< versions; part of the fold
+
 private:
+    struct RecordOutcome
+    {
+        Incarnation writer;
+        uint64_t sequence = 0;
+        FoldOutcome outcome = FoldOutcome::Refused;
+    };
+
+    FoldResult applyChange(const wire::ConfigChange &change, wire::ConfigState &next) const;
+    void applyWorkspace(const wire::WorkspaceChange &change, wire::ConfigState &state) const;
+    void addTopUps(const wire::WorkspaceChange &change, wire::WorkspaceConfig &workspace) const;
+    std::optional<std::string> faultOf(const wire::ConfigState &next) const;
+    void remember(const wire::Record &record, FoldOutcome outcome);
+    void indexKeys();
+
+    ConfigSafeguards safeguards_;
     wire::ConfigState state_;
     std::unordered_map<Incarnation, uint64_t> writers_;
+    std::deque<RecordOutcome> outcomes_; ///< oldest first
+    std::unordered_map<std::string, WorkspaceId> keys_;
 };
 
-/// A workspace's prepaid total: budget and all top-ups.
+/// A workspace's prepaid total: budget and all top-ups; UINT64_MAX at most.
+/// Thread safe.
 uint64_t prepaidTotal(const wire::WorkspaceConfig &workspace);
 
 } // namespace sequoiagate
--- a/include/sequoiagate/Ledger/LedgerFold.h
+++ b/include/sequoiagate/Ledger/LedgerFold.h
@@ -7,13 +7,16 @@
 
 #include <cstdint>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "proto/records.pb.h"
 
 #include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Ledger/Safeguards.h"
 
 namespace sequoiagate {
 
@@ -38,8 +41,10 @@
     WorkspaceId workspace;
     uint64_t tokens = 0; ///< granted, less what was returned
     Incarnation holder;
-    Incarnation witness;     ///< empty: unwitnessed
-    uint64_t baseSigned = 0; ///< what the present witness counts from
+    Incarnation witness; ///< empty: unwitnessed
+    /// What the present witness counts from; of an ended grant, what of it counts as
+    /// spent.
+    uint64_t baseSigned = 0;
     bool ended = false;
 };
 
@@ -62,20 +67,41 @@
     uint64_t offset = 0;
 };
 
+/// Where a reader may start: thrown by requireNoGap.
+class LedgerGapError : public std::runtime_error
+{
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// Refuses a start over a gap: records between what is folded and the oldest
+/// record that the log still keeps are lost to this reader, so that its view of
+/// what is spent would be too low. Thread safe.
+/// \throws LedgerGapError if \p nextOffset < \p oldestKept.
+void requireNoGap(uint64_t nextOffset, uint64_t oldestKept);
+
 /// Not thread safe: one owner, or a lock around it.
 class LedgerFold
 {
 public:
+    explicit LedgerFold(LedgerSafeguards safeguards = {}) : safeguards_(safeguards) {}
+
     /// Folds the record at \p offset. \pre offset == nextOffset().
     FoldResult apply(const wire::Record &record, uint64_t offset);
 
     uint64_t nextOffset() const { return nextOffset_; }
 
-    /// nullptr: unknown.
+    /// nullptr: unknown. Pointers hold until the next apply or restore.
     const LedgerBudget *budget(const WorkspaceId &workspace) const;
+    /// nullptr: never accepted, or ended so long ago that it is forgotten.
     const LedgerGrant *grant(const GrantId &grant) const;
     const LedgerRun *run(const WorkspaceId &workspace, const RunKey &key) const;
     bool billed(const WorkspaceId &workspace, const RequestId &request) const;
+    /// Was the claim of \p grant refused of late? Only the latest
+    /// RefusedClaimsKept of a budget are known.
+    bool claimRefused(const WorkspaceId &workspace, const GrantId &grant) const;
+    /// Grants of \p workspace that aren't ended.
+    std::vector<const LedgerGrant *> grantsOf(const WorkspaceId &workspace) const;
     /// Grants not ended that \p incarnation holds, or that it is witness of.
     std::vector<const LedgerGrant *> grantsHeldBy(const Incarnation &incarnation) const;
     std::vector<const LedgerGrant *> grantsWitnessedBy(const Incarnation &incarnation) const;
@@ -85,15 +111,77 @@
     /// The state as a checkpoint: equal states give equal bytes.
     wire::LedgerState checkpoint() const;
     /// Replaces all state. Used at start and over a retention gap.
+    /// \pre state.offset() >= nextOffset(): a reader never goes back.
     void restore(const wire::LedgerState &state);
 
+    /// How many refused claims and ended grants a budget remembers. Part of the
+    /// fold: two readers that differ here would differ in their checkpoints.
+    static constexpr std::size_t RefusedClaimsKept = 16;
+    static constexpr std::size_t EndedGrantsKept = 64;
+
 private:
-    FoldResult applyBody(const wire::Record &record, uint64_t offset);
+    /// A budget with the grants that belong to it.
+    struct BudgetEntry
+    {
+        LedgerBudget budget;
+        std::vector<GrantId> live;
+        std::vector<GrantId> ended;   ///< oldest first
+        std::vector<GrantId> refused; ///< oldest first
+    };
+    struct RunId
+    {
+        WorkspaceId workspace;
+        RunKey key;
+        friend bool operator==(const RunId &, const RunId &) = default;
+    };
+    struct BillId
+    {
+        WorkspaceId workspace;
+        RequestId request;
+        friend bool operator==(const BillId &, const BillId &) = default;
+    };
+    struct PairHash
+    {
+        std::size_t operator()(const RunId &id) const;
+        std::size_t operator()(const BillId &id) const;
+    };
+    using GrantIndex = std::unordered_map<Incarnation, std::unordered_set<GrantId>>;
 
+    FoldResult applyBody(const wire::Record &record, uint64_t offset);
+    FoldResult applyFunding(const wire::Funding &funding);
+    FoldResult applyClaim(const wire::GrantClaim &claim, const Incarnation &writer);
+    FoldResult applyReturn(const wire::GrantReturn &giveBack, const Incarnation &writer);
+    FoldResult applySeal(const wire::GrantSeal &seal, const Incarnation &writer);
+    FoldResult applyRewitness(const wire::GrantRewitness &change, const Incarnation &writer);
+    FoldResult applyClose(const wire::GrantClose &close, const Incarnation &writer);
+    FoldResult applyAttest(const wire::GrantAttest &attest);
+    FoldResult applyBill(const wire::Bill &bill);
+    FoldResult applyRunClaim(const wire::RunClaim &claim, const Incarnation &writer,
+                             uint64_t offset);
+    FoldResult applyRunOutcome(const wire::RunOutcome &outcome);
+
+    FoldResult refuseClaim(BudgetEntry &entry, const wire::GrantClaim &claim, std::string why);
+    /// Ends a grant of which at most \p used may have been spent; the rest goes back.
+    FoldResult endGrant(LedgerGrant &grant, uint64_t used);
+    LedgerGrant *openGrant(const std::string &id);
+    void addGrant(BudgetEntry &entry, LedgerGrant grant);
+    void index(const LedgerGrant &grant);
+    void unindex(const LedgerGrant &grant);
+    void forgetOldest(BudgetEntry &entry);
+    std::vector<const LedgerGrant *> lookUp(const GrantIndex &index,
+                                            const Incarnation &incarnation) const;
+    wire::BudgetState budgetState(const WorkspaceId &workspace, const BudgetEntry &entry) const;
+    void restoreBudget(const wire::BudgetState &state);
+
+    LedgerSafeguards safeguards_;
     uint64_t nextOffset_ = 0;
     std::unordered_map<Incarnation, uint64_t> writers_;
-    std::unordered_map<WorkspaceId, LedgerBudget> budgets_;
+    std::unordered_map<WorkspaceId, BudgetEntry> budgets_;
     std::unordered_map<GrantId, LedgerGrant> grants_;
+    GrantIndex byHolder_;
+    GrantIndex byWitness_;
+    std::unordered_map<RunId, LedgerRun, PairHash> runs_;
+    std::unordered_map<BillId, uint64_t, PairHash> bills_; ///< tokens billed
 };
 
 } // namespace sequoiagate
--- /dev/null
+++ b/unittests/Ledger/GrantHolderTest.cpp
@@ -0,0 +1,268 @@
+#include "sequoiagate/Ledger/GrantHolder.h"
+
+#include <gtest/gtest.h>
+
+#include "sequoiagate/Ledger/GrantWitness.h"
+#include "unittests/Support/LedgerRecords.h"
+
+using namespace sequoiagate;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One holder, two witnesses and a log without delay.
+class GrantHolderTest : public testing::Test
+{
+protected:
+    GrantHolderTest() { fund(1000); }
+
+    static GrantSettings smallGrants()
+    {
+        GrantSettings settings;
+        settings.minimumGrant = 100;
+        return settings;
+    }
+
+    void fund(uint64_t total)
+    {
+        ++version_;
+        apply("operator", records::funding("w", version_, total));
+    }
+
+    FoldResult apply(const std::string &writer, wire::Record record)
+    {
+        const uint64_t sequence = ++sequences_[writer];
+        const FoldResult result =
+                fold_.apply(records::from(writer, sequence, std::move(record)), fold_.nextOffset());
+        holder_.onFold(fold_, now_);
+        first_.onFold(fold_, now_);
+        second_.onFold(fold_, now_);
+        return result;
+    }
+
+    GrantWitness &witness(const Incarnation &id) { return id == firstId_ ? first_ : second_; }
+
+    /// Does what the holder and the witnesses ask for, until nothing is left to do.
+    void settleActions()
+    {
+        bool busy = true;
+        while (busy) {
+            busy = false;
+            for (const GrantAction &action : holder_.takeActions()) {
+                busy = true;
+                perform("holder", action);
+            }
+            for (const Incarnation &id : witnesses_) {
+                for (const GrantAction &action : witness(id).takeActions()) {
+                    busy = true;
+                    perform(id.text(), action);
+                }
+            }
+        }
+    }
+
+    void perform(const std::string &writer, const GrantAction &action)
+    {
+        if (const auto *append = std::get_if<AppendAction>(&action)) {
+            appended_.push_back(append->record);
+            apply(writer, append->record);
+            return;
+        }
+        const auto &ask = std::get<AskWindowAction>(action);
+        if (silent_.contains(ask.witness)) {
+            return;
+        }
+        const SignOutcome outcome = witness(ask.witness)
+                                            .sign(ask.grant, self_, ask.receivedTokens,
+                                                  ask.wantTokens, fold_, logHeardAt_, now_);
+        if (const auto *total = std::get_if<uint64_t>(&outcome)) {
+            holder_.onWindow(ask.grant, ask.witness, *total, now_);
+        } else {
+            const bool final = !std::get<Verdict>(outcome).comeBackAt;
+            holder_.onWindowRefused(ask.grant, ask.witness, final, now_);
+        }
+    }
+
+    ReserveOutcome reserve(const std::string &id, uint64_t tokens)
+    {
+        ReserveOutcome outcome = tryReserve(id, tokens);
+        for (int round = 0; round < 5 && std::holds_alternative<ReserveLater>(outcome); ++round) {
+            settleActions();
+            outcome = tryReserve(id, tokens);
+        }
+        settleActions();
+        return outcome;
+    }
+
+    ReserveOutcome tryReserve(const std::string &id, uint64_t tokens)
+    {
+        return holder_.reserve(ReservationId(id), tokens, witnesses_, fold_, logReachable_, now_);
+    }
+
+    void tick(Interval span)
+    {
+        now_ += span;
+        if (logReachable_) {
+            logHeardAt_ = now_;
+        }
+        holder_.onTick(witnesses_, fold_, logReachable_, now_);
+        settleActions();
+    }
+
+    Reason refusalOf(const ReserveOutcome &outcome)
+    {
+        const auto *verdict = std::get_if<Verdict>(&outcome);
+        return verdict ? verdict->reason : Reason::None;
+    }
+
+    uint64_t allocated() const { return fold_.budget(WorkspaceId("w"))->allocated; }
+
+    Incarnation self_{"holder"};
+    Incarnation firstId_{"first"};
+    Incarnation secondId_{"second"};
+    std::vector<Incarnation> witnesses_{firstId_, secondId_};
+    std::set<Incarnation> silent_;
+    GrantSettings settings_ = smallGrants();
+    LedgerFold fold_;
+    GrantHolder holder_{WorkspaceId("w"), self_, settings_};
+    GrantWitness first_{firstId_, settings_};
+    GrantWitness second_{secondId_, settings_};
+    std::map<std::string, uint64_t> sequences_;
+    std::vector<wire::Record> appended_;
+    uint64_t version_ = 0;
+    Instant now_{};
+    Instant logHeardAt_{};
+    bool logReachable_ = true;
+};
+
+TEST_F(GrantHolderTest, ClaimsTakesAWindowReservesAndSettles)
+{
+    const ReserveOutcome outcome = reserve("r", 50);
+    ASSERT_TRUE(std::holds_alternative<ReservationDraws>(outcome));
+    const auto &draws = std::get<ReservationDraws>(outcome);
+    ASSERT_EQ(draws.draws.size(), 1U);
+    EXPECT_EQ(draws.draws[0].tokens, 50U);
+    EXPECT_EQ(holder_.reservedTokens(), 50U);
+    const std::vector<Draw> spent = holder_.settle(ReservationId("r"), 20, now_);
+    ASSERT_EQ(spent.size(), 1U);
+    EXPECT_EQ(spent[0].tokens, 20U);
+    EXPECT_EQ(holder_.reservedTokens(), 0U);
+    EXPECT_TRUE(holder_.settle(ReservationId("r"), 20, now_).empty()) << "settled twice";
+}
+
+TEST_F(GrantHolderTest, ReservesOnceForTheSameId)
+{
+    reserve("r", 50);
+    reserve("r", 50);
+    EXPECT_EQ(holder_.reservedTokens(), 50U);
+}
+
+TEST_F(GrantHolderTest, SpendsDirectlyWhereNoWitnessExists)
+{
+    witnesses_.clear();
+    EXPECT_TRUE(std::holds_alternative<ReservationDraws>(reserve("r", 50)));
+    EXPECT_EQ(fold_.grantsHeldBy(self_).at(0)->witness, Incarnation());
+}
+
+/// A caller asks for more than the budget has left. Once everything is spent, it is
+/// told so and not to come back; while another holder has some, to come back later.
+TEST_F(GrantHolderTest, SaysSpentOnlyWhenNothingRemains)
+{
+    apply("other", records::claim("o", "w", 600, "other", "first"));
+    EXPECT_TRUE(std::holds_alternative<ReservationDraws>(reserve("r", 400)));
+    const ReserveOutcome held = reserve("s", 100);
+    EXPECT_EQ(refusalOf(held), Reason::BudgetUnreachable);
+    EXPECT_TRUE(std::get<Verdict>(held).comeBackAt.has_value());
+    apply("other", records::close("o", 600));
+    holder_.settle(ReservationId("r"), 400, now_);
+    now_ += 5s;
+    const ReserveOutcome spent = reserve("t", 100);
+    EXPECT_EQ(refusalOf(spent), Reason::BudgetSpent);
+    EXPECT_FALSE(std::get<Verdict>(spent).comeBackAt.has_value());
+}
+
+/// The budget is all given out and the log falls silent: a top-up may stand there
+/// unheard, so that the caller is told to come back and not that all is spent.
+TEST_F(GrantHolderTest, DoesNotSaySpentWhileTheLogIsSilent)
+{
+    reserve("r", 1000);
+    holder_.settle(ReservationId("r"), 1000, now_);
+    settleActions();
+    logReachable_ = false;
+    now_ += 5s;
+    EXPECT_EQ(refusalOf(reserve("s", 1)), Reason::BudgetUnreachable);
+}
+
+/// Another keeper's claim is refused, since we hold what lies idle. We give it back
+/// once, and the other's next claim is met.
+TEST_F(GrantHolderTest, ReturnsWhatLiesIdleWhenOthersGoShort)
+{
+    reserve("r", 100);
+    holder_.settle(ReservationId("r"), 1, now_);
+    tick(1s);
+    const uint64_t before = allocated();
+    ASSERT_EQ(apply("other", records::claim("o", "w", 990, "other", "first")).outcome,
+              FoldOutcome::Refused);
+    tick(10min);
+    tick(1s);
+    EXPECT_LT(allocated(), before);
+    EXPECT_EQ(apply("other", records::claim("p", "w", 990, "other", "first")).outcome,
+              FoldOutcome::Accepted);
+}
+
+/// The witness dies. The holder names another one, with what it received as the
+/// base, and goes on spending from the same grant.
+TEST_F(GrantHolderTest, ReplacesADeadWitness)
+{
+    reserve("r", 50);
+    silent_.insert(firstId_);
+    holder_.onWitnessSuspected(firstId_, witnesses_, now_);
+    settleActions();
+    const LedgerGrant *grant = fold_.grantsHeldBy(self_).at(0);
+    EXPECT_EQ(grant->witness, secondId_);
+    EXPECT_EQ(grant->baseSigned, 50U);
+    EXPECT_TRUE(std::holds_alternative<ReservationDraws>(reserve("s", 40)));
+    EXPECT_EQ(fold_.grantsHeldBy(self_).size(), 1U);
+}
+
+/// The witness takes the holder for dead and seals. The holder, only paused, spends
+/// what it had received, and claims anew with another witness.
+TEST_F(GrantHolderTest, GoesOnAfterAWrongSeal)
+{
+    reserve("r", 50);
+    first_.onHolderSuspected(self_, fold_, now_);
+    settleActions();
+    EXPECT_EQ(allocated(), 50U);
+    now_ += 5s;
+    EXPECT_TRUE(std::holds_alternative<ReservationDraws>(reserve("s", 40)));
+    EXPECT_EQ(fold_.grantsHeldBy(self_).at(0)->witness, secondId_);
+    EXPECT_LE(allocated(), 1000U);
+}
+
+/// The log falls silent for long. The witness opens the window step by step, at last
+/// to the whole grant, so that the holder serves on when the witness dies as well.
+TEST_F(GrantHolderTest, IsOpenedTheWholeGrantWhileTheLogIsSilent)
+{
+    reserve("r", 10);
+    EXPECT_LT(holder_.availableTokens(), 90U);
+    logReachable_ = false;
+    for (int second = 0; second < 310; ++second) {
+        tick(1s);
+    }
+    EXPECT_EQ(holder_.availableTokens(), 90U);
+    silent_.insert(firstId_);
+    EXPECT_TRUE(std::holds_alternative<ReservationDraws>(reserve("s", 90)));
+}
+
+TEST_F(GrantHolderTest, DrainReturnsAllThatIsNotSpent)
+{
+    reserve("r", 50);
+    EXPECT_FALSE(holder_.drain(now_)) << "a request is open";
+    holder_.settle(ReservationId("r"), 30, now_);
+    EXPECT_TRUE(holder_.drain(now_));
+    settleActions();
+    EXPECT_EQ(allocated(), 30U);
+    EXPECT_EQ(refusalOf(reserve("s", 1)), Reason::Draining);
+}
+
+} // namespace
