[Decisions] Admission: fair shares, classes, early refusal, spread returns

Cause: the first body served in order of arrival. A workspace that asks ten times as often made a small one's caller wait behind it, a flood of batch work turned Chat Turns away, and all waiting requests were held until their deadline.

Change: FairQueue orders by start-time fair queueing on tokens; classes share by the same rule; a full queue displaces what is furthest beyond its share; a request that can't start in time is refused at once; times to come back are spread over the time that serving the refused takes.

Ruled out: a class share counted in slots (a router with four slots gave batch 1 request in 30 s); a drain rate from ends counted of late (after one end it gave four of eight waiting requests up, and after a quiet hour it says that nothing drains). Little's law over the mean time in a slot has neither fault.

--- a/include/sequoiagate/Decisions/Admission.h
+++ b/include/sequoiagate/Decisions/Admission.h
@@ -3,42 +3,55 @@
 
 /// What is let in, what waits and for how long, and what is turned away. Pure:
 /// no network, no clock, no threads.
-
+///
+/// Answers a burst and saturation. Without it every request is let in: the
+/// endpoints' own queues grow for as long as the overload lasts, first tokens come
+/// after all callers have hung up, and the work done for these keeps the next ones
+/// waiting (goodput falls while every endpoint is busy).
+///
+/// - Requests in flight are bounded by slots. A stream holds its slot for some 13 s,
+///   so a slot that is empty until the next arrival costs next to nothing: the queue
+///   need not be long, and a long one only turns into waiting.
+/// - An interactive request waits at most interactiveWait: 0.63 s to the first token,
+///   less 0.33 s for the prefill of a full prompt. Batch work waits maximumWait.
+/// - A request whose expected wait (those ahead of it over the drain rate) is past its
+///   end of waiting is refused at once, and so is one that waits and falls that far
+///   behind: nobody is held until a deadline that can't be met. The drain rate is the
+///   slots over the mean time that one is held (Little's law). Ends counted over
+///   a while would do as well under steady load, but after a quiet hour they say that
+///   nothing drains, and the first burst would be refused.
+/// - Between workspaces the order is FairQueue's; when the queue is full, what stands
+///   furthest beyond its workspace's share gives way, not what came last.
+/// - While both classes wait, interactive gets interactiveShare of the tokens and batch
+///   the rest, so that Assessments go on under a flood of Chat Turns. Counted in tokens,
+///   as a slot is held for about as long as they take: counted in requests, batch would
+///   hold nearly all slots. (Counted in slots, a router with four gave batch none.)
+///   Batch never takes the last interactiveReserve of the slots: its work is long, and
+///   a caller who waits would otherwise wait for the end of an Assessment.
+/// - A refusal names a time to come back: when those waiting will have been served,
+///   spread over the time that serving those refused of late would take. All clients
+///   coming back at one moment would make the next burst.
+///
+/// Budgets are reserved before a request is offered here, so nothing waits in hope of
+/// tokens it can't have.
+
+#include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <optional>
 #include <random>
-#include <string>
-#include <unordered_set>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
 #include "sequoiagate/Base/Verdict.h"
+#include "sequoiagate/Decisions/Estimates.h"
+#include "sequoiagate/Decisions/FairQueue.h"
+#include "sequoiagate/Decisions/WorkItem.h"
 
 namespace sequoiagate {
 
-enum class WorkClass {
-    Interactive, ///< a Chat Turn: somebody waits for its first token
-    Batch,       ///< an Assessment: long, waited for in the background
-};
-
-/// What the decisions know of a request.
-struct WorkItem
-{
-    RequestId request;
-    WorkspaceId workspace;
-    ServiceId service;
-    WorkClass workClass = WorkClass::Interactive;
-    uint64_t promptTokens = 0;
-    uint64_t outputCeiling = 0;
-    uint64_t prefixHash = 0; ///< stable hash of the prompt's first block; 0: none
-    bool idempotent = true;
-    double weight = 1.0; ///< of its workspace, for fair shares
-    Instant arrivedAt;
-    Instant deadline = Never; ///< it is given up, and answered, when it still waits then
-};
-
 struct Admitted
 {
     RequestId request;
@@ -64,8 +77,10 @@
     uint32_t slots = 64;       ///< requests in flight through this router
     uint32_t queueLimit = 256; ///< requests that may wait
     Interval maximumWait = std::chrono::seconds(2);
-    double interactiveShare = 0.8; ///< of the slots, while both classes wait
+    double interactiveShare = 0.8; ///< of the tokens, while both classes wait
     uint64_t seed = 1;             ///< of the jitter in times to come back
+    Interval interactiveWait = std::chrono::milliseconds(300); ///< at most maximumWait
+    double interactiveReserve = 0.1; ///< of the slots, never given to batch work
 };
 
 /// Not thread safe.
@@ -75,8 +90,11 @@
     explicit Admission(AdmissionSettings settings);
 
     /// Decides on a new request. A Verdict is final and carries a time to come back.
+    /// Another request may have given way to it: poll afterwards.
+    /// \pre no request of that id is in flight or waits.
     AdmissionOutcome offer(const WorkItem &item, Instant now);
     /// An admitted request ended. Waiting ones are then to be had from poll.
+    /// \param tokensServed prompt and output, as billed
     void finished(const RequestId &request, uint64_t tokensServed, Instant now);
     /// A caller hung up while its request waited.
     void cancelled(const RequestId &request, Instant now);
@@ -89,20 +107,53 @@
 
     uint32_t inFlight() const;
     uint32_t waiting() const;
+    /// Slots expected to get free a second; 0 until a request has ended.
+    double drainRate() const;
 
 private:
-    struct Waiting
+    struct Running
+    {
+        WorkspaceId workspace;
+        WorkClass workClass;
+        double expectedCost;
+        double weight;
+        Instant startedAt;
+    };
+
+    /// Start-time fair queueing between the two classes.
+    struct ClassShares
     {
-        WorkItem item;
-        Instant until;
+        double virtualTime = 0.0;
+        double interactiveFinish = 0.0;
+        double batchFinish = 0.0;
     };
 
-    void admitWaiting(std::vector<QueueRelease> &released);
-    Instant comeBackAt(Instant now);
+    FairQueue &queueOf(WorkClass workClass);
+    const FairQueue &queueOf(WorkClass workClass) const;
+    bool mayRun(WorkClass workClass) const;
+    std::optional<WorkClass> nextClass() const;
+    void chargeClass(WorkClass workClass, double cost);
+    void start(const WorkItem &item, Instant now);
+    AdmissionOutcome enqueue(const WorkItem &item, Instant now);
+    bool makeRoom(const WorkItem &item, Instant now);
+    double classRate(WorkClass workClass) const;
+    Instant expectedStart(std::size_t ahead, WorkClass workClass, Instant now) const;
+    Verdict refusal(const WorkItem &item, Reason reason, Instant now);
+    Reason crowdingReason(const WorkItem &item) const;
+    void giveUp(WorkClass workClass, std::vector<QueueRelease> &released, Instant now);
+    void admitWaiting(std::vector<QueueRelease> &released, Instant now);
+    Instant comeBackAt(std::size_t ahead, WorkClass workClass, Instant now);
 
     AdmissionSettings settings_;
-    std::unordered_set<RequestId> inFlight_;
-    std::deque<Waiting> queue_;
+    std::unordered_map<RequestId, Running> running_;
+    uint32_t interactiveRunning_ = 0;
+    FairQueue interactive_;
+    FairQueue batch_;
+    std::vector<QueueRelease> displaced_; ///< gave way to others since the last poll
+    Instant displacedAt_ = Never;
+    ClassShares classShares_;
+    MovingMean heldSeconds_;
+    RecentCount refusals_;
     std::mt19937_64 jitter_;
 };
 
--- a/lib/Decisions/Admission.cpp
+++ b/lib/Decisions/Admission.cpp
@@ -1,33 +1,119 @@
 #include "sequoiagate/Decisions/Admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sequoiagate {
 
-Admission::Admission(AdmissionSettings settings) : settings_(settings), jitter_(settings.seed) {}
+namespace {
+
+constexpr WorkClass Classes[] = {WorkClass::Interactive, WorkClass::Batch};
+
+/// A request that waits is given up when its expected wait is this many times what it
+/// has left. Above 1, since the drain rate is a mean and the next ends may come sooner:
+/// giving up what would have run is a false refusal.
+constexpr double HopelessFactor = 1.5;
+
+/// Ends over which the mean time in a slot is taken: at the design size some 4 seconds
+/// of them, and a mean within 10% for times that vary as exponential ones do.
+constexpr uint32_t HeldSamples = 100;
+
+/// Bounds of the wait that a refusal names. Below the shortest a client merely polls;
+/// the longest are past where the drain rate still says something. The spread is
+/// bounded by itself, so that a bound never makes clients come back together.
+constexpr Interval ShortestComeBack = std::chrono::milliseconds(250);
+constexpr Interval LongestQueue = std::chrono::seconds(10);
+constexpr double ShortestSpread = 1.0;
+constexpr double LongestSpread = 30.0;
+
+const char *detailOf(Reason reason)
+{
+    switch (reason) {
+    case Reason::QueueTimeout:
+        return "it would not have been served before its end of waiting";
+    case Reason::RateShare:
+        return "the workspace is beyond its fair share while others wait";
+    default:
+        return "too many requests wait";
+    }
+}
+
+} // namespace
+
+Admission::Admission(AdmissionSettings settings)
+    : settings_(settings), heldSeconds_(HeldSamples), jitter_(settings.seed)
+{}
 
 AdmissionOutcome Admission::offer(const WorkItem &item, Instant now)
 {
-    if (queue_.empty() && inFlight_.size() < settings_.slots) {
-        inFlight_.insert(item.request);
+    if (queueOf(item.workClass).empty() && mayRun(item.workClass)) {
+        queueOf(item.workClass).chargeServed(item);
+        start(item, now);
         return Admitted{item.request};
     }
-    if (queue_.size() >= settings_.queueLimit) {
-        return Verdict{Execution::NotRun, Reason::QueueFull, "the queue is full", comeBackAt(now)};
+    return enqueue(item, now);
+}
+
+AdmissionOutcome Admission::enqueue(const WorkItem &item, Instant now)
+{
+    FairQueue &queue = queueOf(item.workClass);
+    const Interval patience = item.workClass == WorkClass::Interactive
+                                      ? std::min(settings_.interactiveWait, settings_.maximumWait)
+                                      : settings_.maximumWait;
+    const Instant until = std::min(item.deadline, now + patience);
+    const std::size_t ahead = queue.ahead(item);
+    // One may always wait: with few slots the drain rate is too coarse to refuse on.
+    const bool tooLate = ahead > 0 && expectedStart(ahead, item.workClass, now) > until;
+    if (until <= now || tooLate) {
+        return refusal(item, crowdingReason(item), now);
+    }
+    if (waiting() >= settings_.queueLimit && !makeRoom(item, now)) {
+        return refusal(item, crowdingReason(item), now);
     }
-    const Instant until = std::min(item.deadline, now + settings_.maximumWait);
-    queue_.push_back({item, until});
+    queue.push(item, until);
     return Queued{until};
 }
 
-void Admission::finished(const RequestId &request, uint64_t /*tokensServed*/, Instant /*now*/)
+bool Admission::makeRoom(const WorkItem &item, Instant now)
+{
+    const bool interactive = item.workClass == WorkClass::Interactive;
+    const double share =
+            interactive ? settings_.interactiveShare : 1.0 - settings_.interactiveShare;
+    FairQueue &own = queueOf(item.workClass);
+    // A class may fill the whole queue, but gives up what is beyond its part to the
+    // other: a flood of batch work would else turn every Chat Turn away.
+    const bool classHasRoom = static_cast<double>(own.size()) < share * settings_.queueLimit;
+    FairQueue &victims =
+            classHasRoom ? queueOf(interactive ? WorkClass::Batch : WorkClass::Interactive) : own;
+    if (victims.empty() || (&victims == &own && own.wouldBeLast(item))) {
+        return false;
+    }
+    const QueueEntry last = *victims.popLast();
+    displaced_.push_back({last.item.request, false, refusal(last.item, Reason::RateShare, now)});
+    displacedAt_ = std::min(displacedAt_, now);
+    return true;
+}
+
+void Admission::finished(const RequestId &request, uint64_t tokensServed, Instant now)
 {
-    inFlight_.erase(request);
+    const auto found = running_.find(request);
+    if (found == running_.end()) {
+        return;
+    }
+    const Running &ended = found->second;
+    queueOf(ended.workClass)
+            .settle(ended.workspace, ended.expectedCost, static_cast<double>(tokensServed),
+                    ended.weight);
+    interactiveRunning_ -= ended.workClass == WorkClass::Interactive ? 1 : 0;
+    heldSeconds_.add(secondsOf(now - ended.startedAt));
+    running_.erase(found);
 }
 
 void Admission::cancelled(const RequestId &request, Instant /*now*/)
 {
-    std::erase_if(queue_, [&](const Waiting &waiting) { return waiting.item.request == request; });
+    if (!interactive_.remove(request)) {
+        batch_.remove(request);
+    }
 }
 
 void Admission::setSlots(uint32_t slots, Instant /*now*/)
@@ -37,53 +123,173 @@
 
 std::vector<QueueRelease> Admission::poll(Instant now)
 {
-    std::vector<QueueRelease> released;
-    for (const Waiting &waiting : queue_) {
-        if (waiting.until > now) {
-            continue;
-        }
-        released.push_back({waiting.item.request, false,
-                            Verdict{Execution::NotRun, Reason::QueueTimeout,
-                                    "it waited until its deadline", comeBackAt(now)}});
+    std::vector<QueueRelease> released = std::move(displaced_);
+    displaced_.clear();
+    displacedAt_ = Never;
+    // Deadlines first: a request that is past its own is not sent any more.
+    for (const WorkClass workClass : Classes) {
+        giveUp(workClass, released, now);
     }
-    std::erase_if(queue_, [&](const Waiting &waiting) { return waiting.until <= now; });
-    admitWaiting(released);
+    admitWaiting(released, now);
     return released;
 }
 
-void Admission::admitWaiting(std::vector<QueueRelease> &released)
+void Admission::giveUp(WorkClass workClass, std::vector<QueueRelease> &released, Instant now)
 {
-    while (!queue_.empty() && inFlight_.size() < settings_.slots) {
-        const RequestId request = queue_.front().item.request;
-        queue_.pop_front();
-        inFlight_.insert(request);
-        released.push_back({request, true, {}});
+    const double rate = classRate(workClass);
+    const auto hopeless = [&](const QueueEntry &entry, std::size_t position) {
+        if (entry.until <= now) {
+            return true;
+        }
+        if (position == 0 || rate <= 0.0) {
+            return false;
+        }
+        const Interval wait = intervalOf(static_cast<double>(position) / rate);
+        return wait > (entry.until - now) * HopelessFactor;
+    };
+    for (const QueueEntry &entry : queueOf(workClass).takeIf(hopeless)) {
+        released.push_back(
+                {entry.item.request, false, refusal(entry.item, Reason::QueueTimeout, now)});
     }
 }
 
-Instant Admission::nextDeadline() const
+void Admission::admitWaiting(std::vector<QueueRelease> &released, Instant now)
+{
+    while (const std::optional<WorkClass> next = nextClass()) {
+        const bool contended = !interactive_.empty() && !batch_.empty();
+        const QueueEntry entry = *queueOf(*next).popFirst();
+        if (contended) {
+            chargeClass(*next, FairQueue::expectedCost(entry.item));
+        }
+        start(entry.item, now);
+        released.push_back({entry.item.request, true, {}});
+    }
+}
+
+std::optional<WorkClass> Admission::nextClass() const
+{
+    const bool interactive = !interactive_.empty() && mayRun(WorkClass::Interactive);
+    const bool batch = !batch_.empty() && mayRun(WorkClass::Batch);
+    if (interactive && batch) {
+        const ClassShares &shares = classShares_;
+        return shares.interactiveFinish <= std::max(shares.virtualTime, shares.batchFinish)
+                       ? WorkClass::Interactive
+                       : WorkClass::Batch;
+    }
+    if (interactive) {
+        return WorkClass::Interactive;
+    }
+    return batch ? std::optional(WorkClass::Batch) : std::nullopt;
+}
+
+void Admission::chargeClass(WorkClass workClass, double cost)
 {
-    Instant next = Never;
-    for (const Waiting &waiting : queue_) {
-        next = std::min(next, waiting.until);
+    constexpr double SmallestShare = 0.01;
+    const bool interactive = workClass == WorkClass::Interactive;
+    const double share =
+            interactive ? settings_.interactiveShare : 1.0 - settings_.interactiveShare;
+    double &finish = interactive ? classShares_.interactiveFinish : classShares_.batchFinish;
+    classShares_.virtualTime = std::max(classShares_.virtualTime, finish);
+    finish = classShares_.virtualTime + cost / std::max(share, SmallestShare);
+}
+
+bool Admission::mayRun(WorkClass workClass) const
+{
+    if (running_.size() >= settings_.slots) {
+        return false;
     }
-    return next;
+    if (workClass == WorkClass::Interactive) {
+        return true;
+    }
+    // At least one, or batch work would never run on a router with few slots.
+    const uint32_t reserve = static_cast<uint32_t>(settings_.interactiveReserve * settings_.slots);
+    const std::size_t batchRunning = running_.size() - interactiveRunning_;
+    return batchRunning < std::max<uint32_t>(settings_.slots - reserve, 1);
+}
+
+void Admission::start(const WorkItem &item, Instant now)
+{
+    running_.emplace(item.request, Running{item.workspace, item.workClass,
+                                           FairQueue::expectedCost(item), item.weight, now});
+    interactiveRunning_ += item.workClass == WorkClass::Interactive ? 1 : 0;
+}
+
+double Admission::drainRate() const
+{
+    if (heldSeconds_.samples() == 0) {
+        return 0.0;
+    }
+    constexpr double ShortestHeld = 1e-3;
+    return settings_.slots / std::max(heldSeconds_.mean(), ShortestHeld);
+}
+
+double Admission::classRate(WorkClass workClass) const
+{
+    const double rate = drainRate();
+    if (interactive_.empty() || batch_.empty()) {
+        return rate;
+    }
+    const double share = settings_.interactiveShare;
+    return rate * (workClass == WorkClass::Interactive ? share : 1.0 - share);
+}
+
+Instant Admission::expectedStart(std::size_t ahead, WorkClass workClass, Instant now) const
+{
+    const double rate = classRate(workClass);
+    // Nothing has ended yet, so nothing is known: wait, and be given up in time.
+    return rate <= 0.0 ? now : now + intervalOf(static_cast<double>(ahead) / rate);
+}
+
+Reason Admission::crowdingReason(const WorkItem &item) const
+{
+    const FairQueue &queue = queueOf(item.workClass);
+    const std::size_t fairPart = queue.size() / std::max<std::size_t>(queue.waitingWorkspaces(), 1);
+    const bool alone = queue.waitingWorkspaces() <= 1 && queue.waitingOf(item.workspace) > 0;
+    return !alone && queue.waitingOf(item.workspace) > fairPart ? Reason::RateShare
+                                                                : Reason::QueueFull;
+}
+
+Verdict Admission::refusal(const WorkItem &item, Reason reason, Instant now)
+{
+    refusals_.add(now);
+    const std::size_t ahead = queueOf(item.workClass).size();
+    return {Execution::NotRun, reason, detailOf(reason), comeBackAt(ahead, item.workClass, now)};
+}
+
+Instant Admission::comeBackAt(std::size_t ahead, WorkClass workClass, Instant now)
+{
+    std::uniform_real_distribution<double> spread(0.0, 1.0);
+    const double rate = std::max(classRate(workClass), 1.0);
+    const double queueSeconds = static_cast<double>(ahead) / rate;
+    const double refusedSeconds = refusals_.value(now) / rate;
+    const double spreadSeconds = std::clamp(refusedSeconds, ShortestSpread, LongestSpread);
+    return now + ShortestComeBack + std::min(intervalOf(queueSeconds), LongestQueue)
+           + intervalOf(spread(jitter_) * spreadSeconds);
+}
+
+Instant Admission::nextDeadline() const
+{
+    return std::min({displacedAt_, interactive_.nextDeadline(), batch_.nextDeadline()});
 }
 
 uint32_t Admission::inFlight() const
 {
-    return static_cast<uint32_t>(inFlight_.size());
+    return static_cast<uint32_t>(running_.size());
 }
 
 uint32_t Admission::waiting() const
 {
-    return static_cast<uint32_t>(queue_.size());
+    return static_cast<uint32_t>(interactive_.size() + batch_.size());
+}
+
+FairQueue &Admission::queueOf(WorkClass workClass)
+{
+    return workClass == WorkClass::Interactive ? interactive_ : batch_;
 }
 
-Instant Admission::comeBackAt(Instant now)
+const FairQueue &Admission::queueOf(WorkClass workClass) const
 {
-    std::uniform_int_distribution<int> spread(500, 1500);
-    return now + Millis(spread(jitter_));
+    return workClass == WorkClass::Interactive ? interactive_ : batch_;
 }
 
 } // namespace sequoiagate
