--- a/lib/History/Checks.cpp
+++ b/lib/History/Checks.cpp
@@ -86,6 +86,9 @@
 /// Every chat answered whole has one bill, and the bill is what some run cost.
 void checkBilledOnce(Check &check)
 {
+    if (!check.history().ledgerKnown) {
+        return;
+    }
     std::map<CallId, std::set<uint64_t>> costs;
     check.forEach(events::EndpointRan, [&](const HistoryEvent &event) {
         costs[requestOf(event)].insert(event.number("tokens"));
