[Decisions] Choose endpoints by bounded prefix affinity, lag and health

Cause: the first body took the least in flight. It prefilled the same prefix at every endpoint, ran into a failing endpoint again and again, since that is always idle, and went by nothing that the endpoints say.

Change: rendezvous order of the prefix below 1.25 times the mean (PrefixAffinity keeps what the hash can't know); reports corrected by what was sent since (EndpointLoad) and, as that misses what others sent, by this router's own part; outliers ejected by comparison with their peers, a third at most, and back by probes and slow start (EndpointHealth); a few endpoints for long prompts (LongWork); own domain first. Admission gains StartLimit: requests without a first token are bounded as well.

--- a/include/sequoiagate/Decisions/Admission.h
+++ b/include/sequoiagate/Decisions/Admission.h
@@ -12,6 +12,8 @@
 /// - Requests in flight are bounded by slots. A stream holds its slot for some 13 s,
 ///   so a slot that is empty until the next arrival costs next to nothing: the queue
 ///   need not be long, and a long one only turns into waiting.
+/// - Requests without a first token are bounded by StartLimit, as prefill is the engines'
+///   second narrow place.
 /// - An interactive request waits at most interactiveWait: 0.63 s to the first token,
 ///   less 0.33 s for the prefill of a full prompt. Batch work waits maximumWait.
 /// - A request whose expected wait (those ahead of it over the drain rate) is past its
@@ -48,6 +50,7 @@
 #include "sequoiagate/Base/Verdict.h"
 #include "sequoiagate/Decisions/Estimates.h"
 #include "sequoiagate/Decisions/FairQueue.h"
+#include "sequoiagate/Decisions/StartLimit.h"
 #include "sequoiagate/Decisions/WorkItem.h"
 
 namespace sequoiagate {
@@ -80,6 +83,8 @@
     double interactiveShare = 0.8; ///< of the tokens, while both classes wait
     uint64_t seed = 1;             ///< of the jitter in times to come back
     Interval interactiveWait = std::chrono::milliseconds(300); ///< at most maximumWait
+    /// First tokens later than this after sending say that the engines' prefill is full.
+    Interval startTarget = std::chrono::milliseconds(330);
     double interactiveReserve = 0.1; ///< of the slots, never given to batch work
 };
 
@@ -93,6 +98,9 @@
     /// Another request may have given way to it: poll afterwards.
     /// \pre no request of that id is in flight or waits.
     AdmissionOutcome offer(const WorkItem &item, Instant now);
+    /// The first token of an admitted request came. Waiting ones are then to be had from
+    /// poll. Until it is called for the first time, StartLimit is off.
+    void onFirstToken(const RequestId &request, Instant now);
     /// An admitted request ended. Waiting ones are then to be had from poll.
     /// \param tokensServed prompt and output, as billed
     void finished(const RequestId &request, uint64_t tokensServed, Instant now);
@@ -107,7 +115,7 @@
 
     uint32_t inFlight() const;
     uint32_t waiting() const;
-    /// Slots expected to get free a second; 0 until a request has ended.
+    /// Waiting requests expected to be let in a second; 0 while nothing is known.
     double drainRate() const;
 
 private:
@@ -117,7 +125,9 @@
         WorkClass workClass;
         double expectedCost;
         double weight;
+        uint64_t promptTokens;
         Instant startedAt;
+        bool starting; ///< its first token hasn't come
     };
 
     /// Start-time fair queueing between the two classes.
@@ -147,6 +157,10 @@
     AdmissionSettings settings_;
     std::unordered_map<RequestId, Running> running_;
     uint32_t interactiveRunning_ = 0;
+    uint32_t starting_ = 0;
+    bool firstTokensTold_ = false; ///< onFirstToken is called at all
+    StartLimit startLimit_;
+    MovingMean promptTokens_;
     FairQueue interactive_;
     FairQueue batch_;
     std::vector<QueueRelease> displaced_; ///< gave way to others since the last poll
--- a/include/sequoiagate/Decisions/EndpointChoice.h
+++ b/include/sequoiagate/Decisions/EndpointChoice.h
@@ -3,54 +3,51 @@
 
 /// Where a request goes: among the endpoints that offer its service, by prefix
 /// affinity with bounded load, locality and health. Pure.
+///
+/// Answers callers or prefix keys that take most of the load. Least in flight prefills
+/// the same prefix everywhere; plain consistent hashing sends a hot prefix to one
+/// endpoint, whose callers wait while others idle. Here a request goes to the highest
+/// in its prefix's rendezvous order that is below boundFactor times the mean load
+/// (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with Bounded Loads", 2018):
+/// a hot prefix spreads over as many endpoints as it needs and no more.
+///
+/// The load is measured twice: by the lagging reports, and by this router's own requests
+/// beside its part of all. The second knows nothing of others but is never late; routers
+/// that each keep to it keep the sum even, and none overruns an endpoint that the
+/// reports still call idle.
+///
+/// In the order in which they are weighed:
+/// 1. Never: endpoints that are leaving, unreachable, ejected, or were tried before.
+/// 2. An endpoint that wants a probe gets an idempotent short request.
+/// 3. Own failure domain first, while an endpoint there has room; then all domains, each
+///    at its measured round trip. Of these, what the prefix's order says.
+/// 4. Without a prefix, the better of two picked at random: routers that all went for
+///    the least loaded of lagging reports would arrive there together.
+/// 5. With room nowhere, the least expected time to the first token of all.
+///
+/// Long work and short: see LongWork. Health: see EndpointHealth. Lag: see EndpointLoad.
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
 #include "sequoiagate/Base/Verdict.h"
-#include "sequoiagate/Decisions/Admission.h"
+#include "sequoiagate/Decisions/EndpointHealth.h"
+#include "sequoiagate/Decisions/EndpointLoad.h"
+#include "sequoiagate/Decisions/EndpointSpec.h"
+#include "sequoiagate/Decisions/LongWork.h"
+#include "sequoiagate/Decisions/PrefixAffinity.h"
 #include "sequoiagate/Decisions/RetryBudget.h"
+#include "sequoiagate/Decisions/WorkItem.h"
 
 namespace sequoiagate {
 
-/// An endpoint as configuration names it.
-struct EndpointSpec
-{
-    EndpointId id;
-    DomainId domain;
-    std::vector<ServiceId> services;
-    uint32_t slots = 1; ///< requests it batches at once
-    bool plainService = false;
-    bool leaving = false;
-};
-
-/// What an endpoint said of itself, late.
-struct LoadReport
-{
-    EndpointId endpoint;
-    uint32_t running = 0;
-    uint32_t waiting = 0;
-    double kvUsed = 0.0; ///< share of its KV memory, 0 to 1
-    bool leaving = false;
-    bool reachable = true;
-    Instant observedAt;
-};
-
-/// How one try at an endpoint went.
-struct TryResult
-{
-    EndpointId endpoint;
-    RequestId request;
-    bool succeeded = false;
-    Interval firstToken{}; ///< 0: none came
-    uint64_t tokens = 0;
-};
-
 /// Why an endpoint that offers the service isn't used.
 struct UnservedRoute
 {
@@ -66,35 +63,119 @@
 
 using ChoiceOutcome = std::variant<Chosen, Verdict>;
 
+struct EndpointChoiceSettings
+{
+    double boundFactor = 1.25; ///< of the mean load, up to which a prefix stays at home
+    /// Prompt tokens an engine prefills a second and the time before the first; they
+    /// scale expected times alike at all endpoints, so a factor off changes little.
+    double prefillTokensPerSecond = 40'000.0;
+    Interval prefillBase = std::chrono::milliseconds(20);
+    /// Own prefill work in hand beyond which an endpoint isn't a prefix's choice.
+    Interval prefillBacklogLimit = std::chrono::milliseconds(150);
+    double fullest = 0.98; ///< of all slots, that routers fill: room for uneven choices
+    double kvLimit = 0.9;  ///< of its KV memory; beyond it an engine preempts and recomputes
+    Interval roundTripElsewhere = std::chrono::milliseconds(5); ///< until it is measured
+    bool longWorkLanes = true;
+    uint64_t seed = 1;
+    HealthSettings health;
+};
+
 /// Not thread safe.
 class EndpointChoice
 {
 public:
-    explicit EndpointChoice(DomainId self);
+    explicit EndpointChoice(DomainId self, EndpointChoiceSettings settings = {});
 
-    /// Replaces the set; what is known of endpoints that stay is kept.
+    /// Replaces the set; what is known of endpoints that stay is kept. One that comes
+    /// later than the first set begins by slow start.
     void setEndpoints(const std::vector<EndpointSpec> &endpoints, Instant now);
     /// \p tried are left out: a retry never goes into the same failing endpoint.
     ChoiceOutcome choose(const WorkItem &item, const std::vector<EndpointId> &tried, Instant now);
     void onSent(const EndpointId &endpoint, const WorkItem &item, Instant now);
+    /// The first token of a request came. Without it a slow endpoint is noticed only
+    /// when its streams end.
+    void onFirstToken(const EndpointId &endpoint, const RequestId &request, Instant now);
     void onEnd(const TryResult &result, Instant now);
     void onReport(const LoadReport &report, Instant now);
+    /// A cache event: \p prefix as in WorkItem::prefixHash, stored or evicted. May come
+    /// late, or never.
+    void onCacheEvent(const EndpointId &endpoint, uint64_t prefix, bool stored, Instant observedAt);
+    /// A round trip to \p domain was measured.
+    void onRoundTrip(const DomainId &domain, Interval roundTrip);
     std::vector<UnservedRoute> unserved(const ServiceId &service, Instant now) const;
-    /// Requests the endpoints of all services have room for now.
+    /// Requests of this router that the endpoints of all services have room for now: its
+    /// own that are open, and its part of the room that is left. Routers share that by
+    /// what they have open: were each to take all of it, they would overrun it together.
     uint32_t totalSlots(Instant now) const;
 
 private:
+    enum class Usability {
+        Usable,
+        Leaving,
+        Unreachable,
+        Ejected,
+        Probing,
+    };
+
     struct Endpoint
     {
         EndpointSpec spec;
-        LoadReport report;
-        uint32_t inFlight = 0;
+        uint64_t hash = 0;
+        EndpointLoad load;
+        EndpointHealth health;
+        Instant prefillUntil; ///< own prompts sent there are prefilled by then
+    };
+
+    /// An endpoint under choice, with what was worked out of it once.
+    struct Candidate
+    {
+        Endpoint *endpoint;
+        double slots;   ///< that it may fill now
+        double fill;    ///< requests there over those slots
+        double ownFill; ///< this router's requests there over its part of those slots
+        bool local;
+        bool lane; ///< reserved for long work
+        bool roomy;
+    };
+
+    /// Endpoints that serve the same, and are therefore each other's peers.
+    struct Service
+    {
+        std::vector<std::size_t> endpoints;
+        OutlierDetection outliers;
+        LongWork longWork;
     };
 
+    static const char *usabilityName(Usability usability);
+    static Usability usability(const Endpoint &endpoint, Instant now);
     Endpoint *find(const EndpointId &id);
+    void reviewHealth(Service &service, Instant now);
+    void gather(const Service &service, const std::vector<EndpointId> &tried, Instant now);
+    Endpoint *lastResort(const Service &service, const std::vector<EndpointId> &tried, Instant now);
+    Endpoint *probe(const Service &service, const WorkItem &item, bool isLong,
+                    const std::vector<EndpointId> &tried, Instant now);
+    void markLanes(const Service &service, const ServiceId &name, Instant now);
+    static Interval backlog(const Endpoint &endpoint, Instant now);
+    void markRoomy(bool isLong, Instant now);
+    std::optional<Chosen> chooseRoomy(const WorkItem &item, bool localOnly, Instant now);
+    const Candidate *byPrefix(uint64_t prefix, bool localOnly, bool holdersOnly, Instant now) const;
+    const Candidate *bestOfTwo(const WorkItem &item, bool localOnly, Instant now);
+    const Candidate *leastCost(const WorkItem &item, bool isLong, Instant now) const;
+    Interval expectedPrefill(uint64_t promptTokens) const;
+    double cost(const Candidate &candidate, const WorkItem &item, Instant now) const;
+    double roundTripSeconds(const DomainId &domain) const;
+    Verdict noEndpoint(const Service &service, const std::vector<EndpointId> &tried,
+                       Instant now) const;
 
     DomainId self_;
+    EndpointChoiceSettings settings_;
     std::vector<Endpoint> endpoints_;
+    std::unordered_map<EndpointId, std::size_t> index_;
+    std::unordered_map<ServiceId, Service> services_;
+    std::unordered_map<DomainId, MovingMean> roundTrips_;
+    PrefixAffinity affinity_;
+    std::vector<Candidate> candidates_; ///< of the choice under way
+    std::mt19937_64 random_;
 };
 
 } // namespace sequoiagate
--- /dev/null
+++ b/include/sequoiagate/Decisions/EndpointLoad.h
@@ -0,0 +1,53 @@
+#ifndef SEQUOIAGATE_DECISIONS_ENDPOINTLOAD_H
+#define SEQUOIAGATE_DECISIONS_ENDPOINTLOAD_H
+
+/// How many requests an endpoint is believed to have in hand.
+///
+/// Answers load reports that lag. A router that goes by the last report alone sends
+/// everything to the endpoint that was idle when it spoke, for as long as the lag
+/// lasts; the next report shows it overrun and another one idle, and the load swings
+/// between them. Here what this router sent and what ended since the report was
+/// observed is added to it. What other routers sent since isn't known: EndpointChoice
+/// spreads its choices so that they needn't be.
+
+#include <cstdint>
+#include <deque>
+
+#include "sequoiagate/Decisions/EndpointSpec.h"
+
+namespace sequoiagate {
+
+/// Not thread safe.
+class EndpointLoad
+{
+public:
+    /// A report older than this is no news: only what this router sent still counts.
+    /// Five times the lag at which engines report.
+    static constexpr Interval ReportLifetime = std::chrono::seconds(5);
+
+    void onSent(Instant now);
+    void onEnd(Instant now);
+    /// A report observed before the last one is ignored.
+    void onReport(const LoadReport &report);
+
+    /// Requests running or waiting there, as far as this router can tell.
+    double requests(Instant now) const;
+    /// Requests of this router that are open there.
+    uint32_t own() const { return own_; }
+    const LoadReport &report() const { return report_; }
+    bool fresh(Instant now) const { return reported_ && now < reportExpiresAt_; }
+
+private:
+    static void record(std::deque<Instant> &times, Instant now);
+
+    LoadReport report_;
+    bool reported_ = false;
+    Instant reportExpiresAt_;
+    uint32_t own_ = 0;
+    std::deque<Instant> sentSince_;
+    std::deque<Instant> endedSince_;
+};
+
+} // namespace sequoiagate
+
+#endif
--- a/lib/Decisions/Admission.cpp
+++ b/lib/Decisions/Admission.cpp
@@ -41,7 +41,8 @@
 } // namespace
 
 Admission::Admission(AdmissionSettings settings)
-    : settings_(settings), heldSeconds_(HeldSamples), jitter_(settings.seed)
+    : settings_(settings), startLimit_(settings.startTarget), promptTokens_(HeldSamples),
+      heldSeconds_(HeldSamples), jitter_(settings.seed)
 {}
 
 AdmissionOutcome Admission::offer(const WorkItem &item, Instant now)
@@ -94,6 +95,25 @@
     return true;
 }
 
+void Admission::onFirstToken(const RequestId &request, Instant now)
+{
+    firstTokensTold_ = true;
+    const auto found = running_.find(request);
+    if (found == running_.end() || !found->second.starting) {
+        return;
+    }
+    Running &started = found->second;
+    // A long prompt's first token is late by itself and says nothing of the others.
+    constexpr double LongFactor = 4.0;
+    const double tokens = static_cast<double>(started.promptTokens);
+    if (tokens <= LongFactor * std::max(promptTokens_.mean(), 1.0)) {
+        startLimit_.onFirstToken(now - started.startedAt, starting_, now);
+    }
+    promptTokens_.add(tokens);
+    started.starting = false;
+    --starting_;
+}
+
 void Admission::finished(const RequestId &request, uint64_t tokensServed, Instant now)
 {
     const auto found = running_.find(request);
@@ -105,6 +125,7 @@
             .settle(ended.workspace, ended.expectedCost, static_cast<double>(tokensServed),
                     ended.weight);
     interactiveRunning_ -= ended.workClass == WorkClass::Interactive ? 1 : 0;
+    starting_ -= ended.starting ? 1 : 0;
     heldSeconds_.add(secondsOf(now - ended.startedAt));
     running_.erase(found);
 }
@@ -195,7 +216,8 @@
 
 bool Admission::mayRun(WorkClass workClass) const
 {
-    if (running_.size() >= settings_.slots) {
+    const bool startsAreFull = firstTokensTold_ && starting_ >= startLimit_.limit();
+    if (running_.size() >= settings_.slots || startsAreFull) {
         return false;
     }
     if (workClass == WorkClass::Interactive) {
@@ -209,13 +231,18 @@
 
 void Admission::start(const WorkItem &item, Instant now)
 {
-    running_.emplace(item.request, Running{item.workspace, item.workClass,
-                                           FairQueue::expectedCost(item), item.weight, now});
+    running_.emplace(item.request,
+                     Running{item.workspace, item.workClass, FairQueue::expectedCost(item),
+                             item.weight, item.promptTokens, now, true});
+    ++starting_;
     interactiveRunning_ += item.workClass == WorkClass::Interactive ? 1 : 0;
 }
 
 double Admission::drainRate() const
 {
+    if (running_.size() < settings_.slots && firstTokensTold_) {
+        return startLimit_.perSecond();
+    }
     if (heldSeconds_.samples() == 0) {
         return 0.0;
     }
--- a/lib/Decisions/EndpointChoice.cpp
+++ b/lib/Decisions/EndpointChoice.cpp
@@ -1,120 +1,501 @@
 #include "sequoiagate/Decisions/EndpointChoice.h"
 
 #include <algorithm>
-#include <string_view>
+#include <array>
+#include <cmath>
+
+#include "sequoiagate/Base/Rendezvous.h"
 
 namespace sequoiagate {
 
 namespace {
 
 constexpr Interval RetryAfterNoEndpoint = std::chrono::seconds(1);
+/// Expected wait for each request beyond an endpoint's slots: about what it takes until
+/// one of some 150 streams of 13 s ends.
+constexpr double OverflowSeconds = 0.1;
+/// Makes equal costs differ by load: far below a prefill, so that it decides ties only.
+constexpr double FillSeconds = 0.01;
+/// Behind a long prompt a short request waits seconds: lanes come last.
+constexpr double LaneSeconds = 5.0;
+constexpr double KvPressureSeconds = 0.5;
+/// Part of the prompt that is spared when its prefix is cached; engines don't tell.
+constexpr double PrefixPart = 0.8;
+constexpr uint32_t RoundTripSamples = 32;
 
-bool offers(const EndpointSpec &spec, const ServiceId &service)
+/// The part of all slots that a router may take, by what it has open. One that has next
+/// to nothing may still begin.
+double partOf(double own, double everybodys)
 {
-    return std::find(spec.services.begin(), spec.services.end(), service) != spec.services.end();
+    constexpr double Smallest = 0.1;
+    return everybodys > 0.0 ? std::clamp(own / everybodys, Smallest, 1.0) : 1.0;
 }
 
-/// Why no work may go there; empty: it may.
-std::string_view whyUnserved(const EndpointSpec &spec, const LoadReport &report)
+bool contains(const std::vector<EndpointId> &ids, const EndpointId &id)
 {
-    if (spec.leaving || report.leaving) {
-        return "leaving";
-    }
-    return report.reachable ? "" : "unreachable";
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
 } // namespace
 
-EndpointChoice::EndpointChoice(DomainId self) : self_(std::move(self)) {}
+EndpointChoice::EndpointChoice(DomainId self, EndpointChoiceSettings settings)
+    : self_(std::move(self)), settings_(settings), random_(settings.seed)
+{}
 
-void EndpointChoice::setEndpoints(const std::vector<EndpointSpec> &endpoints, Instant /*now*/)
+void EndpointChoice::setEndpoints(const std::vector<EndpointSpec> &endpoints, Instant now)
 {
+    const bool firstSet = endpoints_.empty();
     std::vector<Endpoint> updated;
     updated.reserve(endpoints.size());
     for (const EndpointSpec &spec : endpoints) {
-        const Endpoint *known = find(spec.id);
-        updated.push_back(known != nullptr ? *known : Endpoint{});
+        Endpoint *known = find(spec.id);
+        updated.push_back(known != nullptr ? std::move(*known) : Endpoint{});
         updated.back().spec = spec;
+        updated.back().hash = stableHash(spec.id.text());
+        if (known == nullptr && !firstSet) {
+            updated.back().health.startRamp(now, settings_.health);
+        }
     }
     endpoints_ = std::move(updated);
+    index_.clear();
+    for (auto &[name, service] : services_) {
+        service.endpoints.clear();
+    }
+    for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+        index_[endpoints_[i].spec.id] = i;
+        for (const ServiceId &name : endpoints_[i].spec.services) {
+            const auto added = services_.try_emplace(
+                    name, Service{{}, OutlierDetection(settings_.health), LongWork()});
+            added.first->second.endpoints.push_back(i);
+        }
+    }
+    std::erase_if(services_, [](const auto &entry) { return entry.second.endpoints.empty(); });
 }
 
 ChoiceOutcome EndpointChoice::choose(const WorkItem &item, const std::vector<EndpointId> &tried,
                                      Instant now)
 {
-    const Endpoint *best = nullptr;
-    bool known = false;
-    for (const Endpoint &endpoint : endpoints_) {
-        if (!offers(endpoint.spec, item.service)) {
+    const auto found = services_.find(item.service);
+    if (found == services_.end()) {
+        return Verdict{Execution::NotRun, Reason::UnknownService, "no endpoint offers the service",
+                       std::nullopt};
+    }
+    Service &service = found->second;
+    reviewHealth(service, now);
+    const bool isLong = settings_.longWorkLanes && tried.empty()
+                        && service.longWork.classify(item.promptTokens, now);
+    if (Endpoint *probed = probe(service, item, isLong, tried, now); probed != nullptr) {
+        return Chosen{probed->spec.id, "probe"};
+    }
+    gather(service, tried, now);
+    if (candidates_.empty()) {
+        if (Endpoint *last = lastResort(service, tried, now); last != nullptr) {
+            return Chosen{last->spec.id, "last_resort"};
+        }
+        return noEndpoint(service, tried, now);
+    }
+    markLanes(service, item.service, now);
+    markRoomy(isLong, now);
+    for (const bool localOnly : {true, false}) {
+        if (const std::optional<Chosen> chosen = chooseRoomy(item, localOnly, now)) {
+            return *chosen;
+        }
+    }
+    return Chosen{leastCost(item, isLong, now)->endpoint->spec.id, "least_cost"};
+}
+
+void EndpointChoice::reviewHealth(Service &service, Instant now)
+{
+    if (!service.outliers.due(now)) {
+        return;
+    }
+    std::vector<EndpointHealth *> peers;
+    peers.reserve(service.endpoints.size());
+    for (const std::size_t i : service.endpoints) {
+        peers.push_back(&endpoints_[i].health);
+    }
+    service.outliers.review(peers, now);
+}
+
+EndpointChoice::Usability EndpointChoice::usability(const Endpoint &endpoint, Instant now)
+{
+    const LoadReport &report = endpoint.load.report();
+    if (endpoint.spec.leaving || report.leaving) {
+        return Usability::Leaving;
+    }
+    if (!report.reachable) {
+        return Usability::Unreachable;
+    }
+    if (endpoint.health.ejected(now)) {
+        return Usability::Ejected;
+    }
+    return endpoint.health.probing(now) ? Usability::Probing : Usability::Usable;
+}
+
+const char *EndpointChoice::usabilityName(Usability usability)
+{
+    static constexpr std::array<const char *, 5> Names = {"usable", "leaving", "unreachable",
+                                                          "ejected", "probing"};
+    return Names[static_cast<std::size_t>(usability)];
+}
+
+void EndpointChoice::gather(const Service &service, const std::vector<EndpointId> &tried,
+                            Instant now)
+{
+    candidates_.clear();
+    double own = 0.0;
+    double everybodys = 0.0;
+    for (const std::size_t i : service.endpoints) {
+        Endpoint &endpoint = endpoints_[i];
+        if (usability(endpoint, now) != Usability::Usable || contains(tried, endpoint.spec.id)) {
             continue;
         }
-        known = true;
-        const bool usable =
-                whyUnserved(endpoint.spec, endpoint.report).empty()
-                && std::find(tried.begin(), tried.end(), endpoint.spec.id) == tried.end();
-        if (usable && (best == nullptr || endpoint.inFlight < best->inFlight)) {
+        const double slots = std::max(endpoint.spec.slots, 1U) * endpoint.health.rampShare(now);
+        const double requests = endpoint.load.requests(now);
+        own += endpoint.load.own();
+        everybodys += requests;
+        const bool local = endpoint.spec.domain == self_;
+        candidates_.push_back(
+                {&endpoint, slots, requests / slots, endpoint.load.own() / slots, local});
+    }
+    const double part = partOf(own, everybodys);
+    for (Candidate &candidate : candidates_) {
+        candidate.ownFill /= part;
+    }
+}
+
+EndpointChoice::Endpoint *EndpointChoice::lastResort(const Service &service,
+                                                     const std::vector<EndpointId> &tried,
+                                                     Instant now)
+{
+    // A slow or doubtful endpoint is better than none.
+    Endpoint *best = nullptr;
+    for (const std::size_t i : service.endpoints) {
+        Endpoint &endpoint = endpoints_[i];
+        const Usability how = usability(endpoint, now);
+        const bool possible = how == Usability::Ejected || how == Usability::Probing;
+        if (!possible || contains(tried, endpoint.spec.id)) {
+            continue;
+        }
+        if (best == nullptr || endpoint.load.own() < best->load.own()) {
             best = &endpoint;
         }
     }
-    if (best != nullptr) {
-        return Chosen{best->spec.id, "least_loaded"};
+    return best;
+}
+
+EndpointChoice::Endpoint *EndpointChoice::probe(const Service &service, const WorkItem &item,
+                                                bool isLong, const std::vector<EndpointId> &tried,
+                                                Instant now)
+{
+    // A first try that can be made again, and whose wait is short if all is well.
+    if (!item.idempotent || isLong || !tried.empty()) {
+        return nullptr;
+    }
+    for (const std::size_t i : service.endpoints) {
+        Endpoint &endpoint = endpoints_[i];
+        if (usability(endpoint, now) == Usability::Probing && endpoint.health.wantsProbe(now)) {
+            return &endpoint;
+        }
     }
-    if (!known) {
-        return Verdict{Execution::NotRun, Reason::UnknownService, "no endpoint offers the service",
-                       std::nullopt};
+    return nullptr;
+}
+
+void EndpointChoice::markLanes(const Service &service, const ServiceId &name, Instant now)
+{
+    double fill = 0.0;
+    for (const Candidate &candidate : candidates_) {
+        fill += candidate.fill / static_cast<double>(candidates_.size());
+    }
+    const std::size_t lanes = service.longWork.lanes(candidates_.size(), fill, now);
+    if (lanes == 0) {
+        return;
+    }
+    const uint64_t key = stableHash(name.text());
+    std::vector<std::pair<uint64_t, std::size_t>> order;
+    order.reserve(candidates_.size());
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+        order.emplace_back(affinityWeight(key, candidates_[i].endpoint->hash), i);
+    }
+    const auto end = order.begin() + static_cast<std::ptrdiff_t>(lanes);
+    std::nth_element(order.begin(), end - 1, order.end(), std::greater<>());
+    for (auto entry = order.begin(); entry != end; ++entry) {
+        candidates_[entry->second].lane = true;
+    }
+}
+
+void EndpointChoice::markRoomy(bool isLong, Instant now)
+{
+    double sum = 0.0;
+    double ownSum = 0.0;
+    double count = 0.0;
+    for (const Candidate &candidate : candidates_) {
+        const double counts = candidate.lane == isLong ? 1.0 : 0.0;
+        sum += counts * candidate.fill;
+        ownSum += counts * candidate.ownFill;
+        count += counts;
     }
-    return Verdict{Execution::NotRun, Reason::NoEndpoint, "no endpoint of the service can be used",
-                   now + RetryAfterNoEndpoint};
+    const double bound = settings_.boundFactor * sum / std::max(count, 1.0);
+    const double ownBound = settings_.boundFactor * ownSum / std::max(count, 1.0);
+    for (Candidate &candidate : candidates_) {
+        const Endpoint &endpoint = *candidate.endpoint;
+        // One request is always allowed: near idle, a bound below it would send a prefix
+        // to a cold endpoint each time.
+        const bool first = endpoint.load.own() == 0 && candidate.fill < 1.0;
+        const bool even = candidate.fill < std::min(bound, 1.0) && candidate.ownFill < ownBound;
+        candidate.roomy = candidate.lane == isLong && (even || first)
+                          && endpoint.load.report().kvUsed < settings_.kvLimit
+                          && backlog(endpoint, now) <= settings_.prefillBacklogLimit;
+    }
+}
+
+Interval EndpointChoice::backlog(const Endpoint &endpoint, Instant now)
+{
+    // By the clock, and by what hasn't come: other routers' prompts are in its way too.
+    return std::max({endpoint.prefillUntil - now, endpoint.health.pendingWork(), Interval::zero()});
 }
 
-void EndpointChoice::onSent(const EndpointId &endpoint, const WorkItem & /*item*/, Instant /*now*/)
+std::optional<Chosen> EndpointChoice::chooseRoomy(const WorkItem &item, bool localOnly, Instant now)
+{
+    if (item.prefixHash != 0) {
+        if (const Candidate *holder = byPrefix(item.prefixHash, localOnly, true, now)) {
+            return Chosen{holder->endpoint->spec.id, localOnly ? "prefix_cached" : "prefix_spill"};
+        }
+        if (const Candidate *home = byPrefix(item.prefixHash, localOnly, false, now)) {
+            return Chosen{home->endpoint->spec.id, localOnly ? "prefix_home" : "prefix_spill"};
+        }
+        return std::nullopt;
+    }
+    if (const Candidate *best = bestOfTwo(item, localOnly, now)) {
+        return Chosen{best->endpoint->spec.id, localOnly ? "least_loaded" : "spill"};
+    }
+    return std::nullopt;
+}
+
+const EndpointChoice::Candidate *EndpointChoice::byPrefix(uint64_t prefix, bool localOnly,
+                                                          bool holdersOnly, Instant now) const
+{
+    const Candidate *best = nullptr;
+    uint64_t bestWeight = 0;
+    for (const Candidate &candidate : candidates_) {
+        if (!candidate.roomy || (localOnly && !candidate.local)) {
+            continue;
+        }
+        const uint64_t weight = affinityWeight(prefix, candidate.endpoint->hash);
+        if (best != nullptr && weight <= bestWeight) {
+            continue;
+        }
+        if (holdersOnly && !affinity_.believes(prefix, candidate.endpoint->hash, now)) {
+            continue;
+        }
+        best = &candidate;
+        bestWeight = weight;
+    }
+    return best;
+}
+
+const EndpointChoice::Candidate *EndpointChoice::bestOfTwo(const WorkItem &item, bool localOnly,
+                                                           Instant now)
+{
+    // Reservoir sampling of two in one pass.
+    std::array<const Candidate *, 2> picked = {nullptr, nullptr};
+    uint32_t seen = 0;
+    for (const Candidate &candidate : candidates_) {
+        if (!candidate.roomy || (localOnly && !candidate.local)) {
+            continue;
+        }
+        const uint64_t slot = seen < picked.size() ? seen : random_() % (seen + 1);
+        if (slot < picked.size()) {
+            picked[slot] = &candidate;
+        }
+        ++seen;
+    }
+    if (picked[1] == nullptr) {
+        return picked[0];
+    }
+    return cost(*picked[0], item, now) <= cost(*picked[1], item, now) ? picked[0] : picked[1];
+}
+
+const EndpointChoice::Candidate *EndpointChoice::leastCost(const WorkItem &item, bool isLong,
+                                                           Instant now) const
+{
+    const Candidate *best = nullptr;
+    double bestCost = 0.0;
+    for (const Candidate &candidate : candidates_) {
+        const double wrongLane = candidate.lane != isLong ? LaneSeconds : 0.0;
+        const double total = cost(candidate, item, now) + wrongLane;
+        if (best == nullptr || total < bestCost) {
+            best = &candidate;
+            bestCost = total;
+        }
+    }
+    return best;
+}
+
+double EndpointChoice::cost(const Candidate &candidate, const WorkItem &item, Instant now) const
+{
+    const Endpoint &endpoint = *candidate.endpoint;
+    const bool cached =
+            item.prefixHash != 0 && affinity_.believes(item.prefixHash, endpoint.hash, now);
+    const double fullest = std::max(candidate.fill, candidate.ownFill);
+    const double overflow = std::max((fullest - 1.0) * candidate.slots + 1.0, 0.0);
+    double seconds = secondsOf(backlog(endpoint, now));
+    seconds += secondsOf(expectedPrefill(item.promptTokens)) * (cached ? 1.0 - PrefixPart : 1.0);
+    seconds += overflow * OverflowSeconds + fullest * FillSeconds;
+    seconds += candidate.local ? 0.0 : roundTripSeconds(endpoint.spec.domain);
+    seconds += endpoint.load.report().kvUsed >= settings_.kvLimit ? KvPressureSeconds : 0.0;
+    return seconds;
+}
+
+Interval EndpointChoice::expectedPrefill(uint64_t promptTokens) const
+{
+    const double tokens = static_cast<double>(promptTokens);
+    return settings_.prefillBase + intervalOf(tokens / settings_.prefillTokensPerSecond);
+}
+
+double EndpointChoice::roundTripSeconds(const DomainId &domain) const
+{
+    const auto measured = roundTrips_.find(domain);
+    return measured == roundTrips_.end() ? secondsOf(settings_.roundTripElsewhere)
+                                         : measured->second.mean();
+}
+
+Verdict EndpointChoice::noEndpoint(const Service &service, const std::vector<EndpointId> &tried,
+                                   Instant now) const
+{
+    std::array<uint32_t, 5> counts = {};
+    uint32_t triedCount = 0;
+    for (const std::size_t i : service.endpoints) {
+        if (contains(tried, endpoints_[i].spec.id)) {
+            ++triedCount;
+            continue;
+        }
+        ++counts[static_cast<std::size_t>(usability(endpoints_[i], now))];
+    }
+    std::string detail = "no endpoint can be used: " + std::to_string(triedCount) + " tried";
+    for (std::size_t i = 1; i < counts.size(); ++i) {
+        if (counts[i] > 0) {
+            detail += ", " + std::to_string(counts[i]) + " "
+                      + usabilityName(static_cast<Usability>(i));
+        }
+    }
+    return {Execution::NotRun, Reason::NoEndpoint, detail, now + RetryAfterNoEndpoint};
+}
+
+void EndpointChoice::onSent(const EndpointId &endpoint, const WorkItem &item, Instant now)
+{
+    Endpoint *found = find(endpoint);
+    if (found == nullptr) {
+        return;
+    }
+    const bool cached =
+            item.prefixHash != 0 && affinity_.believes(item.prefixHash, found->hash, now);
+    const Interval prefill = expectedPrefill(item.promptTokens);
+    const double part = cached ? 1.0 - PrefixPart : 1.0;
+    found->prefillUntil =
+            std::max(found->prefillUntil, now) + intervalOf(secondsOf(prefill) * part);
+    found->load.onSent(now);
+    found->health.onSent(item.request, prefill, now);
+    if (item.prefixHash != 0) {
+        affinity_.learn(item.prefixHash, found->hash, now);
+    }
+}
+
+void EndpointChoice::onFirstToken(const EndpointId &endpoint, const RequestId &request, Instant now)
 {
     if (Endpoint *found = find(endpoint); found != nullptr) {
-        ++found->inFlight;
+        found->health.onFirstToken(request, now);
     }
 }
 
-void EndpointChoice::onEnd(const TryResult &result, Instant /*now*/)
+void EndpointChoice::onEnd(const TryResult &result, Instant now)
 {
     Endpoint *found = find(result.endpoint);
-    if (found != nullptr && found->inFlight > 0) {
-        --found->inFlight;
+    if (found == nullptr) {
+        return;
+    }
+    found->load.onEnd(now);
+    found->health.onEnd(result.request, result.succeeded, result.firstToken, result.tokens, now);
+    if (result.succeeded) {
+        return;
+    }
+    for (const ServiceId &service : found->spec.services) {
+        services_.at(service).outliers.reviewSoon();
+    }
+}
+
+void EndpointChoice::onReport(const LoadReport &report, Instant now)
+{
+    Endpoint *found = find(report.endpoint);
+    if (found == nullptr) {
+        return;
+    }
+    const bool wasAway = !found->load.report().reachable;
+    found->load.onReport(report);
+    if (wasAway && found->load.report().reachable) {
+        found->health.startRamp(now, settings_.health);
     }
 }
 
-void EndpointChoice::onReport(const LoadReport &report, Instant /*now*/)
+void EndpointChoice::onCacheEvent(const EndpointId &endpoint, uint64_t prefix, bool stored,
+                                  Instant observedAt)
 {
-    if (Endpoint *found = find(report.endpoint); found != nullptr) {
-        found->report = report;
+    const Endpoint *found = find(endpoint);
+    if (found == nullptr) {
+        return;
+    }
+    if (stored) {
+        affinity_.learn(prefix, found->hash, observedAt);
+    } else {
+        affinity_.forget(prefix, found->hash);
     }
 }
 
-std::vector<UnservedRoute> EndpointChoice::unserved(const ServiceId &service, Instant /*now*/) const
+void EndpointChoice::onRoundTrip(const DomainId &domain, Interval roundTrip)
+{
+    const auto added = roundTrips_.try_emplace(domain, MovingMean(RoundTripSamples));
+    added.first->second.add(secondsOf(roundTrip));
+}
+
+std::vector<UnservedRoute> EndpointChoice::unserved(const ServiceId &service, Instant now) const
 {
     std::vector<UnservedRoute> routes;
-    for (const Endpoint &endpoint : endpoints_) {
-        const std::string_view why = whyUnserved(endpoint.spec, endpoint.report);
-        if (offers(endpoint.spec, service) && !why.empty()) {
-            routes.push_back({endpoint.spec.id, std::string(why)});
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return routes;
+    }
+    for (const std::size_t i : found->second.endpoints) {
+        const Usability how = usability(endpoints_[i], now);
+        if (how != Usability::Usable) {
+            routes.push_back({endpoints_[i].spec.id, usabilityName(how)});
         }
     }
     return routes;
 }
 
-uint32_t EndpointChoice::totalSlots(Instant /*now*/) const
+uint32_t EndpointChoice::totalSlots(Instant now) const
 {
-    uint32_t total = 0;
+    double own = 0.0;
+    double everybodys = 0.0;
+    double slots = 0.0;
     for (const Endpoint &endpoint : endpoints_) {
-        total += whyUnserved(endpoint.spec, endpoint.report).empty() ? endpoint.spec.slots : 0;
+        if (usability(endpoint, now) != Usability::Usable) {
+            continue;
+        }
+        own += endpoint.load.own();
+        everybodys += endpoint.load.requests(now);
+        slots += endpoint.spec.slots * endpoint.health.rampShare(now);
     }
-    return total;
+    // Summed over all before the difference is taken: an endpoint that is overrun must
+    // count against another's room, or uneven choices add up to an overrun fleet.
+    const double room = settings_.fullest * slots - everybodys;
+    return static_cast<uint32_t>(std::ceil(std::max(own + room * partOf(own, everybodys), 1.0)));
 }
 
 EndpointChoice::Endpoint *EndpointChoice::find(const EndpointId &id)
 {
-    const auto found = std::find_if(endpoints_.begin(), endpoints_.end(),
-                                    [&](const Endpoint &e) { return e.spec.id == id; });
-    return found == endpoints_.end() ? nullptr : &*found;
+    const auto found = index_.find(id);
+    return found == index_.end() ? nullptr : &endpoints_[found->second];
 }
 
 } // namespace sequoiagate
