--- /dev/null
+++ b/bench/Decisions/LoadsBench.cpp
@@ -0,0 +1,79 @@
+/// Plays every load against every policy in virtual time and prints what callers got
+/// as a table in Markdown. With arguments, only the loads of those names.
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "bench/Decisions/Loads.h"
+
+using namespace sequoiagate;
+using namespace sequoiagate::bench;
+using namespace sequoiagate::model;
+
+namespace {
+
+std::vector<Policy> policies()
+{
+    EndpointChoiceSettings pureAffinity;
+    pureAffinity.boundFactor = 1e9;
+    Policy unbounded = sequoiagatePolicy({}, pureAffinity);
+    unbounded.name = "sequoiagate, unbounded affinity";
+    return {
+            sequoiagatePolicy(),
+            unbounded,
+            plainChoicePolicy("random", PlainChoice::Random),
+            plainChoicePolicy("round robin", PlainChoice::RoundRobin),
+            plainChoicePolicy("least in flight", PlainChoice::LeastInFlight),
+            plainChoicePolicy("consistent hash", PlainChoice::ConsistentHash),
+            unlimitedPolicy("FIFO without limits", PlainChoice::LeastInFlight),
+    };
+}
+
+std::string refusals(const Outcome &outcome)
+{
+    std::string text;
+    for (const auto &[reason, count] : outcome.refused) {
+        text += fmt::format("{}{} {}", text.empty() ? "" : ", ", reasonName(reason), count);
+    }
+    return text.empty() ? "none" : text;
+}
+
+void printRow(const Policy &policy, const Outcome &outcome)
+{
+    fmt::print("| {} | {:.0f} / {:.0f} / {:.0f} | {:.0f} / {:.0f} / {:.0f} | {:.1f}% | {:.1f}% | "
+               "{:.3f} | {:.1f}% | {:.2f} | {:.3f} | {:.1f} | {} of {} | {} |\n",
+               policy.name, outcome.all.p50 * 1e3, outcome.all.p95 * 1e3, outcome.all.p99 * 1e3,
+               outcome.brief.p50 * 1e3, outcome.brief.p95 * 1e3, outcome.brief.p99 * 1e3,
+               outcome.goodput * 100, outcome.throughput * 100, outcome.fairness,
+               outcome.hitRate * 100, outcome.loadRatio, outcome.amplification, outcome.recovery,
+               outcome.served, outcome.offered, refusals(outcome));
+    std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> wanted(argv + 1, argv + argc);
+    for (const Scenario &scenario : scenarios()) {
+        const bool skipped =
+                !wanted.empty()
+                && std::find(wanted.begin(), wanted.end(), scenario.name) == wanted.end();
+        if (skipped) {
+            continue;
+        }
+        fmt::print("\n### {}\n\n"
+                   "| policy | first token ms p50 / p95 / p99 | of short ones | goodput | "
+                   "throughput | Jain | prefix hits | busiest / mean | tries / first | "
+                   "recovery s | served | refused |\n"
+                   "|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+                   scenario.name);
+        for (const Policy &policy : policies()) {
+            printRow(policy, play(FleetSettings{}, scenario.load, policy));
+        }
+    }
+    return 0;
+}
