--- a/include/sequoiagate/Base/Ids.h
+++ b/include/sequoiagate/Base/Ids.h
@@ -24,7 +24,7 @@
     bool empty() const { return text_.empty(); }
 
     friend bool operator==(const Id &, const Id &) = default;
-    friend auto operator<=>(const Id &, const Id &) = default;
+    friend auto operator<=>(const Id &a, const Id &b) { return a.text_ <=> b.text_; }
     template <typename H>
     friend H AbslHashValue(H state, const Id &id)
     {
