--- /dev/null
+++ b/lib/Keeper/KeeperCoreRequests.cpp
@@ -0,0 +1,437 @@
+// KeeperCore's answers about reservations and bills.
+
+#include <algorithm>
+#include <limits>
+
+#include <fmt/format.h>
+
+#include "sequoiagate/Keeper/KeeperCore.h"
+#include "sequoiagate/Service/Events.h"
+
+#include "WireVerdicts.h"
+
+namespace sequoiagate {
+
+/// When a caller should come back after a refusal that another keeper, or a little
+/// patience, may cure.
+static constexpr Millis ComeBackSoon{500};
+/// How soon a holder that had nothing under way is asked again. Each ask counts as demand
+/// in the holder's rates, so that it must not be many.
+static constexpr Millis HolderPause{250};
+/// What a settle answers when there is nothing to wait for.
+static constexpr uint64_t NothingToWaitFor = 1;
+
+static wire::ReserveReply refusal(Reason reason, std::string detail,
+                                  std::optional<Instant> comeBackAt, Instant now)
+{
+    wire::ReserveReply reply;
+    *reply.mutable_refused() = notRun(reason, std::move(detail), comeBackAt, now);
+    return reply;
+}
+
+GrantHolder &KeeperCore::holderOf(const WorkspaceId &workspace)
+{
+    Shard &shard = shardOf(workspace);
+    const auto found = shard.holders.find(workspace);
+    if (found != shard.holders.end()) {
+        return found->second;
+    }
+    return shard.holders.emplace(workspace, GrantHolder(workspace, self_, settings_.grants))
+            .first->second;
+}
+
+void KeeperCore::heardRouter(const std::string &router, Instant now)
+{
+    if (!router.empty()) {
+        routerSilentAt_[Incarnation(router)] = now + settings_.routerSilent;
+    }
+}
+
+std::optional<wire::ReserveReply> KeeperCore::refuseEarly(const wire::ReserveRequest &request,
+                                                          Instant now) const
+{
+    if (draining()) {
+        return refusal(Reason::Draining, "this keeper is stopping: ask another", now + Millis(1),
+                       now);
+    }
+    if (inForceVersion_ == 0) {
+        return refusal(Reason::NotReady, "no configuration yet", now + ComeBackSoon, now);
+    }
+    if (config_.workspace(WorkspaceId(request.workspace())) == nullptr) {
+        return refusal(Reason::NotAllowed, "the workspace is not in the configuration", {}, now);
+    }
+    const uint64_t room = std::numeric_limits<uint64_t>::max() - request.prompt_tokens();
+    const bool countable = request.output_ceiling() <= room
+                           && request.prompt_tokens() + request.output_ceiling() > 0;
+    if (!countable || request.request().empty()) {
+        return refusal(Reason::BadRequest, "a reservation needs a request id and tokens", {}, now);
+    }
+    const Shard &shard = shardOf(WorkspaceId(request.workspace()));
+    if (shard.place.state == StreamState::Gap) {
+        return refusal(Reason::NotReady, "the ledger's records expired before they were read",
+                       now + ComeBackSoon, now);
+    }
+    return std::nullopt;
+}
+
+std::optional<wire::ReserveReply> KeeperCore::answerKnown(const wire::ReserveRequest &request,
+                                                          const RequestKey &key, Instant now)
+{
+    const auto mismatch = [&](const std::string &bodyHash) {
+        return !bodyHash.empty() && bodyHash != request.body_hash();
+    };
+    wire::ReserveReply reply;
+    if (const OpenReservation *open = reservations_.find(key)) {
+        if (mismatch(open->bodyHash)) {
+            return refusal(Reason::BodyMismatch, "the id is open with another body", {}, now);
+        }
+        // The router's own try again, since the answer was lost: the same reservation.
+        const bool sameTry = !open->attempt.empty() && open->attempt == request.attempt()
+                             && open->router.text() == request.router();
+        if (sameTry) {
+            return openReservation(request, key, {open->id, open->tokens, open->draws});
+        }
+        reply.mutable_running()->set_router(open->router.text());
+        reply.mutable_running()->set_router_address(open->routerAddress);
+        reply.mutable_running()->set_endpoint(open->endpoint);
+        return reply;
+    }
+    if (const HeldBill *held = bills_.find(key)) {
+        if (mismatch(held->bodyHash)) {
+            return refusal(Reason::BodyMismatch, "the id was billed with another body", {}, now);
+        }
+        *reply.mutable_billed() = held->bill;
+        return reply;
+    }
+    // Billed by another keeper, perhaps long ago: running it again would be a second run
+    // of one request, and its tokens would never be invoiced.
+    if (shardOf(key.workspace).fold.billed(key.workspace, key.request)) {
+        reply.mutable_billed()->set_workspace(key.workspace.text());
+        reply.mutable_billed()->set_request(key.request.text());
+        return reply;
+    }
+    return std::nullopt;
+}
+
+Step<wire::ReserveReply> KeeperCore::reserve(const wire::ReserveRequest &request,
+                                             const ReservationId &id, Instant now)
+{
+    heardRouter(request.router(), now);
+    const RequestKey key{WorkspaceId(request.workspace()), RequestId(request.request())};
+    if (std::optional<wire::ReserveReply> refused = refuseEarly(request, now)) {
+        return *refused;
+    }
+    if (std::optional<wire::ReserveReply> known = answerKnown(request, key, now)) {
+        return *known;
+    }
+    Shard &shard = shardOf(key.workspace);
+    GrantHolder &holder = holderOf(key.workspace);
+    const uint64_t tokens = request.prompt_tokens() + request.output_ceiling();
+    const ReserveOutcome outcome = holder.reserve(id, tokens, view_.witnessesFor(key.workspace),
+                                                  shard.fold, reachable(shard.place, now), now);
+    pump(shard, holder, now);
+    if (const auto *draws = std::get_if<ReservationDraws>(&outcome)) {
+        return openReservation(request, key, *draws);
+    }
+    if (const auto *later = std::get_if<ReserveLater>(&outcome)) {
+        return AskAgain{later->until};
+    }
+    if (budgetOnItsWay(key.workspace, tokens, now)) {
+        return AskAgain{now + HolderPause};
+    }
+    wire::ReserveReply reply;
+    *reply.mutable_refused() = toWire(std::get<Verdict>(outcome), now);
+    return reply;
+}
+
+/// Whether budget for \p tokens is a moment away: a configuration in force whose total
+/// isn't recorded yet, a ledger that is still being read, or a remainder that the holder
+/// pauses before it claims again. To refuse now would turn a request away though budget
+/// remains; the caller's wait is bounded by settings.reserveWait.
+bool KeeperCore::budgetOnItsWay(const WorkspaceId &workspace, uint64_t tokens, Instant now) const
+{
+    const Shard &shard = shardOf(workspace);
+    if (shard.place.state == StreamState::CatchingUp) {
+        return true;
+    }
+    const LedgerBudget *budget = shard.fold.budget(workspace);
+    const bool unallocated = budget != nullptr && budget->remainder() >= tokens;
+    return reachable(shard.place, now) && (fundingDue_.count(workspace) > 0 || unallocated);
+}
+
+wire::ReserveReply KeeperCore::openReservation(const wire::ReserveRequest &request,
+                                               const RequestKey &key, const ReservationDraws &draws)
+{
+    if (reservations_.find(key) == nullptr) {
+        OpenReservation open;
+        open.id = draws.id;
+        open.key = key;
+        open.bodyHash = request.body_hash();
+        open.attempt = request.attempt();
+        open.model = request.model();
+        open.promptTokens = request.prompt_tokens();
+        open.tokens = draws.tokens;
+        open.draws = draws.draws;
+        open.router = Incarnation(request.router());
+        open.routerAddress = request.router_address();
+        reservations_.open(std::move(open));
+        events_.push_back(Event(events::ReservationMade)
+                                  .with("workspace", key.workspace)
+                                  .with("request", key.request)
+                                  .with("reservation", draws.id)
+                                  .with("tokens", draws.tokens));
+    }
+    wire::ReserveReply reply;
+    wire::Reservation &reservation = *reply.mutable_reservation();
+    reservation.set_id(draws.id.text());
+    reservation.set_tokens(draws.tokens);
+    reservation.set_keeper(self_.text());
+    for (const Draw &draw : draws.draws) {
+        wire::GrantDraw &entry = *reservation.add_draws();
+        entry.set_grant(draw.grant.text());
+        entry.set_tokens(draw.tokens);
+    }
+    return reply;
+}
+
+// ---- settling ----
+
+static bool saysNotRun(const wire::SettleRequest &request)
+{
+    const bool nothingSpent =
+            request.bill().prompt_tokens() == 0 && request.bill().completion_tokens() == 0;
+    return request.execution() == wire::NOT_RUN
+           || (request.execution() == wire::EXECUTION_UNSPECIFIED && nothingSpent);
+}
+
+static wire::SettleReply settled(uint64_t durableOffset)
+{
+    wire::SettleReply reply;
+    reply.set_held(true);
+    reply.set_durable_offset(durableOffset);
+    return reply;
+}
+
+wire::SettleReply KeeperCore::settle(const wire::SettleRequest &request, Instant now, WallTime wall)
+{
+    wall_ = wall;
+    heardRouter(request.router(), now);
+    OpenReservation *open = reservations_.find(ReservationId(request.reservation()));
+    if (request.still_open()) {
+        wire::SettleReply reply;
+        reply.set_held(open != nullptr);
+        if (open != nullptr) {
+            open->router = Incarnation(request.router());
+            open->endpoint = request.bill().endpoint();
+            open->endpointAddress = request.endpoint_address();
+            open->engineStream = request.engine_stream();
+        }
+        return reply;
+    }
+    if (open != nullptr) {
+        return settleOpen(*open, request, now);
+    }
+    // The reservation was another keeper's, or has been ended here already. The bill is
+    // taken all the same: a keeper that died can't append it, and a request without a
+    // bill was served for nothing. The fold takes the first of several.
+    const RequestKey key{WorkspaceId(request.bill().workspace()),
+                         RequestId(request.bill().request())};
+    if (saysNotRun(request) || key.request.empty()) {
+        return settled(NothingToWaitFor);
+    }
+    holdBill(key, request.bill(), "", now);
+    return billState(key);
+}
+
+/// The bill of a reservation, never above it: the invoice must not exceed what was
+/// debited, or the sum of invoices could exceed the budget.
+static wire::Bill boundedBill(const wire::Bill &asked, const OpenReservation &reservation)
+{
+    wire::Bill bill = asked;
+    bill.set_workspace(reservation.key.workspace.text());
+    bill.set_request(reservation.key.request.text());
+    if (bill.model().empty()) {
+        bill.set_model(reservation.model);
+    }
+    bill.set_prompt_tokens(std::min(bill.prompt_tokens(), reservation.tokens));
+    bill.set_completion_tokens(
+            std::min(bill.completion_tokens(), reservation.tokens - bill.prompt_tokens()));
+    return bill;
+}
+
+wire::SettleReply KeeperCore::settleOpen(OpenReservation &reservation,
+                                         const wire::SettleRequest &request, Instant now)
+{
+    const RequestKey key = reservation.key;
+    if (saysNotRun(request)) {
+        endReservation(reservation, wire::Bill(), 0, now);
+        return settled(NothingToWaitFor);
+    }
+    const uint64_t asked = request.bill().prompt_tokens() + request.bill().completion_tokens();
+    if (asked == 0 && request.execution() == wire::MAY_HAVE_RUN) {
+        // The router doesn't know how far the stream got: the engine is asked.
+        reservation.routerGaveUp = true;
+        if (!request.engine_stream().empty()) {
+            reservation.endpointAddress = request.endpoint_address();
+            reservation.engineStream = request.engine_stream();
+        }
+        inquire(reservation);
+        return settled(0);
+    }
+    const wire::Bill bill = boundedBill(request.bill(), reservation);
+    const uint64_t billed = bill.prompt_tokens() + bill.completion_tokens();
+    if (billed < asked) {
+        events_.push_back(Event("bill.bounded")
+                                  .with("workspace", key.workspace)
+                                  .with("request", key.request)
+                                  .with("asked", asked)
+                                  .with("billed", billed));
+    }
+    // Where nobody knows how far a stream got it may still be running: all that was set
+    // aside counts as spent, or its tokens would be spent a second time by others.
+    const uint64_t spent = bill.in_doubt() ? reservation.tokens : billed;
+    endReservation(reservation, bill, spent, now);
+    return billState(key);
+}
+
+void KeeperCore::endReservation(OpenReservation &reservation, wire::Bill bill, uint64_t spent,
+                                Instant now)
+{
+    const RequestKey key = reservation.key;
+    Shard &shard = shardOf(key.workspace);
+    GrantHolder &holder = holderOf(key.workspace);
+    const std::vector<Draw> draws = holder.settle(reservation.id, spent, now);
+    events_.push_back(Event(events::ReservationSettled)
+                              .with("workspace", key.workspace)
+                              .with("request", key.request)
+                              .with("reservation", reservation.id)
+                              .with("spent", spent));
+    const std::string bodyHash = reservation.bodyHash;
+    reservations_.close(ReservationId(reservation.id));
+    if (bill.prompt_tokens() + bill.completion_tokens() > 0) {
+        bill.clear_draws();
+        for (const Draw &draw : draws) {
+            wire::GrantDraw &entry = *bill.add_draws();
+            entry.set_grant(draw.grant.text());
+            entry.set_tokens(draw.tokens);
+        }
+        bill.set_domain(view_.self().domain());
+        holdBill(key, std::move(bill), bodyHash, now);
+    }
+    pump(shard, holder, now);
+    ++progress_;
+}
+
+void KeeperCore::holdBill(const RequestKey &key, wire::Bill bill, const std::string &bodyHash,
+                          Instant now)
+{
+    Shard &shard = shardOf(key.workspace);
+    if (bills_.find(key) != nullptr || shard.fold.billed(key.workspace, key.request)) {
+        return;
+    }
+    wire::Record record;
+    *record.mutable_bill() = bill;
+    bills_.hold(key, std::move(bill), bodyHash);
+    push(shard.queue, std::move(record), now + settings_.billFlush);
+}
+
+wire::SettleReply KeeperCore::billState(const RequestKey &key)
+{
+    if (const HeldBill *held = bills_.find(key)) {
+        return settled(held->durableOffset);
+    }
+    const LedgerFold &fold = shardOf(key.workspace).fold;
+    return settled(fold.billed(key.workspace, key.request) ? fold.nextOffset() : 0);
+}
+
+// ---- routers that went silent ----
+
+void KeeperCore::askAfterSilentRouters(Instant now)
+{
+    for (OpenReservation *reservation : reservations_.all()) {
+        const auto silentAt =
+                routerSilentAt_.try_emplace(reservation->router, now + settings_.routerSilent);
+        if (!reservation->inquiryOpen && silentAt.first->second <= now) {
+            inquire(*reservation);
+        }
+    }
+    if (reservations_.size() == 0) {
+        std::erase_if(routerSilentAt_, [&](const auto &entry) { return entry.second <= now; });
+    }
+}
+
+void KeeperCore::inquire(OpenReservation &reservation)
+{
+    if (reservation.inquiryOpen) {
+        return;
+    }
+    reservation.inquiryOpen = true;
+    StreamInquiry inquiry;
+    inquiry.reservation = reservation.id;
+    inquiry.key = reservation.key;
+    inquiry.routerAddress = reservation.routerAddress;
+    inquiry.endpointAddress = reservation.endpointAddress;
+    inquiry.engineStream = reservation.engineStream;
+    for (const wire::EndpointChange &endpoint : config_.state().endpoints()) {
+        const auto &services = endpoint.services();
+        const bool offers =
+                reservation.model.empty()
+                || std::find(services.begin(), services.end(), reservation.model) != services.end();
+        if (endpoint.kind() != wire::PLAIN_SERVICE && offers) {
+            inquiry.candidates.push_back(endpoint.address());
+        }
+    }
+    inquiries_.push_back(std::move(inquiry));
+    ++work_;
+}
+
+std::optional<StreamInquiry> KeeperCore::takeInquiry()
+{
+    if (inquiries_.empty()) {
+        return std::nullopt;
+    }
+    StreamInquiry next = std::move(inquiries_.front());
+    inquiries_.pop_front();
+    return next;
+}
+
+void KeeperCore::onStreamAnswer(const StreamInquiry &inquiry, const StreamAnswer &answer,
+                                Instant now, WallTime wall)
+{
+    wall_ = wall;
+    OpenReservation *open = reservations_.find(inquiry.reservation);
+    if (open == nullptr) {
+        return;
+    }
+    open->inquiryOpen = false;
+    const bool heardAgain = routerSilentAt_[open->router] > now;
+    if (heardAgain && !open->routerGaveUp) {
+        return;
+    }
+    events_.push_back(Event("reservation.recovered")
+                              .with("workspace", open->key.workspace)
+                              .with("request", open->key.request)
+                              .with("generated", answer.generated
+                                                         ? fmt::to_string(*answer.generated)
+                                                         : "unknown")
+                              .with("router_gone", answer.routerGone));
+    wire::Bill bill;
+    bill.set_endpoint(open->endpoint);
+    if (answer.generated) {
+        bill.set_prompt_tokens(open->promptTokens);
+        bill.set_completion_tokens(*answer.generated);
+    } else if (!answer.unknownEverywhere) {
+        bill.set_prompt_tokens(open->promptTokens);
+        bill.set_completion_tokens(open->tokens - open->promptTokens);
+        bill.set_in_doubt(true);
+    }
+    bill = boundedBill(bill, *open);
+    // A router that is only paused may wake and send the request again under this
+    // reservation. Unless its process is known to be gone, all that was set aside counts
+    // as spent; the bill says what the engine generated.
+    const uint64_t billed = bill.prompt_tokens() + bill.completion_tokens();
+    const bool surelyOver = answer.routerGone && !bill.in_doubt();
+    endReservation(*open, bill, surelyOver ? billed : open->tokens, now);
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Keeper/Peers.cpp
@@ -0,0 +1,148 @@
+#include "Peers.h"
+
+#include <thread>
+
+namespace sequoiagate {
+
+static constexpr std::size_t WindowThreads = 3;
+static constexpr Millis CallTimeout{800};
+static constexpr Millis LongestIdle{500};
+
+Peers::Peers(Security &security, const LinkFilter &filter, HostId self)
+    : security_(security), filter_(filter), self_(std::move(self))
+{}
+
+std::shared_ptr<wire::KeeperService::Stub> Peers::stub(const std::string &address)
+{
+    absl::MutexLock lock(&mutex_);
+    std::shared_ptr<wire::KeeperService::Stub> &kept = stubs_[address];
+    if (!kept) {
+        kept = wire::KeeperService::NewStub(security_.channel(address));
+    }
+    return kept;
+}
+
+template <typename Request, typename Reply>
+std::optional<Reply> Peers::call(Method<Request, Reply> method, const wire::MemberEntry &peer,
+                                 const Request &request, Instant deadline)
+{
+    if (filter_.blocked(HostId(peer.host()))) {
+        return std::nullopt;
+    }
+    grpc::ClientContext context;
+    context.AddMetadata(SenderKey, self_.text());
+    // gRPC takes deadlines on the wall clock only.
+    context.set_deadline(std::chrono::system_clock::now()
+                         + (deadline - std::chrono::steady_clock::now()));
+    Reply reply;
+    const auto target = stub(peer.address());
+    if (!((*target).*method)(&context, request, &reply).ok()) {
+        return std::nullopt;
+    }
+    return reply;
+}
+
+std::optional<wire::SignWindowReply> Peers::signWindow(const wire::MemberEntry &peer,
+                                                       const wire::SignWindowRequest &request,
+                                                       Instant deadline)
+{
+    return call<wire::SignWindowRequest, wire::SignWindowReply>(
+            &wire::KeeperService::Stub::SignWindow, peer, request, deadline);
+}
+
+std::optional<wire::ReadConfigReply> Peers::readConfig(const wire::MemberEntry &peer,
+                                                       const wire::ReadConfigRequest &request,
+                                                       Instant deadline)
+{
+    return call<wire::ReadConfigRequest, wire::ReadConfigReply>(
+            &wire::KeeperService::Stub::ReadConfig, peer, request, deadline);
+}
+
+// ---- windows ----
+
+WindowClient::WindowClient(Keeper &keeper, Peers &peers) : keeper_(keeper), peers_(peers)
+{
+    for (std::size_t count = 0; count < WindowThreads; ++count) {
+        workers_.push_back(std::make_unique<Worker>([this] { step(); }));
+    }
+}
+
+void WindowClient::step()
+{
+    std::optional<wire::MemberEntry> witness;
+    uint64_t seen = 0;
+    const std::optional<AskWindowAction> ask =
+            keeper_.run([&](KeeperCore &core, Instant, WallTime) {
+                seen = core.work();
+                std::optional<AskWindowAction> next = core.takeWindowAsk();
+                const wire::MemberEntry *known = next ? core.view().member(next->witness) : nullptr;
+                if (known != nullptr) {
+                    witness = *known;
+                }
+                return next;
+            });
+    const Instant now = std::chrono::steady_clock::now();
+    if (!ask) {
+        keeper_.waitForWork(seen, now + LongestIdle);
+        return;
+    }
+    // An ask that can't be made is dropped: the holder asks again by its own timer.
+    if (!witness) {
+        return;
+    }
+    wire::SignWindowRequest request;
+    request.set_grant(ask->grant.text());
+    request.set_workspace(ask->workspace.text());
+    request.set_holder(keeper_.log().identity().incarnation.text());
+    request.set_received_tokens(ask->receivedTokens);
+    request.set_want_tokens(ask->wantTokens);
+    request.set_given_up_tokens(ask->givenUpTokens);
+    const auto reply = peers_.signWindow(*witness, request, now + CallTimeout);
+    if (!reply) {
+        return;
+    }
+    keeper_.run([&](KeeperCore &core, Instant answeredAt, WallTime) {
+        if (reply->has_signed_total()) {
+            core.onWindow(*ask, reply->signed_total(), answeredAt);
+        } else {
+            core.onWindowRefused(*ask, reply->refused().retry_after_ms() == 0, answeredAt);
+        }
+    });
+}
+
+// ---- configuration ----
+
+ConfigClient::ConfigClient(Keeper &keeper, Peers &peers, Interval period)
+    : keeper_(keeper), peers_(peers), period_(period), worker_([this] { step(); })
+{}
+
+void ConfigClient::step()
+{
+    std::vector<wire::MemberEntry> others;
+    wire::ReadConfigRequest request;
+    keeper_.run([&](KeeperCore &core, Instant now, WallTime) {
+        if (!core.configLogSilent(now)) {
+            return;
+        }
+        request.set_have_version(core.configVersion());
+        for (const wire::MemberEntry &member : core.view().members()) {
+            const bool other = member.incarnation() != core.view().self().incarnation();
+            if (other && member.health() == wire::MEMBER_ALIVE) {
+                others.push_back(member);
+            }
+        }
+    });
+    if (!others.empty()) {
+        const wire::MemberEntry &peer = others[nextPeer_++ % others.size()];
+        const Instant deadline = std::chrono::steady_clock::now() + CallTimeout;
+        const auto reply = peers_.readConfig(peer, request, deadline);
+        if (reply && reply->has_config()) {
+            keeper_.run([&](KeeperCore &core, Instant now, WallTime) {
+                core.onPeerConfig(reply->config(), now);
+            });
+        }
+    }
+    std::this_thread::sleep_for(period_);
+}
+
+} // namespace sequoiagate
