[Router] Keep a stream that another router took up, and claim once a keeper

The event id now names the router that read the stream, and the one that takes it up asks it to go on without readers. Both bill; the ledger takes the first. A longer grace was ruled out: it only moves the race.

Run claims get an attempt of their own at each keeper asked. A keeper that gave no answer writes later that its attempt was not run; under a shared attempt that would speak of a call that ran by the next keeper's leave. Claims without an answer are told to the log as not run by the router, which knows.

Reservation goes before admission, as the decisions expect it, and first tokens are told to them.

--- a/include/sequoiagate/Router/ChatRun.h
+++ b/include/sequoiagate/Router/ChatRun.h
@@ -68,6 +68,9 @@
     /// \returns false when the run is being cancelled.
     [[nodiscard]] bool attach();
     void detach(Instant abandonAt);
+    /// Its caller reads the same engine stream through another router: the run goes
+    /// on to its end without readers. \returns false when it is being cancelled.
+    [[nodiscard]] bool keepGoing();
     /// The chunks from index \p from on; waits for the first one, or the end, until
     /// \p until.
     RunSlice read(std::size_t from, Instant until) const;
@@ -84,6 +87,7 @@
     uint32_t readers_ = 0;
     Instant abandonAt_ = Never;
     bool closing_ = false;
+    bool readElsewhere_ = false;
 };
 
 /// The runs open at this router. Thread safe.
@@ -101,6 +105,8 @@
     Found findOrMake(const ChatOrder &order);
     /// Attaches to an open run; nullptr: there is none.
     std::shared_ptr<ChatRun> find(const ChatOrder &order);
+    /// The open run that reads the point's engine stream, not attached; nullptr: none.
+    std::shared_ptr<ChatRun> findStream(const ResumePoint &point);
     void remove(const ChatRun &run);
     std::size_t size() const;
 
--- a/include/sequoiagate/Router/ChatService.h
+++ b/include/sequoiagate/Router/ChatService.h
@@ -22,6 +22,11 @@
     /// \throws VerdictError when the request is refused.
     void handle(const httplib::Request &request, httplib::Response &response);
 
+    /// POST /internal/v1/keep, from a router that takes one of this router's streams
+    /// up: the stream isn't cancelled here because its caller left this router.
+    /// \throws VerdictError when there is no such stream.
+    void keep(const httplib::Request &request, httplib::Response &response);
+
 private:
     struct Reader;
 
--- a/include/sequoiagate/Router/KeeperClient.h
+++ b/include/sequoiagate/Router/KeeperClient.h
@@ -6,6 +6,7 @@
 /// next choice is asked when the home doesn't answer or drains. Two routers that
 /// disagree about the home cost grants, never safety.
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -39,7 +40,12 @@
 
     /// \throws VerdictError with KeeperUnreachable, NotRun, when no keeper answers.
     wire::ReserveReply reserve(const wire::ReserveRequest &request);
-    wire::ClaimRunReply claimRun(const wire::ClaimRunRequest &request);
+    /// Claims under an attempt of its own at each keeper asked. A keeper that gave no
+    /// answer takes its claim back in time and writes that it wasn't run: were the
+    /// next one asked under the same attempt, that record would speak of a call that
+    /// did run.
+    /// \param attempts the attempts made; the last is the one the reply is about
+    wire::ClaimRunReply claimRun(wire::ClaimRunRequest request, std::vector<AttemptId> &attempts);
     wire::SettleReply settle(const wire::SettleRequest &request);
     wire::FinishRunReply finishRun(const wire::FinishRunRequest &request);
     wire::ReadViewReply readView(const wire::ReadViewRequest &request, Millis wait);
@@ -71,6 +77,10 @@
     template <typename Request, typename Reply>
     Reply call(Method<Request, Reply> method, const std::string &key, const Request &request,
                Millis timeout);
+    /// \param prepare gives the request for the next keeper
+    template <typename Request, typename Reply>
+    Reply callEach(Method<Request, Reply> method, const std::string &key, Millis timeout,
+                   const std::function<Request()> &prepare);
 
     Security &security_;
     Millis timeout_;
--- a/include/sequoiagate/Router/PlainService.h
+++ b/include/sequoiagate/Router/PlainService.h
@@ -5,6 +5,7 @@
 /// log before it is sent, and it is sent once. A GET may be repeated.
 
 #include <string>
+#include <vector>
 
 #include <httplib.h>
 
@@ -35,11 +36,14 @@
     struct Call;
 
     void claim(Call &call);
+    wire::ClaimRunReply askForClaim(const Call &call, std::vector<AttemptId> &attempts);
+    static void judgeClaim(Call &call, const wire::ClaimRunReply &reply);
+    void dropClaims(const Call &call, const std::vector<AttemptId> &attempts);
     void sendOnce(Call &call);
     void sendRepeatable(Call &call);
     ConnectionResult sendTo(Call &call, const EndpointId &endpoint);
     void trySending(Call &call, const EndpointId &endpoint);
-    void finish(const Call &call, Execution execution);
+    void finish(const Call &call, const AttemptId &attempt, Execution execution);
     void relay(const Call &call, httplib::Response &response) const;
     void logRefusal(const Call &call, const Verdict &verdict);
 
--- a/include/sequoiagate/Router/Scheduler.h
+++ b/include/sequoiagate/Router/Scheduler.h
@@ -33,6 +33,7 @@
     /// \param tried endpoints that failed this request already
     /// \throws VerdictError when no endpoint can take it.
     EndpointId choose(const WorkItem &item, const std::vector<EndpointId> &tried);
+    void onFirstToken(const WorkItem &item, const EndpointId &endpoint);
     void onEnd(const TryResult &result);
     bool mayRetry(const Verdict &verdict, bool idempotent);
 
@@ -54,6 +55,7 @@
     Admission admission_;
     EndpointChoice choice_;
     RetryBudget retries_;
+    uint32_t slotLimit_; ///< of the settings; the endpoints' room may be less
     std::unordered_map<RequestId, Waiter *> waiters_;
 };
 
--- a/lib/Router/ChatDriver.cpp
+++ b/lib/Router/ChatDriver.cpp
@@ -111,16 +111,17 @@
 
 void ChatDriver::serveSteps()
 {
+    // Before admission, so that nothing waits in the queue for tokens it can't have.
+    reserve();
     context_.scheduler.admit(item_);
     admitted_ = true;
     position_.handle("admitted");
-    reserve();
     sendUntilWhole();
 }
 
 void ChatDriver::takeUpSteps()
 {
-    for (const std::string_view event : {"admitted", "reserved", "sent"}) {
+    for (const std::string_view event : {"reserved", "admitted", "sent"}) {
         position_.handle(event);
     }
     reserved_ = true;
@@ -329,6 +330,7 @@
     source.reservation = ReservationId(reservation_.id());
     source.promptTokens = order_.promptBound;
     source.outputCeiling = order_.outputCeiling;
+    source.router = context_.address;
     run_->setSource(std::move(source));
     wire::SettleRequest open;
     open.set_reservation(reservation_.id());
@@ -380,6 +382,7 @@
     }
     if (firstToken_ == Interval{} && sentAt_ != Never) {
         firstToken_ = steadyNow() - sentAt_;
+        context_.scheduler.onFirstToken(item_, endpoint_);
     }
     for (const EngineChunk &chunk : ready) {
         content_ += chunk.content;
--- a/lib/Router/ChatRun.cpp
+++ b/lib/Router/ChatRun.cpp
@@ -44,7 +44,7 @@
 bool ChatRun::abandoned(Instant now)
 {
     absl::MutexLock lock(&mutex_);
-    if (readers_ == 0 && now >= abandonAt_) {
+    if (readers_ == 0 && !readElsewhere_ && now >= abandonAt_) {
         closing_ = true;
     }
     return closing_;
@@ -69,6 +69,13 @@
     abandonAt_ = abandonAt;
 }
 
+bool ChatRun::keepGoing()
+{
+    absl::MutexLock lock(&mutex_);
+    readElsewhere_ = !closing_;
+    return readElsewhere_;
+}
+
 RunSlice ChatRun::read(std::size_t from, Instant until) const
 {
     absl::MutexLock lock(&mutex_);
@@ -135,6 +142,18 @@
     return found->second;
 }
 
+std::shared_ptr<ChatRun> OpenRuns::findStream(const ResumePoint &point)
+{
+    ChatOrder order;
+    order.workspace = point.workspace;
+    order.request = point.request;
+    absl::MutexLock lock(&mutex_);
+    const auto found = runs_.find(keyOf(order));
+    const bool same =
+            found != runs_.end() && found->second->source().engineStream == point.engineStream;
+    return same ? found->second : nullptr;
+}
+
 void OpenRuns::remove(const ChatRun &run)
 {
     absl::MutexLock lock(&mutex_);
--- a/lib/Router/ChatService.cpp
+++ b/lib/Router/ChatService.cpp
@@ -6,6 +6,7 @@
 
 #include "sequoiagate/Router/ChatDriver.h"
 #include "sequoiagate/Router/ChatOrder.h"
+#include "sequoiagate/Router/EndpointHttp.h"
 #include "sequoiagate/Router/VerdictHttp.h"
 #include "sequoiagate/Service/Events.h"
 
@@ -18,6 +19,10 @@
 /// written, so a caller that hung up shows only when it is asked for.
 constexpr Millis LivenessInterval{500};
 constexpr std::size_t LongestRequestId = 128;
+constexpr int StatusNoContent = 204;
+/// How long the router that read a stream before is waited for. It is usually dead
+/// when a stream is taken up; the caller waits meanwhile.
+constexpr Millis KeepTimeout{250};
 
 Instant steadyNow()
 {
@@ -62,6 +67,20 @@
                       .with("reason", reasonName(verdict.reason)));
 }
 
+/// Asks the router that read the stream before not to cancel it when its caller's
+/// grace ends. Without it that router, alive and left by its caller, cancels at the
+/// engine what is being read here, and the answer breaks off. No answer is needed:
+/// a router that is dead cancels nothing.
+void askToKeep(const ResumePoint &point, const std::string &token)
+{
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/internal/v1/keep";
+    request.headers = {{"Last-Event-ID", token}};
+    httplib::Response response;
+    exchange(point.router, {KeepTimeout, KeepTimeout}, request, response);
+}
+
 } // namespace
 
 /// One caller that reads a run. Its last act is to detach.
@@ -124,6 +143,17 @@
     }
 }
 
+void ChatService::keep(const httplib::Request &request, httplib::Response &response)
+{
+    const auto point = context_.signer.verify(request.get_header_value("Last-Event-ID"));
+    const auto run = point ? context_.runs.findStream(*point) : nullptr;
+    if (!run || !run->keepGoing()) {
+        throw VerdictError(Verdict{Execution::MayHaveRun, Reason::BadRequest,
+                                   "no such stream is open here", std::nullopt});
+    }
+    response.status = StatusNoContent;
+}
+
 std::optional<ResumePoint> ChatService::resumePointOf(const httplib::Request &request,
                                                       const WorkspaceId &workspace) const
 {
@@ -170,6 +200,9 @@
         const GatePass pass(context.gate);
         ChatDriver driver(context, run);
         if (resumeFrom) {
+            if (resumeFrom->router != context.address) {
+                askToKeep(*resumeFrom, context.signer.sign(*resumeFrom));
+            }
             driver.takeUp(*resumeFrom);
         } else {
             driver.serve();
--- a/lib/Router/KeeperClient.cpp
+++ b/lib/Router/KeeperClient.cpp
@@ -106,10 +106,16 @@
     return call(&wire::KeeperService::Stub::Reserve, request.workspace(), request, timeout_);
 }
 
-wire::ClaimRunReply KeeperClient::claimRun(const wire::ClaimRunRequest &request)
+wire::ClaimRunReply KeeperClient::claimRun(wire::ClaimRunRequest request,
+                                           std::vector<AttemptId> &attempts)
 {
-    return call(&wire::KeeperService::Stub::ClaimRun, request.claim().workspace(), request,
-                claimTimeout_);
+    const std::string workspace = request.claim().workspace();
+    return callEach<wire::ClaimRunRequest, wire::ClaimRunReply>(
+            &wire::KeeperService::Stub::ClaimRun, workspace, claimTimeout_, [&] {
+                attempts.push_back(randomId<AttemptId>());
+                request.mutable_claim()->set_attempt(attempts.back().text());
+                return request;
+            });
 }
 
 wire::SettleReply KeeperClient::settle(const wire::SettleRequest &request)
@@ -189,6 +195,13 @@
 template <typename Request, typename Reply>
 Reply KeeperClient::call(Method<Request, Reply> method, const std::string &key,
                          const Request &request, Millis timeout)
+{
+    return callEach<Request, Reply>(method, key, timeout, [&] { return request; });
+}
+
+template <typename Request, typename Reply>
+Reply KeeperClient::callEach(Method<Request, Reply> method, const std::string &key, Millis timeout,
+                             const std::function<Request()> &prepare)
 {
     std::string failure = "no keeper is known";
     std::optional<Reply> passedOn;
@@ -200,7 +213,7 @@
         if (IsView) {
             setOpenView(&context);
         }
-        const grpc::Status status = (keeper->stub.get()->*method)(&context, request, &reply);
+        const grpc::Status status = (keeper->stub.get()->*method)(&context, prepare(), &reply);
         if (IsView) {
             setOpenView(nullptr);
         }
--- a/lib/Router/PlainService.cpp
+++ b/lib/Router/PlainService.cpp
@@ -154,14 +154,42 @@
 }
 
 void PlainService::claim(Call &call)
+{
+    std::vector<AttemptId> attempts;
+    wire::ClaimRunReply reply;
+    try {
+        reply = askForClaim(call, attempts);
+    } catch (const VerdictError &) {
+        dropClaims(call, attempts);
+        throw;
+    }
+    call.attempt = attempts.back();
+    attempts.pop_back();
+    dropClaims(call, attempts);
+    judgeClaim(call, reply);
+}
+
+wire::ClaimRunReply PlainService::askForClaim(const Call &call, std::vector<AttemptId> &attempts)
 {
     wire::ClaimRunRequest request;
     request.mutable_claim()->set_workspace(call.workspace.text());
     request.mutable_claim()->set_key(call.name.text());
     request.mutable_claim()->set_body_hash(call.bodyHash);
-    request.mutable_claim()->set_attempt(call.attempt.text());
     request.set_router(context_.log.identity().incarnation.text());
-    const wire::ClaimRunReply reply = context_.keepers.claimRun(request);
+    return context_.keepers.claimRun(std::move(request), attempts);
+}
+
+/// A claim whose answer got lost may stand, and would say "may have run" for ever.
+/// Nothing is ever sent under it: its outcome says so.
+void PlainService::dropClaims(const Call &call, const std::vector<AttemptId> &attempts)
+{
+    for (const AttemptId &attempt : attempts) {
+        finish(call, attempt, Execution::NotRun);
+    }
+}
+
+void PlainService::judgeClaim(Call &call, const wire::ClaimRunReply &reply)
+{
     if (reply.has_may_run() && reply.may_run()) {
         return;
     }
@@ -172,11 +200,6 @@
         refuse(Reason::KeeperUnreachable, Execution::NotRun, "the keeper's answer is empty");
     }
     const wire::RunState &taken = reply.taken();
-    // An answer lost on its way here: the claim that stands is this very try's, and
-    // nobody else ever sends under its random name.
-    if (taken.claim().attempt() == call.attempt.text() && !taken.has_outcome()) {
-        return;
-    }
     if (taken.claim().body_hash() != call.bodyHash) {
         throw VerdictError(Verdict{Execution::MayHaveRun, Reason::BodyMismatch,
                                    "the key was used with another body", std::nullopt});
@@ -230,10 +253,10 @@
             }
         }
     } catch (const VerdictError &error) {
-        finish(call, error.verdict().execution);
+        finish(call, call.attempt, error.verdict().execution);
         throw;
     }
-    finish(call, Execution::Ran);
+    finish(call, call.attempt, Execution::Ran);
 }
 
 void PlainService::sendRepeatable(Call &call)
@@ -313,13 +336,13 @@
                     call.answer);
 }
 
-void PlainService::finish(const Call &call, Execution execution)
+void PlainService::finish(const Call &call, const AttemptId &attempt, Execution execution)
 {
     wire::FinishRunRequest request;
     wire::RunOutcome &outcome = *request.mutable_outcome();
     outcome.set_workspace(call.workspace.text());
     outcome.set_key(call.name.text());
-    outcome.set_attempt(call.attempt.text());
+    outcome.set_attempt(attempt.text());
     outcome.set_execution(executionToWire(execution));
     if (execution == Execution::Ran) {
         outcome.set_status(static_cast<uint32_t>(call.answer.status));
--- a/lib/Router/Router.cpp
+++ b/lib/Router/Router.cpp
@@ -74,6 +74,9 @@
                  plain_.callRepeatable(ServiceId(request.matches[1]), request.matches[2], request,
                                        response);
              }));
+    http.Post("/internal/v1/keep", guarded([this](const auto &request, auto &response) {
+                  chat_.keep(request, response);
+              }));
     http.Get("/healthz",
              [](const auto &, auto &response) { response.set_content("ok\n", "text/plain"); });
     http.Get("/readyz", [this](const auto &, auto &response) { answerReady(response); });
--- a/lib/Router/Scheduler.cpp
+++ b/lib/Router/Scheduler.cpp
@@ -48,25 +48,26 @@
 } // namespace
 
 Scheduler::Scheduler(const AdmissionSettings &admission, DomainId domain)
-    : admission_(admission), choice_(std::move(domain))
+    : admission_(admission), choice_(std::move(domain)), slotLimit_(admission.slots)
 {}
 
 void Scheduler::admit(const WorkItem &item)
 {
     absl::MutexLock lock(&mutex_);
     retries_.onFirstTry(steadyNow());
+    // Known before the offer, whose poll may already say that its wait is over.
+    Waiter waiter;
+    waiters_.emplace(item.request, &waiter);
     const AdmissionOutcome outcome = admission_.offer(item, steadyNow());
+    releaseWaiters(steadyNow()); // another may have given way to it
+    if (std::holds_alternative<Queued>(outcome)) {
+        await(waiter);
+    }
+    waiters_.erase(item.request);
     if (const Verdict *refusal = std::get_if<Verdict>(&outcome)) {
         throw VerdictError(*refusal);
     }
-    if (std::holds_alternative<Admitted>(outcome)) {
-        return;
-    }
-    Waiter waiter;
-    waiters_.emplace(item.request, &waiter);
-    await(waiter);
-    waiters_.erase(item.request);
-    if (!waiter.release->admitted) {
+    if (waiter.release && !waiter.release->admitted) {
         throw VerdictError(waiter.release->verdict);
     }
 }
@@ -115,6 +116,14 @@
     return chosen;
 }
 
+void Scheduler::onFirstToken(const WorkItem &item, const EndpointId &endpoint)
+{
+    absl::MutexLock lock(&mutex_);
+    choice_.onFirstToken(endpoint, item.request, steadyNow());
+    admission_.onFirstToken(item.request, steadyNow());
+    releaseWaiters(steadyNow());
+}
+
 void Scheduler::onEnd(const TryResult &result)
 {
     absl::MutexLock lock(&mutex_);
@@ -141,6 +150,10 @@
     for (const wire::EndpointObservation &observation : view.endpoints) {
         choice_.onReport(reportOf(observation, now), now);
     }
+    // No room at all means no usable endpoint: the choice says so at once, where a
+    // queue without slots would let each caller wait first.
+    const uint32_t room = choice_.totalSlots(now);
+    admission_.setSlots(room > 0 ? std::min(room, slotLimit_) : slotLimit_, now);
     releaseWaiters(now);
 }
 
--- a/test/Router/RouterTest.cpp
+++ b/test/Router/RouterTest.cpp
@@ -244,6 +244,25 @@
     EXPECT_EQ(keeper_->bills()[0].completion_tokens(), 0U);
 }
 
+// A caller loses its connection after a few chunks and comes back at another
+// router with the last event id it saw. It gets the rest, and nothing twice; the
+// stream runs on meanwhile, and whichever router bills first is the one that counts.
+TEST_F(RouterTest, StreamIsTakenUpAtAnotherRouter)
+{
+    ChatCall call = chatCall("r1", 60);
+    call.hangUpAfter = 5;
+    const CallerAnswer first = caller_.chat(call);
+    ASSERT_FALSE(first.whole);
+    call.hangUpAfter = 0;
+    call.router = router2_->address();
+    call.lastEventId = first.lastEventId;
+    const CallerAnswer rest = caller_.chat(call);
+    EXPECT_TRUE(rest.whole) << rest.code;
+    EXPECT_EQ(first.content + rest.content, expectedAnswer("r1", 60));
+    keeper_->awaitBills(1);
+    EXPECT_EQ(keeper_->bills().size(), 1U);
+}
+
 struct BadEventId
 {
     const char *name;
