--- /dev/null
+++ b/tools/sequoiactl/Main.cpp
@@ -0,0 +1,6 @@
+#include "sequoiagate/Operate/Ctl.h"
+
+int main(int argc, char **argv)
+{
+    return sequoiagate::runCtl(argc, argv);
+}
