[Keeper] Answer a reservation before its router gives up on the keeper

Seen: at the end of a budget a caller got 503 keeper_unreachable after 1.0 s instead of 402 budget_spent, and calls before it waited 0.78 s for their grant. Cause, from the time line: the holder paused 1 s after every claim, accepted ones too, so that near the budget's end, where claims are small, each call waited for a second or third claim; and the keeper waited as long (1000 ms) as the router waits for the keeper. Ruled out: the fold (claims were accepted in 30 ms).

--- a/include/sequoiagate/Keeper/KeeperCore.h
+++ b/include/sequoiagate/Keeper/KeeperCore.h
@@ -83,6 +83,8 @@
     /// past settings.reserveWait of the first call must be given up by the caller.
     Step<wire::ReserveReply> reserve(const wire::ReserveRequest &request, const ReservationId &id,
                                      Instant now);
+    /// Ends a reservation whose router didn't get the answer. Nothing was sent under it.
+    void releaseUnheard(const ReservationId &id, Instant now);
     wire::SettleReply settle(const wire::SettleRequest &request, Instant now, WallTime wall);
     /// Repeat under the same attempt until it gives an answer.
     Step<wire::ClaimRunReply> claimRun(const wire::ClaimRunRequest &request, Instant now,
--- a/lib/Keeper/KeeperCoreRequests.cpp
+++ b/lib/Keeper/KeeperCoreRequests.cpp
@@ -212,6 +212,13 @@
     return reply;
 }
 
+void KeeperCore::releaseUnheard(const ReservationId &id, Instant now)
+{
+    if (OpenReservation *open = reservations_.find(id); open != nullptr) {
+        endReservation(*open, wire::Bill(), 0, now);
+    }
+}
+
 wire::SettleReply KeeperCore::settle(const wire::SettleRequest &request, Instant now, WallTime wall)
 {
     wall_ = wall;
--- a/lib/Keeper/KeeperServer.cpp
+++ b/lib/Keeper/KeeperServer.cpp
@@ -57,6 +57,14 @@
                                now + ComeBackAfter, now);
                 return refused;
             });
+    // A router that gave up, as it does when this keeper was paused, has reserved
+    // elsewhere by now and won't settle here: the tokens would stay set aside for as
+    // long as the router lives, and a caller who asks again be told that the request runs.
+    if (context->IsCancelled() && reply->has_reservation()) {
+        keeper_.load()->run([&](KeeperCore &core, Instant now, WallTime) {
+            core.releaseUnheard(ReservationId(reply->reservation().id()), now);
+        });
+    }
     return grpc::Status::OK;
 }
 
--- a/lib/Ledger/GrantHolder.cpp
+++ b/lib/Ledger/GrantHolder.cpp
@@ -362,6 +362,13 @@
             // Our witness took us for dead and won't sign for this incarnation again.
             avoided_.insert(account.witness());
         }
+        if (before == GrantAccount::Phase::Claimed
+            && account.phase() == GrantAccount::Phase::Open) {
+            // The pause is there for claims that are refused. After an accepted one that
+            // was too small, as they are near the budget's end, the next goes out at
+            // once: a caller waits for it.
+            claimAgainAt_ = now;
+        }
         if (account.witness() != witnessBefore) {
             held.ask = Ask{};
             held.refusedForGood = false;
