--- a/lib/Router/PlainService.cpp
+++ b/lib/Router/PlainService.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <optional>
 #include <vector>
 
 #include <fmt/format.h>
@@ -272,8 +273,18 @@
     item.arrivedAt = steadyNow();
     context_.scheduler.admit(item);
     call.scheduler.admitted = true;
+    std::optional<VerdictError> failed;
     for (;;) {
-        call.endpoint = context_.scheduler.choose(item, call.tried);
+        try {
+            call.endpoint = context_.scheduler.choose(item, call.tried);
+        } catch (const VerdictError &) {
+            // That no other endpoint is left says nothing of the try that was sent:
+            // "not run" would be false.
+            if (failed) {
+                throw *failed;
+            }
+            throw;
+        }
         try {
             trySending(call, call.endpoint);
             return;
@@ -281,6 +292,7 @@
             if (!context_.scheduler.mayRetry(error.verdict(), true)) {
                 throw;
             }
+            failed = error;
             call.tried.push_back(call.endpoint);
         }
     }
--- a/test/Router/RouterTest.cpp
+++ b/test/Router/RouterTest.cpp
@@ -11,6 +11,7 @@
 #include "sequoiagate/Standins/EngineStandin.h"
 #include "sequoiagate/Standins/ServiceStandin.h"
 #include "test/Router/FakeKeeper.h"
+#include "test/Router/RudeEngine.h"
 #include "test/Support/Caller.h"
 #include "test/Support/Process.h"
 
@@ -38,7 +39,7 @@
     wire::WorkspaceConfig *workspace = config.add_workspaces();
     workspace->set_workspace(name);
     workspace->add_key_hashes(sha256Hex("key-of-" + name));
-    for (const char *service : {"chat", "bookings", "nothing-offers-this"}) {
+    for (const char *service : {"chat", "bookings", "rude", "nothing-offers-this"}) {
         workspace->mutable_settings()->add_services(service);
     }
 }
@@ -74,6 +75,7 @@
         *config.add_endpoints() = endpointOf("e1", engine_.address(), wire::MODEL_ENGINE, "chat");
         *config.add_endpoints() =
                 endpointOf("s1", service_.address(), wire::PLAIN_SERVICE, "bookings");
+        *config.add_endpoints() = endpointOf("e2", rude_.address(), wire::MODEL_ENGINE, "rude");
         keeper_ = std::make_unique<FakeKeeper>(config);
         router_ = startRouter();
         router2_ = startRouter();
@@ -137,6 +139,7 @@
     Security security_;
     Caller caller_;
     EngineStandin engine_{{.name = "e1", .betweenTokens = Millis(1)}, log_};
+    RudeEngine rude_;
     ServiceStandin service_{{.name = "s1"}, log_};
     std::unique_ptr<FakeKeeper> keeper_;
     std::unique_ptr<Router> router_;
@@ -186,6 +189,55 @@
 INSTANTIATE_TEST_SUITE_P(Faults, WholeAnswer, testing::ValuesIn(EngineFaults),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct RudeAnswer
+{
+    const char *name;
+    std::vector<RudeChunk> first; ///< on the first connection
+    std::vector<RudeChunk> later; ///< on connections that take it up
+    bool whole;
+    const char *content;
+};
+
+const RudeAnswer RudeAnswers[] = {
+        {"ForeignChunkInBetween", {{0}, {1, "s9"}, {1}, {2, "s1", "stop"}}, {}, true, "P0 P1 "},
+        {"ForeignEnd", {{0}, {1, "s9", "stop"}, {1}, {2, "s1", "stop"}}, {}, true, "P0 P1 "},
+        {"DoubledChunks", {{0}, {0}, {1}, {0}, {1}, {2, "s1", "stop"}}, {}, true, "P0 P1 "},
+        {"MissingChunk",
+         {{0}, {2}, {3, "s1", "stop"}},
+         {{1}, {2}, {3, "s1", "stop"}},
+         true,
+         "P0 P1 P2 "},
+        {"NoEnd", {{0}, {1}}, {}, false, "P0 P1 "},
+        {"BrokenOff", {{0}, {1}, {2, "s1", "cancelled"}}, {}, false, "P0 P1 "},
+        {"PastTheCeiling", {{0}, {1}, {2}, {3}, {4}, {5, "s1", "stop"}}, {}, true, "P0 P1 P2 P3 "},
+};
+
+class RudeEngineTest : public RouterTest, public testing::WithParamInterface<RudeAnswer>
+{};
+
+// The engine mixes another stream's chunks in, sends some twice, leaves one out, never
+// ends, breaks off, or goes past the ceiling. The caller sees its own answer in order,
+// "whole" only if its end was seen, and never more than was reserved.
+TEST_P(RudeEngineTest, GivesTheCallerOnlyWhatIsItsOwn)
+{
+    rude_.script(GetParam().first, GetParam().later);
+    ChatCall call = chatCall("r1");
+    call.model = "rude";
+    call.maxTokens = 4;
+    const CallerAnswer answer = caller_.chat(call);
+    EXPECT_EQ(answer.content, GetParam().content);
+    EXPECT_EQ(answer.whole, GetParam().whole);
+    if (!GetParam().whole) {
+        EXPECT_EQ(answer.code, "stream_cut");
+        EXPECT_EQ(answer.execution, "may_have_run");
+    }
+    keeper_->awaitBills(1);
+    EXPECT_LE(keeper_->bills()[0].completion_tokens(), 4U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Scripts, RudeEngineTest, testing::ValuesIn(RudeAnswers),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 struct Refusal
 {
     const char *name;
