[Router] Keep less of each chunk, and sign ids on top of a shared prefix

It now keeps position and JSON; the text is joined once, by the writer. What the positions of a stream share in their event ids is encoded once.

Tests made stricter by runs without the safeguards: a forged id is now signed in form under another key or moved to another position (before, dropping the HMAC's comparison passed), a foreign chunk has a content of its own, and the same request twice at one router must reserve once (before, a second run passed unseen).

--- a/bench/Latency/Latency.cpp
+++ b/bench/Latency/Latency.cpp
@@ -185,24 +185,23 @@
 }
 
 /// Many callers in one moment; then, while all streams are open, the router's memory.
-void measureOpening(Fleet &fleet, const Target &router)
+void measureOpening(Fleet &fleet, const Target &router, uint64_t tokens)
 {
     constexpr std::size_t Streams = 400;
-    constexpr uint64_t Tokens = 1000;
     const int64_t before = residentBytes(fleet.router(0).id());
     std::vector<CallTimes> times(Streams);
     std::atomic<std::size_t> ended = 0;
     std::vector<std::thread> callers;
     for (std::size_t i = 0; i < Streams; ++i) {
         callers.emplace_back([&, i] {
-            times[i] = timeCall(router, fmt::format("o{}", i), Tokens);
+            times[i] = timeCall(router, fmt::format("o{}-{}", tokens, i), tokens);
             ++ended;
         });
     }
     int64_t most = 0;
     while (ended == 0) {
         most = std::max(most, residentBytes(fleet.router(0).id()));
-        std::this_thread::sleep_for(Millis(20));
+        std::this_thread::sleep_for(Millis(5));
     }
     for (std::thread &caller : callers) {
         caller.join();
@@ -214,7 +213,7 @@
     printTimes("400 at once", times);
     fmt::print("worst first byte {:.1f} ms; router {} KB before, {} KB with {} streams of up to {} "
                "chunks open: {} bytes a stream\n",
-               millisAt(first, 1.0), before / 1024, most / 1024, Streams, Tokens,
+               millisAt(first, 1.0), before / 1024, most / 1024, Streams, tokens,
                (most - before) / static_cast<int64_t>(Streams));
 }
 
@@ -227,6 +226,8 @@
     const Target router{fleet.chatCall(0, Workspace, "").router, fleet.apiKey(Workspace)};
     measureAddedLatency(fleet, engine, router);
     measureTokenCost(fleet, router);
-    measureOpening(fleet, router);
+    for (const uint64_t tokens : {100, 1000}) {
+        measureOpening(fleet, router, tokens);
+    }
     return 0;
 }
--- a/include/sequoiagate/Router/ChatDriver.h
+++ b/include/sequoiagate/Router/ChatDriver.h
@@ -74,6 +74,7 @@
     bool abandoned_ = false;
     bool brokenOff_ = false;
     std::string content_;
+    std::string finishReason_;
     std::optional<uint64_t> promptTokens_;
     std::optional<uint64_t> completionTokens_;
     Instant sentAt_ = Never;
--- a/include/sequoiagate/Router/ChatRun.h
+++ b/include/sequoiagate/Router/ChatRun.h
@@ -38,12 +38,27 @@
     double weight = 1.0;
 };
 
+/// A chunk as callers get it. A run keeps all of its chunks while it is open, so they
+/// hold nothing else.
+struct RunChunk
+{
+    uint64_t position = 0;
+    std::string json;
+};
+
+/// How a run ended.
+struct RunEnd
+{
+    std::optional<Verdict> failure; ///< why the answer isn't whole
+    std::string content;            ///< the whole answer's text
+    std::string finishReason;
+};
+
 /// What a reader finds.
 struct RunSlice
 {
-    std::vector<const EngineChunk *> chunks; ///< live as long as the run
-    bool ended = false;                      ///< nothing comes after these chunks
-    std::optional<Verdict> failure;          ///< why the answer isn't whole
+    std::vector<const RunChunk *> chunks; ///< live as long as the run
+    const RunEnd *end = nullptr;          ///< not nullptr: nothing comes after these chunks
 };
 
 /// Thread safe.
@@ -58,8 +73,7 @@
     /// Where it runs; position 0. Before the first chunk.
     void setSource(ResumePoint source);
     void append(std::vector<EngineChunk> chunks);
-    /// \param failure nullopt: the answer is whole.
-    void end(std::optional<Verdict> failure);
+    void end(RunEnd end);
     /// Whether nobody has read for the grace given with the last detach. From the
     /// first true on no reader can attach.
     bool abandoned(Instant now);
@@ -81,9 +95,8 @@
     mutable absl::Mutex mutex_;
     mutable absl::CondVar changed_;
     ResumePoint source_;
-    std::deque<EngineChunk> chunks_; ///< a deque: readers hold pointers into it
-    bool ended_ = false;
-    std::optional<Verdict> failure_;
+    std::deque<RunChunk> chunks_; ///< a deque: readers hold pointers into it
+    std::optional<RunEnd> end_;
     uint32_t readers_ = 0;
     Instant abandonAt_ = Never;
     bool closing_ = false;
--- a/include/sequoiagate/Router/ChatService.h
+++ b/include/sequoiagate/Router/ChatService.h
@@ -36,7 +36,7 @@
                                     const std::optional<ResumePoint> &resumeFrom);
     void start(const std::shared_ptr<ChatRun> &run, const std::optional<ResumePoint> &resumeFrom);
     void answerStream(std::shared_ptr<Reader> reader, httplib::Response &response);
-    void answerWhole(const Reader &reader, httplib::Response &response);
+    void answerWhole(Reader &reader, httplib::Response &response);
     bool writeNext(Reader &reader, httplib::DataSink &sink);
 
     RouterContext &context_;
--- a/include/sequoiagate/Router/ResumeToken.h
+++ b/include/sequoiagate/Router/ResumeToken.h
@@ -44,11 +44,27 @@
     std::optional<ResumePoint> verify(const std::string &token) const;
 
 private:
-    std::string macOf(const std::string &payload) const;
+    friend class StreamSigner;
+    std::string macOf(const std::string &text) const;
 
     std::string key_;
 };
 
+/// Signs the positions of one stream. What they share is encoded once: the id rides
+/// on every chunk. Not thread safe.
+class StreamSigner
+{
+public:
+    /// \pre \p signer outlives this.
+    StreamSigner(const ResumeSigner &signer, const ResumePoint &source);
+
+    std::string sign(uint64_t position) const;
+
+private:
+    const ResumeSigner &signer_;
+    std::string prefix_;
+};
+
 } // namespace sequoiagate
 
 #endif
--- a/lib/Router/ChatDriver.cpp
+++ b/lib/Router/ChatDriver.cpp
@@ -106,7 +106,7 @@
         context_.scheduler.finished(item_, billedTokens_);
     }
     context_.runs.remove(*run_);
-    run_->end(failure);
+    run_->end({std::move(failure), std::move(content_), finishReason_});
 }
 
 void ChatDriver::serveSteps()
@@ -391,6 +391,7 @@
         }
         promptTokens_ = chunk.promptTokens;
         completionTokens_ = chunk.completionTokens;
+        finishReason_ = chunk.finishReason;
         brokenOff_ = brokenOff(chunk.finishReason);
     }
     if (brokenOff_) {
@@ -423,7 +424,7 @@
     EngineChunk chunk;
     chunk.streamId = sequencer_.streamId();
     chunk.position = order_.outputCeiling;
-    chunk.finishReason = "length";
+    finishReason_ = "length";
     chunk.json = json.dump();
     run_->append({std::move(chunk)});
 }
--- a/lib/Router/ChatRun.cpp
+++ b/lib/Router/ChatRun.cpp
@@ -28,16 +28,15 @@
 {
     absl::MutexLock lock(&mutex_);
     for (EngineChunk &chunk : chunks) {
-        chunks_.push_back(std::move(chunk));
+        chunks_.push_back({chunk.position, std::move(chunk.json)});
     }
     changed_.SignalAll();
 }
 
-void ChatRun::end(std::optional<Verdict> failure)
+void ChatRun::end(RunEnd end)
 {
     absl::MutexLock lock(&mutex_);
-    ended_ = true;
-    failure_ = std::move(failure);
+    end_ = std::move(end);
     changed_.SignalAll();
 }
 
@@ -79,7 +78,7 @@
 RunSlice ChatRun::read(std::size_t from, Instant until) const
 {
     absl::MutexLock lock(&mutex_);
-    while (chunks_.size() <= from && !ended_) {
+    while (chunks_.size() <= from && !end_) {
         const Instant now = std::chrono::steady_clock::now();
         if (until == Never) {
             changed_.Wait(&mutex_);
@@ -93,8 +92,7 @@
     for (std::size_t i = from; i < chunks_.size(); ++i) {
         slice.chunks.push_back(&chunks_[i]);
     }
-    slice.ended = ended_;
-    slice.failure = failure_;
+    slice.end = end_ ? &*end_ : nullptr;
     return slice;
 }
 
--- a/lib/Router/ChatService.cpp
+++ b/lib/Router/ChatService.cpp
@@ -98,6 +98,7 @@
     GatePass pass;
     std::size_t next = 0;               ///< index of the next chunk
     std::optional<uint64_t> hasAlready; ///< the position its caller has
+    std::optional<StreamSigner> stream; ///< once the stream is known
 };
 
 void ChatService::handle(const httplib::Request &request, httplib::Response &response)
@@ -210,32 +211,28 @@
     }).detach();
 }
 
-void ChatService::answerWhole(const Reader &reader, httplib::Response &response)
+void ChatService::answerWhole(Reader &reader, httplib::Response &response)
 {
     RunSlice slice;
-    std::size_t seen = 0;
     do {
-        slice = reader.run->read(seen, Never);
-        seen += slice.chunks.size();
-    } while (!slice.ended);
-    slice = reader.run->read(0, Never);
-    if (slice.failure) {
-        throw VerdictError(*slice.failure);
+        slice = reader.run->read(reader.next, Never);
+        reader.next += slice.chunks.size();
+    } while (slice.end == nullptr);
+    if (slice.end->failure) {
+        throw VerdictError(*slice.end->failure);
     }
-    std::string content;
-    for (const EngineChunk *chunk : slice.chunks) {
-        content += chunk->content;
-    }
-    const EngineChunk &last = *slice.chunks.back();
-    const nlohmann::json lastJson = nlohmann::json::parse(last.json);
-    const nlohmann::json choice = {{"index", 0},
-                                   {"message", {{"role", "assistant"}, {"content", content}}},
-                                   {"finish_reason", last.finishReason}};
+    const nlohmann::json choice = {
+            {"index", 0},
+            {"message", {{"role", "assistant"}, {"content", slice.end->content}}},
+            {"finish_reason", slice.end->finishReason}};
     nlohmann::json answer = {{"id", reader.run->order().request.text()},
                              {"object", "chat.completion"},
                              {"model", reader.run->order().model.text()},
-                             {"stream_id", last.streamId},
+                             {"stream_id", reader.run->source().engineStream},
                              {"choices", nlohmann::json::array({choice})}};
+    // The end chunk carries the engine's count.
+    const RunSlice last = reader.run->read(reader.next - 1, Never);
+    const nlohmann::json lastJson = nlohmann::json::parse(last.chunks.front()->json);
     if (lastJson.contains("usage")) {
         answer["usage"] = lastJson.at("usage");
     }
@@ -248,8 +245,8 @@
     // The status line waits for the first chunk, so that a request which fails
     // before it gets its own status instead of a stream that breaks off.
     const RunSlice first = reader->run->read(0, Never);
-    if (first.chunks.empty() && first.failure) {
-        throw VerdictError(*first.failure);
+    if (first.chunks.empty() && first.end->failure) {
+        throw VerdictError(*first.end->failure);
     }
     response.set_header("Cache-Control", "no-store");
     response.set_chunked_content_provider("text/event-stream",
@@ -261,20 +258,22 @@
 bool ChatService::writeNext(Reader &reader, httplib::DataSink &sink)
 {
     const RunSlice slice = reader.run->read(reader.next, steadyNow() + LivenessInterval);
+    if (!reader.stream) {
+        reader.stream.emplace(context_.signer, reader.run->source());
+    }
     std::string text;
-    ResumePoint point = reader.run->source();
-    for (const EngineChunk *chunk : slice.chunks) {
+    for (const RunChunk *chunk : slice.chunks) {
         if (reader.hasAlready && chunk->position <= *reader.hasAlready) {
             continue;
         }
-        point.position = chunk->position;
-        text += fmt::format("id: {}\ndata: {}\n\n", context_.signer.sign(point), chunk->json);
+        text += fmt::format("id: {}\ndata: {}\n\n", reader.stream->sign(chunk->position),
+                            chunk->json);
     }
     reader.next += slice.chunks.size();
-    if (slice.ended && slice.failure) {
+    if (slice.end != nullptr && slice.end->failure) {
         text += fmt::format("event: error\ndata: {}\n\n",
-                            errorJson(*slice.failure, steadyNow()).dump());
-    } else if (slice.ended) {
+                            errorJson(*slice.end->failure, steadyNow()).dump());
+    } else if (slice.end != nullptr) {
         text += "data: [DONE]\n\n";
     }
     if (text.empty()) {
@@ -283,7 +282,7 @@
     if (!sink.write(text.data(), text.size())) {
         return false;
     }
-    if (slice.ended) {
+    if (slice.end != nullptr) {
         sink.done();
     }
     return true;
--- a/lib/Router/ResumeToken.cpp
+++ b/lib/Router/ResumeToken.cpp
@@ -22,8 +22,8 @@
 {
     return nlohmann::json::array({point.workspace.text(), point.request.text(), point.model.text(),
                                   point.endpoint.text(), point.endpointAddress, point.engineStream,
-                                  point.reservation.text(), point.router, point.position,
-                                  point.promptTokens, point.outputCeiling});
+                                  point.reservation.text(), point.router, point.promptTokens,
+                                  point.outputCeiling});
 }
 
 ResumePoint pointOf(const nlohmann::json &fields)
@@ -37,9 +37,8 @@
     point.engineStream = fields.at(5).get<std::string>();
     point.reservation = ReservationId(fields.at(6).get<std::string>());
     point.router = fields.at(7).get<std::string>();
-    point.position = fields.at(8).get<uint64_t>();
-    point.promptTokens = fields.at(9).get<uint64_t>();
-    point.outputCeiling = fields.at(10).get<uint64_t>();
+    point.promptTokens = fields.at(8).get<uint64_t>();
+    point.outputCeiling = fields.at(9).get<uint64_t>();
     return point;
 }
 
@@ -47,43 +46,59 @@
 
 std::string ResumeSigner::sign(const ResumePoint &point) const
 {
-    const std::vector<uint8_t> bytes = nlohmann::json::to_cbor(fieldsOf(point));
-    const std::string payload(bytes.begin(), bytes.end());
-    return absl::WebSafeBase64Escape(payload) + Separator
-           + absl::WebSafeBase64Escape(macOf(payload));
+    return StreamSigner(*this, point).sign(point.position);
 }
 
 std::optional<ResumePoint> ResumeSigner::verify(const std::string &token) const
 {
-    const std::size_t separator = token.find(Separator);
-    if (separator == std::string::npos) {
+    const std::size_t positionAt = token.find(Separator) + 1;
+    const std::size_t macAt = token.rfind(Separator) + 1;
+    if (positionAt == 0 || macAt <= positionAt) {
         return std::nullopt;
     }
-    std::string payload;
     std::string mac;
-    const bool readable = absl::WebSafeBase64Unescape(token.substr(0, separator), &payload)
-                          && absl::WebSafeBase64Unescape(token.substr(separator + 1), &mac);
-    if (!readable || mac.size() != MacBytes) {
+    if (!absl::WebSafeBase64Unescape(token.substr(macAt), &mac) || mac.size() != MacBytes) {
         return std::nullopt;
     }
     // Compared in constant time: else a caller learns a valid code byte by byte.
-    if (CRYPTO_memcmp(mac.data(), macOf(payload).data(), MacBytes) != 0) {
+    const std::string signedText = token.substr(0, macAt - 1);
+    if (CRYPTO_memcmp(mac.data(), macOf(signedText).data(), MacBytes) != 0) {
+        return std::nullopt;
+    }
+    std::string payload;
+    if (!absl::WebSafeBase64Unescape(token.substr(0, positionAt - 1), &payload)) {
         return std::nullopt;
     }
     try {
-        return pointOf(nlohmann::json::from_cbor(payload));
-    } catch (const nlohmann::json::exception &) {
+        ResumePoint point = pointOf(nlohmann::json::from_cbor(payload));
+        point.position = std::stoull(signedText.substr(positionAt));
+        return point;
+    } catch (const std::exception &) {
         return std::nullopt; // signed by a router of another version
     }
 }
 
-std::string ResumeSigner::macOf(const std::string &payload) const
+StreamSigner::StreamSigner(const ResumeSigner &signer, const ResumePoint &source) : signer_(signer)
+{
+    const std::vector<uint8_t> bytes = nlohmann::json::to_cbor(fieldsOf(source));
+    prefix_ = absl::WebSafeBase64Escape(std::string(bytes.begin(), bytes.end())) + Separator;
+}
+
+std::string StreamSigner::sign(uint64_t position) const
+{
+    std::string token = prefix_ + std::to_string(position);
+    const std::string mac = signer_.macOf(token);
+    token += Separator;
+    token += absl::WebSafeBase64Escape(mac);
+    return token;
+}
+
+std::string ResumeSigner::macOf(const std::string &text) const
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int size = 0;
     HMAC(EVP_sha256(), key_.data(), static_cast<int>(key_.size()),
-         reinterpret_cast<const unsigned char *>(payload.data()), payload.size(), digest.data(),
-         &size);
+         reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data(), &size);
     return std::string(reinterpret_cast<const char *>(digest.data()), MacBytes);
 }
 
--- a/test/Router/FakeKeeper.cpp
+++ b/test/Router/FakeKeeper.cpp
@@ -35,6 +35,12 @@
     loseClaimAnswers_ = lose;
 }
 
+uint64_t FakeKeeper::reservations() const
+{
+    absl::MutexLock lock(&mutex_);
+    return reservations_;
+}
+
 std::vector<wire::Bill> FakeKeeper::bills() const
 {
     absl::MutexLock lock(&mutex_);
--- a/test/Router/FakeKeeper.h
+++ b/test/Router/FakeKeeper.h
@@ -28,6 +28,7 @@
     void answerReserves(wire::ReserveReply reply);
     /// Claims are made, and their answers lost.
     void loseClaimAnswers(bool lose);
+    uint64_t reservations() const; ///< granted so far
     std::vector<wire::Bill> bills() const;
     std::vector<wire::RunOutcome> outcomes() const;
     /// Waits until \p count bills are there.
--- a/test/Router/RouterTest.cpp
+++ b/test/Router/RouterTest.cpp
@@ -322,10 +322,23 @@
     const char *key;
 };
 
+/// What a caller could build who knows the id's form, but not the secret.
+std::string signedByAnotherKey(const std::string &genuine)
+{
+    return ResumeSigner("made up by a caller").sign(*ResumeSigner(ResumeKey).verify(genuine));
+}
+
+std::string atAnotherPosition(const std::string &genuine)
+{
+    const std::size_t position = genuine.find('.') + 1;
+    return genuine.substr(0, position) + "0" + genuine.substr(genuine.rfind('.'));
+}
+
 const BadEventId BadEventIds[] = {
-        {"Forged", [](const std::string &) { return std::string("AAAA.BBBB"); }, Key},
-        {"Damaged", [](const std::string &genuine) { return "A" + genuine; }, Key},
-        {"Foreign", [](const std::string &genuine) { return genuine; }, "key-of-w2"},
+        {"NotAnId", [](const std::string &) { return std::string("AAAA.BBBB"); }, Key},
+        {"SignedByAnotherKey", signedByAnotherKey, Key},
+        {"AtAnotherPosition", atAnotherPosition, Key},
+        {"AnotherWorkspaces", [](const std::string &genuine) { return genuine; }, "key-of-w2"},
 };
 
 class EventIdRefused : public RouterTest, public testing::WithParamInterface<BadEventId>
@@ -351,17 +364,12 @@
 TEST_F(RouterTest, SameRequestAttachesToTheOpenRun)
 {
     CallerAnswer second;
-    std::thread other;
-    CallerAnswer first;
-    {
-        other = std::thread([&] { second = caller_.chat(chatCall("r1", 60)); });
-        first = caller_.chat(chatCall("r1", 60));
-        other.join();
-    }
+    std::thread other([&] { second = caller_.chat(chatCall("r1", 60)); });
+    const CallerAnswer first = caller_.chat(chatCall("r1", 60));
+    other.join();
     EXPECT_EQ(first.content, expectedAnswer("r1", 60));
     EXPECT_EQ(second.content, expectedAnswer("r1", 60));
-    keeper_->awaitBills(1);
-    EXPECT_EQ(keeper_->bills().size(), 1U);
+    EXPECT_EQ(keeper_->reservations(), 1U);
 }
 
 // A caller hangs up for good. After the grace the engine is told to stop, and
--- a/test/Router/RudeEngine.cpp
+++ b/test/Router/RudeEngine.cpp
@@ -14,7 +14,8 @@
     if (chunk.finishReason != nullptr) {
         reason = chunk.finishReason;
     } else {
-        delta["content"] = fmt::format("P{} ", chunk.position);
+        const bool own = std::string_view(chunk.stream) == "s1";
+        delta["content"] = fmt::format("{}{} ", own ? 'P' : 'F', chunk.position);
     }
     const nlohmann::json choice = {{"index", 0}, {"delta", delta}, {"finish_reason", reason}};
     const nlohmann::json json = {{"stream_id", chunk.stream},
--- a/test/Router/RudeEngine.h
+++ b/test/Router/RudeEngine.h
@@ -13,7 +13,8 @@
 
 namespace sequoiagate {
 
-/// One chunk. Content is "P<position> " unless it ends the stream.
+/// One chunk. Unless it ends the stream its content is "P<position> ", or "F<position> "
+/// where the stream is another than "s1".
 struct RudeChunk
 {
     uint64_t position = 0;
