[Router] End reservations that a frozen keeper made late

A keeper that was paused for longer than its timeout got the router's Reserve when it woke, and reserved for a request that another keeper's reservation had served meanwhile. Nobody settled that one: its tokens stayed set aside while this router lived. The router now sends the same attempt again to each keeper that gave no answer, which gives it the reservation's id, and ends it as not run. Giving the reservation a deadline at the keeper was ruled out: a stream may be open for longer than any.

A planned stop reports the requests that are still inside when it stops serving instead of a constant 0, and a test holds it to waiting until a keeper has each bill.

--- a/include/sequoiagate/Router/ChatDriver.h
+++ b/include/sequoiagate/Router/ChatDriver.h
@@ -37,6 +37,7 @@
     void takeUpSteps();
 
     void reserve();
+    wire::ReserveReply askForReservation(const wire::ReserveRequest &request);
     void sendUntilWhole();
     void stream(const EndpointId &endpoint);
     void openStream();
--- a/include/sequoiagate/Router/KeeperClient.h
+++ b/include/sequoiagate/Router/KeeperClient.h
@@ -38,8 +38,15 @@
     /// Replaces what is known. An empty list is ignored: the seeds are better than none.
     void setKeepers(const std::vector<wire::KeeperEntry> &keepers);
 
+    /// \param unanswered the names of keepers that were asked and gave no answer: they may
+    /// have made the reservation all the same
     /// \throws VerdictError with KeeperUnreachable, NotRun, when no keeper answers.
-    wire::ReserveReply reserve(const wire::ReserveRequest &request);
+    wire::ReserveReply reserve(const wire::ReserveRequest &request,
+                               std::vector<std::string> &unanswered);
+    /// Ends the reservation that \p request may have made at the keeper \p name.
+    /// \returns false when it must be tried again; true also when the keeper is gone,
+    /// and its reservations with it.
+    bool release(const std::string &name, const wire::ReserveRequest &request);
     /// Claims under an attempt of its own at each keeper asked. A keeper that gave no
     /// answer takes its claim back in time and writes that it wasn't run: were the
     /// next one asked under the same attempt, that record would speak of a call that
@@ -80,7 +87,8 @@
     /// \param prepare gives the request for the next keeper
     template <typename Request, typename Reply>
     Reply callEach(Method<Request, Reply> method, const std::string &key, Millis timeout,
-                   const std::function<Request()> &prepare);
+                   const std::function<Request()> &prepare, std::vector<std::string> &unanswered);
+    KeeperPtr find(const std::string &name) const;
 
     Security &security_;
     Millis timeout_;
--- a/include/sequoiagate/Router/KeeperOutbox.h
+++ b/include/sequoiagate/Router/KeeperOutbox.h
@@ -8,6 +8,7 @@
 /// twice, or to two keepers, bills once.
 
 #include <deque>
+#include <string>
 #include <thread>
 #include <variant>
 
@@ -36,6 +37,10 @@
     /// when this router dies. Losing it costs a bill in doubt, nothing else.
     void announceOpen(wire::SettleRequest request);
     void finishRun(wire::FinishRunRequest request);
+    /// Ends, once the keeper answers again, the reservation that \p request may have made
+    /// there. Without it a keeper that was paused for a second holds tokens for a request
+    /// which another keeper's reservation served, for as long as this router lives.
+    void release(std::string keeper, wire::ReserveRequest request);
 
     /// Waits until keepers hold all that was posted, durable or not: a keeper that
     /// holds a bill goes on appending it by itself.
@@ -43,9 +48,15 @@
     std::size_t pending() const;
 
 private:
+    struct Release
+    {
+        std::string keeper;
+        wire::ReserveRequest request;
+    };
+
     struct Item
     {
-        std::variant<wire::SettleRequest, wire::FinishRunRequest> message;
+        std::variant<wire::SettleRequest, wire::FinishRunRequest, Release> message;
         Instant sendAt;
         bool held = false;
         bool once = false;
@@ -55,6 +66,7 @@
     void run();
     bool awaitDue(Item &item);
     void deliver(Item &item);
+    wire::SettleReply send(const Item &item);
 
     KeeperClient &keepers_;
     EventLog &log_;
--- a/include/sequoiagate/Router/Router.h
+++ b/include/sequoiagate/Router/Router.h
@@ -32,7 +32,8 @@
     void start();
     /// A planned stop: fails readyz and refuses new work at once, lets what is in
     /// progress run to its end, hands the bills to keepers, and stops serving.
-    void drain();
+    /// \returns how many requests in progress the stop cut off.
+    std::size_t drain();
     /// IP:port, after start.
     const std::string &address() const { return server_.address(); }
 
--- a/lib/Router/ChatDriver.cpp
+++ b/lib/Router/ChatDriver.cpp
@@ -142,7 +142,7 @@
     request.set_router(context_.log.identity().incarnation.text());
     request.set_model(order_.model.text());
     request.set_router_address(context_.address);
-    const wire::ReserveReply reply = context_.keepers.reserve(request);
+    const wire::ReserveReply reply = askForReservation(request);
     switch (reply.outcome_case()) {
     case wire::ReserveReply::kReservation:
         break;
@@ -168,6 +168,24 @@
                                .with("keeper", reservation_.keeper()));
 }
 
+wire::ReserveReply ChatDriver::askForReservation(const wire::ReserveRequest &request)
+{
+    std::vector<std::string> unanswered;
+    const auto releaseUnanswered = [&] {
+        for (const std::string &keeper : unanswered) {
+            context_.outbox.release(keeper, request);
+        }
+    };
+    try {
+        wire::ReserveReply reply = context_.keepers.reserve(request, unanswered);
+        releaseUnanswered();
+        return reply;
+    } catch (const VerdictError &) {
+        releaseUnanswered();
+        throw;
+    }
+}
+
 void ChatDriver::sendUntilWhole()
 {
     std::vector<EndpointId> tried;
--- a/lib/Router/KeeperClient.cpp
+++ b/lib/Router/KeeperClient.cpp
@@ -101,21 +101,54 @@
     keepers_ = std::move(next);
 }
 
-wire::ReserveReply KeeperClient::reserve(const wire::ReserveRequest &request)
+wire::ReserveReply KeeperClient::reserve(const wire::ReserveRequest &request,
+                                         std::vector<std::string> &unanswered)
 {
-    return call(&wire::KeeperService::Stub::Reserve, request.workspace(), request, timeout_);
+    return callEach<wire::ReserveRequest, wire::ReserveReply>(
+            &wire::KeeperService::Stub::Reserve, request.workspace(), timeout_,
+            [&] { return request; }, unanswered);
+}
+
+bool KeeperClient::release(const std::string &name, const wire::ReserveRequest &request)
+{
+    const KeeperPtr keeper = find(name);
+    if (!keeper) {
+        return true;
+    }
+    // The same attempt again is answered with the reservation it made before, or makes
+    // one now; either is ended at once.
+    grpc::ClientContext reserveContext;
+    reserveContext.set_deadline(std::chrono::system_clock::now() + timeout_);
+    wire::ReserveReply reserved;
+    if (!keeper->stub->Reserve(&reserveContext, request, &reserved).ok()) {
+        return false;
+    }
+    if (!reserved.has_reservation()) {
+        return true;
+    }
+    grpc::ClientContext settleContext;
+    settleContext.set_deadline(std::chrono::system_clock::now() + timeout_);
+    wire::SettleRequest settle;
+    settle.set_reservation(reserved.reservation().id());
+    settle.set_execution(wire::NOT_RUN);
+    settle.set_router(request.router());
+    wire::SettleReply settled;
+    return keeper->stub->Settle(&settleContext, settle, &settled).ok();
 }
 
 wire::ClaimRunReply KeeperClient::claimRun(wire::ClaimRunRequest request,
                                            std::vector<AttemptId> &attempts)
 {
     const std::string workspace = request.claim().workspace();
+    std::vector<std::string> unanswered;
     return callEach<wire::ClaimRunRequest, wire::ClaimRunReply>(
-            &wire::KeeperService::Stub::ClaimRun, workspace, claimTimeout_, [&] {
+            &wire::KeeperService::Stub::ClaimRun, workspace, claimTimeout_,
+            [&] {
                 attempts.push_back(randomId<AttemptId>());
                 request.mutable_claim()->set_attempt(attempts.back().text());
                 return request;
-            });
+            },
+            unanswered);
 }
 
 wire::SettleReply KeeperClient::settle(const wire::SettleRequest &request)
@@ -149,6 +182,14 @@
     return keeper;
 }
 
+KeeperClient::KeeperPtr KeeperClient::find(const std::string &name) const
+{
+    absl::MutexLock lock(&mutex_);
+    const auto found = std::find_if(keepers_.begin(), keepers_.end(),
+                                    [&](const KeeperPtr &keeper) { return keeper->name == name; });
+    return found == keepers_.end() ? nullptr : *found;
+}
+
 std::vector<KeeperClient::KeeperPtr> KeeperClient::orderFor(const std::string &key) const
 {
     const Instant now = std::chrono::steady_clock::now();
@@ -196,12 +237,15 @@
 Reply KeeperClient::call(Method<Request, Reply> method, const std::string &key,
                          const Request &request, Millis timeout)
 {
-    return callEach<Request, Reply>(method, key, timeout, [&] { return request; });
+    std::vector<std::string> unanswered;
+    return callEach<Request, Reply>(
+            method, key, timeout, [&] { return request; }, unanswered);
 }
 
 template <typename Request, typename Reply>
 Reply KeeperClient::callEach(Method<Request, Reply> method, const std::string &key, Millis timeout,
-                             const std::function<Request()> &prepare)
+                             const std::function<Request()> &prepare,
+                             std::vector<std::string> &unanswered)
 {
     std::string failure = "no keeper is known";
     std::optional<Reply> passedOn;
@@ -219,6 +263,7 @@
         }
         if (!status.ok()) {
             avoid(*keeper);
+            unanswered.push_back(keeper->name);
             failure = fmt::format("keeper {}: {}", keeper->name, status.error_message());
             continue;
         }
--- a/lib/Router/KeeperOutbox.cpp
+++ b/lib/Router/KeeperOutbox.cpp
@@ -41,11 +41,17 @@
     post({std::move(request), Instant(), false, false});
 }
 
+void KeeperOutbox::release(std::string keeper, wire::ReserveRequest request)
+{
+    // A planned stop doesn't wait for it: the keeper asks after silent routers' requests.
+    post({Release{std::move(keeper), std::move(request)}, Instant(), true, false});
+}
+
 void KeeperOutbox::post(Item item)
 {
     absl::MutexLock lock(&mutex_);
+    notHeld_ += item.held ? 0 : 1;
     items_.push_back(std::move(item));
-    ++notHeld_;
     changed_.SignalAll();
 }
 
@@ -93,28 +99,37 @@
     }
 }
 
+/// \returns what became of it, in the terms of a settled bill.
+wire::SettleReply KeeperOutbox::send(const Item &item)
+{
+    if (const auto *settle = std::get_if<wire::SettleRequest>(&item.message)) {
+        return keepers_.settle(*settle);
+    }
+    wire::SettleReply result;
+    if (const auto *finish = std::get_if<wire::FinishRunRequest>(&item.message)) {
+        const wire::FinishRunReply reply = keepers_.finishRun(*finish);
+        result.set_held(reply.held());
+        result.set_durable_offset(reply.durable_offset());
+        return result;
+    }
+    const Release &release = std::get<Release>(item.message);
+    result.set_durable_offset(keepers_.release(release.keeper, release.request) ? 1 : 0);
+    return result;
+}
+
 void KeeperOutbox::deliver(Item &item)
 {
-    bool held = false;
-    bool durable = false;
+    wire::SettleReply result;
     Millis wait = sendAgain_;
     try {
-        if (const auto *settle = std::get_if<wire::SettleRequest>(&item.message)) {
-            const wire::SettleReply reply = keepers_.settle(*settle);
-            held = reply.held();
-            durable = reply.durable_offset() > 0;
-        } else {
-            const wire::FinishRunReply reply =
-                    keepers_.finishRun(std::get<wire::FinishRunRequest>(item.message));
-            held = reply.held();
-            durable = reply.durable_offset() > 0;
-        }
+        result = send(item);
     } catch (const VerdictError &error) {
         log_.write(Event("outbox.unreachable").with("detail", error.verdict().detail));
         wait = AfterFailure;
     }
+    const bool durable = result.durable_offset() > 0;
     absl::MutexLock lock(&mutex_);
-    const bool countsAsHeld = held || durable || item.once;
+    const bool countsAsHeld = result.held() || durable || item.once;
     if (countsAsHeld && !item.held) {
         item.held = true;
         --notHeld_;
--- a/lib/Router/Router.cpp
+++ b/lib/Router/Router.cpp
@@ -52,12 +52,14 @@
     viewTail_ = std::thread([this] { tailView(); });
 }
 
-void Router::drain()
+std::size_t Router::drain()
 {
     context_.gate.close();
     context_.gate.awaitEmpty();
     context_.outbox.awaitHeld();
+    const std::size_t cutOff = context_.gate.inside();
     server_.stop();
+    return cutOff;
 }
 
 void Router::route()
--- a/test/Router/FleetTest.cpp
+++ b/test/Router/FleetTest.cpp
@@ -197,6 +197,57 @@
     expectHolds(fleet.history());
 }
 
+// Both keepers are frozen when a stream ends and its router is asked to stop. The
+// router stays until one of them holds the bill; then it ends by itself.
+TEST(Fleet, PlannedStopHandsItsBillsOver)
+{
+    Fleet fleet(twoHosts());
+    setFaults(fleet.endpointAddress("engine-1"), {{"token_ms", 10}});
+    std::thread caller([&] { fleet.caller().chat(chatOf(fleet, 0, "r1", 60)); });
+    awaitGenerated(fleet, "r1", 5);
+    fleet.keeper(0).signal(SIGSTOP);
+    fleet.keeper(1).signal(SIGSTOP);
+    fleet.router(0).signal(SIGTERM);
+    caller.join();
+    fleet.router(0).waitFor("outbox.unreachable");
+    EXPECT_TRUE(fleet.router(0).running());
+    fleet.keeper(0).signal(SIGCONT);
+    fleet.keeper(1).signal(SIGCONT);
+    EXPECT_EQ(fleet.router(0).wait(), 0);
+    fleet.waitBilled(Workspace, {"r1"});
+    expectHolds(fleet.history());
+}
+
+// A keeper is frozen while requests for it arrive. They are served through the other
+// one; when the first wakes, the reservations that it makes late are ended, so that
+// its own planned stop finds nothing open and strands nothing.
+TEST(Fleet, FrozenKeeperKeepsNoReservation)
+{
+    Fleet fleet(twoHosts());
+    fleet.caller().chat(chatOf(fleet, 0, "r0", 10));
+    const std::string home =
+            fleet.router(0).waitFor(std::string(events::RequestReserved)).at("keeper");
+    const std::string first =
+            fleet.keeper(0).waitFor(std::string(events::ProcessStarted)).at("incarnation");
+    Process &homeKeeper = fleet.keeper(home == first ? 0 : 1);
+    homeKeeper.signal(SIGSTOP);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < 4; ++i) {
+        callers.emplace_back([&fleet, i] {
+            const std::string request = fmt::format("late-{}", i);
+            EXPECT_TRUE(fleet.caller().chat(chatOf(fleet, 0, request, 10)).whole);
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    homeKeeper.signal(SIGCONT);
+    fleet.waitBilled(Workspace, {"r0", "late-0", "late-1", "late-2", "late-3"});
+    homeKeeper.signal(SIGTERM);
+    EXPECT_EQ(homeKeeper.wait(), 0);
+    expectHolds(fleet.history());
+}
+
 // The log is away when a request ends, so its bill can't be durable; then the keeper
 // that holds it dies. The router, which kept the bill too, hands it to the other
 // keeper, and it stands in the log once the log is back.
--- a/tools/sequoia-router/Main.cpp
+++ b/tools/sequoia-router/Main.cpp
@@ -14,9 +14,9 @@
     daemon.log.write(Event(events::ProcessStarted).with("address", router.address()));
     daemon.stop.wait();
     daemon.log.write(Event(events::ProcessDraining));
-    router.drain();
-    // The drain waits for each stream's own end, however long that takes.
-    daemon.log.write(Event(events::ProcessStopped).with("stranded_tokens", 0).with("cut_off", 0));
+    const std::size_t cutOff = router.drain();
+    daemon.log.write(
+            Event(events::ProcessStopped).with("stranded_tokens", 0).with("cut_off", cutOff));
     return ExitOk;
 }
 
