--- a/include/sequoiagate/Router/KeeperClient.h
+++ b/include/sequoiagate/Router/KeeperClient.h
@@ -46,6 +46,8 @@
     /// did run.
     /// \param attempts the attempts made; the last is the one the reply is about
     wire::ClaimRunReply claimRun(wire::ClaimRunRequest request, std::vector<AttemptId> &attempts);
+    /// Asks the keeper that holds the reservation first, draining or not: it waits for
+    /// just this.
     wire::SettleReply settle(const wire::SettleRequest &request);
     wire::FinishRunReply finishRun(const wire::FinishRunRequest &request);
     wire::ReadViewReply readView(const wire::ReadViewRequest &request, Millis wait);
@@ -59,6 +61,7 @@
     {
         std::string name; ///< host, or the address of a seed
         std::string address;
+        Incarnation incarnation; ///< empty: a seed, not heard of yet
         std::unique_ptr<wire::KeeperService::Stub> stub;
         bool draining = false;
         Instant avoidUntil; ///< it didn't answer: others are asked first until then
@@ -70,7 +73,8 @@
                                                                const Request &, Reply *);
 
     KeeperPtr keeperAt(const std::string &name, const std::string &address);
-    std::vector<KeeperPtr> orderFor(const std::string &key) const;
+    /// \param holder the keeper that holds what the request is about, if one does
+    std::vector<KeeperPtr> orderFor(const std::string &key, const Incarnation &holder) const;
     void avoid(Keeper &keeper);
     void setOpenView(grpc::ClientContext *context);
 
@@ -79,8 +83,8 @@
                Millis timeout);
     /// \param prepare gives the request for the next keeper
     template <typename Request, typename Reply>
-    Reply callEach(Method<Request, Reply> method, const std::string &key, Millis timeout,
-                   const std::function<Request()> &prepare);
+    Reply callEach(Method<Request, Reply> method, const std::vector<KeeperPtr> &order,
+                   Millis timeout, const std::function<Request()> &prepare);
 
     Security &security_;
     Millis timeout_;
--- a/lib/Router/ChatDriver.cpp
+++ b/lib/Router/ChatDriver.cpp
@@ -334,6 +334,7 @@
     run_->setSource(std::move(source));
     wire::SettleRequest open;
     open.set_reservation(reservation_.id());
+    open.set_keeper(reservation_.keeper());
     open.set_router(context_.log.identity().incarnation.text());
     open.set_still_open(true);
     open.set_endpoint_address(endpointAddress_);
@@ -456,6 +457,7 @@
     }
     wire::SettleRequest request;
     request.set_reservation(reservation_.id());
+    request.set_keeper(reservation_.keeper());
     request.set_router(context_.log.identity().incarnation.text());
     request.set_execution(failure ? executionToWire(failure->execution) : wire::RAN);
     request.set_endpoint_address(endpointAddress_);
--- a/lib/Router/KeeperClient.cpp
+++ b/lib/Router/KeeperClient.cpp
@@ -96,6 +96,7 @@
                     return keeper->name == entry.host() && keeper->address == entry.address();
                 });
         next.push_back(known != keepers_.end() ? *known : keeperAt(entry.host(), entry.address()));
+        next.back()->incarnation = Incarnation(entry.incarnation());
         next.back()->draining = entry.draining();
     }
     keepers_ = std::move(next);
@@ -111,7 +112,8 @@
 {
     const std::string workspace = request.claim().workspace();
     return callEach<wire::ClaimRunRequest, wire::ClaimRunReply>(
-            &wire::KeeperService::Stub::ClaimRun, workspace, claimTimeout_, [&] {
+            &wire::KeeperService::Stub::ClaimRun, orderFor(workspace, Incarnation()), claimTimeout_,
+            [&] {
                 attempts.push_back(randomId<AttemptId>());
                 request.mutable_claim()->set_attempt(attempts.back().text());
                 return request;
@@ -149,12 +151,16 @@
     return keeper;
 }
 
-std::vector<KeeperClient::KeeperPtr> KeeperClient::orderFor(const std::string &key) const
+std::vector<KeeperClient::KeeperPtr> KeeperClient::orderFor(const std::string &key,
+                                                            const Incarnation &holder) const
 {
     const Instant now = std::chrono::steady_clock::now();
     absl::MutexLock lock(&mutex_);
     std::vector<KeeperPtr> order = keepers_;
     const auto rank = [&](const KeeperPtr &keeper) {
+        if (!holder.empty() && keeper->incarnation == holder) {
+            return keeper->avoidUntil > now ? 1 : -1;
+        }
         return (keeper->draining ? 2 : 0) + (keeper->avoidUntil > now ? 1 : 0);
     };
     std::sort(order.begin(), order.end(), [&](const KeeperPtr &a, const KeeperPtr &b) {
@@ -196,16 +202,21 @@
 Reply KeeperClient::call(Method<Request, Reply> method, const std::string &key,
                          const Request &request, Millis timeout)
 {
-    return callEach<Request, Reply>(method, key, timeout, [&] { return request; });
+    Incarnation holder;
+    if constexpr (requires { request.keeper(); }) {
+        holder = Incarnation(request.keeper());
+    }
+    return callEach<Request, Reply>(method, orderFor(key, holder), timeout,
+                                    [&] { return request; });
 }
 
 template <typename Request, typename Reply>
-Reply KeeperClient::callEach(Method<Request, Reply> method, const std::string &key, Millis timeout,
-                             const std::function<Request()> &prepare)
+Reply KeeperClient::callEach(Method<Request, Reply> method, const std::vector<KeeperPtr> &order,
+                             Millis timeout, const std::function<Request()> &prepare)
 {
     std::string failure = "no keeper is known";
     std::optional<Reply> passedOn;
-    for (const KeeperPtr &keeper : orderFor(key)) {
+    for (const KeeperPtr &keeper : order) {
         grpc::ClientContext context;
         context.set_deadline(std::chrono::system_clock::now() + timeout);
         Reply reply;
