--- a/include/sequoiagate/Service/Settings.h
+++ b/include/sequoiagate/Service/Settings.h
@@ -26,6 +26,11 @@
 /// \throws SettingsError
 nlohmann::json loadSettings(const std::string &path, const nlohmann::json &schema);
 
+/// Checks \p settings, a part of a file that \p where names, in the same way.
+/// \returns it with defaults filled in. \throws SettingsError
+nlohmann::json checkSettings(nlohmann::json settings, const nlohmann::json &schema,
+                             const std::string &where);
+
 /// Reads an interval that the key names in milliseconds (\p key ends in "_ms").
 /// \pre the settings passed their schema.
 Millis millisOf(const nlohmann::json &settings, const std::string &key);
--- a/lib/Service/Settings.cpp
+++ b/lib/Service/Settings.cpp
@@ -145,7 +145,7 @@
                        allowedText(*place.rule));
 }
 
-void checkBySchema(const std::string &path, const Json &settings, const Json &schemaJson)
+void checkBySchema(const std::string &where, const Json &settings, const Json &schemaJson)
 {
     valijson::Schema schema;
     valijson::SchemaParser parser;
@@ -161,8 +161,7 @@
     valijson::ValidationResults::Error error;
     results.popError(error);
     const Place place = placeOf(error.context, settings, schemaJson);
-    throw SettingsError(
-            fmt::format("settings file '{}': {}", path, faultText(place, error.description)));
+    throw SettingsError(fmt::format("{}: {}", where, faultText(place, error.description)));
 }
 
 } // namespace
@@ -183,8 +182,14 @@
     if (!settings.is_object()) {
         throw SettingsError(fmt::format("settings file '{}' is not a JSON object", path));
     }
+    return checkSettings(std::move(settings), schema, fmt::format("settings file '{}'", path));
+}
+
+nlohmann::json checkSettings(nlohmann::json settings, const nlohmann::json &schema,
+                             const std::string &where)
+{
     fillDefaults(settings, schema);
-    checkBySchema(path, settings, schema);
+    checkBySchema(where, settings, schema);
     return settings;
 }
 
