[Decisions] Admission: pace the returns of those refused

The times to come back were spread over what serving those refused of late takes at the whole drain rate, so that 25% of the new callers were refused beside them; and while slots were free the rate was that of starts, ten times what slots sustain.

Change: each refusal takes the next place in a schedule, paced at a quarter of what the slots sustain.

Ruled out: a spread over 2.5, 4 times as long (recovery 38 s, 45 s; those refused twice are counted twice, and the count forgets within 5 s what returns for a minute); 0.4 of the rate (10% of new callers refused for 20 s), 0.35 (recovery 18.5 s with least in flight as the choice).

--- a/include/sequoiagate/Decisions/Admission.h
+++ b/include/sequoiagate/Decisions/Admission.h
@@ -30,9 +30,10 @@
 ///   hold nearly all slots. (Counted in slots, a router with four gave batch none.)
 ///   Batch never takes the last interactiveReserve of the slots: its work is long, and
 ///   a caller who waits would otherwise wait for the end of an Assessment.
-/// - A refusal names a time to come back: when those waiting will have been served,
-///   spread over the time that serving those refused of late would take. All clients
-///   coming back at one moment would make the next burst.
+/// - A refusal names a time to come back, each the next place in a schedule that is paced
+///   at a part of the drain rate. Callers told one delay, or one spread of delays, come
+///   back faster than they can be served, and those who ask for the first time are
+///   refused beside them: a tenfold burst of 5 s was felt for 22 s after its end.
 ///
 /// Budgets are reserved before a request is offered here, so nothing waits in hope of
 /// tokens it can't have.
@@ -146,13 +147,14 @@
     void start(const WorkItem &item, Instant now);
     AdmissionOutcome enqueue(const WorkItem &item, Instant now);
     bool makeRoom(const WorkItem &item, Instant now);
+    double slotRate() const;
     double classRate(WorkClass workClass) const;
     Instant expectedStart(std::size_t ahead, WorkClass workClass, Instant now) const;
-    Verdict refusal(const WorkItem &item, Reason reason, Instant now);
+    Verdict refusal(Reason reason, Instant now);
     Reason crowdingReason(const WorkItem &item) const;
     void giveUp(WorkClass workClass, std::vector<QueueRelease> &released, Instant now);
     void admitWaiting(std::vector<QueueRelease> &released, Instant now);
-    Instant comeBackAt(std::size_t ahead, WorkClass workClass, Instant now);
+    Instant comeBackAt(Instant now);
 
     AdmissionSettings settings_;
     std::unordered_map<RequestId, Running> running_;
@@ -167,7 +169,7 @@
     Instant displacedAt_ = Never;
     ClassShares classShares_;
     MovingMean heldSeconds_;
-    RecentCount refusals_;
+    Instant nextReturnAt_; ///< of the next caller to be refused
     std::mt19937_64 jitter_;
 };
 
--- a/include/sequoiagate/Decisions/Estimates.h
+++ b/include/sequoiagate/Decisions/Estimates.h
@@ -3,6 +3,8 @@
 
 /// Small estimators that the policies share. Pure; none is thread safe.
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 
 #include "sequoiagate/Base/Time.h"
@@ -33,19 +35,22 @@
     double mean_ = 0.0;
 };
 
-/// How many events happened of late: a count that decays with time.
-class RecentCount
+/// The median of the last few samples: unlike a mean it isn't moved by a few that are far
+/// off.
+class RecentMedian
 {
 public:
-    /// After it an event counts for a third.
-    static constexpr Interval Memory = std::chrono::seconds(5);
+    static constexpr std::size_t Window = 9;
 
-    void add(Instant now);
-    double value(Instant now) const;
+    void add(double sample);
+    std::size_t samples() const { return count_; } ///< up to Window
+    double median() const;                         ///< 0 without samples
+    void reset();
 
 private:
-    double value_ = 0.0;
-    Instant updatedAt_;
+    std::array<double, Window> ring_ = {};
+    std::size_t next_ = 0;
+    std::size_t count_ = 0;
 };
 
 } // namespace sequoiagate
--- a/lib/Decisions/Admission.cpp
+++ b/lib/Decisions/Admission.cpp
@@ -19,12 +19,13 @@
 constexpr uint32_t HeldSamples = 100;
 
 /// Bounds of the wait that a refusal names. Below the shortest a client merely polls;
-/// the longest are past where the drain rate still says something. The spread is
-/// bounded by itself, so that a bound never makes clients come back together.
+/// past the longest the drain rate says nothing any more.
 constexpr Interval ShortestComeBack = std::chrono::milliseconds(250);
-constexpr Interval LongestQueue = std::chrono::seconds(10);
-constexpr double ShortestSpread = 1.0;
-constexpr double LongestSpread = 30.0;
+constexpr Interval LongestComeBack = std::chrono::seconds(120);
+
+/// Those refused return at this part of the drain rate, so that callers who come for the
+/// first time find room beside them.
+constexpr double PartForReturns = 0.25;
 
 const char *detailOf(Reason reason)
 {
@@ -66,10 +67,10 @@
     // One may always wait: with few slots the drain rate is too coarse to refuse on.
     const bool tooLate = ahead > 0 && expectedStart(ahead, item.workClass, now) > until;
     if (until <= now || tooLate) {
-        return refusal(item, crowdingReason(item), now);
+        return refusal(crowdingReason(item), now);
     }
     if (waiting() >= settings_.queueLimit && !makeRoom(item, now)) {
-        return refusal(item, crowdingReason(item), now);
+        return refusal(crowdingReason(item), now);
     }
     queue.push(item, until);
     return Queued{until};
@@ -90,7 +91,7 @@
         return false;
     }
     const QueueEntry last = *victims.popLast();
-    displaced_.push_back({last.item.request, false, refusal(last.item, Reason::RateShare, now)});
+    displaced_.push_back({last.item.request, false, refusal(Reason::RateShare, now)});
     displacedAt_ = std::min(displacedAt_, now);
     return true;
 }
@@ -169,8 +170,7 @@
         return wait > (entry.until - now) * HopelessFactor;
     };
     for (const QueueEntry &entry : queueOf(workClass).takeIf(hopeless)) {
-        released.push_back(
-                {entry.item.request, false, refusal(entry.item, Reason::QueueTimeout, now)});
+        released.push_back({entry.item.request, false, refusal(Reason::QueueTimeout, now)});
     }
 }
 
@@ -238,16 +238,18 @@
     interactiveRunning_ += item.workClass == WorkClass::Interactive ? 1 : 0;
 }
 
-double Admission::drainRate() const
+double Admission::slotRate() const
 {
-    if (running_.size() < settings_.slots && firstTokensTold_) {
-        return startLimit_.perSecond();
-    }
-    if (heldSeconds_.samples() == 0) {
-        return 0.0;
-    }
     constexpr double ShortestHeld = 1e-3;
-    return settings_.slots / std::max(heldSeconds_.mean(), ShortestHeld);
+    return heldSeconds_.samples() == 0
+                   ? 0.0
+                   : settings_.slots / std::max(heldSeconds_.mean(), ShortestHeld);
+}
+
+double Admission::drainRate() const
+{
+    const bool slotsAreFree = running_.size() < settings_.slots;
+    return slotsAreFree && firstTokensTold_ ? startLimit_.perSecond() : slotRate();
 }
 
 double Admission::classRate(WorkClass workClass) const
@@ -276,22 +278,25 @@
                                                                 : Reason::QueueFull;
 }
 
-Verdict Admission::refusal(const WorkItem &item, Reason reason, Instant now)
+Verdict Admission::refusal(Reason reason, Instant now)
 {
-    refusals_.add(now);
-    const std::size_t ahead = queueOf(item.workClass).size();
-    return {Execution::NotRun, reason, detailOf(reason), comeBackAt(ahead, item.workClass, now)};
+    return {Execution::NotRun, reason, detailOf(reason), comeBackAt(now)};
 }
 
-Instant Admission::comeBackAt(std::size_t ahead, WorkClass workClass, Instant now)
+Instant Admission::comeBackAt(Instant now)
 {
-    std::uniform_real_distribution<double> spread(0.0, 1.0);
-    const double rate = std::max(classRate(workClass), 1.0);
-    const double queueSeconds = static_cast<double>(ahead) / rate;
-    const double refusedSeconds = refusals_.value(now) / rate;
-    const double spreadSeconds = std::clamp(refusedSeconds, ShortestSpread, LongestSpread);
-    return now + ShortestComeBack + std::min(intervalOf(queueSeconds), LongestQueue)
-           + intervalOf(spread(jitter_) * spreadSeconds);
+    // What slots sustain: the pace of starts lasts only while slots are free.
+    const double pace = std::max(slotRate(), 1.0) * PartForReturns;
+    nextReturnAt_ = std::max(nextReturnAt_, now + ShortestComeBack) + intervalOf(1.0 / pace);
+    // The schedule keeps them apart; the jitter keeps clients of other routers, whose
+    // schedules began in the same moment, from meeting them.
+    std::uniform_real_distribution<double> jitter(0.75, 1.25);
+    if (nextReturnAt_ <= now + LongestComeBack) {
+        return now + intervalOf(secondsOf(nextReturnAt_ - now) * jitter(jitter_));
+    }
+    nextReturnAt_ = now + LongestComeBack;
+    std::uniform_real_distribution<double> late(0.5, 1.0);
+    return now + intervalOf(secondsOf(LongestComeBack) * late(jitter_));
 }
 
 Instant Admission::nextDeadline() const
--- a/lib/Decisions/Estimates.cpp
+++ b/lib/Decisions/Estimates.cpp
@@ -1,7 +1,6 @@
 #include "sequoiagate/Decisions/Estimates.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace sequoiagate {
 
@@ -29,16 +28,29 @@
     mean_ = 0.0;
 }
 
-void RecentCount::add(Instant now)
+void RecentMedian::add(double sample)
 {
-    value_ = value(now) + 1.0;
-    updatedAt_ = std::max(updatedAt_, now);
+    ring_[next_] = sample;
+    next_ = (next_ + 1) % Window;
+    count_ = std::min(count_ + 1, Window);
 }
 
-double RecentCount::value(Instant now) const
+double RecentMedian::median() const
 {
-    const Interval age = std::max(now - updatedAt_, Interval::zero());
-    return value_ * std::exp(-secondsOf(age) / secondsOf(Memory));
+    if (count_ == 0) {
+        return 0.0;
+    }
+    std::array<double, Window> sorted = ring_;
+    const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(count_);
+    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>((count_ - 1) / 2);
+    std::nth_element(sorted.begin(), middle, end);
+    return *middle;
+}
+
+void RecentMedian::reset()
+{
+    next_ = 0;
+    count_ = 0;
 }
 
 } // namespace sequoiagate
