[Keeper] Bill a recovered stream by the engine's own count of the prompt

Its router had been killed with the stream open. Cause, from the time line: the keeper asked the engine how far the stream got, took its 40 generated tokens, and added the reservation's upper bound for the prompt (49) in place of the prompt's 4 tokens, which the same answer names. Ruled out: two runs (the engine had one). Change: the engine's prompt count is billed where it says one. Seen failing without it: BilledOnce RouterKilled, "request r1 is billed 432 tokens, which no run of it cost"; passes with it.

--- a/lib/Keeper/Endpoints.cpp
+++ b/lib/Keeper/Endpoints.cpp
@@ -80,7 +80,8 @@
 StreamInquirer::StreamInquirer(Keeper &keeper) : keeper_(keeper), worker_([this] { step(); }) {}
 
 /// What an engine says of a stream after it was cancelled.
-static std::optional<uint64_t> cancelStream(const std::string &address, const std::string &stream)
+static std::optional<StreamUsage> cancelStream(const std::string &address,
+                                               const std::string &stream)
 {
     httplib::Client client = connect(address, InquiryTimeout);
     const std::string path = fmt::format("/v1/streams/{}", stream);
@@ -93,7 +94,12 @@
     if (!status.is_object() || !status.contains("generated")) {
         return std::nullopt;
     }
-    return status.value("generated", uint64_t{0});
+    StreamUsage usage;
+    usage.generated = status.value("generated", uint64_t{0});
+    if (status.contains("prompt_tokens")) {
+        usage.promptTokens = status.value("prompt_tokens", uint64_t{0});
+    }
+    return usage;
 }
 
 /// The streams that an engine has of a request; nullopt: it couldn't say.
@@ -123,7 +129,8 @@
 {
     StreamAnswer answer;
     answer.unknownEverywhere = true;
-    uint64_t generated = 0;
+    StreamUsage sum;
+    sum.promptTokens = 0;
     bool found = false;
     for (const std::string &address : inquiry.candidates) {
         const auto streams = streamsOf(address, inquiry.key);
@@ -132,17 +139,22 @@
             continue;
         }
         for (const std::string &stream : *streams) {
-            const std::optional<uint64_t> tokens = cancelStream(address, stream);
+            const std::optional<StreamUsage> usage = cancelStream(address, stream);
             found = true;
             answer.unknownEverywhere = false;
-            if (!tokens) {
+            if (!usage) {
                 return answer;
             }
-            generated += *tokens;
+            sum.generated += usage->generated;
+            if (sum.promptTokens && usage->promptTokens) {
+                *sum.promptTokens += *usage->promptTokens;
+            } else {
+                sum.promptTokens = std::nullopt;
+            }
         }
     }
     if (found) {
-        answer.generated = generated;
+        answer.usage = sum;
     }
     return answer;
 }
@@ -180,10 +192,10 @@
     answer.routerGone = refusesConnections(inquiry->routerAddress);
     const bool known = !inquiry->endpointAddress.empty() && !inquiry->engineStream.empty();
     if (known) {
-        answer.generated = cancelStream(inquiry->endpointAddress, inquiry->engineStream);
+        answer.usage = cancelStream(inquiry->endpointAddress, inquiry->engineStream);
     } else {
         const StreamAnswer found = searchEngines(*inquiry);
-        answer.generated = found.generated;
+        answer.usage = found.usage;
         answer.unknownEverywhere = found.unknownEverywhere;
     }
     keeper_.run([&](KeeperCore &core, Instant now, WallTime wall) {
--- a/lib/Keeper/KeeperCoreRequests.cpp
+++ b/lib/Keeper/KeeperCoreRequests.cpp
@@ -418,15 +418,15 @@
     events_.push_back(Event("reservation.recovered")
                               .with("workspace", open->key.workspace)
                               .with("request", open->key.request)
-                              .with("generated", answer.generated
-                                                         ? fmt::to_string(*answer.generated)
+                              .with("generated", answer.usage
+                                                         ? fmt::to_string(answer.usage->generated)
                                                          : "unknown")
                               .with("router_gone", answer.routerGone));
     wire::Bill bill;
     bill.set_endpoint(open->endpoint);
-    if (answer.generated) {
-        bill.set_prompt_tokens(open->promptTokens);
-        bill.set_completion_tokens(*answer.generated);
+    if (answer.usage) {
+        bill.set_prompt_tokens(answer.usage->promptTokens.value_or(open->promptTokens));
+        bill.set_completion_tokens(answer.usage->generated);
     } else if (!answer.unknownEverywhere) {
         bill.set_prompt_tokens(open->promptTokens);
         bill.set_completion_tokens(open->tokens - open->promptTokens);
--- a/test/Support/Fleet.cpp
+++ b/test/Support/Fleet.cpp
@@ -1,7 +1,7 @@
 #include "test/Support/Fleet.h"
 
-#include <algorithm>
 #include <csignal>
+#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -22,6 +22,8 @@
 constexpr Seconds PatienceLimit{30};
 constexpr Millis PollPeriod{20};
 constexpr Seconds LogDeadline{10};
+/// The kernel chooses the port; a restarted process keeps it.
+constexpr const char *AnyPort = "127.0.0.1:0";
 
 std::string sha256Hex(const std::string &text)
 {
@@ -55,7 +57,8 @@
     startStandins();
     publishFirstConfig();
     keepers_.resize(shape_.hosts.size());
-    gossipAddresses_.resize(shape_.hosts.size());
+    keeperAddresses_.resize(shape_.hosts.size(), AnyPort);
+    gossipAddresses_.resize(shape_.hosts.size(), AnyPort);
     for (std::size_t host = 0; host < shape_.hosts.size(); ++host) {
         startKeeper(host);
     }
@@ -190,13 +193,13 @@
     nlohmann::json settings = {
             {"host", shape_.hosts[host].host},
             {"domain", shape_.hosts[host].domain},
-            {"listen", "127.0.0.1:0"},
-            {"gossip_listen", "127.0.0.1:0"},
+            {"listen", keeperAddresses_[host]},
+            {"gossip_listen", gossipAddresses_[host]},
             {"log_service", logAddress_},
             {"test_link_filter", scratch_.path(fmt::format("links-{}.json", host))}};
     settings["seeds"] = nlohmann::json::array();
     for (const std::string &address : gossipAddresses_) {
-        if (!address.empty()) {
+        if (address != AnyPort) {
             settings["seeds"].push_back(address);
         }
     }
@@ -208,13 +211,13 @@
 {
     nlohmann::json settings = {{"host", shape_.hosts[host].host},
                                {"domain", shape_.hosts[host].domain},
-                               {"listen", "127.0.0.1:0"},
+                               {"listen", AnyPort},
                                {"resume_key", "a secret that all routers of the test share"}};
     settings["keepers"] = nlohmann::json::array();
     for (std::size_t other = 0; other < keepers_.size(); ++other) {
         const bool sameDomain = shape_.hosts[other].domain == shape_.hosts[host].domain;
         if (sameDomain && keepers_[other]) {
-            settings["keepers"].push_back(keepers_[other]->address());
+            settings["keepers"].push_back(keeperAddresses_[other]);
         }
     }
     settings.update(shape_.routerSettings);
@@ -228,6 +231,7 @@
     keepers_[host] =
             std::make_unique<Process>(scratch_, "sequoia-keeper", name, keeperSettings(host));
     const Process::Line started = keepers_[host]->waitFor(std::string(events::ProcessStarted));
+    keeperAddresses_[host] = started.value("address", "");
     gossipAddresses_[host] = started.value("gossip_address", "");
 }
 
@@ -251,7 +255,6 @@
 void Fleet::restartKeeper(std::size_t host)
 {
     replaced_.push_back(std::move(keepers_[host]));
-    gossipAddresses_[host].clear();
     startKeeper(host);
 }
 
@@ -307,14 +310,25 @@
 
 void Fleet::waitBilled(const std::string &workspace, const std::vector<std::string> &requests)
 {
-    waitUntil("the bills of " + workspace, [&] {
-        const std::vector<FinalBill> standing = bills();
-        return std::all_of(requests.begin(), requests.end(), [&](const std::string &request) {
-            return std::any_of(standing.begin(), standing.end(), [&](const FinalBill &bill) {
-                return bill.workspace.text() == workspace && bill.request.text() == request;
-            });
-        });
-    });
+    const std::set<std::string> wanted(requests.begin(), requests.end());
+    const Instant giveUpAt = std::chrono::steady_clock::now() + PatienceLimit;
+    while (true) {
+        std::set<std::string> missing = wanted;
+        for (const FinalBill &bill : bills()) {
+            if (bill.workspace.text() == workspace) {
+                missing.erase(bill.request.text());
+            }
+        }
+        if (missing.empty()) {
+            return;
+        }
+        if (std::chrono::steady_clock::now() > giveUpAt) {
+            throw std::runtime_error(fmt::format("{} requests of {} were never billed: {}",
+                                                 missing.size(), workspace,
+                                                 fmt::join(missing, " ")));
+        }
+        std::this_thread::sleep_for(PollPeriod);
+    }
 }
 
 History Fleet::history()
--- a/test/Support/Fleet.h
+++ b/test/Support/Fleet.h
@@ -70,7 +70,8 @@
     std::string endpointAddress(const std::string &name) const;
     std::string apiKey(const std::string &workspace) const;
 
-    /// Replaces a host's processes by new ones, as after a loss.
+    /// Starts a host's process anew after a loss. A keeper keeps its address, which
+    /// stands in the settings of its domain's routers.
     void restartKeeper(std::size_t host);
     void restartRouter(std::size_t host);
     /// Cuts the traffic between \p host's keeper and the named hosts ("log" is the
@@ -114,6 +115,7 @@
     std::vector<std::unique_ptr<Process>> keepers_;
     std::vector<std::unique_ptr<Process>> routers_;
     std::vector<std::unique_ptr<Process>> replaced_; ///< their logs still count
+    std::vector<std::string> keeperAddresses_;
     std::vector<std::string> gossipAddresses_;
     std::vector<std::string> routerAddresses_;
     Incarnation operator_;
