[Members] Let hundreds of hosts that start at once find each other

Cause: 370 members started in one moment had not all joined after 5 minutes of virtual time: seeds tell a joiner only of those that came before it, and one entry a datagram then takes very long to bring hundreds of others. Change: the whole list is asked of a random peer after 5 s, at doubling intervals up to a minute. Ruled out: more entries a datagram, which would cost the same bytes for ever.

--- a/include/sequoiagate/Members/Membership.h
+++ b/include/sequoiagate/Members/Membership.h
@@ -36,8 +36,12 @@
     /// How long a member that left, or whose host runs again under another
     /// incarnation, is remembered, so that late gossip doesn't bring it back.
     Interval leftMemory = std::chrono::minutes(10);
-    /// How often all members are asked of one peer at most, after a partition.
-    Interval fullExchangePeriod = std::chrono::seconds(30);
+    /// How often the whole list is asked of some peer: what gossip missed is known by
+    /// then. The first time comes soon after the start.
+    Interval fullExchangePeriod = std::chrono::seconds(60);
+    /// How often at most the whole list goes to and fro with a member that was
+    /// believed dead and answers, after a partition.
+    Interval healExchangePeriod = std::chrono::seconds(30);
 };
 
 /// A datagram to send.
@@ -126,6 +130,8 @@
     void onAcknowledge(const wire::GossipMessage &message);
     void onProbe(const wire::GossipMessage &message, Instant now);
     void sendAllMembers(const std::string &address, const Incarnation &target);
+    void sendJoin(const wire::MemberEntry &peer, Instant now);
+    void askSomebodyForAll(Instant now);
     void askAllMembers(const wire::MemberEntry &peer, Instant now);
 
     void expireProbes(Instant now);
@@ -161,9 +167,11 @@
     std::vector<Relay> relays_;
     uint64_t lastNumber_ = 0;
     uint32_t joinAnswers_ = 0;
+    int fullExchanges_ = 0;
     Instant nextProbe_;
     Instant nextLostProbe_;
     Instant nextFullExchange_;
+    Instant nextHealExchange_;
     std::vector<GossipSend> sends_;
     std::vector<MemberChange> changes_;
 };
--- a/lib/Members/Membership.cpp
+++ b/lib/Members/Membership.cpp
@@ -69,7 +69,8 @@
       // Members share the settings' seed; with the same numbers all would probe in
       // the same order and hit one peer at once.
       random_(stableHash(self_.incarnation(), settings.seed)), nextProbe_(now),
-      nextLostProbe_(now + settings.deadProbePeriod), nextFullExchange_(now)
+      nextLostProbe_(now + settings.deadProbePeriod),
+      nextFullExchange_(now + settings.deadProbePeriod), nextHealExchange_(now)
 {
     self_.set_health(wire::MEMBER_ALIVE);
     healthChart();
@@ -127,6 +128,14 @@
         probeLost(now);
         nextLostProbe_ = now + settings_.deadProbePeriod;
     }
+    if (now >= nextFullExchange_) {
+        askSomebodyForAll(now);
+        // Soon after the start most of the others have just come, too: what one peer
+        // knows then is a part, and asking few of them twice as late each time merges it.
+        const Interval early = settings_.deadProbePeriod * (1 << std::min(fullExchanges_, 8));
+        nextFullExchange_ = now + std::min(early, settings_.fullExchangePeriod);
+        ++fullExchanges_;
+    }
 }
 
 void Membership::leave(Instant now)
@@ -166,7 +175,7 @@
     if (self_.health() == wire::MEMBER_LEFT) {
         return Never;
     }
-    Instant next = std::min(nextProbe_, nextLostProbe_);
+    Instant next = std::min({nextProbe_, nextLostProbe_, nextFullExchange_});
     for (const Probe &probe : probes_) {
         next = std::min({next, probe.indirectDeadline, probe.failDeadline});
     }
@@ -428,15 +437,29 @@
 /// became of the others over there. Asked seldom, since the answer holds all.
 void Membership::askAllMembers(const wire::MemberEntry &peer, Instant now)
 {
-    if (now < nextFullExchange_) {
+    if (now < nextHealExchange_) {
         return;
     }
-    nextFullExchange_ = now + settings_.fullExchangePeriod;
+    nextHealExchange_ = now + settings_.healExchangePeriod;
+    sendJoin(peer, now);
+    sendAllMembers(peer.gossip_address(), incarnationOf(peer));
+}
+
+void Membership::sendJoin(const wire::MemberEntry &peer, Instant now)
+{
     wire::GossipMessage question = compose(incarnationOf(peer), now);
     question.set_probe(++lastNumber_);
     question.set_join(true);
     sends_.push_back({peer.gossip_address(), std::move(question)});
-    sendAllMembers(peer.gossip_address(), incarnationOf(peer));
+}
+
+/// Hosts that all start at once get from their seeds only those that came before
+/// them, and one entry a datagram takes many minutes to bring hundreds of others.
+void Membership::askSomebodyForAll(Instant now)
+{
+    for (const Incarnation &peer : pickPeers(1, Incarnation())) {
+        sendJoin(find(peer)->entry, now);
+    }
 }
 
 wire::GossipMessage Membership::compose(const Incarnation &target, Instant now)
--- a/unittests/Support/GossipNetwork.cpp
+++ b/unittests/Support/GossipNetwork.cpp
@@ -69,14 +69,15 @@
     }
 }
 
-std::optional<Interval> GossipNetwork::runUntil(const std::function<bool()> &done, Interval limit)
+std::optional<Interval> GossipNetwork::runUntil(const std::function<bool()> &done, Interval limit,
+                                                Interval checkPeriod)
 {
     const Instant begin = now_;
     while (!done()) {
         if (now_ - begin >= limit) {
             return std::nullopt;
         }
-        step();
+        run(checkPeriod);
     }
     return now_ - begin;
 }
--- a/unittests/Support/GossipNetwork.h
+++ b/unittests/Support/GossipNetwork.h
@@ -46,8 +46,10 @@
 
     /// Runs for \p duration of virtual time.
     void run(Interval duration);
-    /// Runs until \p done or for \p limit. \returns the time until done, else nullopt.
-    std::optional<Interval> runUntil(const std::function<bool()> &done, Interval limit);
+    /// Runs until \p done, asked every \p checkPeriod, or for \p limit. \returns the
+    /// time until done, else nullopt.
+    std::optional<Interval> runUntil(const std::function<bool()> &done, Interval limit,
+                                     Interval checkPeriod = std::chrono::milliseconds(50));
 
     void kill(std::size_t index);
     /// A new process of the same host, at the same address. \pre it was killed.
