--- a/include/sequoiagate/Service/Settings.h
+++ b/include/sequoiagate/Service/Settings.h
@@ -31,6 +31,9 @@
 nlohmann::json checkSettings(nlohmann::json settings, const nlohmann::json &schema,
                              const std::string &where);
 
+/// What \p rule, a key's part of a schema, allows, in words: "an integer from 1 to 64".
+std::string allowedText(const nlohmann::json &rule);
+
 /// Reads an interval that the key names in milliseconds (\p key ends in "_ms").
 /// \pre the settings passed their schema.
 Millis millisOf(const nlohmann::json &settings, const std::string &key);
--- a/lib/Service/Settings.cpp
+++ b/lib/Service/Settings.cpp
@@ -72,30 +72,6 @@
     return (vowel ? "an " : "a ") + type;
 }
 
-std::string allowedText(const Json &rule)
-{
-    if (rule.contains("enum")) {
-        return "one of " + rule.at("enum").dump();
-    }
-    std::string text = typeText(rule);
-    if (rule.contains("minimum")) {
-        text += " from " + rule.at("minimum").dump();
-    }
-    if (rule.contains("maximum")) {
-        text += " to " + rule.at("maximum").dump();
-    }
-    if (rule.contains("minLength")) {
-        text += fmt::format(" of {} characters or more", rule.at("minLength").dump());
-    }
-    if (rule.contains("minItems")) {
-        text += fmt::format(" of {} items or more", rule.at("minItems").dump());
-    }
-    if (rule.contains("pattern")) {
-        text += " that matches " + rule.at("pattern").get<std::string>();
-    }
-    return text;
-}
-
 std::vector<std::string> keysOf(const Json &object)
 {
     std::vector<std::string> keys;
@@ -166,6 +142,33 @@
 
 } // namespace
 
+std::string allowedText(const nlohmann::json &rule)
+{
+    if (rule.contains("enum")) {
+        return "one of " + rule.at("enum").dump();
+    }
+    std::string text = typeText(rule);
+    if (rule.contains("minimum")) {
+        text += " from " + rule.at("minimum").dump();
+    }
+    if (rule.contains("exclusiveMinimum")) {
+        text += " above " + rule.at("exclusiveMinimum").dump();
+    }
+    if (rule.contains("maximum")) {
+        text += " to " + rule.at("maximum").dump();
+    }
+    if (rule.contains("minLength")) {
+        text += fmt::format(" of {} characters or more", rule.at("minLength").dump());
+    }
+    if (rule.contains("minItems")) {
+        text += fmt::format(" of {} items or more", rule.at("minItems").dump());
+    }
+    if (rule.contains("pattern")) {
+        text += " that matches " + rule.at("pattern").get<std::string>();
+    }
+    return text;
+}
+
 nlohmann::json loadSettings(const std::string &path, const nlohmann::json &schema)
 {
     std::ifstream file(path);
