--- a/unittests/Transport/SecurityTest.cpp
+++ b/unittests/Transport/SecurityTest.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <memory>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -78,8 +79,16 @@
 
     void install(const Identity &authority, const Identity &own) const
     {
-        replaceFile(file("authority.pem"),
-                    [&](std::FILE *f) { PEM_write_X509(f, authority.certificate.get()); });
+        install(std::vector<Identity>{authority}, own);
+    }
+
+    void install(const std::vector<Identity> &authorities, const Identity &own) const
+    {
+        replaceFile(file("authority.pem"), [&](std::FILE *f) {
+            for (const Identity &authority : authorities) {
+                PEM_write_X509(f, authority.certificate.get());
+            }
+        });
         replaceFile(file("key.pem"), [&](std::FILE *f) {
             PEM_write_PrivateKey(f, own.key.get(), nullptr, nullptr, 0, nullptr, nullptr);
         });
@@ -250,6 +259,18 @@
     EXPECT_FALSE(reaches(friendOfOld, server.address()));
 }
 
+// An authority is being replaced: some hosts have certificates of the old one and some
+// of the new. While all hosts' files hold both authorities, all must reach each other.
+TEST_F(MutualTls, TakesBothAuthoritiesWhileOneReplacesTheOther)
+{
+    serverFiles_.install({authority_, other_}, makeIdentity("server", &other_, 7));
+    friendFiles_.install({authority_, other_}, makeIdentity("friend", &authority_, 8));
+    Security security(serverFiles_.settings(), log_.log());
+    Server server(security);
+    Security peer(friendFiles_.settings(), log_.log());
+    EXPECT_TRUE(reaches(peer, server.address()));
+}
+
 struct BadTls
 {
     const char *name;
