--- a/lib/Router/KeeperClient.cpp
+++ b/lib/Router/KeeperClient.cpp
@@ -96,6 +96,7 @@
                     return keeper->name == entry.host() && keeper->address == entry.address();
                 });
         next.push_back(known != keepers_.end() ? *known : keeperAt(entry.host(), entry.address()));
+        next.back()->incarnation = Incarnation(entry.incarnation());
         next.back()->draining = entry.draining();
     }
     keepers_ = std::move(next);
@@ -105,8 +106,8 @@
                                          std::vector<std::string> &unanswered)
 {
     return callEach<wire::ReserveRequest, wire::ReserveReply>(
-            &wire::KeeperService::Stub::Reserve, request.workspace(), timeout_,
-            [&] { return request; }, unanswered);
+            &wire::KeeperService::Stub::Reserve, orderFor(request.workspace(), Incarnation()),
+            timeout_, [&] { return request; }, unanswered);
 }
 
 bool KeeperClient::release(const std::string &name, const wire::ReserveRequest &request)
@@ -142,7 +143,7 @@
     const std::string workspace = request.claim().workspace();
     std::vector<std::string> unanswered;
     return callEach<wire::ClaimRunRequest, wire::ClaimRunReply>(
-            &wire::KeeperService::Stub::ClaimRun, workspace, claimTimeout_,
+            &wire::KeeperService::Stub::ClaimRun, orderFor(workspace, Incarnation()), claimTimeout_,
             [&] {
                 attempts.push_back(randomId<AttemptId>());
                 request.mutable_claim()->set_attempt(attempts.back().text());
@@ -190,12 +191,16 @@
     return found == keepers_.end() ? nullptr : *found;
 }
 
-std::vector<KeeperClient::KeeperPtr> KeeperClient::orderFor(const std::string &key) const
+std::vector<KeeperClient::KeeperPtr> KeeperClient::orderFor(const std::string &key,
+                                                            const Incarnation &holder) const
 {
     const Instant now = std::chrono::steady_clock::now();
     absl::MutexLock lock(&mutex_);
     std::vector<KeeperPtr> order = keepers_;
     const auto rank = [&](const KeeperPtr &keeper) {
+        if (!holder.empty() && keeper->incarnation == holder) {
+            return keeper->avoidUntil > now ? 1 : -1;
+        }
         return (keeper->draining ? 2 : 0) + (keeper->avoidUntil > now ? 1 : 0);
     };
     std::sort(order.begin(), order.end(), [&](const KeeperPtr &a, const KeeperPtr &b) {
@@ -237,19 +242,23 @@
 Reply KeeperClient::call(Method<Request, Reply> method, const std::string &key,
                          const Request &request, Millis timeout)
 {
+    Incarnation holder;
+    if constexpr (requires { request.keeper(); }) {
+        holder = Incarnation(request.keeper());
+    }
     std::vector<std::string> unanswered;
     return callEach<Request, Reply>(
-            method, key, timeout, [&] { return request; }, unanswered);
+            method, orderFor(key, holder), timeout, [&] { return request; }, unanswered);
 }
 
 template <typename Request, typename Reply>
-Reply KeeperClient::callEach(Method<Request, Reply> method, const std::string &key, Millis timeout,
-                             const std::function<Request()> &prepare,
+Reply KeeperClient::callEach(Method<Request, Reply> method, const std::vector<KeeperPtr> &order,
+                             Millis timeout, const std::function<Request()> &prepare,
                              std::vector<std::string> &unanswered)
 {
     std::string failure = "no keeper is known";
     std::optional<Reply> passedOn;
-    for (const KeeperPtr &keeper : orderFor(key)) {
+    for (const KeeperPtr &keeper : order) {
         grpc::ClientContext context;
         context.set_deadline(std::chrono::system_clock::now() + timeout);
         Reply reply;
--- a/lib/Service/Settings.cpp
+++ b/lib/Service/Settings.cpp
@@ -72,30 +72,6 @@
     return (vowel ? "an " : "a ") + type;
 }
 
-std::string allowedText(const Json &rule)
-{
-    if (rule.contains("enum")) {
-        return "one of " + rule.at("enum").dump();
-    }
-    std::string text = typeText(rule);
-    if (rule.contains("minimum")) {
-        text += " from " + rule.at("minimum").dump();
-    }
-    if (rule.contains("maximum")) {
-        text += " to " + rule.at("maximum").dump();
-    }
-    if (rule.contains("minLength")) {
-        text += fmt::format(" of {} characters or more", rule.at("minLength").dump());
-    }
-    if (rule.contains("minItems")) {
-        text += fmt::format(" of {} items or more", rule.at("minItems").dump());
-    }
-    if (rule.contains("pattern")) {
-        text += " that matches " + rule.at("pattern").get<std::string>();
-    }
-    return text;
-}
-
 std::vector<std::string> keysOf(const Json &object)
 {
     std::vector<std::string> keys;
@@ -145,7 +121,7 @@
                        allowedText(*place.rule));
 }
 
-void checkBySchema(const std::string &path, const Json &settings, const Json &schemaJson)
+void checkBySchema(const std::string &where, const Json &settings, const Json &schemaJson)
 {
     valijson::Schema schema;
     valijson::SchemaParser parser;
@@ -161,12 +137,38 @@
     valijson::ValidationResults::Error error;
     results.popError(error);
     const Place place = placeOf(error.context, settings, schemaJson);
-    throw SettingsError(
-            fmt::format("settings file '{}': {}", path, faultText(place, error.description)));
+    throw SettingsError(fmt::format("{}: {}", where, faultText(place, error.description)));
 }
 
 } // namespace
 
+std::string allowedText(const nlohmann::json &rule)
+{
+    if (rule.contains("enum")) {
+        return "one of " + rule.at("enum").dump();
+    }
+    std::string text = typeText(rule);
+    if (rule.contains("minimum")) {
+        text += " from " + rule.at("minimum").dump();
+    }
+    if (rule.contains("exclusiveMinimum")) {
+        text += " above " + rule.at("exclusiveMinimum").dump();
+    }
+    if (rule.contains("maximum")) {
+        text += " to " + rule.at("maximum").dump();
+    }
+    if (rule.contains("minLength")) {
+        text += fmt::format(" of {} characters or more", rule.at("minLength").dump());
+    }
+    if (rule.contains("minItems")) {
+        text += fmt::format(" of {} items or more", rule.at("minItems").dump());
+    }
+    if (rule.contains("pattern")) {
+        text += " that matches " + rule.at("pattern").get<std::string>();
+    }
+    return text;
+}
+
 nlohmann::json loadSettings(const std::string &path, const nlohmann::json &schema)
 {
     std::ifstream file(path);
@@ -183,8 +185,14 @@
     if (!settings.is_object()) {
         throw SettingsError(fmt::format("settings file '{}' is not a JSON object", path));
     }
+    return checkSettings(std::move(settings), schema, fmt::format("settings file '{}'", path));
+}
+
+nlohmann::json checkSettings(nlohmann::json settings, const nlohmann::json &schema,
+                             const std::string &where)
+{
     fillDefaults(settings, schema);
-    checkBySchema(path, settings, schema);
+    checkBySchema(where, settings, schema);
     return settings;
 }
 
