--- a/include/sequoiagate/Router/ResumeToken.h
+++ b/include/sequoiagate/Router/ResumeToken.h
@@ -23,6 +23,7 @@
     std::string endpointAddress;
     std::string engineStream;
     ReservationId reservation;
+    Incarnation keeper;    ///< that holds the reservation
     std::string router;    ///< address of the router that last read the stream
     uint64_t position = 0; ///< of the last chunk the caller has
     uint64_t promptTokens = 0;
--- a/lib/Router/ChatDriver.cpp
+++ b/lib/Router/ChatDriver.cpp
@@ -82,6 +82,7 @@
     endpoint_ = point.endpoint;
     endpointAddress_ = point.endpointAddress;
     reservation_.set_id(point.reservation.text());
+    reservation_.set_keeper(point.keeper.text());
     reservation_.set_tokens(point.promptTokens + point.outputCeiling);
     sequencer_ = ChunkSequencer(point.engineStream, 0);
     conclude(&ChatDriver::takeUpSteps);
@@ -346,6 +347,7 @@
     source.endpointAddress = endpointAddress_;
     source.engineStream = streamId;
     source.reservation = ReservationId(reservation_.id());
+    source.keeper = Incarnation(reservation_.keeper());
     source.promptTokens = order_.promptBound;
     source.outputCeiling = order_.outputCeiling;
     source.router = context_.address;
--- a/lib/Router/ResumeToken.cpp
+++ b/lib/Router/ResumeToken.cpp
@@ -22,8 +22,8 @@
 {
     return nlohmann::json::array({point.workspace.text(), point.request.text(), point.model.text(),
                                   point.endpoint.text(), point.endpointAddress, point.engineStream,
-                                  point.reservation.text(), point.router, point.promptTokens,
-                                  point.outputCeiling});
+                                  point.reservation.text(), point.keeper.text(), point.router,
+                                  point.promptTokens, point.outputCeiling});
 }
 
 ResumePoint pointOf(const nlohmann::json &fields)
@@ -36,9 +36,10 @@
     point.endpointAddress = fields.at(4).get<std::string>();
     point.engineStream = fields.at(5).get<std::string>();
     point.reservation = ReservationId(fields.at(6).get<std::string>());
-    point.router = fields.at(7).get<std::string>();
-    point.promptTokens = fields.at(8).get<uint64_t>();
-    point.outputCeiling = fields.at(9).get<uint64_t>();
+    point.keeper = Incarnation(fields.at(7).get<std::string>());
+    point.router = fields.at(8).get<std::string>();
+    point.promptTokens = fields.at(9).get<uint64_t>();
+    point.outputCeiling = fields.at(10).get<uint64_t>();
     return point;
 }
 
