[Test] Follow a request, its bill and a drain through the operators' programs

Cause: sequoia-timeline, invoice and drain had been tested without processes. Change: one request's time line over the logs of three processes, its invoice and budget, and a drain by the host's name that ends the keeper with nothing stranded.

--- a/test/Operate/SequoiactlTest.cpp
+++ b/test/Operate/SequoiactlTest.cpp
@@ -1,5 +1,6 @@
 /// sequoiactl as operators run it, against real processes.
 
+#include <fstream>
 #include <future>
 
 #include <fmt/format.h>
@@ -171,6 +172,31 @@
 INSTANTIATE_TEST_SUITE_P(Sheets, SheetRefused, testing::ValuesIn(BadSheets),
                          [](const auto &row) { return std::string(row.param.name); });
 
+TEST(Invoice, ShowsWhatARequestCost)
+{
+    Operated operated(shapeOf({{"a1", "a"}}, true));
+    ChatCall call = operated.fleet().chatCall(0, "fretwise", "r1");
+    call.maxTokens = 8;
+    ASSERT_EQ(operated.fleet().caller().chat(call).status, 200);
+    operated.fleet().waitBilled("fretwise", {"r1"});
+    const Json invoice = operated.ask({"invoice", "fretwise"}).at("invoices").at(0);
+    EXPECT_EQ(invoice.at("requests"), 1) << invoice;
+    EXPECT_GT(invoice.at("billed_tokens"), 0) << invoice;
+    const Json budget = operated.ask({"budget", "fretwise"}).at("budgets").at(0);
+    EXPECT_EQ(budget.at("billed_tokens"), invoice.at("billed_tokens"));
+}
+
+// The drain is asked for by the host's name alone. The keeper ends by itself, and
+// what it held of the budget is back: nothing is stranded.
+TEST(Drain, EndsTheKeeperAndReturnsItsGrants)
+{
+    Operated operated(shapeOf({{"a1", "a"}, {"a2", "a"}}));
+    operated.ask({"drain", "a2"});
+    EXPECT_EQ(operated.fleet().keeper(1).wait(), 0);
+    const Process::Line stopped = operated.fleet().keeper(1).waitFor("process.stopped");
+    EXPECT_EQ(stopped.value("stranded_tokens", uint64_t{1}), 0U) << stopped;
+}
+
 // A host dies. Operators must see that it isn't heard, by name, next to those that
 // are, and not an error instead of a status.
 TEST(Status, NamesTheHostThatIsNotHeard)
@@ -223,4 +249,31 @@
     EXPECT_TRUE(statusBecomes(401));
 }
 
+/// One request's time line over the logs of router, keeper, endpoint and log service.
+TEST(Timeline, ShowsOneRequestAcrossProcesses)
+{
+    Operated operated(shapeOf({{"a1", "a"}}, true));
+    Fleet &fleet = operated.fleet();
+    for (const char *request : {"r1", "r2"}) {
+        ASSERT_EQ(fleet.caller().chat(fleet.chatCall(0, "fretwise", request)).status, 200);
+    }
+    fleet.waitBilled("fretwise", {"r1", "r2"});
+    const std::string trace = fleet.scratch().path("trace.json");
+    std::vector<std::string> arguments = {fleet.standins().logPath(), fleet.router(0).logPath(),
+                                          fleet.keeper(0).logPath(), "--request", "r1"};
+    const ProgramResult text = runProgram(fleet.scratch(), "sequoia-timeline", arguments);
+    ASSERT_EQ(text.exitCode, 0) << text.err;
+    std::size_t at = 0;
+    for (const char *event : {"request.received", "request.reserved", "request.sent",
+                              "endpoint.received", "endpoint.ran", "request.answered"}) {
+        at = text.out.find(event, at);
+        ASSERT_NE(at, std::string::npos) << event << " is missing or out of order:\n" << text.out;
+    }
+    EXPECT_EQ(text.out.find("request=r2"), std::string::npos) << text.out;
+    arguments.insert(arguments.end(), {"--trace", trace});
+    EXPECT_EQ(runProgram(fleet.scratch(), "sequoia-timeline", arguments).exitCode, 0);
+    std::ifstream file(trace);
+    EXPECT_FALSE(Json::parse(file, nullptr, false).at("traceEvents").empty());
+}
+
 } // namespace
