[Service] Keep the hybrid clock's stamps sortable and bounded

Cause: while a peer's clock is ahead the counter alone rises; at a million it grew by a digit and its stamps sorted before their causes. And one host with a broken clock would drag all others into its future, for good. Ruled out: bounding the lead to seconds, since hosts' clocks are not trusted.

--- a/include/sequoiagate/Service/EventLog.h
+++ b/include/sequoiagate/Service/EventLog.h
@@ -29,8 +29,8 @@
 public:
     /// The stamp of a new local event, as text of fixed width. Thread safe.
     std::string tick();
-    /// Moves the clock past a stamp that came with a message; a malformed one is
-    /// ignored. Thread safe.
+    /// Moves the clock past a stamp that came with a message; a malformed one, or one
+    /// more than a day ahead of this host, is ignored. Thread safe.
     void observe(std::string_view stamp);
 
 private:
--- a/lib/Service/EventLog.cpp
+++ b/lib/Service/EventLog.cpp
@@ -10,6 +10,10 @@
 
 constexpr std::size_t WallDigits = 17;
 constexpr std::size_t CounterDigits = 6;
+constexpr uint32_t MaximumCounter = 999'999;
+
+/// How far ahead a peer's stamp may be to be believed: a day.
+constexpr int64_t MaximumLeadMicros = 24 * int64_t{3600} * 1'000'000;
 
 std::string stampText(int64_t wallMicros, uint32_t counter)
 {
@@ -31,8 +35,13 @@
     if (wall > wallMicros_) {
         wallMicros_ = wall;
         counter_ = 0;
-    } else {
+    } else if (counter_ < MaximumCounter) {
         ++counter_;
+    } else {
+        // While a peer's clock is ahead the counter alone moves on. One digit more
+        // would make the stamp longer, and it would sort before its causes.
+        ++wallMicros_;
+        counter_ = 0;
     }
     return stampText(wallMicros_, counter_);
 }
@@ -50,6 +59,12 @@
     if (first.ec != std::errc() || second.ec != std::errc()) {
         return;
     }
+    // One host with a broken clock would otherwise drag all others into its future,
+    // for good, and the time line's times would mean nothing to people. Past this its
+    // own events sort wrongly, which shows where the fault is.
+    if (wall > wallMicrosNow() + MaximumLeadMicros) {
+        return;
+    }
     std::lock_guard lock(mutex_);
     const bool ahead = wall > wallMicros_ || (wall == wallMicros_ && counter > counter_);
     if (ahead) {
--- a/unittests/Transport/SecurityTest.cpp
+++ b/unittests/Transport/SecurityTest.cpp
@@ -331,7 +331,10 @@
 {
     LogFile ahead("ClockAhead.log");
     LogFile behind("ClockBehind.log");
-    ahead.log().clock().observe("99999999999999999.000007");
+    const auto inAnHour = std::chrono::system_clock::now() + std::chrono::hours(1);
+    const auto wall =
+            std::chrono::duration_cast<std::chrono::microseconds>(inAnHour.time_since_epoch());
+    ahead.log().clock().observe(fmt::format("{:017}.000007", wall.count()));
     Security client(nlohmann::json::object(), ahead.log());
     Security serverSide(nlohmann::json::object(), behind.log());
     Server server(serverSide);
