[Keeper] Close a reservation that another keeper settled, and spare quiet routers

Cause, found by reading the router beside the keeper: routers settle with the workspace's home, and the home moves when a keeper drains or is suspected. The old home never heard of the end: its tokens stayed set aside, and its planned stop waited for a request that had long ended. And a router that serves one long stream has no reason to call the keeper: after router_silent_ms the keeper took it for dead and cancelled its stream. Ruled out: asking routers for a heartbeat a reservation, which costs messages for what one look at the address tells.

Change: a settle for a foreign reservation is handed to the keeper whose grants it draws on; a bill that draws on an open reservation's grants ends it. Before a stream is cancelled the router's address is asked: an answer spares it, a refusal shows that it is gone; otherwise all that was set aside counts as spent.

--- a/include/sequoiagate/Keeper/KeeperCore.h
+++ b/include/sequoiagate/Keeper/KeeperCore.h
@@ -49,7 +49,9 @@
     ReservationId reservation;
     RequestKey key;
     std::string routerAddress;
-    std::string endpointAddress; ///< empty: the router never said
+    bool routerGaveUp = false;     ///< the router itself asks
+    bool routerSuperseded = false; ///< another process serves at its address
+    std::string endpointAddress;   ///< empty: the router never said
     std::string engineStream;
     std::vector<std::string> candidates; ///< where to look when the router never said
 };
@@ -60,8 +62,17 @@
     std::optional<uint64_t> generated;
     /// All candidates were asked, and none knows the request.
     bool unknownEverywhere = false;
-    /// The router's address refuses connections: its process is gone, not paused.
+    /// The router's process is gone, not paused.
     bool routerGone = false;
+    /// The router answers at its address: the stream was left alone.
+    bool routerAlive = false;
+};
+
+/// A settle that reached a keeper that doesn't hold the reservation, for the one that does.
+struct SettleForward
+{
+    wire::MemberEntry keeper;
+    wire::SettleRequest request;
 };
 
 /// One log stream with its fold's place.
@@ -85,7 +96,9 @@
                                      Instant now);
     /// Ends a reservation whose router didn't get the answer. Nothing was sent under it.
     void releaseUnheard(const ReservationId &id, Instant now);
-    wire::SettleReply settle(const wire::SettleRequest &request, Instant now, WallTime wall);
+    /// \param byRouter not handed on by another keeper
+    wire::SettleReply settle(const wire::SettleRequest &request, bool byRouter, Instant now,
+                             WallTime wall);
     /// Repeat under the same attempt until it gives an answer.
     Step<wire::ClaimRunReply> claimRun(const wire::ClaimRunRequest &request, Instant now,
                                        WallTime wall);
@@ -138,7 +151,8 @@
     AppendQueue &queue(std::size_t stream);
     /// nullopt: nothing to ask.
     std::optional<AskWindowAction> takeWindowAsk();
-    std::optional<StreamInquiry> takeInquiry();
+    std::optional<StreamInquiry> takeInquiry(Instant now);
+    std::optional<SettleForward> takeForward();
     std::vector<Event> takeEvents();
     /// Rises when somebody who was told AskAgain should ask again.
     uint64_t progress() const { return progress_; }
@@ -212,6 +226,9 @@
     void endReservation(OpenReservation &reservation, wire::Bill bill, uint64_t spent, Instant now);
     void holdBill(const RequestKey &key, wire::Bill bill, const std::string &bodyHash, Instant now);
     void inquire(OpenReservation &reservation);
+    void closeBilledElsewhere(const RequestKey &key, const wire::Bill &bill, Instant now);
+    void forwardSettle(const wire::SettleRequest &request);
+    bool inquiryNeeded(const StreamInquiry &inquiry, Instant now);
 
     std::optional<wire::ClaimRunReply> refuseKey(const wire::RunClaim &claim, Instant now,
                                                  WallTime wall) const;
@@ -258,9 +275,11 @@
     std::unordered_map<AttemptId, PendingClaim> claims_;
     std::unordered_map<AttemptId, OutcomeOnWay> outcomes_;
     std::unordered_map<Incarnation, Instant> routerSilentAt_;
+    std::unordered_map<std::string, Incarnation> routerAt_; ///< latest heard at an address
 
     std::deque<AskWindowAction> windowAsks_;
     std::deque<StreamInquiry> inquiries_;
+    std::deque<SettleForward> forwards_;
     std::vector<Event> events_;
     bool pollsEnded_ = false;
     uint64_t progress_ = 1;
--- a/lib/Keeper/Endpoints.cpp
+++ b/lib/Keeper/Endpoints.cpp
@@ -1,6 +1,6 @@
 #include "Endpoints.h"
 
-#include <thread>
+#include <algorithm>
 
 #include <fmt/format.h>
 #include <httplib.h>
@@ -25,10 +25,10 @@
 // ---- load reports ----
 
 EndpointProber::EndpointProber(Keeper &keeper, Interval period)
-    : keeper_(keeper), period_(period), worker_([this] { step(); })
+    : keeper_(keeper), period_(period), worker_([this] { return step(); })
 {}
 
-void EndpointProber::step()
+Interval EndpointProber::step()
 {
     const Instant nextAt = std::chrono::steady_clock::now() + period_;
     const auto homed = keeper_.run([](KeeperCore &core, Instant, WallTime) {
@@ -43,7 +43,7 @@
     for (const wire::EndpointChange &endpoint : homed) {
         probe(endpoint);
     }
-    std::this_thread::sleep_until(nextAt);
+    return std::max(Interval::zero(), nextAt - std::chrono::steady_clock::now());
 }
 
 void EndpointProber::probe(const wire::EndpointChange &endpoint)
@@ -77,7 +77,8 @@
 
 // ---- streams of routers that are gone ----
 
-StreamInquirer::StreamInquirer(Keeper &keeper) : keeper_(keeper), worker_([this] { step(); }) {}
+StreamInquirer::StreamInquirer(Keeper &keeper) : keeper_(keeper), worker_([this] { return step(); })
+{}
 
 /// What an engine says of a stream after it was cancelled.
 static std::optional<uint64_t> cancelStream(const std::string &address, const std::string &stream)
@@ -147,48 +148,73 @@
     return answer;
 }
 
-/// Whether the router's own address refuses connections. A paused process still accepts
-/// them, by its kernel; a host that is cut off answers nothing. Only a refusal says that
-/// the process is gone.
-static bool refusesConnections(const std::string &address)
+namespace {
+enum class RouterState {
+    Alive,
+    Gone,
+    Unknown,
+};
+} // namespace
+
+/// What the router's own address says. A paused process still accepts connections, by its
+/// kernel, and a host that is cut off answers nothing: only a refusal says that the process
+/// is gone. One that answers is well, and silent only because nothing made it call: its
+/// streams must be left alone.
+static RouterState stateOfRouter(const StreamInquiry &inquiry)
 {
-    if (address.empty()) {
-        return false;
+    if (inquiry.routerSuperseded) {
+        return RouterState::Gone;
+    }
+    if (inquiry.routerAddress.empty()) {
+        return RouterState::Unknown;
     }
-    httplib::Client client = connect(address, ProbeTimeout);
+    httplib::Client client = connect(inquiry.routerAddress, ProbeTimeout);
     const Instant before = std::chrono::steady_clock::now();
     const httplib::Result result = client.Get("/healthz");
+    if (result) {
+        return RouterState::Alive;
+    }
     const bool atOnce = std::chrono::steady_clock::now() - before < ProbeTimeout;
-    return !result && result.error() == httplib::Error::Connection && atOnce;
+    return result.error() == httplib::Error::Connection && atOnce ? RouterState::Gone
+                                                                  : RouterState::Unknown;
 }
 
-void StreamInquirer::step()
+static void askEngine(const StreamInquiry &inquiry, StreamAnswer &answer)
+{
+    if (!inquiry.endpointAddress.empty() && !inquiry.engineStream.empty()) {
+        answer.generated = cancelStream(inquiry.endpointAddress, inquiry.engineStream);
+        return;
+    }
+    const StreamAnswer found = searchEngines(inquiry);
+    answer.generated = found.generated;
+    answer.unknownEverywhere = found.unknownEverywhere;
+}
+
+Interval StreamInquirer::step()
 {
     uint64_t seen = 0;
     const std::optional<StreamInquiry> inquiry =
-            keeper_.run([&](KeeperCore &core, Instant, WallTime) {
+            keeper_.run([&](KeeperCore &core, Instant now, WallTime) {
                 seen = core.work();
-                return core.takeInquiry();
+                return core.takeInquiry(now);
             });
     if (!inquiry) {
         keeper_.waitForWork(seen, std::chrono::steady_clock::now() + LongestIdle);
-        return;
+        return Interval::zero();
     }
     StreamAnswer answer;
     // Asked before the engine: a router that dies in between is only thought paused, and
     // one that is gone can't send the request once more.
-    answer.routerGone = refusesConnections(inquiry->routerAddress);
-    const bool known = !inquiry->endpointAddress.empty() && !inquiry->engineStream.empty();
-    if (known) {
-        answer.generated = cancelStream(inquiry->endpointAddress, inquiry->engineStream);
-    } else {
-        const StreamAnswer found = searchEngines(*inquiry);
-        answer.generated = found.generated;
-        answer.unknownEverywhere = found.unknownEverywhere;
+    const RouterState router = stateOfRouter(*inquiry);
+    answer.routerGone = router == RouterState::Gone;
+    answer.routerAlive = router == RouterState::Alive && !inquiry->routerGaveUp;
+    if (!answer.routerAlive) {
+        askEngine(*inquiry, answer);
     }
     keeper_.run([&](KeeperCore &core, Instant now, WallTime wall) {
         core.onStreamAnswer(*inquiry, answer, now, wall);
     });
+    return Interval::zero();
 }
 
 } // namespace sequoiagate
--- a/lib/Keeper/Endpoints.h
+++ b/lib/Keeper/Endpoints.h
@@ -21,7 +21,7 @@
     EndpointProber(Keeper &keeper, Interval period);
 
 private:
-    void step();
+    Interval step();
     void probe(const wire::EndpointChange &endpoint);
 
     Keeper &keeper_;
@@ -37,7 +37,7 @@
     explicit StreamInquirer(Keeper &keeper);
 
 private:
-    void step();
+    Interval step();
 
     Keeper &keeper_;
     Worker worker_;
--- a/lib/Keeper/Gossip.cpp
+++ b/lib/Keeper/Gossip.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cerrno>
 #include <system_error>
-#include <thread>
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
@@ -89,7 +88,8 @@
                const wire::MemberEntry &self, const MembershipSettings &settings,
                std::vector<std::string> seeds)
     : keeper_(keeper), socket_(socket), filter_(filter), seeds_(std::move(seeds)),
-      membership_(self, settings, std::chrono::steady_clock::now()), worker_([this] { step(); })
+      membership_(self, settings, std::chrono::steady_clock::now()),
+      worker_([this] { return step(); })
 {
     addSeeds({});
 }
@@ -117,7 +117,7 @@
     flush();
 }
 
-void Gossip::step()
+Interval Gossip::step()
 {
     std::string data;
     const bool received = socket_.receive(data, ReceiveWait);
@@ -146,6 +146,7 @@
     if (!changes.empty()) {
         keeper_.run([&](KeeperCore &core, Instant at, WallTime) { core.onMembers(members, at); });
     }
+    return Interval::zero();
 }
 
 void Gossip::receive(const std::string &data, Instant now)
@@ -217,14 +218,12 @@
 // ---- host list ----
 
 HostListReader::HostListReader(Gossip &gossip, std::string address, Interval period)
-    : gossip_(gossip), address_(std::move(address)), period_(period), worker_([this] { step(); })
+    : gossip_(gossip), address_(std::move(address)), period_(period),
+      worker_([this] { return step(); })
 {}
 
-void HostListReader::step()
+Interval HostListReader::step()
 {
-    constexpr Millis Slice{200};
-    const Instant nextAt =
-            std::chrono::steady_clock::now() + std::min<Interval>(period_, Seconds(2));
     if (!address_.empty()) {
         httplib::Client client("http://" + address_);
         client.set_connection_timeout(HostListTimeout);
@@ -242,7 +241,7 @@
         std::erase(addresses, "");
         gossip_.addSeeds(addresses);
     }
-    std::this_thread::sleep_until(std::max(nextAt, std::chrono::steady_clock::now() + Slice));
+    return period_;
 }
 
 } // namespace sequoiagate
--- a/lib/Keeper/Gossip.h
+++ b/lib/Keeper/Gossip.h
@@ -54,7 +54,7 @@
     void leave();
 
 private:
-    void step();
+    Interval step();
     void receive(const std::string &data, Instant now);
     void flush();
     void addExtras(wire::GossipMessage &message);
@@ -80,7 +80,7 @@
     HostListReader(Gossip &gossip, std::string address, Interval period);
 
 private:
-    void step();
+    Interval step();
 
     Gossip &gossip_;
     std::string address_;
--- a/lib/Keeper/KeeperCore.cpp
+++ b/lib/Keeper/KeeperCore.cpp
@@ -145,6 +145,7 @@
         const RequestKey key{WorkspaceId(record.bill().workspace()),
                              RequestId(record.bill().request())};
         bills_.markDurable(key, offset + 1, now + RememberFor);
+        closeBilledElsewhere(key, record.bill(), now);
     }
     if (record.has_checkpoint() && record.checkpoint().has_ledger()) {
         noteCheckpoint(shard.place, record.checkpoint().ledger().offset(), now);
--- a/lib/Keeper/KeeperCoreRequests.cpp
+++ b/lib/Keeper/KeeperCoreRequests.cpp
@@ -117,6 +117,7 @@
                                              const ReservationId &id, Instant now)
 {
     heardRouter(request.router(), now);
+    routerAt_[request.router_address()] = Incarnation(request.router());
     const RequestKey key{WorkspaceId(request.workspace()), RequestId(request.request())};
     if (std::optional<wire::ReserveReply> refused = refuseEarly(request, now)) {
         return *refused;
@@ -219,7 +220,8 @@
     }
 }
 
-wire::SettleReply KeeperCore::settle(const wire::SettleRequest &request, Instant now, WallTime wall)
+wire::SettleReply KeeperCore::settle(const wire::SettleRequest &request, bool byRouter, Instant now,
+                                     WallTime wall)
 {
     wall_ = wall;
     heardRouter(request.router(), now);
@@ -243,6 +245,9 @@
     // bill was served for nothing. The fold takes the first of several.
     const RequestKey key{WorkspaceId(request.bill().workspace()),
                          RequestId(request.bill().request())};
+    if (byRouter) {
+        forwardSettle(request);
+    }
     if (saysNotRun(request) || key.request.empty()) {
         return settled(NothingToWaitFor);
     }
@@ -329,6 +334,29 @@
     ++progress_;
 }
 
+/// A bill that draws on an open reservation's own grants ends it, whoever appended it: the
+/// router settled with another keeper, and a forward may have been lost. A bill of the same
+/// request that draws on others' grants is of a second run, cut off from this one, which
+/// goes on.
+void KeeperCore::closeBilledElsewhere(const RequestKey &key, const wire::Bill &bill, Instant now)
+{
+    OpenReservation *open = reservations_.find(key);
+    if (open == nullptr || bill.draws().empty()) {
+        return;
+    }
+    for (const wire::GrantDraw &draw : bill.draws()) {
+        const bool own = std::any_of(open->draws.begin(), open->draws.end(), [&](const Draw &had) {
+            return had.grant.text() == draw.grant();
+        });
+        if (!own) {
+            return;
+        }
+    }
+    const uint64_t billed = bill.prompt_tokens() + bill.completion_tokens();
+    const uint64_t spent = bill.in_doubt() ? open->tokens : std::min(billed, open->tokens);
+    endReservation(*open, wire::Bill(), spent, now);
+}
+
 void KeeperCore::holdBill(const RequestKey &key, wire::Bill bill, const std::string &bodyHash,
                           Instant now)
 {
@@ -377,6 +405,9 @@
     inquiry.reservation = reservation.id;
     inquiry.key = reservation.key;
     inquiry.routerAddress = reservation.routerAddress;
+    inquiry.routerGaveUp = reservation.routerGaveUp;
+    const auto serving = routerAt_.find(reservation.routerAddress);
+    inquiry.routerSuperseded = serving != routerAt_.end() && serving->second != reservation.router;
     inquiry.endpointAddress = reservation.endpointAddress;
     inquiry.engineStream = reservation.engineStream;
     for (const wire::EndpointChange &endpoint : config_.state().endpoints()) {
@@ -392,13 +423,60 @@
     ++work_;
 }
 
-std::optional<StreamInquiry> KeeperCore::takeInquiry()
+bool KeeperCore::inquiryNeeded(const StreamInquiry &inquiry, Instant now)
+{
+    OpenReservation *open = reservations_.find(inquiry.reservation);
+    if (open == nullptr) {
+        return false;
+    }
+    const bool heardAgain = routerSilentAt_[open->router] > now;
+    if (heardAgain && !inquiry.routerGaveUp) {
+        open->inquiryOpen = false;
+        return false;
+    }
+    return true;
+}
+
+std::optional<StreamInquiry> KeeperCore::takeInquiry(Instant now)
+{
+    while (!inquiries_.empty()) {
+        StreamInquiry next = std::move(inquiries_.front());
+        inquiries_.pop_front();
+        if (inquiryNeeded(next, now)) {
+            return next;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Hands a settle to the keeper that holds the reservation: the one whose grants it draws
+/// on. Routers settle with the workspace's home, which moves when a keeper drains or is
+/// suspected. Without this the old home would keep the tokens set aside, and its planned
+/// stop would wait in vain for a request that has long ended. A forward that is lost costs
+/// no more than that; the router repeats its settle until the bill is on the log.
+void KeeperCore::forwardSettle(const wire::SettleRequest &request)
 {
-    if (inquiries_.empty()) {
+    const LedgerFold &fold = shardOf(WorkspaceId(request.bill().workspace())).fold;
+    for (const wire::GrantDraw &draw : request.bill().draws()) {
+        const LedgerGrant *grant = fold.grant(GrantId(draw.grant()));
+        const wire::MemberEntry *holder =
+                grant != nullptr && grant->holder != self_ ? view_.member(grant->holder) : nullptr;
+        const bool live = holder != nullptr && !view_.suspected(grant->holder, Instant());
+        if (live) {
+            forwards_.push_back({*holder, request});
+            ++work_;
+            return;
+        }
+    }
+}
+
+std::optional<SettleForward> KeeperCore::takeForward()
+{
+    if (forwards_.empty()) {
         return std::nullopt;
     }
-    StreamInquiry next = std::move(inquiries_.front());
-    inquiries_.pop_front();
+    SettleForward next = std::move(forwards_.front());
+    forwards_.pop_front();
     return next;
 }
 
@@ -411,6 +489,10 @@
         return;
     }
     open->inquiryOpen = false;
+    if (answer.routerAlive) {
+        heardRouter(open->router.text(), now);
+        return;
+    }
     const bool heardAgain = routerSilentAt_[open->router] > now;
     if (heardAgain && !open->routerGaveUp) {
         return;
--- a/lib/Keeper/KeeperProcess.cpp
+++ b/lib/Keeper/KeeperProcess.cpp
@@ -75,8 +75,9 @@
 struct Drivers
 {
     Drivers(Keeper &keeper, LogService &log, Peers &peers, const KeeperSettings &settings)
-        : windows(keeper, peers), configs(keeper, peers, settings.configPeerPeriod),
-          prober(keeper, settings.endpointProbe), inquirer(keeper)
+        : windows(keeper, peers), settles(keeper, peers),
+          configs(keeper, peers, settings.configPeerPeriod), prober(keeper, settings.endpointProbe),
+          inquirer(keeper)
     {
         const std::size_t streams =
                 keeper.run([](KeeperCore &core, Instant, WallTime) { return core.streamCount(); });
@@ -89,6 +90,7 @@
     std::vector<std::unique_ptr<LogTail>> tails;
     std::vector<std::unique_ptr<LogWriter>> writers;
     WindowClient windows;
+    SettleForwarder settles;
     ConfigClient configs;
     EndpointProber prober;
     StreamInquirer inquirer;
@@ -149,11 +151,11 @@
     Drivers drivers(keeper, log, peers, settings);
     Worker timer([&] {
         keeper.run([](KeeperCore &core, Instant now, WallTime wall) { core.onTick(now, wall); });
-        std::this_thread::sleep_for(settings.tick);
+        return settings.tick;
     });
     Worker filterReader([&] {
         filter.reload();
-        std::this_thread::sleep_for(PollPeriod);
+        return Interval(PollPeriod);
     });
     context.log.write(Event(events::ProcessStarted)
                               .with("address", listening.address)
--- a/lib/Keeper/KeeperServer.cpp
+++ b/lib/Keeper/KeeperServer.cpp
@@ -74,8 +74,9 @@
     if (grpc::Status status = admit(*context); !status.ok()) {
         return status;
     }
+    const bool byRouter = context->client_metadata().count(SenderKey) == 0;
     *reply = keeper_.load()->run([&](KeeperCore &core, Instant now, WallTime wall) {
-        return core.settle(*request, now, wall);
+        return core.settle(*request, byRouter, now, wall);
     });
     return grpc::Status::OK;
 }
--- a/lib/Keeper/LogDrivers.cpp
+++ b/lib/Keeper/LogDrivers.cpp
@@ -1,7 +1,5 @@
 #include "LogDrivers.h"
 
-#include <thread>
-
 namespace sequoiagate {
 
 static constexpr std::size_t ReadLimit = 1000;
@@ -18,19 +16,19 @@
 LogTail::LogTail(Keeper &keeper, LogService &log, std::size_t stream,
                  const KeeperSettings &settings)
     : keeper_(keeper), log_(log), stream_(stream), name_(nameOf(keeper, stream)),
-      settings_(settings), worker_([this] { step(); })
+      settings_(settings), worker_([this] { return step(); })
 {}
 
-void LogTail::step()
+Interval LogTail::step()
 {
     try {
-        readOn();
+        return readOn();
     } catch (const LogError &) {
-        std::this_thread::sleep_for(RetryAfter);
+        return RetryAfter;
     }
 }
 
-void LogTail::readOn()
+Interval LogTail::readOn()
 {
     // The first read must not wait for news: until it is back nothing is known of the
     // stream, and everybody who asks is turned away.
@@ -46,7 +44,7 @@
         core.onSlice(stream_, slice, now, wall);
     });
     if (slice.oldest <= from) {
-        return;
+        return Interval::zero();
     }
     keeper_.log().write(
             Event("log.gap").with("stream", name_).with("from", from).with("oldest", slice.oldest));
@@ -54,9 +52,9 @@
         keeper_.run([&](KeeperCore &core, Instant now, WallTime) {
             core.onCheckpoint(stream_, *checkpoint, now);
         });
-        return;
+        return Interval::zero();
     }
-    std::this_thread::sleep_for(RetryAfter);
+    return RetryAfter;
 }
 
 std::optional<wire::Checkpoint> LogTail::newestCheckpoint(LogOffset oldest)
@@ -92,10 +90,10 @@
 LogWriter::LogWriter(Keeper &keeper, LogService &log, std::size_t stream,
                      const KeeperSettings &settings)
     : keeper_(keeper), log_(log), stream_(stream), name_(nameOf(keeper, stream)),
-      appendTimeout_(settings.appendTimeout), worker_([this] { step(); })
+      appendTimeout_(settings.appendTimeout), worker_([this] { return step(); })
 {}
 
-void LogWriter::step()
+Interval LogWriter::step()
 {
     std::vector<std::string> batch;
     uint64_t seen = 0;
@@ -108,7 +106,7 @@
     const Instant now = std::chrono::steady_clock::now();
     if (batch.empty()) {
         keeper_.waitForWork(seen, std::min(due, now + LongestIdle));
-        return;
+        return Interval::zero();
     }
     try {
         log_.append(name_, batch, now + appendTimeout_);
@@ -123,6 +121,7 @@
             core.queue(stream_).onFailed(failedAt);
         });
     }
+    return Interval::zero();
 }
 
 } // namespace sequoiagate
--- a/lib/Keeper/LogDrivers.h
+++ b/lib/Keeper/LogDrivers.h
@@ -21,8 +21,9 @@
     LogTail(Keeper &keeper, LogService &log, std::size_t stream, const KeeperSettings &settings);
 
 private:
-    void step();
-    void readOn();
+    Interval step();
+    /// \returns how long to pause before the next read.
+    Interval readOn();
     /// Looks through all records that the log keeps for the newest checkpoint that can be
     /// folded on from.
     std::optional<wire::Checkpoint> newestCheckpoint(LogOffset oldest);
@@ -43,7 +44,7 @@
     LogWriter(Keeper &keeper, LogService &log, std::size_t stream, const KeeperSettings &settings);
 
 private:
-    void step();
+    Interval step();
 
     Keeper &keeper_;
     LogService &log_;
--- a/lib/Keeper/Peers.cpp
+++ b/lib/Keeper/Peers.cpp
@@ -1,7 +1,5 @@
 #include "Peers.h"
 
-#include <thread>
-
 namespace sequoiagate {
 
 static constexpr std::size_t WindowThreads = 3;
@@ -58,16 +56,23 @@
             &wire::KeeperService::Stub::ReadConfig, peer, request, deadline);
 }
 
+std::optional<wire::SettleReply> Peers::settle(const wire::MemberEntry &peer,
+                                               const wire::SettleRequest &request, Instant deadline)
+{
+    return call<wire::SettleRequest, wire::SettleReply>(&wire::KeeperService::Stub::Settle, peer,
+                                                        request, deadline);
+}
+
 // ---- windows ----
 
 WindowClient::WindowClient(Keeper &keeper, Peers &peers) : keeper_(keeper), peers_(peers)
 {
     for (std::size_t count = 0; count < WindowThreads; ++count) {
-        workers_.push_back(std::make_unique<Worker>([this] { step(); }));
+        workers_.push_back(std::make_unique<Worker>([this] { return step(); }));
     }
 }
 
-void WindowClient::step()
+Interval WindowClient::step()
 {
     std::optional<wire::MemberEntry> witness;
     uint64_t seen = 0;
@@ -84,11 +89,11 @@
     const Instant now = std::chrono::steady_clock::now();
     if (!ask) {
         keeper_.waitForWork(seen, now + LongestIdle);
-        return;
+        return Interval::zero();
     }
     // An ask that can't be made is dropped: the holder asks again by its own timer.
     if (!witness) {
-        return;
+        return Interval::zero();
     }
     wire::SignWindowRequest request;
     request.set_grant(ask->grant.text());
@@ -99,7 +104,7 @@
     request.set_given_up_tokens(ask->givenUpTokens);
     const auto reply = peers_.signWindow(*witness, request, now + CallTimeout);
     if (!reply) {
-        return;
+        return Interval::zero();
     }
     keeper_.run([&](KeeperCore &core, Instant answeredAt, WallTime) {
         if (reply->has_signed_total()) {
@@ -108,15 +113,39 @@
             core.onWindowRefused(*ask, reply->refused().retry_after_ms() == 0, answeredAt);
         }
     });
+    return Interval::zero();
+}
+
+// ---- settles ----
+
+SettleForwarder::SettleForwarder(Keeper &keeper, Peers &peers)
+    : keeper_(keeper), peers_(peers), worker_([this] { return step(); })
+{}
+
+Interval SettleForwarder::step()
+{
+    uint64_t seen = 0;
+    const std::optional<SettleForward> forward =
+            keeper_.run([&](KeeperCore &core, Instant, WallTime) {
+                seen = core.work();
+                return core.takeForward();
+            });
+    const Instant now = std::chrono::steady_clock::now();
+    if (!forward) {
+        keeper_.waitForWork(seen, now + LongestIdle);
+        return Interval::zero();
+    }
+    peers_.settle(forward->keeper, forward->request, now + CallTimeout);
+    return Interval::zero();
 }
 
 // ---- configuration ----
 
 ConfigClient::ConfigClient(Keeper &keeper, Peers &peers, Interval period)
-    : keeper_(keeper), peers_(peers), period_(period), worker_([this] { step(); })
+    : keeper_(keeper), peers_(peers), period_(period), worker_([this] { return step(); })
 {}
 
-void ConfigClient::step()
+Interval ConfigClient::step()
 {
     std::vector<wire::MemberEntry> others;
     wire::ReadConfigRequest request;
@@ -142,7 +171,7 @@
             });
         }
     }
-    std::this_thread::sleep_for(period_);
+    return period_;
 }
 
 } // namespace sequoiagate
--- a/lib/Keeper/Peers.h
+++ b/lib/Keeper/Peers.h
@@ -39,6 +39,9 @@
                                                     const wire::ReadConfigRequest &request,
                                                     Instant deadline);
 
+    std::optional<wire::SettleReply> settle(const wire::MemberEntry &peer,
+                                            const wire::SettleRequest &request, Instant deadline);
+
 private:
     template <typename Request, typename Reply>
     using Method = grpc::Status (wire::KeeperService::Stub::*)(grpc::ClientContext *,
@@ -65,13 +68,28 @@
     WindowClient(Keeper &keeper, Peers &peers);
 
 private:
-    void step();
+    Interval step();
 
     Keeper &keeper_;
     Peers &peers_;
     std::vector<std::unique_ptr<Worker>> workers_;
 };
 
+/// Hands settles on to the keepers that hold their reservations.
+class SettleForwarder
+{
+public:
+    /// \pre both outlive this.
+    SettleForwarder(Keeper &keeper, Peers &peers);
+
+private:
+    Interval step();
+
+    Keeper &keeper_;
+    Peers &peers_;
+    Worker worker_;
+};
+
 /// While the log is away, asks peers for newer configuration, one after the other.
 class ConfigClient
 {
@@ -80,7 +98,7 @@
     ConfigClient(Keeper &keeper, Peers &peers, Interval period);
 
 private:
-    void step();
+    Interval step();
 
     Keeper &keeper_;
     Peers &peers_;
--- a/unittests/Keeper/AppendQueueTest.cpp
+++ b/unittests/Keeper/AppendQueueTest.cpp
@@ -97,12 +97,18 @@
         }
         queue.dropFolded([&](uint64_t sequence) { return fold.folded(sequence); });
     }
-    while (!queue.empty()) {
+    constexpr int RoundsToSettle = 20;
+    for (int round = 0; round < RoundsToSettle; ++round) {
         now += Millis(300);
-        fold.append(queue.takeBatch(now));
+        const std::vector<std::string> batch = queue.takeBatch(now);
+        if (batch.empty()) {
+            break;
+        }
+        fold.append(batch);
         queue.onAcknowledged();
         queue.dropFolded([&](uint64_t sequence) { return fold.folded(sequence); });
     }
+    RC_ASSERT(queue.empty());
     RC_ASSERT(fold.accepted().size() == pushed);
 }
 
