--- a/lib/Keeper/KeeperCoreRuns.cpp
+++ b/lib/Keeper/KeeperCoreRuns.cpp
@@ -101,6 +101,10 @@
     pending.giveUpAt = now + settings_.claimWait;
     pending.sequence = push(shard.queue, std::move(record), now);
     const Instant giveUpAt = pending.giveUpAt;
+    events_.push_back(Event("run.claiming")
+                              .with("workspace", workspace)
+                              .with("key", claim.key())
+                              .with("attempt", claim.attempt()));
     claims_.emplace(AttemptId(claim.attempt()), std::move(pending));
     return AskAgain{giveUpAt};
 }
