[Decisions] Tell a router's part at one moment; prefer the own domain for real

Cause, by trace: (1) a router's part was what it has now over a whole that is a second old, so in a burst every router's part grew with its own load and together they took more than there was. (2) When no endpoint was below its bound all routers broke the tie alike and went to the first. (3) The bound of the own domain's endpoints was the mean over all domains, so that work left its domain with its third request.

Change: part = own when reported over reported, the others taken to have grown as this one has; ties apart at random; bounds over those that may be chosen. A very slow endpoint (twice the factor) is ejected after three first tokens.

--- a/include/sequoiagate/Decisions/EndpointChoice.h
+++ b/include/sequoiagate/Decisions/EndpointChoice.h
@@ -164,11 +164,11 @@
                     const std::vector<EndpointId> &tried, Instant now);
     void markLanes(const Service &service, const ServiceId &name, Instant now);
     static Interval backlog(const Endpoint &endpoint, Instant now);
-    void markRoomy(bool isLong, Instant now);
+    void markRoomy(bool isLong, bool localOnly, Instant now);
     std::optional<Chosen> chooseRoomy(const WorkItem &item, bool localOnly, Instant now);
-    const Candidate *byPrefix(uint64_t prefix, bool localOnly, bool holdersOnly, Instant now) const;
-    const Candidate *bestOfTwo(const WorkItem &item, bool localOnly, Instant now);
-    const Candidate *leastCost(const WorkItem &item, bool isLong, Instant now) const;
+    const Candidate *byPrefix(uint64_t prefix, bool holdersOnly, Instant now) const;
+    const Candidate *bestOfTwo(const WorkItem &item, Instant now);
+    const Candidate *leastCost(const WorkItem &item, bool isLong, Instant now);
     Interval expectedPrefill(uint64_t promptTokens) const;
     double cost(const Candidate &candidate, const WorkItem &item, Instant now) const;
     double partOf(double own, double everybodys) const;
--- a/include/sequoiagate/Decisions/EndpointHealth.h
+++ b/include/sequoiagate/Decisions/EndpointHealth.h
@@ -98,8 +98,8 @@
     /// last ejection was over.
     bool counts(const OpenTry &open) const { return open.sentAt >= ejectedUntil_; }
     void sampleFirstToken(OpenTry &open, Instant at);
-    /// First-token time over the expected, 0 if too little is known.
-    double slowness(Instant now) const;
+    /// First-token time over the expected, 0 with fewer samples than \p fewest.
+    double slowness(std::size_t fewest, Instant now) const;
     double tokenSlowness() const;
     /// How late the oldest requests still without a first token are, over the expected
     /// time; 0 if there are too few to tell.
--- a/include/sequoiagate/Decisions/EndpointLoad.h
+++ b/include/sequoiagate/Decisions/EndpointLoad.h
@@ -34,10 +34,18 @@
     double requests(Instant now) const;
     /// Requests of this router that are open there.
     uint32_t own() const { return own_; }
+    /// Requests there when the last report was observed, and this router's among them:
+    /// its part is told by these two, as they are of one moment. By what it has now, each
+    /// router's part of an older whole grew with the load, and in a burst all of them took
+    /// more than there was.
+    double reported(Instant now) const;
+    double ownWhenReported(Instant now) const;
     const LoadReport &report() const { return report_; }
     bool fresh(Instant now) const { return reported_ && now < reportExpiresAt_; }
 
 private:
+    /// Own requests sent less those ended since the report.
+    double since() const;
     static void record(std::deque<Instant> &times, Instant now);
 
     LoadReport report_;
--- a/lib/Decisions/EndpointChoice.cpp
+++ b/lib/Decisions/EndpointChoice.cpp
@@ -90,8 +90,8 @@
         return noEndpoint(service, tried, now);
     }
     markLanes(service, item.service, now);
-    markRoomy(isLong, now);
     for (const bool localOnly : {true, false}) {
+        markRoomy(isLong, localOnly, now);
         if (const std::optional<Chosen> chosen = chooseRoomy(item, localOnly, now)) {
             return *chosen;
         }
@@ -138,22 +138,22 @@
                             Instant now)
 {
     candidates_.clear();
-    double own = 0.0;
-    double everybodys = 0.0;
+    double reported = 0.0;
+    double ownWhenReported = 0.0;
     for (const std::size_t i : service.endpoints) {
         Endpoint &endpoint = endpoints_[i];
         if (usability(endpoint, now) != Usability::Usable || contains(tried, endpoint.spec.id)) {
             continue;
         }
+        const EndpointLoad &load = endpoint.load;
         const double slots = std::max(endpoint.spec.slots, 1U) * endpoint.health.rampShare(now);
-        const double requests = endpoint.load.requests(now);
-        own += endpoint.load.own();
-        everybodys += requests;
+        reported += load.reported(now);
+        ownWhenReported += load.ownWhenReported(now);
         const bool local = endpoint.spec.domain == self_;
         candidates_.push_back(
-                {&endpoint, slots, requests / slots, (endpoint.load.own() + 1) / slots, local});
+                {&endpoint, slots, load.requests(now) / slots, (load.own() + 1) / slots, local});
     }
-    ownPart_ = partOf(own, everybodys);
+    ownPart_ = partOf(ownWhenReported, reported);
     for (Candidate &candidate : candidates_) {
         candidate.ownFill /= ownPart_;
     }
@@ -219,13 +219,16 @@
     }
 }
 
-void EndpointChoice::markRoomy(bool isLong, Instant now)
+void EndpointChoice::markRoomy(bool isLong, bool localOnly, Instant now)
 {
     double sum = 0.0;
     double ownSum = 0.0;
     double count = 0.0;
     for (const Candidate &candidate : candidates_) {
-        const double counts = candidate.lane == isLong ? 1.0 : 0.0;
+        // The mean of those that may be chosen: beside idle ones elsewhere, a domain's own
+        // would seem overrun as soon as they had anything to do.
+        const bool considered = candidate.lane == isLong && (candidate.local || !localOnly);
+        const double counts = considered ? 1.0 : 0.0;
         sum += counts * candidate.fill;
         ownSum += counts * candidate.ownFill;
         count += counts;
@@ -238,8 +241,8 @@
         // to a cold endpoint each time.
         const bool first = endpoint.load.own() == 0 && candidate.fill < 1.0;
         const bool even = candidate.fill < bound && candidate.ownFill < ownBound;
-        candidate.roomy = candidate.lane == isLong && (even || first)
-                          && endpoint.load.report().kvUsed < settings_.kvLimit
+        candidate.roomy = candidate.lane == isLong && (candidate.local || !localOnly)
+                          && (even || first) && endpoint.load.report().kvUsed < settings_.kvLimit
                           && backlog(endpoint, now) <= settings_.prefillBacklogLimit * ownPart_;
     }
 }
@@ -253,27 +256,27 @@
 std::optional<Chosen> EndpointChoice::chooseRoomy(const WorkItem &item, bool localOnly, Instant now)
 {
     if (item.prefixHash != 0) {
-        if (const Candidate *holder = byPrefix(item.prefixHash, localOnly, true, now)) {
+        if (const Candidate *holder = byPrefix(item.prefixHash, true, now)) {
             return Chosen{holder->endpoint->spec.id, localOnly ? "prefix_cached" : "prefix_spill"};
         }
-        if (const Candidate *home = byPrefix(item.prefixHash, localOnly, false, now)) {
+        if (const Candidate *home = byPrefix(item.prefixHash, false, now)) {
             return Chosen{home->endpoint->spec.id, localOnly ? "prefix_home" : "prefix_spill"};
         }
         return std::nullopt;
     }
-    if (const Candidate *best = bestOfTwo(item, localOnly, now)) {
+    if (const Candidate *best = bestOfTwo(item, now)) {
         return Chosen{best->endpoint->spec.id, localOnly ? "least_loaded" : "spill"};
     }
     return std::nullopt;
 }
 
-const EndpointChoice::Candidate *EndpointChoice::byPrefix(uint64_t prefix, bool localOnly,
-                                                          bool holdersOnly, Instant now) const
+const EndpointChoice::Candidate *EndpointChoice::byPrefix(uint64_t prefix, bool holdersOnly,
+                                                          Instant now) const
 {
     const Candidate *best = nullptr;
     uint64_t bestWeight = 0;
     for (const Candidate &candidate : candidates_) {
-        if (!candidate.roomy || (localOnly && !candidate.local)) {
+        if (!candidate.roomy) {
             continue;
         }
         const uint64_t weight = affinityWeight(prefix, candidate.endpoint->hash);
@@ -289,14 +292,13 @@
     return best;
 }
 
-const EndpointChoice::Candidate *EndpointChoice::bestOfTwo(const WorkItem &item, bool localOnly,
-                                                           Instant now)
+const EndpointChoice::Candidate *EndpointChoice::bestOfTwo(const WorkItem &item, Instant now)
 {
     // Reservoir sampling of two in one pass.
     std::array<const Candidate *, 2> picked = {nullptr, nullptr};
     uint32_t seen = 0;
     for (const Candidate &candidate : candidates_) {
-        if (!candidate.roomy || (localOnly && !candidate.local)) {
+        if (!candidate.roomy) {
             continue;
         }
         const uint64_t slot = seen < picked.size() ? seen : random_() % (seen + 1);
@@ -312,13 +314,15 @@
 }
 
 const EndpointChoice::Candidate *EndpointChoice::leastCost(const WorkItem &item, bool isLong,
-                                                           Instant now) const
+                                                           Instant now)
 {
+    // Routers that hold the same reports must not all take the same endpoint.
+    std::uniform_real_distribution<double> apart(0.0, OverflowSeconds);
     const Candidate *best = nullptr;
     double bestCost = 0.0;
     for (const Candidate &candidate : candidates_) {
         const double wrongLane = candidate.lane != isLong ? LaneSeconds : 0.0;
-        const double total = cost(candidate, item, now) + wrongLane;
+        const double total = cost(candidate, item, now) + wrongLane + apart(random_);
         if (best == nullptr || total < bestCost) {
             best = &candidate;
             bestCost = total;
@@ -332,11 +336,11 @@
     const Endpoint &endpoint = *candidate.endpoint;
     const bool cached =
             item.prefixHash != 0 && affinity_.believes(item.prefixHash, endpoint.hash, now);
-    const double fullest = std::max(candidate.fill, candidate.ownFill);
-    const double overflow = std::max((fullest - 1.0) * candidate.slots + 1.0, 0.0);
+    const double overflow = std::max((candidate.fill - 1.0) * candidate.slots + 1.0, 0.0);
+    const double ownOverflow = std::max(candidate.ownFill - 1.0, 0.0) * candidate.slots;
     double seconds = secondsOf(backlog(endpoint, now));
     seconds += secondsOf(expectedPrefill(item.promptTokens)) * (cached ? 1.0 - PrefixPart : 1.0);
-    seconds += overflow * OverflowSeconds + fullest * FillSeconds;
+    seconds += (overflow + ownOverflow) * OverflowSeconds + candidate.fill * FillSeconds;
     seconds += candidate.local ? 0.0 : roundTripSeconds(endpoint.spec.domain);
     seconds += endpoint.load.report().kvUsed >= settings_.kvLimit ? KvPressureSeconds : 0.0;
     return seconds;
@@ -472,26 +476,32 @@
 uint32_t EndpointChoice::totalSlots(Instant now) const
 {
     double own = 0.0;
-    double everybodys = 0.0;
+    double ownWhenReported = 0.0;
+    double reported = 0.0;
+    double requests = 0.0;
     double slots = 0.0;
     for (const Endpoint &endpoint : endpoints_) {
         if (usability(endpoint, now) != Usability::Usable) {
             continue;
         }
         own += endpoint.load.own();
-        everybodys += endpoint.load.requests(now);
+        ownWhenReported += endpoint.load.ownWhenReported(now);
+        reported += endpoint.load.reported(now);
+        requests += endpoint.load.requests(now);
         slots += endpoint.spec.slots * endpoint.health.rampShare(now);
     }
+    // The others are taken to have grown as this router has since the reports.
+    const double part = partOf(ownWhenReported, reported);
+    const double everybodys = std::max(requests, own / part);
     // Summed over all before the difference is taken: an endpoint that is overrun must
     // count against another's room, or uneven choices add up to an overrun fleet.
     const double room = settings_.fullest * slots - everybodys;
     const double equalPart = 1.0 / std::max(settings_.routers, 1U);
-    const double part = partOf(own, everybodys);
     // Shares grow by half an equal step and shrink by what each has, which pulls them
     // together (Chiu and Jain, 1989).
     const double change = room > 0.0 ? room * (part + equalPart) / 2.0 : room * part;
     const double least = std::max(settings_.fullest * slots * equalPart, 1.0);
-    return static_cast<uint32_t>(std::ceil(std::max(own + change, least)));
+    return static_cast<uint32_t>(std::max(own + change, least));
 }
 
 double EndpointChoice::partOf(double own, double everybodys) const
--- a/lib/Decisions/EndpointHealth.cpp
+++ b/lib/Decisions/EndpointHealth.cpp
@@ -8,8 +8,11 @@
 namespace {
 
 constexpr uint32_t FailureSamples = 16;
-/// A slow endpoint is seen after as many requests, more than half of a full window.
+/// A slow endpoint is seen after as many requests, more than half of a full window; one
+/// that is slow by twice the factor already after the smaller number.
 constexpr std::size_t FewestSamples = 5;
+constexpr std::size_t FewestVerySlow = 3;
+constexpr double VerySlow = 2.0;
 constexpr uint32_t FewestFailures = 3;
 constexpr uint32_t ProbesToReturn = 3;
 /// Below this, a quarter of the goal of 0.63 s, first tokens may differ by any factor.
@@ -118,10 +121,10 @@
     rampUntil_ = now + settings.slowStart;
 }
 
-double EndpointHealth::slowness(Instant now) const
+double EndpointHealth::slowness(std::size_t fewest, Instant now) const
 {
     const bool noticed = firstTokenSeconds_.median() > UnnoticedSeconds;
-    const bool enough = firstToken_.samples() >= FewestSamples && now < firstTokensExpireAt_;
+    const bool enough = firstToken_.samples() >= fewest && now < firstTokensExpireAt_;
     return enough && noticed ? firstToken_.median() : 0.0;
 }
 
@@ -202,7 +205,8 @@
     }
     const double slowLimit = settings_.slowFactor * medians.firstToken;
     if (medians.firstToken > 0.0
-        && (health.slowness(now) > slowLimit
+        && (health.slowness(FewestSamples, now) > slowLimit
+            || health.slowness(FewestVerySlow, now) > VerySlow * slowLimit
             || health.pendingSlowness(now) > PendingFactor * slowLimit)) {
         return true;
     }
--- a/lib/Decisions/EndpointLoad.cpp
+++ b/lib/Decisions/EndpointLoad.cpp
@@ -49,16 +49,25 @@
     dropUntil(endedSince_, report.observedAt);
 }
 
-double EndpointLoad::requests(Instant now) const
+double EndpointLoad::reported(Instant now) const
+{
+    return fresh(now) ? static_cast<double>(report_.running) + report_.waiting : own_;
+}
+
+double EndpointLoad::ownWhenReported(Instant now) const
 {
     const double own = own_;
-    if (!fresh(now)) {
-        return own;
-    }
-    const double reported = static_cast<double>(report_.running) + report_.waiting;
-    const double since =
-            static_cast<double>(sentSince_.size()) - static_cast<double>(endedSince_.size());
-    return std::max(own, reported + since);
+    return fresh(now) ? std::max(own - since(), 0.0) : own;
+}
+
+double EndpointLoad::since() const
+{
+    return static_cast<double>(sentSince_.size()) - static_cast<double>(endedSince_.size());
+}
+
+double EndpointLoad::requests(Instant now) const
+{
+    return fresh(now) ? std::max<double>(own_, reported(now) + since()) : own_;
 }
 
 } // namespace sequoiagate
