[Router] Tell what is known of a booking, and test that lost reservations end

GET /v1/runs/{key} answers unknown, pending, or how the call ended, to the key's own workspace alone.

A reservation whose answer got lost is ended: shown by a keeper in memory that makes it and loses the answer.

--- a/include/sequoiagate/Router/KeeperClient.h
+++ b/include/sequoiagate/Router/KeeperClient.h
@@ -57,6 +57,7 @@
     /// just this.
     wire::SettleReply settle(const wire::SettleRequest &request);
     wire::FinishRunReply finishRun(const wire::FinishRunRequest &request);
+    wire::ReadRunReply readRun(const wire::ReadRunRequest &request);
     wire::ReadViewReply readView(const wire::ReadViewRequest &request, Millis wait);
     /// Ends a readView that waits, and fails later ones at once: the process stops.
     void cancelReadView();
--- a/include/sequoiagate/Router/PlainService.h
+++ b/include/sequoiagate/Router/PlainService.h
@@ -31,6 +31,12 @@
     /// \throws VerdictError
     void callRepeatable(const ServiceId &service, const std::string &operation,
                         const httplib::Request &request, httplib::Response &response);
+    /// GET /v1/runs/{key}: "state" is "unknown" (no claim of the key stands), "pending"
+    /// (begun, its end isn't known yet), or how it ended: "not_run", "may_have_run" or
+    /// "ran", with the answer's status and body.
+    /// \throws VerdictError
+    void describeRun(const std::string &key, const httplib::Request &request,
+                     httplib::Response &response);
 
 private:
     struct Call;
--- a/lib/Router/KeeperClient.cpp
+++ b/lib/Router/KeeperClient.cpp
@@ -163,6 +163,11 @@
                 timeout_);
 }
 
+wire::ReadRunReply KeeperClient::readRun(const wire::ReadRunRequest &request)
+{
+    return call(&wire::KeeperService::Stub::ReadRun, request.workspace(), request, timeout_);
+}
+
 wire::ReadViewReply KeeperClient::readView(const wire::ReadViewRequest &request, Millis wait)
 {
     return call(&wire::KeeperService::Stub::ReadView, request.router(), request, wait + ViewSlack);
--- a/lib/Router/PlainService.cpp
+++ b/lib/Router/PlainService.cpp
@@ -154,6 +154,31 @@
     relay(call, response);
 }
 
+void PlainService::describeRun(const std::string &key, const httplib::Request &request,
+                               httplib::Response &response)
+{
+    const CallerIdentity caller =
+            identifyCaller(context_, request.get_header_value("Authorization"));
+    wire::ReadRunRequest question;
+    question.set_workspace(caller.id().text());
+    question.set_key(key);
+    const wire::ReadRunReply reply = context_.keepers.readRun(question);
+    nlohmann::json answer = {{"key", key}, {"state", "unknown"}};
+    if (reply.has_run() && !reply.run().has_outcome()) {
+        answer["state"] = "pending";
+    } else if (reply.has_run()) {
+        const wire::RunOutcome &outcome = reply.run().outcome();
+        answer["state"] = executionName(executionFromWire(outcome.execution()));
+        if (executionFromWire(outcome.execution()) == Execution::Ran) {
+            answer["status"] = outcome.status();
+            answer["answer"] = outcome.answer();
+            answer["content_type"] = outcome.content_type();
+        }
+    }
+    using ErrorHandler = nlohmann::json::error_handler_t;
+    response.set_content(answer.dump(-1, ' ', false, ErrorHandler::replace), "application/json");
+}
+
 void PlainService::claim(Call &call)
 {
     std::vector<AttemptId> attempts;
--- a/lib/Router/Router.cpp
+++ b/lib/Router/Router.cpp
@@ -76,6 +76,9 @@
                  plain_.callRepeatable(ServiceId(request.matches[1]), request.matches[2], request,
                                        response);
              }));
+    http.Get("/v1/runs/([^/]+)", guarded([this](const auto &request, auto &response) {
+                 plain_.describeRun(request.matches[1], request, response);
+             }));
     http.Post("/internal/v1/keep", guarded([this](const auto &request, auto &response) {
                   chat_.keep(request, response);
               }));
--- a/test/Router/FakeKeeper.cpp
+++ b/test/Router/FakeKeeper.cpp
@@ -29,6 +29,22 @@
     reserveReply_ = std::move(reply);
 }
 
+void FakeKeeper::loseReserveAnswers(int count)
+{
+    absl::MutexLock lock(&mutex_);
+    reserveAnswersToLose_ = count;
+}
+
+bool FakeKeeper::awaitNothingOpen() const
+{
+    const auto nothingOpen = [&] {
+        mutex_.AssertHeld();
+        return open_.empty();
+    };
+    absl::MutexLock lock(&mutex_);
+    return mutex_.AwaitWithTimeout(absl::Condition(&nothingOpen), absl::Seconds(30));
+}
+
 void FakeKeeper::loseClaimAnswers(bool lose)
 {
     absl::MutexLock lock(&mutex_);
@@ -85,7 +101,15 @@
         *reply = reserveReply_;
         return grpc::Status::OK;
     }
-    reply->mutable_reservation()->set_id(fmt::format("reservation-{}", ++reservations_));
+    const auto [open, isNew] = open_.try_emplace(request->attempt());
+    if (isNew) {
+        open->second = fmt::format("reservation-{}", ++reservations_);
+    }
+    if (reserveAnswersToLose_ > 0) {
+        --reserveAnswersToLose_;
+        return grpc::Status(grpc::StatusCode::UNAVAILABLE, "the answer is lost");
+    }
+    reply->mutable_reservation()->set_id(open->second);
     reply->mutable_reservation()->set_tokens(request->prompt_tokens() + request->output_ceiling());
     reply->mutable_reservation()->set_keeper("fake");
     return grpc::Status::OK;
@@ -99,6 +123,11 @@
     if (request->still_open()) {
         return grpc::Status::OK;
     }
+    std::erase_if(open_, [&](const auto &open) { return open.second == request->reservation(); });
+    if (!request->has_bill()) {
+        reply->set_durable_offset(1);
+        return grpc::Status::OK;
+    }
     const wire::Bill &bill = request->bill();
     bills_.emplace(bill.workspace() + '/' + bill.request(), bill);
     reply->set_durable_offset(bills_.size());
@@ -139,6 +168,17 @@
     return grpc::Status::OK;
 }
 
+grpc::Status FakeKeeper::ReadRun(grpc::ServerContext *, const wire::ReadRunRequest *request,
+                                 wire::ReadRunReply *reply)
+{
+    absl::MutexLock lock(&mutex_);
+    const auto run = runs_.find(request->workspace() + '/' + request->key());
+    if (run != runs_.end()) {
+        *reply->mutable_run() = run->second;
+    }
+    return grpc::Status::OK;
+}
+
 grpc::Status FakeKeeper::ReadView(grpc::ServerContext *, const wire::ReadViewRequest *request,
                                   wire::ReadViewReply *reply)
 {
--- a/test/Router/FakeKeeper.h
+++ b/test/Router/FakeKeeper.h
@@ -26,6 +26,11 @@
     const std::string &address() const { return address_; }
     /// The reply to every Reserve from now on; an unset outcome grants again.
     void answerReserves(wire::ReserveReply reply);
+    /// The next reservations are made, and their answers lost.
+    void loseReserveAnswers(int count);
+    /// Waits until no reservation is open. \returns false if one still is after a limit
+    /// that only a failed run reaches.
+    bool awaitNothingOpen() const;
     /// Claims are made, and their answers lost.
     void loseClaimAnswers(bool lose);
     uint64_t reservations() const; ///< granted so far
@@ -43,6 +48,8 @@
                           wire::ClaimRunReply *reply) override;
     grpc::Status FinishRun(grpc::ServerContext *context, const wire::FinishRunRequest *request,
                            wire::FinishRunReply *reply) override;
+    grpc::Status ReadRun(grpc::ServerContext *context, const wire::ReadRunRequest *request,
+                         wire::ReadRunReply *reply) override;
     grpc::Status ReadView(grpc::ServerContext *context, const wire::ReadViewRequest *request,
                           wire::ReadViewReply *reply) override;
 
@@ -55,6 +62,8 @@
     std::map<std::string, wire::RunState> runs_;
     std::vector<wire::RunOutcome> outcomes_;
     uint64_t reservations_ = 0;
+    int reserveAnswersToLose_ = 0;
+    std::map<std::string, std::string> open_; ///< reservation by attempt
     bool stopping_ = false;
     std::string address_;
     std::unique_ptr<grpc::Server> server_;
--- a/test/Router/RouterTest.cpp
+++ b/test/Router/RouterTest.cpp
@@ -419,6 +419,58 @@
     EXPECT_EQ(caller_.plain(call).code, "body_mismatch");
 }
 
+// The keeper made a reservation, and its answer got lost: the caller is told that
+// nothing ran. The router goes back for the reservation and ends it; else its tokens
+// would be set aside for as long as the router lives.
+TEST_F(RouterTest, ReservationWithALostAnswerIsEnded)
+{
+    keeper_->loseReserveAnswers(1);
+    const CallerAnswer answer = caller_.chat(chatCall("r1"));
+    EXPECT_EQ(answer.code, "keeper_unreachable");
+    EXPECT_EQ(answer.execution, "not_run");
+    EXPECT_EQ(keeper_->reservations(), 1U);
+    EXPECT_TRUE(keeper_->awaitNothingOpen());
+}
+
+struct RunRow
+{
+    const char *name;
+    int answersToLose;
+    const char *key; ///< of the caller who asks
+    int status;
+    const char *state;
+};
+
+constexpr RunRow RunRows[] = {
+        {"Ran", 0, Key, 200, "ran"},
+        {"Pending", 1, Key, 200, "may_have_run"},
+        {"AnotherWorkspaces", 0, "key-of-w2", 200, "unknown"},
+        {"NoKey", 0, "", 401, ""},
+};
+
+class RunState : public RouterTest, public testing::WithParamInterface<RunRow>
+{};
+
+// A caller asks what became of its booking, and is told what is known of it, without
+// running it. Of another workspace's key it learns nothing.
+TEST_P(RunState, IsToldToItsWorkspaceAlone)
+{
+    const std::string key = uuidV7();
+    setFaults(service_.address(), {{"lose_answers", GetParam().answersToLose}});
+    caller_.plain(plainCall(key));
+    keeper_->awaitOutcomes(1);
+    httplib::Client client("http://" + router_->address());
+    const httplib::Headers headers = {{"Authorization", std::string("Bearer ") + GetParam().key}};
+    const httplib::Result result = client.Get("/v1/runs/" + key, headers);
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->status, GetParam().status);
+    const nlohmann::json answer = nlohmann::json::parse(result->body);
+    EXPECT_EQ(answer.value("state", ""), GetParam().state);
+}
+
+INSTANTIATE_TEST_SUITE_P(Askers, RunState, testing::ValuesIn(RunRows),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 // A claim that the keeper made and whose answer got lost: nothing was sent, which
 // the router knows for certain, so "not run" is true.
 TEST_F(RouterTest, LostClaimAnswerSendsNothing)
