[Keeper] Prove that configuration is in force within seconds and never reverts

Cause, found by the test once its cut was exact: a new process that can't reach the log took the first peer's version, and that peer may have been cut off itself. Now all peers are heard for config_peer_grace_ms, and none below the highest version heard of is put into force. Ruled out: asking every peer, which 370 hosts can't, for what gossip says already.

Left over: a new process whose only reachable peer is stale, with the log away, takes that peer's version after the grace; nobody it can ask knows better.

--- a/include/sequoiagate/Keeper/KeeperCore.h
+++ b/include/sequoiagate/Keeper/KeeperCore.h
@@ -242,7 +242,7 @@
                            LogOffset offset, Instant now);
     void noteRecord(const wire::Record &record, const FoldResult &result, LogOffset offset);
     void afterFold(Shard &shard, Instant now);
-    void putInForce();
+    void putInForce(Instant now);
     void afterConfig(uint64_t before, const wire::ConfigState &old, Instant now);
     void fundWorkspaces(Instant now);
     bool fundWorkspace(const WorkspaceId &workspace, FundingDue &due, Instant now);
@@ -263,7 +263,9 @@
     ConfigFold config_;
     AppendQueue configQueue_;
     StreamPlace configPlace_;
-    bool configWhole_ = false; ///< read to its end once, or had from a peer
+    bool configFromLog_ = false; ///< read to its end once
+    bool configFromPeer_ = false;
+    Instant peersHeardAt_; ///< by then whoever lives has been heard by gossip
     uint64_t inForceVersion_ = 0;
     uint64_t highestVersionSeen_ = 0; ///< at peers and routers
     std::unordered_map<WorkspaceId, FundingDue> fundingDue_;
--- a/include/sequoiagate/Keeper/KeeperSettings.h
+++ b/include/sequoiagate/Keeper/KeeperSettings.h
@@ -27,6 +27,7 @@
     Interval logSilent = Seconds(3);       ///< without an answer the log counts as unreachable
     Interval routerSilent = Seconds(10);   ///< then its open streams are asked after
     Interval fundingFallback = Seconds(2); ///< then a keeper funds in place of the chosen one
+    Interval configPeerGrace = Seconds(3); ///< before a new process trusts a peer's version
     Interval claimsRetention = std::chrono::hours(24); ///< keys older than this are refused
     Interval checkpointEvery = std::chrono::minutes(10);
     uint64_t checkpointRecords = 2000;  ///< a new checkpoint at the latest after so many records
--- a/lib/Keeper/KeeperCore.cpp
+++ b/lib/Keeper/KeeperCore.cpp
@@ -20,6 +20,7 @@
       drain_(drainChart), configQueue_(self_, HostId(self.host()), settings.appendRetry)
 {
     configPlace_.heardAt = now;
+    peersHeardAt_ = now + settings.configPeerGrace;
     for (uint32_t index = 0; index < settings.ledgerShards; ++index) {
         shards_.push_back(std::make_unique<Shard>(
                 Shard{LedgerFold(),
@@ -252,20 +253,28 @@
     const uint64_t before = config_.version();
     const wire::ConfigState old = config_.state();
     const bool taken = config_.takeNewer(config);
-    configWhole_ = configWhole_ || taken;
+    configFromPeer_ = configFromPeer_ || taken;
+    if (taken) {
+        events_.push_back(Event("config.from_peer").with("version", config_.version()));
+    }
     afterConfig(before, old, now);
     return taken;
 }
 
 /// Serves the newest version, once it is known to be the newest that can be had. A
 /// process that starts folds the stream from its oldest record: were each version served
-/// on the way, or a stale peer's taken while others are known to have a newer one, the
-/// host would go back to a configuration that was replaced long ago.
-void KeeperCore::putInForce()
+/// on the way, the host would go back to configurations that were replaced long ago. The
+/// same would come of taking the first peer's word while the log is away, if that peer was
+/// cut off itself; so all peers are heard for a while, and none below the highest version
+/// heard of is taken. The log's own word counts in the end, whatever was heard.
+void KeeperCore::putInForce(Instant now)
 {
-    configWhole_ = configWhole_ || configPlace_.state == StreamState::Current;
+    configFromLog_ = configFromLog_ || configPlace_.state == StreamState::Current;
     const uint64_t version = config_.version();
-    const bool newest = configWhole_ && (version >= highestVersionSeen_ || inForceVersion_ > 0);
+    const bool highest = version >= highestVersionSeen_;
+    const bool heardAll = now >= peersHeardAt_;
+    const bool newest = inForceVersion_ > 0 || (configFromLog_ && (highest || heardAll))
+                        || (configFromPeer_ && highest && heardAll);
     if (!newest || version <= inForceVersion_) {
         return;
     }
@@ -281,7 +290,7 @@
 
 void KeeperCore::afterConfig(uint64_t before, const wire::ConfigState &old, Instant now)
 {
-    putInForce();
+    putInForce(now);
     if (config_.version() == before) {
         return;
     }
@@ -424,6 +433,7 @@
         pumpAll(*shard, now);
     }
     askAfterSilentRouters(now);
+    putInForce(now);
     fundWorkspaces(now);
     writeCheckpoints(now);
     bills_.forget(now);
--- a/lib/Keeper/KeeperProcess.cpp
+++ b/lib/Keeper/KeeperProcess.cpp
@@ -154,7 +154,9 @@
         return settings.tick;
     });
     Worker filterReader([&] {
-        filter.reload();
+        if (filter.reload()) {
+            context.log.write(Event("links.filtered").with("blocked", filter.blockedHosts()));
+        }
         return Interval(PollPeriod);
     });
     context.log.write(Event(events::ProcessStarted)
--- a/lib/Keeper/KeeperSettings.cpp
+++ b/lib/Keeper/KeeperSettings.cpp
@@ -29,6 +29,7 @@
     core.logSilent = millisOf(settings, "log_silent_ms");
     core.routerSilent = millisOf(settings, "router_silent_ms");
     core.fundingFallback = millisOf(settings, "funding_fallback_ms");
+    core.configPeerGrace = millisOf(settings, "config_peer_grace_ms");
     core.claimsRetention = millisOf(settings, "claims_retention_ms");
     core.checkpointEvery = millisOf(settings, "checkpoint_every_ms");
     core.checkpointRecords = settings.at("checkpoint_records").get<uint64_t>();
--- a/lib/Keeper/LinkFilter.cpp
+++ b/lib/Keeper/LinkFilter.cpp
@@ -11,10 +11,10 @@
     reload();
 }
 
-void LinkFilter::reload()
+bool LinkFilter::reload()
 {
     if (path_.empty()) {
-        return;
+        return false;
     }
     std::ifstream file(path_);
     const nlohmann::json rules = nlohmann::json::parse(file, nullptr, false);
@@ -23,7 +23,15 @@
         blocked = rules.value("blocked_hosts", std::set<std::string>());
     }
     absl::MutexLock lock(&mutex_);
+    const bool changed = blocked != blocked_;
     blocked_ = std::move(blocked);
+    return changed;
+}
+
+std::set<std::string> LinkFilter::blockedHosts() const
+{
+    absl::MutexLock lock(&mutex_);
+    return blocked_;
 }
 
 bool LinkFilter::blocked(const HostId &host) const
--- a/lib/Keeper/LinkFilter.h
+++ b/lib/Keeper/LinkFilter.h
@@ -22,7 +22,9 @@
     explicit LinkFilter(std::string path);
 
     /// Reads the file again. One that is missing or malformed blocks nothing.
-    void reload();
+    /// \returns whether what is blocked has changed.
+    bool reload();
+    std::set<std::string> blockedHosts() const;
     bool blocked(const HostId &host) const;
 
 private:
