--- a/include/sequoiagate/Router/ChatDriver.h
+++ b/include/sequoiagate/Router/ChatDriver.h
@@ -37,6 +37,7 @@
     void takeUpSteps();
 
     void reserve();
+    wire::ReserveReply askForReservation(const wire::ReserveRequest &request);
     void sendUntilWhole();
     void stream(const EndpointId &endpoint);
     void openStream();
@@ -74,6 +75,7 @@
     bool abandoned_ = false;
     bool brokenOff_ = false;
     std::string content_;
+    std::string finishReason_;
     std::optional<uint64_t> promptTokens_;
     std::optional<uint64_t> completionTokens_;
     Instant sentAt_ = Never;
--- a/lib/Keeper/Endpoints.cpp
+++ b/lib/Keeper/Endpoints.cpp
@@ -81,7 +81,8 @@
 {}
 
 /// What an engine says of a stream after it was cancelled.
-static std::optional<uint64_t> cancelStream(const std::string &address, const std::string &stream)
+static std::optional<StreamUsage> cancelStream(const std::string &address,
+                                               const std::string &stream)
 {
     httplib::Client client = connect(address, InquiryTimeout);
     const std::string path = fmt::format("/v1/streams/{}", stream);
@@ -94,7 +95,12 @@
     if (!status.is_object() || !status.contains("generated")) {
         return std::nullopt;
     }
-    return status.value("generated", uint64_t{0});
+    StreamUsage usage;
+    usage.generated = status.value("generated", uint64_t{0});
+    if (status.contains("prompt_tokens")) {
+        usage.promptTokens = status.value("prompt_tokens", uint64_t{0});
+    }
+    return usage;
 }
 
 /// The streams that an engine has of a request; nullopt: it couldn't say.
@@ -124,7 +130,8 @@
 {
     StreamAnswer answer;
     answer.unknownEverywhere = true;
-    uint64_t generated = 0;
+    StreamUsage sum;
+    sum.promptTokens = 0;
     bool found = false;
     for (const std::string &address : inquiry.candidates) {
         const auto streams = streamsOf(address, inquiry.key);
@@ -133,17 +140,22 @@
             continue;
         }
         for (const std::string &stream : *streams) {
-            const std::optional<uint64_t> tokens = cancelStream(address, stream);
+            const std::optional<StreamUsage> usage = cancelStream(address, stream);
             found = true;
             answer.unknownEverywhere = false;
-            if (!tokens) {
+            if (!usage) {
                 return answer;
             }
-            generated += *tokens;
+            sum.generated += usage->generated;
+            if (sum.promptTokens && usage->promptTokens) {
+                *sum.promptTokens += *usage->promptTokens;
+            } else {
+                sum.promptTokens = std::nullopt;
+            }
         }
     }
     if (found) {
-        answer.generated = generated;
+        answer.usage = sum;
     }
     return answer;
 }
@@ -182,11 +194,11 @@
 static void askEngine(const StreamInquiry &inquiry, StreamAnswer &answer)
 {
     if (!inquiry.endpointAddress.empty() && !inquiry.engineStream.empty()) {
-        answer.generated = cancelStream(inquiry.endpointAddress, inquiry.engineStream);
+        answer.usage = cancelStream(inquiry.endpointAddress, inquiry.engineStream);
         return;
     }
     const StreamAnswer found = searchEngines(inquiry);
-    answer.generated = found.generated;
+    answer.usage = found.usage;
     answer.unknownEverywhere = found.unknownEverywhere;
 }
 
--- a/lib/Router/KeeperClient.cpp
+++ b/lib/Router/KeeperClient.cpp
@@ -102,22 +102,54 @@
     keepers_ = std::move(next);
 }
 
-wire::ReserveReply KeeperClient::reserve(const wire::ReserveRequest &request)
+wire::ReserveReply KeeperClient::reserve(const wire::ReserveRequest &request,
+                                         std::vector<std::string> &unanswered)
 {
-    return call(&wire::KeeperService::Stub::Reserve, request.workspace(), request, timeout_);
+    return callEach<wire::ReserveRequest, wire::ReserveReply>(
+            &wire::KeeperService::Stub::Reserve, orderFor(request.workspace(), Incarnation()),
+            timeout_, [&] { return request; }, unanswered);
+}
+
+bool KeeperClient::release(const std::string &name, const wire::ReserveRequest &request)
+{
+    const KeeperPtr keeper = find(name);
+    if (!keeper) {
+        return true;
+    }
+    // The same attempt again is answered with the reservation it made before, or makes
+    // one now; either is ended at once.
+    grpc::ClientContext reserveContext;
+    reserveContext.set_deadline(std::chrono::system_clock::now() + timeout_);
+    wire::ReserveReply reserved;
+    if (!keeper->stub->Reserve(&reserveContext, request, &reserved).ok()) {
+        return false;
+    }
+    if (!reserved.has_reservation()) {
+        return true;
+    }
+    grpc::ClientContext settleContext;
+    settleContext.set_deadline(std::chrono::system_clock::now() + timeout_);
+    wire::SettleRequest settle;
+    settle.set_reservation(reserved.reservation().id());
+    settle.set_execution(wire::NOT_RUN);
+    settle.set_router(request.router());
+    wire::SettleReply settled;
+    return keeper->stub->Settle(&settleContext, settle, &settled).ok();
 }
 
 wire::ClaimRunReply KeeperClient::claimRun(wire::ClaimRunRequest request,
                                            std::vector<AttemptId> &attempts)
 {
     const std::string workspace = request.claim().workspace();
+    std::vector<std::string> unanswered;
     return callEach<wire::ClaimRunRequest, wire::ClaimRunReply>(
             &wire::KeeperService::Stub::ClaimRun, orderFor(workspace, Incarnation()), claimTimeout_,
             [&] {
                 attempts.push_back(randomId<AttemptId>());
                 request.mutable_claim()->set_attempt(attempts.back().text());
                 return request;
-            });
+            },
+            unanswered);
 }
 
 wire::SettleReply KeeperClient::settle(const wire::SettleRequest &request)
@@ -151,6 +183,14 @@
     return keeper;
 }
 
+KeeperClient::KeeperPtr KeeperClient::find(const std::string &name) const
+{
+    absl::MutexLock lock(&mutex_);
+    const auto found = std::find_if(keepers_.begin(), keepers_.end(),
+                                    [&](const KeeperPtr &keeper) { return keeper->name == name; });
+    return found == keepers_.end() ? nullptr : *found;
+}
+
 std::vector<KeeperClient::KeeperPtr> KeeperClient::orderFor(const std::string &key,
                                                             const Incarnation &holder) const
 {
@@ -206,13 +246,15 @@
     if constexpr (requires { request.keeper(); }) {
         holder = Incarnation(request.keeper());
     }
-    return callEach<Request, Reply>(method, orderFor(key, holder), timeout,
-                                    [&] { return request; });
+    std::vector<std::string> unanswered;
+    return callEach<Request, Reply>(
+            method, orderFor(key, holder), timeout, [&] { return request; }, unanswered);
 }
 
 template <typename Request, typename Reply>
 Reply KeeperClient::callEach(Method<Request, Reply> method, const std::vector<KeeperPtr> &order,
-                             Millis timeout, const std::function<Request()> &prepare)
+                             Millis timeout, const std::function<Request()> &prepare,
+                             std::vector<std::string> &unanswered)
 {
     std::string failure = "no keeper is known";
     std::optional<Reply> passedOn;
@@ -230,6 +272,7 @@
         }
         if (!status.ok()) {
             avoid(*keeper);
+            unanswered.push_back(keeper->name);
             failure = fmt::format("keeper {}: {}", keeper->name, status.error_message());
             continue;
         }
--- a/unittests/Transport/SecurityTest.cpp
+++ b/unittests/Transport/SecurityTest.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <memory>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -78,8 +79,16 @@
 
     void install(const Identity &authority, const Identity &own) const
     {
-        replaceFile(file("authority.pem"),
-                    [&](std::FILE *f) { PEM_write_X509(f, authority.certificate.get()); });
+        install(std::vector<Identity>{authority}, own);
+    }
+
+    void install(const std::vector<Identity> &authorities, const Identity &own) const
+    {
+        replaceFile(file("authority.pem"), [&](std::FILE *f) {
+            for (const Identity &authority : authorities) {
+                PEM_write_X509(f, authority.certificate.get());
+            }
+        });
         replaceFile(file("key.pem"), [&](std::FILE *f) {
             PEM_write_PrivateKey(f, own.key.get(), nullptr, nullptr, 0, nullptr, nullptr);
         });
@@ -250,6 +259,18 @@
     EXPECT_FALSE(reaches(friendOfOld, server.address()));
 }
 
+// An authority is being replaced: some hosts have certificates of the old one and some
+// of the new. While all hosts' files hold both authorities, all must reach each other.
+TEST_F(MutualTls, TakesBothAuthoritiesWhileOneReplacesTheOther)
+{
+    serverFiles_.install({authority_, other_}, makeIdentity("server", &other_, 7));
+    friendFiles_.install({authority_, other_}, makeIdentity("friend", &authority_, 8));
+    Security security(serverFiles_.settings(), log_.log());
+    Server server(security);
+    Security peer(friendFiles_.settings(), log_.log());
+    EXPECT_TRUE(reaches(peer, server.address()));
+}
+
 struct BadTls
 {
     const char *name;
@@ -310,7 +331,10 @@
 {
     LogFile ahead("ClockAhead.log");
     LogFile behind("ClockBehind.log");
-    ahead.log().clock().observe("99999999999999999.000007");
+    const auto inAnHour = std::chrono::system_clock::now() + std::chrono::hours(1);
+    const auto wall =
+            std::chrono::duration_cast<std::chrono::microseconds>(inAnHour.time_since_epoch());
+    ahead.log().clock().observe(fmt::format("{:017}.000007", wall.count()));
     Security client(nlohmann::json::object(), ahead.log());
     Security serverSide(nlohmann::json::object(), behind.log());
     Server server(serverSide);
