[Ledger] Let folds be made by default again

The constructors with an optional Safeguards argument are explicit, so that a struct with a fold among its members could no longer be made from {}: g++ refused it (converting from initializer list would use explicit constructor). A default constructor stands beside them.

--- a/include/sequoiagate/Config/ConfigFold.h
+++ b/include/sequoiagate/Config/ConfigFold.h
@@ -22,7 +22,8 @@
 class ConfigFold
 {
 public:
-    explicit ConfigFold(ConfigSafeguards safeguards = {}) : safeguards_(safeguards) {}
+    ConfigFold() = default;
+    explicit ConfigFold(ConfigSafeguards safeguards) : safeguards_(safeguards) {}
 
     /// Folds the record at \p offset. A refused change has no effect at all.
     /// \pre offset == state().offset().
--- a/include/sequoiagate/Ledger/LedgerFold.h
+++ b/include/sequoiagate/Ledger/LedgerFold.h
@@ -84,7 +84,8 @@
 class LedgerFold
 {
 public:
-    explicit LedgerFold(LedgerSafeguards safeguards = {}) : safeguards_(safeguards) {}
+    LedgerFold() = default;
+    explicit LedgerFold(LedgerSafeguards safeguards) : safeguards_(safeguards) {}
 
     /// Folds the record at \p offset. \pre offset == nextOffset().
     FoldResult apply(const wire::Record &record, uint64_t offset);
