[Ledger] Return what was opened of witnessed grants only

Cause: a holder whose available tokens exceed six windows gives the excess back, since with the log back a death would lose what its witness had opened. Of a grant without a witness all tokens are available at once, so that each was claimed and returned without end. What was ruled out: the idle rule, which doesn't hold while demand lasts.

--- a/lib/Ledger/GrantHolder.cpp
+++ b/lib/Ledger/GrantHolder.cpp
@@ -514,9 +514,11 @@
             continue;
         }
         const GrantAccount &account = held->account;
+        // Without a witness nothing was opened: all of the grant is spent directly.
+        const uint64_t kept =
+                WindowsTooMany * windowTokens(around.now) + settings_.minimumGrant / 2;
         const uint64_t opened =
-                lessOrZero(account.available(),
-                           WindowsTooMany * windowTokens(around.now) + settings_.minimumGrant / 2);
+                account.witness().empty() ? 0 : lessOrZero(account.available(), kept);
         const uint64_t wanted = std::max(std::min(idle, account.left()), opened);
         idle = lessOrZero(idle, wanted);
         giveBack(*held, wanted, around.now);
