[Router] Let a keeper on another host stand in for a home on the router's own

Seen (HostLost tests, written first): a host is lost, its router and keeper in one moment. Whole answers that callers had just got, and streams whose callers gave up, were never billed: "1 requests of w3 were never billed: r1", in both tests, for the workspace whose home keeper was on the lost host. Cause: router and home keeper both hold the reservation, but as two processes of one host. Weighed: a home on another host than the router's, which gives each workspace two homes a domain, so that one id sent to two routers runs twice; the bill on the log before the answer's end, which costs an append's time and fails with the log. Change: where the reservation's keeper is on the router's own host, a second keeper is told of the stream before it is sent and when it is seen, and gets the bill before the caller gets the answer's end. It bills the stream if the router is gone; the fold takes the first bill. It doesn't hold up its own planned stop for that. After: both tests pass; so do BilledOnce and PlannedStop (22 s together). Left: a domain with one host has no second keeper, and a domain whose hosts are all lost while the log is away loses the bills it had not appended.

--- a/include/sequoiagate/Keeper/Books.h
+++ b/include/sequoiagate/Keeper/Books.h
@@ -52,6 +52,9 @@
     std::string engineStream;
     bool inquiryOpen = false;  ///< the engine is being asked how far the stream got
     bool routerGaveUp = false; ///< the router itself doesn't know and has asked for that
+    /// The tokens are set aside by a keeper on the router's own host; this one only
+    /// stands ready to bill the stream if that host is lost.
+    bool backup = false;
 };
 
 /// Not thread safe.
--- a/include/sequoiagate/Keeper/KeeperCore.h
+++ b/include/sequoiagate/Keeper/KeeperCore.h
@@ -228,6 +228,9 @@
                                        const ReservationDraws &draws);
     bool budgetOnItsWay(const WorkspaceId &workspace, uint64_t tokens, Instant now) const;
     void heardRouter(const std::string &router, Instant now);
+    /// Notes a stream whose reservation is held on its router's own host.
+    bool openBackup(const wire::SettleRequest &request);
+    wire::SettleReply noteOpen(const wire::SettleRequest &request);
     wire::SettleReply settleOpen(OpenReservation &reservation, const wire::SettleRequest &request,
                                  Instant now);
     wire::SettleReply billState(const RequestKey &key);
--- a/include/sequoiagate/Router/ChatDriver.h
+++ b/include/sequoiagate/Router/ChatDriver.h
@@ -56,6 +56,10 @@
     uint64_t contentTokens() const;
 
     void settle(const std::optional<Verdict> &failure);
+    wire::SettleRequest openNote(const std::string &streamId) const;
+    std::string backupKeeper() const;
+    void tellBackup(const std::string &streamId);
+    void settleWithBackup(wire::SettleRequest request);
     wire::Bill billOf(const std::optional<Verdict> &failure);
     void logOutcome(const std::optional<Verdict> &failure);
 
--- a/include/sequoiagate/Router/KeeperClient.h
+++ b/include/sequoiagate/Router/KeeperClient.h
@@ -56,6 +56,12 @@
     /// Asks the keeper that holds the reservation first, draining or not: it waits for
     /// just this.
     wire::SettleReply settle(const wire::SettleRequest &request);
+    /// The keeper to back up a reservation of \p holder: one on another host than \p host,
+    /// if \p holder is on that very host. Empty: there is none, or none is needed.
+    std::string backupFor(const std::string &workspace, const Incarnation &holder,
+                          const HostId &host) const;
+    /// Settles with the keeper of that name alone. \throws VerdictError if it gives no answer.
+    wire::SettleReply settleWith(const std::string &name, const wire::SettleRequest &request);
     wire::FinishRunReply finishRun(const wire::FinishRunRequest &request);
     wire::ReadRunReply readRun(const wire::ReadRunRequest &request);
     wire::ReadViewReply readView(const wire::ReadViewRequest &request, Millis wait);
--- a/include/sequoiagate/Router/KeeperOutbox.h
+++ b/include/sequoiagate/Router/KeeperOutbox.h
@@ -36,6 +36,8 @@
     /// Tells the keeper once where a stream runs, so that it can ask the engine
     /// when this router dies. Losing it costs a bill in doubt, nothing else.
     void announceOpen(wire::SettleRequest request);
+    /// Tells the keeper of that name alone of an open stream, once.
+    void announceBackup(std::string keeper, wire::SettleRequest request);
     void finishRun(wire::FinishRunRequest request);
     /// Ends, once the keeper answers again, the reservation that \p request may have made
     /// there. Without it a keeper that was paused for a second holds tokens for a request
@@ -48,6 +50,12 @@
     std::size_t pending() const;
 
 private:
+    struct BackupNote
+    {
+        std::string keeper;
+        wire::SettleRequest request;
+    };
+
     struct Release
     {
         std::string keeper;
@@ -56,7 +64,7 @@
 
     struct Item
     {
-        std::variant<wire::SettleRequest, wire::FinishRunRequest, Release> message;
+        std::variant<wire::SettleRequest, wire::FinishRunRequest, Release, BackupNote> message;
         Instant sendAt;
         bool held = false;
         bool once = false;
--- a/lib/Keeper/KeeperCorePeers.cpp
+++ b/lib/Keeper/KeeperCorePeers.cpp
@@ -262,6 +262,13 @@
         return;
     }
     drain_.handle("stop");
+    // What only backs up another keeper doesn't hold up this one's stop: the reservation
+    // itself is held elsewhere.
+    for (const OpenReservation *open : reservations_.all()) {
+        if (open->backup) {
+            reservations_.close(ReservationId(open->id));
+        }
+    }
     view_.setDraining();
     events_.push_back(Event(events::ProcessDraining).with("open", reservations_.size()));
     ++progress_;
--- a/lib/Keeper/KeeperCoreRequests.cpp
+++ b/lib/Keeper/KeeperCoreRequests.cpp
@@ -220,6 +220,52 @@
     }
 }
 
+/// A lost host takes its router and its keeper with it. When that keeper was the home of
+/// a request that the router served, nobody would be left who knows of the stream, and what
+/// the engine did for it would never be billed. So a keeper on another host knows of it, too,
+/// and does what the home would do when the router is gone; if both do it, the fold takes
+/// the first bill. \returns whether it is noted.
+bool KeeperCore::openBackup(const wire::SettleRequest &request)
+{
+    const RequestKey key{WorkspaceId(request.bill().workspace()),
+                         RequestId(request.bill().request())};
+    // The note may come later than the bill that ended the request.
+    const bool ended = bills_.find(key) != nullptr
+                       || shardOf(key.workspace).fold.billed(key.workspace, key.request);
+    if (draining() || ended || reservations_.find(key) != nullptr) {
+        return false;
+    }
+    OpenReservation open;
+    open.id = ReservationId(request.reservation());
+    open.key = key;
+    open.bodyHash = request.body_hash();
+    open.model = request.bill().model();
+    open.promptTokens = request.prompt_bound();
+    open.tokens = request.reserved_tokens();
+    open.routerAddress = request.router_address();
+    open.backup = true;
+    reservations_.open(std::move(open));
+    return true;
+}
+
+wire::SettleReply KeeperCore::noteOpen(const wire::SettleRequest &request)
+{
+    const ReservationId id(request.reservation());
+    wire::SettleReply reply;
+    if (request.backup() && reservations_.find(id) == nullptr) {
+        openBackup(request);
+    }
+    OpenReservation *open = reservations_.find(id);
+    reply.set_held(open != nullptr);
+    if (open != nullptr) {
+        open->router = Incarnation(request.router());
+        open->endpoint = request.bill().endpoint();
+        open->endpointAddress = request.endpoint_address();
+        open->engineStream = request.engine_stream();
+    }
+    return reply;
+}
+
 wire::SettleReply KeeperCore::settle(const wire::SettleRequest &request, bool byRouter, Instant now,
                                      WallTime wall)
 {
@@ -227,15 +273,7 @@
     heardRouter(request.router(), now);
     OpenReservation *open = reservations_.find(ReservationId(request.reservation()));
     if (request.still_open()) {
-        wire::SettleReply reply;
-        reply.set_held(open != nullptr);
-        if (open != nullptr) {
-            open->router = Incarnation(request.router());
-            open->endpoint = request.bill().endpoint();
-            open->endpointAddress = request.endpoint_address();
-            open->engineStream = request.engine_stream();
-        }
-        return reply;
+        return noteOpen(request);
     }
     if (open != nullptr) {
         return settleOpen(*open, request, now);
@@ -245,7 +283,7 @@
     // bill was served for nothing. The fold takes the first of several.
     const RequestKey key{WorkspaceId(request.bill().workspace()),
                          RequestId(request.bill().request())};
-    if (byRouter) {
+    if (byRouter && !request.backup()) {
         forwardSettle(request);
     }
     if (saysNotRun(request) || key.request.empty()) {
@@ -319,9 +357,12 @@
                               .with("reservation", reservation.id)
                               .with("spent", spent));
     const std::string bodyHash = reservation.bodyHash;
+    const bool backup = reservation.backup;
     reservations_.close(ReservationId(reservation.id));
     if (bill.prompt_tokens() + bill.completion_tokens() > 0) {
-        bill.clear_draws();
+        if (!backup) {
+            bill.clear_draws();
+        }
         for (const Draw &draw : draws) {
             wire::GrantDraw &entry = *bill.add_draws();
             entry.set_grant(draw.grant.text());
@@ -341,7 +382,14 @@
 void KeeperCore::closeBilledElsewhere(const RequestKey &key, const wire::Bill &bill, Instant now)
 {
     OpenReservation *open = reservations_.find(key);
-    if (open == nullptr || bill.draws().empty()) {
+    if (open == nullptr) {
+        return;
+    }
+    if (open->backup) {
+        endReservation(*open, wire::Bill(), 0, now);
+        return;
+    }
+    if (bill.draws().empty()) {
         return;
     }
     for (const wire::GrantDraw &draw : bill.draws()) {
--- a/lib/Router/ChatDriver.cpp
+++ b/lib/Router/ChatDriver.cpp
@@ -247,6 +247,7 @@
                                .with("endpoint", endpoint_)
                                .with("attempt", attempt_));
     position_.handle("sent");
+    tellBackup(std::string());
     sentAt_ = steadyNow();
     EngineStreamHandlers handlers;
     handlers.onStreamId = [this](const std::string &id) {
@@ -352,6 +353,12 @@
     source.outputCeiling = order_.outputCeiling;
     source.router = context_.address;
     run_->setSource(std::move(source));
+    context_.outbox.announceOpen(openNote(streamId));
+    tellBackup(streamId);
+}
+
+wire::SettleRequest ChatDriver::openNote(const std::string &streamId) const
+{
     wire::SettleRequest open;
     open.set_reservation(reservation_.id());
     open.set_keeper(reservation_.keeper());
@@ -363,7 +370,52 @@
     open.mutable_bill()->set_request(order_.request.text());
     open.mutable_bill()->set_model(order_.model.text());
     open.mutable_bill()->set_endpoint(endpoint_.text());
-    context_.outbox.announceOpen(std::move(open));
+    return open;
+}
+
+std::string ChatDriver::backupKeeper() const
+{
+    return context_.keepers.backupFor(order_.workspace.text(), Incarnation(reservation_.keeper()),
+                                      context_.log.identity().host);
+}
+
+/// A host that is lost takes this router and the keeper beside it in one moment. If that
+/// keeper holds the reservation, one on another host is told of the stream, before it is
+/// sent and when it is seen, and bills it if we are gone.
+void ChatDriver::tellBackup(const std::string &streamId)
+{
+    std::string backup = backupKeeper();
+    if (backup.empty()) {
+        return;
+    }
+    wire::SettleRequest note = openNote(streamId);
+    note.set_backup(true);
+    note.set_reserved_tokens(reservation_.tokens());
+    note.set_prompt_bound(order_.promptBound);
+    note.set_router_address(context_.address);
+    note.set_body_hash(order_.bodyHash);
+    context_.outbox.announceBackup(std::move(backup), std::move(note));
+}
+
+/// Before the caller learns of its answer's end, a keeper on another host has the bill:
+/// else a host lost just then leaves a whole answer that nobody bills. One round trip at
+/// a stream's end, and only where the reservation is held on our own host. A backup that
+/// gives no answer isn't waited for beyond the keepers' timeout; the log says so.
+void ChatDriver::settleWithBackup(wire::SettleRequest request)
+{
+    const std::string backup = backupKeeper();
+    if (backup.empty()) {
+        return;
+    }
+    request.set_backup(true);
+    try {
+        context_.keepers.settleWith(backup, request);
+    } catch (const VerdictError &error) {
+        context_.log.write(Event("backup.unreachable")
+                                   .with("request", order_.request)
+                                   .with("workspace", order_.workspace)
+                                   .with("detail", error.verdict().detail));
+    }
 }
 
 bool ChatDriver::onEvent(const std::string &data)
@@ -485,6 +537,7 @@
     request.set_engine_stream(sequencer_.streamId());
     *request.mutable_bill() = billOf(failure);
     billedTokens_ = request.bill().prompt_tokens() + request.bill().completion_tokens();
+    settleWithBackup(request);
     context_.outbox.settle(std::move(request));
 }
 
--- a/lib/Router/KeeperClient.cpp
+++ b/lib/Router/KeeperClient.cpp
@@ -157,6 +157,34 @@
     return call(&wire::KeeperService::Stub::Settle, request.bill().workspace(), request, timeout_);
 }
 
+std::string KeeperClient::backupFor(const std::string &workspace, const Incarnation &holder,
+                                    const HostId &host) const
+{
+    std::string backup;
+    bool onOurHost = false;
+    for (const KeeperPtr &keeper : orderFor(workspace, Incarnation())) {
+        onOurHost |= keeper->incarnation == holder && keeper->name == host.text();
+        const bool usable = keeper->name != host.text() && !keeper->draining;
+        if (usable && backup.empty()) {
+            backup = keeper->name;
+        }
+    }
+    return onOurHost ? backup : std::string();
+}
+
+wire::SettleReply KeeperClient::settleWith(const std::string &name,
+                                           const wire::SettleRequest &request)
+{
+    std::vector<KeeperPtr> order;
+    if (KeeperPtr keeper = find(name)) {
+        order.push_back(std::move(keeper));
+    }
+    std::vector<std::string> unanswered;
+    return callEach<wire::SettleRequest, wire::SettleReply>(
+            &wire::KeeperService::Stub::Settle, order, timeout_, [&] { return request; },
+            unanswered);
+}
+
 wire::FinishRunReply KeeperClient::finishRun(const wire::FinishRunRequest &request)
 {
     return call(&wire::KeeperService::Stub::FinishRun, request.outcome().workspace(), request,
--- a/lib/Router/KeeperOutbox.cpp
+++ b/lib/Router/KeeperOutbox.cpp
@@ -36,6 +36,11 @@
     post({std::move(request), Instant(), false, true});
 }
 
+void KeeperOutbox::announceBackup(std::string keeper, wire::SettleRequest request)
+{
+    post({BackupNote{std::move(keeper), std::move(request)}, Instant(), false, true});
+}
+
 void KeeperOutbox::finishRun(wire::FinishRunRequest request)
 {
     post({std::move(request), Instant(), false, false});
@@ -112,6 +117,9 @@
         result.set_durable_offset(reply.durable_offset());
         return result;
     }
+    if (const auto *note = std::get_if<BackupNote>(&item.message)) {
+        return keepers_.settleWith(note->keeper, note->request);
+    }
     const Release &release = std::get<Release>(item.message);
     result.set_durable_offset(keepers_.release(release.keeper, release.request) ? 1 : 0);
     return result;
