--- a/bench/Latency/Latency.cpp
+++ b/bench/Latency/Latency.cpp
@@ -38,6 +38,7 @@
 {
     std::string address;
     std::string key; ///< empty: the engine itself
+    std::string workClass = "interactive";
 };
 
 CallTimes timeCall(const Target &target, const std::string &name, uint64_t tokens)
@@ -55,6 +56,7 @@
     request.headers = {{"Content-Type", "application/json"},
                        {"X-Request-Id", name},
                        {"X-Workspace", Workspace},
+                       {"X-Work-Class", target.workClass},
                        {"Authorization", "Bearer " + target.key}};
     const Instant start = std::chrono::steady_clock::now();
     const auto elapsed = [&] {
@@ -194,7 +196,8 @@
     std::vector<std::thread> callers;
     for (std::size_t i = 0; i < Streams; ++i) {
         callers.emplace_back([&, i] {
-            times[i] = timeCall(router, fmt::format("o{}-{}", tokens, i), tokens);
+            times[i] =
+                    timeCall(router, fmt::format("{}-{}-{}", router.workClass, tokens, i), tokens);
             ++ended;
         });
     }
@@ -210,7 +213,7 @@
     for (const CallTimes &one : times) {
         first.push_back(one.firstByte);
     }
-    printTimes("400 at once", times);
+    printTimes("400 " + router.workClass, times);
     fmt::print("worst first byte {:.1f} ms; router {} KB before, {} KB with {} streams of up to {} "
                "chunks open: {} bytes a stream\n",
                millisAt(first, 1.0), before / 1024, most / 1024, Streams, tokens,
@@ -226,8 +229,12 @@
     const Target router{fleet.chatCall(0, Workspace, "").router, fleet.apiKey(Workspace)};
     measureAddedLatency(fleet, engine, router);
     measureTokenCost(fleet, router);
+    // Batch work waits its turn; interactive work that can't start in time is turned
+    // away by admission, and counts as failed here.
+    const Target batch{router.address, router.key, "batch"};
     for (const uint64_t tokens : {100, 1000}) {
-        measureOpening(fleet, router, tokens);
+        measureOpening(fleet, batch, tokens);
     }
+    measureOpening(fleet, router, 100);
     return 0;
 }
--- a/test/Router/FleetTest.cpp
+++ b/test/Router/FleetTest.cpp
@@ -89,6 +89,20 @@
     expectHolds(history);
 }
 
+// A router dies and its caller never comes back. The keeper asks the engine how
+// far the stream got, and bills that.
+TEST(Fleet, StreamOfADeadRouterIsBilled)
+{
+    Fleet fleet(twoHosts());
+    setFaults(fleet.endpointAddress("engine-1"), {{"token_ms", 10}});
+    std::thread caller([&] { fleet.caller().chat(chatOf(fleet, 0, "r1", 80)); });
+    awaitGenerated(fleet, "r1", 20);
+    fleet.router(0).kill();
+    caller.join();
+    fleet.waitBilled(Workspace, {"r1"});
+    expectHolds(fleet.history());
+}
+
 struct EngineFault
 {
     const char *name;
