--- a/include/sequoiagate/Keeper/KeeperCore.h
+++ b/include/sequoiagate/Keeper/KeeperCore.h
@@ -147,6 +147,9 @@
 
     // ---- planned stop ----
     void beginDrain();
+    /// Whether others should count on this keeper: not while it drains, nor before it has
+    /// read every ledger stream to its end, nor over a gap.
+    bool fitForWork() const;
     bool draining() const { return drain_.state() != "serving"; }
     /// Whether no request is open, every bill and closed grant has been read back.
     bool drained(Instant now, WallTime wall);
--- a/lib/Keeper/Gossip.cpp
+++ b/lib/Keeper/Gossip.cpp
@@ -102,10 +102,20 @@
     membership_.seed(all);
 }
 
-void Gossip::setDraining()
+/// A keeper that can't read the ledger refuses every request and can't sign for a grant,
+/// since it hasn't read the grant's claim. Named as witness it would starve the holder, and
+/// as a home it would cost each caller a second try. So it says of itself what one that
+/// drains says: no new work here.
+void Gossip::announceFitness()
 {
+    const bool fit =
+            keeper_.run([](KeeperCore &core, Instant, WallTime) { return core.fitForWork(); });
+    if (fit == fit_) {
+        return;
+    }
+    fit_ = fit;
     absl::MutexLock lock(&mutex_);
-    membership_.setDraining(true);
+    membership_.setDraining(!fit);
 }
 
 void Gossip::leave()
@@ -125,6 +135,7 @@
     if (received) {
         receive(data, now);
     }
+    announceFitness();
     std::vector<MemberChange> changes;
     std::vector<wire::MemberEntry> members;
     {
--- a/lib/Keeper/Gossip.h
+++ b/lib/Keeper/Gossip.h
@@ -49,12 +49,13 @@
 
     /// Further addresses to join through, from the host list. Thread safe.
     void addSeeds(const std::vector<std::string> &addresses);
-    void setDraining();
     /// Says goodbye, so that peers needn't find out by probing.
     void leave();
 
 private:
     Interval step();
+    /// Tells peers whether to count on this keeper, once that has changed.
+    void announceFitness();
     void receive(const std::string &data, Instant now);
     void flush();
     void addExtras(wire::GossipMessage &message);
@@ -67,6 +68,7 @@
     absl::Mutex mutex_;
     Membership membership_ ABSL_GUARDED_BY(mutex_);
     std::size_t nextEndpoint_ = 0;
+    bool fit_ = true; ///< as last announced
     Worker worker_;
 };
 
--- a/lib/Keeper/KeeperCorePeers.cpp
+++ b/lib/Keeper/KeeperCorePeers.cpp
@@ -267,6 +267,14 @@
     ++progress_;
 }
 
+bool KeeperCore::fitForWork() const
+{
+    const bool allRead = std::all_of(shards_.begin(), shards_.end(), [](const auto &shard) {
+        return shard->place.state == StreamState::Current;
+    });
+    return allRead && !draining();
+}
+
 bool KeeperCore::drained(Instant now, WallTime wall)
 {
     wall_ = wall;
--- a/lib/Keeper/KeeperProcess.cpp
+++ b/lib/Keeper/KeeperProcess.cpp
@@ -113,7 +113,6 @@
 int stopKeeper(Keeper &keeper, Gossip &gossip, Interval limit)
 {
     keeper.run([](KeeperCore &core, Instant, WallTime) { core.beginDrain(); });
-    gossip.setDraining();
     const bool done = drainUntil(keeper, std::chrono::steady_clock::now() + limit);
     gossip.leave();
     std::this_thread::sleep_for(GoodbyeTime);
--- a/test/Keeper/BareRouter.cpp
+++ b/test/Keeper/BareRouter.cpp
@@ -26,10 +26,19 @@
     return reply;
 }
 
+/// A channel of its own: one that is shared through gRPC's pool may still be connected to a
+/// killed keeper whose address a new one has taken.
+static std::shared_ptr<grpc::Channel> ownChannel(const std::string &keeper)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    return grpc::CreateCustomChannel("ipv4:" + keeper, grpc::InsecureChannelCredentials(),
+                                     arguments);
+}
+
 BareRouter::BareRouter(const std::string &keeper, std::string engine)
-    : stub_(wire::KeeperService::NewStub(
-            grpc::CreateChannel("ipv4:" + keeper, grpc::InsecureChannelCredentials()))),
-      engine_(std::move(engine)), incarnation_(randomHex128())
+    : stub_(wire::KeeperService::NewStub(ownChannel(keeper))), engine_(std::move(engine)),
+      incarnation_(randomHex128())
 {}
 
 wire::ReserveReply BareRouter::reserve(const BareRequest &request, const std::string &attempt)
