[Members] Let the bench measure one matter at a time

Change: quiet, loss, detection and healing can be asked for by name and run side by side; the table names them. Indirect probes are the settings' own.

--- a/bench/Members/MembershipBench.cpp
+++ b/bench/Members/MembershipBench.cpp
@@ -1,11 +1,12 @@
 /// What membership costs and how well it judges, at 9, 60 and 370 members: the pure
 /// state machines in one process, over a network in virtual time.
-/// Usage: bench-Members [INDIRECT-PROBES [MEMBERS ...]]
+/// Usage: bench-Members [all|quiet|loss|detection|healing [MEMBERS ...]]
 
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <string>
 #include <vector>
 
 #include <fmt/format.h>
@@ -153,16 +154,30 @@
     printTraffic("while healing", net, members, *took);
 }
 
+void measureDetectionBothWays(std::size_t members, uint32_t indirectProbes)
+{
+    measureDetection(members, 0.0, indirectProbes);
+    measureDetection(members, Loss, indirectProbes);
+}
+
+struct Matter
+{
+    const char *name;
+    void (*measure)(std::size_t members, uint32_t indirectProbes);
+};
+
+constexpr Matter Matters[] = {{"quiet", measureQuiet},
+                              {"loss", measureLoss},
+                              {"detection", measureDetectionBothWays},
+                              {"healing", measureHealing}};
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     // A line at a time: a run of hundreds of members takes minutes.
     std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
-    uint32_t indirectProbes = MembershipSettings().indirectProbes;
-    if (argc > 1) {
-        indirectProbes = static_cast<uint32_t>(std::strtoul(argv[1], nullptr, 10));
-    }
+    const std::string wanted = argc > 1 ? argv[1] : "all";
     std::vector<std::size_t> sizes;
     for (int i = 2; i < argc; ++i) {
         sizes.push_back(std::strtoul(argv[i], nullptr, 10));
@@ -170,13 +185,14 @@
     if (sizes.empty()) {
         sizes = {9, 60, 370};
     }
+    const uint32_t indirectProbes = MembershipSettings().indirectProbes;
     for (const std::size_t members : sizes) {
-        fmt::print("{} members, {} indirect probes\n", members, indirectProbes);
-        measureQuiet(members, indirectProbes);
-        measureLoss(members, indirectProbes);
-        measureDetection(members, 0.0, indirectProbes);
-        measureDetection(members, Loss, indirectProbes);
-        measureHealing(members, indirectProbes);
+        fmt::print("{} members\n", members);
+        for (const Matter &matter : Matters) {
+            if (wanted == "all" || wanted == matter.name) {
+                matter.measure(members, indirectProbes);
+            }
+        }
     }
     return 0;
 }
