--- a/lib/Router/ChatDriver.cpp
+++ b/lib/Router/ChatDriver.cpp
@@ -82,6 +82,7 @@
     endpoint_ = point.endpoint;
     endpointAddress_ = point.endpointAddress;
     reservation_.set_id(point.reservation.text());
+    reservation_.set_keeper(point.keeper.text());
     reservation_.set_tokens(point.promptTokens + point.outputCeiling);
     sequencer_ = ChunkSequencer(point.engineStream, 0);
     conclude(&ChatDriver::takeUpSteps);
@@ -106,7 +107,7 @@
         context_.scheduler.finished(item_, billedTokens_);
     }
     context_.runs.remove(*run_);
-    run_->end(failure);
+    run_->end({std::move(failure), std::move(content_), finishReason_});
 }
 
 void ChatDriver::serveSteps()
@@ -142,7 +143,7 @@
     request.set_router(context_.log.identity().incarnation.text());
     request.set_model(order_.model.text());
     request.set_router_address(context_.address);
-    const wire::ReserveReply reply = context_.keepers.reserve(request);
+    const wire::ReserveReply reply = askForReservation(request);
     switch (reply.outcome_case()) {
     case wire::ReserveReply::kReservation:
         break;
@@ -168,6 +169,24 @@
                                .with("keeper", reservation_.keeper()));
 }
 
+wire::ReserveReply ChatDriver::askForReservation(const wire::ReserveRequest &request)
+{
+    std::vector<std::string> unanswered;
+    const auto releaseUnanswered = [&] {
+        for (const std::string &keeper : unanswered) {
+            context_.outbox.release(keeper, request);
+        }
+    };
+    try {
+        wire::ReserveReply reply = context_.keepers.reserve(request, unanswered);
+        releaseUnanswered();
+        return reply;
+    } catch (const VerdictError &) {
+        releaseUnanswered();
+        throw;
+    }
+}
+
 void ChatDriver::sendUntilWhole()
 {
     std::vector<EndpointId> tried;
@@ -328,6 +347,7 @@
     source.endpointAddress = endpointAddress_;
     source.engineStream = streamId;
     source.reservation = ReservationId(reservation_.id());
+    source.keeper = Incarnation(reservation_.keeper());
     source.promptTokens = order_.promptBound;
     source.outputCeiling = order_.outputCeiling;
     source.router = context_.address;
@@ -392,6 +412,7 @@
         }
         promptTokens_ = chunk.promptTokens;
         completionTokens_ = chunk.completionTokens;
+        finishReason_ = chunk.finishReason;
         brokenOff_ = brokenOff(chunk.finishReason);
     }
     if (brokenOff_) {
@@ -424,7 +445,7 @@
     EngineChunk chunk;
     chunk.streamId = sequencer_.streamId();
     chunk.position = order_.outputCeiling;
-    chunk.finishReason = "length";
+    finishReason_ = "length";
     chunk.json = json.dump();
     run_->append({std::move(chunk)});
 }
