[Transport] Take answers as large as the configuration gets

Cause: gRPC refuses answers above 4 MB. A configuration of 6 MB never reached a router or a peer that asked for it; 390,000 budgets are several times that. Change: channels take up to 512 MB. sequoiactl asks only the keepers it was given for their members; from all hosts that grew with the square of the hosts. Ruled out: sending the configuration in parts, which this size doesn't need yet. Conclusion: the test with 6 MB fails without the change and passes with it.

--- a/include/sequoiagate/Operate/KeeperClient.h
+++ b/include/sequoiagate/Operate/KeeperClient.h
@@ -31,7 +31,8 @@
     virtual ~KeeperClient() = default;
 
     /// Asks the keepers known from the settings and all that these believe live.
-    /// Each is given until \p deadline.
+    /// Each is given until \p deadline. Only the former are asked for their members:
+    /// all members of all hosts would grow with the square of the hosts.
     virtual std::vector<KeeperStatus> readAll(const std::string &workspace, Instant deadline) = 0;
     /// Asks one keeper to drain. \throws VerdictError
     virtual wire::DrainReply drain(const std::string &address, const std::string &reason,
@@ -49,7 +50,7 @@
                            Instant deadline) override;
 
 private:
-    KeeperStatus readOne(const std::string &address, const std::string &workspace,
+    KeeperStatus readOne(const std::string &address, const wire::ReadStatusRequest &request,
                          Instant deadline);
 
     std::vector<std::string> addresses_;
--- a/lib/Operate/KeeperClient.cpp
+++ b/lib/Operate/KeeperClient.cpp
@@ -61,12 +61,15 @@
             next.push_back({address, "", false, "", {}});
         }
     }
+    wire::ReadStatusRequest request;
+    request.set_workspace(workspace);
+    request.set_with_members(true);
     std::vector<KeeperStatus> statuses;
     while (!next.empty()) {
         std::vector<std::future<KeeperStatus>> answers;
         for (const KeeperStatus &status : next) {
-            answers.push_back(std::async(std::launch::async, [this, status, workspace, deadline] {
-                KeeperStatus answer = readOne(status.address, workspace, deadline);
+            answers.push_back(std::async(std::launch::async, [this, status, request, deadline] {
+                KeeperStatus answer = readOne(status.address, request, deadline);
                 if (!answer.heard) {
                     answer.host = status.host;
                 }
@@ -77,21 +80,19 @@
             statuses.push_back(answer.get());
         }
         next = unasked(statuses);
+        request.set_with_members(false);
     }
     return statuses;
 }
 
-KeeperStatus GrpcKeeperClient::readOne(const std::string &address, const std::string &workspace,
-                                       Instant deadline)
+KeeperStatus GrpcKeeperClient::readOne(const std::string &address,
+                                       const wire::ReadStatusRequest &request, Instant deadline)
 {
     KeeperStatus status;
     status.address = address;
     const auto stub = wire::KeeperService::NewStub(security_.channel(address));
     grpc::ClientContext context;
     context.set_deadline(wallDeadline(deadline));
-    wire::ReadStatusRequest request;
-    request.set_workspace(workspace);
-    request.set_with_members(true);
     const grpc::Status answer = stub->ReadStatus(&context, request, &status.reply);
     status.heard = answer.ok();
     status.fault = answer.error_message();
--- a/lib/Transport/Security.cpp
+++ b/lib/Transport/Security.cpp
@@ -31,6 +31,10 @@
 constexpr Millis KeepaliveTime{10'000};
 constexpr Millis KeepaliveTimeout{3000};
 
+/// The library refuses answers above 4 MB. A configuration of hundreds of thousands of
+/// workspaces is larger, and a router that can't take it is never ready.
+constexpr int LargestAnswer = 512 * 1024 * 1024;
+
 struct FileCloser
 {
     void operator()(std::FILE *file) const { std::fclose(file); }
@@ -250,6 +254,7 @@
                      static_cast<int>(MaximumReconnectWait.count()));
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, static_cast<int>(KeepaliveTime.count()));
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, static_cast<int>(KeepaliveTimeout.count()));
+    arguments.SetMaxReceiveMessageSize(LargestAnswer);
     return tls::CreateCustomChannelWithInterceptors("ipv4:" + address, channelCredentials(address),
                                                     arguments, clientClock(log_));
 }
--- a/unittests/Transport/SecurityTest.cpp
+++ b/unittests/Transport/SecurityTest.cpp
@@ -325,6 +325,40 @@
     EXPECT_EQ(text.find("security.plaintext"), text.rfind("security.plaintext")) << text;
 }
 
+/// Answers with a configuration of 6 MB.
+class LargeConfig : public wire::KeeperService::Service
+{
+public:
+    grpc::Status ReadConfig(grpc::ServerContext * /*context*/,
+                            const wire::ReadConfigRequest * /*request*/,
+                            wire::ReadConfigReply *reply) override
+    {
+        constexpr std::size_t Bytes = 6 * 1024 * 1024;
+        reply->mutable_config()->add_workspaces()->set_name(std::string(Bytes, 'x'));
+        return grpc::Status::OK;
+    }
+};
+
+// The configuration has grown past the library's limit of 4 MB. A router would be
+// refused it for ever, and never be ready.
+TEST(Channel, TakesALargeConfiguration)
+{
+    LogFile log("LargeConfig.log");
+    Security security(nlohmann::json::object(), log.log());
+    LargeConfig service;
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort("127.0.0.1:0", security.serverCredentials("127.0.0.1:0"), &port);
+    builder.RegisterService(&service);
+    const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+    const auto stub =
+            wire::KeeperService::NewStub(security.channel(fmt::format("127.0.0.1:{}", port)));
+    grpc::ClientContext context;
+    wire::ReadConfigReply reply;
+    const grpc::Status status = stub->ReadConfig(&context, {}, &reply);
+    EXPECT_TRUE(status.ok()) << status.error_message();
+}
+
 // The caller's clock is an hour ahead. What the server logs because of the call must
 // sort after the call all the same.
 TEST(Clock, TravelsWithACall)
