[Load] Ask engine stand-ins for the length; no slots without endpoints

Cause: a stand-in answers a prompt of any length with a few tokens, so that a load didn't hold slots as planned; and with no usable endpoint totalSlots said 1, where the router reads 0 as "say at once that there is none".

Measured: unittests-Decisions 52, unittests-Load 22 pass.

--- a/include/sequoiagate/Decisions/EndpointChoice.h
+++ b/include/sequoiagate/Decisions/EndpointChoice.h
@@ -114,6 +114,7 @@
     /// part of their slots at least; more while the others leave room, and less again
     /// when all slots are taken. Divided by what each has open alone, any division stands
     /// for ever: one router kept 6 of 2,940 slots at saturation, and refused its callers.
+    /// 0 if no endpoint can be used.
     uint32_t totalSlots(Instant now) const;
 
 private:
--- a/lib/Decisions/EndpointChoice.cpp
+++ b/lib/Decisions/EndpointChoice.cpp
@@ -490,6 +490,9 @@
         requests += endpoint.load.requests(now);
         slots += endpoint.spec.slots * endpoint.health.rampShare(now);
     }
+    if (slots <= 0.0) {
+        return 0;
+    }
     // The others are taken to have grown as this router has since the reports.
     const double part = partOf(ownWhenReported, reported);
     const double everybodys = std::max(requests, own / part);
--- a/lib/Load/LoadRunner.cpp
+++ b/lib/Load/LoadRunner.cpp
@@ -23,7 +23,8 @@
     return std::chrono::steady_clock::now();
 }
 
-/// The prompt: a prefix shared with the others of its number, then words of its own.
+/// The prompt: a prefix shared with the others of its number, then words of its own, and
+/// last the length that an engine stand-in is to answer with.
 std::string promptOf(const PlannedRequest &planned, std::size_t number)
 {
     constexpr uint32_t OwnPart = 5; // a fifth of the words
@@ -35,6 +36,7 @@
     for (uint32_t i = 0; i < own; ++i) {
         prompt += fmt::format("r{} ", number);
     }
+    prompt += fmt::format("tokens={}", planned.maxTokens);
     return prompt;
 }
 
--- a/unittests/Decisions/EndpointChoiceTest.cpp
+++ b/unittests/Decisions/EndpointChoiceTest.cpp
@@ -379,6 +379,7 @@
     EndpointChoiceSettings settings;
     settings.routers = 10;
     EndpointChoice choice(Here, settings);
+    EXPECT_EQ(choice.totalSlots(Start), 0U);
     choice.setEndpoints(fleetOf(10), Start);
     EXPECT_GE(choice.totalSlots(Start), 100U) << "nobody else is there";
     for (int i = 0; i < 10; ++i) {
