[Decisions] Don't count streams on an ejected endpoint against the others' room

Change: totalSlots adds what is open where no more is sent.

Test seen failing without it: 19 slots, 39 wanted.

--- a/lib/Decisions/EndpointChoice.cpp
+++ b/lib/Decisions/EndpointChoice.cpp
@@ -480,8 +480,10 @@
     double reported = 0.0;
     double requests = 0.0;
     double slots = 0.0;
+    double ownElsewhere = 0.0; // open where no more is sent; they hold no slot that counts here
     for (const Endpoint &endpoint : endpoints_) {
         if (usability(endpoint, now) != Usability::Usable) {
+            ownElsewhere += endpoint.load.own();
             continue;
         }
         own += endpoint.load.own();
@@ -504,7 +506,7 @@
     // together (Chiu and Jain, 1989).
     const double change = room > 0.0 ? room * (part + equalPart) / 2.0 : room * part;
     const double least = std::max(settings_.fullest * slots * equalPart, 1.0);
-    return static_cast<uint32_t>(std::max(own + change, least));
+    return static_cast<uint32_t>(std::max(own + change, least) + ownElsewhere);
 }
 
 double EndpointChoice::partOf(double own, double everybodys) const
--- a/unittests/Decisions/EndpointChoiceTest.cpp
+++ b/unittests/Decisions/EndpointChoiceTest.cpp
@@ -372,6 +372,21 @@
     EXPECT_LE(early, 4);
 }
 
+TEST(EndpointChoice, CountsTheRoomBesideWhatStaysOpenOnALeavingEndpoint)
+{
+    // An endpoint is leaving, or is ejected, while its streams go on. Counted against the
+    // room of the others they keep callers out though every slot there is free.
+    Caller caller(2);
+    for (int i = 0; i < 20; ++i) {
+        caller.choice.onSent(EndpointId("e0"), itemOf(i), Start);
+    }
+    LoadReport report = reportOf(0, 20, Start);
+    report.leaving = true;
+    caller.choice.onReport(report, Start);
+    caller.choice.onReport(reportOf(1, 0, Start), Start);
+    EXPECT_GE(caller.choice.totalSlots(Start), 20U + 19U);
+}
+
 TEST(EndpointChoice, SharesSlotsWithOtherRouters)
 {
     // Ten routers see the same idle fleet of 200 slots. Each gets an equal part when all
