--- a/include/sequoiagate/Ledger/GrantHolder.h
+++ b/include/sequoiagate/Ledger/GrantHolder.h
@@ -58,7 +58,9 @@
                 GrantSafeguards safeguards = {});
 
     /// Sets \p tokens aside if the windows cover them. \p witnesses are keepers
-    /// believed live, best first; none: grants are claimed without a witness.
+    /// believed live, best first: those of the own failure domain before others, since
+    /// a partition separates from the others, and in an order that is stable, since a
+    /// better one takes over. None: grants are claimed without a witness.
     /// The same id again gives the same draws.
     ReserveOutcome reserve(const ReservationId &id, uint64_t tokens,
                            const std::vector<Incarnation> &witnesses, const LedgerFold &fold,
@@ -142,6 +144,7 @@
     std::optional<Incarnation> chooseWitness(const std::vector<Incarnation> &candidates,
                                              const Incarnation &except) const;
     void replaceWitness(Held &held, const Incarnation &next, Instant now);
+    void notePreferred(const Surroundings &around);
     void replaceWitnesses(const Surroundings &around);
     void claimAhead(const Surroundings &around);
     void returnIdle(const Surroundings &around);
@@ -161,8 +164,10 @@
     std::vector<Held> grants_; ///< oldest first; the oldest is drawn on first
     std::unordered_map<ReservationId, ReservationDraws> reservations_;
     std::map<ReservationId, Waiting> waiting_;
-    std::set<Incarnation> suspected_; ///< witnesses believed dead
-    std::set<Incarnation> avoided_;   ///< witnesses that gave us up
+    std::set<Incarnation> suspected_;      ///< witnesses believed dead
+    std::set<Incarnation> avoided_;        ///< witnesses that gave us up
+    std::optional<Incarnation> preferred_; ///< the best witness of late
+    Instant preferredFrom_ = Never;        ///< when it takes over from others
     DemandRate longRate_;
     DemandRate shortRate_;
     uint64_t grantsClaimed_ = 0;
--- a/lib/Ledger/GrantHolder.cpp
+++ b/lib/Ledger/GrantHolder.cpp
@@ -19,7 +19,7 @@
 constexpr int ShortRateWindows = 2;
 /// A new claim goes out when less than this share of the horizon is left, so that it
 /// is read back long before the windows run dry.
-constexpr int ClaimAheadShare = 4;
+constexpr int ClaimAheadShare = 2;
 /// More than this many horizons' worth lies idle: demand has moved elsewhere.
 constexpr int IdleHorizons = 2;
 /// Windows' worth that a holder keeps back when others go short, or after the log was
@@ -31,6 +31,9 @@
 /// So many asks without an answer: the witness is out of reach, whatever the
 /// membership says, as in a partition that cuts only the two of us apart.
 constexpr int AsksBeforeReplacing = 4;
+/// A witness that has been the best one for so long takes over: the witnesses' order
+/// moves for a moment whenever a host comes or goes, and each change is a record.
+constexpr Interval BetterWitnessAfter = std::chrono::seconds(30);
 constexpr Interval TickEvery = std::chrono::seconds(1);
 /// A claim that isn't read back for so long doesn't hold up another one. It may still
 /// be accepted later, and is then used.
@@ -418,8 +421,21 @@
     change.set_witness(next.text());
 }
 
+void GrantHolder::notePreferred(const Surroundings &around)
+{
+    std::optional<Incarnation> best = chooseWitness(around.witnesses, Incarnation());
+    if (best != preferred_) {
+        preferred_ = std::move(best);
+        preferredFrom_ = around.now + BetterWitnessAfter;
+    }
+}
+
 void GrantHolder::replaceWitnesses(const Surroundings &around)
 {
+    // After a death the only witness left may be in another failure domain. Were it kept
+    // once the dead one is replaced, the next partition would cut the holder off from its
+    // windows, and it would refuse with a full grant in hand.
+    const bool settled = preferred_ && around.now >= preferredFrom_;
     for (Held &held : grants_) {
         GrantAccount &account = held.account;
         if (account.phase() != GrantAccount::Phase::Open || account.witnessChanging()
@@ -428,7 +444,8 @@
         }
         const bool failing = held.ask.failures >= AsksBeforeReplacing || held.refusedForGood
                              || suspected_.contains(account.witness());
-        if (!account.witness().empty() && !failing) {
+        const bool outranked = settled && account.witness() != *preferred_;
+        if (!account.witness().empty() && !failing && !outranked) {
             continue;
         }
         const std::optional<Incarnation> next = chooseWitness(around.witnesses, account.witness());
@@ -475,6 +492,7 @@
     if (!logReachable) {
         return;
     }
+    notePreferred(around);
     replaceWitnesses(around);
     returnIdle(around);
     claimAhead(around);
--- a/unittests/Ledger/GrantHolderTest.cpp
+++ b/unittests/Ledger/GrantHolderTest.cpp
@@ -225,6 +225,22 @@
     EXPECT_EQ(fold_.grantsHeldBy(self_).size(), 1U);
 }
 
+/// The only other host of the failure domain dies and is replaced. For some minutes the
+/// witness is one elsewhere; once the new one has been there for a while, it takes over,
+/// so that the next partition doesn't cut the holder off from its windows.
+TEST_F(GrantHolderTest, GoesBackToABetterWitness)
+{
+    witnesses_ = {secondId_};
+    reserve("r", 50);
+    const GrantId grant = fold_.grantsHeldBy(self_).at(0)->id;
+    witnesses_ = {firstId_, secondId_};
+    tick(1s);
+    EXPECT_EQ(fold_.grant(grant)->witness, secondId_) << "at once";
+    tick(31s);
+    EXPECT_EQ(fold_.grant(grant)->witness, firstId_);
+    EXPECT_GE(fold_.grant(grant)->baseSigned, 50U) << "what is reserved counts as received";
+}
+
 /// The witness takes the holder for dead and seals. The holder, only paused, spends
 /// what it had received, and claims anew with another witness.
 TEST_F(GrantHolderTest, GoesOnAfterAWrongSeal)
