[Config] Put a change in place instead of copying the state

New workspaces are added at the end and sorted once, since shifting each into its place is quadratic over a sheet in another order.

Ruled out: two copies that take turns (memory twice, each change folded twice).

--- a/bench/Fold/Main.cpp
+++ b/bench/Fold/Main.cpp
@@ -132,7 +132,7 @@
     const Clock::time_point start = Clock::now();
     fold.apply(records::from("op", 2, one), 1);
     const double micros = microsSince(start);
-    fmt::print("| {} | {:.0f} | {:.0f} | {:.1f} |\n", count,
+    fmt::print("| {} | {:.0f} | {:.0f} | {:.3f} |\n", count,
                static_cast<double>(memory) / static_cast<double>(count),
                static_cast<double>(fold.state().ByteSizeLong()) / static_cast<double>(count),
                micros / 1000);
--- a/include/sequoiagate/Config/ConfigFold.h
+++ b/include/sequoiagate/Config/ConfigFold.h
@@ -56,10 +56,8 @@
         FoldOutcome outcome = FoldOutcome::Refused;
     };
 
-    FoldResult applyChange(const wire::ConfigChange &change, wire::ConfigState &next) const;
-    void applyWorkspace(const wire::WorkspaceChange &change, wire::ConfigState &state) const;
-    void addTopUps(const wire::WorkspaceChange &change, wire::WorkspaceConfig &workspace) const;
-    std::optional<std::string> faultOf(const wire::ConfigState &next) const;
+    FoldResult applyChange(const wire::ConfigChange &change);
+    void addHistory(const wire::Record &record);
     void remember(const wire::Record &record, FoldOutcome outcome);
     void indexKeys();
 
