--- a/include/sequoiagate/Ledger/GrantHolder.h
+++ b/include/sequoiagate/Ledger/GrantHolder.h
@@ -101,6 +101,10 @@
     std::vector<wire::HeldGrant> describe() const;
 
 private:
+    /// A claim that isn't read back for so long doesn't hold up another one. It may
+    /// still be accepted later, and is then used.
+    static constexpr Interval ClaimGivenUpAfter = std::chrono::seconds(10);
+
     /// A question to a witness that isn't answered yet, or went without an answer.
     struct Ask
     {
