--- a/include/sequoiagate/Keeper/KeeperCore.h
+++ b/include/sequoiagate/Keeper/KeeperCore.h
@@ -147,6 +147,9 @@
 
     // ---- planned stop ----
     void beginDrain();
+    /// Whether others should count on this keeper: not while it drains, nor before it has
+    /// read every ledger stream to its end, nor over a gap.
+    bool fitForWork() const;
     bool draining() const { return drain_.state() != "serving"; }
     /// Whether no request is open, every bill and closed grant has been read back.
     bool drained(Instant now, WallTime wall);
@@ -228,6 +231,9 @@
                                        const ReservationDraws &draws);
     bool budgetOnItsWay(const WorkspaceId &workspace, uint64_t tokens, Instant now) const;
     void heardRouter(const std::string &router, Instant now);
+    /// Notes a stream whose reservation is held on its router's own host.
+    bool openBackup(const wire::SettleRequest &request);
+    wire::SettleReply noteOpen(const wire::SettleRequest &request);
     wire::SettleReply settleOpen(OpenReservation &reservation, const wire::SettleRequest &request,
                                  Instant now);
     wire::SettleReply billState(const RequestKey &key);
--- a/lib/Decisions/EndpointChoice.cpp
+++ b/lib/Decisions/EndpointChoice.cpp
@@ -47,6 +47,7 @@
         updated.push_back(known != nullptr ? std::move(*known) : Endpoint{});
         updated.back().spec = spec;
         updated.back().hash = stableHash(spec.id.text());
+        updated.back().local = spec.domain == self_;
         if (known == nullptr && !firstSet) {
             updated.back().health.startRamp(now, settings_.health);
         }
@@ -149,9 +150,8 @@
         const double slots = std::max(endpoint.spec.slots, 1U) * endpoint.health.rampShare(now);
         reported += load.reported(now);
         ownWhenReported += load.ownWhenReported(now);
-        const bool local = endpoint.spec.domain == self_;
-        candidates_.push_back(
-                {&endpoint, slots, load.requests(now) / slots, (load.own() + 1) / slots, local});
+        candidates_.push_back({&endpoint, slots, load.requests(now) / slots,
+                               (load.own() + 1) / slots, endpoint.local});
     }
     ownPart_ = partOf(ownWhenReported, reported);
     for (Candidate &candidate : candidates_) {
@@ -184,7 +184,7 @@
                                                 Instant now)
 {
     // A first try that can be made again, and whose wait is short if all is well.
-    if (!item.idempotent || isLong || !tried.empty()) {
+    if (!service.outliers.someOut() || !item.idempotent || isLong || !tried.empty()) {
         return nullptr;
     }
     for (const std::size_t i : service.endpoints) {
@@ -480,8 +480,10 @@
     double reported = 0.0;
     double requests = 0.0;
     double slots = 0.0;
+    double ownElsewhere = 0.0; // open where no more is sent; they hold no slot that counts here
     for (const Endpoint &endpoint : endpoints_) {
         if (usability(endpoint, now) != Usability::Usable) {
+            ownElsewhere += endpoint.load.own();
             continue;
         }
         own += endpoint.load.own();
@@ -490,6 +492,9 @@
         requests += endpoint.load.requests(now);
         slots += endpoint.spec.slots * endpoint.health.rampShare(now);
     }
+    if (slots <= 0.0) {
+        return 0;
+    }
     // The others are taken to have grown as this router has since the reports.
     const double part = partOf(ownWhenReported, reported);
     const double everybodys = std::max(requests, own / part);
@@ -501,7 +506,7 @@
     // together (Chiu and Jain, 1989).
     const double change = room > 0.0 ? room * (part + equalPart) / 2.0 : room * part;
     const double least = std::max(settings_.fullest * slots * equalPart, 1.0);
-    return static_cast<uint32_t>(std::max(own + change, least));
+    return static_cast<uint32_t>(std::max(own + change, least) + ownElsewhere);
 }
 
 double EndpointChoice::partOf(double own, double everybodys) const
