--- a/lib/Ledger/GrantHolder.cpp
+++ b/lib/Ledger/GrantHolder.cpp
@@ -6,8 +6,6 @@
 
 #include <fmt/format.h>
 
-#include "sequoiagate/Base/Rendezvous.h"
-
 namespace sequoiagate {
 
 namespace {
--- a/lib/Ledger/GrantUpkeep.cpp
+++ b/lib/Ledger/GrantUpkeep.cpp
@@ -1,9 +1,10 @@
+#include "sequoiagate/Ledger/GrantHolder.h"
+
 #include <algorithm>
 
 #include <fmt/format.h>
 
 #include "sequoiagate/Base/Rendezvous.h"
-#include "sequoiagate/Ledger/GrantHolder.h"
 
 // What a holder does on its own account: claims, windows, witnesses, returns. What its
 // callers ask of it stands in GrantHolder.cpp.
