--- a/include/sequoiagate/Keeper/Keeper.h
+++ b/include/sequoiagate/Keeper/Keeper.h
@@ -70,14 +70,14 @@
         }
     }
 
-    /// Waits until the core has had more work than \p seen counts (KeeperCore::work), at
-    /// the latest until \p until.
-    void waitForWork(uint64_t seen, Instant until)
+    /// Waits until the core has had more work of \p kind than \p seen counts
+    /// (KeeperCore::work), at the latest until \p until.
+    void waitForWork(WorkKind kind, uint64_t seen, Instant until)
     {
         absl::MutexLock lock(&mutex_);
-        if (core_.work() == seen) {
+        if (core_.work(kind) == seen) {
             const Interval wait = until - std::chrono::steady_clock::now();
-            work_.WaitWithTimeout(&mutex_, absl::FromChrono(wait));
+            work_[static_cast<std::size_t>(kind)].WaitWithTimeout(&mutex_, absl::FromChrono(wait));
         }
     }
 
@@ -94,18 +94,22 @@
         if (core_.progress() != before) {
             changed_.SignalAll();
         }
-        if (core_.work() != signalledWork_) {
-            signalledWork_ = core_.work();
-            work_.SignalAll();
+        for (std::size_t kind = 0; kind < WorkKinds; ++kind) {
+            const uint64_t work = core_.work(static_cast<WorkKind>(kind));
+            if (work != signalledWork_[kind]) {
+                signalledWork_[kind] = work;
+                work_[kind].SignalAll();
+            }
         }
     }
 
     EventLog &log_;
     absl::Mutex mutex_;
     absl::CondVar changed_; ///< an answer may be ready
-    absl::CondVar work_;    ///< a driver may have work
+    /// By WorkKind: with one for all, each bill woke every driver.
+    std::array<absl::CondVar, WorkKinds> work_;
     KeeperCore core_ ABSL_GUARDED_BY(mutex_);
-    uint64_t signalledWork_ ABSL_GUARDED_BY(mutex_) = 0;
+    std::array<uint64_t, WorkKinds> signalledWork_ ABSL_GUARDED_BY(mutex_){};
 };
 
 } // namespace sequoiagate
--- a/include/sequoiagate/Keeper/KeeperCore.h
+++ b/include/sequoiagate/Keeper/KeeperCore.h
@@ -6,6 +6,7 @@
 /// reservations, bills and run claims. (event, now) -> answer, and work for the
 /// drivers to fetch.
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -83,6 +84,15 @@
     wire::SettleRequest request;
 };
 
+/// What the drivers do; each kind is woken by itself.
+enum class WorkKind {
+    Append,
+    AskWindow,
+    Inquire,
+    Forward,
+};
+inline constexpr std::size_t WorkKinds = 4;
+
 /// One log stream with its fold's place.
 enum class StreamState {
     CatchingUp,
@@ -167,8 +177,8 @@
     std::vector<Event> takeEvents();
     /// Rises when somebody who was told AskAgain should ask again.
     uint64_t progress() const { return progress_; }
-    /// Rises when a driver has something to do.
-    uint64_t work() const { return work_; }
+    /// Rises when the drivers of that kind have something to do.
+    uint64_t work(WorkKind kind) const { return work_[static_cast<std::size_t>(kind)]; }
 
     bool configLogSilent(Instant now) const;
     /// The version that is served; 0: none yet.
@@ -221,6 +231,7 @@
     void pump(Shard &shard, GrantHolder &holder, Instant now);
     void pumpWitness(Shard &shard, Instant now);
     void pumpAll(Shard &shard, Instant now);
+    void addWork(WorkKind kind) { ++work_[static_cast<std::size_t>(kind)]; }
     uint64_t push(AppendQueue &queue, wire::Record record, Instant sendBy);
 
     std::optional<wire::ReserveReply> answerKnown(const wire::ReserveRequest &request,
@@ -296,7 +307,7 @@
     std::vector<Event> events_;
     bool pollsEnded_ = false;
     uint64_t progress_ = 1;
-    uint64_t work_ = 1;
+    std::array<uint64_t, WorkKinds> work_{};
 };
 
 } // namespace sequoiagate
--- a/lib/Keeper/Endpoints.cpp
+++ b/lib/Keeper/Endpoints.cpp
@@ -207,11 +207,12 @@
     uint64_t seen = 0;
     const std::optional<StreamInquiry> inquiry =
             keeper_.run([&](KeeperCore &core, Instant now, WallTime) {
-                seen = core.work();
+                seen = core.work(WorkKind::Inquire);
                 return core.takeInquiry(now);
             });
     if (!inquiry) {
-        keeper_.waitForWork(seen, std::chrono::steady_clock::now() + LongestIdle);
+        keeper_.waitForWork(WorkKind::Inquire, seen,
+                            std::chrono::steady_clock::now() + LongestIdle);
         return Interval::zero();
     }
     StreamAnswer answer;
--- a/lib/Keeper/KeeperCore.cpp
+++ b/lib/Keeper/KeeperCore.cpp
@@ -78,8 +78,14 @@
 
 uint64_t KeeperCore::push(AppendQueue &queue, wire::Record record, Instant sendBy)
 {
-    ++work_;
-    return queue.push(std::move(record), sendBy, wall_);
+    const Instant dueBefore = queue.nextDeadline();
+    const uint64_t sequence = queue.push(std::move(record), sendBy, wall_);
+    // The writer waits for the earliest deadline by itself: a bill that shares the next
+    // append with others must not wake it.
+    if (queue.nextDeadline() < dueBefore) {
+        addWork(WorkKind::Append);
+    }
+    return sequence;
 }
 
 /// Takes note of a read's answer. \returns whether its entries can be folded.
--- a/lib/Keeper/KeeperCorePeers.cpp
+++ b/lib/Keeper/KeeperCorePeers.cpp
@@ -21,7 +21,7 @@
             push(shard.queue, std::move(append->record), now);
         } else if (auto *ask = std::get_if<AskWindowAction>(&action)) {
             windowAsks_.push_back(std::move(*ask));
-            ++work_;
+            addWork(WorkKind::AskWindow);
         }
     }
 }
--- a/lib/Keeper/KeeperCoreRequests.cpp
+++ b/lib/Keeper/KeeperCoreRequests.cpp
@@ -420,7 +420,7 @@
         }
     }
     inquiries_.push_back(std::move(inquiry));
-    ++work_;
+    addWork(WorkKind::Inquire);
 }
 
 bool KeeperCore::inquiryNeeded(const StreamInquiry &inquiry, Instant now)
@@ -464,7 +464,7 @@
         const bool live = holder != nullptr && !view_.suspected(grant->holder, Instant());
         if (live) {
             forwards_.push_back({*holder, request});
-            ++work_;
+            addWork(WorkKind::Forward);
             return;
         }
     }
--- a/lib/Keeper/LogDrivers.cpp
+++ b/lib/Keeper/LogDrivers.cpp
@@ -100,12 +100,12 @@
     const Instant due = keeper_.run([&](KeeperCore &core, Instant now, WallTime) {
         AppendQueue &queue = core.queue(stream_);
         batch = queue.takeBatch(now);
-        seen = core.work();
+        seen = core.work(WorkKind::Append);
         return queue.nextDeadline();
     });
     const Instant now = std::chrono::steady_clock::now();
     if (batch.empty()) {
-        keeper_.waitForWork(seen, std::min(due, now + LongestIdle));
+        keeper_.waitForWork(WorkKind::Append, seen, std::min(due, now + LongestIdle));
         return Interval::zero();
     }
     try {
--- a/lib/Keeper/Peers.cpp
+++ b/lib/Keeper/Peers.cpp
@@ -78,7 +78,7 @@
     uint64_t seen = 0;
     const std::optional<AskWindowAction> ask =
             keeper_.run([&](KeeperCore &core, Instant, WallTime) {
-                seen = core.work();
+                seen = core.work(WorkKind::AskWindow);
                 std::optional<AskWindowAction> next = core.takeWindowAsk();
                 const wire::MemberEntry *known = next ? core.view().member(next->witness) : nullptr;
                 if (known != nullptr) {
@@ -88,7 +88,7 @@
             });
     const Instant now = std::chrono::steady_clock::now();
     if (!ask) {
-        keeper_.waitForWork(seen, now + LongestIdle);
+        keeper_.waitForWork(WorkKind::AskWindow, seen, now + LongestIdle);
         return Interval::zero();
     }
     // An ask that can't be made is dropped: the holder asks again by its own timer.
@@ -127,12 +127,12 @@
     uint64_t seen = 0;
     const std::optional<SettleForward> forward =
             keeper_.run([&](KeeperCore &core, Instant, WallTime) {
-                seen = core.work();
+                seen = core.work(WorkKind::Forward);
                 return core.takeForward();
             });
     const Instant now = std::chrono::steady_clock::now();
     if (!forward) {
-        keeper_.waitForWork(seen, now + LongestIdle);
+        keeper_.waitForWork(WorkKind::Forward, seen, now + LongestIdle);
         return Interval::zero();
     }
     peers_.settle(forward->keeper, forward->request, now + CallTimeout);
