--- a/lib/Keeper/KeeperCorePeers.cpp
+++ b/lib/Keeper/KeeperCorePeers.cpp
@@ -262,11 +262,26 @@
         return;
     }
     drain_.handle("stop");
+    // What only backs up another keeper doesn't hold up this one's stop: the reservation
+    // itself is held elsewhere.
+    for (const OpenReservation *open : reservations_.all()) {
+        if (open->backup) {
+            reservations_.close(ReservationId(open->id));
+        }
+    }
     view_.setDraining();
     events_.push_back(Event(events::ProcessDraining).with("open", reservations_.size()));
     ++progress_;
 }
 
+bool KeeperCore::fitForWork() const
+{
+    const bool allRead = std::all_of(shards_.begin(), shards_.end(), [](const auto &shard) {
+        return shard->place.state == StreamState::Current;
+    });
+    return allRead && !draining();
+}
+
 bool KeeperCore::drained(Instant now, WallTime wall)
 {
     wall_ = wall;
