[Keeper] Hand a foreign settle on until it arrives

Cause: the settle was handed on once, and dropped when the grant's claim hadn't been read here yet or its holder wasn't known yet. A router says "not run" once only, so that the reservation stayed open and the old home's planned stop waited for ever. Ruled out: the bill that closes a reservation, as "not run" has none. Change: it is kept for 30 s and tried every 300 ms until it arrives.

--- a/include/sequoiagate/Keeper/KeeperCore.h
+++ b/include/sequoiagate/Keeper/KeeperCore.h
@@ -80,8 +80,10 @@
 /// A settle that reached a keeper that doesn't hold the reservation, for the one that does.
 struct SettleForward
 {
-    wire::MemberEntry keeper;
     wire::SettleRequest request;
+    Instant notBefore;
+    Instant giveUpAt;
+    wire::MemberEntry keeper; ///< set when it is taken
 };
 
 /// What the drivers do; each kind is woken by itself.
@@ -173,7 +175,9 @@
     /// nullopt: nothing to ask.
     std::optional<AskWindowAction> takeWindowAsk();
     std::optional<StreamInquiry> takeInquiry(Instant now);
-    std::optional<SettleForward> takeForward();
+    std::optional<SettleForward> takeForward(Instant now);
+    /// It didn't arrive: it is tried again for a while.
+    void returnForward(SettleForward forward, Instant now);
     std::vector<Event> takeEvents();
     /// Rises when somebody who was told AskAgain should ask again.
     uint64_t progress() const { return progress_; }
@@ -252,7 +256,8 @@
     void holdBill(const RequestKey &key, wire::Bill bill, const std::string &bodyHash, Instant now);
     void inquire(OpenReservation &reservation);
     void closeBilledElsewhere(const RequestKey &key, const wire::Bill &bill, Instant now);
-    void forwardSettle(const wire::SettleRequest &request);
+    void forwardSettle(const wire::SettleRequest &request, Instant now);
+    const LedgerGrant *grantDrawnOn(const wire::SettleRequest &request) const;
     bool inquiryNeeded(const StreamInquiry &inquiry, Instant now);
 
     std::optional<wire::ClaimRunReply> refuseKey(const wire::RunClaim &claim, Instant now,
--- a/lib/Keeper/KeeperCoreRequests.cpp
+++ b/lib/Keeper/KeeperCoreRequests.cpp
@@ -18,6 +18,9 @@
 /// How soon a holder that had nothing under way is asked again. Each ask counts as demand
 /// in the holder's rates, so that it must not be many.
 static constexpr Millis HolderPause{250};
+/// How long, and how often, a settle is handed to the keeper that holds its reservation.
+static constexpr Seconds ForwardFor{30};
+static constexpr Millis ForwardAgain{300};
 /// What a settle answers when there is nothing to wait for.
 static constexpr uint64_t NothingToWaitFor = 1;
 
@@ -284,7 +287,7 @@
     const RequestKey key{WorkspaceId(request.bill().workspace()),
                          RequestId(request.bill().request())};
     if (byRouter && !request.backup()) {
-        forwardSettle(request);
+        forwardSettle(request, now);
     }
     if (saysNotRun(request) || key.request.empty()) {
         return settled(NothingToWaitFor);
@@ -497,35 +500,55 @@
     return std::nullopt;
 }
 
+/// The grant that a settle's reservation draws on; nullptr: this fold doesn't know it (yet).
+const LedgerGrant *KeeperCore::grantDrawnOn(const wire::SettleRequest &request) const
+{
+    const LedgerFold &fold = shardOf(WorkspaceId(request.bill().workspace())).fold;
+    return request.bill().draws().empty() ? nullptr
+                                          : fold.grant(GrantId(request.bill().draws(0).grant()));
+}
+
 /// Hands a settle to the keeper that holds the reservation: the one whose grants it draws
 /// on. Routers settle with the workspace's home, which moves when a keeper drains or is
 /// suspected. Without this the old home would keep the tokens set aside, and its planned
-/// stop would wait in vain for a request that has long ended. A forward that is lost costs
-/// no more than that; the router repeats its settle until the bill is on the log.
-void KeeperCore::forwardSettle(const wire::SettleRequest &request)
+/// stop would wait in vain for a request that has long ended. It is tried for a while: the
+/// router says "not run" once only, and the grant's claim or its holder may not be known
+/// here yet.
+void KeeperCore::forwardSettle(const wire::SettleRequest &request, Instant now)
 {
-    const LedgerFold &fold = shardOf(WorkspaceId(request.bill().workspace())).fold;
-    for (const wire::GrantDraw &draw : request.bill().draws()) {
-        const LedgerGrant *grant = fold.grant(GrantId(draw.grant()));
-        const wire::MemberEntry *holder =
-                grant != nullptr && grant->holder != self_ ? view_.member(grant->holder) : nullptr;
-        const bool live = holder != nullptr && !view_.suspected(grant->holder, Instant());
-        if (live) {
-            forwards_.push_back({*holder, request});
-            addWork(WorkKind::Forward);
-            return;
-        }
+    const bool queued = std::any_of(forwards_.begin(), forwards_.end(), [&](const auto &forward) {
+        return forward.request.reservation() == request.reservation();
+    });
+    if (!queued && !request.bill().draws().empty()) {
+        forwards_.push_back({request, now, now + ForwardFor, {}});
+        addWork(WorkKind::Forward);
     }
 }
 
-std::optional<SettleForward> KeeperCore::takeForward()
+std::optional<SettleForward> KeeperCore::takeForward(Instant now)
 {
-    if (forwards_.empty()) {
-        return std::nullopt;
+    std::erase_if(forwards_, [&](const SettleForward &forward) {
+        const LedgerGrant *grant = grantDrawnOn(forward.request);
+        return forward.giveUpAt <= now || (grant != nullptr && grant->holder == self_);
+    });
+    for (auto next = forwards_.begin(); next != forwards_.end(); ++next) {
+        const LedgerGrant *grant = grantDrawnOn(next->request);
+        const wire::MemberEntry *holder = grant == nullptr ? nullptr : view_.member(grant->holder);
+        const bool live = holder != nullptr && !view_.suspected(grant->holder, now);
+        if (next->notBefore <= now && live) {
+            SettleForward forward = std::move(*next);
+            forward.keeper = *holder;
+            forwards_.erase(next);
+            return forward;
+        }
     }
-    SettleForward next = std::move(forwards_.front());
-    forwards_.pop_front();
-    return next;
+    return std::nullopt;
+}
+
+void KeeperCore::returnForward(SettleForward forward, Instant now)
+{
+    forward.notBefore = now + ForwardAgain;
+    forwards_.push_back(std::move(forward));
 }
 
 void KeeperCore::onStreamAnswer(const StreamInquiry &inquiry, const StreamAnswer &answer,
--- a/lib/Keeper/Peers.cpp
+++ b/lib/Keeper/Peers.cpp
@@ -126,16 +126,20 @@
 {
     uint64_t seen = 0;
     const std::optional<SettleForward> forward =
-            keeper_.run([&](KeeperCore &core, Instant, WallTime) {
+            keeper_.run([&](KeeperCore &core, Instant at, WallTime) {
                 seen = core.work(WorkKind::Forward);
-                return core.takeForward();
+                return core.takeForward(at);
             });
     const Instant now = std::chrono::steady_clock::now();
     if (!forward) {
         keeper_.waitForWork(WorkKind::Forward, seen, now + LongestIdle);
         return Interval::zero();
     }
-    peers_.settle(forward->keeper, forward->request, now + CallTimeout);
+    if (!peers_.settle(forward->keeper, forward->request, now + CallTimeout)) {
+        keeper_.run([&](KeeperCore &core, Instant failedAt, WallTime) {
+            core.returnForward(*forward, failedAt);
+        });
+    }
     return Interval::zero();
 }
 
