[Keeper] Answer what is known of a run key

GET /v1/runs/{key} answered keeper_unreachable: the call had no body at the keeper. Fleet.BookingsCallerIsToldWhatBecameOfIt asks both routers after a key that was never sent, one that ran, and one whose answer was lost.

--- a/include/sequoiagate/Keeper/KeeperCore.h
+++ b/include/sequoiagate/Keeper/KeeperCore.h
@@ -124,6 +124,8 @@
                                        WallTime wall);
     /// The claimer's answer could not be delivered: the attempt must never run.
     void withdrawClaim(const AttemptId &attempt, Instant now, WallTime wall);
+    /// What the log says of a key, as far as it is read here; claims nothing.
+    wire::ReadRunReply readRun(const WorkspaceId &workspace, const RunKey &key) const;
     wire::FinishRunReply finishRun(const wire::FinishRunRequest &request, Instant now,
                                    WallTime wall);
     /// Answers at once if there is news for the router.
--- a/lib/Keeper/KeeperCoreRuns.cpp
+++ b/lib/Keeper/KeeperCoreRuns.cpp
@@ -48,16 +48,31 @@
     return std::nullopt;
 }
 
-wire::ClaimRunReply KeeperCore::standingRun(const wire::RunClaim &claim, const LedgerRun &run) const
+static wire::RunState runState(const LedgerRun &run)
 {
-    wire::ClaimRunReply reply;
-    wire::RunState &taken = *reply.mutable_taken();
-    *taken.mutable_claim() = run.claim;
-    taken.set_writer(run.writer.text());
-    taken.set_offset(run.offset);
+    wire::RunState state;
+    *state.mutable_claim() = run.claim;
+    state.set_writer(run.writer.text());
+    state.set_offset(run.offset);
     if (run.outcome) {
-        *taken.mutable_outcome() = *run.outcome;
+        *state.mutable_outcome() = *run.outcome;
+    }
+    return state;
+}
+
+wire::ReadRunReply KeeperCore::readRun(const WorkspaceId &workspace, const RunKey &key) const
+{
+    wire::ReadRunReply reply;
+    if (const LedgerRun *run = shardOf(workspace).fold.run(workspace, key)) {
+        *reply.mutable_run() = runState(*run);
     }
+    return reply;
+}
+
+wire::ClaimRunReply KeeperCore::standingRun(const wire::RunClaim &claim, const LedgerRun &run) const
+{
+    wire::ClaimRunReply reply;
+    *reply.mutable_taken() = runState(run);
     if (run.claim.body_hash() != claim.body_hash()) {
         // Says nothing of the standing claim's own run.
         return refusal(Execution::NotRun, Reason::BodyMismatch, "the key came with another body",
--- a/lib/Keeper/KeeperServer.cpp
+++ b/lib/Keeper/KeeperServer.cpp
@@ -119,6 +119,18 @@
     return grpc::Status::OK;
 }
 
+grpc::Status KeeperServer::ReadRun(grpc::ServerContext *context,
+                                   const wire::ReadRunRequest *request, wire::ReadRunReply *reply)
+{
+    if (grpc::Status status = admit(*context); !status.ok()) {
+        return status;
+    }
+    *reply = keeper_.load()->run([&](KeeperCore &core, Instant, WallTime) {
+        return core.readRun(WorkspaceId(request->workspace()), RunKey(request->key()));
+    });
+    return grpc::Status::OK;
+}
+
 grpc::Status KeeperServer::ReadView(grpc::ServerContext *context,
                                     const wire::ReadViewRequest *request,
                                     wire::ReadViewReply *reply)
--- a/lib/Keeper/KeeperServer.h
+++ b/lib/Keeper/KeeperServer.h
@@ -30,6 +30,8 @@
                           wire::ClaimRunReply *reply) override;
     grpc::Status FinishRun(grpc::ServerContext *context, const wire::FinishRunRequest *request,
                            wire::FinishRunReply *reply) override;
+    grpc::Status ReadRun(grpc::ServerContext *context, const wire::ReadRunRequest *request,
+                         wire::ReadRunReply *reply) override;
     grpc::Status ReadView(grpc::ServerContext *context, const wire::ReadViewRequest *request,
                           wire::ReadViewReply *reply) override;
     grpc::Status SignWindow(grpc::ServerContext *context, const wire::SignWindowRequest *request,
--- a/test/Router/FleetTest.cpp
+++ b/test/Router/FleetTest.cpp
@@ -187,6 +187,32 @@
     expectHolds(fleet.history());
 }
 
+// A caller asks what became of its bookings: one that it never sent, one that ran, one
+// whose answer was lost. Any router tells it, and tells nobody else.
+TEST(Fleet, BookingsCallerIsToldWhatBecameOfIt)
+{
+    Fleet fleet(twoHosts());
+    const PlainCall ran = fleet.plainCall(0, Workspace, "bookings", uuidV7());
+    EXPECT_EQ(fleet.caller().runState(ran), "unknown");
+    EXPECT_EQ(fleet.caller().plain(ran).status, 200);
+    setFaults(fleet.endpointAddress("bookings-1"), {{"lose_answers", 1}});
+    setFaults(fleet.endpointAddress("bookings-2"), {{"lose_answers", 1}});
+    const PlainCall lost = fleet.plainCall(0, Workspace, "bookings", uuidV7());
+    EXPECT_EQ(fleet.caller().plain(lost).execution, "may_have_run");
+    // The outcome reaches the log a moment after the answer.
+    const Instant giveUpAt = std::chrono::steady_clock::now() + Seconds(20);
+    for (const std::size_t host : {0, 1}) {
+        PlainCall question = fleet.plainCall(host, Workspace, "bookings", ran.idempotencyKey);
+        while (fleet.caller().runState(question) != "ran") {
+            ASSERT_LT(std::chrono::steady_clock::now(), giveUpAt);
+        }
+        question.idempotencyKey = lost.idempotencyKey;
+        const std::string state = fleet.caller().runState(question);
+        EXPECT_TRUE(state == "pending" || state == "may_have_run") << state;
+    }
+    expectHolds(fleet.history());
+}
+
 // One booking is sent to both routers at the same moment, many times. It runs once:
 // only the first claim in the log's order is sent. The others get its answer, or are
 // told that it is pending.
--- a/test/Support/Caller.cpp
+++ b/test/Support/Caller.cpp
@@ -238,6 +238,18 @@
     return answer;
 }
 
+std::string Caller::runState(const PlainCall &call)
+{
+    httplib::Client client = clientFor(call.router);
+    const std::string path = "/v1/runs/" + call.idempotencyKey;
+    const httplib::Result result =
+            client.Get(path.c_str(), {{"Authorization", "Bearer " + call.key}});
+    if (!result || result->status != 200) {
+        return "";
+    }
+    return nlohmann::json::parse(result->body).value("state", "");
+}
+
 void setFaults(const std::string &address, const nlohmann::json &faults)
 {
     httplib::Client client = clientFor(address);
--- a/test/Support/Caller.h
+++ b/test/Support/Caller.h
@@ -65,6 +65,8 @@
 
     CallerAnswer chat(const ChatCall &call);
     CallerAnswer plain(const PlainCall &call);
+    /// What is known of the call's key: the `state` of GET /v1/runs/{key}.
+    std::string runState(const PlainCall &call);
 
 private:
     void sawChat(const ChatCall &call, const AttemptId &callerTry, const CallerAnswer &answer);
