[Ledger] Free a key whose call was not run, and never one that may have run

Cause, found by reading: a claim that lands after its claimer gave up gets the outcome NOT_RUN, and the fold kept the key closed. A caller who does as it is told and comes back under the same key was told "not run" for ever. Change: a claim may take a key whose claimer has said NOT_RUN, since that claimer never sends it. For that, MAY_HAVE_RUN can no longer be turned into NOT_RUN. The keeper's server also takes the hybrid clock from its callers and bears their keepalive pings (Security::prepareServer was never called).

--- a/include/sequoiagate/Ledger/LedgerFold.h
+++ b/include/sequoiagate/Ledger/LedgerFold.h
@@ -65,6 +65,9 @@
     Incarnation writer;
     std::optional<wire::RunOutcome> outcome;
     uint64_t offset = 0;
+
+    /// Its claimer will never send the call: another claim may take the key.
+    bool freed() const { return outcome && outcome->execution() == wire::NOT_RUN; }
 };
 
 /// Where a reader may start: thrown by requireNoGap.
--- a/lib/Keeper/KeeperCoreRuns.cpp
+++ b/lib/Keeper/KeeperCoreRuns.cpp
@@ -96,7 +96,8 @@
     }
     const WorkspaceId workspace(claim.workspace());
     Shard &shard = shardOf(workspace);
-    if (const LedgerRun *run = shard.fold.run(workspace, RunKey(claim.key()))) {
+    const LedgerRun *run = shard.fold.run(workspace, RunKey(claim.key()));
+    if (run != nullptr && !run->freed()) {
         return standingRun(claim, *run);
     }
     if (draining()) {
--- a/lib/Keeper/KeeperProcess.cpp
+++ b/lib/Keeper/KeeperProcess.cpp
@@ -39,6 +39,7 @@
     // Two processes on one port would each get some of the calls.
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddListeningPort(wanted, security.serverCredentials(wanted), &port);
+    security.prepareServer(builder);
     builder.RegisterService(&service);
     ListeningServer listening;
     listening.server = builder.BuildAndStart();
--- a/lib/Ledger/LedgerFold.cpp
+++ b/lib/Ledger/LedgerFold.cpp
@@ -340,9 +340,17 @@
 {
     LedgerRun run{claim, writer, std::nullopt, offset};
     const RunId id{WorkspaceId(claim.workspace()), RunKey(claim.key())};
-    if (!runs_.emplace(id, std::move(run)).second) {
+    const auto [standing, isNew] = runs_.try_emplace(id, run);
+    if (isNew) {
+        return accepted();
+    }
+    // A claimer that says "not run" has promised never to send the call: the key is free
+    // again. Without this a caller whose claim landed too late, and who does as it was
+    // told and comes back under the same key, is told "not run" for ever.
+    if (!standing->second.freed()) {
         return refused("the key is claimed");
     }
+    standing->second = std::move(run);
     return accepted();
 }
 
@@ -357,6 +365,11 @@
     if (known && known->execution() != wire::MAY_HAVE_RUN) {
         return refused("the outcome is known");
     }
+    // Once it was said that the call may have run, nothing takes that back: the key would
+    // be freed for a second run.
+    if (known && outcome.execution() == wire::NOT_RUN) {
+        return refused("the call may have run");
+    }
     known = outcome;
     return accepted();
 }
--- a/test/Keeper/BareRouter.cpp
+++ b/test/Keeper/BareRouter.cpp
@@ -179,6 +179,15 @@
     return served;
 }
 
+wire::ReadRunReply BareRouter::readRun(const std::string &workspace, const std::string &key)
+{
+    wire::ReadRunRequest message;
+    message.set_workspace(workspace);
+    message.set_key(key);
+    return call<wire::ReadRunRequest, wire::ReadRunReply>(
+            *stub_, &wire::KeeperService::Stub::ReadRun, message);
+}
+
 wire::ClaimRunReply BareRouter::claim(const std::string &workspace, const std::string &key,
                                       const std::string &attempt)
 {
--- a/test/Keeper/BareRouter.h
+++ b/test/Keeper/BareRouter.h
@@ -51,6 +51,8 @@
     int serveUntilRefused(const std::string &workspace, const std::string &prefix,
                           uint64_t ceiling);
 
+    /// What the keeper knows of a key; claims nothing.
+    wire::ReadRunReply readRun(const std::string &workspace, const std::string &key);
     wire::ClaimRunReply claim(const std::string &workspace, const std::string &key,
                               const std::string &attempt);
     wire::FinishRunReply finish(const wire::RunOutcome &outcome);
--- a/unittests/Ledger/LedgerFoldTest.cpp
+++ b/unittests/Ledger/LedgerFoldTest.cpp
@@ -215,6 +215,36 @@
     EXPECT_EQ(run->outcome->execution(), wire::RAN);
 }
 
+/// A claim lands after its claimer gave up and said "not run". Its caller comes back
+/// under the same key and is served; the first claimer's late word changes nothing.
+TEST(LedgerFold, FreesAKeyWhoseCallWasNotRun)
+{
+    LedgerFold fold;
+    EXPECT_EQ(fold.apply(from("a", 1, runClaim("w", "k", "first")), 0).outcome, Yes);
+    EXPECT_EQ(fold.apply(from("b", 1, runClaim("w", "k", "early")), 1).outcome, No);
+    EXPECT_EQ(fold.apply(from("a", 2, runOutcome("w", "k", "first", wire::NOT_RUN)), 2).outcome,
+              Yes);
+    EXPECT_EQ(fold.apply(from("b", 2, runClaim("w", "k", "second")), 3).outcome, Yes);
+    EXPECT_EQ(fold.apply(from("c", 1, runClaim("w", "k", "third")), 4).outcome, No);
+    EXPECT_EQ(fold.apply(from("a", 3, runOutcome("w", "k", "first", wire::NOT_RUN)), 5).outcome,
+              No);
+    EXPECT_EQ(fold.run(WorkspaceId("w"), RunKey("k"))->writer, Incarnation("b"));
+}
+
+/// A call was sent and its answer lost. Whatever its claimer says afterwards, the key
+/// stays taken: a second claim would be a second run.
+TEST(LedgerFold, NeverFreesAKeyWhoseCallMayHaveRun)
+{
+    LedgerFold fold;
+    EXPECT_EQ(fold.apply(from("a", 1, runClaim("w", "k", "first")), 0).outcome, Yes);
+    EXPECT_EQ(
+            fold.apply(from("a", 2, runOutcome("w", "k", "first", wire::MAY_HAVE_RUN)), 1).outcome,
+            Yes);
+    EXPECT_EQ(fold.apply(from("a", 3, runOutcome("w", "k", "first", wire::NOT_RUN)), 2).outcome,
+              No);
+    EXPECT_EQ(fold.apply(from("b", 1, runClaim("w", "k", "second")), 3).outcome, No);
+}
+
 /// A keeper starts from a checkpoint that is older than the oldest record kept. It
 /// would miss debits and grant the same tokens again, so it has to refuse to serve.
 TEST(LedgerFold, RefusesToStartOverAGap)
