[Transport] Keep one piece of code for verdicts on the wire, process costs and sending

Verdicts were turned into messages in the keeper and back in the router, each with its own table of executions; PlainService let a call in twice over; three bench programs read /proc each in its own way.

--- a/bench/Control/ControlBench.cpp
+++ b/bench/Control/ControlBench.cpp
@@ -5,15 +5,14 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdlib>
 #include <thread>
 
 #include <fmt/format.h>
 #include <httplib.h>
-#include <unistd.h>
 
 #include "sequoiagate/Service/Events.h"
 #include "test/Support/Fleet.h"
+#include "test/Support/ProcessCost.h"
 
 using namespace sequoiagate;
 
@@ -44,22 +43,6 @@
     return shape;
 }
 
-double cpuSecondsOf(pid_t id)
-{
-    std::FILE *file = std::fopen(fmt::format("/proc/{}/stat", id).c_str(), "r");
-    long long user = 0;
-    long long system = 0;
-    if (file != nullptr) {
-        const int read = std::fscanf(file,
-                                     "%*d (%*[^)]) %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u "
-                                     "%lld %lld",
-                                     &user, &system);
-        std::fclose(file);
-        user = read == 2 ? user : 0;
-    }
-    return static_cast<double>(user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 /// Time from the log's acceptance of each change to its being in force on the last
 /// keeper, by the events' own stamps (all on one machine's clock).
 void measureFanOut(std::size_t hosts)
@@ -132,7 +115,7 @@
     const auto keeperSeconds = [&] {
         double sum = 0.0;
         for (std::size_t host = 0; host < Hosts; ++host) {
-            sum += cpuSecondsOf(fleet.keeper(host).id());
+            sum += std::chrono::duration<double>(processorTime(fleet.keeper(host).id())).count();
         }
         return sum;
     };
--- a/bench/Keeper/KeeperCost.cpp
+++ b/bench/Keeper/KeeperCost.cpp
@@ -4,7 +4,6 @@
 /// Usage: bench-Keeper [requests a second] [requests] [bill_flush_ms]
 
 #include <atomic>
-#include <fstream>
 #include <thread>
 
 #include <arpa/inet.h>
@@ -18,6 +17,7 @@
 #include "proto/keeper.grpc.pb.h"
 
 #include "test/Support/Fleet.h"
+#include "test/Support/ProcessCost.h"
 
 using namespace sequoiagate;
 
@@ -107,38 +107,6 @@
     std::thread thread_;
 };
 
-/// The processor time that a process has used.
-Millis processorTime(pid_t id)
-{
-    std::ifstream file(fmt::format("/proc/{}/stat", id));
-    std::string text;
-    std::getline(file, text);
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::string skipped;
-    constexpr int FieldsBeforeUserTime = 11;
-    for (int field = 0; field < FieldsBeforeUserTime; ++field) {
-        fields >> skipped;
-    }
-    int64_t user = 0;
-    int64_t system = 0;
-    fields >> user >> system;
-    return Millis((user + system) * 1000 / sysconf(_SC_CLK_TCK));
-}
-
-uint64_t residentKilobytes(pid_t id)
-{
-    std::ifstream file(fmt::format("/proc/{}/status", id));
-    std::string word;
-    while (file >> word) {
-        if (word == "VmRSS:") {
-            uint64_t kilobytes = 0;
-            file >> kilobytes;
-            return kilobytes;
-        }
-    }
-    return 0;
-}
-
 nlohmann::json logCounts(const std::string &address)
 {
     httplib::Client client("http://" + address);
@@ -251,15 +219,15 @@
     const pid_t keeper = fleet.keeper(0).id();
     while (!driver.open(0)) {
     }
-    const Millis idleFrom = processorTime(keeper);
+    const auto idleFrom = processorTime(keeper);
     std::this_thread::sleep_for(IdleTime);
-    const Millis idle = processorTime(keeper) - idleFrom;
+    const auto idle = processorTime(keeper) - idleFrom;
     driver.settleDue(std::chrono::steady_clock::now());
 
     const nlohmann::json logBefore = logCounts(fleet.logAddress());
     const uint64_t toBefore = relay.toKeeper();
     const uint64_t fromBefore = relay.fromKeeper();
-    const Millis busyFrom = processorTime(keeper);
+    const auto busyFrom = processorTime(keeper);
     const Instant start = std::chrono::steady_clock::now();
     int refused = 0;
     for (int index = 1; index <= requests; ++index) {
@@ -272,7 +240,7 @@
         std::this_thread::sleep_for(Millis(20));
     }
     const Interval took = std::chrono::steady_clock::now() - start;
-    const Millis busy = processorTime(keeper) - busyFrom;
+    const auto busy = processorTime(keeper) - busyFrom;
     const nlohmann::json logAfter = logCounts(fleet.logAddress());
     const auto counted = [&](const char *key) {
         return (logAfter[key].get<double>() - logBefore[key].get<double>()) * 1000 / requests;
@@ -282,7 +250,7 @@
     const double busyMillis = static_cast<double>(busy.count()) - idleShare * seconds * 1000;
     fmt::print("requests {} at {}/s in {:.1f} s, refused {}\n", requests, rate, seconds, refused);
     fmt::print("keeper idle: {:.2f}% of a core; resident {} KB\n", idleShare * 100,
-               residentKilobytes(keeper));
+               residentBytes(keeper) / 1024);
     fmt::print("keeper a request: {:.3f} ms of processor time beyond idle\n",
                busyMillis / requests);
     fmt::print("wire a request: {:.0f} bytes to the keeper, {:.0f} back\n",
--- a/bench/Latency/Latency.cpp
+++ b/bench/Latency/Latency.cpp
@@ -4,17 +4,15 @@
 
 #include <algorithm>
 #include <atomic>
-#include <fstream>
-#include <sstream>
 #include <thread>
 #include <vector>
 
 #include <fmt/format.h>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
-#include <unistd.h>
 
 #include "test/Support/Fleet.h"
+#include "test/Support/ProcessCost.h"
 
 using namespace sequoiagate;
 
@@ -104,32 +102,6 @@
                failed);
 }
 
-/// User and system time that a process has used.
-Micros cpuOf(pid_t id)
-{
-    std::ifstream file(fmt::format("/proc/{}/stat", id));
-    std::string text((std::istreambuf_iterator<char>(file)), {});
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::string field;
-    constexpr int FieldsBeforeTimes = 11;
-    for (int i = 0; i < FieldsBeforeTimes; ++i) {
-        fields >> field;
-    }
-    int64_t user = 0;
-    int64_t system = 0;
-    fields >> user >> system;
-    return Micros((user + system) * 1'000'000 / sysconf(_SC_CLK_TCK));
-}
-
-int64_t residentBytes(pid_t id)
-{
-    std::ifstream file(fmt::format("/proc/{}/statm", id));
-    int64_t size = 0;
-    int64_t resident = 0;
-    file >> size >> resident;
-    return resident * sysconf(_SC_PAGESIZE);
-}
-
 FleetShape shapeOf()
 {
     FleetShape shape;
@@ -145,8 +117,8 @@
     std::vector<CallTimes> straight(Callers * CallsEach);
     std::vector<CallTimes> routed(Callers * CallsEach);
     std::vector<std::thread> callers;
-    const Micros before = cpuOf(fleet.router(0).id());
-    const Micros keeperBefore = cpuOf(fleet.keeper(0).id());
+    const Micros before = processorTime(fleet.router(0).id());
+    const Micros keeperBefore = processorTime(fleet.keeper(0).id());
     for (std::size_t caller = 0; caller < Callers; ++caller) {
         callers.emplace_back([&, caller] {
             for (std::size_t i = caller * CallsEach; i < (caller + 1) * CallsEach; ++i) {
@@ -158,8 +130,8 @@
     for (std::thread &caller : callers) {
         caller.join();
     }
-    const Micros used = cpuOf(fleet.router(0).id()) - before;
-    const Micros keeperUsed = cpuOf(fleet.keeper(0).id()) - keeperBefore;
+    const Micros used = processorTime(fleet.router(0).id()) - before;
+    const Micros keeperUsed = processorTime(fleet.keeper(0).id()) - keeperBefore;
     printTimes("engine straight", straight);
     printTimes("through router", routed);
     fmt::print("router {:.0f} us and keeper {:.0f} us of processor time a request of {} tokens\n",
@@ -173,7 +145,7 @@
 {
     constexpr uint64_t Tokens = 2000;
     constexpr std::size_t Streams = 16;
-    const Micros before = cpuOf(fleet.router(0).id());
+    const Micros before = processorTime(fleet.router(0).id());
     std::vector<std::thread> callers;
     for (std::size_t i = 0; i < Streams; ++i) {
         callers.emplace_back([&, i] { timeCall(router, fmt::format("t{}", i), Tokens); });
@@ -181,7 +153,7 @@
     for (std::thread &caller : callers) {
         caller.join();
     }
-    const Micros used = cpuOf(fleet.router(0).id()) - before;
+    const Micros used = processorTime(fleet.router(0).id()) - before;
     fmt::print("router {:.1f} us of processor time a token\n",
                static_cast<double>(used.count()) / static_cast<double>(Streams * Tokens));
 }
--- a/include/sequoiagate/Router/KeeperClient.h
+++ b/include/sequoiagate/Router/KeeperClient.h
@@ -22,11 +22,6 @@
 
 namespace sequoiagate {
 
-/// A wire verdict as a local one, and back.
-Verdict verdictFromWire(const wire::WireVerdict &wire, Instant now);
-wire::Execution executionToWire(Execution execution);
-Execution executionFromWire(wire::Execution execution);
-
 /// Thread safe.
 class KeeperClient
 {
--- a/include/sequoiagate/Router/PlainService.h
+++ b/include/sequoiagate/Router/PlainService.h
@@ -45,6 +45,8 @@
     wire::ClaimRunReply askForClaim(const Call &call, std::vector<AttemptId> &attempts);
     static void judgeClaim(Call &call, const wire::ClaimRunReply &reply);
     void dropClaims(const Call &call, const std::vector<AttemptId> &attempts);
+    /// Lets the call in and sends it, at most once unless it is idempotent.
+    void send(Call &call, bool idempotent);
     void sendOnce(Call &call);
     void sendRepeatable(Call &call);
     ConnectionResult sendTo(Call &call, const EndpointId &endpoint);
--- a/lib/Keeper/KeeperCorePeers.cpp
+++ b/lib/Keeper/KeeperCorePeers.cpp
@@ -4,8 +4,7 @@
 
 #include "sequoiagate/Keeper/KeeperCore.h"
 #include "sequoiagate/Service/Events.h"
-
-#include "WireVerdicts.h"
+#include "sequoiagate/Transport/WireVerdict.h"
 
 namespace sequoiagate {
 
@@ -81,7 +80,7 @@
     pumpWitness(shard, now);
     wire::SignWindowReply reply;
     if (const auto *verdict = std::get_if<Verdict>(&outcome)) {
-        *reply.mutable_refused() = toWire(*verdict, now);
+        *reply.mutable_refused() = verdictToWire(*verdict, now);
         return reply;
     }
     reply.set_signed_total(std::get<uint64_t>(outcome));
--- a/lib/Keeper/KeeperCoreRequests.cpp
+++ b/lib/Keeper/KeeperCoreRequests.cpp
@@ -7,8 +7,7 @@
 
 #include "sequoiagate/Keeper/KeeperCore.h"
 #include "sequoiagate/Service/Events.h"
-
-#include "WireVerdicts.h"
+#include "sequoiagate/Transport/WireVerdict.h"
 
 namespace sequoiagate {
 
@@ -28,7 +27,7 @@
                                   std::optional<Instant> comeBackAt, Instant now)
 {
     wire::ReserveReply reply;
-    *reply.mutable_refused() = notRun(reason, std::move(detail), comeBackAt, now);
+    *reply.mutable_refused() = notRunOnWire(reason, std::move(detail), comeBackAt, now);
     return reply;
 }
 
@@ -144,7 +143,7 @@
         return AskAgain{now + HolderPause};
     }
     wire::ReserveReply reply;
-    *reply.mutable_refused() = toWire(std::get<Verdict>(outcome), now);
+    *reply.mutable_refused() = verdictToWire(std::get<Verdict>(outcome), now);
     return reply;
 }
 
--- a/lib/Keeper/KeeperCoreRuns.cpp
+++ b/lib/Keeper/KeeperCoreRuns.cpp
@@ -4,8 +4,7 @@
 
 #include "sequoiagate/Keeper/KeeperCore.h"
 #include "sequoiagate/Service/Events.h"
-
-#include "WireVerdicts.h"
+#include "sequoiagate/Transport/WireVerdict.h"
 
 namespace sequoiagate {
 
@@ -19,7 +18,8 @@
                                    std::optional<Instant> comeBackAt, Instant now)
 {
     wire::ClaimRunReply reply;
-    *reply.mutable_refused() = toWire({execution, reason, std::move(detail), comeBackAt}, now);
+    *reply.mutable_refused() =
+            verdictToWire({execution, reason, std::move(detail), comeBackAt}, now);
     return reply;
 }
 
--- a/lib/Keeper/KeeperServer.cpp
+++ b/lib/Keeper/KeeperServer.cpp
@@ -5,7 +5,8 @@
 #include <unistd.h>
 
 #include "Peers.h"
-#include "WireVerdicts.h"
+
+#include "sequoiagate/Transport/WireVerdict.h"
 
 namespace sequoiagate {
 
@@ -52,9 +53,9 @@
             },
             [](KeeperCore &, Instant now, WallTime) {
                 wire::ReserveReply refused;
-                *refused.mutable_refused() =
-                        notRun(Reason::BudgetUnreachable, "no budget could be had here in time",
-                               now + ComeBackAfter, now);
+                *refused.mutable_refused() = notRunOnWire(Reason::BudgetUnreachable,
+                                                          "no budget could be had here in time",
+                                                          now + ComeBackAfter, now);
                 return refused;
             });
     // A router that gave up, as it does when this keeper was paused, has reserved
@@ -99,8 +100,8 @@
             [&](KeeperCore &core, Instant now, WallTime wall) {
                 core.withdrawClaim(attempt, now, wall);
                 wire::ClaimRunReply refused;
-                *refused.mutable_refused() = notRun(Reason::LogUnavailable, "no answer in time",
-                                                    now + ComeBackAfter, now);
+                *refused.mutable_refused() = notRunOnWire(
+                        Reason::LogUnavailable, "no answer in time", now + ComeBackAfter, now);
                 return refused;
             });
     return grpc::Status::OK;
--- a/lib/Router/ChatDriver.cpp
+++ b/lib/Router/ChatDriver.cpp
@@ -9,6 +9,7 @@
 
 #include "sequoiagate/Base/Rendezvous.h"
 #include "sequoiagate/Service/Events.h"
+#include "sequoiagate/Transport/WireVerdict.h"
 
 namespace sequoiagate {
 
--- a/lib/Router/KeeperClient.cpp
+++ b/lib/Router/KeeperClient.cpp
@@ -37,43 +37,6 @@
 
 } // namespace
 
-Verdict verdictFromWire(const wire::WireVerdict &wire, Instant now)
-{
-    Verdict verdict;
-    verdict.execution = executionFromWire(wire.execution());
-    verdict.reason = reasonFromName(wire.reason()).value_or(Reason::Internal);
-    verdict.detail = wire.detail();
-    if (wire.retry_after_ms() > 0) {
-        verdict.comeBackAt = now + Millis(wire.retry_after_ms());
-    }
-    return verdict;
-}
-
-wire::Execution executionToWire(Execution execution)
-{
-    switch (execution) {
-    case Execution::NotRun:
-        return wire::NOT_RUN;
-    case Execution::MayHaveRun:
-        return wire::MAY_HAVE_RUN;
-    case Execution::Ran:
-        return wire::RAN;
-    }
-    return wire::MAY_HAVE_RUN;
-}
-
-Execution executionFromWire(wire::Execution execution)
-{
-    switch (execution) {
-    case wire::NOT_RUN:
-        return Execution::NotRun;
-    case wire::RAN:
-        return Execution::Ran;
-    default:
-        return Execution::MayHaveRun; // unset or unknown: the careful reading
-    }
-}
-
 KeeperClient::KeeperClient(const std::vector<std::string> &seeds, Security &security,
                            Millis timeout, Millis claimTimeout)
     : security_(security), timeout_(timeout), claimTimeout_(claimTimeout)
--- a/lib/Router/PlainService.cpp
+++ b/lib/Router/PlainService.cpp
@@ -11,6 +11,7 @@
 #include "sequoiagate/Router/EndpointHttp.h"
 #include "sequoiagate/Router/VerdictHttp.h"
 #include "sequoiagate/Service/Events.h"
+#include "sequoiagate/Transport/WireVerdict.h"
 
 namespace sequoiagate {
 
@@ -121,7 +122,7 @@
                                .with("body_hash", call.bodyHash)
                                .with("idempotent", false));
     try {
-        sendOnce(call);
+        send(call, false);
     } catch (const VerdictError &error) {
         logRefusal(call, error.verdict());
         throw;
@@ -146,7 +147,7 @@
                                .with("body_hash", "")
                                .with("idempotent", true));
     try {
-        sendRepeatable(call);
+        send(call, true);
     } catch (const VerdictError &error) {
         logRefusal(call, error.verdict());
         throw;
@@ -246,7 +247,7 @@
     call.answer.set_header("Content-Type", outcome.content_type());
 }
 
-void PlainService::sendOnce(Call &call)
+void PlainService::send(Call &call, bool idempotent)
 {
     if (!context_.gate.enter()) {
         refuse(Reason::Draining, Execution::NotRun, "this router is stopping");
@@ -256,17 +257,26 @@
     item.request = randomId<RequestId>();
     item.workspace = call.workspace;
     item.service = call.service;
-    item.idempotent = false;
+    item.idempotent = idempotent;
     item.arrivedAt = steadyNow();
     context_.scheduler.admit(item);
     call.scheduler.admitted = true;
+    if (idempotent) {
+        sendRepeatable(call);
+    } else {
+        sendOnce(call);
+    }
+}
+
+void PlainService::sendOnce(Call &call)
+{
     claim(call);
     if (call.replayed) {
         return;
     }
     try {
         for (;;) {
-            call.endpoint = context_.scheduler.choose(item, call.tried);
+            call.endpoint = context_.scheduler.choose(call.scheduler.item, call.tried);
             try {
                 trySending(call, call.endpoint);
                 break;
@@ -287,21 +297,10 @@
 
 void PlainService::sendRepeatable(Call &call)
 {
-    if (!context_.gate.enter()) {
-        refuse(Reason::Draining, Execution::NotRun, "this router is stopping");
-    }
-    const GatePass pass(context_.gate);
-    WorkItem &item = call.scheduler.item;
-    item.request = randomId<RequestId>();
-    item.workspace = call.workspace;
-    item.service = call.service;
-    item.arrivedAt = steadyNow();
-    context_.scheduler.admit(item);
-    call.scheduler.admitted = true;
     std::optional<VerdictError> failed;
     for (;;) {
         try {
-            call.endpoint = context_.scheduler.choose(item, call.tried);
+            call.endpoint = context_.scheduler.choose(call.scheduler.item, call.tried);
         } catch (const VerdictError &) {
             // That no other endpoint is left says nothing of the try that was sent:
             // "not run" would be false.
