[Operate] Say what is missing: tokens at a budget's end, words of a command

A caller refused with budget_spent while 139 of 400 tokens remained, since the request might need more, was told that the budget was spent; it is told both numbers now, so that a smaller max_tokens can be tried.

--- a/include/sequoiagate/Ledger/GrantHolder.h
+++ b/include/sequoiagate/Ledger/GrantHolder.h
@@ -138,6 +138,8 @@
     bool answerUnderWay(const Surroundings &around) const;
     Verdict refusal(uint64_t tokens, const Surroundings &around) const;
     bool nothingRemains(uint64_t tokens, const Surroundings &around) const;
+    /// What this holder has, or can still claim, and nobody has reserved.
+    uint64_t remainingTokens(const LedgerBudget &budget, Instant now) const;
     void askForWindows(uint64_t tokens, Instant now);
     void claimFor(uint64_t need, const Surroundings &around);
     uint64_t claimSize(uint64_t need, bool witnessed, uint64_t remainder, Instant now) const;
--- a/lib/Ledger/GrantHolder.cpp
+++ b/lib/Ledger/GrantHolder.cpp
@@ -163,15 +163,22 @@
             return false;
         }
     }
-    return tokens
-           > budget->remainder() + leftTokens() + reservedTokens() + claimsUnderWay(around.now);
+    return tokens > remainingTokens(*budget, around.now) + reservedTokens();
+}
+
+uint64_t GrantHolder::remainingTokens(const LedgerBudget &budget, Instant now) const
+{
+    return budget.remainder() + leftTokens() + claimsUnderWay(now);
 }
 
 Verdict GrantHolder::refusal(uint64_t tokens, const Surroundings &around) const
 {
     if (nothingRemains(tokens, around)) {
         return {Execution::NotRun, Reason::BudgetSpent,
-                fmt::format("the budget of workspace {} is spent", workspace_.text()),
+                fmt::format("the budget of workspace {} is spent: up to {} tokens are needed, "
+                            "{} remain",
+                            workspace_.text(), tokens,
+                            remainingTokens(*around.fold.budget(workspace_), around.now)),
                 std::nullopt};
     }
     return {Execution::NotRun, Reason::BudgetUnreachable,
--- a/lib/Operate/Commands.cpp
+++ b/lib/Operate/Commands.cpp
@@ -63,6 +63,19 @@
     return Table;
 }
 
+/// The commands that begin with \p word and need another: "endpoint add, endpoint list".
+static std::string completionsOf(const std::string &word)
+{
+    std::string names;
+    for (const Command &command : commands()) {
+        const std::string name = command.name;
+        if (!word.empty() && name.rfind(word + " ", 0) == 0) {
+            names += (names.empty() ? "" : ", ") + name;
+        }
+    }
+    return names;
+}
+
 const Command &findCommand(std::vector<std::string> &words)
 {
     for (const Command &command : commands()) {
@@ -79,6 +92,11 @@
         return command;
     }
     const std::string given = words.empty() ? "" : words.front();
+    const std::string completions = completionsOf(given);
+    if (!completions.empty()) {
+        throw CommandError(ExitBadInput, fmt::format("'{}' needs another word; there are: {}",
+                                                     given, completions));
+    }
     throw CommandError(ExitBadInput,
                        given.empty() ? "a command is missing; --help lists them"
                                      : fmt::format("unknown command '{}'; --help lists them",
--- a/unittests/Operate/ConfigCommandsTest.cpp
+++ b/unittests/Operate/ConfigCommandsTest.cpp
@@ -176,6 +176,7 @@
 const BadLine BadLines[] = {
         {"NoCommand", {}, "a command is missing"},
         {"Unknown", {"sheat", "apply"}, "unknown command 'sheat apply'"},
+        {"HalfACommand", {"endpoint"}, "'endpoint' needs another word; there are: endpoint list"},
         {"TooFewWords", {"key", "add"}, "usage: key add WORKSPACE"},
         {"TooManyWords", {"status", "now"}, "usage: status"},
         {"NoFile", {"sheet", "apply", "/nowhere.csv"}, "can't be opened"},
