--- a/include/sequoiagate/Router/RouterView.h
+++ b/include/sequoiagate/Router/RouterView.h
@@ -17,9 +17,6 @@
 
 namespace sequoiagate {
 
-/// The hex SHA-256 of \p text.
-std::string sha256Hex(std::string_view text);
-
 /// One configuration version with what a request looks up in it. Immutable, so
 /// thread safe.
 class ConfigIndex
--- a/lib/Operate/ConfigCommands.cpp
+++ b/lib/Operate/ConfigCommands.cpp
@@ -3,10 +3,11 @@
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
-#include <openssl/evp.h>
 
 #include "Operate/CommandBodies.h"
 
+#include "sequoiagate/Config/Sha256.h"
+
 namespace sequoiagate {
 
 namespace {
@@ -67,20 +68,6 @@
     return false;
 }
 
-std::string sha256Hex(const std::string &text)
-{
-    unsigned char digest[EVP_MAX_MD_SIZE];
-    unsigned int size = 0;
-    if (EVP_Digest(text.data(), text.size(), digest, &size, EVP_sha256(), nullptr) != 1) {
-        throw std::runtime_error("SHA-256 can't be computed");
-    }
-    std::string hex;
-    for (unsigned int i = 0; i < size; ++i) {
-        hex += fmt::format("{:02x}", digest[i]);
-    }
-    return hex;
-}
-
 const wire::EndpointChange *findEndpoint(const ConfigView &view, const std::string &name)
 {
     for (const wire::EndpointChange &endpoint : view.fold.state().endpoints()) {
--- a/lib/Router/ChatOrder.cpp
+++ b/lib/Router/ChatOrder.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "sequoiagate/Base/Rendezvous.h"
+#include "sequoiagate/Config/Sha256.h"
 #include "sequoiagate/Router/RouterView.h"
 
 namespace sequoiagate {
--- a/lib/Router/PlainService.cpp
+++ b/lib/Router/PlainService.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "sequoiagate/Base/Rendezvous.h"
+#include "sequoiagate/Config/Sha256.h"
 #include "sequoiagate/Router/EndpointHttp.h"
 #include "sequoiagate/Router/VerdictHttp.h"
 #include "sequoiagate/Service/Events.h"
--- a/lib/Router/RouterView.cpp
+++ b/lib/Router/RouterView.cpp
@@ -1,21 +1,11 @@
 #include "sequoiagate/Router/RouterView.h"
 
 #include <algorithm>
-#include <array>
 
-#include <absl/strings/escaping.h>
-#include <openssl/sha.h>
+#include "sequoiagate/Config/Sha256.h"
 
 namespace sequoiagate {
 
-std::string sha256Hex(std::string_view text)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
-    return absl::BytesToHexString(
-            absl::string_view(reinterpret_cast<const char *>(digest.data()), digest.size()));
-}
-
 ConfigIndex::ConfigIndex(wire::ConfigState state) : state_(std::move(state))
 {
     for (const wire::WorkspaceConfig &workspace : state_.workspaces()) {
--- a/test/Router/RouterTest.cpp
+++ b/test/Router/RouterTest.cpp
@@ -1,4 +1,5 @@
 #include "sequoiagate/Router/Router.h"
+#include "sequoiagate/Config/Sha256.h"
 
 #include <cstdio>
 #include <thread>
--- a/test/Support/Fleet.cpp
+++ b/test/Support/Fleet.cpp
@@ -8,9 +8,9 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <httplib.h>
-#include <openssl/sha.h>
 
 #include "sequoiagate/Config/ConfigFold.h"
+#include "sequoiagate/Config/Sha256.h"
 #include "sequoiagate/History/FinalState.h"
 #include "sequoiagate/Platform/Streams.h"
 #include "sequoiagate/Service/Events.h"
@@ -27,17 +27,6 @@
 /// The kernel chooses the port; a restarted process keeps it.
 constexpr const char *AnyPort = "127.0.0.1:0";
 
-std::string sha256Hex(const std::string &text)
-{
-    unsigned char digest[SHA256_DIGEST_LENGTH];
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest);
-    std::string hex;
-    for (const unsigned char byte : digest) {
-        hex += fmt::format("{:02x}", byte);
-    }
-    return hex;
-}
-
 /// Polls until \p done. The limit is for a run that has failed already.
 template <typename Done>
 void waitUntil(const std::string &what, const Done &done)
