--- /dev/null
+++ b/include/sequoiagate/Edge/Edge.h
@@ -0,0 +1,93 @@
+#ifndef SEQUOIAGATE_EDGE_EDGE_H
+#define SEQUOIAGATE_EDGE_EDGE_H
+
+/// The edge as one process: callers on one side, endpoints on the other, the platform's
+/// store behind. One thread, one event loop; what must last is in the store.
+///
+/// Ready means: a configuration and the endpoints are known, and no stop was asked for. A
+/// stop closes nothing that is open: the balancer is told first, callers that still come
+/// are served, tokens go back to the store, and the process ends when all is answered.
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "sequoiagate/Edge/EdgeAdapter.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "sequoiagate/Base/Statechart.h"
+#include "sequoiagate/Edge/EdgeSettings.h"
+#include "sequoiagate/Edge/EndpointDirectory.h"
+#include "sequoiagate/Edge/TokenService.h"
+#include "sequoiagate/Proxy/CallerConnection.h"
+#include "sequoiagate/Service/EventLog.h"
+#include "sequoiagate/Service/Metrics.h"
+#include "sequoiagate/Store/TopicFollower.h"
+
+namespace sequoiagate {
+
+class StatusServer;
+
+/// Single-threaded.
+class Edge
+{
+public:
+    /// Listens at once, but isn't ready yet.
+    /// \throws SettingsError for an address that can't be read,
+    ///     boost::system::system_error for one that can't be had
+    Edge(EdgeSettings settings, EdgeAdapter &adapter, EventLog &log);
+    ~Edge();
+
+    /// Runs until a planned stop has ended. \returns connections that it had to cut.
+    std::size_t run();
+
+private:
+    void accept();
+    void onConfigRows(const std::vector<StoreRow> &rows);
+    void adopt(const StoreRow &row);
+    void onEndpointRows(const std::vector<StoreRow> &rows, bool whole);
+    void onStoreReachable(const char *what, bool reachable, StoreOutcome outcome);
+    bool ready() const;
+    void awaitSignals();
+    void beginStop();
+    void checkStop();
+    void drainCallers();
+    void tick();
+    void updateGauges();
+
+    EdgeSettings settings_;
+    EdgeAdapter &adapter_;
+    EventLog &log_;
+    Metrics metrics_;
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    Statechart exchangeChart_;
+    Statechart drainChart_;
+    StatechartPosition drain_;
+    ConnectionPool pool_;
+    std::unique_ptr<Store> store_;
+    EndpointDirectory endpoints_;
+    std::unique_ptr<TokenService> tokens_;
+    std::unique_ptr<ProxyContext> context_;
+    std::unique_ptr<TopicFollower> configFollower_;
+    std::unique_ptr<TopicFollower> endpointFollower_;
+    std::unique_ptr<StatusServer> readyServer_;
+    std::unique_ptr<StatusServer> metricsServer_;
+    ServingConfigPtr config_;
+    std::set<std::shared_ptr<CallerConnection>> callers_;
+    bool endpointsKnown_ = false;
+    bool returning_ = false; ///< tokens are being given back
+    Instant acceptUntil_ = Never;
+    Instant cutAt_ = Never;
+    std::size_t cut_ = 0;
+};
+
+} // namespace sequoiagate
+
+#endif
--- /dev/null
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -0,0 +1,84 @@
+#ifndef SEQUOIAGATE_EDGE_ENDPOINTDIRECTORY_H
+#define SEQUOIAGATE_EDGE_ENDPOINTDIRECTORY_H
+
+/// The endpoints that the platform lists, and which of them a request goes to.
+///
+/// - One that says it is leaving, or whose entry is removed, gets no new work at once.
+/// - Entries lapse when their endpoints can't renew them, so a store that was away comes
+///   back with live endpoints' entries missing. They are back soon after; until then an
+///   endpoint whose entry went while the store was away, or just after, stays in use.
+/// - One that can't be reached, or whose address another one has, is left out for a while.
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "sequoiagate/Config/ServingConfig.h"
+#include "sequoiagate/Decisions/EndpointChoice.h"
+#include "sequoiagate/Decisions/RetryAllotment.h"
+#include "sequoiagate/Proxy/ProxyContext.h"
+
+namespace sequoiagate {
+
+/// Single-threaded.
+class EndpointDirectory : public Placement
+{
+public:
+    /// Live endpoints write their entries anew within some two seconds of the store's
+    /// return; one that is still missing then has gone.
+    static constexpr Interval LapseGrace = std::chrono::milliseconds(2200);
+    /// An endpoint that can't be reached is tried again after this. A crashed one is
+    /// delisted after three heartbeats of a second or so; a cut one may be back any time.
+    static constexpr Interval UnreachableFor = std::chrono::milliseconds(1000);
+
+    EndpointDirectory(const DomainId &self, RetryAllotmentSettings retries, EventLog &log);
+
+    /// An entry came or changed.
+    void update(const EndpointEntry &entry, Instant now);
+    /// An entry was removed.
+    void remove(const EndpointId &id, Instant now);
+    /// The newest entries of all were read; those that aren't in \p present were removed.
+    void keepOnly(const std::vector<EndpointId> &present, Instant now);
+    void setStoreReachable(bool reachable, Instant now);
+    /// Takes lapsed entries out when their time is over. Call some times a second.
+    void tick(Instant now);
+    void setProcesses(uint32_t count);
+    std::size_t size() const { return entries_.size(); }
+    std::size_t usable() const;
+
+    Placing place(const WorkItem &item, const std::vector<PromptPart> &prompt,
+                  const std::vector<EndpointId> &tried, Instant now) override;
+    void onSent(const EndpointId &endpoint, const WorkItem &item, Instant now) override;
+    void onFirstToken(const EndpointId &endpoint, const RequestId &request, Instant now) override;
+    void onEnd(const TryResult &result, Instant now) override;
+    void onMissing(const EndpointId &endpoint, Instant now) override;
+    bool mayRepeat(const ServiceId &service, Instant now) override;
+    void onRequest(const ServiceId &service, Instant now) override;
+
+private:
+    struct Listed
+    {
+        EndpointEntry entry;
+        boost::asio::ip::tcp::endpoint address;
+        Instant goneAt = Never; ///< its entry lapsed; it is out from then on
+        Instant avoidUntil{};   ///< it couldn't be reached
+    };
+
+    void publish(Instant now);
+
+    EventLog &log_;
+    EndpointChoice choice_;
+    RetryAllotment retries_;
+    std::unordered_map<EndpointId, Listed> entries_;
+    bool changed_ = false;
+    bool storeReachable_ = false;
+    Instant storeBackAt_{};
+};
+
+/// The hash of what of a prompt other requests share: all parts but the last, which is the
+/// request's own. 0 if there is none.
+uint64_t sharedPromptHash(const std::vector<PromptPart> &prompt);
+
+} // namespace sequoiagate
+
+#endif
--- /dev/null
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -0,0 +1,108 @@
+#ifndef SEQUOIAGATE_EDGE_PEERLINK_H
+#define SEQUOIAGATE_EDGE_PEERLINK_H
+
+/// Datagrams between the fleet's processes: asking for tokens, and moving them.
+///
+/// A move is sent again until it is acknowledged, and its receiver takes it once. What is
+/// never acknowledged is lost to both: its giver can't know whether it arrived, and tokens
+/// that two have would be spent twice.
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <nlohmann/json.hpp>
+
+#include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Ledger/TokenHolder.h"
+#include "sequoiagate/Service/EventLog.h"
+
+namespace sequoiagate {
+
+/// Another host's process, as the store lists it.
+struct Peer
+{
+    HostId host;
+    DomainId domain;
+    Incarnation incarnation;
+    boost::asio::ip::udp::endpoint address;
+};
+
+/// Single-threaded.
+class PeerLink
+{
+public:
+    struct Handlers
+    {
+        /// A peer asks. \returns the tokens to move to it, which the holder has let go.
+        std::function<uint64_t(const TokenAsk &)> onAsk;
+        std::function<uint64_t(const WorkspaceId &)> usable;
+        std::function<void(const WorkspaceId &, uint64_t tokens)> onTokens;
+    };
+
+    /// \throws boost::system::system_error if the address can't be had
+    PeerLink(boost::asio::io_context &io, const boost::asio::ip::udp::endpoint &listen,
+             Incarnation self, DomainId domain, EventLog &log, Handlers handlers);
+
+    void setPeers(std::vector<Peer> peers);
+    /// Asks some peers, others the next time.
+    void ask(const TokenAsk &ask);
+    /// Sends what isn't acknowledged again. Call some times a second.
+    void tick(Instant now);
+    /// What peers said they have, if all of them answered since \p since; they may have
+    /// given away or got some in the meantime.
+    std::optional<uint64_t> usableElsewhere(const WorkspaceId &workspace, Instant since) const;
+    std::size_t peers() const { return peers_.size(); }
+
+private:
+    struct Move
+    {
+        boost::asio::ip::udp::endpoint to;
+        std::string text;
+        WorkspaceId workspace;
+        uint64_t tokens = 0;
+        Instant nextAt{};
+        Instant giveUpAt{};
+    };
+
+    /// What a peer said it can spend.
+    struct Told
+    {
+        uint64_t usable = 0;
+        Instant at{};
+    };
+
+    void receive();
+    void onDatagram(const std::string &text);
+    void onAsk(const nlohmann::json &message);
+    void onMove(const nlohmann::json &message);
+    void onAck(const nlohmann::json &message);
+    void send(const std::string &text, const boost::asio::ip::udp::endpoint &to);
+
+    boost::asio::io_context &io_;
+    boost::asio::ip::udp::socket socket_;
+    Incarnation self_;
+    DomainId domain_;
+    EventLog &log_;
+    Handlers handlers_;
+    std::vector<Peer> peers_;
+    std::size_t nextPeer_ = 0;
+    boost::asio::ip::udp::endpoint sender_;
+    std::array<char, 2048> buffer_;
+    uint64_t lastMove_ = 0;
+    std::map<uint64_t, Move> unacknowledged_;
+    std::map<Incarnation, std::set<uint64_t>> taken_;
+    std::map<WorkspaceId, std::map<Incarnation, Told>> told_;
+};
+
+} // namespace sequoiagate
+
+#endif
--- /dev/null
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -0,0 +1,124 @@
+#ifndef SEQUOIAGATE_EDGE_TOKENSERVICE_H
+#define SEQUOIAGATE_EDGE_TOKENSERVICE_H
+
+/// Reserves tokens for requests: drives the TokenHolder with the store and the peers, and
+/// holds requests for the moment that it takes to get tokens from either.
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "sequoiagate/Edge/PeerLink.h"
+#include "sequoiagate/Ledger/TokenHolder.h"
+#include "sequoiagate/Proxy/ProxyContext.h"
+#include "sequoiagate/Service/EventLog.h"
+#include "sequoiagate/Service/Metrics.h"
+#include "sequoiagate/Store/Store.h"
+#include "sequoiagate/Store/TopicFollower.h"
+
+namespace sequoiagate {
+
+struct TokenServiceSettings
+{
+    HostId host;
+    DomainId domain;
+    std::string peerAddress;
+    boost::asio::ip::udp::endpoint listenPeers;
+    std::string topic;
+    Incarnation incarnation;
+    TokenHolderSettings holder;
+};
+
+/// Single-threaded.
+class TokenService : public TokenDesk
+{
+public:
+    TokenService(boost::asio::io_context &io, Store &store, TokenServiceSettings settings,
+                 EventLog &log, Metrics &metrics);
+
+    /// Called when the number of the fleet's processes, this one included, changes.
+    std::function<void(uint32_t)> onProcesses;
+
+    void start();
+    void setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant now);
+    /// Gives all that isn't reserved back to the store. \p done is called when the store
+    /// has it, or when \p deadline passes.
+    void stop(Instant deadline, std::function<void()> done);
+    bool storeReachable() const { return follower_.reachable(); }
+
+    TokenTicket reserve(const WorkspaceId &workspace, uint64_t tokens, Instant deadline,
+                        std::function<void(std::optional<Verdict>)> handler) override;
+    void cancel(TokenTicket ticket) override;
+    void settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent) override;
+
+private:
+    struct Waiting
+    {
+        TokenTicket ticket = 0;
+        WorkspaceId workspace;
+        uint64_t tokens = 0;
+        Instant since{};
+        Instant deadline{};
+        std::function<void(std::optional<Verdict>)> handler;
+    };
+
+    /// A workspace was found short a moment ago: who asks for as much is told at once.
+    struct Shortage
+    {
+        uint64_t tokens = 0;
+        Instant until{};
+    };
+
+    void onRows(const std::vector<StoreRow> &rows);
+    void onBudgetRow(const StoreRow &row);
+    void onHostRow(const StoreRow &row);
+    void publishPeers();
+    void tick();
+    void armTick();
+    void write(Instant now);
+    void append();
+    void onAppended(const AppendAnswer &answer);
+    void serveWaiting(Instant now);
+    void expireWaiting(Instant now);
+    void noLongerWaits(const WorkspaceId &workspace);
+    void askPeers(Instant now);
+    Verdict shortage(const Waiting &waiting, Instant now) const;
+    void finishStop(Instant now);
+    void report();
+
+    boost::asio::io_context &io_;
+    Store &store_;
+    TokenServiceSettings settings_;
+    EventLog &log_;
+    Metrics &metrics_;
+    TokenHolder holder_;
+    PeerLink peers_;
+    TopicFollower follower_;
+    boost::asio::steady_timer timer_;
+    std::unordered_map<std::string, Peer> hosts_;
+    std::list<Waiting> waiting_;
+    std::unordered_map<WorkspaceId, Shortage> shortages_;
+    TokenTicket lastTicket_ = 0;
+
+    std::optional<StoreBatch> batch_; ///< being written
+    uint64_t nextSeq_ = 0;
+    bool batchHasTokens_ = false;
+    bool appending_ = false;
+    bool acknowledged_ = false;
+    bool announced_ = false; ///< the host's own row has been written
+    bool farewell_ = false;  ///< the row that takes it away has been put in a batch
+    Instant appendAgainAt_{};
+    std::function<void()> stopped_;
+    Instant stopDeadline_ = Never;
+    Instant reportAt_{};
+};
+
+} // namespace sequoiagate
+
+#endif
--- /dev/null
+++ b/include/sequoiagate/Ledger/AllotmentTable.h
@@ -0,0 +1,56 @@
+#ifndef SEQUOIAGATE_LEDGER_ALLOTMENTTABLE_H
+#define SEQUOIAGATE_LEDGER_ALLOTMENTTABLE_H
+
+/// What the store says of how budgets are divided: for each workspace and holder the
+/// tokens that the holder has, or claims. The newest row of a holder counts.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "sequoiagate/Base/Ids.h"
+
+namespace sequoiagate {
+
+/// One holder's part of one workspace's budget, as a row of the store.
+struct AllotmentRow
+{
+    WorkspaceId workspace;
+    Incarnation holder;
+    uint64_t tokens = 0;
+};
+
+/// A row's value with the place where it stands.
+struct WrittenAllotment
+{
+    uint64_t tokens = 0;
+    uint64_t offset = 0;
+};
+
+/// Not thread safe.
+class AllotmentTable
+{
+public:
+    /// Takes a row in. One that stands before the holder's known row is ignored, so rows
+    /// may come twice and out of order.
+    void set(const AllotmentRow &row, uint64_t offset);
+    /// Tokens that all holders together have or claim.
+    uint64_t allotted(const WorkspaceId &workspace) const;
+    std::optional<WrittenAllotment> of(const WorkspaceId &workspace,
+                                       const Incarnation &holder) const;
+
+private:
+    struct Division
+    {
+        uint64_t total = 0;
+        std::map<Incarnation, WrittenAllotment> holders;
+    };
+
+    std::unordered_map<WorkspaceId, Division> divisions_;
+};
+
+} // namespace sequoiagate
+
+#endif
--- /dev/null
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -0,0 +1,175 @@
+#ifndef SEQUOIAGATE_LEDGER_TOKENHOLDER_H
+#define SEQUOIAGATE_LEDGER_TOKENHOLDER_H
+
+/// This process's part of the workspaces' budgets: what it may spend without asking
+/// anybody. Pure: (event, now) -> rows to write, tokens to move.
+///
+/// A holder claims tokens by writing its new total to the store, and may spend them only
+/// after it has read its row back and the totals of all holders, its own included, fit
+/// into the prepaid budget. Why that is enough: of two claims one stands first in the
+/// store. The second holder sees the first's row when it judges its own, whether the
+/// first was accepted or not; so the totals that holders act on never exceed the budget.
+/// A claim that doesn't fit is taken in part, and the row is corrected by the next batch:
+/// until then the others count too much, never too little.
+///
+/// - Rows hold totals, and one batch is in flight at a time: a batch whose answer was lost
+///   is written again as it is, and a total that comes twice changes nothing.
+/// - What a holder has when its process dies stays counted as spent: nobody can know what
+///   it sent last. Holdings are therefore sized to the demand.
+/// - While the store is away holders go on from what they have. It must last for an
+///   outage, and what one lacks another gives: moved tokens leave the giver before they
+///   are sent and count with it in the store; the receiver takes each move once.
+/// - A budget that is lowered makes each holder give back what it hasn't spent.
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Ledger/AllotmentTable.h"
+#include "sequoiagate/Ledger/DemandRate.h"
+
+namespace sequoiagate {
+
+struct TokenHolderSettings
+{
+    /// Demand to hold tokens for. Outages of the store of 7 to 9 s came twice a minute in
+    /// the days the design is for; less refuses in them, more is lost with a dead process.
+    Interval horizon = std::chrono::seconds(11);
+    /// Holdings below this part of the target are filled up.
+    double refillBelow = 0.7;
+    /// Holdings above this multiple of the target are given back.
+    double returnAbove = 2.5;
+    /// Until demand is known: this part of the budget, over all hosts.
+    double initialShare = 0.15;
+    /// Most of what nobody has that one claim takes, over all hosts: near the end of a
+    /// budget the last tokens aren't taken by whoever comes first.
+    double greed = 3.0;
+    /// Time over which demand is averaged: short enough to follow a workspace that turns
+    /// hot within seconds.
+    Interval demandMemory = std::chrono::seconds(4);
+    /// Asking peers again for the same workspace.
+    Interval askInterval = std::chrono::milliseconds(60);
+    /// Asking peers for a workspace whose tokens run low but still serve.
+    Interval calmAskInterval = std::chrono::milliseconds(400);
+};
+
+struct WorkspaceBudget
+{
+    WorkspaceId workspace;
+    uint64_t prepaid = 0;
+};
+
+/// A holder is short of tokens and asks a peer for some.
+struct TokenAsk
+{
+    WorkspaceId workspace;
+    uint64_t need = 0;      ///< for the request that waits; 0: it runs low
+    uint64_t usable = 0;    ///< that the asking holder has
+    uint64_t perSecond = 0; ///< its demand
+};
+
+/// What can be had of a workspace's budget.
+enum class BudgetState {
+    Covered,     ///< tokens can be had here or from the store
+    Spent,       ///< the store has none left to give out
+    Unreachable, ///< the store doesn't answer: it may have some
+};
+
+/// Not thread safe.
+class TokenHolder
+{
+public:
+    TokenHolder(Incarnation self, TokenHolderSettings settings = {});
+
+    /// Replaces the budgets. What is held of a workspace whose budget was lowered is given back.
+    void setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant now);
+    /// How many processes share the budgets. \pre count > 0
+    void setHolders(uint32_t count) { holders_ = count; }
+    /// Whether the store answers. Without it nothing is claimed or given back.
+    void setStoreReachable(bool reachable) { storeReachable_ = reachable; }
+
+    /// Takes \p tokens for a request; false: there aren't as many, and the workspace is
+    /// noted as short of them. A workspace without a prepaid budget always has enough.
+    bool reserve(const WorkspaceId &workspace, uint64_t tokens, Instant now);
+    /// The request ended. \pre spent <= reserved, and both were reserved.
+    void settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent, Instant now);
+    /// No request waits for tokens of \p workspace any more.
+    void noLongerShort(const WorkspaceId &workspace);
+
+    // ---- the store ----
+    /// The rows to write next, each a new total; empty: none, or the last batch isn't
+    /// settled yet. They count as in flight until onPosition finds them.
+    std::vector<AllotmentRow> nextRows(Instant now);
+    void onRow(const AllotmentRow &row, uint64_t offset) { table_.set(row, offset); }
+    /// All rows before \p next were handed to onRow. Judges the claims in flight.
+    /// \returns true if the batch in flight was found in the store: it needn't be sent again.
+    bool onPosition(uint64_t next);
+    bool batchInFlight() const { return !inFlight_.empty(); }
+
+    // ---- peers ----
+    /// What to ask peers for now.
+    std::vector<TokenAsk> asks(Instant now);
+    /// Tokens to move to the peer that asks; they are this holder's no more. 0: none.
+    uint64_t give(const TokenAsk &ask, Instant now);
+    void take(const WorkspaceId &workspace, uint64_t tokens);
+
+    /// The process stops: gives back all that isn't reserved.
+    void returnAll();
+
+    uint64_t usable(const WorkspaceId &workspace) const;
+    uint64_t spent(const WorkspaceId &workspace) const;
+    uint64_t reserved(const WorkspaceId &workspace) const;
+    /// Tokens that no holder has, as far as the store was read.
+    uint64_t unallotted(const WorkspaceId &workspace) const;
+    BudgetState state(const WorkspaceId &workspace, uint64_t need) const;
+    std::vector<WorkspaceId> workspaces() const;
+
+private:
+    struct Account
+    {
+        explicit Account(Interval memory) : demand(memory) {}
+
+        uint64_t prepaid = 0;
+        uint64_t owned = 0;    ///< this holder's total, as accepted
+        uint64_t usable = 0;   ///< may be reserved
+        uint64_t reserved = 0; ///< of open requests
+        uint64_t spent = 0;
+        uint64_t largest = 0; ///< reservation seen
+        uint64_t shortOf = 0; ///< a request waits for so many
+        bool lowered = false; ///< the budget fell, and the holders' totals still exceed it
+        bool correct = false; ///< the store's row says something else than `owned`
+        Instant nextAskAt{};
+        DemandRate demand;
+    };
+
+    /// A row in flight, and what it claims beyond what is owned.
+    struct Flight
+    {
+        AllotmentRow row;
+        uint64_t claim = 0;
+    };
+
+    Account *find(const WorkspaceId &workspace);
+    const Account *find(const WorkspaceId &workspace) const;
+    uint64_t target(const Account &account, Instant now) const;
+    uint64_t claimFor(const WorkspaceId &workspace, const Account &account, Instant now) const;
+    void giveBack(Account &account, uint64_t tokens);
+    void judge(const Flight &flight);
+
+    Incarnation self_;
+    TokenHolderSettings settings_;
+    AllotmentTable table_;
+    std::unordered_map<WorkspaceId, Account> accounts_;
+    std::vector<Flight> inFlight_;
+    uint64_t judgedThrough_ = 0; ///< offsets of own rows below this were judged
+    uint32_t holders_ = 1;
+    bool storeReachable_ = false;
+    bool stopping_ = false;
+};
+
+} // namespace sequoiagate
+
+#endif
--- /dev/null
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -0,0 +1,134 @@
+#ifndef SEQUOIAGATE_PROXY_EXCHANGE_H
+#define SEQUOIAGATE_PROXY_EXCHANGE_H
+
+/// One request of a caller, from its reading to the end of its answer: route, key, tokens,
+/// endpoint, answer; and what is done when one of them fails.
+///
+/// What always holds here:
+/// - A request that may not be repeated is sent once. It is called "not run" only if no
+///   byte of it left, or the endpoint said that it didn't run it.
+/// - An answer is passed on as the endpoint's only if it bears the request's id. A plain
+///   one is passed on whole; a stream event by event, and its end only if it was seen.
+/// - When the caller leaves, the endpoint's connection is closed, which ends its work.
+/// - At its route's timeout or its caller's patience a request is answered at that moment.
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sequoiagate/Proxy/ProxyContext.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "sequoiagate/Proxy/AnswerSink.h"
+#include "sequoiagate/Proxy/EventSplitter.h"
+
+namespace sequoiagate {
+
+/// A request as it was read.
+struct CallerRequest
+{
+    RequestHead head;
+    std::string body;
+    Instant receivedAt;
+};
+
+/// Single-threaded. Keeps itself alive until it has ended.
+class Exchange : public std::enable_shared_from_this<Exchange>, private HttpCallObserver
+{
+public:
+    /// \pre context and sink outlive the exchange, or callerGone is called before the sink goes.
+    Exchange(ProxyContext &context, CallerRequest request, AnswerSink &sink);
+    ~Exchange() override;
+
+    void start();
+    /// The caller closed its connection.
+    void callerGone();
+    /// The caller took bytes: more may be read from the endpoint.
+    void callerTook();
+    bool ended() const { return position_.ended(); }
+
+private:
+    /// One sending to one endpoint.
+    struct Attempt
+    {
+        std::shared_ptr<HttpConnection> connection;
+        EndpointId endpoint;
+        Instant sentAt;
+        AnswerTerms terms;
+        ResponseHead head;
+        std::string body;
+        EventSplitter splitter;
+        bool answering = false; ///< a good answer's head has come
+        bool firstEvent = false;
+        bool passThrough = false; ///< a plain answer too large to be held
+    };
+
+    void decide();
+    bool allowed();
+    void reserve();
+    void onReserved(std::optional<Verdict> refusal);
+    void place();
+    void send(const Placed &placed);
+    RequestHead forwardHead(Instant now, const EndpointId &endpoint) const;
+
+    // ---- what comes back ----
+    void onHead(const ResponseHead &head) override;
+    void onBody(std::string_view bytes) override;
+    void onDone() override;
+    void onBroken(CallBreak how, const std::string &why) override;
+    void onStreamBytes(std::string_view bytes);
+    bool takeEvent(const StreamEvent &event);
+    void beginStream();
+    void onNotExecuted();
+    void onPlainAnswer();
+    void endAttempt(bool succeeded);
+    void dropAttempt(bool succeeded);
+
+    // ---- what is done about a failure ----
+    bool mayRunAgain() const;
+    void runAgainOrFail(const std::string &why);
+    void tryElsewhere(const std::string &why);
+    void refuse(Verdict verdict);
+    void fail(Reason reason, const std::string &why, int status);
+    void onDeadline();
+    void onSilence();
+    void armSilence(Interval limit);
+
+    void finish(std::string_view event, std::string_view outcome, int status);
+    void settle();
+    uint64_t spentTokens() const;
+    WorkItem workItem() const;
+    Interval remaining(Instant now) const;
+    void log(Event event);
+
+    ProxyContext &context_;
+    CallerRequest request_;
+    AnswerSink &sink_;
+    ServingConfigPtr config_;
+    CallerTerms terms_;
+    const Route *route_ = nullptr;
+    const WorkspaceTerms *workspace_ = nullptr;
+    const ServiceTerms *service_ = nullptr;
+    StatechartPosition position_;
+    Instant deadline_ = Never;
+    boost::asio::steady_timer deadlineTimer_;
+    boost::asio::steady_timer silenceTimer_;
+    std::optional<TokenTicket> ticket_;
+    uint64_t reserved_ = 0;
+    bool holdsTokens_ = false;
+    std::optional<Attempt> attempt_;
+    std::vector<EndpointId> tried_;
+    uint32_t sends_ = 0;        ///< endpoints that a byte of it was, or may have been, sent to
+    uint32_t possibleRuns_ = 0; ///< of these, that may have begun to run it
+    bool cutUncounted_ = false; ///< an attempt ended with events that may not have come
+    bool streaming_ = false;    ///< the caller has the head of a stream
+    uint64_t eventsTold_ = 0;
+    std::optional<uint64_t> lastEvent_;
+    std::shared_ptr<Exchange> self_; ///< while it is open
+};
+
+} // namespace sequoiagate
+
+#endif
--- a/include/sequoiagate/Service/EventLog.h
+++ b/include/sequoiagate/Service/EventLog.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <cstdio>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -74,20 +75,33 @@
     Incarnation incarnation;
 };
 
+/// Where lines go. Thread safe through the EventLog that owns it.
+class LineSink
+{
+public:
+    virtual ~LineSink() = default;
+    /// \param line ends in a line feed
+    virtual void write(std::string_view line) = 0;
+};
+
+/// Writes each line to \p out and flushes it.
+std::unique_ptr<LineSink> flushedFileSink(std::FILE *out);
+
 /// Writes events of one process. Thread safe.
 class EventLog
 {
 public:
+    /// Writes to \p out and flushes each line, so that a killed process loses none.
     explicit EventLog(ProcessIdentity identity, std::FILE *out = stderr);
+    EventLog(ProcessIdentity identity, std::unique_ptr<LineSink> sink);
 
-    /// Writes one line and flushes it, so that a killed process loses none.
     void write(const Event &event);
     HybridClock &clock() { return clock_; }
     const ProcessIdentity &identity() const { return identity_; }
 
 private:
     ProcessIdentity identity_;
-    std::FILE *out_;
+    std::unique_ptr<LineSink> sink_;
     HybridClock clock_;
     std::mutex mutex_;
 };
--- a/include/sequoiagate/Service/Program.h
+++ b/include/sequoiagate/Service/Program.h
@@ -29,6 +29,14 @@
     StopSignal();
     /// Returns when the process is asked to stop. Call from one thread.
     void wait();
+    /// Lets the signals through again, for a body that takes them in its own event loop.
+    void unblock();
+};
+
+/// Where a daemon's events go.
+enum class LogOutput {
+    StandardError,         ///< each line is flushed: none is lost
+    BoundedStandardOutput, ///< never blocks; under load lines are dropped and counted
 };
 
 /// What a daemon's body is given.
@@ -45,7 +53,8 @@
 /// \returns the process's exit code; an exception from \p body is logged and
 /// gives ExitFailure.
 int runDaemon(int argc, char **argv, const std::string &program, const std::string &summary,
-              const std::function<int(DaemonContext &)> &body);
+              const std::function<int(DaemonContext &)> &body,
+              LogOutput output = LogOutput::StandardError);
 
 /// The text of share/<relativePath>, from the source tree or beside the program.
 /// \throws SettingsError
--- /dev/null
+++ b/lib/Config/ServingConfig.cpp
@@ -0,0 +1,76 @@
+#include "sequoiagate/Config/ServingConfig.h"
+
+#include <absl/strings/ascii.h>
+
+namespace sequoiagate {
+
+namespace {
+
+/// A space stands in no host name and no path.
+std::string placeOf(std::string_view host, std::string_view prefix)
+{
+    std::string place;
+    place.reserve(host.size() + prefix.size() + 1);
+    return place.append(host).append(" ").append(prefix);
+}
+
+std::string lowerHost(std::string_view host)
+{
+    const std::size_t colon = host.rfind(':');
+    return absl::AsciiStrToLower(std::string(host.substr(0, colon)));
+}
+
+} // namespace
+
+void ServingConfig::index()
+{
+    for (std::size_t i = 0; i < routes.size(); ++i) {
+        routeByPlace_[placeOf(routes[i].host, routes[i].pathPrefix)] = i;
+    }
+    for (std::size_t i = 0; i < workspaces.size(); ++i) {
+        workspaceByName_[workspaces[i].name.text()] = i;
+        for (const std::string &key : workspaces[i].keys) {
+            workspaceByKey_[key] = i;
+        }
+    }
+    for (std::size_t i = 0; i < services.size(); ++i) {
+        serviceByName_[services[i].name.text()] = i;
+    }
+}
+
+const Route *ServingConfig::route(std::string_view host, std::string_view path) const
+{
+    const std::string name = lowerHost(host);
+    const std::string_view plain = path.substr(0, path.find('?'));
+    for (std::size_t end = plain.rfind('/'); end != std::string_view::npos;
+         end = plain.rfind('/', end - 1)) {
+        const auto found = routeByPlace_.find(placeOf(name, plain.substr(0, end + 1)));
+        if (found != routeByPlace_.end()) {
+            return &routes[found->second];
+        }
+        if (end == 0) {
+            break;
+        }
+    }
+    return nullptr;
+}
+
+const WorkspaceTerms *ServingConfig::workspaceOfKey(const std::string &key) const
+{
+    const auto found = workspaceByKey_.find(key);
+    return found == workspaceByKey_.end() ? nullptr : &workspaces[found->second];
+}
+
+const WorkspaceTerms *ServingConfig::workspace(const WorkspaceId &name) const
+{
+    const auto found = workspaceByName_.find(name.text());
+    return found == workspaceByName_.end() ? nullptr : &workspaces[found->second];
+}
+
+const ServiceTerms *ServingConfig::service(const ServiceId &name) const
+{
+    const auto found = serviceByName_.find(name.text());
+    return found == serviceByName_.end() ? nullptr : &services[found->second];
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Edge/Addresses.h
@@ -0,0 +1,20 @@
+#ifndef SEQUOIAGATE_LIB_EDGE_ADDRESSES_H
+#define SEQUOIAGATE_LIB_EDGE_ADDRESSES_H
+
+/// Addresses as text, "IP:port".
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+namespace sequoiagate {
+
+std::optional<boost::asio::ip::tcp::endpoint> parseTcpAddress(const std::string &text);
+std::optional<boost::asio::ip::udp::endpoint> parseUdpAddress(const std::string &text);
+
+} // namespace sequoiagate
+
+#endif
--- /dev/null
+++ b/lib/Edge/EdgeSettings.cpp
@@ -0,0 +1,26 @@
+#include "sequoiagate/Edge/EdgeSettings.h"
+
+#include "sequoiagate/Service/Settings.h"
+
+namespace sequoiagate {
+
+EdgeSettings edgeSettingsFrom(const nlohmann::json &settings)
+{
+    EdgeSettings edge;
+    edge.host = HostId(settings.at("host").get<std::string>());
+    edge.domain = DomainId(settings.at("domain").get<std::string>());
+    edge.listenCallers = settings.at("listen").get<std::string>();
+    edge.listenReady = settings.at("listen_ready").get<std::string>();
+    edge.listenPeers = settings.at("listen_peers").get<std::string>();
+    edge.listenMetrics = settings.at("listen_metrics").get<std::string>();
+    edge.store = settings.at("store").get<std::string>();
+    edge.stopGrace = millisOf(settings, "stop_grace_ms");
+    edge.readyGrace = millisOf(settings, "ready_grace_ms");
+    edge.retries.ratio = settings.at("retry_ratio").get<double>();
+    edge.retries.slack = settings.at("retry_slack").get<double>();
+    edge.retries.window = millisOf(settings, "retry_window_ms");
+    edge.tokens.horizon = millisOf(settings, "token_horizon_ms");
+    return edge;
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Edge/PeerLink.cpp
@@ -0,0 +1,192 @@
+#include "sequoiagate/Edge/PeerLink.h"
+
+#include <algorithm>
+
+#include <boost/asio/buffer.hpp>
+
+namespace sequoiagate {
+
+using boost::asio::ip::udp;
+
+namespace {
+
+/// Peers asked at once. A handful finds tokens if most have some; asking 75 each time
+/// would cost more than the request that waits.
+constexpr std::size_t AskedAtOnce = 8;
+
+/// A round trip between failure domains takes some milliseconds; a lost datagram costs this.
+constexpr Interval ResendAfter = std::chrono::milliseconds(80);
+
+/// Longest cut between hosts that a move outlasts. Past it the tokens are lost.
+constexpr Interval MoveLasts = std::chrono::seconds(20);
+
+} // namespace
+
+PeerLink::PeerLink(boost::asio::io_context &io, const udp::endpoint &listen, Incarnation self,
+                   DomainId domain, EventLog &log, Handlers handlers)
+    : io_(io), socket_(io, listen), self_(std::move(self)), domain_(std::move(domain)), log_(log),
+      handlers_(std::move(handlers))
+{
+    socket_.non_blocking(true);
+    receive();
+}
+
+void PeerLink::setPeers(std::vector<Peer> peers)
+{
+    // The own failure domain first: it is near, and on this side of most cuts.
+    std::stable_partition(peers.begin(), peers.end(),
+                          [this](const Peer &peer) { return peer.domain == domain_; });
+    peers_ = std::move(peers);
+}
+
+void PeerLink::receive()
+{
+    socket_.async_receive_from(boost::asio::buffer(buffer_), sender_,
+                               [this](const boost::system::error_code &error, std::size_t bytes) {
+                                   if (error == boost::asio::error::operation_aborted) {
+                                       return;
+                                   }
+                                   // An error here tells of an earlier datagram that nobody
+                                   // received.
+                                   if (!error) {
+                                       onDatagram(std::string(buffer_.data(), bytes));
+                                   }
+                                   receive();
+                               });
+}
+
+void PeerLink::onDatagram(const std::string &text)
+{
+    try {
+        const nlohmann::json message = nlohmann::json::parse(text);
+        const auto kind = message.at("kind").get<std::string>();
+        if (kind == "ask") {
+            onAsk(message);
+        } else if (kind == "move") {
+            onMove(message);
+        } else if (kind == "ack") {
+            onAck(message);
+        }
+    } catch (const nlohmann::json::exception &error) {
+        log_.write(Event("peer.malformed").with("why", error.what()));
+    }
+}
+
+void PeerLink::ask(const TokenAsk &ask)
+{
+    const nlohmann::json message = {
+            {"kind", "ask"},    {"from", self_.text()}, {"workspace", ask.workspace.text()},
+            {"need", ask.need}, {"usable", ask.usable}, {"per_second", ask.perSecond}};
+    const std::string text = message.dump();
+    const std::size_t count = std::min(AskedAtOnce, peers_.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        send(text, peers_[nextPeer_ % peers_.size()].address);
+        ++nextPeer_;
+    }
+}
+
+void PeerLink::onAsk(const nlohmann::json &message)
+{
+    TokenAsk ask;
+    ask.workspace = WorkspaceId(message.at("workspace").get<std::string>());
+    ask.need = message.at("need").get<uint64_t>();
+    ask.usable = message.at("usable").get<uint64_t>();
+    ask.perSecond = message.at("per_second").get<uint64_t>();
+    const auto from = message.at("from").get<std::string>();
+    const uint64_t tokens = handlers_.onAsk(ask);
+    const uint64_t id = tokens > 0 ? ++lastMove_ : 0;
+    const nlohmann::json move = {{"kind", "move"},
+                                 {"from", self_.text()},
+                                 {"to", from},
+                                 {"id", id},
+                                 {"workspace", ask.workspace.text()},
+                                 {"tokens", tokens},
+                                 {"usable", handlers_.usable(ask.workspace)}};
+    const std::string text = move.dump();
+    if (tokens > 0) {
+        const Instant now = std::chrono::steady_clock::now();
+        unacknowledged_[id] = {sender_,           text,           ask.workspace, tokens,
+                               now + ResendAfter, now + MoveLasts};
+        log_.write(Event("tokens.given")
+                           .with("workspace", ask.workspace)
+                           .with("tokens", tokens)
+                           .with("to", from));
+    }
+    send(text, sender_);
+}
+
+void PeerLink::onMove(const nlohmann::json &message)
+{
+    const WorkspaceId workspace(message.at("workspace").get<std::string>());
+    const Incarnation from(message.at("from").get<std::string>());
+    const auto tokens = message.at("tokens").get<uint64_t>();
+    const auto id = message.at("id").get<uint64_t>();
+    told_[workspace][from] = {message.at("usable").get<uint64_t>(),
+                              std::chrono::steady_clock::now()};
+    if (tokens == 0) {
+        return;
+    }
+    // It was meant for a process that this host ran before: its moves ended with it.
+    if (message.at("to").get<std::string>() != self_.text()) {
+        return;
+    }
+    const nlohmann::json ack = {{"kind", "ack"}, {"from", self_.text()}, {"id", id}};
+    send(ack.dump(), sender_);
+    if (!taken_[from].insert(id).second) {
+        return;
+    }
+    log_.write(Event("tokens.taken")
+                       .with("workspace", workspace)
+                       .with("tokens", tokens)
+                       .with("from", from));
+    handlers_.onTokens(workspace, tokens);
+}
+
+void PeerLink::onAck(const nlohmann::json &message)
+{
+    unacknowledged_.erase(message.at("id").get<uint64_t>());
+}
+
+void PeerLink::tick(Instant now)
+{
+    for (auto move = unacknowledged_.begin(); move != unacknowledged_.end();) {
+        if (now >= move->second.giveUpAt) {
+            log_.write(Event("tokens.lost")
+                               .with("workspace", move->second.workspace)
+                               .with("tokens", move->second.tokens));
+            move = unacknowledged_.erase(move);
+            continue;
+        }
+        if (now >= move->second.nextAt) {
+            move->second.nextAt = now + ResendAfter;
+            send(move->second.text, move->second.to);
+        }
+        ++move;
+    }
+}
+
+std::optional<uint64_t> PeerLink::usableElsewhere(const WorkspaceId &workspace, Instant since) const
+{
+    const auto told = told_.find(workspace);
+    uint64_t total = 0;
+    for (const Peer &peer : peers_) {
+        if (told == told_.end()) {
+            return std::nullopt;
+        }
+        const auto found = told->second.find(peer.incarnation);
+        if (found == told->second.end() || found->second.at < since) {
+            return std::nullopt;
+        }
+        total += found->second.usable;
+    }
+    return total;
+}
+
+void PeerLink::send(const std::string &text, const udp::endpoint &to)
+{
+    // A datagram that the kernel doesn't take is as good as lost on the way.
+    boost::system::error_code lost;
+    socket_.send_to(boost::asio::buffer(text), to, 0, lost);
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Edge/StatusServer.cpp
@@ -0,0 +1,113 @@
+#include "StatusServer.h"
+
+#include <array>
+#include <memory>
+#include <optional>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Proxy/HttpReader.h"
+
+namespace sequoiagate {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Whoever asks does so every second or few.
+constexpr Interval IdleTimeout = std::chrono::seconds(10);
+
+class StatusConnection : public std::enable_shared_from_this<StatusConnection>
+{
+public:
+    StatusConnection(tcp::socket socket, const StatusServer::Page &page)
+        : socket_(std::move(socket)), timer_(socket_.get_executor()), page_(page)
+    {}
+
+    void start()
+    {
+        reader_.emplace(HttpReaderLimits());
+        timer_.expires_after(IdleTimeout);
+        timer_.async_wait([self = shared_from_this()](const error_code &error) {
+            if (!error) {
+                error_code ignored;
+                self->socket_.close(ignored);
+            }
+        });
+        read();
+    }
+
+private:
+    void read()
+    {
+        socket_.async_read_some(
+                boost::asio::buffer(buffer_),
+                [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+                    if (error) {
+                        self->timer_.cancel();
+                        return;
+                    }
+                    self->reader_->feed(std::string_view(self->buffer_.data(), bytes));
+                    if (self->reader_->done()) {
+                        self->answer();
+                    } else if (self->reader_->fault() == HttpFault::None) {
+                        self->read();
+                    } else {
+                        self->timer_.cancel();
+                    }
+                });
+    }
+
+    void answer()
+    {
+        const StatusPage page = page_();
+        ResponseHead head;
+        head.status = page.status;
+        head.fields = {{"Content-Type", page.type}};
+        head.keepAlive = reader_->head().keepAlive;
+        const bool keep = head.keepAlive;
+        answer_ = writeResponseHead(head, BodyFraming::Length, page.body.size()) + page.body;
+        boost::asio::async_write(
+                socket_, boost::asio::buffer(answer_),
+                [self = shared_from_this(), keep](const error_code &error, std::size_t) {
+                    if (!error && keep) {
+                        self->start();
+                    } else {
+                        self->timer_.cancel();
+                    }
+                });
+    }
+
+    tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    const StatusServer::Page &page_;
+    std::optional<RequestReader> reader_;
+    std::array<char, 1024> buffer_;
+    std::string answer_;
+};
+
+} // namespace
+
+StatusServer::StatusServer(boost::asio::io_context &io, const tcp::endpoint &listen, Page page)
+    : io_(io), acceptor_(io, listen), page_(std::move(page))
+{
+    accept();
+}
+
+void StatusServer::accept()
+{
+    acceptor_.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            std::make_shared<StatusConnection>(std::move(socket), page_)->start();
+        }
+        accept();
+    });
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Edge/TokenService.cpp
@@ -0,0 +1,442 @@
+#include "sequoiagate/Edge/TokenService.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <absl/strings/str_split.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "Addresses.h"
+
+namespace sequoiagate {
+
+namespace {
+
+/// How often tokens are claimed, asked for and waited for. A claim takes some 15 ms, a move
+/// a few; a request that waits sees at most this beside.
+constexpr Interval TickInterval = std::chrono::milliseconds(25);
+
+/// The longest that a request waits for tokens: time for a claim (some 15 ms) and, where the
+/// store has none, for several rounds of asking peers.
+constexpr Interval TokenWait = std::chrono::milliseconds(200);
+
+/// For this long after a shortage requests of that size aren't held again.
+constexpr Interval ShortageLasts = std::chrono::milliseconds(300);
+
+/// When to come back where the store is away: it isn't known when it returns.
+constexpr Interval ComeBackWithoutStore = std::chrono::milliseconds(1000);
+
+/// When to come back while the store still has tokens, or others' requests are ending.
+constexpr Interval ComeBackWithStore = std::chrono::milliseconds(400);
+
+constexpr Interval AppendAgain = std::chrono::milliseconds(120);
+constexpr Interval AppendAgainRejected = std::chrono::seconds(1);
+
+/// Reads of the own topic are paced, since each of the fleet's claims would wake all.
+constexpr Interval ReadPace = std::chrono::milliseconds(60);
+
+constexpr Interval ReportInterval = std::chrono::seconds(2);
+
+constexpr char Separator = '/';
+constexpr std::string_view BudgetPrefix = "budget/";
+constexpr std::string_view HostPrefix = "host/";
+
+std::string budgetKey(const AllotmentRow &row)
+{
+    return fmt::format("{}{}/{}", BudgetPrefix, row.holder.text(), row.workspace.text());
+}
+
+/// A key made by budgetKey, or nullopt. A workspace's name may hold the separator.
+std::optional<AllotmentRow> parseBudget(const StoreRow &row)
+{
+    const std::string_view rest = std::string_view(row.key).substr(BudgetPrefix.size());
+    const std::size_t separator = rest.find(Separator);
+    AllotmentRow parsed;
+    const char *const end = row.value.data() + row.value.size();
+    const auto number = std::from_chars(row.value.data(), end, parsed.tokens);
+    if (separator == std::string_view::npos || number.ec != std::errc() || number.ptr != end) {
+        return std::nullopt;
+    }
+    parsed.holder = Incarnation(std::string(rest.substr(0, separator)));
+    parsed.workspace = WorkspaceId(std::string(rest.substr(separator + 1)));
+    return parsed;
+}
+
+bool startsWith(const std::string &text, std::string_view prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+FollowerSettings followerSettings(const std::string &topic)
+{
+    FollowerSettings settings;
+    settings.topic = topic;
+    settings.pace = ReadPace;
+    return settings;
+}
+
+} // namespace
+
+TokenService::TokenService(boost::asio::io_context &io, Store &store, TokenServiceSettings settings,
+                           EventLog &log, Metrics &metrics)
+    : io_(io), store_(store), settings_(std::move(settings)), log_(log), metrics_(metrics),
+      holder_(settings_.incarnation, settings_.holder),
+      peers_(io, settings_.listenPeers, settings_.incarnation, settings_.domain, log,
+             {[this](const TokenAsk &ask) {
+                  return holder_.give(ask, std::chrono::steady_clock::now());
+              },
+              [this](const WorkspaceId &workspace) { return holder_.usable(workspace); },
+              [this](const WorkspaceId &workspace, uint64_t tokens) {
+                  holder_.take(workspace, tokens);
+                  serveWaiting(std::chrono::steady_clock::now());
+              }}),
+      follower_(io, store, followerSettings(settings_.topic),
+                {[this](const std::vector<StoreRow> &rows, bool) { onRows(rows); },
+                 [this](uint64_t next) {
+                     if (holder_.onPosition(next)) {
+                         acknowledged_ = true;
+                         serveWaiting(std::chrono::steady_clock::now());
+                     }
+                 },
+                 [this](bool reachable, StoreOutcome outcome) {
+                     log_.write(Event(reachable ? "ledger.reachable" : "ledger.lost")
+                                        .with("outcome", storeOutcomeName(outcome)));
+                 }}),
+      timer_(io)
+{}
+
+void TokenService::start()
+{
+    follower_.start();
+    armTick();
+}
+
+void TokenService::armTick()
+{
+    timer_.expires_after(TickInterval);
+    timer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tick();
+            armTick();
+        }
+    });
+}
+
+void TokenService::tick()
+{
+    const Instant now = std::chrono::steady_clock::now();
+    holder_.setStoreReachable(follower_.reachable() && follower_.caughtUp());
+    write(now);
+    askPeers(now);
+    peers_.tick(now);
+    serveWaiting(now);
+    expireWaiting(now);
+    if (now >= reportAt_) {
+        reportAt_ = now + ReportInterval;
+        report();
+    }
+    finishStop(now);
+}
+
+void TokenService::report()
+{
+    for (const WorkspaceId &workspace : holder_.workspaces()) {
+        log_.write(Event("tokens.state")
+                           .with("workspace", workspace)
+                           .with("usable", holder_.usable(workspace))
+                           .with("reserved", holder_.reserved(workspace))
+                           .with("spent", holder_.spent(workspace))
+                           .with("unallotted", holder_.unallotted(workspace)));
+    }
+}
+
+void TokenService::setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant now)
+{
+    holder_.setBudgets(budgets, now);
+    shortages_.clear();
+}
+
+void TokenService::onRows(const std::vector<StoreRow> &rows)
+{
+    bool hostsChanged = false;
+    for (const StoreRow &row : rows) {
+        if (startsWith(row.key, BudgetPrefix)) {
+            onBudgetRow(row);
+        } else if (startsWith(row.key, HostPrefix)) {
+            onHostRow(row);
+            hostsChanged = true;
+        }
+    }
+    if (hostsChanged) {
+        publishPeers();
+    }
+}
+
+void TokenService::onBudgetRow(const StoreRow &row)
+{
+    const std::optional<AllotmentRow> parsed = parseBudget(row);
+    if (!parsed) {
+        log_.write(Event("ledger.malformed").with("key", row.key));
+        return;
+    }
+    holder_.onRow(*parsed, row.offset);
+}
+
+void TokenService::onHostRow(const StoreRow &row)
+{
+    const std::string host = row.key.substr(HostPrefix.size());
+    if (row.value.empty()) {
+        hosts_.erase(host);
+        return;
+    }
+    try {
+        const nlohmann::json value = nlohmann::json::parse(row.value);
+        const auto address = parseUdpAddress(value.at("address").get<std::string>());
+        if (!address) {
+            log_.write(Event("peer.malformed").with("host", host));
+            return;
+        }
+        hosts_[host] = {HostId(host), DomainId(value.at("domain").get<std::string>()),
+                        Incarnation(value.at("incarnation").get<std::string>()), *address};
+    } catch (const nlohmann::json::exception &error) {
+        log_.write(Event("peer.malformed").with("host", host).with("why", error.what()));
+    }
+}
+
+void TokenService::publishPeers()
+{
+    std::vector<Peer> peers;
+    for (const auto &[name, peer] : hosts_) {
+        if (peer.host != settings_.host) {
+            peers.push_back(peer);
+        }
+    }
+    const auto count = static_cast<uint32_t>(peers.size() + 1);
+    holder_.setHolders(count);
+    peers_.setPeers(std::move(peers));
+    if (onProcesses) {
+        onProcesses(count);
+    }
+}
+
+void TokenService::write(Instant now)
+{
+    if (batch_) {
+        if (!appending_ && !acknowledged_ && now >= appendAgainAt_) {
+            append();
+        }
+        // A batch with claims is settled when its rows have been read back.
+        const bool settled =
+                acknowledged_ && !appending_ && (!batchHasTokens_ || !holder_.batchInFlight());
+        if (acknowledged_ && !settled) {
+            follower_.hurry();
+        }
+        if (!settled) {
+            return;
+        }
+        batch_.reset();
+    }
+    if (!follower_.reachable() || !follower_.caughtUp()) {
+        return;
+    }
+    StoreBatch batch;
+    batch.topic = settings_.topic;
+    batch.writer = settings_.incarnation.text();
+    batch.seq = nextSeq_;
+    for (const AllotmentRow &row : holder_.nextRows(now)) {
+        batch.rows.push_back({budgetKey(row), std::to_string(row.tokens), 0});
+    }
+    batchHasTokens_ = !batch.rows.empty();
+    const std::string hostKey = std::string(HostPrefix) + settings_.host.text();
+    if (!announced_) {
+        const nlohmann::json value = {{"address", settings_.peerAddress},
+                                      {"domain", settings_.domain.text()},
+                                      {"incarnation", settings_.incarnation.text()}};
+        batch.rows.push_back({hostKey, value.dump(), 0});
+        announced_ = true;
+    }
+    if (stopped_ && !farewell_) {
+        batch.rows.push_back({hostKey, "", 0});
+        farewell_ = true;
+    }
+    if (batch.rows.empty()) {
+        return;
+    }
+    ++nextSeq_;
+    batch_ = std::move(batch);
+    acknowledged_ = false;
+    append();
+}
+
+void TokenService::append()
+{
+    appending_ = true;
+    store_.append(*batch_, [this](const AppendAnswer &answer) { onAppended(answer); });
+}
+
+void TokenService::onAppended(const AppendAnswer &answer)
+{
+    appending_ = false;
+    const Instant now = std::chrono::steady_clock::now();
+    metrics_.count("ledger_appends_total",
+                   {{"outcome", std::string(storeOutcomeName(answer.outcome))}});
+    if (answer.outcome == StoreOutcome::Ok) {
+        acknowledged_ = true;
+        follower_.hurry();
+        return;
+    }
+    log_.write(Event("ledger.append_failed")
+                       .with("outcome", storeOutcomeName(answer.outcome))
+                       .with("seq", batch_->seq));
+    if (answer.outcome == StoreOutcome::OutOfOrder && answer.expectedSeq) {
+        // The batch is in the store already, or the store counts from another number.
+        if (*answer.expectedSeq == batch_->seq + 1) {
+            acknowledged_ = true;
+            return;
+        }
+        batch_->seq = *answer.expectedSeq;
+        nextSeq_ = batch_->seq + 1;
+    }
+    const bool rejected = answer.outcome == StoreOutcome::Rejected;
+    appendAgainAt_ = now + (rejected ? AppendAgainRejected : AppendAgain);
+}
+
+TokenTicket TokenService::reserve(const WorkspaceId &workspace, uint64_t tokens, Instant deadline,
+                                  std::function<void(std::optional<Verdict>)> handler)
+{
+    const Instant now = std::chrono::steady_clock::now();
+    if (holder_.reserve(workspace, tokens, now)) {
+        handler(std::nullopt);
+        return 0;
+    }
+    Waiting waiting{++lastTicket_,     workspace, tokens, now, std::min(deadline, now + TokenWait),
+                    std::move(handler)};
+    const auto known = shortages_.find(workspace);
+    const bool isKnown = known != shortages_.end() && now < known->second.until
+                         && tokens >= known->second.tokens;
+    if (isKnown) {
+        const auto refuse = std::move(waiting.handler);
+        refuse(shortage(waiting, now));
+        return 0;
+    }
+    const TokenTicket ticket = waiting.ticket;
+    waiting_.push_back(std::move(waiting));
+    write(now);
+    askPeers(now);
+    return ticket;
+}
+
+void TokenService::cancel(TokenTicket ticket)
+{
+    waiting_.remove_if([ticket](const Waiting &waiting) { return waiting.ticket == ticket; });
+}
+
+void TokenService::settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent)
+{
+    const Instant now = std::chrono::steady_clock::now();
+    holder_.settle(workspace, reserved, spent, now);
+    metrics_.count("ledger_tokens_spent_total", {}, spent);
+    if (!waiting_.empty()) {
+        serveWaiting(now);
+    }
+}
+
+void TokenService::serveWaiting(Instant now)
+{
+    std::list<Waiting> served;
+    for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
+        const auto next = std::next(waiting);
+        if (holder_.reserve(waiting->workspace, waiting->tokens, now)) {
+            served.splice(served.end(), waiting_, waiting);
+        }
+        waiting = next;
+    }
+    for (const Waiting &waiting : served) {
+        noLongerWaits(waiting.workspace);
+        waiting.handler(std::nullopt);
+    }
+}
+
+void TokenService::noLongerWaits(const WorkspaceId &workspace)
+{
+    const auto isOfWorkspace = [&workspace](const Waiting &waiting) {
+        return waiting.workspace == workspace;
+    };
+    if (std::none_of(waiting_.begin(), waiting_.end(), isOfWorkspace)) {
+        holder_.noLongerShort(workspace);
+    }
+}
+
+void TokenService::expireWaiting(Instant now)
+{
+    std::list<Waiting> expired;
+    for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
+        const auto next = std::next(waiting);
+        if (now >= waiting->deadline) {
+            expired.splice(expired.end(), waiting_, waiting);
+        }
+        waiting = next;
+    }
+    for (const Waiting &waiting : expired) {
+        shortages_[waiting.workspace] = {waiting.tokens, now + ShortageLasts};
+        noLongerWaits(waiting.workspace);
+        waiting.handler(shortage(waiting, now));
+    }
+}
+
+Verdict TokenService::shortage(const Waiting &waiting, Instant now) const
+{
+    const BudgetState state = holder_.state(waiting.workspace, waiting.tokens);
+    const std::string detail =
+            fmt::format("{} tokens wanted, {} at hand, {} given to nobody", waiting.tokens,
+                        holder_.usable(waiting.workspace), holder_.unallotted(waiting.workspace));
+    if (state == BudgetState::Unreachable) {
+        return {Execution::NotRun, Reason::BudgetUnreachable, detail, now + ComeBackWithoutStore};
+    }
+    // "Spent" is said only when nobody has enough, as far as each peer said just now.
+    constexpr Interval Fresh = std::chrono::milliseconds(1000);
+    const std::optional<uint64_t> elsewhere =
+            peers_.usableElsewhere(waiting.workspace, now - Fresh);
+    const bool spent = state == BudgetState::Spent && elsewhere
+                       && *elsewhere + holder_.usable(waiting.workspace)
+                                          + holder_.unallotted(waiting.workspace)
+                                  < waiting.tokens;
+    if (spent) {
+        return {Execution::NotRun, Reason::BudgetSpent, detail, std::nullopt};
+    }
+    return {Execution::NotRun, Reason::BudgetUnreachable, detail, now + ComeBackWithStore};
+}
+
+void TokenService::askPeers(Instant now)
+{
+    for (const TokenAsk &ask : holder_.asks(now)) {
+        peers_.ask(ask);
+    }
+}
+
+void TokenService::stop(Instant deadline, std::function<void()> done)
+{
+    stopDeadline_ = deadline;
+    stopped_ = std::move(done);
+    holder_.returnAll();
+}
+
+void TokenService::finishStop(Instant now)
+{
+    if (!stopped_) {
+        return;
+    }
+    // What requests that ended meanwhile gave back goes with the next batch.
+    holder_.returnAll();
+    const bool written = farewell_ && !batch_;
+    if (!written && now < stopDeadline_) {
+        return;
+    }
+    const auto done = std::exchange(stopped_, nullptr);
+    timer_.cancel();
+    follower_.stop();
+    done();
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Ledger/AllotmentTable.cpp
@@ -0,0 +1,38 @@
+#include "sequoiagate/Ledger/AllotmentTable.h"
+
+namespace sequoiagate {
+
+void AllotmentTable::set(const AllotmentRow &row, uint64_t offset)
+{
+    Division &division = divisions_[row.workspace];
+    const auto [found, added] = division.holders.try_emplace(row.holder);
+    WrittenAllotment &known = found->second;
+    if (!added && offset <= known.offset) {
+        return;
+    }
+    division.total += row.tokens;
+    division.total -= known.tokens;
+    known = {row.tokens, offset};
+}
+
+uint64_t AllotmentTable::allotted(const WorkspaceId &workspace) const
+{
+    const auto found = divisions_.find(workspace);
+    return found == divisions_.end() ? 0 : found->second.total;
+}
+
+std::optional<WrittenAllotment> AllotmentTable::of(const WorkspaceId &workspace,
+                                                   const Incarnation &holder) const
+{
+    const auto division = divisions_.find(workspace);
+    if (division == divisions_.end()) {
+        return std::nullopt;
+    }
+    const auto found = division->second.holders.find(holder);
+    if (found == division->second.holders.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Ledger/TokenHolder.cpp
@@ -0,0 +1,301 @@
+#include "sequoiagate/Ledger/TokenHolder.h"
+
+#include <algorithm>
+
+namespace sequoiagate {
+
+namespace {
+
+uint64_t scaled(uint64_t tokens, double factor)
+{
+    return static_cast<uint64_t>(static_cast<double>(tokens) * factor);
+}
+
+} // namespace
+
+TokenHolder::TokenHolder(Incarnation self, TokenHolderSettings settings)
+    : self_(std::move(self)), settings_(settings)
+{}
+
+TokenHolder::Account *TokenHolder::find(const WorkspaceId &workspace)
+{
+    const auto found = accounts_.find(workspace);
+    return found == accounts_.end() ? nullptr : &found->second;
+}
+
+const TokenHolder::Account *TokenHolder::find(const WorkspaceId &workspace) const
+{
+    const auto found = accounts_.find(workspace);
+    return found == accounts_.end() ? nullptr : &found->second;
+}
+
+void TokenHolder::setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant)
+{
+    for (const WorkspaceBudget &budget : budgets) {
+        Account &account =
+                accounts_.try_emplace(budget.workspace, settings_.demandMemory).first->second;
+        if (budget.prepaid < account.prepaid) {
+            account.lowered = true;
+            giveBack(account, account.usable);
+        }
+        account.prepaid = budget.prepaid;
+    }
+}
+
+bool TokenHolder::reserve(const WorkspaceId &workspace, uint64_t tokens, Instant now)
+{
+    Account *account = find(workspace);
+    if (account == nullptr) {
+        return true;
+    }
+    account->largest = std::max(account->largest, tokens);
+    if (account->usable < tokens) {
+        account->shortOf = std::max(account->shortOf, tokens);
+        return false;
+    }
+    account->usable -= tokens;
+    account->reserved += tokens;
+    account->demand.add(tokens, now);
+    return true;
+}
+
+void TokenHolder::settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent,
+                         Instant now)
+{
+    Account *account = find(workspace);
+    if (account == nullptr) {
+        return;
+    }
+    account->reserved -= reserved;
+    account->spent += spent;
+    account->usable += reserved - spent;
+    account->demand.remove(reserved - spent, now);
+    if (account->lowered) {
+        giveBack(*account, reserved - spent);
+    }
+}
+
+void TokenHolder::noLongerShort(const WorkspaceId &workspace)
+{
+    if (Account *account = find(workspace)) {
+        account->shortOf = 0;
+    }
+}
+
+uint64_t TokenHolder::target(const Account &account, Instant now) const
+{
+    const uint64_t byDemand = account.demand.over(settings_.horizon, now);
+    const uint64_t initial = scaled(account.prepaid, settings_.initialShare / holders_);
+    // Two of the largest requests seen: with less, a quiet workspace's next request
+    // would wait for the store each time.
+    const uint64_t least = std::max(initial, 2 * account.largest);
+    return std::max(byDemand, least);
+}
+
+uint64_t TokenHolder::unallotted(const WorkspaceId &workspace) const
+{
+    const Account *account = find(workspace);
+    if (account == nullptr) {
+        return 0;
+    }
+    const uint64_t allotted = table_.allotted(workspace);
+    return allotted >= account->prepaid ? 0 : account->prepaid - allotted;
+}
+
+uint64_t TokenHolder::claimFor(const WorkspaceId &workspace, const Account &account,
+                               Instant now) const
+{
+    const uint64_t wanted = std::max(target(account, now), account.shortOf);
+    const bool isShort = account.usable < account.shortOf;
+    if (!isShort && account.usable >= scaled(wanted, settings_.refillBelow)) {
+        return 0;
+    }
+    const uint64_t left = unallotted(workspace);
+    const uint64_t fair = scaled(left, std::min(1.0, settings_.greed / holders_));
+    const uint64_t need = isShort ? account.shortOf - account.usable : 0;
+    const uint64_t most = std::min(left, std::max(fair, need));
+    return std::min(most, wanted - std::min(wanted, account.usable));
+}
+
+void TokenHolder::giveBack(Account &account, uint64_t tokens)
+{
+    // Moved tokens count with their giver in the store: no more can be given back than
+    // the store says this holder has.
+    const uint64_t returned = std::min({tokens, account.usable, account.owned});
+    if (returned == 0) {
+        return;
+    }
+    account.usable -= returned;
+    account.owned -= returned;
+    account.correct = true;
+}
+
+std::vector<AllotmentRow> TokenHolder::nextRows(Instant now)
+{
+    std::vector<AllotmentRow> rows;
+    if (!storeReachable_ || batchInFlight()) {
+        return rows;
+    }
+    for (auto &[workspace, account] : accounts_) {
+        account.lowered = account.lowered && table_.allotted(workspace) > account.prepaid;
+        if (!stopping_) {
+            const uint64_t wanted = target(account, now);
+            if (account.usable > scaled(wanted, settings_.returnAbove)) {
+                giveBack(account, account.usable - wanted);
+            }
+        }
+        const uint64_t claim = stopping_ ? 0 : claimFor(workspace, account, now);
+        if (claim == 0 && !account.correct) {
+            continue;
+        }
+        account.correct = false;
+        const AllotmentRow row{workspace, self_, account.owned + claim};
+        inFlight_.push_back({row, claim});
+        rows.push_back(row);
+    }
+    return rows;
+}
+
+bool TokenHolder::onPosition(uint64_t next)
+{
+    if (inFlight_.empty()) {
+        return false;
+    }
+    uint64_t last = 0;
+    for (const Flight &flight : inFlight_) {
+        const std::optional<WrittenAllotment> written = table_.of(flight.row.workspace, self_);
+        const bool found = written && written->tokens == flight.row.tokens
+                           && written->offset >= judgedThrough_ && written->offset < next;
+        if (!found) {
+            return false;
+        }
+        last = std::max(last, written->offset);
+    }
+    judgedThrough_ = last + 1;
+    const std::vector<Flight> found = std::move(inFlight_);
+    inFlight_.clear();
+    for (const Flight &flight : found) {
+        judge(flight);
+    }
+    return true;
+}
+
+void TokenHolder::judge(const Flight &flight)
+{
+    Account *account = find(flight.row.workspace);
+    const uint64_t allotted = table_.allotted(flight.row.workspace);
+    const uint64_t excess = allotted > account->prepaid ? allotted - account->prepaid : 0;
+    const uint64_t granted = flight.claim - std::min(flight.claim, excess);
+    account->owned += granted;
+    account->usable += granted;
+    // Others count the whole claim until the row says what was taken of it.
+    account->correct = account->correct || granted < flight.claim;
+}
+
+std::vector<TokenAsk> TokenHolder::asks(Instant now)
+{
+    std::vector<TokenAsk> asks;
+    for (auto &[workspace, account] : accounts_) {
+        const bool isShort = account.usable < account.shortOf;
+        const uint64_t low = account.demand.over(settings_.demandMemory, now) / 2;
+        const bool fromStore = storeReachable_ && unallotted(workspace) > 0;
+        const bool runsLow = !fromStore && account.usable < low;
+        if ((!isShort && !runsLow) || now < account.nextAskAt || stopping_) {
+            continue;
+        }
+        account.nextAskAt = now + (isShort ? settings_.askInterval : settings_.calmAskInterval);
+        asks.push_back({workspace, isShort ? account.shortOf - account.usable : 0, account.usable,
+                        account.demand.over(std::chrono::seconds(1), now)});
+    }
+    return asks;
+}
+
+uint64_t TokenHolder::give(const TokenAsk &ask, Instant now)
+{
+    Account *account = find(ask.workspace);
+    if (account == nullptr || account->usable == 0) {
+        return 0;
+    }
+    const uint64_t usable = account->usable;
+    uint64_t gift = 0;
+    if (usable < account->largest && account->shortOf == 0 && ask.need > 0) {
+        // Too little for a request here; together with what others give it may be
+        // enough for the one that waits there.
+        gift = usable;
+    } else if (account->shortOf == 0) {
+        // So much that both last equally long at their own demand.
+        const double mine = static_cast<double>(account->demand.over(std::chrono::seconds(1), now));
+        const auto theirs = static_cast<double>(ask.perSecond);
+        const double both = std::max(mine + theirs, 1.0);
+        const double even =
+                (static_cast<double>(usable) * theirs - static_cast<double>(ask.usable) * mine)
+                / both;
+        gift = static_cast<uint64_t>(std::max(0.0, even));
+        const bool easily = usable / 2 >= ask.need;
+        gift = std::max(gift, easily ? ask.need : 0);
+    }
+    gift = std::min(gift, usable);
+    account->usable -= gift;
+    return gift;
+}
+
+void TokenHolder::take(const WorkspaceId &workspace, uint64_t tokens)
+{
+    if (Account *account = find(workspace)) {
+        account->usable += tokens;
+    }
+}
+
+void TokenHolder::returnAll()
+{
+    stopping_ = true;
+    for (auto &[workspace, account] : accounts_) {
+        giveBack(account, account.usable);
+    }
+}
+
+uint64_t TokenHolder::usable(const WorkspaceId &workspace) const
+{
+    const Account *account = find(workspace);
+    return account == nullptr ? 0 : account->usable;
+}
+
+uint64_t TokenHolder::spent(const WorkspaceId &workspace) const
+{
+    const Account *account = find(workspace);
+    return account == nullptr ? 0 : account->spent;
+}
+
+uint64_t TokenHolder::reserved(const WorkspaceId &workspace) const
+{
+    const Account *account = find(workspace);
+    return account == nullptr ? 0 : account->reserved;
+}
+
+BudgetState TokenHolder::state(const WorkspaceId &workspace, uint64_t need) const
+{
+    const Account *account = find(workspace);
+    if (account == nullptr || account->usable >= need) {
+        return BudgetState::Covered;
+    }
+    if (need > account->prepaid) {
+        return BudgetState::Spent;
+    }
+    if (!storeReachable_) {
+        return BudgetState::Unreachable;
+    }
+    return unallotted(workspace) + account->usable >= need ? BudgetState::Covered
+                                                           : BudgetState::Spent;
+}
+
+std::vector<WorkspaceId> TokenHolder::workspaces() const
+{
+    std::vector<WorkspaceId> names;
+    names.reserve(accounts_.size());
+    for (const auto &[workspace, account] : accounts_) {
+        names.push_back(workspace);
+    }
+    return names;
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Proxy/CallerConnection.cpp
@@ -0,0 +1,328 @@
+#include "sequoiagate/Proxy/CallerConnection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+
+#include "Refusals.h"
+
+namespace sequoiagate {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Bytes of further requests kept while one is served; beyond it the caller isn't read,
+/// and its leaving isn't noticed until its turn.
+constexpr std::size_t MostPipelinedBytes = 256 * 1024;
+
+/// For a caller to send the rest of a body once its head is in.
+constexpr Interval BodyTimeout = std::chrono::seconds(10);
+
+/// Closing a socket that has unread bytes resets it, and the peer may lose the answer
+/// before it has read it: it is given this long to close first.
+constexpr Interval LingerTime = std::chrono::milliseconds(500);
+
+RequestReader makeReader(const ProxyContext &context)
+{
+    const ServingConfigPtr config = context.config();
+    const CallerLimits limits = config ? config->limits : CallerLimits();
+    return RequestReader({limits.headerBytes, limits.bodyBytes});
+}
+
+CallerLimits limitsOf(const ProxyContext &context)
+{
+    const ServingConfigPtr config = context.config();
+    return config ? config->limits : CallerLimits();
+}
+
+int faultStatus(HttpFault fault)
+{
+    switch (fault) {
+    case HttpFault::HeaderTooLarge:
+        return 431;
+    case HttpFault::BodyTooLarge:
+        return 413;
+    default:
+        return 400;
+    }
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(ProxyContext &context, tcp::socket socket, Closed closed)
+    : context_(context), socket_(std::move(socket)), closed_(std::move(closed)), timer_(context.io)
+{}
+
+void CallerConnection::start()
+{
+    ErrorCode ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    nextRequest();
+    read();
+}
+
+void CallerConnection::read()
+{
+    if (reading_ || isClosed_ || unread_.size() > MostPipelinedBytes) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(asio::buffer(readBuffer_),
+                            [self = shared_from_this()](const ErrorCode &error, std::size_t bytes) {
+                                self->reading_ = false;
+                                self->onRead(error, bytes);
+                            });
+}
+
+void CallerConnection::onRead(const ErrorCode &error, std::size_t bytes)
+{
+    if (isClosed_) {
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    if (lingering_) {
+        read();
+        return;
+    }
+    unread_.append(readBuffer_.data(), bytes);
+    if (!exchange_ && !closeWhenWritten_) {
+        readRequest();
+    }
+    read();
+}
+
+void CallerConnection::readRequest()
+{
+    if (unread_.empty()) {
+        return;
+    }
+    if (!reader_->begun()) {
+        requestBegan_ = std::chrono::steady_clock::now();
+        armTimer(limitsOf(context_).headerTimeout);
+    }
+    const bool hadHead = reader_->hasHead();
+    const std::size_t used = reader_->feed(unread_);
+    unread_.erase(0, used);
+    body_ += reader_->takeBody();
+    if (reader_->fault() != HttpFault::None) {
+        refuseRequest(reader_->fault());
+        return;
+    }
+    if (reader_->hasHead() && !hadHead) {
+        armTimer(BodyTimeout);
+        const std::string *expect = findField(reader_->head().fields, "Expect");
+        if (expect != nullptr && !reader_->done()) {
+            queue("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+    }
+    if (reader_->done()) {
+        beginExchange();
+    }
+}
+
+void CallerConnection::beginExchange()
+{
+    timer_.cancel();
+    CallerRequest request;
+    request.head = std::move(reader_->head());
+    request.body = std::exchange(body_, std::string());
+    request.receivedAt = requestBegan_;
+    keepAlive_ = request.head.keepAlive;
+    // Kept here as well: an exchange that is refused ends inside start().
+    AnswerSink &sink = *this;
+    const auto exchange = std::make_shared<Exchange>(context_, std::move(request), sink);
+    exchange_ = exchange;
+    exchange->start();
+}
+
+void CallerConnection::refuseRequest(HttpFault fault)
+{
+    const int status = faultStatus(fault);
+    context_.log.write(Event("caller.malformed").with("status", status));
+    context_.metrics.count("proxy_malformed_total");
+    ResponseHead head = context_.dialect.encodeRefusal(status, RequestId(), std::nullopt);
+    head.keepAlive = false;
+    queue(writeResponseHead(head, BodyFraming::Length, 0));
+    answered(false);
+}
+
+void CallerConnection::answer(ResponseHead head, std::string_view body)
+{
+    const bool keep = keepAlive_ && !context_.stopping();
+    head.keepAlive = keep;
+    std::string bytes = writeResponseHead(head, BodyFraming::Length, body.size());
+    bytes.append(body);
+    queue(std::move(bytes));
+    answered(keep);
+}
+
+void CallerConnection::beginStream(ResponseHead head)
+{
+    keepAlive_ = keepAlive_ && !context_.stopping();
+    head.keepAlive = keepAlive_;
+    queue(writeResponseHead(head, BodyFraming::Chunked, 0));
+}
+
+void CallerConnection::streamData(std::string_view bytes)
+{
+    if (!bytes.empty()) {
+        queue(writeChunk(bytes));
+    }
+}
+
+void CallerConnection::endStream()
+{
+    queue(std::string(LastChunk));
+    answered(keepAlive_);
+}
+
+void CallerConnection::abort()
+{
+    exchange_.reset();
+    close();
+}
+
+void CallerConnection::answered(bool keepAlive)
+{
+    exchange_.reset();
+    if (!keepAlive) {
+        closeWhenWritten_ = true;
+        write();
+        return;
+    }
+    // Not from inside the exchange that is just ending.
+    asio::post(context_.io, [self = shared_from_this()] {
+        if (!self->isClosed_ && !self->exchange_ && !self->closeWhenWritten_) {
+            self->nextRequest();
+            self->readRequest();
+            self->read();
+        }
+    });
+}
+
+void CallerConnection::nextRequest()
+{
+    reader_.emplace(makeReader(context_));
+    body_.clear();
+    if (context_.stopping()) {
+        drain();
+        return;
+    }
+    armTimer(limitsOf(context_).idleTimeout);
+}
+
+void CallerConnection::armTimer(Interval limit)
+{
+    timer_.expires_after(limit);
+    timer_.async_wait([self = shared_from_this()](const ErrorCode &error) {
+        if (!error && !self->isClosed_) {
+            self->onTimer();
+        }
+    });
+}
+
+void CallerConnection::onTimer()
+{
+    if (lingering_ || exchange_) {
+        close();
+        return;
+    }
+    if (!reader_->begun()) {
+        close();
+        return;
+    }
+    // A request that didn't come in time hasn't run.
+    ResponseHead head = context_.dialect.encodeRefusal(408, RequestId(), std::nullopt);
+    head.keepAlive = false;
+    queue(writeResponseHead(head, BodyFraming::Length, 0));
+    answered(false);
+}
+
+void CallerConnection::drain()
+{
+    const bool waits = !exchange_ && reader_ && !reader_->begun() && unread_.empty();
+    if (waits && outgoing_.empty()) {
+        close();
+    }
+}
+
+void CallerConnection::shutDown()
+{
+    close();
+}
+
+void CallerConnection::queue(std::string bytes)
+{
+    if (isClosed_) {
+        return;
+    }
+    backlog_ += bytes.size();
+    outgoing_.push_back(std::move(bytes));
+    write();
+}
+
+void CallerConnection::write()
+{
+    if (writing_ || isClosed_) {
+        return;
+    }
+    if (outgoing_.empty()) {
+        if (closeWhenWritten_ && !lingering_) {
+            ErrorCode ignored;
+            socket_.shutdown(tcp::socket::shutdown_send, ignored);
+            lingering_ = true;
+            armTimer(LingerTime);
+        }
+        return;
+    }
+    writing_ = true;
+    // All that waits goes out in one call: each costs processor time.
+    std::string bytes = std::move(outgoing_.front());
+    outgoing_.pop_front();
+    while (!outgoing_.empty()) {
+        bytes += outgoing_.front();
+        outgoing_.pop_front();
+    }
+    const auto shared = std::make_shared<std::string>(std::move(bytes));
+    asio::async_write(socket_, asio::buffer(*shared),
+                      [self = shared_from_this(), shared](const ErrorCode &error, std::size_t) {
+                          self->writing_ = false;
+                          self->backlog_ -= shared->size();
+                          if (self->isClosed_) {
+                              return;
+                          }
+                          if (error) {
+                              self->close();
+                              return;
+                          }
+                          if (self->exchange_) {
+                              self->exchange_->callerTook();
+                          }
+                          self->write();
+                      });
+}
+
+void CallerConnection::close()
+{
+    if (isClosed_) {
+        return;
+    }
+    isClosed_ = true;
+    timer_.cancel();
+    ErrorCode ignored;
+    socket_.close(ignored);
+    const auto self = shared_from_this();
+    if (const std::shared_ptr<Exchange> exchange = std::move(exchange_)) {
+        exchange->callerGone();
+    }
+    if (closed_) {
+        closed_(self);
+    }
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Proxy/ConnectionPool.cpp
@@ -0,0 +1,103 @@
+#include "sequoiagate/Proxy/ConnectionPool.h"
+
+#include <algorithm>
+
+namespace sequoiagate {
+
+using boost::asio::ip::tcp;
+
+ConnectionPool::ConnectionPool(boost::asio::io_context &io, ConnectionPoolSettings settings)
+    : io_(io), settings_(settings)
+{}
+
+std::shared_ptr<HttpConnection> ConnectionPool::take(const tcp::endpoint &address, Instant now)
+{
+    return take(address, settings_.longestIdle, now);
+}
+
+std::shared_ptr<HttpConnection> ConnectionPool::take(const tcp::endpoint &address,
+                                                     Interval freshest, Instant now)
+{
+    const auto found = idle_.find(address);
+    while (found != idle_.end() && !found->second.empty()) {
+        const std::shared_ptr<HttpConnection> connection = found->second.back();
+        const bool fresh = now - connection->idleSince() <= freshest;
+        if (!fresh) {
+            // The others have been idle for longer still.
+            break;
+        }
+        found->second.pop_back();
+        if (connection->usable() && now < connection->idleUntil()) {
+            return connection;
+        }
+        connection->cancel();
+    }
+    auto connection = std::make_shared<HttpConnection>(io_, address, settings_.connection);
+    connection->onIdle = [this](const std::shared_ptr<HttpConnection> &idle) {
+        keep(idle);
+    };
+    connection->onIdleLost = [this](const HttpConnection &lost) {
+        forget(lost);
+    };
+    ++opened_;
+    return connection;
+}
+
+void ConnectionPool::keep(const std::shared_ptr<HttpConnection> &connection)
+{
+    Idle &idle = idle_[connection->address()];
+    idle.push_back(connection);
+    if (idle.size() > settings_.idlePerAddress) {
+        idle.front()->cancel();
+        idle.erase(idle.begin());
+    }
+}
+
+void ConnectionPool::forget(const HttpConnection &connection)
+{
+    const auto found = idle_.find(connection.address());
+    if (found == idle_.end()) {
+        return;
+    }
+    std::erase_if(found->second, [&connection](const std::shared_ptr<HttpConnection> &kept) {
+        return kept.get() == &connection;
+    });
+}
+
+void ConnectionPool::drop(const tcp::endpoint &address)
+{
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) {
+        return;
+    }
+    for (const std::shared_ptr<HttpConnection> &connection : found->second) {
+        connection->cancel();
+    }
+    idle_.erase(found);
+}
+
+void ConnectionPool::sweep(Instant now)
+{
+    for (auto &[address, idle] : idle_) {
+        std::erase_if(idle, [this, now](const std::shared_ptr<HttpConnection> &connection) {
+            const bool old = now - connection->idleSince() > settings_.longestIdle
+                             || now >= connection->idleUntil();
+            if (old) {
+                connection->cancel();
+            }
+            return old;
+        });
+    }
+    std::erase_if(idle_, [](const auto &entry) { return entry.second.empty(); });
+}
+
+std::size_t ConnectionPool::idle() const
+{
+    std::size_t count = 0;
+    for (const auto &[address, idle] : idle_) {
+        count += idle.size();
+    }
+    return count;
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Proxy/EventSplitter.cpp
@@ -0,0 +1,74 @@
+#include "sequoiagate/Proxy/EventSplitter.h"
+
+#include <charconv>
+
+namespace sequoiagate {
+
+namespace {
+
+struct Cut
+{
+    std::size_t end = std::string::npos; ///< behind the blank line
+};
+
+/// Lines end with LF or CRLF; a blank one ends the event.
+Cut findBlankLine(std::string_view text, std::size_t from)
+{
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        if (at + 1 < text.size() && text[at + 1] == '\n') {
+            return {at + 2};
+        }
+        if (at + 2 < text.size() && text[at + 1] == '\r' && text[at + 2] == '\n') {
+            return {at + 3};
+        }
+    }
+    return {};
+}
+
+std::optional<uint64_t> idOf(std::string_view event)
+{
+    constexpr std::string_view Field = "id:";
+    std::size_t line = 0;
+    while (line < event.size()) {
+        std::size_t end = event.find('\n', line);
+        end = end == std::string_view::npos ? event.size() : end;
+        std::string_view text = event.substr(line, end - line);
+        line = end + 1;
+        if (text.substr(0, Field.size()) != Field) {
+            continue;
+        }
+        text.remove_prefix(Field.size());
+        while (!text.empty() && text.front() == ' ') {
+            text.remove_prefix(1);
+        }
+        uint64_t id = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), id);
+        if (parsed.ec == std::errc()) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes)
+{
+    // The blank line may begin up to two bytes before what is new.
+    const std::size_t from = pending_.size() < 2 ? 0 : pending_.size() - 2;
+    pending_.append(bytes);
+    std::vector<StreamEvent> events;
+    std::size_t begin = 0;
+    for (Cut cut = findBlankLine(pending_, from); cut.end != std::string::npos;
+         cut = findBlankLine(pending_, begin)) {
+        std::string text = pending_.substr(begin, cut.end - begin);
+        const std::optional<uint64_t> id = idOf(text);
+        events.push_back({std::move(text), id});
+        begin = cut.end;
+    }
+    pending_.erase(0, begin);
+    return events;
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Proxy/HttpConnection.cpp
@@ -0,0 +1,228 @@
+#include "sequoiagate/Proxy/HttpConnection.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+
+namespace sequoiagate {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+HttpConnection::HttpConnection(asio::io_context &io, tcp::endpoint address,
+                               HttpConnectionSettings settings)
+    : address_(std::move(address)), settings_(settings), socket_(io), connectTimer_(io)
+{}
+
+void HttpConnection::call(std::string request, HttpCallObserver &observer)
+{
+    request_ = std::move(request);
+    observer_ = &observer;
+    headTold_ = false;
+    idleUntil_ = Never;
+    reader_.emplace(settings_.limits);
+    if (connected_) {
+        write();
+        return;
+    }
+    connect();
+}
+
+void HttpConnection::connect()
+{
+    ErrorCode error;
+    socket_.open(tcp::v4(), error);
+    if (error) {
+        // Out of descriptors, mostly. Told later, as every end of a call is.
+        asio::post(socket_.get_executor(), [self = shared_from_this(), error] {
+            self->breakCall(CallBreak::NotConnected, error.message());
+        });
+        return;
+    }
+    socket_.set_option(tcp::no_delay(true), error);
+    const auto timeout = static_cast<unsigned>(settings_.unacknowledgedTimeout.count());
+    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    connectTimer_.expires_after(settings_.connectTimeout);
+    connectTimer_.async_wait([self = shared_from_this()](const ErrorCode &waited) {
+        if (!waited && !self->connected_) {
+            self->breakCall(CallBreak::NotConnected, "no connection in time");
+        }
+    });
+    socket_.async_connect(address_, [self = shared_from_this()](const ErrorCode &connected) {
+        self->onConnected(connected);
+    });
+}
+
+void HttpConnection::onConnected(const ErrorCode &error)
+{
+    if (closed_) {
+        return;
+    }
+    connectTimer_.cancel();
+    if (error) {
+        breakCall(CallBreak::NotConnected, error.message());
+        return;
+    }
+    connected_ = true;
+    write();
+    read();
+}
+
+void HttpConnection::write()
+{
+    writing_ = true;
+    asio::async_write(socket_, asio::buffer(request_),
+                      [self = shared_from_this()](const ErrorCode &error, std::size_t) {
+                          self->writing_ = false;
+                          if (self->closed_ || error) {
+                              // A server may answer and close before it has read the whole
+                              // body: what it said is still to be read.
+                              return;
+                          }
+                          if (self->observer_ != nullptr) {
+                              self->observer_->onSent();
+                          }
+                      });
+}
+
+void HttpConnection::resumeReading()
+{
+    readingPaused_ = false;
+    if (connected_ && !closed_) {
+        read();
+    }
+}
+
+void HttpConnection::read()
+{
+    if (reading_ || readingPaused_ || closed_) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(asio::buffer(readBuffer_),
+                            [self = shared_from_this()](const ErrorCode &error, std::size_t bytes) {
+                                self->reading_ = false;
+                                self->onRead(error, bytes);
+                            });
+}
+
+void HttpConnection::onRead(const ErrorCode &error, std::size_t bytes)
+{
+    if (closed_) {
+        return;
+    }
+    if (error) {
+        onEndOfStream(error);
+        return;
+    }
+    if (observer_ == nullptr) {
+        // Bytes that no call asked for: a second answer, or one that came late.
+        close();
+        if (onIdleLost) {
+            onIdleLost(*this);
+        }
+        return;
+    }
+    deliver(std::string_view(readBuffer_.data(), bytes));
+    if (!closed_) {
+        read();
+    }
+}
+
+void HttpConnection::deliver(std::string_view bytes)
+{
+    const std::size_t used = reader_->feed(bytes);
+    if (reader_->hasHead() && !headTold_) {
+        headTold_ = true;
+        observer_->onHead(reader_->head());
+    }
+    if (observer_ == nullptr) {
+        return;
+    }
+    const std::string body = reader_->takeBody();
+    if (!body.empty()) {
+        observer_->onBody(body);
+    }
+    if (observer_ == nullptr) {
+        return;
+    }
+    if (reader_->fault() != HttpFault::None) {
+        breakCall(CallBreak::Sent, "not an HTTP answer");
+        return;
+    }
+    if (!reader_->done()) {
+        return;
+    }
+    // What follows an answer belongs to nobody; what is still being written of the request
+    // would be read as the start of the next one.
+    const bool surplus = used < bytes.size();
+    if (surplus || writing_ || !reader_->head().keepAlive) {
+        close();
+    }
+    finishCall();
+}
+
+void HttpConnection::onEndOfStream(const ErrorCode &error)
+{
+    if (observer_ == nullptr) {
+        close();
+        if (onIdleLost) {
+            onIdleLost(*this);
+        }
+        return;
+    }
+    // Only an orderly close may end a body that has no length; after a reset nobody knows
+    // how much is missing.
+    if (error == asio::error::eof) {
+        reader_->feedEnd();
+        if (reader_->done()) {
+            close();
+            finishCall();
+            return;
+        }
+    }
+    breakCall(CallBreak::Sent, error.message());
+}
+
+void HttpConnection::finishCall()
+{
+    HttpCallObserver *observer = std::exchange(observer_, nullptr);
+    request_.clear();
+    readingPaused_ = false;
+    idleSince_ = std::chrono::steady_clock::now();
+    const auto self = shared_from_this();
+    observer->onDone();
+    if (!closed_ && observer_ == nullptr && onIdle) {
+        onIdle(self);
+    }
+}
+
+void HttpConnection::breakCall(CallBreak how, const std::string &why)
+{
+    const auto self = shared_from_this();
+    close();
+    if (HttpCallObserver *observer = std::exchange(observer_, nullptr)) {
+        observer->onBroken(how, why);
+    }
+}
+
+void HttpConnection::cancel()
+{
+    observer_ = nullptr;
+    close();
+}
+
+void HttpConnection::close()
+{
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    connectTimer_.cancel();
+    ErrorCode ignored;
+    socket_.close(ignored);
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Proxy/HttpReader.cpp
@@ -0,0 +1,157 @@
+#include "sequoiagate/Proxy/HttpReader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace sequoiagate {
+
+namespace http = boost::beast::http;
+
+template <bool IsRequest>
+HttpReader<IsRequest>::HttpReader(HttpReaderLimits limits)
+{
+    this->eager(true);
+    this->header_limit(limits.headerBytes);
+    this->body_limit(limits.bodyBytes);
+}
+
+template <bool IsRequest>
+std::size_t HttpReader<IsRequest>::feed(std::string_view bytes)
+{
+    if (done_ || fault_ != HttpFault::None || bytes.empty()) {
+        return 0;
+    }
+    begun_ = true;
+    const std::size_t before = leftover_.size();
+    std::string joined;
+    std::string_view input = bytes;
+    if (before > 0) {
+        joined = std::exchange(leftover_, std::string());
+        joined.append(bytes);
+        input = joined;
+    }
+    std::size_t used = 0;
+    while (used < input.size() && !done_) {
+        ErrorCode error;
+        const std::string_view rest = input.substr(used);
+        used += this->put(boost::asio::buffer(rest.data(), rest.size()), error);
+        if (error == http::error::need_more) {
+            leftover_ = input.substr(used);
+            return bytes.size();
+        }
+        if (error) {
+            refuse(error);
+            return bytes.size();
+        }
+        done_ = this->is_done();
+    }
+    return used - before;
+}
+
+template <bool IsRequest>
+void HttpReader<IsRequest>::feedEnd()
+{
+    if (done_ || fault_ != HttpFault::None) {
+        return;
+    }
+    ErrorCode error;
+    this->put_eof(error);
+    if (error || !this->is_done()) {
+        fault_ = HttpFault::CutOff;
+        return;
+    }
+    done_ = true;
+}
+
+template <bool IsRequest>
+void HttpReader<IsRequest>::refuse(const ErrorCode &error)
+{
+    if (error == http::error::header_limit) {
+        fault_ = HttpFault::HeaderTooLarge;
+    } else if (error == http::error::body_limit) {
+        fault_ = HttpFault::BodyTooLarge;
+    } else {
+        fault_ = HttpFault::Malformed;
+    }
+}
+
+template <bool IsRequest>
+void HttpReader<IsRequest>::on_request_impl(http::verb, Text name, Text target, int, ErrorCode &)
+{
+    if constexpr (IsRequest) {
+        head_.method.assign(name.data(), name.size());
+        head_.target.assign(target.data(), target.size());
+    }
+}
+
+template <bool IsRequest>
+void HttpReader<IsRequest>::on_response_impl(int status, Text reason, int, ErrorCode &)
+{
+    if constexpr (!IsRequest) {
+        head_.status = status;
+        head_.reason.assign(reason.data(), reason.size());
+    }
+}
+
+template <bool IsRequest>
+void HttpReader<IsRequest>::on_field_impl(http::field, Text name, Text value, ErrorCode &)
+{
+    head_.fields.push_back(
+            {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+}
+
+template <bool IsRequest>
+void HttpReader<IsRequest>::on_header_impl(ErrorCode &error)
+{
+    // A body framed in any other way than by a length or as chunks could be read as the
+    // next request by one side and as a body by the other: a caller would smuggle a
+    // request past the checks.
+    int codings = 0;
+    for (const HttpField &field : head_.fields) {
+        if (sameFieldName(field.name, "Transfer-Encoding")) {
+            ++codings;
+            if (!sameFieldName(field.value, "chunked")) {
+                error = http::error::bad_transfer_encoding;
+                return;
+            }
+        }
+    }
+    const bool both = codings > 0 && findField(head_.fields, "Content-Length") != nullptr;
+    if (codings > 1 || both) {
+        error = http::error::bad_transfer_encoding;
+        return;
+    }
+    head_.keepAlive = this->keep_alive();
+    hasHead_ = true;
+}
+
+template <bool IsRequest>
+void HttpReader<IsRequest>::on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &)
+{}
+
+template <bool IsRequest>
+std::size_t HttpReader<IsRequest>::on_body_impl(Text body, ErrorCode &)
+{
+    body_.append(body.data(), body.size());
+    return body.size();
+}
+
+template <bool IsRequest>
+void HttpReader<IsRequest>::on_chunk_header_impl(std::uint64_t, Text, ErrorCode &)
+{}
+
+template <bool IsRequest>
+std::size_t HttpReader<IsRequest>::on_chunk_body_impl(std::uint64_t, Text body, ErrorCode &)
+{
+    body_.append(body.data(), body.size());
+    return body.size();
+}
+
+template <bool IsRequest>
+void HttpReader<IsRequest>::on_finish_impl(ErrorCode &)
+{}
+
+template class HttpReader<true>;
+template class HttpReader<false>;
+
+} // namespace sequoiagate
--- a/lib/Service/EventLog.cpp
+++ b/lib/Service/EventLog.cpp
@@ -26,6 +26,21 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch).count();
 }
 
+class FlushedFile : public LineSink
+{
+public:
+    explicit FlushedFile(std::FILE *out) : out_(out) {}
+
+    void write(std::string_view line) override
+    {
+        std::fwrite(line.data(), 1, line.size(), out_);
+        std::fflush(out_);
+    }
+
+private:
+    std::FILE *out_;
+};
+
 } // namespace
 
 std::string HybridClock::tick()
@@ -73,8 +88,17 @@
     }
 }
 
+std::unique_ptr<LineSink> flushedFileSink(std::FILE *out)
+{
+    return std::make_unique<FlushedFile>(out);
+}
+
 EventLog::EventLog(ProcessIdentity identity, std::FILE *out)
-    : identity_(std::move(identity)), out_(out)
+    : EventLog(std::move(identity), flushedFileSink(out))
+{}
+
+EventLog::EventLog(ProcessIdentity identity, std::unique_ptr<LineSink> sink)
+    : identity_(std::move(identity)), sink_(std::move(sink))
 {}
 
 void EventLog::write(const Event &event)
@@ -90,9 +114,9 @@
     std::lock_guard lock(mutex_);
     line["hlc"] = clock_.tick();
     using ErrorHandler = nlohmann::json::error_handler_t;
-    const std::string text = line.dump(-1, ' ', false, ErrorHandler::replace);
-    fmt::print(out_, "{}\n", text);
-    std::fflush(out_);
+    std::string text = line.dump(-1, ' ', false, ErrorHandler::replace);
+    text += '\n';
+    sink_->write(text);
 }
 
 } // namespace sequoiagate
--- a/lib/Service/Program.cpp
+++ b/lib/Service/Program.cpp
@@ -1,5 +1,7 @@
 #include "sequoiagate/Service/Program.h"
 
+#include <unistd.h>
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -7,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include "sequoiagate/Service/BoundedLineSink.h"
 #include "sequoiagate/Service/Events.h"
 #include "sequoiagate/Service/Options.h"
 #include "sequoiagate/Service/Settings.h"
@@ -34,6 +37,14 @@
     return identity;
 }
 
+std::unique_ptr<LineSink> sinkFor(LogOutput output)
+{
+    if (output == LogOutput::BoundedStandardOutput) {
+        return std::make_unique<BoundedLineSink>(STDOUT_FILENO);
+    }
+    return flushedFileSink(stderr);
+}
+
 /// Runs the body; what escapes it is logged, where the time line shows it.
 int runBody(DaemonContext &context, const std::function<int(DaemonContext &)> &body)
 {
@@ -57,6 +68,12 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+void StopSignal::unblock()
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 void StopSignal::wait()
 {
     const sigset_t signals = stopSignals();
@@ -83,7 +100,7 @@
 }
 
 int runDaemon(int argc, char **argv, const std::string &program, const std::string &summary,
-              const std::function<int(DaemonContext &)> &body)
+              const std::function<int(DaemonContext &)> &body, LogOutput output)
 {
     StopSignal stop;
     cxxopts::Options options(program, summary);
@@ -98,7 +115,7 @@
             fmt::print("settings are good\n");
             return ExitOk;
         }
-        EventLog log(identityFrom(settings, program));
+        EventLog log(identityFrom(settings, program), sinkFor(output));
         DaemonContext context{settings, log, stop};
         return runBody(context, body);
     } catch (const cxxopts::exceptions::exception &error) {
--- /dev/null
+++ b/lib/Store/TopicFollower.cpp
@@ -0,0 +1,162 @@
+#include "sequoiagate/Store/TopicFollower.h"
+
+#include <algorithm>
+
+namespace sequoiagate {
+
+TopicFollower::TopicFollower(boost::asio::io_context &io, Store &store, FollowerSettings settings,
+                             Handlers handlers)
+    : io_(io), store_(store), settings_(std::move(settings)), handlers_(std::move(handlers)),
+      timer_(io)
+{}
+
+void TopicFollower::start()
+{
+    next(Interval::zero());
+}
+
+void TopicFollower::stop()
+{
+    stopped_ = true;
+    *alive_ = false;
+    timer_.cancel();
+}
+
+void TopicFollower::hurry()
+{
+    if (!reading_ && !stopped_ && caughtUp_ && !unanswered_) {
+        next(Interval::zero());
+    }
+}
+
+void TopicFollower::next(Interval after)
+{
+    timer_.expires_after(after);
+    timer_.async_wait([this, alive = alive_](const boost::system::error_code &error) {
+        if (!error && *alive) {
+            run();
+        }
+    });
+}
+
+void TopicFollower::run()
+{
+    if (reading_) {
+        return;
+    }
+    reading_ = true;
+    if (step_ == Step::Snapshot) {
+        if (firstPage_) {
+            snapshot_.clear();
+        }
+        const std::string after = firstPage_ ? std::string() : snapshot_.back().key;
+        store_.snapshot(settings_.topic, after, [this, alive = alive_](SnapshotAnswer answer) {
+            if (*alive) {
+                onSnapshot(std::move(answer));
+            }
+        });
+        return;
+    }
+    store_.tail(settings_.topic, position_, settings_.pollWait,
+                [this, alive = alive_](TailAnswer answer) {
+                    if (*alive) {
+                        onTail(std::move(answer));
+                    }
+                });
+}
+
+void TopicFollower::noteAnswer()
+{
+    lastAnswerAt_ = std::chrono::steady_clock::now();
+    unanswered_ = false;
+    if (!reachable_ || !told_) {
+        reachable_ = true;
+        told_ = true;
+        handlers_.onReachable(true, StoreOutcome::Ok);
+    }
+}
+
+void TopicFollower::onFailure(StoreOutcome outcome)
+{
+    if (reachable_ || !told_) {
+        reachable_ = false;
+        told_ = true;
+        handlers_.onReachable(false, outcome);
+    }
+    // A read that got no answer may have been cut off together with news: what was
+    // missed is in the newest rows.
+    if (outcome != StoreOutcome::Refused) {
+        unanswered_ = true;
+        step_ = Step::Snapshot;
+        firstPage_ = true;
+    }
+    next(settings_.backoff);
+}
+
+void TopicFollower::onSnapshot(SnapshotAnswer answer)
+{
+    reading_ = false;
+    if (answer.outcome != StoreOutcome::Ok) {
+        onFailure(answer.outcome);
+        return;
+    }
+    noteAnswer();
+    if (firstPage_) {
+        snapshotEnd_ = answer.end;
+    }
+    const bool empty = answer.rows.empty();
+    std::move(answer.rows.begin(), answer.rows.end(), std::back_inserter(snapshot_));
+    firstPage_ = false;
+    if (answer.more && !empty) {
+        run();
+        return;
+    }
+    finishSnapshot();
+}
+
+void TopicFollower::finishSnapshot()
+{
+    const std::vector<StoreRow> rows = std::move(snapshot_);
+    snapshot_.clear();
+    firstPage_ = true;
+    step_ = Step::Tail;
+    // A page older than what has been read would take back newer rows, and with them a
+    // configuration that is in force. The tail says whether anything was missed.
+    if (caughtUp_ && snapshotEnd_ < position_) {
+        next(settings_.backoff);
+        return;
+    }
+    // The pages aren't of one moment: a row of a late page may stand behind the first
+    // page's end. The tail from that end on brings whatever the pages missed, and a row
+    // that comes twice does no harm.
+    position_ = snapshotEnd_;
+    caughtUp_ = true;
+    handlers_.onRows(rows, true);
+    handlers_.onPosition(position_);
+    next(Interval::zero());
+}
+
+void TopicFollower::onTail(TailAnswer answer)
+{
+    reading_ = false;
+    if (answer.outcome == StoreOutcome::Gone) {
+        noteAnswer();
+        step_ = Step::Snapshot;
+        firstPage_ = true;
+        next(Interval::zero());
+        return;
+    }
+    if (answer.outcome != StoreOutcome::Ok) {
+        onFailure(answer.outcome);
+        return;
+    }
+    noteAnswer();
+    position_ = std::max(position_, answer.next);
+    if (!answer.rows.empty()) {
+        handlers_.onRows(answer.rows, false);
+    }
+    handlers_.onPosition(position_);
+    next(answer.rows.empty() ? Interval::zero() : settings_.pace);
+}
+
+} // namespace sequoiagate
