--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -65,6 +65,9 @@
     self_ = shared_from_this();
     terms_ = context_.dialect.decodeCaller(request_.head);
     config_ = context_.config();
+    // A caller whose stream broke off goes on behind what it has; sent from the start, its
+    // stream would have pieces twice.
+    lastEvent_ = terms_.lastEvent;
     decide();
 }
 
