--- a/lib/Proxy/HttpReader.cpp
+++ b/lib/Proxy/HttpReader.cpp
@@ -54,6 +54,11 @@
     if (done_ || fault_ != HttpFault::None) {
         return;
     }
+    // Beast takes the end of a connection on which nothing came for a whole message.
+    if (!hasHead_) {
+        fault_ = HttpFault::CutOff;
+        return;
+    }
     ErrorCode error;
     this->put_eof(error);
     if (error || !this->is_done()) {
