[Ledger] Size windows by the usual request

Cause: a window held two of the largest requests ever seen, at each of nine hosts (540,000 tokens for a workspace that used 7,000 a second), and peers that ran low had whole holdings made movable. All of it was lost with the final fault.

--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -161,7 +161,7 @@
         uint64_t usable = 0;   ///< may be reserved
         uint64_t reserved = 0; ///< of open requests
         uint64_t spent = 0;
-        uint64_t largest = 0;      ///< reservation seen
+        uint64_t typical = 0; ///< reservation, a moving mean
         uint64_t shortOf = 0;      ///< a request waits for so many
         uint64_t askedFor = 0; ///< by peers that lack tokens, a moment ago
         Instant askedUntil{};  ///< they may ask again, and find that it can be moved by then
@@ -192,6 +192,7 @@
     uint64_t claimFor(const WorkspaceId &workspace, const Account &account, Instant now) const;
     void giveBack(Account &account, uint64_t tokens);
     static uint64_t used(const Account &account);
+    bool inUse(const Account &account, Instant now) const;
     uint64_t mayUse(const Account &account, Instant now) const;
     uint64_t windowOf(const Account &account, Instant now) const;
     bool limitDue(const Account &account, Instant now) const;
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -52,7 +52,7 @@
     if (account == nullptr) {
         return true;
     }
-    account->largest = std::max(account->largest, tokens);
+    account->typical = account->typical == 0 ? tokens : (7 * account->typical + tokens) / 8;
     if (mayUse(*account, now) < tokens) {
         account->shortOf = std::max(account->shortOf, tokens);
         return false;
@@ -93,7 +93,16 @@
 {
     const uint64_t byDemand = account.demand.over(settings_.window, now);
     const uint64_t lent = now < account.askedUntil ? account.askedFor : 0;
-    return std::max({byDemand, 2 * account.largest, account.shortOf}) + lent;
+    // The next request of a workspace that is in use here needn't wait for a row; a larger
+    // one than usual does.
+    const uint64_t next = inUse(account, now) ? account.typical + account.typical / 2 : 0;
+    return std::max({byDemand, next, account.shortOf}) + lent;
+}
+
+bool TokenHolder::inUse(const Account &account, Instant now) const
+{
+    // After three times the memory a twentieth of a request's tokens is left.
+    return account.demand.over(settings_.demandMemory, now) > account.typical / 20;
 }
 
 bool TokenHolder::limitDue(const Account &account, Instant now) const
@@ -140,9 +149,9 @@
 {
     const uint64_t byDemand = account.demand.over(settings_.horizon, now);
     const uint64_t initial = scaled(account.prepaid, settings_.initialShare / holders_);
-    // Two of the largest requests seen: with less, a quiet workspace's next request
-    // would wait for the store each time.
-    const uint64_t least = std::max(initial, 2 * account.largest);
+    // Two requests of the usual size: with less, a quiet workspace's next request would
+    // wait for the store each time.
+    const uint64_t least = std::max(initial, 2 * account.typical);
     return std::max(byDemand, least);
 }
 
@@ -310,7 +319,7 @@
     }
     const uint64_t usable = account->usable;
     uint64_t gift = 0;
-    if (usable < account->largest && account->shortOf == 0 && ask.need > 0) {
+    if (usable < account->typical && account->shortOf == 0 && ask.need > 0) {
         // Too little for a request here; together with what others give it may be
         // enough for the one that waits there.
         gift = usable;
@@ -322,9 +331,12 @@
         const double even =
                 (static_cast<double>(usable) * theirs - static_cast<double>(ask.usable) * mine)
                 / both;
-        gift = static_cast<uint64_t>(std::max(0.0, even));
+        // A peer that only runs low gets a second's demand: eight are asked, and what a
+        // holder may move it may lose.
+        const uint64_t most = std::max(ask.need, ask.perSecond);
+        gift = std::min(most, static_cast<uint64_t>(std::max(0.0, even)));
         // What runs low is evened out in few moves, not with every request.
-        if (ask.need == 0 && gift < usable / LeastEvening) {
+        if (ask.need == 0 && gift < std::min(usable, ask.perSecond) / LeastEvening) {
             gift = 0;
         }
         const bool easily = usable / 2 >= ask.need;
