--- a/cmake/Parts.cmake
+++ b/cmake/Parts.cmake
@@ -59,7 +59,7 @@
     add_library(TestSupport STATIC ${support})
     target_include_directories(TestSupport PUBLIC include ${CMAKE_SOURCE_DIR})
     target_link_libraries(TestSupport PUBLIC Base Service Platform Ledger Config Members Decisions
-        History Keeper Router Operate Load Standins rapidcheck GTest::gtest GTest::gtest_main)
+        History Keeper Router Operate Load Standins Proxy Store Edge PlatformAdapter rapidcheck GTest::gtest GTest::gtest_main)
     sequoiagate_common(TestSupport)
     file(GLOB fleet CONFIGURE_DEPENDS test/Support/*.cpp)
     add_library(FleetSupport STATIC ${fleet})
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -51,6 +51,8 @@
     /// Demand that may be used beyond what the last row says: until the next batch, or until
     /// `silence` is over. It is what a killed process loses.
     Interval window = std::chrono::milliseconds(3600);
+    /// Of what is held for a workspace that nobody has used yet: room for the first requests.
+    double firstWindow = 0.25;
     /// A row that leaves less than this part of the window is written anew: enough for
     /// `silence` and a heartbeat.
     double rewriteBelow = 0.8;
@@ -161,10 +163,10 @@
         uint64_t usable = 0;   ///< may be reserved
         uint64_t reserved = 0; ///< of open requests
         uint64_t spent = 0;
-        uint64_t typical = 0; ///< reservation, a moving mean
+        uint64_t typical = 0;      ///< reservation, a moving mean
         uint64_t shortOf = 0;      ///< a request waits for so many
-        uint64_t askedFor = 0; ///< by peers that lack tokens, a moment ago
-        Instant askedUntil{};  ///< they may ask again, and find that it can be moved by then
+        uint64_t askedFor = 0;     ///< by peers that lack tokens, a moment ago
+        Instant askedUntil{};      ///< they may ask again, and find that it can be moved by then
         uint64_t writtenLimit = 0; ///< of use, by the last batch that the store has
         uint64_t flightLimit = 0;  ///< by the batch in flight
         bool lowered = false;      ///< the budget fell, and the holders' totals still exceed it
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -94,8 +94,13 @@
     const uint64_t byDemand = account.demand.over(settings_.window, now);
     const uint64_t lent = now < account.askedUntil ? account.askedFor : 0;
     // The next request of a workspace that is in use here needn't wait for a row; a larger
-    // one than usual does.
-    const uint64_t next = inUse(account, now) ? account.typical + account.typical / 2 : 0;
+    // one than usual does. Before the first one nobody knows its size.
+    uint64_t next = 0;
+    if (account.typical == 0) {
+        next = scaled(target(account, now), settings_.firstWindow);
+    } else if (inUse(account, now)) {
+        next = account.typical + account.typical / 2;
+    }
     return std::max({byDemand, next, account.shortOf}) + lent;
 }
 
@@ -116,7 +121,8 @@
     }
     const uint64_t left = account.writtenLimit - already;
     const bool isShort = mayUse(account, now) < account.shortOf;
-    const bool low = left < scaled(window, settings_.rewriteBelow) && account.writtenLimit < account.owned;
+    const bool low =
+            left < scaled(window, settings_.rewriteBelow) && account.writtenLimit < account.owned;
     // Far more than is needed: a process that is killed now would lose it.
     const bool high = left > 3 * window;
     return low || high || (isShort && account.writtenLimit < account.owned);
@@ -339,8 +345,11 @@
         if (ask.need == 0 && gift < std::min(usable, ask.perSecond) / LeastEvening) {
             gift = 0;
         }
-        const bool easily = usable / 2 >= ask.need;
-        gift = std::max(gift, easily ? ask.need : 0);
+        // A request that waits there goes before what may come here, but for the next one.
+        const uint64_t perSecond = account->demand.over(std::chrono::seconds(1), now);
+        const uint64_t keep = inUse(*account, now) ? std::max(account->typical, perSecond) : 0;
+        const bool spares = usable >= ask.need + keep;
+        gift = std::max(gift, spares ? ask.need : 0);
     }
     const uint64_t movable = std::min(gift, mayUse(*account, now));
     const uint64_t open = now < account->askedUntil ? account->askedFor : 0;
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -183,8 +183,9 @@
 
 void CallerConnection::abort()
 {
-    exchange_.reset();
-    close();
+    // What came before the cut is the caller's; without the last chunk it isn't complete.
+    answered(false);
+    armTimer(LingerTime);
 }
 
 void CallerConnection::answered(bool keepAlive)
@@ -228,7 +229,7 @@
 
 void CallerConnection::onTimer()
 {
-    if (lingering_ || exchange_) {
+    if (lingering_ || closeWhenWritten_ || exchange_) {
         close();
         return;
     }
--- /dev/null
+++ b/unittests/Ledger/TokenHolderTest.cpp
@@ -0,0 +1,242 @@
+/// A holder's steps with the store, its peers, and the process that comes after it.
+
+#include <gtest/gtest.h>
+
+#include "sequoiagate/Ledger/TokenHolder.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+const WorkspaceId W("w");
+constexpr uint64_t Prepaid = 1000;
+
+TokenHolderSettings testSettings()
+{
+    TokenHolderSettings settings;
+    settings.initialShare = 0.2;
+    return settings;
+}
+
+/// A store that takes each batch at once, in order, and shows it to all.
+class OneLog
+{
+public:
+    void write(const std::vector<AllotmentRow> &rows, std::initializer_list<TokenHolder *> readers)
+    {
+        for (const AllotmentRow &row : rows) {
+            for (TokenHolder *reader : readers) {
+                reader->onRow(row, offset_);
+            }
+            ++offset_;
+        }
+        for (TokenHolder *reader : readers) {
+            reader->onPosition(offset_);
+        }
+    }
+
+private:
+    uint64_t offset_ = 0;
+};
+
+class Holding : public testing::Test
+{
+protected:
+    Holding() : a_(Incarnation("a"), testSettings()), b_(Incarnation("b"), testSettings())
+    {
+        for (TokenHolder *holder : {&a_, &b_}) {
+            holder->setBudgets({{W, Prepaid}}, now_);
+            holder->setHolders(2);
+            holder->setStoreReachable(true);
+        }
+    }
+
+    void round(TokenHolder &holder)
+    {
+        const auto rows = holder.nextBatch(now_);
+        if (rows) {
+            log_.write(*rows, {&a_, &b_});
+            holder.onWritten();
+        }
+    }
+
+    Instant now_{std::chrono::hours(1)};
+    OneLog log_;
+    TokenHolder a_;
+    TokenHolder b_;
+};
+
+TEST_F(Holding, NothingIsSpentBeforeItsClaimIsReadBack)
+{
+    const auto rows = a_.nextBatch(now_);
+    ASSERT_TRUE(rows);
+    EXPECT_FALSE(a_.reserve(W, 10, now_));
+    log_.write(*rows, {&a_, &b_});
+    EXPECT_TRUE(a_.reserve(W, 10, now_));
+}
+
+TEST_F(Holding, WorkspaceWithoutABudgetIsntBounded)
+{
+    EXPECT_TRUE(a_.reserve(WorkspaceId("free"), 1'000'000, now_));
+}
+
+// Both holders would spend the same tokens: their claims are written at the same time, and
+// each was composed before the other's was seen.
+TEST_F(Holding, ClaimsThatRaceNeverFitTogetherBeyondTheBudget)
+{
+    a_.reserve(W, 700, now_);
+    b_.reserve(W, 700, now_);
+    const auto fromA = a_.nextBatch(now_);
+    const auto fromB = b_.nextBatch(now_);
+    log_.write(*fromA, {&a_, &b_});
+    log_.write(*fromB, {&a_, &b_});
+    EXPECT_LE(a_.usable(W) + b_.usable(W), Prepaid);
+    EXPECT_GE(a_.usable(W), 700U);
+    // What was claimed in vain is corrected, and the rest can be had.
+    round(b_);
+    EXPECT_EQ(a_.unallotted(W), Prepaid - a_.usable(W) - b_.usable(W));
+}
+
+TEST_F(Holding, LoweredBudgetTakesBackWhatIsntSpent)
+{
+    round(a_);
+    ASSERT_TRUE(a_.reserve(W, 20, now_));
+    a_.setBudgets({{W, 30}}, now_);
+    EXPECT_EQ(a_.usable(W), 0U);
+    a_.settle(W, 20, 5, now_);
+    EXPECT_EQ(a_.usable(W), 0U);
+    round(a_);
+    round(a_);
+    EXPECT_LE(a_.usable(W) + a_.spent(W), 30U);
+}
+
+TEST_F(Holding, MovedTokensLeaveTheirGiverFirst)
+{
+    round(a_);
+    round(b_);
+    const uint64_t before = a_.usable(W) + b_.usable(W);
+    ASSERT_FALSE(b_.reserve(W, 70, now_));
+    const std::vector<TokenAsk> asks = b_.asks(now_);
+    ASSERT_EQ(asks.size(), 1U);
+    // The row lets it move a part of that at once, the rest when it says so.
+    uint64_t moved = a_.give(asks[0], now_);
+    EXPECT_LT(moved, asks[0].need);
+    round(a_);
+    moved += a_.give(asks[0], now_);
+    EXPECT_GE(moved, asks[0].need);
+    EXPECT_EQ(a_.usable(W) + b_.usable(W) + moved, before);
+    b_.take(W, moved);
+    EXPECT_EQ(a_.usable(W) + b_.usable(W), before);
+}
+
+TEST_F(Holding, StopGivesBackAllThatIsntReserved)
+{
+    round(a_);
+    ASSERT_TRUE(a_.reserve(W, 20, now_));
+    a_.returnAll();
+    round(a_);
+    EXPECT_EQ(b_.unallotted(W), Prepaid - 20);
+}
+
+// The workspace is refused though nobody spent its tokens: the process that held them was
+// killed. The next one on its host knows from the last batch how much was used at most.
+TEST_F(Holding, SealGivesBackWhatADeadHolderDidntUse)
+{
+    round(a_);
+    round(a_);
+    ASSERT_TRUE(a_.reserve(W, 1, now_));
+    const uint64_t unallotted = b_.unallotted(W);
+    const std::vector<AllotmentRow> seal = b_.sealRows(Incarnation("a"));
+    ASSERT_EQ(seal.size(), 1U);
+    EXPECT_GE(seal[0].tokens, 1U);
+    log_.write(seal, {&b_});
+    EXPECT_GT(b_.unallotted(W), unallotted);
+}
+
+// The budget is overspent: a holder used more than its last row says, died, and its row was
+// believed. It keeps to the row until the batch is so old that nobody believes it.
+TEST_F(Holding, KeepsToItsRowUntilTheBatchIsTooOldToBeBelieved)
+{
+    round(a_);
+    round(a_);
+    const uint64_t held = a_.usable(W);
+    const std::vector<AllotmentRow> seal = b_.sealRows(Incarnation("a"));
+    ASSERT_EQ(seal.size(), 1U);
+    ASSERT_LT(seal[0].tokens, held);
+    a_.setStoreReachable(false);
+    EXPECT_FALSE(a_.reserve(W, held, now_));
+    now_ += testSettings().silence;
+    EXPECT_TRUE(a_.reserve(W, held, now_));
+}
+
+// The budget is overspent: with the store back, a batch vouched for a row that says less
+// than was used without it, since no claim or window asked for that row.
+TEST_F(Holding, FirstBatchAfterAnOutageCorrectsTheRow)
+{
+    round(a_);
+    round(a_);
+    a_.setStoreReachable(false);
+    now_ += testSettings().silence;
+    const uint64_t held = a_.usable(W);
+    ASSERT_TRUE(a_.reserve(W, held, now_));
+    a_.settle(W, held, held, now_);
+    now_ += std::chrono::minutes(1);
+    a_.setStoreReachable(true);
+    round(a_);
+    const std::vector<AllotmentRow> seal = b_.sealRows(Incarnation("a"));
+    EXPECT_TRUE(seal.empty() || seal[0].tokens >= held);
+}
+
+TEST_F(Holding, HeartbeatWithoutRowsIsInFlightUntilItIsWritten)
+{
+    round(a_);
+    round(a_);
+    round(a_);
+    now_ += testSettings().heartbeat;
+    const auto rows = a_.nextBatch(now_);
+    ASSERT_TRUE(rows);
+    EXPECT_TRUE(rows->empty());
+    EXPECT_FALSE(a_.nextBatch(now_));
+    a_.onWritten();
+    EXPECT_FALSE(a_.batchInFlight());
+}
+
+struct StateCase
+{
+    const char *name;
+    uint64_t need;
+    bool reachable;
+    BudgetState state;
+};
+
+class HoldingState : public testing::TestWithParam<StateCase>
+{};
+
+const StateCase StateCases[] = {
+        {"FromTheStore", 500, true, BudgetState::Covered},
+        {"MoreThanWasPaidFor", 1001, true, BudgetState::Spent},
+        {"MoreThanWasPaidForWithoutStore", 1001, false, BudgetState::Spent},
+        {"StoreAway", 500, false, BudgetState::Unreachable},
+};
+
+TEST_P(HoldingState, IsTold)
+{
+    TokenHolder holder(Incarnation("a"), testSettings());
+    holder.setBudgets({{W, Prepaid}}, Instant());
+    holder.setStoreReachable(GetParam().reachable);
+    EXPECT_EQ(holder.state(W, GetParam().need), GetParam().state);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, HoldingState, testing::ValuesIn(StateCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+TEST(AllotmentTable, OlderRowsAreIgnored)
+{
+    AllotmentTable table;
+    table.set({W, Incarnation("a"), 50, 10}, 7);
+    table.set({W, Incarnation("a"), 20, 0}, 3);
+    table.set({W, Incarnation("b"), 5, 0}, 4);
+    EXPECT_EQ(table.allotted(W), 55U);
+}
+
+} // namespace
--- /dev/null
+++ b/unittests/Proxy/ExchangeTest.cpp
@@ -0,0 +1,406 @@
+/// What callers see of one request when endpoints answer well, badly or not at all.
+
+#include <gtest/gtest.h>
+
+#include "ProxyWorld.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+constexpr const char *Head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n";
+
+std::string plain(const std::string &body)
+{
+    return std::string(Head) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string status(int code, const std::string &fields = "")
+{
+    return "HTTP/1.1 " + std::to_string(code) + " X\r\nRequest-Id: {id}\r\n" + fields
+           + "Content-Length: 0\r\n\r\n";
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+std::string chunk(const std::string &data)
+{
+    return writeChunk(data);
+}
+
+std::string streamHead()
+{
+    return std::string(Head)
+           + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+struct AnswerCase
+{
+    const char *name;
+    const char *path;
+    std::vector<std::vector<Reply>> endpoints;
+    std::string expected;      ///< in what the caller gets
+    std::string forbidden;     ///< not in it
+    bool closes;               ///< the caller's connection
+    std::vector<int> received; ///< requests, by endpoint
+    int spent;                 ///< tokens
+};
+
+class ExchangeAnswer : public testing::TestWithParam<AnswerCase>
+{};
+
+const AnswerCase AnswerCases[] = {
+        {"Whole", "/get/a", {{{plain("good")}}}, "good", "", false, {1}, 100},
+        {"EndpointsOwnFailureIsPassedOn",
+         "/once/a",
+         {{{status(500, "Response-Stamp: s\r\n")}}},
+         "HTTP/1.1 500",
+         "",
+         false,
+         {1},
+         100},
+        // The caller would get a failure that another endpoint's answer can spare it.
+        {"IdempotentGoesElsewhereAfterAFailure",
+         "/get/a",
+         {{{status(500)}}, {{plain("good")}}},
+         "good",
+         "500",
+         false,
+         {1, 1},
+         100},
+        {"IdempotentGoesElsewhereAfterAReset",
+         "/get/a",
+         {{{"", Afterwards::Reset}}, {{plain("good")}}},
+         "good",
+         "",
+         false,
+         {1, 1},
+         132},
+        {"IdempotentGoesElsewhereAfterACutAnswer",
+         "/get/a",
+         {{{std::string(Head) + "Content-Length: 9\r\n\r\nhal", Afterwards::Close}},
+          {{plain("good")}}},
+         "good",
+         "hal",
+         false,
+         {1, 1},
+         132},
+        // A booking is made twice: the endpoint ran it and its answer was lost.
+        {"OnceIsNeverSentAgainAfterAReset",
+         "/once/a",
+         {{{"", Afterwards::Reset}}, {{plain("x")}}},
+         "HTTP/1.1 502",
+         "Retry-After",
+         false,
+         {1, 0},
+         132},
+        {"OnceIsNeverSentAgainAfterACutAnswer",
+         "/once/a",
+         {{{std::string(Head) + "Content-Length: 9\r\n\r\nhal", Afterwards::Close}},
+          {{plain("x")}}},
+         "HTTP/1.1 502",
+         "hal",
+         false,
+         {1, 0},
+         132},
+        {"OnceGoesElsewhereIfItWasNotRun",
+         "/once/a",
+         {{{status(503, "Not-Executed: 1\r\n")}}, {{plain("good")}}},
+         "good",
+         "503",
+         false,
+         {1, 1},
+         100},
+        {"NotRunIsToldWithTheTimeToComeBack",
+         "/once/a",
+         {{{status(503, "Not-Executed: 1\r\n")}}},
+         "Retry-After: 0.",
+         "Response-Stamp",
+         false,
+         {1},
+         0},
+        // The address is another endpoint's by now: the request has not run there.
+        {"AnotherEndpointHasTheAddress",
+         "/once/a",
+         {{{status(421)}}, {{plain("good")}}},
+         "good",
+         "421",
+         false,
+         {1, 1},
+         100},
+        // The caller gets another caller's answer: an endpoint's second answer to an earlier
+        // request came late, where the next one was expected.
+        {"AnothersAnswerIsntTaken",
+         "/once/a",
+         {{{"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Stamp: s\r\nContent-Length: 3\r\n\r\n"
+            "bad"}}},
+         "HTTP/1.1 502",
+         "bad",
+         false,
+         {1},
+         100},
+        {"EncodedAnswerIsntTheEndpointsBody",
+         "/get/a",
+         {{{std::string(Head) + "Content-Encoding: gzip\r\nContent-Length: 3\r\n\r\nbad"}},
+          {{plain("good")}}},
+         "good",
+         "bad",
+         false,
+         {1, 1},
+         100},
+        {"UnsignedAnswerIsntTaken",
+         "/get/a",
+         {{{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 3\r\n\r\nbad"}},
+          {{plain("good")}}},
+         "good",
+         "bad",
+         false,
+         {1, 1},
+         100},
+        {"UnframedAnswerEndsWithItsConnection",
+         "/get/a",
+         {{{std::string(Head) + "\r\ngood", Afterwards::Close}}},
+         "good",
+         "",
+         false,
+         {1},
+         100},
+        {"UnframedAnswerThatWasResetIsCut",
+         "/once/a",
+         {{{std::string(Head) + "\r\nbad", Afterwards::Reset}}},
+         "HTTP/1.1 502",
+         "bad",
+         false,
+         {1},
+         132},
+        {"StreamIsPassedOn",
+         "/stream/a",
+         {{{streamHead() + chunk(event(0)) + chunk(event(1)) + "0\r\n\r\n"}}},
+         "0\r\n\r\n",
+         "",
+         false,
+         {1},
+         108},
+        // What the caller has must not look complete.
+        {"CutStreamClosesTheConnection",
+         "/stream/a",
+         {{{streamHead() + chunk(event(0)), Afterwards::Reset}}, {{plain("x")}}},
+         "id: 0",
+         "0\r\n\r\n",
+         true,
+         {1, 0},
+         136},
+        {"HalfAnEventIsntPassedOn",
+         "/stream/a",
+         {{{streamHead() + chunk(event(0) + "id: 1\nda"), Afterwards::Close}}},
+         "id: 0",
+         "id: 1",
+         true,
+         {1},
+         136},
+        {"MissingEventEndsTheStream",
+         "/stream/a",
+         {{{streamHead() + chunk(event(0)) + chunk(event(2)) + "0\r\n\r\n"}}},
+         "id: 0",
+         "id: 2",
+         true,
+         {1},
+         136},
+        {"ResumableStreamGoesOnElsewhere",
+         "/resume/a",
+         {{{streamHead() + chunk(event(0)) + chunk("id: 1\nda"), Afterwards::Close}},
+          {{streamHead() + chunk(event(1)) + "0\r\n\r\n"}}},
+         "id: 1\ndata: x\n\n\r\n0\r\n\r\n",
+         "",
+         false,
+         {1, 1},
+         140},
+        // A stream that breaks off is framed as whole: the endpoint that was to go on with it
+        // answers with a failure, which is no stream, and ends in order.
+        {"FailureInTheMiddleOfAStreamCutsIt",
+         "/resume/a",
+         {{{streamHead() + chunk(event(0)), Afterwards::Close}}, {{status(500)}}},
+         "id: 0",
+         "0\r\n\r\n",
+         true,
+         {1, 1},
+         136},
+        {"TimeoutIsAnsweredThen",
+         "/short/a",
+         {{{"", Afterwards::Hang}}},
+         "HTTP/1.1 504",
+         "Retry-After",
+         false,
+         {1},
+         132},
+};
+
+TEST_P(ExchangeAnswer, IsWhatTheCallerGets)
+{
+    const AnswerCase &row = GetParam();
+    ProxyWorld world(row.endpoints);
+    world.send(ProxyWorld::request(row.path, "r1"));
+    EXPECT_TRUE(world.waitFor(row.expected)) << world.got();
+    if (row.closes) {
+        EXPECT_TRUE(world.waitForClose()) << world.got();
+    }
+    EXPECT_TRUE(world.waitUntil([&world] { return world.desk.settled == 1; }));
+    EXPECT_EQ(world.closed(), row.closes);
+    if (!row.forbidden.empty()) {
+        EXPECT_EQ(world.got().find(row.forbidden), std::string::npos) << world.got();
+    }
+    for (std::size_t i = 0; i < row.received.size(); ++i) {
+        EXPECT_EQ(world.endpoints[i]->received().size(), row.received[i]) << "endpoint " << i;
+    }
+    EXPECT_EQ(world.desk.spent, row.spent);
+    EXPECT_EQ(world.desk.reserved, 0U);
+    EXPECT_EQ(world.placement.sent, world.placement.ended);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, ExchangeAnswer, testing::ValuesIn(AnswerCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+struct RefusalCase
+{
+    const char *name;
+    std::string request;
+    std::string expected;
+};
+
+class ExchangeRefusal : public testing::TestWithParam<RefusalCase>
+{};
+
+const RefusalCase RefusalCases[] = {
+        {"UnknownHost",
+         "GET /get/a HTTP/1.1\r\nHost: other\r\nRequest-Id: r\r\nAuthorization: Token key\r\n\r\n",
+         "HTTP/1.1 404"},
+        {"UnknownPath", "GET /nowhere/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\n\r\n",
+         "HTTP/1.1 404"},
+        {"UnknownKey",
+         "GET /get/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\n"
+         "Authorization: Token no\r\n\r\n",
+         "HTTP/1.1 401"},
+        {"WithoutKey", "GET /get/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r\r\n\r\n",
+         "HTTP/1.1 401"},
+        {"WithoutId", "GET /get/a HTTP/1.1\r\nHost: h.example\r\nAuthorization: Token key\r\n\r\n",
+         "HTTP/1.1 400"},
+        {"BudgetSpent", ProxyWorld::request("/get/a", "r", "Token-Count: 1\r\n"), "HTTP/1.1 402"},
+        {"Malformed", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "HTTP/1.1 400"},
+};
+
+TEST_P(ExchangeRefusal, ReachesNoEndpoint)
+{
+    ProxyWorld world({{{plain("bad")}}});
+    world.desk.usable = 10;
+    world.send(GetParam().request);
+    EXPECT_TRUE(world.waitFor(GetParam().expected)) << world.got();
+    EXPECT_TRUE(world.endpoints[0]->received().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, ExchangeRefusal, testing::ValuesIn(RefusalCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+TEST(Exchange, WithoutConfigurationNothingIsRefusedForGood)
+{
+    ProxyWorld world({{{plain("bad")}}});
+    world.config.reset();
+    world.send(ProxyWorld::request("/get/a", "r"));
+    EXPECT_TRUE(world.waitFor("HTTP/1.1 503"));
+    EXPECT_NE(world.got().find("Retry-After"), std::string::npos);
+}
+
+// The caller sees nothing; its endpoint works on for nobody. The caller leaves while the
+// endpoint still works; the endpoint's connection is closed, by which it notices.
+TEST(Exchange, CallerThatLeavesEndsTheEndpointsWork)
+{
+    ProxyWorld world({{{"", Afterwards::Hang}}});
+    world.send(ProxyWorld::request("/once/a", "r"));
+    EXPECT_TRUE(world.waitUntil([&world] { return world.endpoints[0]->received().size() == 1; }));
+    world.hangUp();
+    EXPECT_TRUE(world.waitUntil([&world] { return world.endpoints[0]->closedByPeer() == 1; }));
+    EXPECT_TRUE(world.waitUntil([&world] { return world.desk.settled == 1; }));
+}
+
+TEST(Exchange, UnreachableEndpointIsntASending)
+{
+    ProxyWorld world({{}, {{plain("good")}}});
+    world.endpoints[0]->stopListening();
+    world.placement.repeatsLeft = 0;
+    world.send(ProxyWorld::request("/once/a", "r"));
+    EXPECT_TRUE(world.waitFor("good"));
+    EXPECT_EQ(world.placement.missing, std::vector<EndpointId>{EndpointId("e0")});
+}
+
+TEST(Exchange, WithoutRepeatsLeftAFailureIsPassedOn)
+{
+    ProxyWorld world({{{status(500)}}, {{plain("good")}}});
+    world.placement.repeatsLeft = 0;
+    world.send(ProxyWorld::request("/get/a", "r"));
+    EXPECT_TRUE(world.waitFor("HTTP/1.1 500"));
+}
+
+// The caller gets pieces twice. Its stream broke off, it asks again and names its last
+// event; an endpoint that isn't told begins from the start.
+TEST(Exchange, CallersOwnPositionIsForwarded)
+{
+    ProxyWorld world({{{streamHead() + chunk(event(8)) + "0\r\n\r\n"}}});
+    world.send(ProxyWorld::request("/resume/a", "r", "Last-Event-Id: 7\r\n"));
+    EXPECT_TRUE(world.waitFor("id: 8"));
+    const HttpFields &fields = world.endpoints[0]->received()[0].head.fields;
+    ASSERT_NE(findField(fields, "Last-Event-Id"), nullptr);
+    EXPECT_EQ(*findField(fields, "Last-Event-Id"), "7");
+}
+
+TEST(Exchange, EndpointIsToldWhatTheCallerMayNotSay)
+{
+    ProxyWorld world({{{plain("good")}}});
+    world.send(ProxyWorld::request("/once/a?q=1", "r",
+                                   "Tenant: other\r\nKv-From: x\r\nX-Mine: 1\r\n"));
+    EXPECT_TRUE(world.waitFor("good"));
+    const CallerRequest &received = world.endpoints[0]->received()[0];
+    EXPECT_EQ(received.head.target, "/once/a?q=1");
+    EXPECT_EQ(received.body, "hi");
+    EXPECT_EQ(*findField(received.head.fields, "Tenant"), "w");
+    EXPECT_EQ(*findField(received.head.fields, "Expect-Instance"), "e0");
+    EXPECT_EQ(*findField(received.head.fields, "X-Mine"), "1");
+    EXPECT_EQ(findField(received.head.fields, "Kv-From"), nullptr);
+    EXPECT_EQ(findField(received.head.fields, "Authorization"), nullptr);
+    EXPECT_LE(std::stoi(*findField(received.head.fields, "Deadline-Ms")), 4000);
+}
+
+TEST(CallerConnection, ServesPipelinedRequestsInTheirOrder)
+{
+    ProxyWorld world({{{plain("first")}, {plain("second")}}});
+    world.send(ProxyWorld::request("/get/a", "r1") + ProxyWorld::request("/get/b", "r2"));
+    EXPECT_TRUE(world.waitFor("second"));
+    EXPECT_LT(world.got().find("first"), world.got().find("second"));
+}
+
+// The next caller's request gets this one's second answer. An endpoint sends more than one
+// answer; the connection it came on isn't used again.
+TEST(CallerConnection, EndpointsSurplusBytesEndItsConnection)
+{
+    ProxyWorld world({{{plain("first") + plain("extra")}, {plain("second")}}});
+    world.send(ProxyWorld::request("/get/a", "r1"));
+    EXPECT_TRUE(world.waitFor("first"));
+    world.send(ProxyWorld::request("/get/b", "r2"));
+    EXPECT_TRUE(world.waitFor("second"));
+    EXPECT_EQ(world.got().find("extra"), std::string::npos);
+}
+
+// A request in progress is cut off by a planned stop. It ends whole, and its answer says that
+// the connection closes.
+TEST(CallerConnection, StopEndsTheConnectionBehindTheAnswer)
+{
+    ProxyWorld world({{{plain("good")}}});
+    world.stopping = true;
+    world.send(ProxyWorld::request("/get/a", "r1"));
+    EXPECT_TRUE(world.waitFor("good"));
+    EXPECT_NE(world.got().find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(world.waitForClose());
+}
+
+} // namespace
--- /dev/null
+++ b/unittests/Proxy/HttpReaderTest.cpp
@@ -0,0 +1,139 @@
+/// What is taken for one message, and what is refused, whatever pieces the bytes come in.
+
+#include <gtest/gtest.h>
+
+#include "sequoiagate/Proxy/HttpReader.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+struct RequestCase
+{
+    const char *name;
+    std::string bytes;
+    HttpFault fault;
+    std::string body;     ///< where it is whole
+    std::size_t leftover; ///< bytes that belong to the next message
+};
+
+class HttpRequestReading : public testing::TestWithParam<RequestCase>
+{};
+
+const RequestCase RequestCases[] = {
+        {"WithoutBody", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", HttpFault::None, "", 0},
+        {"ByLength", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", HttpFault::None,
+         "abc", 0},
+        {"ByChunks",
+         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n3\r\nabc\r\n2;x=1\r\nde\r\n"
+         "0\r\n\r\n",
+         HttpFault::None, "abcde", 0},
+        {"NextOneStays", "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET /2", HttpFault::None, "", 6},
+        // The framings by which a caller could smuggle a second request past the checks.
+        {"LengthAndChunks",
+         "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         HttpFault::Malformed, "", 0},
+        {"ChunksAndLength",
+         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+         HttpFault::Malformed, "", 0},
+        {"TwoLengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+         HttpFault::Malformed, "", 0},
+        {"LengthsInOneField", "POST / HTTP/1.1\r\nContent-Length: 3, 4\r\n\r\nabcd",
+         HttpFault::Malformed, "", 0},
+        {"SignedLength", "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc", HttpFault::Malformed,
+         "", 0},
+        {"OtherCoding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+         HttpFault::Malformed, "", 0},
+        {"ChunkedTwice",
+         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "0\r\n\r\n",
+         HttpFault::Malformed, "", 0},
+        {"SpaceBeforeColon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n", HttpFault::Malformed, "", 0},
+        {"NotHttp", "\x16\x03\x01 hello\r\n\r\n", HttpFault::Malformed, "", 0},
+        {"HeaderTooLarge", "GET / HTTP/1.1\r\nA: " + std::string(3000, 'x') + "\r\n\r\n",
+         HttpFault::HeaderTooLarge, "", 0},
+        {"BodyTooLarge", "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", HttpFault::BodyTooLarge,
+         "", 0},
+};
+
+HttpReaderLimits smallLimits()
+{
+    return {1024, 4096};
+}
+
+TEST_P(HttpRequestReading, WholeOrByteByByte)
+{
+    const RequestCase &row = GetParam();
+    RequestReader whole(smallLimits());
+    const std::size_t used = whole.feed(row.bytes);
+    EXPECT_EQ(whole.fault(), row.fault);
+    if (row.fault == HttpFault::None) {
+        ASSERT_TRUE(whole.done());
+        EXPECT_EQ(row.bytes.size() - used, row.leftover);
+        EXPECT_EQ(whole.takeBody(), row.body);
+    }
+    RequestReader slow(smallLimits());
+    std::string body;
+    std::size_t fed = 0;
+    for (const char c : row.bytes) {
+        if (slow.done() || slow.fault() != HttpFault::None) {
+            break;
+        }
+        fed += slow.feed(std::string_view(&c, 1));
+        body += slow.takeBody();
+    }
+    EXPECT_EQ(slow.fault(), row.fault);
+    if (row.fault == HttpFault::None) {
+        EXPECT_TRUE(slow.done());
+        EXPECT_EQ(fed, row.bytes.size() - row.leftover);
+        EXPECT_EQ(body, row.body);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, HttpRequestReading, testing::ValuesIn(RequestCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+struct ClosedCase
+{
+    const char *name;
+    std::string bytes;
+    bool whole;
+};
+
+class HttpAnswerClosed : public testing::TestWithParam<ClosedCase>
+{};
+
+// The caller sees a garbled answer of status 0, or a cut answer that looks complete. An
+// endpoint closes its connection: before its first byte, inside a head or a body, or, where
+// nothing else frames the body, at its end. Beast takes the first of these for a message.
+const ClosedCase ClosedCases[] = {
+        {"BeforeFirstByte", "", false},
+        {"InsideTheHead", "HTTP/1.1 200 O", false},
+        {"InsideTheBody", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", false},
+        {"InsideTheChunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+         false},
+        {"BehindAnUnframedBody", "HTTP/1.1 200 OK\r\n\r\nabc", true},
+};
+
+TEST_P(HttpAnswerClosed, IsWholeOnlyWhereTheCloseFramesIt)
+{
+    ResponseReader reader(smallLimits());
+    reader.feed(GetParam().bytes);
+    reader.feedEnd();
+    EXPECT_EQ(reader.done(), GetParam().whole);
+    EXPECT_EQ(reader.fault() == HttpFault::CutOff, !GetParam().whole);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, HttpAnswerClosed, testing::ValuesIn(ClosedCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+TEST(HttpMessage, FieldsOfOneConnectionArentForwarded)
+{
+    const HttpFields fields = {{"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}};
+    EXPECT_TRUE(isHopByHop("x-hop", fields));
+    EXPECT_TRUE(isHopByHop("transfer-encoding", fields));
+    EXPECT_FALSE(isHopByHop("X-End", fields));
+}
+
+} // namespace
--- /dev/null
+++ b/unittests/Proxy/ProxyWorld.cpp
@@ -0,0 +1,270 @@
+#include "ProxyWorld.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_replace.h>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include "sequoiagate/Service/Program.h"
+
+namespace sequoiagate {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+tcp::endpoint loopback()
+{
+    return {boost::asio::ip::address_v4::loopback(), 0};
+}
+
+std::shared_ptr<ServingConfig> makeConfig()
+{
+    auto config = std::make_shared<ServingConfig>();
+    config->version = 1;
+    const auto route = [](const char *name, RouteKind kind) {
+        Route made;
+        made.name = name;
+        made.host = "h.example";
+        made.pathPrefix = fmt::format("/{}/", name);
+        made.kind = kind;
+        made.services = {{ServiceId("s"), 1}};
+        made.timeout = std::chrono::seconds(5);
+        // Long, so that no verdict hangs on how fast the test's machine is.
+        made.objective = std::chrono::seconds(2);
+        made.pauseObjective = std::chrono::seconds(2);
+        made.mostEndpoints = 2;
+        return made;
+    };
+    config->routes = {route("get", RouteKind::Idempotent), route("once", RouteKind::NonIdempotent),
+                      route("stream", RouteKind::Stream), route("resume", RouteKind::Stream),
+                      route("short", RouteKind::NonIdempotent)};
+    config->routes[3].resumable = true;
+    config->routes[4].timeout = std::chrono::milliseconds(50);
+    ServiceTerms service;
+    service.name = ServiceId("s");
+    service.engine = true;
+    service.tokensPerEvent = 4;
+    config->services = {service};
+    WorkspaceTerms workspace;
+    workspace.name = WorkspaceId("w");
+    workspace.keys = {"key"};
+    workspace.prepaid = true;
+    workspace.prepaidTokens = 1'000'000;
+    config->workspaces = {workspace};
+    config->index();
+    return config;
+}
+
+} // namespace
+
+struct ScriptedEndpoint::Connection
+{
+    explicit Connection(tcp::socket taken) : socket(std::move(taken)), reader(HttpReaderLimits()) {}
+
+    tcp::socket socket;
+    RequestReader reader;
+    std::array<char, 4096> buffer;
+};
+
+ScriptedEndpoint::ScriptedEndpoint(boost::asio::io_context &io, std::vector<Reply> replies)
+    : io_(io), acceptor_(io, loopback()), replies_(std::move(replies))
+{
+    accept();
+}
+
+ScriptedEndpoint::~ScriptedEndpoint() = default;
+
+void ScriptedEndpoint::accept()
+{
+    acceptor_.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error) {
+            return;
+        }
+        connections_.push_back(std::make_shared<Connection>(std::move(socket)));
+        read(connections_.back());
+        accept();
+    });
+}
+
+void ScriptedEndpoint::read(const std::shared_ptr<Connection> &connection)
+{
+    connection->socket.async_read_some(
+            boost::asio::buffer(connection->buffer),
+            [this, connection](const error_code &error, std::size_t bytes) {
+                if (error) {
+                    closedByPeer_ += error != boost::asio::error::operation_aborted ? 1 : 0;
+                    return;
+                }
+                connection->reader.feed(std::string_view(connection->buffer.data(), bytes));
+                if (connection->reader.done()) {
+                    answer(connection);
+                }
+                if (connection->socket.is_open()) {
+                    read(connection);
+                }
+            });
+}
+
+void ScriptedEndpoint::answer(const std::shared_ptr<Connection> &connection)
+{
+    CallerRequest request;
+    request.head = connection->reader.head();
+    request.body = connection->reader.takeBody();
+    connection->reader.~RequestReader();
+    new (&connection->reader) RequestReader(HttpReaderLimits());
+    received_.push_back(request);
+    if (replies_.empty()) {
+        return;
+    }
+    const Reply reply = replies_.front();
+    replies_.erase(replies_.begin());
+    const std::string *id = findField(request.head.fields, "Request-Id");
+    const std::string bytes =
+            absl::StrReplaceAll(reply.bytes, {{"{id}", id == nullptr ? "" : *id}});
+    error_code ignored;
+    boost::asio::write(connection->socket, boost::asio::buffer(bytes), ignored);
+    if (reply.then == Afterwards::Reset) {
+        connection->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+    if (reply.then == Afterwards::Reset || reply.then == Afterwards::Close) {
+        connection->socket.close(ignored);
+    }
+}
+
+Placing OrderedPlacement::place(const WorkItem &, const std::vector<PromptPart> &,
+                                const std::vector<EndpointId> &tried, Instant now)
+{
+    for (const Placed &placed : endpoints) {
+        if (std::find(tried.begin(), tried.end(), placed.endpoint) == tried.end()) {
+            return placed;
+        }
+    }
+    return Verdict{Execution::NotRun, Reason::NoEndpoint, "none is left", now};
+}
+
+TokenTicket CountingDesk::reserve(const WorkspaceId &, uint64_t tokens, Instant now,
+                                  std::function<void(std::optional<Verdict>)> handler)
+{
+    if (tokens > usable) {
+        handler(Verdict{Execution::NotRun, Reason::BudgetSpent, "spent", now});
+        return 0;
+    }
+    usable -= tokens;
+    reserved += tokens;
+    handler(std::nullopt);
+    return 0;
+}
+
+void CountingDesk::settle(const WorkspaceId &, uint64_t reservedTokens, uint64_t spentTokens)
+{
+    reserved -= reservedTokens;
+    usable += reservedTokens - spentTokens;
+    spent += spentTokens;
+    ++settled;
+}
+
+ProxyWorld::ProxyWorld(std::vector<std::vector<Reply>> scripts)
+    : config(makeConfig()), chart_(Statechart::parse(readShareFile("statecharts/exchange.json"))),
+      logFile_(std::tmpfile()),
+      log_({"test", HostId("h"), DomainId("d"), Incarnation("i")}, logFile_),
+      pool_(io, {}), context_{io,
+                              dialect,
+                              chart_,
+                              pool_,
+                              placement,
+                              desk,
+                              log_,
+                              metrics_,
+                              [this] { return ServingConfigPtr(config); },
+                              [this] {
+                                  return stopping;
+                              }},
+      caller_(io)
+{
+    for (std::size_t i = 0; i < scripts.size(); ++i) {
+        endpoints.push_back(std::make_unique<ScriptedEndpoint>(io, std::move(scripts[i])));
+        placement.endpoints.push_back(
+                {EndpointId(fmt::format("e{}", i)), endpoints[i]->address(), "order"});
+    }
+    tcp::acceptor acceptor(io, loopback());
+    caller_.connect(acceptor.local_endpoint());
+    connection_ = std::make_shared<CallerConnection>(
+            context_, acceptor.accept(), [](const std::shared_ptr<CallerConnection> &) {});
+    connection_->start();
+    readAsCaller();
+}
+
+ProxyWorld::~ProxyWorld()
+{
+    connection_->shutDown();
+    error_code ignored;
+    caller_.close(ignored);
+    endpoints.clear();
+    io.restart();
+    io.poll();
+    std::fclose(logFile_);
+}
+
+void ProxyWorld::send(const std::string &bytes)
+{
+    boost::asio::write(caller_, boost::asio::buffer(bytes));
+}
+
+void ProxyWorld::readAsCaller()
+{
+    caller_.async_read_some(boost::asio::buffer(buffer_),
+                            [this](const error_code &error, std::size_t bytes) {
+                                if (error) {
+                                    closed_ = true;
+                                    return;
+                                }
+                                got_.append(buffer_.data(), bytes);
+                                readAsCaller();
+                            });
+}
+
+bool ProxyWorld::waitUntil(const std::function<bool()> &condition)
+{
+    // Ends a run that has failed already; no verdict hangs on it.
+    const Instant limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > limit) {
+            return false;
+        }
+        io.restart();
+        io.run_one_for(std::chrono::milliseconds(50));
+    }
+    return true;
+}
+
+bool ProxyWorld::waitFor(const std::string &text)
+{
+    waitUntil([this, &text] { return closed_ || got_.find(text) != std::string::npos; });
+    return got_.find(text) != std::string::npos;
+}
+
+bool ProxyWorld::waitForClose()
+{
+    return waitUntil([this] { return closed_; });
+}
+
+void ProxyWorld::hangUp()
+{
+    error_code ignored;
+    caller_.close(ignored);
+    closed_ = true;
+}
+
+std::string ProxyWorld::request(const std::string &path, const std::string &id,
+                                const std::string &extra)
+{
+    return fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {}\r\n"
+                       "Deadline-Ms: 4000\r\nAuthorization: Token key\r\nToken-Count: 100,40\r\n"
+                       "{}Content-Length: 2\r\n\r\nhi",
+                       path, id, extra);
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/unittests/Proxy/ProxyWorld.h
@@ -0,0 +1,146 @@
+#ifndef SEQUOIAGATE_UNITTESTS_PROXY_PROXYWORLD_H
+#define SEQUOIAGATE_UNITTESTS_PROXY_PROXYWORLD_H
+
+/// One caller's connection and scripted endpoints on loopback, in one event loop: what the
+/// caller sees and what the endpoints were sent is all that the tests look at.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sequoiagate/Proxy/CallerConnection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "platform/PlatformDialect.h"
+#include "sequoiagate/Base/Statechart.h"
+
+namespace sequoiagate {
+
+/// What an endpoint does after its bytes.
+enum class Afterwards {
+    Keep,
+    Close,
+    Reset,
+    Hang, ///< it says nothing and keeps the connection
+};
+
+struct Reply
+{
+    std::string bytes; ///< "{id}" stands for the request's id
+    Afterwards then = Afterwards::Keep;
+};
+
+/// Answers each request with the next of its replies; "hangs" when they are used up.
+class ScriptedEndpoint
+{
+public:
+    ScriptedEndpoint(boost::asio::io_context &io, std::vector<Reply> replies);
+    ~ScriptedEndpoint();
+
+    boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    const std::vector<CallerRequest> &received() const { return received_; }
+    /// Connections whose other end has closed.
+    std::size_t closedByPeer() const { return closedByPeer_; }
+    /// Nobody listens here any more.
+    void stopListening() { acceptor_.close(); }
+
+private:
+    struct Connection;
+
+    void accept();
+    void read(const std::shared_ptr<Connection> &connection);
+    void answer(const std::shared_ptr<Connection> &connection);
+
+    boost::asio::io_context &io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::vector<Reply> replies_;
+    std::vector<CallerRequest> received_;
+    std::vector<std::shared_ptr<Connection>> connections_;
+    std::size_t closedByPeer_ = 0;
+};
+
+/// Sends requests to the endpoints in their order; each failed one is left out.
+class OrderedPlacement : public Placement
+{
+public:
+    Placing place(const WorkItem &item, const std::vector<PromptPart> &prompt,
+                  const std::vector<EndpointId> &tried, Instant now) override;
+    void onSent(const EndpointId &, const WorkItem &, Instant) override { ++sent; }
+    void onFirstToken(const EndpointId &, const RequestId &, Instant) override {}
+    void onEnd(const TryResult &, Instant) override { ++ended; }
+    void onMissing(const EndpointId &endpoint, Instant) override { missing.push_back(endpoint); }
+    bool mayRepeat(const ServiceId &, Instant) override { return repeatsLeft-- > 0; }
+    void onRequest(const ServiceId &, Instant) override {}
+
+    std::vector<Placed> endpoints;
+    std::vector<EndpointId> missing;
+    int repeatsLeft = 10;
+    int sent = 0;
+    int ended = 0;
+};
+
+/// Has as many tokens as it is told.
+class CountingDesk : public TokenDesk
+{
+public:
+    TokenTicket reserve(const WorkspaceId &, uint64_t tokens, Instant,
+                        std::function<void(std::optional<Verdict>)> handler) override;
+    void cancel(TokenTicket) override {}
+    void settle(const WorkspaceId &, uint64_t reservedTokens, uint64_t spentTokens) override;
+
+    uint64_t usable = 1'000'000;
+    uint64_t reserved = 0;
+    uint64_t spent = 0;
+    int settled = 0;
+};
+
+class ProxyWorld
+{
+public:
+    explicit ProxyWorld(std::vector<std::vector<Reply>> scripts);
+    ~ProxyWorld();
+
+    /// Writes \p bytes as the caller.
+    void send(const std::string &bytes);
+    /// Runs until the caller has got \p text, its connection has closed or nothing more
+    /// happens. \returns whether it got it.
+    bool waitFor(const std::string &text);
+    bool waitUntil(const std::function<bool()> &condition);
+    /// Runs until the caller's connection is closed.
+    bool waitForClose();
+    void hangUp();
+    const std::string &got() const { return got_; }
+    bool closed() const { return closed_; }
+
+    /// A request as a caller of the platform sends it.
+    static std::string request(const std::string &path, const std::string &id,
+                               const std::string &extra = "");
+
+    boost::asio::io_context io;
+    platform::PlatformDialect dialect;
+    std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
+    OrderedPlacement placement;
+    CountingDesk desk;
+    std::shared_ptr<ServingConfig> config;
+    bool stopping = false;
+
+private:
+    void readAsCaller();
+
+    Statechart chart_;
+    std::FILE *logFile_;
+    EventLog log_;
+    Metrics metrics_;
+    ConnectionPool pool_;
+    ProxyContext context_;
+    boost::asio::ip::tcp::socket caller_;
+    std::shared_ptr<CallerConnection> connection_;
+    std::array<char, 4096> buffer_;
+    std::string got_;
+    bool closed_ = false;
+};
+
+} // namespace sequoiagate
+
+#endif
