[Ledger] Hold tokens where they are asked for

Cause: when all hosts lose power what they hold is in doubt for good, and floors of two requests at each of nine hosts made that up to twenty seconds' demand of a small workspace.

--- a/include/sequoiagate/Ledger/AllotmentTable.h
+++ b/include/sequoiagate/Ledger/AllotmentTable.h
@@ -41,6 +41,8 @@
     void set(const AllotmentRow &row, uint64_t offset);
     /// Tokens that all holders together have or claim.
     uint64_t allotted(const WorkspaceId &workspace) const;
+    /// Tokens that all holders together have used at most, as their rows say.
+    uint64_t used(const WorkspaceId &workspace) const;
     std::optional<WrittenAllotment> of(const WorkspaceId &workspace,
                                        const Incarnation &holder) const;
 
@@ -51,6 +53,7 @@
     struct Division
     {
         uint64_t total = 0;
+        uint64_t used = 0;
         std::map<Incarnation, WrittenAllotment> holders;
     };
 
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -190,14 +190,14 @@
 
     Account *find(const WorkspaceId &workspace);
     const Account *find(const WorkspaceId &workspace) const;
-    uint64_t target(const Account &account, Instant now) const;
+    uint64_t target(const WorkspaceId &workspace, const Account &account, Instant now) const;
     uint64_t claimFor(const WorkspaceId &workspace, const Account &account, Instant now) const;
     void giveBack(Account &account, uint64_t tokens);
     static uint64_t used(const Account &account);
     bool inUse(const Account &account, Instant now) const;
     uint64_t mayUse(const Account &account, Instant now) const;
-    uint64_t windowOf(const Account &account, Instant now) const;
-    bool limitDue(const Account &account, Instant now) const;
+    uint64_t windowOf(const WorkspaceId &workspace, const Account &account, Instant now) const;
+    bool limitDue(const WorkspaceId &workspace, const Account &account, Instant now) const;
     void judge(const RowInFlight &flight);
     void settleFlight();
 
--- a/lib/Ledger/AllotmentTable.cpp
+++ b/lib/Ledger/AllotmentTable.cpp
@@ -12,6 +12,8 @@
     }
     division.total += row.tokens;
     division.total -= known.tokens;
+    division.used += row.usedAtMost;
+    division.used -= known.usedAtMost;
     known = {row.tokens, row.usedAtMost, offset};
 }
 
@@ -21,6 +23,12 @@
     return found == divisions_.end() ? 0 : found->second.total;
 }
 
+uint64_t AllotmentTable::used(const WorkspaceId &workspace) const
+{
+    const auto found = divisions_.find(workspace);
+    return found == divisions_.end() ? 0 : found->second.used;
+}
+
 std::optional<WrittenAllotment> AllotmentTable::of(const WorkspaceId &workspace,
                                                    const Incarnation &holder) const
 {
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -89,7 +89,8 @@
     return std::min(account.usable, left);
 }
 
-uint64_t TokenHolder::windowOf(const Account &account, Instant now) const
+uint64_t TokenHolder::windowOf(const WorkspaceId &workspace, const Account &account,
+                               Instant now) const
 {
     const uint64_t byDemand = account.demand.over(settings_.window, now);
     const uint64_t lent = now < account.askedUntil ? account.askedFor : 0;
@@ -97,7 +98,7 @@
     // one than usual does. Before the first one nobody knows its size.
     uint64_t next = 0;
     if (account.typical == 0) {
-        next = scaled(target(account, now), settings_.firstWindow);
+        next = scaled(target(workspace, account, now), settings_.firstWindow);
     } else if (inUse(account, now)) {
         next = account.typical + account.typical / 2;
     }
@@ -110,9 +111,9 @@
     return account.demand.over(settings_.demandMemory, now) > account.typical / 20;
 }
 
-bool TokenHolder::limitDue(const Account &account, Instant now) const
+bool TokenHolder::limitDue(const WorkspaceId &workspace, const Account &account, Instant now) const
 {
-    const uint64_t window = windowOf(account, now);
+    const uint64_t window = windowOf(workspace, account, now);
     const uint64_t already = used(account);
     // Without the store more was used than the last row says. A batch that didn't correct
     // it would vouch for a row that is wrong.
@@ -151,14 +152,17 @@
     }
 }
 
-uint64_t TokenHolder::target(const Account &account, Instant now) const
+uint64_t TokenHolder::target(const WorkspaceId &workspace, const Account &account,
+                             Instant now) const
 {
     const uint64_t byDemand = account.demand.over(settings_.horizon, now);
+    // Where the workspace is in use its next request needn't wait for the store.
+    const uint64_t next = inUse(account, now) ? account.typical : 0;
+    // Once it is in use anywhere, demand says where its tokens belong. Floors at all of the
+    // hosts added up to twenty seconds' demand of a small workspace, lost when all died.
     const uint64_t initial = scaled(account.prepaid, settings_.initialShare / holders_);
-    // Two requests of the usual size: with less, a quiet workspace's next request would
-    // wait for the store each time.
-    const uint64_t least = std::max(initial, 2 * account.typical);
-    return std::max(byDemand, least);
+    const bool isNew = table_.used(workspace) < scaled(account.prepaid, settings_.initialShare);
+    return std::max({byDemand, next, isNew ? initial : 0});
 }
 
 uint64_t TokenHolder::unallotted(const WorkspaceId &workspace) const
@@ -174,7 +178,7 @@
 uint64_t TokenHolder::claimFor(const WorkspaceId &workspace, const Account &account,
                                Instant now) const
 {
-    const uint64_t wanted = std::max(target(account, now), account.shortOf);
+    const uint64_t wanted = std::max(target(workspace, account, now), account.shortOf);
     const bool isShort = account.usable < account.shortOf;
     if (!isShort && account.usable >= scaled(wanted, settings_.refillBelow)) {
         return 0;
@@ -210,19 +214,19 @@
     for (auto &[workspace, account] : accounts_) {
         account.lowered = account.lowered && table_.allotted(workspace) > account.prepaid;
         if (!stopping_) {
-            const uint64_t wanted = target(account, now);
+            const uint64_t wanted = target(workspace, account, now);
             if (account.usable > scaled(wanted, settings_.returnAbove)) {
                 giveBack(account, account.usable - wanted);
             }
         }
         const uint64_t claim = stopping_ ? 0 : claimFor(workspace, account, now);
         account.flightLimit = account.writtenLimit;
-        if (claim == 0 && !account.correct && !limitDue(account, now)) {
+        if (claim == 0 && !account.correct && !limitDue(workspace, account, now)) {
             continue;
         }
         account.correct = false;
         const uint64_t total = account.owned + claim;
-        account.flightLimit = std::min(total, used(account) + windowOf(account, now));
+        account.flightLimit = std::min(total, used(account) + windowOf(workspace, account, now));
         const AllotmentRow row{workspace, self_, total, account.flightLimit};
         flight.rows.push_back({row, claim});
         rows.push_back(row);
