--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -42,7 +42,7 @@
 {
     /// Demand to hold tokens for. Outages of the store of 7 to 9 s came twice a minute in
     /// the days the design is for; less refuses in them, more is lost with a dead process.
-    Interval horizon = std::chrono::seconds(11);
+    Interval horizon = std::chrono::seconds(9);
     /// Without a batch for so long, what the last one says no longer bounds the holder. Longer
     /// than a killed process takes to be started again (up to 1.6 s) and a batch is old then.
     Interval silence = std::chrono::milliseconds(2400);
