--- /dev/null
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -0,0 +1,132 @@
+/// Which endpoints are used, as entries come, change, lapse and go.
+
+#include <gtest/gtest.h>
+
+#include "sequoiagate/Edge/EndpointDirectory.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+EndpointEntry entry(const std::string &id, bool draining = false, uint64_t startedAt = 1)
+{
+    EndpointEntry made;
+    made.id = EndpointId(id);
+    made.service = ServiceId("s");
+    made.domain = DomainId("d");
+    made.address = "127.0.0.1:9";
+    made.slots = 4;
+    made.draining = draining;
+    made.startedAtMillis = startedAt;
+    return made;
+}
+
+class Directory : public testing::Test
+{
+protected:
+    Directory()
+        : file_(std::tmpfile()),
+          log_({"test", HostId("h"), DomainId("d"), Incarnation("i")}, file_),
+          directory_(DomainId("d"), {}, log_)
+    {
+        directory_.setStoreReachable(true, now_);
+        now_ += std::chrono::minutes(1);
+    }
+    ~Directory() override { std::fclose(file_); }
+
+    /// The endpoint that a request is sent to; empty if it is refused.
+    std::string placed(const std::vector<EndpointId> &tried = {})
+    {
+        WorkItem item;
+        item.request = RequestId("r");
+        item.service = ServiceId("s");
+        item.arrivedAt = now_;
+        item.deadline = now_ + std::chrono::seconds(1);
+        const Placing placing = directory_.place(item, {}, tried, now_);
+        const auto *found = std::get_if<Placed>(&placing);
+        return found == nullptr ? std::string() : found->endpoint.text();
+    }
+
+    Instant now_{std::chrono::hours(1)};
+    std::FILE *file_;
+    EventLog log_;
+    EndpointDirectory directory_;
+};
+
+TEST_F(Directory, LeavingEndpointGetsNothingNew)
+{
+    directory_.update(entry("a"), now_);
+    EXPECT_EQ(placed(), "a");
+    directory_.update(entry("a", true), now_);
+    EXPECT_EQ(placed(), "");
+}
+
+TEST_F(Directory, RemovedEndpointGetsNothingNew)
+{
+    directory_.update(entry("a"), now_);
+    directory_.remove(EndpointId("a"), now_);
+    EXPECT_EQ(placed(), "");
+}
+
+// Every request is refused though all endpoints live: the store was away, their entries
+// lapsed meanwhile, and on its return they are listed as gone until they write again.
+TEST_F(Directory, EntryThatLapsedWithTheStoreAwayStaysInUseUntilItIsDueBack)
+{
+    directory_.update(entry("a"), now_);
+    directory_.setStoreReachable(false, now_);
+    now_ += std::chrono::seconds(5);
+    directory_.setStoreReachable(true, now_);
+    directory_.keepOnly({}, now_);
+    EXPECT_EQ(placed(), "a");
+    now_ += std::chrono::seconds(1);
+    directory_.update(entry("a"), now_);
+    now_ += std::chrono::seconds(10);
+    directory_.tick(now_);
+    EXPECT_EQ(placed(), "a");
+}
+
+// A leaving endpoint gets new work for good: it left while the store was away, and its
+// missing entry is taken for a lapsed one.
+TEST_F(Directory, EntryThatIsStillMissingAfterThatIsGone)
+{
+    directory_.update(entry("a"), now_);
+    directory_.setStoreReachable(false, now_);
+    now_ += std::chrono::seconds(5);
+    directory_.setStoreReachable(true, now_);
+    directory_.keepOnly({}, now_);
+    now_ += EndpointDirectory::LapseGrace;
+    directory_.tick(now_);
+    EXPECT_EQ(placed(), "");
+}
+
+TEST_F(Directory, UnreachableOneIsLeftOutForAWhile)
+{
+    directory_.update(entry("a"), now_);
+    directory_.update(entry("b"), now_);
+    directory_.onMissing(EndpointId("a"), now_);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(placed(), "b");
+    }
+    // Where nothing else is left it is tried all the same.
+    EXPECT_EQ(placed({EndpointId("b")}), "a");
+}
+
+TEST_F(Directory, RestartedOneIsUsedAtOnce)
+{
+    directory_.update(entry("a"), now_);
+    directory_.update(entry("b"), now_);
+    directory_.onMissing(EndpointId("a"), now_);
+    directory_.update(entry("a", false, 2), now_);
+    EXPECT_EQ(placed({EndpointId("b")}), "a");
+}
+
+TEST(SharedPrompt, IsAllPartsButTheLast)
+{
+    const uint64_t both = sharedPromptHash({{1, 10}, {2, 10}, {3, 10}});
+    EXPECT_EQ(both, sharedPromptHash({{1, 10}, {2, 10}, {9, 10}}));
+    EXPECT_NE(both, sharedPromptHash({{2, 10}, {1, 10}, {3, 10}}));
+    EXPECT_EQ(sharedPromptHash({{1, 10}}), 0U);
+    EXPECT_EQ(sharedPromptHash({}), 0U);
+}
+
+} // namespace
--- /dev/null
+++ b/unittests/PlatformAdapter/RowsTest.cpp
@@ -0,0 +1,227 @@
+/// The platform's rows and the store's answers: what is read of them, and that a bad one is
+/// refused by name and harms nothing else.
+
+#include <absl/strings/escaping.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "platform/PlatformRows.h"
+#include "platform/PlatformStore.h"
+#include "sequoiagate/Edge/EdgeAdapter.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+const std::string GoodConfig = R"({"version":7,"new-field":1,"routes":[
+ {"name":"r1","host":"H.example","path-prefix":"/a/","type":"streaming","timeout-ms":5000.0,
+  "slo-ms":800,"priority":1,"split":[{"backend":"s1","weight":90},{"backend":"s2","weight":10}],
+  "max-attempts":2,"public":false,"sticky":true,"resumable":true,"gap-target-ms":300},
+ {"name":"r2","host":"h.example","path-prefix":"/a/b/","type":"idempotent","timeout-ms":100,
+  "slo-ms":50,"priority":0,"backend":"s2","max-attempts":1,"public":true}],
+ "backends":[{"name":"s1","health-path":"/h","max-conns":370,"engine":{"stride":4}},
+             {"name":"s2","max-conns":10}],
+ "limits":{"max-header-bytes":100,"max-body-bytes":200,"header-timeout-ms":3,"idle-timeout-ms":4},
+ "tenants":[{"name":"w","api-keys":["k1","k2"],"priority":3,"prepaid":99}]})";
+
+TEST(ConfigRow, IsDecoded)
+{
+    const ServingConfigPtr config = platform::decodeConfig(GoodConfig);
+    EXPECT_EQ(config->version, 7U);
+    const Route *route = config->route("h.EXAMPLE:80", "/a/x?y=/b/");
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->name, "r1");
+    EXPECT_EQ(route->kind, RouteKind::Stream);
+    EXPECT_EQ(route->services.size(), 2U);
+    EXPECT_EQ(route->timeout, std::chrono::seconds(5));
+    EXPECT_TRUE(route->resumable);
+    EXPECT_TRUE(route->needsKey);
+    EXPECT_EQ(config->route("h.example", "/a/b/c")->name, "r2");
+    EXPECT_EQ(config->route("h.example", "/ab/c"), nullptr);
+    EXPECT_EQ(config->route("other", "/a/b/c"), nullptr);
+    EXPECT_EQ(config->service(ServiceId("s1"))->tokensPerEvent, 4U);
+    EXPECT_FALSE(config->service(ServiceId("s2"))->engine);
+    ASSERT_NE(config->workspaceOfKey("k2"), nullptr);
+    EXPECT_EQ(config->workspaceOfKey("k2")->prepaidTokens, 99U);
+    EXPECT_EQ(config->workspaceOfKey("k3"), nullptr);
+    EXPECT_EQ(config->limits.bodyBytes, 200U);
+}
+
+struct BadRow
+{
+    const char *name;
+    std::string value;
+    const char *names; ///< what the error names
+};
+
+class BadConfig : public testing::TestWithParam<BadRow>
+{};
+
+const BadRow BadConfigs[] = {
+        {"Empty", "", "JSON"},
+        {"CutOff", R"({"version":7,"routes":[)", "JSON"},
+        {"NotAnObject", "[1]", "JSON"},
+        {"WithoutVersion", R"({"routes":[]})", "version"},
+        {"VersionIsText", R"({"version":"7"})", "version"},
+        {"NegativeVersion", R"({"version":-7})", "version"},
+        {"RoutesArentAList", R"({"version":7,"routes":{}})", "routes"},
+        {"UnknownKind",
+         R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/","type":"x","backend":"s"}]})",
+         "type"},
+        {"RouteWithoutService",
+         R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/","type":"streaming"}]})",
+         "backend"},
+};
+
+TEST_P(BadConfig, IsRefusedByTheNameOfItsField)
+{
+    try {
+        platform::decodeConfig(GetParam().value);
+        FAIL() << "was taken";
+    } catch (const DecodeError &error) {
+        EXPECT_NE(std::string(error.what()).find(GetParam().names), std::string::npos)
+                << error.what();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, BadConfig, testing::ValuesIn(BadConfigs),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+const std::string GoodEndpoint =
+        R"({"backend":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":5})";
+
+TEST(EndpointRow, IsDecoded)
+{
+    const EndpointEntry entry = platform::decodeEndpoint("i-1", GoodEndpoint);
+    EXPECT_EQ(entry.id, EndpointId("i-1"));
+    EXPECT_EQ(entry.service, ServiceId("s"));
+    EXPECT_EQ(entry.domain, DomainId("z"));
+    EXPECT_EQ(entry.slots, 6U);
+    EXPECT_FALSE(entry.draining);
+    EXPECT_EQ(entry.startedAtMillis, 5U);
+}
+
+class BadEndpoint : public testing::TestWithParam<BadRow>
+{};
+
+const BadRow BadEndpoints[] = {
+        {"Bytes", std::string("\x00\xff\x80", 3), "JSON"},
+        {"WithoutService", R"({"address":"a","zone":"z","slots":6,"state":"ready"})", "backend"},
+        {"AddressIsNumber", R"({"backend":"s","address":1,"zone":"z","slots":6,"state":"ready"})",
+         "address"},
+        {"SlotsAreText", R"({"backend":"s","address":"a","zone":"z","slots":"6","state":"ready"})",
+         "slots"},
+        {"UnknownState", R"({"backend":"s","address":"a","zone":"z","slots":6,"state":"odd"})",
+         "state"},
+        {"WithoutState", R"({"backend":"s","address":"a","zone":"z","slots":6})", "state"},
+};
+
+TEST_P(BadEndpoint, NamesNoEndpoint)
+{
+    try {
+        platform::decodeEndpoint("i", GetParam().value);
+        FAIL() << "was taken";
+    } catch (const DecodeError &error) {
+        EXPECT_NE(std::string(error.what()).find(GetParam().names), std::string::npos)
+                << error.what();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, BadEndpoint, testing::ValuesIn(BadEndpoints),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+// ---- the store's answers ----
+
+std::string tailBody(const std::string &records)
+{
+    return std::string(16, '\0') + records;
+}
+
+TEST(StoreAnswer, RowsAreReadBackAsWritten)
+{
+    const std::string records = platform::encodeRows({{"k", "value", 0}, {"gone", "", 0}});
+    const TailAnswer answer = platform::decodeTail(200, tailBody(records), 40);
+    ASSERT_EQ(answer.rows.size(), 2U);
+    EXPECT_EQ(answer.rows[0].key, "k");
+    EXPECT_EQ(answer.rows[0].value, "value");
+    EXPECT_EQ(answer.rows[0].offset, 40U);
+    EXPECT_TRUE(answer.rows[1].value.empty());
+    EXPECT_EQ(answer.next, 42U);
+}
+
+TEST(StoreAnswer, RecordCutOffInTheMiddleIsReadAgainNextTime)
+{
+    std::string records = platform::encodeRows({{"a", "1", 0}, {"b", "22", 0}});
+    records.pop_back();
+    const TailAnswer answer = platform::decodeTail(200, tailBody(records), 7);
+    EXPECT_EQ(answer.rows.size(), 1U);
+    EXPECT_EQ(answer.next, 8U);
+}
+
+TEST(StoreAnswer, RecordThatIsNoRowIsPassedOver)
+{
+    // Two bytes, of which the first claims a key of nine.
+    const std::string odd("\x00\x00\x00\x02\x09z", 6);
+    const std::string records = odd + platform::encodeRows({{"b", "2", 0}});
+    const TailAnswer answer = platform::decodeTail(200, tailBody(records), 7);
+    ASSERT_EQ(answer.rows.size(), 1U);
+    EXPECT_EQ(answer.rows[0].offset, 8U);
+    EXPECT_EQ(answer.next, 9U);
+}
+
+struct StatusCase
+{
+    const char *name;
+    int status;
+    std::string body;
+    StoreOutcome tail;
+    StoreOutcome append;
+};
+
+class StoreStatus : public testing::TestWithParam<StatusCase>
+{};
+
+const StatusCase StatusCases[] = {
+        {"NoAnswer", 0, "", StoreOutcome::Unreachable, StoreOutcome::Unreachable},
+        {"Fenced", 409, R"({"reason":"fenced"})", StoreOutcome::Rejected, StoreOutcome::Rejected},
+        {"Sequence", 409, R"({"reason":"seq","seq":4})", StoreOutcome::Rejected,
+         StoreOutcome::OutOfOrder},
+        {"Gone", 410, R"({"first":9})", StoreOutcome::Gone, StoreOutcome::Gone},
+        {"Moved", 412, R"({"end":9})", StoreOutcome::Refused, StoreOutcome::Refused},
+        {"TooMany", 429, "", StoreOutcome::Refused, StoreOutcome::Refused},
+        {"Busy", 503, "not json", StoreOutcome::Refused, StoreOutcome::Refused},
+        {"Full", 507, "", StoreOutcome::Refused, StoreOutcome::Refused},
+        {"Forbidden", 403, "", StoreOutcome::Rejected, StoreOutcome::Rejected},
+};
+
+TEST_P(StoreStatus, IsToldAsAnOutcome)
+{
+    const StatusCase &row = GetParam();
+    EXPECT_EQ(platform::decodeTail(row.status, row.body, 5).outcome, row.tail);
+    EXPECT_EQ(platform::decodeTail(row.status, row.body, 5).next, 5U);
+    EXPECT_EQ(platform::decodeAppend(row.status, row.body, 1).outcome, row.append);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, StoreStatus, testing::ValuesIn(StatusCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+TEST(StoreAnswer, AppendTellsWhereItsRowsEnd)
+{
+    EXPECT_EQ(platform::decodeAppend(200, R"({"offset":8,"end":20})", 2).end, 10U);
+    EXPECT_EQ(platform::decodeAppend(409, R"({"reason":"seq","seq":4})", 2).expectedSeq, 4U);
+}
+
+TEST(StoreAnswer, SnapshotPage)
+{
+    const std::string body = R"({"items":[{"key":"k","value":")" + absl::Base64Escape("v1")
+                             + R"(","offset":4}],"has-more":true,"end":6})";
+    const SnapshotAnswer answer = platform::decodeSnapshot(200, body);
+    ASSERT_EQ(answer.rows.size(), 1U);
+    EXPECT_EQ(answer.rows[0].value, "v1");
+    EXPECT_TRUE(answer.more);
+    EXPECT_EQ(answer.end, 6U);
+    EXPECT_EQ(platform::decodeSnapshot(200, "{\"items\":").outcome, StoreOutcome::Unreachable);
+    EXPECT_EQ(platform::decodeSnapshot(404, "").outcome, StoreOutcome::Ok);
+}
+
+} // namespace
--- /dev/null
+++ b/unittests/Store/TopicFollowerTest.cpp
@@ -0,0 +1,159 @@
+/// A follower of a store that forgets, refuses, goes silent and answers with old pages.
+
+#include <deque>
+#include <map>
+
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include "sequoiagate/Store/TopicFollower.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+/// Answers reads from scripts, in their order; past their end it is silent.
+class ScriptedStore : public Store
+{
+public:
+    explicit ScriptedStore(boost::asio::io_context &io) : io_(io) {}
+
+    void tail(const std::string &, uint64_t from, Interval,
+              std::function<void(TailAnswer)> handler) override
+    {
+        calls.push_back("tail " + std::to_string(from));
+        answer(tails, std::move(handler));
+    }
+    void snapshot(const std::string &, const std::string &after,
+                  std::function<void(SnapshotAnswer)> handler) override
+    {
+        calls.push_back("snapshot " + after);
+        answer(snapshots, std::move(handler));
+    }
+    void append(const StoreBatch &, std::function<void(AppendAnswer)>) override {}
+
+    std::deque<TailAnswer> tails;
+    std::deque<SnapshotAnswer> snapshots;
+    std::vector<std::string> calls;
+
+private:
+    template <typename Answer>
+    void answer(std::deque<Answer> &script, std::function<void(Answer)> handler)
+    {
+        if (script.empty()) {
+            return;
+        }
+        boost::asio::post(io_, [next = script.front(), handler] { handler(next); });
+        script.pop_front();
+    }
+
+    boost::asio::io_context &io_;
+};
+
+StoreRow row(const std::string &key, const std::string &value, uint64_t offset)
+{
+    return {key, value, offset};
+}
+
+struct FollowCase
+{
+    const char *name;
+    std::deque<SnapshotAnswer> snapshots;
+    std::deque<TailAnswer> tails;
+    std::vector<std::string> calls;
+    std::map<std::string, std::string> known; ///< at the end, as a handler would keep it
+};
+
+class Following : public testing::TestWithParam<FollowCase>
+{};
+
+const SnapshotAnswer First{StoreOutcome::Ok, {row("a", "1", 3)}, false, 4};
+
+const FollowCase FollowCases[] = {
+        {"SnapshotThenTail",
+         {First},
+         {{StoreOutcome::Ok, {row("b", "2", 4)}, 5}},
+         {"snapshot ", "tail 4", "tail 5"},
+         {{"a", "1"}, {"b", "2"}}},
+        {"PagesUntilTheLast",
+         {{StoreOutcome::Ok, {row("a", "1", 0)}, true, 9},
+          {StoreOutcome::Ok, {row("b", "2", 8)}, false, 12}},
+         {},
+         // From the first page's end: what changed while the pages were read comes again.
+         {"snapshot ", "snapshot a", "tail 9"},
+         {{"a", "1"}, {"b", "2"}}},
+        {"EmptyTopic", {{StoreOutcome::Ok, {}, false, 0}}, {}, {"snapshot ", "tail 0"}, {}},
+        {"ForgottenRowsAreMadeUp",
+         {First, {StoreOutcome::Ok, {row("a", "7", 90)}, false, 91}},
+         {{StoreOutcome::Gone, {}, 4}},
+         {"snapshot ", "tail 4", "snapshot ", "tail 91"},
+         {{"a", "7"}}},
+        // News that came while the connection was silent would be missed.
+        {"UnansweredReadIsMadeUp",
+         {First, {StoreOutcome::Ok, {row("a", "7", 9)}, false, 10}},
+         {{StoreOutcome::Unreachable, {}, 4}},
+         {"snapshot ", "tail 4", "snapshot ", "tail 10"},
+         {{"a", "7"}}},
+        {"RefusedReadGoesOnWhereItWas",
+         {First},
+         {{StoreOutcome::Refused, {}, 4}, {StoreOutcome::Ok, {row("b", "2", 4)}, 5}},
+         {"snapshot ", "tail 4", "tail 4", "tail 5"},
+         {{"a", "1"}, {"b", "2"}}},
+        // A configuration that is in force would be taken back by a page from before it.
+        {"OldPageIsIgnored",
+         {First, {StoreOutcome::Ok, {row("a", "old", 1)}, false, 2}},
+         {{StoreOutcome::Ok, {row("a", "new", 4)}, 5}, {StoreOutcome::Unreachable, {}, 5}},
+         {"snapshot ", "tail 4", "tail 5", "snapshot ", "tail 5"},
+         {{"a", "new"}}},
+};
+
+TEST_P(Following, EndsWithTheNewestRows)
+{
+    const FollowCase &script = GetParam();
+    boost::asio::io_context io;
+    ScriptedStore store(io);
+    store.snapshots = script.snapshots;
+    store.tails = script.tails;
+    std::map<std::string, std::string> known;
+    FollowerSettings settings;
+    settings.topic = "t";
+    settings.backoff = std::chrono::milliseconds(1);
+    TopicFollower follower(io, store, settings,
+                           {[&known](const std::vector<StoreRow> &rows, bool) {
+                                for (const StoreRow &read : rows) {
+                                    known[read.key] = read.value;
+                                }
+                            },
+                            [](uint64_t) {},
+                            [](bool, StoreOutcome) {
+                            }});
+    follower.start();
+    io.run();
+    EXPECT_EQ(store.calls, script.calls);
+    EXPECT_EQ(known, script.known);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, Following, testing::ValuesIn(FollowCases),
+                         [](const auto &script) { return std::string(script.param.name); });
+
+TEST(TopicFollower, TellsWhenTheStoreIsLostAndBack)
+{
+    boost::asio::io_context io;
+    ScriptedStore store(io);
+    store.snapshots = {First, First};
+    store.tails = {{StoreOutcome::Unreachable, {}, 4}, {StoreOutcome::Refused, {}, 4}};
+    std::vector<bool> told;
+    FollowerSettings settings;
+    settings.topic = "t";
+    settings.backoff = std::chrono::milliseconds(1);
+    TopicFollower follower(io, store, settings,
+                           {[](const std::vector<StoreRow> &, bool) {}, [](uint64_t) {},
+                            [&told](bool reachable, StoreOutcome) {
+                                told.push_back(reachable);
+                            }});
+    follower.start();
+    io.run();
+    EXPECT_EQ(told, (std::vector<bool>{true, false, true, false}));
+}
+
+} // namespace
