--- /dev/null
+++ b/test/Edge/EdgeTest.cpp
@@ -0,0 +1,289 @@
+/// The edge as a process of its own, before stand-ins of the platform's store and of
+/// endpoints.
+
+#include <csignal>
+#include <unistd.h>
+
+#include <memory>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "test/Support/PlatformStandin.h"
+#include "test/Support/Process.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+constexpr const char *OwnTopic = "keyed.sequoiagate";
+constexpr int CallerPort = 8740;
+constexpr int ReadyPort = 8741;
+constexpr int PeerPort = 8742;
+constexpr int MetricsPort = 8743;
+
+/// Loopback addresses of this test process alone, so that ports needn't be found.
+std::string ip(int host)
+{
+    const int id = static_cast<int>(::getpid());
+    return fmt::format("127.{}.{}.{}", 1 + (id >> 8) % 250, id % 250, host);
+}
+
+std::string configRow(uint64_t version, uint64_t prepaid)
+{
+    return nlohmann::json(
+                   {{"version", version},
+                    {"routes",
+                     {{{"name", "once"},
+                       {"host", "h.example"},
+                       {"path-prefix", "/once/"},
+                       {"type", "non_idempotent"},
+                       {"timeout-ms", 20000},
+                       {"slo-ms", 5000},
+                       {"priority", 0},
+                       {"backend", "s"},
+                       {"max-attempts", 1}}}},
+                    {"backends",
+                     {{{"name", "s"}, {"max-conns", 100}, {"engine", {{"stride", 1}}}}}},
+                    {"limits", nlohmann::json::object()},
+                    {"tenants", {{{"name", "w"}, {"api-keys", {"key"}}, {"prepaid", prepaid}}}}})
+            .dump();
+}
+
+class EdgeProcess : public testing::Test
+{
+protected:
+    EdgeProcess() : store_(ip(200)), endpoint_(ip(201), "e-1")
+    {
+        store_.put("keyed.op", "config", configRow(1, 100'000));
+        list(endpoint_, "ready");
+    }
+
+    void list(const EndpointStandin &endpoint, const std::string &state)
+    {
+        store_.put("keyed.servers", endpoint.id(),
+                   nlohmann::json({{"backend", "s"},
+                                   {"address", endpoint.address()},
+                                   {"zone", "d1"},
+                                   {"slots", 8},
+                                   {"state", state},
+                                   {"born", 1}})
+                           .dump());
+    }
+
+    nlohmann::json settings(int host) const
+    {
+        return {{"host", fmt::format("h{}", host)},
+                {"domain", "d1"},
+                {"listen", fmt::format("{}:{}", ip(host), CallerPort)},
+                {"listen_ready", fmt::format("{}:{}", ip(host), ReadyPort)},
+                {"listen_peers", fmt::format("{}:{}", ip(host), PeerPort)},
+                {"listen_metrics", fmt::format("{}:{}", ip(host), MetricsPort)},
+                {"store", store_.address()},
+                {"ready_grace_ms", 100}};
+    }
+
+    std::unique_ptr<Process> start(int host, const std::string &name)
+    {
+        auto process = std::make_unique<Process>(scratch_, "sequoia-edge", name, settings(host));
+        process->waitFor("config.in_force");
+        process->waitFor("endpoint.listed");
+        return process;
+    }
+
+    static httplib::Result post(int host, const std::string &id, uint64_t tokens,
+                                const std::string &key = "key")
+    {
+        httplib::Client client(ip(host), CallerPort);
+        client.set_read_timeout(std::chrono::seconds(60));
+        const httplib::Headers headers = {{"Host", "h.example"},
+                                          {"Request-Id", id},
+                                          {"Authorization", "Token " + key},
+                                          {"Deadline-Ms", "20000"},
+                                          {"Token-Count", fmt::format("{},0", tokens)}};
+        return client.Post("/once/a", headers, "body", "text/plain");
+    }
+
+    static int status(const httplib::Result &result) { return result ? result->status : 0; }
+
+    /// Asks until the answer is \p wanted; the limit ends a run that has failed already.
+    static bool eventually(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 600; ++i) {
+            if (condition()) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+        return false;
+    }
+
+    /// Tokens that the store's rows give to holders.
+    uint64_t allotted()
+    {
+        uint64_t total = 0;
+        for (const auto &[key, value] : store_.newest(OwnTopic)) {
+            total += key.rfind("budget/", 0) == 0 ? std::stoull(value) : 0;
+        }
+        return total;
+    }
+
+    ScratchFolder scratch_;
+    StoreStandin store_;
+    EndpointStandin endpoint_;
+};
+
+TEST_F(EdgeProcess, ServesAndRefuses)
+{
+    const auto edge = start(1, "edge");
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+    EXPECT_EQ(post(1, "r2", 100)->body, "e-1 ran /once/a");
+    EXPECT_EQ(status(post(1, "r3", 100, "other")), 401);
+    EXPECT_EQ(status(post(1, "r4", 1'000'000)), 402);
+    httplib::Client metrics(ip(1), MetricsPort);
+    const auto page = metrics.Get("/metrics");
+    ASSERT_TRUE(page);
+    EXPECT_NE(page->body.find("proxy_requests_total{outcome=\"answered\"}"), std::string::npos);
+    httplib::Client ready(ip(1), ReadyPort);
+    EXPECT_EQ(ready.Get("/-/ready")->status, 200);
+}
+
+// A booking that is in progress is lost when its host is stopped as planned. It ends whole,
+// the balancer is told first, and the tokens that nobody used can be had by others.
+TEST_F(EdgeProcess, PlannedStopCutsNothingOff)
+{
+    const auto edge = start(1, "edge");
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+    endpoint_.hold(true);
+    const int before = endpoint_.runs();
+    int answer = 0;
+    std::thread caller([&answer] { answer = status(post(1, "r2", 100)); });
+    EXPECT_TRUE(eventually([this, before] { return endpoint_.runs() == before + 1; }));
+    edge->signal(SIGTERM);
+    edge->waitFor("process.draining");
+    httplib::Client ready(ip(1), ReadyPort);
+    EXPECT_EQ(ready.Get("/-/ready")->status, 503);
+    endpoint_.hold(false);
+    caller.join();
+    EXPECT_EQ(answer, 200);
+    EXPECT_EQ(edge->wait(), 0);
+    EXPECT_EQ(edge->waitFor("process.stopped").at("cut_off"), 0);
+    EXPECT_EQ(allotted(), 200U);
+}
+
+// A workspace is refused though nobody spent its tokens: they went with a killed process.
+TEST_F(EdgeProcess, NextProcessGivesBackWhatAKilledOneDidntUse)
+{
+    auto edge = start(1, "first");
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+    EXPECT_TRUE(eventually([this] { return allotted() > 0; }));
+    edge->kill();
+    edge = start(1, "second");
+    const nlohmann::json line = edge->waitFor("ledger.predecessor");
+    EXPECT_GE(line.at("silent_ms").get<int64_t>(), 0);
+}
+
+TEST_F(EdgeProcess, ServesOnWhileTheStoreIsAway)
+{
+    const auto edge = start(1, "edge");
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+    store_.setFault(StoreFault::Silent);
+    edge->waitFor("store.lost");
+    EXPECT_EQ(status(post(1, "r2", 100)), 200);
+    store_.setFault(StoreFault::None);
+    edge->waitFor("store.reachable");
+}
+
+// An answer of the store is lost and its batch is written again: the claim counts once.
+TEST_F(EdgeProcess, LostAnswersOfTheStoreClaimNothingTwice)
+{
+    store_.setFault(StoreFault::LoseAnswers);
+    const auto edge = start(1, "edge");
+    edge->waitFor("ledger.append_failed");
+    store_.setFault(StoreFault::None);
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+    EXPECT_LE(allotted(), 100'000U);
+}
+
+TEST_F(EdgeProcess, NewerConfigurationIsTakenAndAnOlderOneIsnt)
+{
+    const auto edge = start(1, "edge");
+    store_.put("keyed.op", "config", configRow(5, 100'000));
+    edge->waitFor("config.in_force", [](const auto &line) { return line.at("version") == 5; });
+    store_.put("keyed.op", "config", configRow(3, 1));
+    store_.put("keyed.op", "config", "{broken");
+    edge->waitFor("config.malformed");
+    EXPECT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+}
+
+TEST_F(EdgeProcess, ConfigurationOfAForgetfulStoreIsReadWhole)
+{
+    const auto edge = start(1, "edge");
+    store_.setFault(StoreFault::Silent);
+    edge->waitFor("store.lost");
+    store_.put("keyed.op", "config", configRow(8, 100'000));
+    store_.forget("keyed.op");
+    store_.setFault(StoreFault::None);
+    edge->waitFor("config.in_force", [](const auto &line) { return line.at("version") == 8; });
+}
+
+TEST_F(EdgeProcess, LeavingEndpointGetsNothingNew)
+{
+    EndpointStandin other(ip(202), "e-2");
+    list(other, "ready");
+    const auto edge = start(1, "edge");
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 10)) == 200; }));
+    list(endpoint_, "draining");
+    edge->waitFor("endpoint.changed");
+    const int runs = endpoint_.runs();
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(status(post(1, fmt::format("r{}", i + 2), 10)), 200);
+    }
+    EXPECT_EQ(endpoint_.runs(), runs);
+}
+
+// A request is refused though the next host has tokens to spare and the store is away.
+TEST_F(EdgeProcess, HostsHelpEachOtherWhileTheStoreIsAway)
+{
+    const auto first = start(1, "first");
+    const auto second = start(2, "second");
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 5'000)) == 200; }));
+    ASSERT_TRUE(eventually([] { return status(post(2, "r2", 5'000)) == 200; }));
+    store_.setFault(StoreFault::Silent);
+    first->waitFor("store.lost");
+    second->waitFor("store.lost");
+    EXPECT_TRUE(eventually([] { return status(post(1, "r3", 9'000)) == 200; }));
+    store_.setFault(StoreFault::None);
+}
+
+struct BadSettings
+{
+    const char *name;
+    const char *key;
+    nlohmann::json value;
+};
+
+class EdgeBadSettings : public EdgeProcess, public testing::WithParamInterface<BadSettings>
+{};
+
+const BadSettings BadSettingsRows[] = {{"UnknownKey", "hots", "h"},
+                                       {"WrongType", "stop_grace_ms", "8000"},
+                                       {"OutOfRange", "retry_ratio", 7},
+                                       {"AddressWithoutPort", "listen", "127.0.0.1"},
+                                       {"PortOutOfRange", "store", "127.0.0.1:99999"}};
+
+TEST_P(EdgeBadSettings, StopTheStartWithOneLine)
+{
+    nlohmann::json bad = settings(1);
+    bad[GetParam().key] = GetParam().value;
+    const std::string file = scratch_.write("bad.json", bad.dump());
+    const ProgramResult result = runProgram(scratch_, "sequoia-edge", {"--settings", file});
+    EXPECT_EQ(result.exitCode, 2);
+    EXPECT_NE(result.err.find(GetParam().key), std::string::npos) << result.err;
+    EXPECT_EQ(std::count(result.err.begin(), result.err.end(), '\n'), 1) << result.err;
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, EdgeBadSettings, testing::ValuesIn(BadSettingsRows),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+} // namespace
--- /dev/null
+++ b/test/Support/PlatformStandin.cpp
@@ -0,0 +1,222 @@
+#include "test/Support/PlatformStandin.h"
+
+#include <chrono>
+
+#include <absl/strings/escaping.h>
+#include <fmt/format.h>
+
+namespace sequoiagate {
+
+namespace {
+
+constexpr std::size_t StoreWorkers = 64; // a held read occupies one
+constexpr std::size_t EndpointWorkers = 32;
+
+std::string bigEndian(uint64_t number, int bytes)
+{
+    std::string text;
+    for (int i = bytes - 1; i >= 0; --i) {
+        text += static_cast<char>((number >> (8 * i)) & 0xFF);
+    }
+    return text;
+}
+
+uint64_t readBigEndian(const std::string &text, std::size_t at, std::size_t bytes)
+{
+    uint64_t number = 0;
+    for (std::size_t i = 0; i < bytes; ++i) {
+        number = (number << 8U) | static_cast<unsigned char>(text[at + i]);
+    }
+    return number;
+}
+
+uint64_t numberParam(const httplib::Request &request, const char *name)
+{
+    return request.has_param(name) ? std::stoull(request.get_param_value(name)) : 0;
+}
+
+} // namespace
+
+StoreStandin::StoreStandin(const std::string &ip) : http_(ip, 0, StoreWorkers)
+{
+    httplib::Server &server = http_.server();
+    server.Get("/-/log-read",
+               [this](const auto &request, auto &response) { read(request, response); });
+    server.Get("/-/log-newest",
+               [this](const auto &request, auto &response) { snapshot(request, response); });
+    server.Post("/-/log-append",
+                [this](const auto &request, auto &response) { append(request, response); });
+    http_.start();
+}
+
+StoreStandin::~StoreStandin()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_all();
+    http_.stop();
+}
+
+void StoreStandin::setFault(StoreFault fault)
+{
+    const std::lock_guard lock(mutex_);
+    fault_ = fault;
+    changed_.notify_all();
+}
+
+bool StoreStandin::admit(httplib::Response &response)
+{
+    std::unique_lock lock(mutex_);
+    if (fault_ == StoreFault::Refuse) {
+        response.status = 503;
+        return false;
+    }
+    changed_.wait(lock, [this] { return fault_ != StoreFault::Silent || stopping_; });
+    return !stopping_;
+}
+
+void StoreStandin::add(Topic &topic, const std::string &key, const std::string &value)
+{
+    if (value.empty()) {
+        topic.newest.erase(key);
+    } else {
+        topic.newest[key] = topic.records.size();
+    }
+    topic.records.push_back({key, value});
+}
+
+void StoreStandin::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(mutex_);
+    add(topics_[topic], key, value);
+    changed_.notify_all();
+}
+
+std::map<std::string, std::string> StoreStandin::newest(const std::string &topic)
+{
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, std::string> rows;
+    for (const auto &[key, offset] : topics_[topic].newest) {
+        rows[key] = topics_[topic].records[offset].value;
+    }
+    return rows;
+}
+
+void StoreStandin::forget(const std::string &topic)
+{
+    const std::lock_guard lock(mutex_);
+    topics_[topic].first = topics_[topic].records.size();
+    changed_.notify_all();
+}
+
+void StoreStandin::read(const httplib::Request &request, httplib::Response &response)
+{
+    if (!admit(response)) {
+        return;
+    }
+    const std::string name = request.get_param_value("topic");
+    const uint64_t from = numberParam(request, "from");
+    const std::chrono::milliseconds wait(numberParam(request, "wait-ms"));
+    std::unique_lock lock(mutex_);
+    Topic &topic = topics_[name];
+    changed_.wait_for(lock, wait, [&topic, from, this] {
+        return topic.records.size() > from || topic.first > from || stopping_;
+    });
+    if (from < topic.first) {
+        answerJson(response, {{"first", topic.first}}, 410);
+        return;
+    }
+    std::string body = bigEndian(topic.records.size(), 8) + bigEndian(topic.first, 8);
+    for (std::size_t i = from; i < topic.records.size(); ++i) {
+        const Record &record = topic.records[i];
+        const std::string content = bigEndian(record.key.size(), 1) + record.key + record.value;
+        body += bigEndian(content.size(), 4) + content;
+    }
+    response.set_content(body, "application/octet-stream");
+}
+
+void StoreStandin::snapshot(const httplib::Request &request, httplib::Response &response)
+{
+    if (!admit(response)) {
+        return;
+    }
+    const std::lock_guard lock(mutex_);
+    const Topic &topic = topics_[request.get_param_value("topic")];
+    nlohmann::json items = nlohmann::json::array();
+    for (const auto &[key, offset] : topic.newest) {
+        items.push_back({{"key", key},
+                         {"value", absl::Base64Escape(topic.records[offset].value)},
+                         {"offset", offset}});
+    }
+    answerJson(response, {{"items", items}, {"has-more", false}, {"end", topic.records.size()}});
+}
+
+void StoreStandin::append(const httplib::Request &request, httplib::Response &response)
+{
+    if (!admit(response)) {
+        return;
+    }
+    std::unique_lock lock(mutex_);
+    Topic &topic = topics_[request.get_param_value("topic")];
+    const uint64_t seq = numberParam(request, "seq");
+    const std::string writer = request.get_param_value("producer");
+    const auto known = writers_.find(writer);
+    const bool again = known != writers_.end() && known->second.first == seq;
+    if (known != writers_.end() && !again && seq != known->second.first + 1) {
+        answerJson(response, {{"reason", "seq"}, {"seq", known->second.first + 1}}, 409);
+        return;
+    }
+    if (!again) {
+        const std::size_t offset = topic.records.size();
+        for (std::size_t at = 0; at + 4 <= request.body.size();) {
+            const uint64_t length = readBigEndian(request.body, at, 4);
+            const uint64_t keyLength = readBigEndian(request.body, at + 4, 1);
+            add(topic, request.body.substr(at + 5, keyLength),
+                request.body.substr(at + 5 + keyLength, length - 1 - keyLength));
+            at += 4 + length;
+        }
+        const nlohmann::json answer = {{"offset", offset}, {"end", topic.records.size()}};
+        writers_[writer] = {seq, answer.dump()};
+        changed_.notify_all();
+    }
+    if (fault_ == StoreFault::LoseAnswers) {
+        changed_.wait(lock, [this] { return fault_ != StoreFault::LoseAnswers || stopping_; });
+    }
+    response.set_content(writers_[writer].second, "application/json");
+}
+
+EndpointStandin::EndpointStandin(const std::string &ip, std::string id)
+    : id_(std::move(id)), http_(ip, 0, EndpointWorkers)
+{
+    const auto handler = [this](const auto &request, auto &response) {
+        serve(request, response);
+    };
+    http_.server().Get(".*", handler);
+    http_.server().Post(".*", handler);
+    http_.start();
+}
+
+void EndpointStandin::hold(bool held)
+{
+    const std::lock_guard lock(mutex_);
+    held_ = held;
+    released_.notify_all();
+}
+
+void EndpointStandin::serve(const httplib::Request &request, httplib::Response &response)
+{
+    response.set_header("Request-Id", request.get_header_value("Request-Id"));
+    if (request.get_header_value("Expect-Instance") != id_) {
+        response.status = 421;
+        return;
+    }
+    ++runs_;
+    std::unique_lock lock(mutex_);
+    released_.wait(lock, [this] { return !held_; });
+    response.set_header("Response-Stamp", id_);
+    response.set_content(fmt::format("{} ran {}", id_, request.path), "text/plain");
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/test/Support/PlatformStandin.h
@@ -0,0 +1,99 @@
+#ifndef TEST_SUPPORT_PLATFORMSTANDIN_H
+#define TEST_SUPPORT_PLATFORMSTANDIN_H
+
+/// The users' platform, small: its store, and endpoints that speak its headers. Written
+/// from the protocol as the edge's adapter speaks it; docs/PlatformDesign.md says what of it
+/// is used.
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "sequoiagate/Standins/HttpStandin.h"
+
+namespace sequoiagate {
+
+/// How the store misbehaves.
+enum class StoreFault {
+    None,
+    Refuse,      ///< 503: nothing was done
+    LoseAnswers, ///< appends are done and never answered
+    Silent,      ///< no call is answered
+};
+
+/// A store of topics that keep the newest row of each key. Thread safe.
+class StoreStandin
+{
+public:
+    explicit StoreStandin(const std::string &ip);
+    ~StoreStandin();
+
+    const std::string &address() const { return http_.address(); }
+    /// Writes a row as the operator or an endpoint does; an empty value removes the key.
+    void put(const std::string &topic, const std::string &key, const std::string &value);
+    /// The newest value of each key.
+    std::map<std::string, std::string> newest(const std::string &topic);
+    /// Forgets the history of \p topic; the newest rows stay.
+    void forget(const std::string &topic);
+    void setFault(StoreFault fault);
+
+private:
+    struct Record
+    {
+        std::string key;
+        std::string value;
+    };
+
+    struct Topic
+    {
+        std::vector<Record> records;
+        std::size_t first = 0; ///< offset of the oldest that is kept
+        std::map<std::string, std::size_t> newest;
+    };
+
+    void read(const httplib::Request &request, httplib::Response &response);
+    void snapshot(const httplib::Request &request, httplib::Response &response);
+    void append(const httplib::Request &request, httplib::Response &response);
+    void add(Topic &topic, const std::string &key, const std::string &value);
+    /// Waits out a fault. \returns whether the call is to be served.
+    bool admit(httplib::Response &response);
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, Topic> topics_;
+    std::map<std::string, std::pair<uint64_t, std::string>> writers_; ///< last seq and answer
+    StoreFault fault_ = StoreFault::None;
+    bool stopping_ = false;
+    HttpStandin http_;
+};
+
+/// An endpoint that answers every request as it was told. Thread safe.
+class EndpointStandin
+{
+public:
+    EndpointStandin(const std::string &ip, std::string id);
+
+    const std::string &address() const { return http_.address(); }
+    const std::string &id() const { return id_; }
+    /// Requests that ran here.
+    int runs() const { return runs_; }
+    /// Holds answers back until released.
+    void hold(bool held);
+
+private:
+    void serve(const httplib::Request &request, httplib::Response &response);
+
+    std::string id_;
+    std::atomic<int> runs_{0};
+    std::mutex mutex_;
+    std::condition_variable released_;
+    bool held_ = false;
+    HttpStandin http_;
+};
+
+} // namespace sequoiagate
+
+#endif
--- a/test/Support/Process.cpp
+++ b/test/Support/Process.cpp
@@ -130,7 +130,8 @@
     : name_(name), logPath_(scratch.path(name + ".log"))
 {
     const std::string file = scratch.write(name + ".json", settings.dump(4));
-    id_ = spawn(program, {"--settings", file}, scratch.path(name + ".stdout"), logPath_);
+    // The edge logs on standard output, the others on standard error.
+    id_ = spawn(program, {"--settings", file}, logPath_, logPath_);
 }
 
 Process::~Process()
