--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -87,7 +87,6 @@
     void onAck(const nlohmann::json &message);
     void send(const std::string &text, const boost::asio::ip::udp::endpoint &to);
 
-    boost::asio::io_context &io_;
     boost::asio::ip::udp::socket socket_;
     Incarnation self_;
     DomainId domain_;
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -95,7 +95,6 @@
     void finishStop(Instant now);
     void report();
 
-    boost::asio::io_context &io_;
     Store &store_;
     TokenServiceSettings settings_;
     EventLog &log_;
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -53,6 +53,8 @@
     /// One sending to one endpoint.
     struct Attempt
     {
+        Attempt(EndpointId to, Instant at) : endpoint(std::move(to)), sentAt(at) {}
+
         std::shared_ptr<HttpConnection> connection;
         EndpointId endpoint;
         Instant sentAt;
--- a/include/sequoiagate/Store/TopicFollower.h
+++ b/include/sequoiagate/Store/TopicFollower.h
@@ -74,7 +74,6 @@
     void onFailure(StoreOutcome outcome);
     void noteAnswer();
 
-    boost::asio::io_context &io_;
     Store &store_;
     FollowerSettings settings_;
     Handlers handlers_;
--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -24,7 +24,7 @@
 
 PeerLink::PeerLink(boost::asio::io_context &io, const udp::endpoint &listen, Incarnation self,
                    DomainId domain, EventLog &log, Handlers handlers)
-    : io_(io), socket_(io, listen), self_(std::move(self)), domain_(std::move(domain)), log_(log),
+    : socket_(io, listen), self_(std::move(self)), domain_(std::move(domain)), log_(log),
       handlers_(std::move(handlers))
 {
     socket_.non_blocking(true);
--- a/lib/Edge/StatusServer.cpp
+++ b/lib/Edge/StatusServer.cpp
@@ -92,7 +92,7 @@
 } // namespace
 
 StatusServer::StatusServer(boost::asio::io_context &io, const tcp::endpoint &listen, Page page)
-    : io_(io), acceptor_(io, listen), page_(std::move(page))
+    : acceptor_(io, listen), page_(std::move(page))
 {
     accept();
 }
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -70,7 +70,7 @@
 /// A row made by budgetRow, or nullopt. A workspace's name may hold the separator.
 std::optional<AllotmentRow> parseBudget(const StoreRow &row)
 {
-    const std::string_view rest = std::string_view(row.key).substr(BudgetPrefix.size());
+    const std::string_view rest = std::string_view{row.key}.substr(BudgetPrefix.size());
     const std::size_t separator = rest.find(Separator);
     AllotmentRow parsed;
     std::string_view numbers = row.value;
@@ -101,7 +101,7 @@
 
 TokenService::TokenService(boost::asio::io_context &io, Store &store, TokenServiceSettings settings,
                            EventLog &log, Metrics &metrics)
-    : io_(io), store_(store), settings_(std::move(settings)), log_(log), metrics_(metrics),
+    : store_(store), settings_(std::move(settings)), log_(log), metrics_(metrics),
       holder_(settings_.incarnation, settings_.holder),
       peers_(io, settings_.listenPeers, settings_.incarnation, settings_.domain, log,
              {[this](const TokenAsk &ask) {
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -225,9 +225,7 @@
     tried_.push_back(placed.endpoint);
     ++sends_;
     ++possibleRuns_;
-    attempt_.emplace();
-    attempt_->endpoint = placed.endpoint;
-    attempt_->sentAt = now;
+    attempt_.emplace(placed.endpoint, now);
     const bool repeatable = route_->kind == RouteKind::Idempotent || route_->resumable;
     attempt_->connection = repeatable ? context_.pool.take(placed.address, now)
                                       : context_.pool.take(placed.address, FreshForOnce, now);
--- a/lib/Proxy/HttpMessage.cpp
+++ b/lib/Proxy/HttpMessage.cpp
@@ -118,7 +118,7 @@
     std::string text;
     text.reserve(512);
     const std::string_view reason =
-            head.reason.empty() ? reasonPhrase(head.status) : std::string_view(head.reason);
+            head.reason.empty() ? reasonPhrase(head.status) : std::string_view{head.reason};
     text += fmt::format("HTTP/1.1 {} {}\r\n", head.status, reason);
     appendFields(text, head.fields);
     if (framing == BodyFraming::Chunked) {
--- a/lib/Store/TopicFollower.cpp
+++ b/lib/Store/TopicFollower.cpp
@@ -6,8 +6,7 @@
 
 TopicFollower::TopicFollower(boost::asio::io_context &io, Store &store, FollowerSettings settings,
                              Handlers handlers)
-    : io_(io), store_(store), settings_(std::move(settings)), handlers_(std::move(handlers)),
-      timer_(io)
+    : store_(store), settings_(std::move(settings)), handlers_(std::move(handlers)), timer_(io)
 {}
 
 void TopicFollower::start()
--- a/unittests/Proxy/ProxyWorld.cpp
+++ b/unittests/Proxy/ProxyWorld.cpp
@@ -70,7 +70,7 @@
 };
 
 ScriptedEndpoint::ScriptedEndpoint(boost::asio::io_context &io, std::vector<Reply> replies)
-    : io_(io), acceptor_(io, loopback()), replies_(std::move(replies))
+    : acceptor_(io, loopback()), replies_(std::move(replies))
 {
     accept();
 }
--- a/unittests/Proxy/ProxyWorld.h
+++ b/unittests/Proxy/ProxyWorld.h
@@ -52,7 +52,6 @@
     void read(const std::shared_ptr<Connection> &connection);
     void answer(const std::shared_ptr<Connection> &connection);
 
-    boost::asio::io_context &io_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::vector<Reply> replies_;
     std::vector<CallerRequest> received_;
