--- a/include/sequoiagate/Service/Program.h
+++ b/include/sequoiagate/Service/Program.h
@@ -12,7 +12,7 @@
 
 namespace sequoiagate {
 
-/// Exit codes that all programs share; docs/Operations.md lists them.
+/// Exit codes that all programs share; docs/OPERATIONS.md lists them.
 enum ExitCode : int {
     ExitOk = 0,
     ExitFailure = 1,
--- a/lib/Store/TopicFollower.cpp
+++ b/lib/Store/TopicFollower.cpp
@@ -82,13 +82,11 @@
         told_ = true;
         handlers_.onReachable(false, outcome);
     }
-    // A read that got no answer may have been cut off together with news: what was
-    // missed is in the newest rows.
-    if (outcome != StoreOutcome::Refused) {
-        unanswered_ = true;
-        step_ = Step::Snapshot;
-        firstPage_ = true;
-    }
+    // The next read goes on where the last good one ended, so nothing that came meanwhile is
+    // missed; what was forgotten meanwhile is told as gone. Reading the newest rows instead
+    // cost a host with a tenth of a core 110 KB a try, none of which ended in time.
+    unanswered_ = outcome != StoreOutcome::Refused;
+    firstPage_ = step_ == Step::Snapshot || firstPage_;
     next(settings_.backoff);
 }
 
--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr std::size_t StoreWorkers = 64; // a held read occupies one
-constexpr std::size_t EndpointWorkers = 32;
+constexpr std::size_t EndpointWorkers = 128;
+constexpr std::chrono::milliseconds EventPause(10); // a quick engine's events
 
 std::string bigEndian(uint64_t number, int bytes)
 {
@@ -216,6 +217,20 @@
     std::unique_lock lock(mutex_);
     released_.wait(lock, [this] { return !held_; });
     response.set_header("Response-Stamp", id_);
+    if (request.has_header("X-Events")) {
+        const int events = std::stoi(request.get_header_value("X-Events"));
+        response.set_chunked_content_provider(
+                "text/event-stream", [events](std::size_t, httplib::DataSink &sink) {
+                    for (int i = 0; i < events; ++i) {
+                        const std::string event = fmt::format("id: {}\ndata: {:50}\n\n", i, "x");
+                        sink.write(event.data(), event.size());
+                        std::this_thread::sleep_for(EventPause);
+                    }
+                    sink.done();
+                    return true;
+                });
+        return;
+    }
     response.set_content(fmt::format("{} ran {}", id_, request.path), "text/plain");
 }
 
--- a/test/Support/PlatformStandin.h
+++ b/test/Support/PlatformStandin.h
@@ -70,7 +70,8 @@
     HttpStandin http_;
 };
 
-/// An endpoint that answers every request as it was told. Thread safe.
+/// An endpoint that answers every request as it was told; one with "X-Events: N" by a stream
+/// of so many events. Thread safe.
 class EndpointStandin
 {
 public:
