--- a/include/sequoiagate/Store/TopicFollower.h
+++ b/include/sequoiagate/Store/TopicFollower.h
@@ -54,6 +54,8 @@
     void stop();
     /// Reads at once, without the pause: something is waited for.
     void hurry();
+    /// Changes the pace from the next answer on.
+    void setPace(Interval pace) { settings_.pace = pace; }
     bool caughtUp() const { return caughtUp_; }
     bool reachable() const { return reachable_; }
     /// When the store last answered a read.
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -20,7 +20,7 @@
 
 /// Endpoints' entries come as many small rows, each heartbeat one: reads are spaced so
 /// that they share one. Far below the seconds in which a leaving endpoint must be known.
-constexpr Interval EndpointReadPace = std::chrono::milliseconds(150);
+constexpr Interval EndpointReadPace = std::chrono::milliseconds(300);
 
 /// What is left of the stop's grace when connections are cut, for the store to hear of the
 /// tokens that come back.
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -35,6 +35,7 @@
 
 /// Reads of the own topic are paced, since each of the fleet's claims would wake all.
 constexpr Interval ReadPace = std::chrono::milliseconds(60);
+constexpr Interval ReadPacePerProcess = std::chrono::milliseconds(6);
 
 constexpr Interval ReportInterval = std::chrono::seconds(2);
 
@@ -281,6 +282,9 @@
     }
     const auto count = static_cast<uint32_t>(peers.size() + 1);
     holder_.setHolders(count);
+    // Every process's batches wake every reader: the reads a second of the fleet would grow
+    // with the square of its size. Own batches are read back without the pause.
+    follower_.setPace(std::max<Interval>(ReadPace, ReadPacePerProcess * count));
     peers_.setPeers(std::move(peers));
     if (onProcesses) {
         onProcesses(count);
--- a/unittests/Store/TopicFollowerTest.cpp
+++ b/unittests/Store/TopicFollowerTest.cpp
@@ -153,7 +153,9 @@
     boost::asio::io_context io;
     ScriptedStore store(io);
     store.snapshots = {First, First};
-    store.tails = {{StoreOutcome::Unreachable, {}, 4}, {StoreOutcome::Refused, {}, 4}};
+    store.tails = {{StoreOutcome::Unreachable, {}, 4},
+                   {StoreOutcome::Ok, {}, 4},
+                   {StoreOutcome::Refused, {}, 4}};
     std::vector<bool> told;
     FollowerSettings settings;
     settings.topic = "t";
