--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -113,6 +113,7 @@
     TokenTicket lastTicket_ = 0;
 
     std::optional<StoreBatch> batch_; ///< being written
+    std::string batchMoment_;         ///< the row by which the batch is known when it is read back
     uint64_t nextSeq_ = 0;
     bool batchHasTokens_ = false;
     bool appending_ = false;
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -212,7 +212,14 @@
     const Incarnation holder(row.key.substr(BatchPrefix.size()));
     std::string_view text = row.value;
     uint64_t millis = 0;
-    if (holder != settings_.incarnation && takeNumber(text, millis)) {
+    if (holder == settings_.incarnation) {
+        if (batch_ && row.value == batchMoment_) {
+            acknowledged_ = true;
+            holder_.onWritten();
+        }
+        return;
+    }
+    if (takeNumber(text, millis)) {
         batches_[holder] = {std::string(text), Millis(millis)};
     }
 }
@@ -298,8 +305,7 @@
             append();
         }
         // A batch with claims is settled when its rows have been read back.
-        const bool settled =
-                acknowledged_ && !appending_ && (!batchHasTokens_ || !holder_.batchInFlight());
+        const bool settled = acknowledged_ && (!batchHasTokens_ || !holder_.batchInFlight());
         if (acknowledged_ && !settled) {
             follower_.hurry();
         }
@@ -322,8 +328,9 @@
     batchHasTokens_ = !batch.rows.empty();
     if (rows) {
         const BootMoment moment = bootNow();
-        batch.rows.push_back({std::string(BatchPrefix) + settings_.incarnation.text(),
-                              fmt::format("{} {}", moment.sinceBoot.count(), moment.boot), 0});
+        batchMoment_ = fmt::format("{} {}", moment.sinceBoot.count(), moment.boot);
+        batch.rows.push_back(
+                {std::string(BatchPrefix) + settings_.incarnation.text(), batchMoment_, 0});
     }
     for (const AllotmentRow &row : std::exchange(seals_, {})) {
         batch.rows.push_back(budgetRow(row));
@@ -352,7 +359,13 @@
 void TokenService::append()
 {
     appending_ = true;
-    store_.append(*batch_, [this](const AppendAnswer &answer) { onAppended(answer); });
+    store_.append(*batch_, [this, seq = batch_->seq](const AppendAnswer &answer) {
+        // A batch that was read back is done, whatever becomes of its answer: waiting for
+        // one that is lost would hold up the next claim for as long as the time-out.
+        if (batch_ && batch_->seq == seq) {
+            onAppended(answer);
+        }
+    });
 }
 
 void TokenService::onAppended(const AppendAnswer &answer)
