--- a/unittests/Decisions/EndpointChoiceTest.cpp
+++ b/unittests/Decisions/EndpointChoiceTest.cpp
@@ -1,7 +1,10 @@
 #include "sequoiagate/Decisions/EndpointChoice.h"
 
 #include <algorithm>
+#include <deque>
 #include <map>
+#include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -404,4 +407,88 @@
     EXPECT_LE(choice.totalSlots(Start), 21U);
 }
 
+// Callers wait for prompts to be read that an endpoint has read already. Ninety prefixes share
+// twelve endpoints, each router has a few requests at each; a prefix leaves its home with
+// the second request, and at last every endpoint reads every prefix.
+struct HomesCase
+{
+    const char *name;
+    uint32_t homes;
+    double mostReaders; ///< endpoints that read a prefix, on average
+};
+
+class PrefixHomes : public testing::TestWithParam<HomesCase>
+{};
+
+// Before (one home, the bound): 11.4 endpoints a prefix. With two homes: 2.0, and the busiest
+// endpoint has 1.24 times the mean load in place of 1.02.
+const HomesCase HomesCases[] = {{"OneHomeAndTheBound", 0, 12.0}, {"TwoHomes", 2, 3.0}};
+
+TEST_P(PrefixHomes, BoundWhatIsReadAgain)
+{
+    constexpr int Routers = 9;
+    constexpr int Endpoints = 12;
+    constexpr int Prefixes = 90;
+    constexpr int OpenAtOnce = 120;
+    EndpointChoiceSettings settings;
+    settings.prefixHomes = GetParam().homes;
+    settings.routers = Routers;
+    std::vector<EndpointChoice> routers;
+    for (int i = 0; i < Routers; ++i) {
+        settings.seed = static_cast<uint64_t>(i);
+        routers.emplace_back(Here, settings);
+        routers.back().setEndpoints(fleetOf(Endpoints), Start);
+    }
+    struct Open
+    {
+        int router;
+        EndpointId endpoint;
+        RequestId request;
+    };
+    std::deque<Open> open;
+    std::map<uint64_t, std::set<EndpointId>> readers;
+    std::map<EndpointId, int> sent;
+    std::mt19937_64 random(7);
+    Instant now = Start + std::chrono::minutes(5);
+    for (int i = 0; i < 6000; ++i) {
+        now += std::chrono::milliseconds(20);
+        const int router = static_cast<int>(random() % Routers);
+        WorkItem item = itemOf(i, 1 + random() % Prefixes);
+        item.promptTokens = 9000;
+        item.sharedTokens = 6000;
+        const ChoiceOutcome outcome = routers[router].choose(item, {}, now);
+        const EndpointId endpoint = std::get<Chosen>(outcome).endpoint;
+        routers[router].onSent(endpoint, item, now);
+        open.push_back({router, endpoint, item.request});
+        readers[item.prefixHash].insert(endpoint);
+        ++sent[endpoint];
+        if (open.size() > OpenAtOnce) {
+            const Open done = open.front();
+            open.pop_front();
+            routers[done.router].onFirstToken(done.endpoint, done.request, now);
+            TryResult result;
+            result.endpoint = done.endpoint;
+            result.request = done.request;
+            result.succeeded = true;
+            routers[done.router].onEnd(result, now);
+        }
+    }
+    double total = 0.0;
+    for (const auto &[prefix, endpoints] : readers) {
+        total += static_cast<double>(endpoints.size());
+    }
+    const double mean = total / static_cast<double>(readers.size());
+    int busiest = 0;
+    for (const auto &[endpoint, count] : sent) {
+        busiest = std::max(busiest, count);
+    }
+    RecordProperty("readers", std::to_string(mean));
+    RecordProperty("busiest", std::to_string(busiest * Endpoints / 6000.0));
+    EXPECT_LE(mean, GetParam().mostReaders);
+    EXPECT_LE(busiest * Endpoints / 6000.0, 1.6);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, PrefixHomes, testing::ValuesIn(HomesCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
