--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -72,6 +72,9 @@
     Interval askInterval = std::chrono::milliseconds(60);
     /// Asking peers for a workspace whose tokens run low but still serve.
     Interval calmAskInterval = std::chrono::milliseconds(150);
+    /// Asking in vain doubles the interval, so many times at most: to half a second.
+    /// Without it sixty hosts that all lacked tokens made 10,000 moves a second, of crumbs.
+    uint32_t mostDoublings = 3;
     /// What peers asked for stays movable for so long: a few of their intervals.
     Interval lending = std::chrono::milliseconds(1500);
 };
@@ -172,6 +175,7 @@
         bool lowered = false;      ///< the budget fell, and the holders' totals still exceed it
         bool correct = false;      ///< the store's row says something else than `owned`
         Instant nextAskAt{};
+        uint32_t askedInVain = 0; ///< times in a row
         DemandRate demand;
     };
 
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -97,6 +97,7 @@
     void onDeadline();
     void onSilence();
     void armSilence(Interval limit);
+    void awaitSilence();
 
     void finish(std::string_view event, std::string_view outcome, int status);
     void settle();
@@ -117,6 +118,8 @@
     Instant deadline_ = Never;
     boost::asio::steady_timer deadlineTimer_;
     boost::asio::steady_timer silenceTimer_;
+    Instant silentAt_ = Never; ///< the endpoint counts as silent then
+    bool awaitsSilence_ = false;
     std::optional<TokenTicket> ticket_;
     uint64_t reserved_ = 0;
     bool holdsTokens_ = false;
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -10,6 +10,9 @@
 /// a bound the fleet made 6,000 moves in 44 s, most of them of a few tokens.
 constexpr uint64_t LeastEvening = 8;
 
+/// Peers that are asked at once: each may bring a part of what is needed.
+constexpr uint64_t AskedPeers = 8;
+
 uint64_t scaled(uint64_t tokens, double factor)
 {
     return static_cast<uint64_t>(static_cast<double>(tokens) * factor);
@@ -313,7 +316,10 @@
         if ((!isShort && !runsLow) || now < account.nextAskAt || stopping_) {
             continue;
         }
-        account.nextAskAt = now + (isShort ? settings_.askInterval : settings_.calmAskInterval);
+        const uint32_t doublings = std::min(account.askedInVain, settings_.mostDoublings);
+        const Interval interval = isShort ? settings_.askInterval : settings_.calmAskInterval;
+        account.nextAskAt = now + interval * (1U << doublings);
+        ++account.askedInVain;
         const uint64_t need = isShort ? account.shortOf - mayUse(account, now) : 0;
         asks.push_back({workspace, need, account.usable,
                         account.demand.over(std::chrono::seconds(1), now)});
@@ -332,7 +338,7 @@
     if (usable < account->typical && account->shortOf == 0 && ask.need > 0) {
         // Too little for a request here; together with what others give it may be
         // enough for the one that waits there.
-        gift = usable;
+        gift = usable >= ask.need / AskedPeers ? usable : 0;
     } else if (account->shortOf == 0) {
         // So much that both last equally long at their own demand.
         const double mine = static_cast<double>(account->demand.over(std::chrono::seconds(1), now));
@@ -366,8 +372,13 @@
 
 void TokenHolder::take(const WorkspaceId &workspace, uint64_t tokens)
 {
-    if (Account *account = find(workspace)) {
-        account->usable += tokens;
+    Account *account = find(workspace);
+    if (account == nullptr) {
+        return;
+    }
+    account->usable += tokens;
+    if (tokens >= account->typical / 4) {
+        account->askedInVain = 0;
     }
 }
 
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -244,15 +244,28 @@
 
 void Exchange::armSilence(Interval limit)
 {
-    if (!mayRunAgain()) {
-        silenceTimer_.cancel();
-        return;
+    silentAt_ = mayRunAgain() ? std::chrono::steady_clock::now() + limit : Never;
+    if (!awaitsSilence_ && silentAt_ != Never) {
+        awaitSilence();
     }
-    silenceTimer_.expires_after(limit);
+}
+
+void Exchange::awaitSilence()
+{
+    // Each event moves the moment; the timer looks again when it fires, since arming it for
+    // each event cost as much as reading one.
+    awaitsSilence_ = true;
+    silenceTimer_.expires_at(silentAt_);
     silenceTimer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
-        if (!error && self->attempt_) {
-            self->onSilence();
+        self->awaitsSilence_ = false;
+        if (error || !self->attempt_ || self->silentAt_ == Never) {
+            return;
+        }
+        if (std::chrono::steady_clock::now() < self->silentAt_) {
+            self->awaitSilence();
+            return;
         }
+        self->onSilence();
     });
 }
 
@@ -500,6 +513,7 @@
 
 void Exchange::endAttempt(bool succeeded)
 {
+    silentAt_ = Never;
     silenceTimer_.cancel();
     if (!attempt_) {
         return;
