[Decisions] Send callers elsewhere before a host's link is full

Packets wait, connections to endpoints time out (2,446 at one host), each time-out sends a prompt again, and 15% are answered. Ruled out: the processor (0.05 of a core at most).

--- a/bench/Edge/Main.cpp
+++ b/bench/Edge/Main.cpp
@@ -9,6 +9,8 @@
 
 #include <fmt/format.h>
 
+#include "platform/PlatformRows.h"
+#include "sequoiagate/Ledger/AllotmentTable.h"
 #include "test/Support/PlatformStandin.h"
 #include "test/Support/Process.h"
 #include "test/Support/ProcessCost.h"
@@ -91,10 +93,48 @@
     return static_cast<double>(time.count()) / count;
 }
 
+std::chrono::microseconds ownTime()
+{
+    return processorTime(::getpid());
+}
+
+/// What is read of other nodes at the design size: rows of allotments and of endpoints.
+void measureReading()
+{
+    constexpr int Workspaces = 210;
+    constexpr int Nodes = 370;
+    constexpr double Rows = Workspaces * Nodes;
+    AllotmentTable table;
+    const int64_t before = residentBytes(::getpid());
+    std::chrono::microseconds began = ownTime();
+    uint64_t offset = 0;
+    for (int node = 0; node < Nodes; ++node) {
+        const Incarnation holder(fmt::format("{:032x}", node));
+        for (int i = 0; i < Workspaces; ++i) {
+            table.set({WorkspaceId(fmt::format("w{}", i)), holder, 1000, 100}, ++offset);
+        }
+    }
+    fmt::print("allotment rows: {:.2f} us and {:.0f} bytes a row of {}\n",
+               microseconds(ownTime() - began, Rows),
+               static_cast<double>(residentBytes(::getpid()) - before) / Rows, Rows);
+    constexpr int Entries = 50'000;
+    const std::string entry =
+            R"({"backend":"huvo11a","address":"10.128.0.9:8080","zone":"amman-a","version":"v1",)"
+            R"("slots":64,"state":"ready","cold-left-ms":0,"stage":"both","models":[{"name":"m",)"
+            R"("version":1,"adapters":[]}],"seq":4,"born":1780000000000})";
+    began = ownTime();
+    for (int i = 0; i < Entries; ++i) {
+        platform::decodeEndpoint("i-1", entry);
+    }
+    fmt::print("endpoint row: {:.1f} us, {} bytes\n", microseconds(ownTime() - began, Entries),
+               entry.size());
+}
+
 } // namespace
 
 int main()
 {
+    measureReading();
     ScratchFolder scratch;
     StoreStandin store("127.77.7.200");
     EndpointStandin endpoint("127.77.7.201", "e-1");
--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -51,7 +51,8 @@
     void adopt(const StoreRow &row);
     void onEndpointRows(const std::vector<StoreRow> &rows, bool whole);
     void onStoreReachable(const char *what, bool reachable, StoreOutcome outcome);
-    bool ready() const;
+    bool ready();
+    bool sheds();
     void awaitSignals();
     void beginStop();
     void checkStop();
@@ -73,6 +74,8 @@
     ConnectionPool pool_;
     std::unique_ptr<Store> store_;
     EndpointDirectory endpoints_;
+    LinkLoad link_;
+    bool sheds_ = false; ///< callers are sent elsewhere, for the log
     std::unique_ptr<TokenService> tokens_;
     std::unique_ptr<ProxyContext> context_;
     std::unique_ptr<TopicFollower> configFollower_;
--- a/include/sequoiagate/Edge/EdgeSettings.h
+++ b/include/sequoiagate/Edge/EdgeSettings.h
@@ -23,8 +23,9 @@
     std::string listenPeers;
     std::string listenMetrics; ///< empty: none
     std::string store;
-    Interval stopGrace{};  ///< from the stop signal to the forced end
-    Interval readyGrace{}; ///< callers still come for so long after the stop signal
+    Interval stopGrace{};            ///< from the stop signal to the forced end
+    Interval readyGrace{};           ///< callers still come for so long after the stop signal
+    uint64_t linkBytesPerSecond = 0; ///< of the host's network link, each way; 0: unknown
     RetryAllotmentSettings retries;
     TokenHolderSettings tokens;
 };
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -72,7 +72,7 @@
     Interval askInterval = std::chrono::milliseconds(60);
     /// Asking peers for a workspace whose tokens run low but still serve.
     Interval calmAskInterval = std::chrono::milliseconds(150);
-    /// Asking in vain doubles the interval, so many times at most: to half a second.
+    /// Asking in vain doubles that, so many times at most: to a bit more than a second.
     /// Without it sixty hosts that all lacked tokens made 10,000 moves a second, of crumbs.
     uint32_t mostDoublings = 3;
     /// What peers asked for stays movable for so long: a few of their intervals.
--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -74,6 +74,7 @@
     std::shared_ptr<Exchange> exchange_;
     std::deque<std::string> outgoing_;
     std::size_t backlog_ = 0;
+    bool isNew_ = true; ///< no request has been waited for
     bool reading_ = false;
     bool writing_ = false;
     bool keepAlive_ = true;
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -21,6 +21,7 @@
 #include "sequoiagate/Base/Verdict.h"
 #include "sequoiagate/Config/ServingConfig.h"
 #include "sequoiagate/Decisions/EndpointSpec.h"
+#include "sequoiagate/Decisions/LinkLoad.h"
 #include "sequoiagate/Decisions/WorkItem.h"
 #include "sequoiagate/Proxy/Dialect.h"
 #include "sequoiagate/Service/EventLog.h"
@@ -83,10 +84,12 @@
     ConnectionPool &pool;
     Placement &placement;
     TokenDesk &tokens;
+    LinkLoad &link;
     EventLog &log;
     Metrics &metrics;
     std::function<ServingConfigPtr()> config; ///< nullptr until one is known
-    std::function<bool()> stopping;
+    /// Whether callers are to go elsewhere, since the process stops or its link is full.
+    std::function<bool()> sendsAway;
 };
 
 } // namespace sequoiagate
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -80,7 +80,8 @@
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_),
       exchangeChart_(Statechart::parse(readShareFile("statecharts/exchange.json"))),
       drainChart_(Statechart::parse(readShareFile("statecharts/drain.json"))), drain_(drainChart_),
-      pool_(io_, {}), endpoints_(settings_.domain, settings_.retries, log)
+      pool_(io_, {}), endpoints_(settings_.domain, settings_.retries, log),
+      link_(LinkLoadSettings{settings_.linkBytesPerSecond})
 {
     const tcp::endpoint listen = tcpSetting("listen", settings_.listenCallers);
     acceptor_.open(tcp::v4());
@@ -96,7 +97,7 @@
         endpoints_.setProcesses(count);
     };
     context_ = std::make_unique<ProxyContext>(ProxyContext{io_, adapter_.dialect(), exchangeChart_,
-                                                           pool_, endpoints_, *tokens_, log_,
+                                                           pool_, endpoints_, *tokens_, link_, log_,
                                                            metrics_, [this] { return config_; },
                                                            [this] {
                                                                return drain_.state() != "serving";
@@ -239,9 +240,20 @@
     metrics_.count(reachable ? "store_regained_total" : "store_lost_total", {{"read", what}});
 }
 
-bool Edge::ready() const
+bool Edge::ready()
 {
-    return config_ && endpointsKnown_ && drain_.state() == "serving";
+    return config_ && endpointsKnown_ && drain_.state() == "serving" && !sheds();
+}
+
+bool Edge::sheds()
+{
+    const Instant now = std::chrono::steady_clock::now();
+    const bool sheds = link_.shedding(now);
+    if (sheds != sheds_) {
+        sheds_ = sheds;
+        log_.write(Event(sheds ? "link.full" : "link.has_room").with("share", link_.share(now)));
+    }
+    return sheds;
 }
 
 void Edge::awaitSignals()
--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -16,6 +16,9 @@
     edge.store = settings.at("store").get<std::string>();
     edge.stopGrace = millisOf(settings, "stop_grace_ms");
     edge.readyGrace = millisOf(settings, "ready_grace_ms");
+    constexpr double BytesPerMegabit = 1e6 / 8;
+    edge.linkBytesPerSecond =
+            static_cast<uint64_t>(settings.at("link_mbps").get<double>() * BytesPerMegabit);
     edge.retries.ratio = settings.at("retry_ratio").get<double>();
     edge.retries.slack = settings.at("retry_slack").get<double>();
     edge.retries.window = millisOf(settings, "retry_window_ms");
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -316,9 +316,11 @@
         if ((!isShort && !runsLow) || now < account.nextAskAt || stopping_) {
             continue;
         }
+        // A request that waits asks as often as it can.
         const uint32_t doublings = std::min(account.askedInVain, settings_.mostDoublings);
-        const Interval interval = isShort ? settings_.askInterval : settings_.calmAskInterval;
-        account.nextAskAt = now + interval * (1U << doublings);
+        account.nextAskAt =
+                now
+                + (isShort ? settings_.askInterval : settings_.calmAskInterval * (1U << doublings));
         ++account.askedInVain;
         const uint64_t need = isShort ? account.shortOf - mayUse(account, now) : 0;
         asks.push_back({workspace, need, account.usable,
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -17,6 +17,9 @@
 /// and its leaving isn't noticed until its turn.
 constexpr std::size_t MostPipelinedBytes = 256 * 1024;
 
+/// About the size of a request's head, for the link's load.
+constexpr uint64_t HeadBytes = 500;
+
 /// For a caller to send the rest of a body once its head is in.
 constexpr Interval BodyTimeout = std::chrono::seconds(10);
 
@@ -133,6 +136,7 @@
     request.body = std::exchange(body_, std::string());
     request.receivedAt = requestBegan_;
     keepAlive_ = request.head.keepAlive;
+    context_.link.onReceived(request.body.size() + HeadBytes, std::chrono::steady_clock::now());
     // Kept here as well: an exchange that is refused ends inside start().
     AnswerSink &sink = *this;
     const auto exchange = std::make_shared<Exchange>(context_, std::move(request), sink);
@@ -153,7 +157,7 @@
 
 void CallerConnection::answer(ResponseHead head, std::string_view body)
 {
-    const bool keep = keepAlive_ && !context_.stopping();
+    const bool keep = keepAlive_ && !context_.sendsAway();
     head.keepAlive = keep;
     std::string bytes = writeResponseHead(head, BodyFraming::Length, body.size());
     bytes.append(body);
@@ -163,7 +167,7 @@
 
 void CallerConnection::beginStream(ResponseHead head)
 {
-    keepAlive_ = keepAlive_ && !context_.stopping();
+    keepAlive_ = keepAlive_ && !context_.sendsAway();
     head.keepAlive = keepAlive_;
     queue(writeResponseHead(head, BodyFraming::Chunked, 0));
 }
@@ -210,9 +214,14 @@
 {
     reader_.emplace(makeReader(context_));
     body_.clear();
-    if (context_.stopping()) {
+    // The first request is waited for: a caller that was sent here just now would find its
+    // connection closed before it could ask.
+    const bool first = std::exchange(isNew_, false);
+    if (!first && context_.sendsAway()) {
         drain();
-        return;
+        if (isClosed_) {
+            return;
+        }
     }
     armTimer(limitsOf(context_).idleTimeout);
 }
@@ -263,6 +272,7 @@
         return;
     }
     backlog_ += bytes.size();
+    context_.link.onSent(bytes.size(), std::chrono::steady_clock::now());
     outgoing_.push_back(std::move(bytes));
     write();
 }
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -140,6 +140,12 @@
                 request_.receivedAt + ComeBackSoon});
         return;
     }
+    const Instant now = std::chrono::steady_clock::now();
+    if (context_.link.refuses(request_.body.size(), now)) {
+        refuse({Execution::NotRun, Reason::QueueFull, "this host's link is full",
+                now + ComeBackElsewhere});
+        return;
+    }
     context_.placement.onRequest(service_->name, request_.receivedAt);
     const bool prepaid = workspace_ != nullptr && workspace_->prepaid && terms_.countsTokens;
     if (!prepaid) {
@@ -238,6 +244,7 @@
     context_.placement.onSent(placed.endpoint, workItem(), now);
     std::string bytes = writeRequestHead(forwardHead(now, placed.endpoint), request_.body.size());
     bytes += request_.body;
+    context_.link.onSent(bytes.size(), now);
     armSilence(scaled(route_->objective, SilenceFactor));
     attempt_->connection->call(std::move(bytes), *this);
 }
@@ -322,6 +329,7 @@
 
 void Exchange::onBody(std::string_view bytes)
 {
+    context_.link.onReceived(bytes.size(), std::chrono::steady_clock::now());
     Attempt &attempt = *attempt_;
     if (attempt.answering && route_->kind == RouteKind::Stream) {
         onStreamBytes(bytes);
--- a/lib/Proxy/Refusals.h
+++ b/lib/Proxy/Refusals.h
@@ -13,6 +13,10 @@
 /// to be chosen anew, short beside the second and a half that short calls wait.
 inline constexpr Interval ComeBackSoon = std::chrono::milliseconds(200);
 
+/// When a caller may come back that this host can't serve and another one can: its next
+/// connection goes to another one, so at once but for a moment that spreads a crowd.
+inline constexpr Interval ComeBackElsewhere = std::chrono::milliseconds(50);
+
 /// A request that may run once only isn't sent on a connection that was idle for longer:
 /// an endpoint that closes or forgets it meanwhile resets what is sent next, and whether
 /// it ran nobody knows. Half of the shortest time that endpoints keep idle ones for.
--- a/unittests/Proxy/ProxyWorld.cpp
+++ b/unittests/Proxy/ProxyWorld.cpp
@@ -176,6 +176,7 @@
                               pool_,
                               placement,
                               desk,
+                              link,
                               log_,
                               metrics_,
                               [this] { return ServingConfigPtr(config); },
--- a/unittests/Proxy/ProxyWorld.h
+++ b/unittests/Proxy/ProxyWorld.h
@@ -123,6 +123,7 @@
     CountingDesk desk;
     std::shared_ptr<ServingConfig> config;
     bool stopping = false;
+    LinkLoad link{LinkLoadSettings{}};
 
 private:
     void readAsCaller();
