--- a/include/sequoiagate/Decisions/LinkLoad.h
+++ b/include/sequoiagate/Decisions/LinkLoad.h
@@ -38,6 +38,7 @@
 public:
     explicit LinkLoad(LinkLoadSettings settings) : settings_(settings) {}
 
+    void setBytesPerSecond(uint64_t bytes) { settings_.bytesPerSecond = bytes; }
     void onReceived(uint64_t bytes, Instant now) { in_.add(bytes, now, settings_.window); }
     void onSent(uint64_t bytes, Instant now) { out_.add(bytes, now, settings_.window); }
     /// Whether callers are to go elsewhere.
--- a/include/sequoiagate/Decisions/RetryAllotment.h
+++ b/include/sequoiagate/Decisions/RetryAllotment.h
@@ -33,6 +33,7 @@
 public:
     explicit RetryAllotment(RetryAllotmentSettings settings) : settings_(settings) {}
 
+    void setSettings(RetryAllotmentSettings settings) { settings_ = settings; }
     /// \pre count > 0
     void setProcesses(uint32_t count) { processes_ = count; }
     void onRequest(const ServiceId &service, Instant now);
--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -39,7 +39,9 @@
     /// Listens at once, but isn't ready yet.
     /// \throws SettingsError for an address that can't be read,
     ///     boost::system::system_error for one that can't be had
-    Edge(EdgeSettings settings, EdgeAdapter &adapter, EventLog &log);
+    /// \param reread reads the settings anew, on SIGHUP; may throw SettingsError
+    Edge(EdgeSettings settings, EdgeAdapter &adapter, EventLog &log,
+         std::function<EdgeSettings()> reread);
     ~Edge();
 
     /// Runs until a planned stop has ended. \returns connections that it had to cut.
@@ -54,6 +56,7 @@
     bool ready();
     bool sheds();
     void awaitSignals();
+    void reload();
     void beginStop();
     void checkStop();
     void drainCallers();
@@ -63,6 +66,7 @@
     EdgeSettings settings_;
     EdgeAdapter &adapter_;
     EventLog &log_;
+    std::function<EdgeSettings()> reread_;
     Metrics metrics_;
     boost::asio::io_context io_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -45,6 +45,7 @@
     /// Puts what changed in force.
     void publish(Instant now);
     void setProcesses(uint32_t count);
+    void setRetries(RetryAllotmentSettings settings) { retries_.setSettings(settings); }
     std::size_t size() const { return entries_.size(); }
     std::size_t usable() const;
 
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -47,6 +47,7 @@
     std::function<void(uint32_t)> onProcesses;
 
     void start();
+    void setHorizon(Interval horizon) { holder_.setHorizon(horizon); }
     void setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant now);
     /// Gives all that isn't reserved back to the store. \p done is called when the store
     /// has it, or when \p deadline passes.
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -109,6 +109,7 @@
 
     /// Replaces the budgets. What is held of a workspace whose budget was lowered is given back.
     void setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant now);
+    void setHorizon(Interval horizon) { settings_.horizon = horizon; }
     /// How many processes share the budgets. \pre count > 0
     void setHolders(uint32_t count) { holders_ = count; }
     /// Whether the store answers. Without it nothing is claimed or given back.
--- a/include/sequoiagate/Service/Program.h
+++ b/include/sequoiagate/Service/Program.h
@@ -45,6 +45,8 @@
     nlohmann::json settings;
     EventLog &log;
     StopSignal &stop;
+    /// Reads the settings file again. \throws SettingsError if it isn't good
+    std::function<nlohmann::json()> reread;
 };
 
 /// Parses --help, --version, --settings FILE and --check-settings, loads the
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -75,9 +75,10 @@
 
 } // namespace
 
-Edge::Edge(EdgeSettings settings, EdgeAdapter &adapter, EventLog &log)
-    : settings_(std::move(settings)), adapter_(adapter), log_(log), acceptor_(io_),
-      signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_),
+Edge::Edge(EdgeSettings settings, EdgeAdapter &adapter, EventLog &log,
+           std::function<EdgeSettings()> reread)
+    : settings_(std::move(settings)), adapter_(adapter), log_(log), reread_(std::move(reread)),
+      acceptor_(io_), signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_),
       exchangeChart_(Statechart::parse(readShareFile("statecharts/exchange.json"))),
       drainChart_(Statechart::parse(readShareFile("statecharts/drain.json"))), drain_(drainChart_),
       pool_(io_, {}), endpoints_(settings_.domain, settings_.retries, log),
@@ -263,8 +264,7 @@
             return;
         }
         if (signal == SIGHUP) {
-            // All that may change while the process runs comes from the store.
-            log_.write(Event("process.reloaded"));
+            reload();
         } else {
             beginStop();
         }
@@ -272,6 +272,22 @@
     });
 }
 
+void Edge::reload()
+{
+    try {
+        const EdgeSettings fresh = reread_();
+        endpoints_.setRetries(fresh.retries);
+        link_.setBytesPerSecond(fresh.linkBytesPerSecond);
+        tokens_->setHorizon(fresh.tokens.horizon);
+        settings_.stopGrace = fresh.stopGrace;
+        settings_.readyGrace = fresh.readyGrace;
+        log_.write(Event("process.reloaded"));
+    } catch (const SettingsError &error) {
+        // What is in force stays: a process that ended here would cut off its callers.
+        log_.write(Event("process.not_reloaded").with("why", error.what()));
+    }
+}
+
 void Edge::beginStop()
 {
     if (drain_.state() != "serving") {
--- a/lib/Service/Program.cpp
+++ b/lib/Service/Program.cpp
@@ -116,7 +116,9 @@
             return ExitOk;
         }
         EventLog log(identityFrom(settings, program), sinkFor(output));
-        DaemonContext context{settings, log, stop};
+        DaemonContext context{settings, log, stop, [&parsed, &program] {
+                                  return settingsFromOptions(*parsed, program);
+                              }};
         return runBody(context, body);
     } catch (const cxxopts::exceptions::exception &error) {
         fmt::print(stderr, "{}: {}\n", program, error.what());
--- a/test/Edge/EdgeTest.cpp
+++ b/test/Edge/EdgeTest.cpp
@@ -256,6 +256,22 @@
     store_.setFault(StoreFault::None);
 }
 
+// Settings change while callers are connected. Good ones are in force; bad ones change nothing
+// and end nothing.
+TEST_F(EdgeProcess, ReloadsGoodSettingsAndKeepsTheOldOnesElse)
+{
+    const auto edge = start(1, "edge");
+    nlohmann::json changed = settings(1);
+    changed["retry_ratio"] = 0.1;
+    scratch_.write("edge.json", changed.dump());
+    edge->signal(SIGHUP);
+    edge->waitFor("process.reloaded");
+    scratch_.write("edge.json", "{broken");
+    edge->signal(SIGHUP);
+    edge->waitFor("process.not_reloaded");
+    EXPECT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+}
+
 struct BadSettings
 {
     const char *name;
