[Edge] Take a batch for written when its last row is read back

Cause: a host's first batch has its host row alone, and only the store's answer told that it was written. All rows of a batch are written or none, so the last one read back tells of all.

--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -78,6 +78,7 @@
     };
 
     void onRows(const std::vector<StoreRow> &rows);
+    void noteReadBack(const StoreRow &row);
     void onBudgetRow(const StoreRow &row);
     void onBatchRow(const StoreRow &row);
     void onHostRow(const StoreRow &row);
@@ -114,7 +115,6 @@
     TokenTicket lastTicket_ = 0;
 
     std::optional<StoreBatch> batch_; ///< being written
-    std::string batchMoment_;         ///< the row by which the batch is known when it is read back
     uint64_t nextSeq_ = 0;
     bool batchHasTokens_ = false;
     bool appending_ = false;
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -183,6 +183,7 @@
 {
     bool hostsChanged = false;
     for (const StoreRow &row : rows) {
+        noteReadBack(row);
         if (startsWith(row.key, BudgetPrefix)) {
             onBudgetRow(row);
         } else if (startsWith(row.key, BatchPrefix)) {
@@ -197,6 +198,18 @@
     }
 }
 
+void TokenService::noteReadBack(const StoreRow &row)
+{
+    // A batch is written whole, so its last row tells of all. Its answer may be lost, at every
+    // try; a host that had just started could then claim nothing for seconds.
+    const bool isLast =
+            batch_ && row.key == batch_->rows.back().key && row.value == batch_->rows.back().value;
+    if (isLast) {
+        acknowledged_ = true;
+        holder_.onWritten();
+    }
+}
+
 void TokenService::onBudgetRow(const StoreRow &row)
 {
     const std::optional<AllotmentRow> parsed = parseBudget(row);
@@ -212,14 +225,7 @@
     const Incarnation holder(row.key.substr(BatchPrefix.size()));
     std::string_view text = row.value;
     uint64_t millis = 0;
-    if (holder == settings_.incarnation) {
-        if (batch_ && row.value == batchMoment_) {
-            acknowledged_ = true;
-            holder_.onWritten();
-        }
-        return;
-    }
-    if (takeNumber(text, millis)) {
+    if (holder != settings_.incarnation && takeNumber(text, millis)) {
         batches_[holder] = {std::string(text), Millis(millis)};
     }
 }
@@ -328,9 +334,8 @@
     batchHasTokens_ = !batch.rows.empty();
     if (rows) {
         const BootMoment moment = bootNow();
-        batchMoment_ = fmt::format("{} {}", moment.sinceBoot.count(), moment.boot);
-        batch.rows.push_back(
-                {std::string(BatchPrefix) + settings_.incarnation.text(), batchMoment_, 0});
+        batch.rows.push_back({std::string(BatchPrefix) + settings_.incarnation.text(),
+                              fmt::format("{} {}", moment.sinceBoot.count(), moment.boot), 0});
     }
     for (const AllotmentRow &row : std::exchange(seals_, {})) {
         batch.rows.push_back(budgetRow(row));
