[Edge] Announce peers' address apart from the one that is listened on

Peers reach a host by the address that its row names. Where an address translation stands between them, or a relay of a test, that isn't the address that the process listens on: the row now says both. The next process on a host still takes its predecessor for dead only by the address listened on, since that is what no two processes have at once. Rows of an earlier build say one address, which counts as both.

--- a/include/sequoiagate/Edge/EdgeSettings.h
+++ b/include/sequoiagate/Edge/EdgeSettings.h
@@ -21,6 +21,7 @@
     std::string listenCallers;
     std::string listenReady;
     std::string listenPeers;
+    std::string announcePeers; ///< what peers send to; empty: listenPeers
     std::string listenMetrics; ///< empty: none
     std::string store;
     Interval stopGrace{};            ///< from the stop signal to the forced end
--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -33,7 +33,8 @@
     HostId host;
     DomainId domain;
     Incarnation incarnation;
-    boost::asio::ip::udp::endpoint address;
+    boost::asio::ip::udp::endpoint address; ///< to send to
+    boost::asio::ip::udp::endpoint listens; ///< bound by the process, and by no other meanwhile
 };
 
 /// Single-threaded.
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -29,8 +29,8 @@
 {
     HostId host;
     DomainId domain;
-    std::string peerAddress;
     boost::asio::ip::udp::endpoint listenPeers;
+    boost::asio::ip::udp::endpoint announcePeers; ///< under which peers reach listenPeers
     std::string topic;
     Incarnation incarnation;
     TokenHolderSettings holder;
--- a/lib/Edge/Addresses.cpp
+++ b/lib/Edge/Addresses.cpp
@@ -36,4 +36,9 @@
     return parse<boost::asio::ip::udp::endpoint>(text);
 }
 
+std::string addressText(const boost::asio::ip::udp::endpoint &address)
+{
+    return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
 } // namespace sequoiagate
--- a/lib/Edge/Addresses.h
+++ b/lib/Edge/Addresses.h
@@ -15,6 +15,8 @@
 std::optional<boost::asio::ip::tcp::endpoint> parseTcpAddress(const std::string &text);
 std::optional<boost::asio::ip::udp::endpoint> parseUdpAddress(const std::string &text);
 
+std::string addressText(const boost::asio::ip::udp::endpoint &address);
+
 } // namespace sequoiagate
 
 #endif
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -53,9 +53,13 @@
     TokenServiceSettings settings;
     settings.host = edge.host;
     settings.domain = edge.domain;
-    settings.peerAddress = edge.listenPeers;
     settings.listenPeers =
             required(parseUdpAddress(edge.listenPeers), "listen_peers", edge.listenPeers);
+    settings.announcePeers = settings.listenPeers;
+    if (!edge.announcePeers.empty()) {
+        settings.announcePeers =
+                required(parseUdpAddress(edge.announcePeers), "announce_peers", edge.announcePeers);
+    }
     settings.topic = topic;
     settings.incarnation = incarnation;
     settings.holder = edge.tokens;
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -85,6 +85,21 @@
     return parsed;
 }
 
+/// \throws nlohmann::json::exception, std::invalid_argument
+Peer parsePeer(const HostId &host, const std::string &text)
+{
+    const nlohmann::json value = nlohmann::json::parse(text);
+    const auto reached = value.at("address").get<std::string>();
+    const auto address = parseUdpAddress(reached);
+    // Processes of an earlier build say only where they are reached, and listen there.
+    const auto listens = parseUdpAddress(value.value("listens", reached));
+    if (!address || !listens) {
+        throw std::invalid_argument("an address isn't IP:port");
+    }
+    return {host, DomainId(value.at("domain").get<std::string>()),
+            Incarnation(value.at("incarnation").get<std::string>()), *address, *listens};
+}
+
 bool startsWith(const std::string &text, std::string_view prefix)
 {
     return text.compare(0, prefix.size(), prefix) == 0;
@@ -237,7 +252,7 @@
         return;
     }
     // The address is this process's now, so whoever had it before has ended.
-    const bool sameHost = predecessor->address == settings_.listenPeers;
+    const bool sameHost = predecessor->listens == settings_.listenPeers;
     const auto batch = batches_.find(predecessor->incarnation);
     if (!sameHost || batch == batches_.end()) {
         return;
@@ -262,14 +277,7 @@
         return;
     }
     try {
-        const nlohmann::json value = nlohmann::json::parse(row.value);
-        const auto address = parseUdpAddress(value.at("address").get<std::string>());
-        if (!address) {
-            log_.write(Event("peer.malformed").with("host", host));
-            return;
-        }
-        const Peer peer{HostId(host), DomainId(value.at("domain").get<std::string>()),
-                        Incarnation(value.at("incarnation").get<std::string>()), *address};
+        const Peer peer = parsePeer(HostId(host), row.value);
         hosts_[host] = peer;
         if (peer.host != settings_.host) {
             return;
@@ -280,7 +288,7 @@
         }
         // The own row has been read back: whatever the predecessor wrote stands before it.
         sealPredecessor();
-    } catch (const nlohmann::json::exception &error) {
+    } catch (const std::exception &error) {
         log_.write(Event("peer.malformed").with("host", host).with("why", error.what()));
     }
 }
@@ -342,7 +350,8 @@
     }
     const std::string hostKey = std::string(HostPrefix) + settings_.host.text();
     if (!announced_) {
-        const nlohmann::json value = {{"address", settings_.peerAddress},
+        const nlohmann::json value = {{"address", addressText(settings_.announcePeers)},
+                                      {"listens", addressText(settings_.listenPeers)},
                                       {"domain", settings_.domain.text()},
                                       {"incarnation", settings_.incarnation.text()}};
         batch.rows.push_back({hostKey, value.dump(), 0});
