[Test] Soak the edge as processes under overlapping faults

Four edges as processes, a store and five endpoints as stand-ins, and relays between all of them. A seeded schedule stops, reloads, kills, pauses and restarts processes, delays, holds back one or both ways and resets connections, loses datagrams, lets the store refuse, go silent, lose answers, execute late and forget, and lets endpoints spoil answers, leave and vanish, in series that overlap, while callers keep their connections until the process is gone. Every fourth seed plays planned work only, and then nothing may be cut off and the bill must be exact.

What callers and endpoints saw is held against the promises: own whole answer, at most once, not run is true, own workspace, spend within the budget, billed once, no new work for a leaving endpoint, a configuration in force stays, nothing cut off, served again after the faults. Leaving and configuration are ordered by events, not by a stopwatch: the store's stand-in notes when a process asks for what stands behind a record, so it has acted on it. Each check is shown to find its fault in a record made by hand (SoakChecks).

A process test that waits for a line of a process that has ended now fails at once in place of after two minutes.

--- /dev/null
+++ b/test/Soak/Callers.cpp
@@ -0,0 +1,204 @@
+#include "Callers.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "Endpoint.h"
+
+namespace sequoiagate::soak {
+
+namespace {
+
+constexpr std::chrono::seconds ConnectWithin(1);
+constexpr std::chrono::seconds Patience(4);
+/// Longer than its patience: what the system says at the deadline is waited for.
+constexpr std::chrono::seconds ReadWithin(6);
+constexpr std::chrono::milliseconds Pause(15);
+constexpr uint64_t HangsUpAfter = 3; // events
+
+/// What one caller sends, by chance of a hundred.
+struct Share
+{
+    int below;
+    const char *route;
+    const char *workspace;
+};
+constexpr Share Shares[] = {{20, "once", "large"}, {35, "read", "large"}, {55, "chat", "large"},
+                            {65, "talk", "large"}, {80, "chat", "small"}, {100, "probe", "large"}};
+
+bool streams(const std::string &route)
+{
+    return route == "chat" || route == "talk";
+}
+
+} // namespace
+
+Caller::Caller(const FleetView &fleet, Record &record, std::string name)
+    : fleet_(fleet), record_(record), name_(std::move(name))
+{}
+
+httplib::Client &Caller::client(int host)
+{
+    std::unique_ptr<httplib::Client> &client = clients_[host];
+    if (!client) {
+        client = std::make_unique<httplib::Client>("http://" + fleet_.address(host));
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+        client->set_connection_timeout(ConnectWithin);
+        client->set_read_timeout(ReadWithin);
+    }
+    return *client;
+}
+
+httplib::Request Caller::request(const Attempt &attempt) const
+{
+    httplib::Request request;
+    request.method = "POST";
+    const bool probe = attempt.probes > 0;
+    request.path = probe ? fmt::format("/v{}/a", attempt.probes) : "/" + attempt.route + "/a";
+    const std::string key =
+            probe ? fmt::format("key-{}", attempt.probes) : "key-" + attempt.workspace;
+    const auto patience = std::chrono::duration_cast<std::chrono::milliseconds>(Patience);
+    request.headers = {{"Host", "h.example"},
+                       {"Request-Id", attempt.id},
+                       {"Authorization", "Token " + key},
+                       {"Deadline-Ms", std::to_string(patience.count())},
+                       {"Content-Type", "text/plain"}};
+    if (attempt.promptTokens > 0) {
+        request.headers.emplace("Token-Count",
+                                fmt::format("{},{}", attempt.promptTokens,
+                                            streamLength(attempt.id) * TokensPerEvent));
+        request.headers.emplace("Prompt-Prefix", fmt::format("a1:{}", attempt.promptTokens));
+    }
+    request.body = "body";
+    return request;
+}
+
+bool Caller::send(const std::string &route, int host, const std::string &workspace, uint64_t probes,
+                  bool hangsUp)
+{
+    constexpr uint64_t PromptTokens = 200;
+    Attempt attempt;
+    attempt.id = fmt::format("{}-{}", name_, ++sent_);
+    attempt.route = route;
+    attempt.workspace = workspace;
+    attempt.probes = probes;
+    attempt.promptTokens = streams(route) ? PromptTokens : 0;
+    attempt.sentTo = {host, fleet_.incarnation(host)};
+    std::string body;
+    httplib::Request request = this->request(attempt);
+    request.content_receiver = [&body, hangsUp](const char *bytes, std::size_t size, uint64_t,
+                                                uint64_t) {
+        body.append(bytes, size);
+        const std::string enough = fmt::format("id: {}\n", HangsUpAfter);
+        return !hangsUp || body.find(enough) == std::string::npos;
+    };
+    attempt.sentAt = std::chrono::steady_clock::now();
+    const httplib::Result result = client(host).send(request);
+    attempt.endedAt = std::chrono::steady_clock::now();
+    judge(attempt, result, body);
+    const bool served = attempt.whole;
+    record_.add(std::move(attempt));
+    return served;
+}
+
+void Caller::judge(Attempt &attempt, const httplib::Result &result, const std::string &body) const
+{
+    const bool timedOut = !result && attempt.endedAt - attempt.sentAt >= ReadWithin;
+    const bool hungUp = !result && result.error() == httplib::Error::Canceled;
+    attempt.leftByCaller = timedOut || hungUp;
+    attempt.status = result ? result->status : 0;
+    if (streams(attempt.route) && (!result || result->status == 200)) {
+        judgeStream(attempt, static_cast<bool>(result), body);
+        return;
+    }
+    if (!result) {
+        return;
+    }
+    if (result->status == 200) {
+        attempt.whole = body == plainBody(attempt.id);
+        if (!attempt.whole) {
+            attempt.wrong = "a body that isn't its own whole one: " + body.substr(0, 60);
+        } else if (result->get_header_value("Response-Stamp") != "stamp-" + attempt.id) {
+            attempt.wrong = "another answer's stamp";
+        }
+        return;
+    }
+    const nlohmann::json refusal = nlohmann::json::parse(body, nullptr, false);
+    attempt.notRun = refusal.is_object() && refusal.value("execution", "") == "not_run";
+}
+
+void Caller::judgeStream(Attempt &attempt, bool ended, const std::string &body) const
+{
+    std::size_t at = 0;
+    for (;;) {
+        const std::size_t end = body.find("\n\n", at);
+        if (end == std::string::npos) {
+            break;
+        }
+        const std::string event = body.substr(at, end - at);
+        const std::string expected = fmt::format("id: {}\ndata: {}", attempt.events,
+                                                 eventData(attempt.id, attempt.events));
+        if (event != expected) {
+            attempt.wrong = fmt::format("\"{}\" in place of event {}", event, attempt.events);
+            return;
+        }
+        ++attempt.events;
+        at = end + 2;
+    }
+    const bool all = attempt.events == streamLength(attempt.id);
+    attempt.whole = ended && all;
+    if (ended && !all) {
+        attempt.wrong =
+                fmt::format("a stream of {} events that ended as if it were whole", attempt.events);
+    }
+}
+
+Callers::Callers(const FleetView &fleet, Record &record, int count, uint64_t seed)
+    : fleet_(fleet), record_(record)
+{
+    for (int i = 0; i < count; ++i) {
+        threads_.emplace_back([this, i, seed] { run(i, seed); });
+    }
+}
+
+Callers::~Callers()
+{
+    stop();
+}
+
+void Callers::stop()
+{
+    stopping_ = true;
+    for (std::thread &thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
+}
+
+void Callers::run(int number, uint64_t seed)
+{
+    constexpr int Hundred = 100;
+    constexpr int HangUpPercent = 8;
+    constexpr uint64_t OldestProbe = 3; // versions back: the key and the route are gone then
+    std::mt19937_64 random(seed * 1000 + static_cast<uint64_t>(number));
+    Caller caller(fleet_, record_, fmt::format("c{}", number));
+    while (!stopping_) {
+        const int chance = static_cast<int>(random() % Hundred);
+        const Share *share = std::begin(Shares);
+        while (chance >= share->below) {
+            ++share;
+        }
+        const int host = static_cast<int>(random() % static_cast<uint64_t>(fleet_.hosts));
+        const std::string route = share->route;
+        const bool probe = route == "probe";
+        const uint64_t newest = fleet_.newestVersion();
+        const uint64_t back = random() % (OldestProbe + 1);
+        const uint64_t version = probe ? newest - std::min(newest - 1, back) : 0;
+        const bool hangsUp = static_cast<int>(random() % Hundred) < HangUpPercent;
+        caller.send(route, host, share->workspace, version, hangsUp && streams(route));
+        std::this_thread::sleep_for(Pause);
+    }
+}
+
+} // namespace sequoiagate::soak
--- /dev/null
+++ b/test/Soak/ChecksTest.cpp
@@ -0,0 +1,197 @@
+/// The soak's checks, held to records made by hand: each promise is broken in one row, and
+/// must be found; a sound record must pass.
+
+#include <functional>
+
+#include <gtest/gtest.h>
+
+#include "Checks.h"
+
+using namespace sequoiagate;
+using namespace sequoiagate::soak;
+
+namespace {
+
+constexpr Instant Start{std::chrono::hours(1)};
+
+Instant at(int seconds)
+{
+    return Start + std::chrono::seconds(seconds);
+}
+
+Attempt attempt(const std::string &id, const std::string &route)
+{
+    Attempt attempt;
+    attempt.id = id;
+    attempt.route = route;
+    attempt.workspace = "w";
+    attempt.sentTo = {1, 0};
+    attempt.sentAt = at(10);
+    attempt.endedAt = at(11);
+    attempt.status = 200;
+    attempt.whole = true;
+    return attempt;
+}
+
+/// Fills a sound record with two requests, one of them streamed.
+void fillSound(Record &record)
+{
+    record.add(attempt("a", "once"));
+    record.add(Run{"a", "w", "e1", 0, false});
+    Attempt chat = attempt("b", "chat");
+    chat.promptTokens = 100;
+    chat.events = 10;
+    record.add(chat);
+    record.add(Run{"b", "w", "e2", 10, false});
+    record.prepaid = {{"w", 200}};
+    record.allotted = {{"w", 140}};
+    record.exact = true;
+}
+
+struct BadRecord
+{
+    const char *name;
+    const char *promise; ///< the beginning of what must be found
+    std::function<void(Record &)> spoil;
+};
+
+const BadRecord BadRecords[] = {
+        {"ForeignBody", "own whole answer",
+         [](Record &r) {
+             r.attempts[0].wrong = "b's body";
+         }},
+        {"AnswerOfNobody", "own whole answer",
+         [](Record &r) {
+             r.runs.erase(r.runs.begin());
+         }},
+        {"RanTwice", "at most once",
+         [](Record &r) {
+             r.runs.push_back(r.runs[0]);
+         }},
+        {"RefusedAndRan", "not run is true",
+         [](Record &r) {
+             r.attempts[0].status = 502;
+             r.attempts[0].whole = false;
+             r.attempts[0].notRun = true;
+         }},
+        {"UnavailableAndRan", "not run is true",
+         [](Record &r) {
+             r.attempts[0].status = 503;
+             r.attempts[0].whole = false;
+         }},
+        {"OtherWorkspace", "own workspace",
+         [](Record &r) {
+             r.runs[0].workspace = "x";
+         }},
+        {"Overspent", "spend within the budget",
+         [](Record &r) {
+             r.prepaid["w"] = 139;
+         }},
+        {"Unbilled", "billed once",
+         [](Record &r) {
+             r.allotted["w"] = 139;
+         }},
+        {"BilledTwice", "billed once",
+         [](Record &r) {
+             r.allotted["w"] = 240;
+         }},
+        {"LeavingEndpointGotWork", "a leaving endpoint",
+         [](Record &r) {
+             r.published.push_back({0, "e1", at(8), {{ProcessOf{1, 0}, at(9)}}});
+         }},
+        {"OldConfiguration", "a configuration in force",
+         [](Record &r) {
+             r.attempts[0].probes = 7;
+             r.attempts[0].status = 404;
+             r.attempts[0].whole = false;
+             r.published.push_back({8, "", at(8), {{ProcessOf{1, 0}, at(9)}}});
+         }},
+        {"RevokedKeyServed", "a configuration in force",
+         [](Record &r) {
+             r.attempts[0].probes = 6;
+             r.published.push_back({8, "", at(8), {{ProcessOf{1, 0}, at(9)}}});
+         }},
+        {"CutOff", "nothing is cut off",
+         [](Record &r) {
+             r.attempts[0].status = 0;
+             r.attempts[0].whole = false;
+         }},
+        {"BadExit", "a planned stop",
+         [](Record &r) {
+             r.stops.push_back({{1, 0}, 1, 0});
+         }},
+        {"NotBack", "served again", [](Record &r) {
+             r.unserved.emplace_back("h1");
+         }}};
+
+class SoakChecks : public testing::TestWithParam<BadRecord>
+{};
+
+TEST_P(SoakChecks, FindTheBrokenPromise)
+{
+    Record record;
+    fillSound(record);
+    ASSERT_EQ(brokenPromises(record), std::vector<std::string>());
+    GetParam().spoil(record);
+    const std::vector<std::string> found = brokenPromises(record);
+    ASSERT_EQ(found.size(), 1U);
+    EXPECT_EQ(found[0].rfind(GetParam().promise, 0), 0U) << found[0];
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, SoakChecks, testing::ValuesIn(BadRecords),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+struct Excused
+{
+    const char *name;
+    std::function<void(Record &)> spoil;
+};
+
+/// What a trace shows to be allowed: each row is of a kind that the checks must not report.
+const Excused ExcusedRecords[] = {
+        {"CutOffByAReset",
+         [](Record &r) {
+             r.attempts[0].status = 0;
+             r.attempts[0].whole = false;
+             r.unplanned.push_back({"callers reset", 1, at(8), at(8)});
+         }},
+        {"LeftByItsCaller",
+         [](Record &r) {
+             r.attempts[1].status = 0;
+             r.attempts[1].whole = false;
+             r.attempts[1].leftByCaller = true;
+         }},
+        {"SentBeforeTheHostKnew",
+         [](Record &r) {
+             r.published.push_back({0, "e1", at(8), {{ProcessOf{1, 0}, at(12)}}});
+         }},
+        // Seeds 4 and 10: a newer version, which drops the route, came between the sending and
+        // the answer.
+        {"NewerConfigurationCameMeanwhile",
+         [](Record &r) {
+             r.attempts[0].probes = 7;
+             r.attempts[0].status = 404;
+             r.attempts[0].whole = false;
+             r.runs.erase(r.runs.begin());
+             r.published.push_back({8, "", at(8), {{ProcessOf{1, 0}, at(9)}}});
+             r.published.push_back({9, "", at(10), {{ProcessOf{1, 0}, at(11)}}});
+         }},
+        {"AnotherProcessKnew", [](Record &r) {
+             r.published.push_back({0, "e1", at(8), {{ProcessOf{1, 1}, at(9)}}});
+         }}};
+
+class SoakChecksExcuse : public testing::TestWithParam<Excused>
+{};
+
+TEST_P(SoakChecksExcuse, WhatIsAllowed)
+{
+    Record record;
+    fillSound(record);
+    GetParam().spoil(record);
+    EXPECT_EQ(brokenPromises(record), std::vector<std::string>());
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, SoakChecksExcuse, testing::ValuesIn(ExcusedRecords),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+} // namespace
--- /dev/null
+++ b/test/Soak/Endpoint.cpp
@@ -0,0 +1,157 @@
+#include "Endpoint.h"
+
+#include <chrono>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "sequoiagate/Base/Rendezvous.h"
+
+namespace sequoiagate::soak {
+
+namespace {
+
+constexpr std::chrono::milliseconds EventPause(10);
+constexpr std::chrono::milliseconds PlainWork(5);
+constexpr std::chrono::milliseconds LateBy(2500); // past the silence that a sound route bears
+
+/// How an answer is spoilt: the remainder of the request's hash by SpoiltOf.
+enum Spoilt { Refused, CutOff, Late, Failed, Foreign, Kinds };
+constexpr uint64_t SpoiltOf = 30;
+constexpr int Sound = Kinds;
+
+int spoiltKind(const std::string &id)
+{
+    const uint64_t remainder = stableHash(id) % SpoiltOf;
+    return remainder < Kinds ? static_cast<int>(remainder) : Sound;
+}
+
+} // namespace
+
+std::string plainBody(const std::string &request)
+{
+    constexpr uint64_t MostFiller = 2000;
+    const std::string filler(stableHash(request) % MostFiller, 'x');
+    return fmt::format("{} {} end", request, filler);
+}
+
+uint64_t streamLength(const std::string &request)
+{
+    constexpr uint64_t Least = 5;
+    constexpr uint64_t Spread = 25;
+    return Least + stableHash(request) % Spread;
+}
+
+std::string eventData(const std::string &request, uint64_t event)
+{
+    const bool last = event + 1 == streamLength(request);
+    return fmt::format("{} {}", request, last ? "end" : "goes on");
+}
+
+Endpoint::Endpoint(const std::string &ip, std::string id, Record &record, std::size_t workers)
+    : record_(record), id_(std::move(id)), http_(ip, 0, workers)
+{
+    http_.server().Post(".*",
+                        [this](const auto &request, auto &response) { serve(request, response); });
+    http_.start();
+}
+
+std::string Endpoint::id()
+{
+    const std::lock_guard lock(mutex_);
+    return id_;
+}
+
+void Endpoint::setId(const std::string &id)
+{
+    const std::lock_guard lock(mutex_);
+    id_ = id;
+}
+
+std::size_t Endpoint::begin(const httplib::Request &request, bool spoilt)
+{
+    const std::lock_guard lock(record_.mutex);
+    record_.runs.push_back({request.get_header_value("Request-Id"),
+                            request.get_header_value("Tenant"),
+                            request.get_header_value("Expect-Instance"), 0, spoilt});
+    return record_.runs.size() - 1;
+}
+
+void Endpoint::noteEvent(std::size_t run)
+{
+    const std::lock_guard lock(record_.mutex);
+    ++record_.runs[run].events;
+}
+
+void Endpoint::serve(const httplib::Request &request, httplib::Response &response)
+{
+    const std::string id = request.get_header_value("Request-Id");
+    const int spoilt = spoils_ ? spoiltKind(id) : Sound;
+    response.set_header("Request-Id", spoilt == Foreign ? "another" : id);
+    if (request.get_header_value("Expect-Instance") != this->id()) {
+        response.status = 421;
+        return;
+    }
+    if (spoilt == Refused) {
+        response.status = 503;
+        response.set_header("Not-Executed", "1");
+        return;
+    }
+    const std::size_t run = begin(request, spoilt != Sound);
+    if (spoilt == Failed) {
+        response.status = 500;
+        return;
+    }
+    if (spoilt == Late) {
+        std::this_thread::sleep_for(LateBy);
+    }
+    response.set_header("Response-Stamp", "stamp-" + id);
+    const bool streams =
+            request.path.rfind("/chat/", 0) == 0 || request.path.rfind("/talk/", 0) == 0;
+    if (!streams) {
+        servePlain(id, run, spoilt, response);
+        return;
+    }
+    const std::string behind = request.get_header_value("Last-Event-Id");
+    serveStream(id, behind.empty() ? 0 : std::stoull(behind) + 1, run, spoilt, response);
+}
+
+void Endpoint::servePlain(const std::string &id, std::size_t, int spoilt,
+                          httplib::Response &response)
+{
+    std::this_thread::sleep_for(PlainWork);
+    const std::string body = plainBody(id);
+    if (spoilt != CutOff) {
+        response.set_content(body, "text/plain");
+        return;
+    }
+    response.set_content_provider(body.size(), "text/plain",
+                                  [body](std::size_t, std::size_t, httplib::DataSink &sink) {
+                                      sink.write(body.data(), body.size() / 2);
+                                      return false;
+                                  });
+}
+
+void Endpoint::serveStream(const std::string &id, uint64_t first, std::size_t run, int spoilt,
+                           httplib::Response &response)
+{
+    const uint64_t length = streamLength(id);
+    const uint64_t cutAt = spoilt == CutOff ? first + 2 : length;
+    response.set_chunked_content_provider("text/event-stream", [this, id, first, length, cutAt,
+                                                                run](std::size_t,
+                                                                     httplib::DataSink &sink) {
+        for (uint64_t i = first; i < length; ++i) {
+            const std::string event = fmt::format("id: {}\ndata: {}\n\n", i, eventData(id, i));
+            const bool cut = i >= cutAt;
+            if (!sink.write(event.data(), cut ? event.size() / 2 : event.size()) || cut) {
+                return false;
+            }
+            noteEvent(run);
+            std::this_thread::sleep_for(EventPause);
+        }
+        sink.done();
+        return true;
+    });
+}
+
+} // namespace sequoiagate::soak
--- /dev/null
+++ b/test/Soak/Endpoint.h
@@ -0,0 +1,52 @@
+#ifndef TEST_SOAK_ENDPOINT_H
+#define TEST_SOAK_ENDPOINT_H
+
+/// An endpoint that notes each request that it runs, and now and then spoils an answer.
+
+#include <atomic>
+#include <mutex>
+#include <string>
+
+#include "Record.h"
+#include "sequoiagate/Standins/HttpStandin.h"
+
+namespace sequoiagate::soak {
+
+/// The body of the answer to a plain request.
+std::string plainBody(const std::string &request);
+/// Events of the answer to a streamed request, and the data of each.
+uint64_t streamLength(const std::string &request);
+std::string eventData(const std::string &request, uint64_t event);
+
+/// Thread safe.
+class Endpoint
+{
+public:
+    Endpoint(const std::string &ip, std::string id, Record &record, std::size_t workers);
+
+    const std::string &address() const { return http_.address(); }
+    std::string id();
+    /// It was started anew: requests for the id that it had are refused.
+    void setId(const std::string &id);
+    /// One answer in six is refused, cut in the middle, late, a failure or another request's.
+    void setSpoils(bool spoils) { spoils_ = spoils; }
+
+private:
+    void serve(const httplib::Request &request, httplib::Response &response);
+    void servePlain(const std::string &id, std::size_t run, int spoilt,
+                    httplib::Response &response);
+    void serveStream(const std::string &id, uint64_t first, std::size_t run, int spoilt,
+                     httplib::Response &response);
+    std::size_t begin(const httplib::Request &request, bool spoilt);
+    void noteEvent(std::size_t run);
+
+    Record &record_;
+    std::mutex mutex_;
+    std::string id_;
+    std::atomic<bool> spoils_{false};
+    HttpStandin http_;
+};
+
+} // namespace sequoiagate::soak
+
+#endif
--- /dev/null
+++ b/test/Soak/Record.h
@@ -0,0 +1,116 @@
+#ifndef TEST_SOAK_RECORD_H
+#define TEST_SOAK_RECORD_H
+
+/// What a soak saw from outside the programs: what callers sent and got, what endpoints ran,
+/// what was done to the fleet, and what the store held at the end. The checks judge this and
+/// nothing else.
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "sequoiagate/Base/Time.h"
+
+namespace sequoiagate::soak {
+
+/// Of the streams' service, as its configuration says.
+constexpr uint64_t TokensPerEvent = 4;
+
+/// One process of a host: the host's number, and how many ran there before it.
+struct ProcessOf
+{
+    int host = 0;
+    int incarnation = 0;
+
+    auto operator<=>(const ProcessOf &) const = default;
+};
+
+/// A request as its caller saw it.
+struct Attempt
+{
+    std::string id;
+    std::string route; ///< "once", "read", "chat", "talk", "probe"
+    std::string workspace;
+    ProcessOf sentTo;
+    uint64_t promptTokens = 0;
+    uint64_t probes = 0; ///< the version whose own route and key it used; 0: none
+    Instant sentAt{};
+    Instant endedAt{};
+    int status = 0;            ///< 0: no answer
+    bool notRun = false;       ///< the answer says that it has not run
+    bool whole = false;        ///< the whole of its own answer came
+    std::string wrong;         ///< what was wrong with a success, if anything
+    uint64_t events = 0;       ///< of a stream, as they came
+    bool leftByCaller = false; ///< it gave up or hung up: how it would have ended isn't known
+};
+
+/// A request as an endpoint ran it.
+struct Run
+{
+    std::string id;
+    std::string workspace; ///< as the endpoint was told
+    std::string endpoint;
+    uint64_t events = 0; ///< written
+    bool spoilt = false; ///< the endpoint broke its own answer off, lost or garbled it
+};
+
+/// Something done to one host, or to all of them.
+struct Disturbance
+{
+    static constexpr int AllHosts = -1;
+
+    std::string what;
+    int host = AllHosts;
+    Instant from{};
+    Instant until{};
+};
+
+/// A record of the store that processes must act on once they have read past it.
+struct Published
+{
+    uint64_t version = 0; ///< of a configuration; 0: none
+    std::string leaving;  ///< the endpoint that it says is leaving; empty: none
+    Instant at{};
+    std::map<ProcessOf, Instant> actedOn;
+};
+
+struct StopOf
+{
+    ProcessOf process;
+    int exitCode = 0;
+    int64_t cutOff = 0; ///< requests that the process says it cut
+};
+
+/// Thread safe while it is filled; read it when all threads have ended.
+struct Record
+{
+    std::vector<Attempt> attempts;
+    std::vector<Run> runs;
+    std::vector<Disturbance> unplanned;
+    std::vector<Published> published;
+    std::vector<StopOf> stops;
+    std::map<std::string, uint64_t> prepaid;  ///< the most that was in force, by workspace
+    std::map<std::string, uint64_t> allotted; ///< by the store's rows after all had stopped
+    std::vector<std::string> unserved; ///< hosts that didn't serve after the end of all faults
+    /// Nothing was killed and no datagram lost: the store's totals must be what was used.
+    bool exact = false;
+
+    void add(Attempt attempt)
+    {
+        const std::lock_guard lock(mutex);
+        attempts.push_back(std::move(attempt));
+    }
+    void add(Run run)
+    {
+        const std::lock_guard lock(mutex);
+        runs.push_back(std::move(run));
+    }
+
+    std::mutex mutex;
+};
+
+} // namespace sequoiagate::soak
+
+#endif
--- /dev/null
+++ b/test/Soak/Schedule.cpp
@@ -0,0 +1,167 @@
+#include "Schedule.h"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+
+namespace sequoiagate::soak {
+
+namespace {
+
+using Act = void (World::*)(int);
+
+enum class Target { Host, Endpoint };
+
+/// Whom a disturbance reaches, for the checks that excuse what it explains.
+enum class Reach { Nobody, ItsHost, AllHosts };
+
+struct Kind
+{
+    const char *name;
+    Target target;
+    Reach reach;
+    int shortestMs;
+    int longestMs;
+    Act begin;
+    Act end; ///< nullptr: it is over at once
+};
+
+/// A stop ends with the process; the new one starts behind it.
+constexpr Kind Planned[] = {
+        {"stop", Target::Host, Reach::Nobody, 1500, 3000, &World::beginStop, &World::endStop},
+        {"reload", Target::Host, Reach::Nobody, 0, 0, &World::reload, nullptr},
+        {"configure", Target::Host, Reach::Nobody, 0, 0, &World::newConfiguration, nullptr},
+        {"leave", Target::Endpoint, Reach::Nobody, 500, 2500, &World::beginLeaving,
+         &World::endLeaving},
+};
+
+constexpr Kind Failures[] = {
+        {"kill", Target::Host, Reach::ItsHost, 100, 2500, &World::kill, &World::restart},
+        {"pause", Target::Host, Reach::ItsHost, 100, 3500, &World::pause, &World::resume},
+        {"store one way", Target::Host, Reach::ItsHost, 300, 4000, &World::holdStoreForth,
+         &World::healStore},
+        {"store other way", Target::Host, Reach::ItsHost, 300, 4000, &World::holdStoreBack,
+         &World::healStore},
+        {"store silent to one", Target::Host, Reach::ItsHost, 300, 4000, &World::silenceStore,
+         &World::healStore},
+        {"store far", Target::Host, Reach::ItsHost, 300, 3000, &World::delayStore,
+         &World::healStore},
+        {"store resets", Target::Host, Reach::ItsHost, 0, 0, &World::resetStore, nullptr},
+        {"store refuses", Target::Host, Reach::AllHosts, 300, 3000, &World::refuseAll,
+         &World::healAll},
+        {"store silent", Target::Host, Reach::AllHosts, 300, 5000, &World::silenceAll,
+         &World::healAll},
+        {"answers lost", Target::Host, Reach::AllHosts, 300, 3000, &World::loseAnswers,
+         &World::healAll},
+        {"appends late", Target::Host, Reach::AllHosts, 500, 3000, &World::executeLate,
+         &World::healAll},
+        {"history forgotten", Target::Host, Reach::AllHosts, 0, 0, &World::forget, nullptr},
+        {"peers lossy", Target::Host, Reach::ItsHost, 500, 4000, &World::losePeers,
+         &World::healPeers},
+        {"peers cut", Target::Host, Reach::ItsHost, 500, 4000, &World::silencePeers,
+         &World::healPeers},
+        {"callers far", Target::Host, Reach::ItsHost, 300, 2000, &World::delayCallers,
+         &World::healCallers},
+        {"callers reset", Target::Host, Reach::ItsHost, 0, 0, &World::resetCallers, nullptr},
+        {"endpoint far", Target::Endpoint, Reach::AllHosts, 300, 2000, &World::delayEndpoint,
+         &World::healEndpoint},
+        {"endpoint silent", Target::Endpoint, Reach::AllHosts, 300, 4000, &World::silenceEndpoint,
+         &World::healEndpoint},
+        {"endpoint one way", Target::Endpoint, Reach::AllHosts, 300, 4000, &World::holdEndpointBack,
+         &World::healEndpoint},
+        {"endpoint resets", Target::Endpoint, Reach::AllHosts, 0, 0, &World::resetEndpoint,
+         nullptr},
+        {"endpoint spoils", Target::Endpoint, Reach::AllHosts, 1000, 5000, &World::spoilAnswers,
+         &World::spoilNoAnswers},
+        {"endpoint delisted", Target::Endpoint, Reach::Nobody, 500, 2500, &World::delist,
+         &World::endLeaving},
+};
+
+/// A step of the schedule: a disturbance begins or ends.
+struct Step
+{
+    std::chrono::milliseconds at{};
+    const Kind *kind = nullptr;
+    Act act = nullptr;
+    int target = 0;
+    bool begins = false;
+};
+
+int between(std::mt19937_64 &random, int least, int most)
+{
+    return least + static_cast<int>(random() % static_cast<uint64_t>(most - least + 1));
+}
+
+const Kind &draw(std::mt19937_64 &random, bool plannedOnly)
+{
+    constexpr int Hundred = 100;
+    constexpr int PlannedPercent = 30;
+    const bool planned = plannedOnly || between(random, 1, Hundred) <= PlannedPercent;
+    if (planned) {
+        return Planned[random() % std::size(Planned)];
+    }
+    return Failures[random() % std::size(Failures)];
+}
+
+std::vector<Step> steps(const SoakPlan &plan, const WorldShape &shape)
+{
+    std::mt19937_64 random(plan.seed);
+    std::vector<Step> steps;
+    for (int i = 0; i < plan.disturbances; ++i) {
+        const Kind &kind = draw(random, plan.plannedOnly);
+        const int most = kind.target == Target::Host ? shape.hosts : shape.endpoints;
+        const int target = between(random, 0, most - 1);
+        const std::chrono::milliseconds at(
+                between(random, 0, static_cast<int>(plan.length.count())));
+        const std::chrono::milliseconds lasts(between(random, kind.shortestMs, kind.longestMs));
+        steps.push_back({at, &kind, kind.begin, target, true});
+        if (kind.end != nullptr) {
+            steps.push_back({at + lasts, &kind, kind.end, target, false});
+        }
+    }
+    std::stable_sort(steps.begin(), steps.end(),
+                     [](const Step &a, const Step &b) { return a.at < b.at; });
+    return steps;
+}
+
+void note(Record &record, const Step &step, Instant now)
+{
+    if (step.kind->reach == Reach::Nobody) {
+        return;
+    }
+    const int host = step.kind->reach == Reach::AllHosts ? Disturbance::AllHosts : step.target;
+    if (step.begins) {
+        // Until its end is noted it lasts.
+        const Instant until =
+                step.kind->end == nullptr ? now : Instant::max() - std::chrono::hours(1);
+        record.unplanned.push_back({step.kind->name, host, now, until});
+        return;
+    }
+    for (Disturbance &disturbance : record.unplanned) {
+        if (disturbance.what == step.kind->name && disturbance.host == host) {
+            disturbance.until = std::min(disturbance.until, now);
+        }
+    }
+}
+
+} // namespace
+
+void play(const SoakPlan &plan, World &world, Record &record)
+{
+    record.exact = plan.plannedOnly;
+    const Instant start = std::chrono::steady_clock::now();
+    for (const Step &step : steps(plan, world.shape())) {
+        std::this_thread::sleep_until(start + step.at);
+        const Instant before = std::chrono::steady_clock::now();
+        if (step.begins) {
+            note(record, step, before);
+        }
+        (world.*step.act)(step.target);
+        if (!step.begins) {
+            note(record, step, std::chrono::steady_clock::now());
+        }
+    }
+    std::this_thread::sleep_until(start + plan.length);
+}
+
+} // namespace sequoiagate::soak
--- /dev/null
+++ b/test/Soak/Schedule.h
@@ -0,0 +1,27 @@
+#ifndef TEST_SOAK_SCHEDULE_H
+#define TEST_SOAK_SCHEDULE_H
+
+/// A seeded schedule of planned work and failures, which overlap.
+
+#include <string>
+#include <vector>
+
+#include "World.h"
+
+namespace sequoiagate::soak {
+
+/// What a seed plays.
+struct SoakPlan
+{
+    uint64_t seed = 1;
+    bool plannedOnly = false; ///< then nothing at all may be cut off, and bills are exact
+    std::chrono::milliseconds length{8000};
+    int disturbances = 14;
+};
+
+/// Plays \p plan on \p world while callers call, and notes in \p record what was done.
+void play(const SoakPlan &plan, World &world, Record &record);
+
+} // namespace sequoiagate::soak
+
+#endif
--- /dev/null
+++ b/test/Soak/SoakTest.cpp
@@ -0,0 +1,92 @@
+/// A randomized soak: edges as processes, callers that keep calling, and failures from outside
+/// that overlap. The promises are checked from what callers and endpoints saw.
+///
+/// By hand, other seeds: SEQUOIAGATE_SOAK_SEEDS=FIRST:COUNT, with SEQUOIAGATE_SOAK_HOSTS and
+/// SEQUOIAGATE_SOAK_SECONDS for larger and longer ones; SEQUOIAGATE_KEEP=1 keeps the logs.
+
+#include <cstdlib>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "Checks.h"
+#include "Schedule.h"
+
+using namespace sequoiagate;
+using namespace sequoiagate::soak;
+
+namespace {
+
+/// Every so many seeds only planned work is played.
+constexpr uint64_t PlannedEach = 4;
+
+int numberFrom(const char *variable, int otherwise)
+{
+    const char *const text = std::getenv(variable);
+    return text == nullptr ? otherwise : std::atoi(text);
+}
+
+/// The seeds that are always run: some for each kind of schedule, and each that ever failed.
+std::vector<uint64_t> seeds()
+{
+    const char *const text = std::getenv("SEQUOIAGATE_SOAK_SEEDS");
+    if (text == nullptr) {
+        return {4, 5, 6, 10};
+    }
+    const std::string range(text);
+    const uint64_t first = std::stoull(range);
+    const std::size_t colon = range.find(':');
+    const uint64_t count = colon == std::string::npos ? 1 : std::stoull(range.substr(colon + 1));
+    std::vector<uint64_t> chosen;
+    for (uint64_t seed = first; seed < first + count; ++seed) {
+        chosen.push_back(seed);
+    }
+    return chosen;
+}
+
+class Soak : public testing::TestWithParam<uint64_t>
+{};
+
+TEST_P(Soak, KeepsItsPromises)
+{
+    constexpr int DisturbancesASecond = 2;
+    SoakPlan plan;
+    plan.seed = GetParam();
+    plan.plannedOnly = plan.seed % PlannedEach == 0;
+    const int seconds = numberFrom("SEQUOIAGATE_SOAK_SECONDS", 8);
+    plan.length = std::chrono::seconds(seconds);
+    plan.disturbances = DisturbancesASecond * seconds;
+    WorldShape shape;
+    shape.hosts = numberFrom("SEQUOIAGATE_SOAK_HOSTS", shape.hosts);
+    shape.callers = 2 * shape.hosts;
+    Record record;
+    {
+        World world(shape, record);
+        {
+            Callers callers(world.view(), record, shape.callers, plan.seed);
+            play(plan, world, record);
+        }
+        world.finish();
+    }
+    for (const std::string &broken : brokenPromises(record)) {
+        ADD_FAILURE() << "seed " << plan.seed << ": " << broken;
+    }
+    std::map<std::string, int> outcomes;
+    for (const Attempt &attempt : record.attempts) {
+        ++outcomes[fmt::format("{} {}", attempt.route,
+                               attempt.whole ? "whole" : std::to_string(attempt.status))];
+    }
+    for (const auto &[outcome, count] : outcomes) {
+        RecordProperty(outcome, count);
+        if (std::getenv("SEQUOIAGATE_SOAK_SEEDS") != nullptr) {
+            fmt::print("{}: {}\n", outcome, count);
+        }
+    }
+    EXPECT_GT(outcomes["chat whole"], 0);
+    EXPECT_GT(outcomes["once whole"], 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Soak, testing::ValuesIn(seeds()),
+                         [](const auto &row) { return fmt::format("Seed{}", row.param); });
+
+} // namespace
--- /dev/null
+++ b/test/Soak/World.h
@@ -0,0 +1,141 @@
+#ifndef TEST_SOAK_WORLD_H
+#define TEST_SOAK_WORLD_H
+
+/// A fleet of edges as processes, its store and endpoints, and the relays between them; and
+/// what can be done to each from outside.
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Callers.h"
+#include "Endpoint.h"
+#include "Record.h"
+#include "Relay.h"
+#include "test/Support/PlatformStandin.h"
+#include "test/Support/Process.h"
+
+namespace sequoiagate::soak {
+
+struct WorldShape
+{
+    int hosts = 4;
+    int endpoints = 5; ///< the first two serve plain requests, the others streams
+    int callers = 8;
+    uint64_t smallBudget = 40'000; ///< runs dry within a few seconds
+    uint64_t largeBudget = 4'000'000;
+};
+
+/// Used by the thread that plays the faults.
+class World
+{
+public:
+    World(WorldShape shape, Record &record);
+    ~World();
+
+    const WorldShape &shape() const { return shape_; }
+    const FleetView &view() const { return view_; }
+
+    // ---- planned work ----
+    void beginStop(int host);
+    void endStop(int host);
+    void reload(int host);
+    void newConfiguration(int);
+    void beginLeaving(int endpoint);
+    void endLeaving(int endpoint);
+
+    // ---- failures of hosts ----
+    void kill(int host);
+    void restart(int host);
+    void pause(int host);
+    void resume(int host);
+
+    // ---- failures between hosts and the store ----
+    void holdStoreForth(int host) { hosts_[at(host)].store->faults().holdForth = true; }
+    void holdStoreBack(int host) { hosts_[at(host)].store->faults().holdBack = true; }
+    void silenceStore(int host);
+    void delayStore(int host);
+    void resetStore(int host);
+    void healStore(int host);
+    void refuseAll(int) { store_.setFault(StoreFault::Refuse); }
+    void silenceAll(int) { store_.setFault(StoreFault::Silent); }
+    void loseAnswers(int) { store_.setFault(StoreFault::LoseAnswers); }
+    void executeLate(int) { store_.setFault(StoreFault::Late); }
+    void forget(int);
+    void healAll(int) { store_.setFault(StoreFault::None); }
+
+    // ---- failures between hosts, callers and endpoints ----
+    void losePeers(int host);
+    void silencePeers(int host);
+    void healPeers(int host);
+    void delayCallers(int host);
+    void resetCallers(int host);
+    void healCallers(int host);
+    void delayEndpoint(int endpoint);
+    void silenceEndpoint(int endpoint);
+    void holdEndpointBack(int endpoint);
+    void resetEndpoint(int endpoint);
+    void healEndpoint(int endpoint);
+    void spoilAnswers(int endpoint) { endpoints_[at(endpoint)].server->setSpoils(true); }
+    void spoilNoAnswers(int endpoint) { endpoints_[at(endpoint)].server->setSpoils(false); }
+    void delist(int endpoint);
+
+    /// Ends every failure, waits until each host serves again, stops all as planned, and
+    /// notes what the store holds. \pre no callers run
+    void finish();
+
+private:
+    enum class HostState { Running, Stopping, Paused, Down };
+
+    struct Host
+    {
+        HostState state = HostState::Down;
+        int incarnation = -1;
+        std::unique_ptr<Process> process;
+        std::unique_ptr<TcpRelay> store;
+        std::unique_ptr<TcpRelay> callers;
+        std::unique_ptr<UdpRelay> peers;
+        uint64_t reloads = 0;
+    };
+
+    struct EndpointPlace
+    {
+        std::unique_ptr<Endpoint> server;
+        std::unique_ptr<TcpRelay> relay;
+        int starts = 0;
+        bool leaving = false;
+    };
+
+    static std::size_t at(int number) { return static_cast<std::size_t>(number); }
+    static std::string sourceOf(const ProcessOf &process);
+    nlohmann::json settings(int host, uint64_t reloads) const;
+    void start(int host);
+    void stopped(int host);
+    void list(int endpoint, const std::string &state);
+    void configure();
+    void publish(Published published, const std::string &topic, const std::string &key,
+                 const std::string &value);
+    bool serves(Caller &caller, int host);
+    void noteActedOn();
+
+    WorldShape shape_;
+    Record &record_;
+    ScratchFolder scratch_;
+    RelayLoop loop_;
+    StoreStandin store_;
+    std::vector<Host> hosts_;
+    std::vector<EndpointPlace> endpoints_;
+    std::unique_ptr<std::atomic<int>[]> incarnations_;
+    std::atomic<uint64_t> version_{0};
+    uint64_t smallBudget_;
+    /// Of record_.published, in the same order: where each stands in the store.
+    std::vector<std::pair<std::string, uint64_t>> places_;
+    FleetView view_;
+};
+
+} // namespace sequoiagate::soak
+
+#endif
--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-constexpr std::size_t StoreWorkers = 64; // a held read occupies one
 constexpr std::size_t EndpointWorkers = 128;
 constexpr std::chrono::milliseconds EventPause(10); // a quick engine's events
+constexpr std::chrono::milliseconds LateBy(1500);   // past the edge's timeout and its repeats
 
 std::string bigEndian(uint64_t number, int bytes)
 {
@@ -38,7 +38,7 @@
 
 } // namespace
 
-StoreStandin::StoreStandin(const std::string &ip) : http_(ip, 0, StoreWorkers)
+StoreStandin::StoreStandin(const std::string &ip, std::size_t workers) : http_(ip, 0, workers)
 {
     httplib::Server &server = http_.server();
     server.Get("/-/log-read",
@@ -88,11 +88,32 @@
     topic.records.push_back({key, value});
 }
 
-void StoreStandin::put(const std::string &topic, const std::string &key, const std::string &value)
+uint64_t StoreStandin::put(const std::string &topic, const std::string &key,
+                           const std::string &value)
 {
     const std::lock_guard lock(mutex_);
     add(topics_[topic], key, value);
     changed_.notify_all();
+    return topics_[topic].records.size() - 1;
+}
+
+void StoreStandin::notePosition(const httplib::Request &request, uint64_t from)
+{
+    const std::lock_guard lock(mutex_);
+    positions_[{request.remote_addr, request.get_param_value("topic")}].try_emplace(
+            from, std::chrono::steady_clock::now());
+}
+
+std::optional<Instant> StoreStandin::readPast(const std::string &ip, const std::string &topic,
+                                              uint64_t offset)
+{
+    const std::lock_guard lock(mutex_);
+    const auto reader = positions_.find({ip, topic});
+    if (reader == positions_.end()) {
+        return std::nullopt;
+    }
+    const auto first = reader->second.upper_bound(offset);
+    return first == reader->second.end() ? std::nullopt : std::optional<Instant>(first->second);
 }
 
 std::map<std::string, std::string> StoreStandin::newest(const std::string &topic)
@@ -114,6 +135,7 @@
 
 void StoreStandin::read(const httplib::Request &request, httplib::Response &response)
 {
+    notePosition(request, numberParam(request, "from"));
     if (!admit(response)) {
         return;
     }
@@ -154,13 +176,30 @@
     answerJson(response, {{"items", items}, {"has-more", false}, {"end", topic.records.size()}});
 }
 
+nlohmann::json StoreStandin::take(Topic &topic, const httplib::Request &request)
+{
+    const std::size_t offset = topic.records.size();
+    for (std::size_t at = 0; at + 4 <= request.body.size();) {
+        const uint64_t length = readBigEndian(request.body, at, 4);
+        const uint64_t keyLength = readBigEndian(request.body, at + 4, 1);
+        add(topic, request.body.substr(at + 5, keyLength),
+            request.body.substr(at + 5 + keyLength, length - 1 - keyLength));
+        at += 4 + length;
+    }
+    changed_.notify_all();
+    return {{"offset", offset}, {"end", topic.records.size()}};
+}
+
 void StoreStandin::append(const httplib::Request &request, httplib::Response &response)
 {
     if (!admit(response)) {
         return;
     }
     std::unique_lock lock(mutex_);
-    Topic &topic = topics_[request.get_param_value("topic")];
+    const bool late = fault_ == StoreFault::Late;
+    if (late) {
+        changed_.wait_for(lock, LateBy, [this] { return stopping_; });
+    }
     const uint64_t seq = numberParam(request, "seq");
     const std::string writer = request.get_param_value("producer");
     const auto known = writers_.find(writer);
@@ -170,20 +209,13 @@
         return;
     }
     if (!again) {
-        const std::size_t offset = topic.records.size();
-        for (std::size_t at = 0; at + 4 <= request.body.size();) {
-            const uint64_t length = readBigEndian(request.body, at, 4);
-            const uint64_t keyLength = readBigEndian(request.body, at + 4, 1);
-            add(topic, request.body.substr(at + 5, keyLength),
-                request.body.substr(at + 5 + keyLength, length - 1 - keyLength));
-            at += 4 + length;
-        }
-        const nlohmann::json answer = {{"offset", offset}, {"end", topic.records.size()}};
-        writers_[writer] = {seq, answer.dump()};
-        changed_.notify_all();
-    }
-    if (fault_ == StoreFault::LoseAnswers) {
-        changed_.wait(lock, [this] { return fault_ != StoreFault::LoseAnswers || stopping_; });
+        Topic &topic = topics_[request.get_param_value("topic")];
+        writers_[writer] = {seq, take(topic, request).dump()};
+    }
+    if (late || fault_ == StoreFault::LoseAnswers) {
+        changed_.wait(lock, [this] {
+            return (fault_ != StoreFault::LoseAnswers && fault_ != StoreFault::Late) || stopping_;
+        });
     }
     response.set_content(writers_[writer].second, "application/json");
 }
--- a/test/Support/PlatformStandin.h
+++ b/test/Support/PlatformStandin.h
@@ -9,9 +9,12 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "sequoiagate/Base/Time.h"
+
 #include "sequoiagate/Standins/HttpStandin.h"
 
 namespace sequoiagate {
@@ -21,6 +24,7 @@
     None,
     Refuse,      ///< 503: nothing was done
     LoseAnswers, ///< appends are done and never answered
+    Late,        ///< appends are done seconds later and never answered
     Silent,      ///< no call is answered
 };
 
@@ -28,17 +32,23 @@
 class StoreStandin
 {
 public:
-    explicit StoreStandin(const std::string &ip);
+    /// \param workers threads that serve; a held read occupies one.
+    explicit StoreStandin(const std::string &ip, std::size_t workers = 64);
     ~StoreStandin();
 
     const std::string &address() const { return http_.address(); }
     /// Writes a row as the operator or an endpoint does; an empty value removes the key.
-    void put(const std::string &topic, const std::string &key, const std::string &value);
+    /// \returns its offset
+    uint64_t put(const std::string &topic, const std::string &key, const std::string &value);
     /// The newest value of each key.
     std::map<std::string, std::string> newest(const std::string &topic);
     /// Forgets the history of \p topic; the newest rows stay.
     void forget(const std::string &topic);
     void setFault(StoreFault fault);
+    /// When the reader at \p ip first asked for what stands behind \p offset: it has had the
+    /// record there, or a snapshot that is newer, and acted on it before it asked.
+    std::optional<Instant> readPast(const std::string &ip, const std::string &topic,
+                                    uint64_t offset);
 
 private:
     struct Record
@@ -58,6 +68,8 @@
     void snapshot(const httplib::Request &request, httplib::Response &response);
     void append(const httplib::Request &request, httplib::Response &response);
     void add(Topic &topic, const std::string &key, const std::string &value);
+    void notePosition(const httplib::Request &request, uint64_t from);
+    nlohmann::json take(Topic &topic, const httplib::Request &request);
     /// Waits out a fault. \returns whether the call is to be served.
     bool admit(httplib::Response &response);
 
@@ -65,6 +77,8 @@
     std::condition_variable changed_;
     std::map<std::string, Topic> topics_;
     std::map<std::string, std::pair<uint64_t, std::string>> writers_; ///< last seq and answer
+    /// By reader and topic: what was read from, and when first.
+    std::map<std::pair<std::string, std::string>, std::map<uint64_t, Instant>> positions_;
     StoreFault fault_ = StoreFault::None;
     bool stopping_ = false;
     HttpStandin http_;
--- a/test/Support/Process.cpp
+++ b/test/Support/Process.cpp
@@ -155,11 +155,22 @@
     return lines;
 }
 
+bool Process::hasEnded() const
+{
+    siginfo_t info{};
+    // It stays there to be waited for.
+    const int found = waitid(P_PID, static_cast<id_t>(id_), &info, WEXITED | WNOHANG | WNOWAIT);
+    return ended_ || (found == 0 && info.si_pid == id_);
+}
+
 Process::Line Process::waitFor(const std::string &event, const Matches &matches,
                                Seconds limit) const
 {
     const Instant giveUpAt = std::chrono::steady_clock::now() + limit;
-    while (std::chrono::steady_clock::now() < giveUpAt) {
+    bool ended = false;
+    while (!ended && std::chrono::steady_clock::now() < giveUpAt) {
+        // Looked at before its lines: they are complete then.
+        ended = hasEnded();
         for (const Line &line : lines()) {
             const bool found = line.value("event", "") == event && (!matches || matches(line));
             if (found) {
--- a/test/Support/Process.h
+++ b/test/Support/Process.h
@@ -60,7 +60,8 @@
     Process &operator=(const Process &) = delete;
 
     /// Waits for a log line of \p event that matches. The limit is for a test that
-    /// has failed already; no verdict depends on how long it took.
+    /// has failed already; no verdict depends on how long it took. One that has ended
+    /// isn't waited for.
     /// \throws std::runtime_error with the log's end when it doesn't come.
     Line waitFor(const std::string &event, const Matches &matches = nullptr,
                  Seconds limit = Seconds(120)) const;
@@ -78,6 +79,8 @@
     const std::string &logPath() const { return logPath_; }
 
 private:
+    bool hasEnded() const;
+
     std::string name_;
     std::string logPath_;
     pid_t id_ = -1;
