[Decisions] Stay away longer when a host's link fills again at once

Ruled out: processor (hosts with more requests and wide links answered 90%), tokens (42 of 1,700 refusals).

Change: a link that is full again within 15 s of the shedding's end sheds twice as long, up to 48 s. In a model of one such caller the link is full for 14 s of two minutes in place of 46.

--- a/include/sequoiagate/Decisions/LinkLoad.h
+++ b/include/sequoiagate/Decisions/LinkLoad.h
@@ -9,6 +9,9 @@
 /// time-out sends a prompt again, and next to nothing is served. A host whose link fills takes
 /// no new callers and closes the connections of those it has behind their answers, so that
 /// they come back elsewhere; beyond that large requests are refused, which spares the way out.
+/// A caller that alone fills the link comes back with the balancer's hash as soon as the host
+/// takes callers again: each return costs some four seconds in which most requests fail, until
+/// the balancer has noticed. So a host that fills again soon stays away twice as long.
 
 #include <cstdint>
 
@@ -28,6 +31,11 @@
     Interval window = std::chrono::milliseconds(500);
     /// Shedding lasts so long at least: the balancer asks once a second and needs two answers.
     Interval shedFor = std::chrono::seconds(3);
+    /// A link that is full again so soon after the shedding ended was filled by who came back:
+    /// callers of users that press in waves need up to the wave's period of 8 to 13 s for it.
+    Interval settledAfter = std::chrono::seconds(15);
+    /// Each such time the next shedding lasts twice as long, so many times: up to 48 s.
+    uint32_t mostDoublings = 4;
     /// Smaller requests are never refused: they aren't what fills the link.
     uint64_t largeBytes = 4096;
 };
@@ -64,6 +72,7 @@
     Direction in_;
     Direction out_;
     Instant sheddingUntil_{};
+    uint32_t doublings_ = 0;
 };
 
 } // namespace sequoiagate
--- a/lib/Decisions/LinkLoad.cpp
+++ b/lib/Decisions/LinkLoad.cpp
@@ -40,7 +40,11 @@
 bool LinkLoad::shedding(Instant now)
 {
     if (share(now) > settings_.shedAbove) {
-        sheddingUntil_ = now + settings_.shedFor;
+        if (now >= sheddingUntil_) {
+            const bool cameBack = now < sheddingUntil_ + settings_.settledAfter;
+            doublings_ = cameBack ? std::min(doublings_ + 1, settings_.mostDoublings) : 0;
+        }
+        sheddingUntil_ = std::max(sheddingUntil_, now + settings_.shedFor * (1U << doublings_));
     }
     return now < sheddingUntil_;
 }
