[Proxy] Don't take endpoints for dead when the own link is full

Ruled out: endpoints that were down (531 refused connections).

Change: while the own link is busy a connection that wasn't made in time says nothing about the endpoint; the request is refused with a time to come back elsewhere. Besides, a request gives up after three endpoints that can't be reached. Both tests fail without the change (the requests were held for 15 s).

--- a/include/sequoiagate/Decisions/LinkLoad.h
+++ b/include/sequoiagate/Decisions/LinkLoad.h
@@ -53,6 +53,8 @@
     bool shedding(Instant now);
     /// Whether a request of \p bytes is to be refused.
     bool refuses(uint64_t bytes, Instant now) const;
+    /// Whether what is sent and asked for may be late for the link's sake.
+    bool busy(Instant now) const { return share(now) > settings_.shedAbove; }
     /// The fuller way's part of the link; above 1 it is late.
     double share(Instant now) const;
 
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -90,6 +90,7 @@
 
     // ---- what is done about a failure ----
     bool mayRunAgain() const;
+    void onNotConnected(const std::string &why, Instant now);
     void runAgainOrFail(const std::string &why);
     void tryElsewhere(const std::string &why);
     void refuse(Verdict verdict);
@@ -126,6 +127,7 @@
     std::optional<Attempt> attempt_;
     std::vector<EndpointId> tried_;
     uint32_t sends_ = 0;        ///< endpoints that a byte of it was, or may have been, sent to
+    uint32_t unconnected_ = 0;  ///< endpoints that it could not connect to
     uint32_t possibleRuns_ = 0; ///< of these, that may have begun to run it
     bool cutUncounted_ = false; ///< an attempt ended with events that may not have come
     bool streaming_ = false;    ///< the caller has the head of a stream
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -27,6 +27,10 @@
 /// The same for a pause in a stream, in objectives for pauses: callers leave at eight.
 constexpr double PauseFactor = 4.0;
 
+/// Endpoints that a request tries to connect to: at 0.4 s each the third uses up most of the
+/// second and a half that short calls wait.
+constexpr uint32_t MostUnconnected = 3;
+
 /// Events that an endpoint may have sent behind the last one that was read when a stream
 /// is cut: a tenth of a second's at a token in 5 ms. They are counted as delivered.
 constexpr uint64_t OverrunEvents = 8;
@@ -490,10 +494,7 @@
         // No byte left, so this sending wasn't one.
         --possibleRuns_;
         --sends_;
-        context_.placement.onMissing(attempt_->endpoint, now);
-        endAttempt(false);
-        position_.handle("not_run");
-        tryElsewhere(why);
+        onNotConnected(why, now);
         return;
     }
     cutUncounted_ = true;
@@ -501,6 +502,26 @@
     runAgainOrFail(why);
 }
 
+void Exchange::onNotConnected(const std::string &why, Instant now)
+{
+    // While this host's own link is full no endpoint connects in time. Taking each for dead
+    // and trying the next made 6,700 tries in a minute on a link of 10 Mbit/s, and kept
+    // callers until their deadlines.
+    const bool ownLink = context_.link.busy(now);
+    if (!ownLink) {
+        context_.placement.onMissing(attempt_->endpoint, now);
+    }
+    endAttempt(false);
+    position_.handle("not_run");
+    ++unconnected_;
+    if (ownLink || unconnected_ >= MostUnconnected) {
+        refuse({Execution::NotRun, ownLink ? Reason::QueueFull : Reason::NoEndpoint, why,
+                now + (ownLink ? ComeBackElsewhere : ComeBackSoon)});
+        return;
+    }
+    tryElsewhere(why);
+}
+
 void Exchange::runAgainOrFail(const std::string &why)
 {
     const Instant now = std::chrono::steady_clock::now();
--- a/unittests/Proxy/ExchangeTest.cpp
+++ b/unittests/Proxy/ExchangeTest.cpp
@@ -334,6 +334,34 @@
     EXPECT_EQ(world.placement.missing, std::vector<EndpointId>{EndpointId("e0")});
 }
 
+// A caller waits until its deadline while its request is tried at one endpoint after the
+// other. It is this host's own link that is full: none of them can be reached in time, and
+// each would be taken for dead.
+TEST(Exchange, OwnFullLinkIsntTakenForDeadEndpoints)
+{
+    ProxyWorld world({{}, {{plain("good")}}});
+    world.endpoints[0]->stopListening();
+    world.link.setBytesPerSecond(1'000);
+    world.link.onReceived(1'000'000, std::chrono::steady_clock::now());
+    world.send(ProxyWorld::request("/once/a", "r"));
+    EXPECT_TRUE(world.waitFor("HTTP/1.1 429"));
+    EXPECT_TRUE(world.placement.missing.empty());
+    EXPECT_TRUE(world.endpoints[1]->received().empty());
+}
+
+// A caller waits until its deadline while all endpoints of a service are gone.
+TEST(Exchange, GivesUpAfterThreeUnreachableEndpoints)
+{
+    ProxyWorld world({{}, {}, {}, {{plain("good")}}});
+    for (int i = 0; i < 3; ++i) {
+        world.endpoints[static_cast<std::size_t>(i)]->stopListening();
+    }
+    world.send(ProxyWorld::request("/once/a", "r"));
+    EXPECT_TRUE(world.waitFor("HTTP/1.1 503"));
+    EXPECT_EQ(world.placement.missing.size(), 3U);
+    EXPECT_TRUE(world.endpoints[3]->received().empty());
+}
+
 TEST(Exchange, WithoutRepeatsLeftAFailureIsPassedOn)
 {
     ProxyWorld world({{{status(500)}}, {{plain("good")}}});
