[Edge] Take bounds in fractions of a second

A deployment may give its bounds as fractions ("7.5"); the template wrote 7.5000 milliseconds, the schema refused that, and no process would have started. Not seen on the four deployments, whose bounds are whole.

--- a/test/Edge/EdgeTest.cpp
+++ b/test/Edge/EdgeTest.cpp
@@ -275,6 +275,20 @@
     EXPECT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
 }
 
+// A deployment gives its bounds in seconds, also in parts of them, and the template makes
+// milliseconds of them by an exponent. The process must start with either.
+TEST_F(EdgeProcess, StartsWithFractionsOfASecond)
+{
+    nlohmann::json text = settings(1);
+    text["stop_grace_ms"] = "GRACE";
+    std::string file = text.dump();
+    file.replace(file.find("\"GRACE\""), std::string("\"GRACE\"").size(), "7.5e3");
+    const std::string path = scratch_.write("fractions.json", file);
+    const ProgramResult result =
+            runProgram(scratch_, "sequoia-edge", {"--settings", path, "--check-settings"});
+    EXPECT_EQ(result.exitCode, 0) << result.err;
+}
+
 struct BadSettings
 {
     const char *name;
