[Edge] Give the ledger's rows a file of their own

They are encoded and decoded in one place now, tested without a process, malformed ones included; a batch row that can't be read and a row of no known kind get a log line, which they didn't. Behaviour else as before.

--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -1,13 +1,10 @@
 #include "sequoiagate/Edge/TokenService.h"
 
 #include <algorithm>
-#include <charconv>
 
-#include <absl/strings/str_split.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
-#include "Addresses.h"
+#include "LedgerRows.h"
 #include "sequoiagate/Base/Rendezvous.h"
 
 namespace sequoiagate {
@@ -40,67 +37,10 @@
 
 constexpr Interval ReportInterval = std::chrono::seconds(2);
 
-constexpr char Separator = '/';
-constexpr std::string_view BudgetPrefix = "budget/";
-constexpr std::string_view HostPrefix = "host/";
-constexpr std::string_view BatchPrefix = "batch/";
-
 /// A dead process's last batch must be younger than the holder's own bound by this, since
 /// the two clocks that are read for them aren't read in one moment.
 constexpr Millis SealMargin = std::chrono::milliseconds(200);
 
-StoreRow budgetRow(const AllotmentRow &row)
-{
-    return {fmt::format("{}{}/{}", BudgetPrefix, row.holder.text(), row.workspace.text()),
-            fmt::format("{} {}", row.tokens, row.usedAtMost), 0};
-}
-
-/// Reads a number and the space behind it, if any, off the front of \p text.
-bool takeNumber(std::string_view &text, uint64_t &number)
-{
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (parsed.ec != std::errc()) {
-        return false;
-    }
-    text.remove_prefix(static_cast<std::size_t>(parsed.ptr - text.data()));
-    if (!text.empty() && text.front() == ' ') {
-        text.remove_prefix(1);
-    }
-    return true;
-}
-
-/// A row made by budgetRow, or nullopt. A workspace's name may hold the separator.
-std::optional<AllotmentRow> parseBudget(const StoreRow &row)
-{
-    const std::string_view rest = std::string_view{row.key}.substr(BudgetPrefix.size());
-    const std::size_t separator = rest.find(Separator);
-    AllotmentRow parsed;
-    std::string_view numbers = row.value;
-    const bool good = takeNumber(numbers, parsed.tokens) && takeNumber(numbers, parsed.usedAtMost)
-                      && numbers.empty();
-    if (separator == std::string_view::npos || !good) {
-        return std::nullopt;
-    }
-    parsed.holder = Incarnation(std::string(rest.substr(0, separator)));
-    parsed.workspace = WorkspaceId(std::string(rest.substr(separator + 1)));
-    return parsed;
-}
-
-/// \throws nlohmann::json::exception, std::invalid_argument
-Peer parsePeer(const HostId &host, const std::string &text)
-{
-    const nlohmann::json value = nlohmann::json::parse(text);
-    const auto reached = value.at("address").get<std::string>();
-    const auto address = parseUdpAddress(reached);
-    // Processes of an earlier build say only where they are reached, and listen there.
-    const auto listens = parseUdpAddress(value.value("listens", reached));
-    if (!address || !listens) {
-        throw std::invalid_argument("an address isn't IP:port");
-    }
-    return {host, DomainId(value.at("domain").get<std::string>()),
-            Incarnation(value.at("incarnation").get<std::string>()), *address, *listens};
-}
-
 /// The index of the host that holds \p workspace's tokens for the others of its domain. Hosts
 /// that know of different members may choose differently: it costs a round of asking.
 std::size_t homeAmong(const WorkspaceId &workspace, const std::vector<const Peer *> &members)
@@ -113,11 +53,6 @@
     return rendezvousChoice(workspace.text(), names);
 }
 
-bool startsWith(const std::string &text, std::string_view prefix)
-{
-    return text.compare(0, prefix.size(), prefix) == 0;
-}
-
 FollowerSettings followerSettings(const std::string &topic)
 {
     FollowerSettings settings;
@@ -213,13 +148,20 @@
     bool hostsChanged = false;
     for (const StoreRow &row : rows) {
         noteReadBack(row);
-        if (startsWith(row.key, BudgetPrefix)) {
+        switch (ledgerRowOf(row.key)) {
+        case LedgerRow::Budget:
             onBudgetRow(row);
-        } else if (startsWith(row.key, BatchPrefix)) {
+            break;
+        case LedgerRow::Batch:
             onBatchRow(row);
-        } else if (startsWith(row.key, HostPrefix)) {
+            break;
+        case LedgerRow::Host:
             onHostRow(row);
             hostsChanged = true;
+            break;
+        case LedgerRow::Unknown:
+            log_.write(Event("ledger.malformed").with("key", row.key));
+            break;
         }
     }
     if (hostsChanged) {
@@ -241,7 +183,7 @@
 
 void TokenService::onBudgetRow(const StoreRow &row)
 {
-    const std::optional<AllotmentRow> parsed = parseBudget(row);
+    const std::optional<AllotmentRow> parsed = decodeBudget(row);
     if (!parsed) {
         log_.write(Event("ledger.malformed").with("key", row.key));
         return;
@@ -251,11 +193,13 @@
 
 void TokenService::onBatchRow(const StoreRow &row)
 {
-    const Incarnation holder(row.key.substr(BatchPrefix.size()));
-    std::string_view text = row.value;
-    uint64_t millis = 0;
-    if (holder != settings_.incarnation && takeNumber(text, millis)) {
-        batches_[holder] = {std::string(text), Millis(millis)};
+    const std::optional<BatchMoment> batch = decodeBatch(row);
+    if (!batch) {
+        log_.write(Event("ledger.malformed").with("key", row.key));
+        return;
+    }
+    if (batch->holder != settings_.incarnation) {
+        batches_[batch->holder] = batch->moment;
     }
 }
 
@@ -285,14 +229,14 @@
 
 void TokenService::onHostRow(const StoreRow &row)
 {
-    const std::string host = row.key.substr(HostPrefix.size());
+    const HostId host = hostOf(row);
     if (row.value.empty()) {
-        hosts_.erase(host);
+        hosts_.erase(host.text());
         return;
     }
     try {
-        const Peer peer = parsePeer(HostId(host), row.value);
-        hosts_[host] = peer;
+        const Peer peer = decodeHost(row);
+        hosts_[host.text()] = peer;
         if (peer.host != settings_.host) {
             return;
         }
@@ -375,28 +319,22 @@
     batch.seq = nextSeq_;
     const std::optional<std::vector<AllotmentRow>> rows = holder_.nextBatch(now);
     for (const AllotmentRow &row : rows.value_or(std::vector<AllotmentRow>())) {
-        batch.rows.push_back(budgetRow(row));
+        batch.rows.push_back(encodeBudget(row));
     }
     batchHasTokens_ = !batch.rows.empty();
     if (rows) {
-        const BootMoment moment = bootNow();
-        batch.rows.push_back({std::string(BatchPrefix) + settings_.incarnation.text(),
-                              fmt::format("{} {}", moment.sinceBoot.count(), moment.boot), 0});
+        batch.rows.push_back(encodeBatch({settings_.incarnation, bootNow()}));
     }
     for (const AllotmentRow &row : std::exchange(seals_, {})) {
-        batch.rows.push_back(budgetRow(row));
+        batch.rows.push_back(encodeBudget(row));
     }
-    const std::string hostKey = std::string(HostPrefix) + settings_.host.text();
     if (!announced_) {
-        const nlohmann::json value = {{"address", addressText(settings_.announcePeers)},
-                                      {"listens", addressText(settings_.listenPeers)},
-                                      {"domain", settings_.domain.text()},
-                                      {"incarnation", settings_.incarnation.text()}};
-        batch.rows.push_back({hostKey, value.dump(), 0});
+        batch.rows.push_back(encodeHost({settings_.host, settings_.domain, settings_.incarnation,
+                                         settings_.announcePeers, settings_.listenPeers}));
         announced_ = true;
     }
     if (stopped_ && !farewell_) {
-        batch.rows.push_back({hostKey, "", 0});
+        batch.rows.push_back(encodeFarewell(settings_.host));
         farewell_ = true;
     }
     if (batch.rows.empty()) {
--- /dev/null
+++ b/unittests/Edge/LedgerRowsTest.cpp
@@ -0,0 +1,96 @@
+/// The rows of the edge's own topic: what is written is read back, and what isn't a row of ours
+/// is told apart.
+
+#include <gtest/gtest.h>
+
+#include "lib/Edge/LedgerRows.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+using boost::asio::ip::make_address;
+using boost::asio::ip::udp;
+
+TEST(LedgerRows, AreReadAsTheyWereWritten)
+{
+    const StoreRow budget = encodeBudget({WorkspaceId("a/b"), Incarnation("i"), 700, 300});
+    EXPECT_EQ(ledgerRowOf(budget.key), LedgerRow::Budget);
+    const std::optional<AllotmentRow> row = decodeBudget(budget);
+    ASSERT_TRUE(row);
+    EXPECT_EQ(row->workspace, WorkspaceId("a/b"));
+    EXPECT_EQ(row->holder, Incarnation("i"));
+    EXPECT_EQ(row->tokens, 700U);
+    EXPECT_EQ(row->usedAtMost, 300U);
+
+    const StoreRow batch = encodeBatch({Incarnation("i"), {"a boot", Millis(1234)}});
+    EXPECT_EQ(ledgerRowOf(batch.key), LedgerRow::Batch);
+    const std::optional<BatchMoment> moment = decodeBatch(batch);
+    ASSERT_TRUE(moment);
+    EXPECT_EQ(moment->holder, Incarnation("i"));
+    EXPECT_EQ(moment->moment.boot, "a boot");
+    EXPECT_EQ(moment->moment.sinceBoot, Millis(1234));
+
+    const Peer peer{HostId("h"), DomainId("d"), Incarnation("i"),
+                    udp::endpoint(make_address("10.0.0.1"), 7200),
+                    udp::endpoint(make_address("10.0.0.2"), 7201)};
+    const StoreRow host = encodeHost(peer);
+    EXPECT_EQ(ledgerRowOf(host.key), LedgerRow::Host);
+    const Peer read = decodeHost(host);
+    EXPECT_EQ(read.host, peer.host);
+    EXPECT_EQ(read.address, peer.address);
+    EXPECT_EQ(read.listens, peer.listens);
+    EXPECT_EQ(hostOf(encodeFarewell(peer.host)), peer.host);
+}
+
+TEST(LedgerRows, OfAnEarlierBuildNameOneAddressForBoth)
+{
+    const Peer peer = decodeHost(
+            {"host/h", R"({"address": "10.0.0.1:7200", "domain": "d", "incarnation": "i"})", 0});
+    EXPECT_EQ(peer.listens, peer.address);
+}
+
+struct Malformed
+{
+    const char *name;
+    const char *key;
+    const char *value;
+};
+
+const Malformed MalformedBudgets[] = {{"WithoutWorkspace", "budget/i", "7 3"},
+                                      {"OneNumber", "budget/i/w", "7"},
+                                      {"NoNumber", "budget/i/w", "x 3"},
+                                      {"Negative", "budget/i/w", "-7 3"},
+                                      {"TooLarge", "budget/i/w", "99999999999999999999 3"},
+                                      {"More", "budget/i/w", "7 3 1"},
+                                      {"Empty", "budget/i/w", ""}};
+
+class MalformedBudget : public testing::TestWithParam<Malformed>
+{};
+
+TEST_P(MalformedBudget, IsNoRow)
+{
+    EXPECT_FALSE(decodeBudget({GetParam().key, GetParam().value, 0}));
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, MalformedBudget, testing::ValuesIn(MalformedBudgets),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+const Malformed MalformedHosts[] = {
+        {"NotJson", "host/h", "{broken"},
+        {"NoAddress", "host/h", R"({"domain": "d", "incarnation": "i"})"},
+        {"BadAddress", "host/h", R"({"address": "x", "domain": "d", "incarnation": "i"})"},
+        {"NoDomain", "host/h", R"({"address": "10.0.0.1:7200", "incarnation": "i"})"}};
+
+class MalformedHost : public testing::TestWithParam<Malformed>
+{};
+
+TEST_P(MalformedHost, IsRefusedWithAReason)
+{
+    EXPECT_THROW(decodeHost({GetParam().key, GetParam().value, 0}), std::exception);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, MalformedHost, testing::ValuesIn(MalformedHosts),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+} // namespace
