[Test] Hold the three walks of the operations page to the lines they name

A test starts an edge, brings about each of the three failures (no tokens within reach, a stream that breaks off, a call that may have run) and looks for the lines and fields by which the page traces them from the request's id.

--- a/test/Edge/EdgeTest.cpp
+++ b/test/Edge/EdgeTest.cpp
@@ -29,20 +29,18 @@
     return fmt::format("127.{}.{}.{}", 1 + (id >> 8) % 250, id % 250, host);
 }
 
+nlohmann::json route(const std::string &name, const std::string &kind)
+{
+    return {{"name", name},  {"host", "h.example"}, {"path-prefix", "/" + name + "/"},
+            {"type", kind},  {"timeout-ms", 20000}, {"slo-ms", 5000},
+            {"priority", 0}, {"backend", "s"},      {"max-attempts", 1}};
+}
+
 std::string configRow(uint64_t version, uint64_t prepaid)
 {
     return nlohmann::json(
                    {{"version", version},
-                    {"routes",
-                     {{{"name", "once"},
-                       {"host", "h.example"},
-                       {"path-prefix", "/once/"},
-                       {"type", "non_idempotent"},
-                       {"timeout-ms", 20000},
-                       {"slo-ms", 5000},
-                       {"priority", 0},
-                       {"backend", "s"},
-                       {"max-attempts", 1}}}},
+                    {"routes", {route("once", "non_idempotent"), route("stream", "streaming")}},
                     {"backends",
                      {{{"name", "s"}, {"max-conns", 100}, {"engine", {{"stride", 1}}}}}},
                     {"limits", nlohmann::json::object()},
@@ -289,6 +287,73 @@
     EXPECT_EQ(result.exitCode, 0) << result.err;
 }
 
+/// Fails if a line of \p event for \p request isn't there, or lacks a field.
+void expectLine(const Process &edge, const std::string &event, const std::string &request,
+                const std::vector<std::string> &fields)
+{
+    const auto isOfRequest = [&request](const nlohmann::json &line) {
+        return line.value("request", "") == request;
+    };
+    const nlohmann::json line = edge.waitFor(event, isOfRequest);
+    for (const std::string &field : fields) {
+        EXPECT_TRUE(line.contains(field)) << event << " lacks " << field;
+    }
+}
+
+// The three walks of docs/OPERATIONS.md: each line that they name is written, with what it is
+// read for.
+TEST_F(EdgeProcess, RefusalForTokensCanBeTracedByItsId)
+{
+    const auto edge = start(1, "edge");
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+    store_.setFault(StoreFault::Silent);
+    edge->waitFor("ledger.lost");
+    EXPECT_EQ(status(post(1, "r2", 90'000)), 503);
+    expectLine(*edge, "request.refused", "r2", {"reason", "detail", "execution", "come_back_ms"});
+    expectLine(*edge, "request.ended", "r2", {"outcome", "status", "took_ms", "workspace"});
+    const nlohmann::json lost = edge->waitFor("ledger.lost");
+    EXPECT_TRUE(lost.contains("outcome") && lost.contains("hlc"));
+    const nlohmann::json state = edge->waitFor("tokens.state");
+    for (const char *field : {"workspace", "usable", "reserved", "spent", "unallotted"}) {
+        EXPECT_TRUE(state.contains(field)) << field;
+    }
+    store_.setFault(StoreFault::None);
+}
+
+TEST_F(EdgeProcess, BrokenStreamCanBeTracedByItsId)
+{
+    const auto edge = start(1, "edge");
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+    httplib::Client client(ip(1), CallerPort);
+    const httplib::Headers headers = {
+            {"Host", "h.example"},    {"Request-Id", "r2"}, {"Authorization", "Token key"},
+            {"Deadline-Ms", "20000"}, {"X-Events", "3"},    {"X-Break", "1"}};
+    client.Post("/stream/a", headers, "body", "text/plain");
+    expectLine(*edge, "request.sent", "r2", {"endpoint", "why", "attempt", "left_ms", "config"});
+    expectLine(*edge, "request.failed", "r2", {"reason", "detail", "execution"});
+    expectLine(*edge, "request.ended", "r2", {"outcome", "events", "tokens", "attempts"});
+}
+
+TEST_F(EdgeProcess, CallThatMayHaveRunCanBeTracedByItsId)
+{
+    const auto edge = start(1, "edge");
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+    endpoint_.hold(true);
+    httplib::Client client(ip(1), CallerPort);
+    const httplib::Headers headers = {{"Host", "h.example"},
+                                      {"Request-Id", "r2"},
+                                      {"Authorization", "Token key"},
+                                      {"Deadline-Ms", "300"}};
+    EXPECT_EQ(status(client.Post("/once/a", headers, "body", "text/plain")), 504);
+    endpoint_.hold(false);
+    expectLine(*edge, "request.failed", "r2", {"reason", "detail", "execution"});
+    const std::vector<nlohmann::json> lines = edge->lines();
+    const auto sendings = std::count_if(lines.begin(), lines.end(), [](const auto &line) {
+        return line.value("event", "") == "request.sent" && line.value("request", "") == "r2";
+    });
+    EXPECT_EQ(sendings, 1);
+}
+
 struct BadSettings
 {
     const char *name;
--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -251,13 +251,17 @@
     response.set_header("Response-Stamp", id_);
     if (request.has_header("X-Events")) {
         const int events = std::stoi(request.get_header_value("X-Events"));
+        const bool breaks = request.has_header("X-Break");
         response.set_chunked_content_provider(
-                "text/event-stream", [events](std::size_t, httplib::DataSink &sink) {
+                "text/event-stream", [events, breaks](std::size_t, httplib::DataSink &sink) {
                     for (int i = 0; i < events; ++i) {
                         const std::string event = fmt::format("id: {}\ndata: {:50}\n\n", i, "x");
                         sink.write(event.data(), event.size());
                         std::this_thread::sleep_for(EventPause);
                     }
+                    if (breaks) {
+                        return false;
+                    }
                     sink.done();
                     return true;
                 });
--- a/test/Support/PlatformStandin.h
+++ b/test/Support/PlatformStandin.h
@@ -85,7 +85,7 @@
 };
 
 /// An endpoint that answers every request as it was told; one with "X-Events: N" by a stream
-/// of so many events. Thread safe.
+/// of so many events, and with "X-Break" without the stream's end. Thread safe.
 class EndpointStandin
 {
 public:
