--- /dev/null
+++ b/unittests/Ledger/PowerLossTest.cpp
@@ -0,0 +1,114 @@
+/// After a loss of power of all hosts callers are served for some seconds, and then refused to
+/// the end of the day, though a tenth and more of the budget was never used. What the hosts
+/// held when the power went stays counted as spent, since nobody can know what was sent last;
+/// of a budget that is nearly used up that is most of the rest.
+
+#include <memory>
+#include <vector>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "sequoiagate/Ledger/TokenHolder.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+const WorkspaceId W("w");
+constexpr int Hosts = 8;
+constexpr Interval Step = std::chrono::milliseconds(100);
+constexpr int StepsASecond = 10;
+constexpr uint64_t TokensARequest = 100;
+constexpr int DaySeconds = 62;
+constexpr int PowerLostAt = 42;
+constexpr int LastSeconds = 4; // of the day, in which it is looked at who is served
+constexpr uint64_t DayTokens = uint64_t{Hosts} * StepsASecond * TokensARequest * DaySeconds;
+
+/// A fleet whose store takes each batch at once.
+class Fleet
+{
+public:
+    explicit Fleet(uint64_t prepaid) : prepaid_(prepaid) { startAll(); }
+
+    void losePower() { startAll(); }
+
+    /// Each host gets a request and writes what is due. \returns requests that were served.
+    int step()
+    {
+        int served = 0;
+        for (const auto &holder : holders_) {
+            if (holder->reserve(W, TokensARequest, now_)) {
+                holder->settle(W, TokensARequest, TokensARequest, now_);
+                ++served;
+            }
+        }
+        for (const auto &holder : holders_) {
+            write(*holder);
+        }
+        now_ += Step;
+        return served;
+    }
+
+private:
+    void startAll()
+    {
+        ++starts_;
+        holders_.clear();
+        for (int i = 0; i < Hosts; ++i) {
+            holders_.push_back(
+                    std::make_unique<TokenHolder>(Incarnation(fmt::format("h{}-{}", i, starts_))));
+            TokenHolder &holder = *holders_.back();
+            holder.setBudgets({{W, prepaid_}}, now_);
+            holder.setHolders(Hosts);
+            holder.setStoreReachable(true);
+            for (std::size_t row = 0; row < log_.size(); ++row) {
+                holder.onRow(log_[row], row + 1);
+            }
+            holder.onPosition(log_.size() + 1);
+        }
+    }
+
+    void write(TokenHolder &writer)
+    {
+        const auto rows = writer.nextBatch(now_);
+        for (const AllotmentRow &row : rows.value_or(std::vector<AllotmentRow>())) {
+            log_.push_back(row);
+            for (const auto &holder : holders_) {
+                holder->onRow(row, log_.size());
+            }
+        }
+        writer.onWritten();
+        for (const auto &holder : holders_) {
+            holder->onPosition(log_.size() + 1);
+        }
+    }
+
+    uint64_t prepaid_;
+    int starts_ = 0;
+    Instant now_{std::chrono::hours(1)};
+    std::vector<AllotmentRow> log_;
+    std::vector<std::unique_ptr<TokenHolder>> holders_;
+};
+
+TEST(PowerLoss, LeavesAQuarterServedAsLongAsTokensWereNeverUsed)
+{
+    constexpr uint64_t Prepaid = DayTokens * 85 / 100;
+    Fleet fleet(Prepaid);
+    uint64_t spent = 0;
+    int servedLast = 0;
+    for (int step = 0; step < DaySeconds * StepsASecond; ++step) {
+        if (step == PowerLostAt * StepsASecond) {
+            fleet.losePower();
+        }
+        const int served = fleet.step();
+        spent += static_cast<uint64_t>(served) * TokensARequest;
+        servedLast += step >= (DaySeconds - LastSeconds) * StepsASecond ? served : 0;
+    }
+    EXPECT_LE(spent, Prepaid);
+    const bool usedUp = spent >= Prepaid * 97 / 100;
+    EXPECT_TRUE(usedUp || servedLast * 4 >= Hosts * StepsASecond * LastSeconds)
+            << spent << " of " << Prepaid << " used, " << servedLast << " served at the end";
+}
+
+} // namespace
