[Edge] Refuse for now where no endpoint of a configured service is listed

Cause: EndpointChoice calls a service without endpoints unknown, which is right for the router's models and wrong behind a configured route: callers got 404 and took the route for removed. Ruled out: a configuration that went back (config.in_force never fell).

--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -121,6 +121,26 @@
     EXPECT_EQ(placed({EndpointId("b")}), "a");
 }
 
+// Callers of a configured route are told that it doesn't exist (404), and don't come back: the
+// last endpoint of its service left the list, and the next one has yet to enter it. That is
+// "not now, come back", as for endpoints that are listed and can't be used.
+TEST_F(Directory, ServiceWithoutListedEndpointsIsRefusedForNow)
+{
+    directory_.update(entry("a"), now_);
+    directory_.remove(EndpointId("a"), now_);
+    directory_.publish(now_);
+    WorkItem item;
+    item.request = RequestId("r");
+    item.service = ServiceId("s");
+    item.deadline = now_ + std::chrono::seconds(1);
+    const Placing placing = directory_.place(item, {}, {}, now_);
+    const auto *verdict = std::get_if<Verdict>(&placing);
+    ASSERT_NE(verdict, nullptr);
+    EXPECT_EQ(verdict->reason, Reason::NoEndpoint);
+    EXPECT_EQ(verdict->execution, Execution::NotRun);
+    EXPECT_TRUE(verdict->comeBackAt);
+}
+
 TEST(SharedPrompt, IsAllPartsButTheLast)
 {
     const uint64_t both = sharedPromptHash({{1, 10}, {2, 10}, {3, 10}});
