[Decisions] Weigh what would be read again against the queue at a prefix's home

A second home that wasn't sent the prefix lately now counts three times the time of reading it beside its load.

Also: batch rows are short text, decoded when used. The window is 2 s of demand.

--- a/include/sequoiagate/Decisions/EndpointChoice.h
+++ b/include/sequoiagate/Decisions/EndpointChoice.h
@@ -86,6 +86,9 @@
     uint32_t prefixHomes = 0;
     /// A home with more than this many times the mean load is passed over for the next one.
     double homeBound = 2.0;
+    /// What reading a prefix again counts beside an endpoint's load, as a multiple of the time
+    /// that it takes there: it also delays whoever else is served there.
+    double rereadWeight = 3.0;
     double fullest = 0.98; ///< of all slots, that routers fill: room for uneven choices
     double kvLimit = 0.9;  ///< of its KV memory; beyond it an engine preempts and recomputes
     Interval roundTripElsewhere = std::chrono::milliseconds(5); ///< until it is measured
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -85,7 +85,7 @@
     /// A holder's batch, and when it was read.
     struct ReadBatch
     {
-        std::unique_ptr<BatchMoment> moment;
+        StoreRow row;
         Instant at{};
     };
 
@@ -96,6 +96,7 @@
     void onHostRow(const StoreRow &row);
     void findPredecessor();
     void sealPredecessor(Instant now);
+    std::optional<BatchMoment> lastBatchOf(const Incarnation &holder) const;
     std::vector<PeerClock> freshestPeers() const;
     void publishPeers();
     void chooseHomes();
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -57,7 +57,7 @@
     /// A batch is written at least this often, to say that the holder keeps to it.
     Interval heartbeat = std::chrono::milliseconds(500);
     /// Demand that a row allows beyond what was used when it was composed.
-    Interval window = std::chrono::milliseconds(1200);
+    Interval window = std::chrono::milliseconds(2000);
     /// What a row allows a second from then on, as a multiple of demand: room for its swings.
     double paceFactor = 1.5;
     /// The same for a scarce workspace.
--- a/lib/Decisions/EndpointChoice.cpp
+++ b/lib/Decisions/EndpointChoice.cpp
@@ -118,7 +118,7 @@
            + StreamSeconds * candidate.endpoint->load.own();
 }
 
-const EndpointChoice::Candidate &EndpointChoice::amongHomes(const WorkItem &item, Instant)
+const EndpointChoice::Candidate &EndpointChoice::amongHomes(const WorkItem &item, Instant now)
 {
     double mean = 0.0;
     for (const Candidate &candidate : candidates_) {
@@ -131,11 +131,23 @@
               });
     // One request's prefill is always allowed above the bound.
     const double bound = settings_.homeBound * mean + secondsOf(expectedPrefill(item.promptTokens));
+    // What the first home has read another reads again, unless it was sent the prefix before.
+    // Where a router has less than one request at an endpoint it doesn't see how full that is;
+    // all would keep to the first home, whose callers wait while the second one idles.
+    const double again = settings_.rereadWeight * static_cast<double>(item.sharedTokens)
+                         / settings_.prefillTokensPerSecond;
+    const double routers = std::max(settings_.routers, 1U);
     const Candidate *best = nullptr;
+    double bestCost = 0.0;
     uint32_t seen = 0;
     for (const Candidate &candidate : candidates_) {
-        if (best == nullptr || loadSeconds(candidate) < loadSeconds(*best)) {
+        const bool holds =
+                seen == 0 || affinity_.believes(item.prefixHash, candidate.endpoint->hash, now);
+        const double seenPart = std::min(1.0, candidate.slots / routers);
+        const double cost = loadSeconds(candidate) + (holds ? 0.0 : seenPart * again);
+        if (best == nullptr || cost < bestCost) {
             best = &candidate;
+            bestCost = cost;
         }
         if (++seen >= settings_.prefixHomes && loadSeconds(*best) <= bound) {
             break;
--- a/lib/Edge/LedgerRows.cpp
+++ b/lib/Edge/LedgerRows.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <stdexcept>
 
+#include <absl/strings/str_split.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -36,8 +37,33 @@
     return true;
 }
 
+std::string clocksText(const ClockReading &clocks)
+{
+    return fmt::format("{} {}", clocks.sinceBoot.sinceBoot.count(), clocks.timeOfDay.count());
+}
+
+/// Reads what clocksText wrote, and the space behind it, off the front of \p text.
+bool takeClocks(std::string_view &text, ClockReading &clocks)
+{
+    uint64_t sinceBoot = 0;
+    uint64_t timeOfDay = 0;
+    if (!takeNumber(text, sinceBoot) || !takeNumber(text, timeOfDay)) {
+        return false;
+    }
+    clocks.sinceBoot.sinceBoot = Millis(sinceBoot);
+    clocks.timeOfDay = Millis(timeOfDay);
+    return true;
+}
+
 } // namespace
 
+std::string processMark(const Incarnation &process)
+{
+    // The first of 32 random digits: enough to tell a host's processes apart.
+    constexpr std::size_t Digits = 8;
+    return process.text().substr(0, Digits);
+}
+
 LedgerRow ledgerRowOf(const std::string &key)
 {
     struct Kind
@@ -84,43 +110,43 @@
 
 StoreRow encodeBatch(const BatchMoment &batch)
 {
-    nlohmann::json peers = nlohmann::json::array();
+    // Each host reads all others' some times a second: as short as it can be.
+    std::string value = clocksText(batch.clocks) + ' ' + batch.clocks.sinceBoot.boot;
     for (const PeerClock &peer : batch.peers) {
-        peers.push_back({peer.host.text(), peer.process.text(),
-                         peer.clocks.sinceBoot.sinceBoot.count(), peer.clocks.timeOfDay.count()});
+        value += fmt::format("|{} {} {}", clocksText(peer.clocks), processMark(peer.process),
+                             peer.host.text());
     }
-    const nlohmann::json value = {{"host", batch.host.text()},
-                                  {"boot", batch.clocks.sinceBoot.boot},
-                                  {"since_boot_ms", batch.clocks.sinceBoot.sinceBoot.count()},
-                                  {"time_ms", batch.clocks.timeOfDay.count()},
-                                  {"peers", std::move(peers)}};
-    return {std::string(BatchPrefix) + batch.holder.text(), value.dump(), 0};
+    return {std::string(BatchPrefix) + batch.holder.text(), std::move(value), 0};
+}
+
+Incarnation batchHolder(const StoreRow &row)
+{
+    return Incarnation(row.key.substr(BatchPrefix.size()));
 }
 
 std::optional<BatchMoment> decodeBatch(const StoreRow &row)
 {
-    const nlohmann::json value = nlohmann::json::parse(row.value, nullptr, false);
-    if (!value.is_object()) {
+    const std::vector<std::string> parts = absl::StrSplit(row.value, '|');
+    BatchMoment batch;
+    batch.holder = batchHolder(row);
+    std::string_view own = parts.front();
+    if (!takeClocks(own, batch.clocks)) {
         return std::nullopt;
     }
-    try {
-        BatchMoment batch;
-        batch.holder = Incarnation(row.key.substr(BatchPrefix.size()));
-        batch.host = HostId(value.at("host").get<std::string>());
-        batch.clocks = {{value.at("boot").get<std::string>(),
-                         Millis(value.at("since_boot_ms").get<int64_t>())},
-                        Millis(value.at("time_ms").get<int64_t>())};
-        for (const nlohmann::json &peer : value.at("peers")) {
-            // Its boot's name is left out: only the process that lives on is believed by it.
-            batch.peers.push_back({HostId(peer.at(0).get<std::string>()),
-                                   Incarnation(peer.at(1).get<std::string>()),
-                                   {{std::string(), Millis(peer.at(2).get<int64_t>())},
-                                    Millis(peer.at(3).get<int64_t>())}});
+    batch.clocks.sinceBoot.boot = std::string(own);
+    for (std::size_t i = 1; i < parts.size(); ++i) {
+        std::string_view text = parts[i];
+        PeerClock peer;
+        const bool good = takeClocks(text, peer.clocks);
+        const std::size_t space = text.find(' ');
+        if (!good || space == std::string_view::npos) {
+            return std::nullopt;
         }
-        return batch;
-    } catch (const nlohmann::json::exception &) {
-        return std::nullopt; // the caller logs it as malformed
+        peer.process = Incarnation(std::string(text.substr(0, space)));
+        peer.host = HostId(std::string(text.substr(space + 1)));
+        batch.peers.push_back(std::move(peer));
     }
+    return batch;
 }
 
 StoreRow encodeHost(const Peer &peer)
--- a/lib/Edge/LedgerRows.h
+++ b/lib/Edge/LedgerRows.h
@@ -25,11 +25,14 @@
 /// A row made by encodeBudget, or nullopt. A workspace's name may hold the separator.
 std::optional<AllotmentRow> decodeBudget(const StoreRow &row);
 
+/// What tells a process from those before and after it on its host, in few characters.
+std::string processMark(const Incarnation &process);
+
 /// A peer's clocks, as its last batch told them.
 struct PeerClock
 {
     HostId host;
-    Incarnation process;
+    Incarnation process; ///< its mark, where it was read from a row
     ClockReading clocks;
 };
 
@@ -37,12 +40,13 @@
 struct BatchMoment
 {
     Incarnation holder;
-    HostId host;
     ClockReading clocks;
     std::vector<PeerClock> peers;
 };
 
 StoreRow encodeBatch(const BatchMoment &batch);
+/// The holder that a batch's row is about.
+Incarnation batchHolder(const StoreRow &row);
 std::optional<BatchMoment> decodeBatch(const StoreRow &row);
 
 StoreRow encodeHost(const Peer &peer);
--- a/lib/Edge/Predecessor.cpp
+++ b/lib/Edge/Predecessor.cpp
@@ -67,7 +67,8 @@
     ElapsedEvidence evidence{domain_, last_.clocks, started_, {}};
     for (const auto &[host, asked] : asked_) {
         if (asked.answer) {
-            evidence.peers.push_back({asked.domain, asked.before.process, asked.answer->process,
+            evidence.peers.push_back({asked.domain, asked.before.process,
+                                      Incarnation(processMark(asked.answer->process)),
                                       asked.before.clocks, asked.answer->clocks,
                                       asked.answer->askedAfterStart});
         }
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -204,15 +204,25 @@
 
 void TokenService::onBatchRow(const StoreRow &row)
 {
-    const std::optional<BatchMoment> batch = decodeBatch(row);
-    if (!batch) {
-        log_.write(Event("ledger.malformed").with("key", row.key));
-        return;
+    // Read by each host from all others some times a second, and used now and then: decoded
+    // only then. A tenth of a core has no room for the rest.
+    const Incarnation holder = batchHolder(row);
+    if (holder != settings_.incarnation) {
+        batches_[holder] = {row, std::chrono::steady_clock::now()};
     }
-    if (batch->holder != settings_.incarnation) {
-        batches_[batch->holder] = {std::make_unique<BatchMoment>(*batch),
-                                   std::chrono::steady_clock::now()};
+}
+
+std::optional<BatchMoment> TokenService::lastBatchOf(const Incarnation &holder) const
+{
+    const auto found = batches_.find(holder);
+    if (found == batches_.end()) {
+        return std::nullopt;
+    }
+    std::optional<BatchMoment> batch = decodeBatch(found->second.row);
+    if (!batch) {
+        log_.write(Event("ledger.malformed").with("key", found->second.row.key));
     }
+    return batch;
 }
 
 void TokenService::findPredecessor()
@@ -223,17 +233,16 @@
     }
     // The address is this process's now, so whoever had it before has ended.
     const bool sameAddress = listed->listens == settings_.listenPeers;
-    const auto batch = batches_.find(listed->incarnation);
-    if (!sameAddress || batch == batches_.end()) {
+    const std::optional<BatchMoment> batch = lastBatchOf(listed->incarnation);
+    if (!sameAddress || !batch) {
         return;
     }
     std::map<HostId, DomainId> domains;
     for (const auto &[name, peer] : hosts_) {
         domains[peer.host] = peer.domain;
     }
-    predecessor_ =
-            std::make_unique<Predecessor>(*batch->second.moment, settings_.domain, startedClocks_,
-                                          domains, std::chrono::steady_clock::now());
+    predecessor_ = std::make_unique<Predecessor>(*batch, settings_.domain, startedClocks_, domains,
+                                                 std::chrono::steady_clock::now());
 }
 
 void TokenService::sealPredecessor(Instant now)
@@ -266,7 +275,7 @@
 std::vector<PeerClock> TokenService::freshestPeers() const
 {
     // Two a failure domain at most: what befalls one domain mustn't leave none.
-    constexpr std::size_t Most = 4;
+    constexpr std::size_t Most = 3;
     constexpr uint32_t MostADomain = 2;
     std::vector<std::pair<Instant, const Peer *>> fresh;
     for (const auto &[name, peer] : hosts_) {
@@ -283,8 +292,9 @@
         if (clocks.size() == Most || ++chosen[peer->domain] > MostADomain) {
             continue;
         }
-        clocks.push_back(
-                {peer->host, peer->incarnation, batches_.at(peer->incarnation).moment->clocks});
+        if (const std::optional<BatchMoment> batch = lastBatchOf(peer->incarnation)) {
+            clocks.push_back({peer->host, peer->incarnation, batch->clocks});
+        }
     }
     return clocks;
 }
@@ -389,8 +399,7 @@
     }
     batchHasTokens_ = !batch.rows.empty();
     if (rows) {
-        batch.rows.push_back(
-                encodeBatch({settings_.incarnation, settings_.host, clocks, freshestPeers()}));
+        batch.rows.push_back(encodeBatch({settings_.incarnation, clocks, freshestPeers()}));
     }
     for (const AllotmentRow &row : std::exchange(seals_, {})) {
         batch.rows.push_back(encodeBudget(row));
--- a/unittests/Decisions/EndpointChoiceTest.cpp
+++ b/unittests/Decisions/EndpointChoiceTest.cpp
@@ -407,6 +407,52 @@
     EXPECT_LE(choice.totalSlots(Start), 21U);
 }
 
+// Callers wait for a prefix to be read that its first home has read: a request or two are open
+// there, the second home has none, and gets the next one. It goes there only once the first
+// home's queue takes longer than reading again.
+struct RereadCase
+{
+    const char *name;
+    double rereadWeight;
+    uint32_t routers;
+    int open; ///< requests of the prefix that wait at its first home
+    bool staysAtHome;
+};
+
+class Reread : public testing::TestWithParam<RereadCase>
+{};
+
+const RereadCase RereadCases[] = {
+        {"LeavesWithOneOpenIfItIsntWeighed", 0.0, 9, 1, false},
+        {"StaysWithOneOpen", 3.0, 9, 1, true},
+        {"LeavesALongQueue", 3.0, 9, 40, false},
+        {"LeavesWhereRoutersDontSeeTheLoad", 3.0, 2000, 1, false},
+};
+
+TEST_P(Reread, IsWeighedAgainstTheQueueAtHome)
+{
+    EndpointChoiceSettings settings;
+    settings.prefixHomes = 2;
+    settings.routers = GetParam().routers;
+    settings.rereadWeight = GetParam().rereadWeight;
+    EndpointChoice choice(Here, settings);
+    choice.setEndpoints(fleetOf(12), Start);
+    const Instant now = Start + std::chrono::minutes(5);
+    WorkItem item = itemOf(0, 7);
+    item.promptTokens = 9000;
+    item.sharedTokens = 6000;
+    const EndpointId home = std::get<Chosen>(choice.choose(item, {}, now)).endpoint;
+    for (int i = 0; i < GetParam().open; ++i) {
+        item.request = itemOf(i + 1, 7).request;
+        choice.onSent(home, item, now);
+    }
+    const EndpointId next = std::get<Chosen>(choice.choose(item, {}, now)).endpoint;
+    EXPECT_EQ(next == home, GetParam().staysAtHome);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, Reread, testing::ValuesIn(RereadCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 // Callers wait for prompts to be read that an endpoint has read already. Ninety prefixes share
 // twelve endpoints, each router has a few requests at each; a prefix leaves its home with
 // the second request, and at last every endpoint reads every prefix.
--- a/unittests/Edge/PredecessorTest.cpp
+++ b/unittests/Edge/PredecessorTest.cpp
@@ -16,7 +16,6 @@
 {
     BatchMoment batch;
     batch.holder = Incarnation("dead");
-    batch.host = HostId("h");
     batch.clocks = {{"boot", Millis(1000)}, Millis(50'000)};
     batch.peers = {{HostId("a"), Incarnation("a1"), {{std::string(), Millis(700)}, Millis(50'000)}},
                    {HostId("b"), Incarnation("b1"), {{std::string(), Millis(900)}, Millis(50'000)}},
