--- a/bench/Edge/Main.cpp
+++ b/bench/Edge/Main.cpp
@@ -111,7 +111,7 @@
     for (int node = 0; node < Nodes; ++node) {
         const Incarnation holder(fmt::format("{:032x}", node));
         for (int i = 0; i < Workspaces; ++i) {
-            table.set({WorkspaceId(fmt::format("w{}", i)), holder, 1000, 100}, ++offset);
+            table.set({WorkspaceId(fmt::format("w{}", i)), holder, {1000, 100, 0}}, ++offset);
         }
     }
     fmt::print("allotment rows: {:.2f} us and {:.0f} bytes a row of {}\n",
