--- a/include/sequoiagate/Base/Time.h
+++ b/include/sequoiagate/Base/Time.h
@@ -11,8 +11,9 @@
 /// A point on the local monotonic clock. Deadlines are stored as these.
 using Instant = std::chrono::steady_clock::time_point;
 
-/// A point on the wall clock, for people, log retention and UUIDv7 ages only. No
-/// safety rule rests on it, since hosts' clocks disagree.
+/// A point on the wall clock, for people, log retention and UUIDv7 ages only. Hosts' clocks
+/// disagree; what is believed of them together, and only when all else is lost, is in
+/// Ledger/ElapsedBound.h.
 using WallTime = std::chrono::system_clock::time_point;
 
 using Interval = std::chrono::steady_clock::duration;
--- a/include/sequoiagate/Decisions/EndpointChoice.h
+++ b/include/sequoiagate/Decisions/EndpointChoice.h
@@ -76,8 +76,7 @@
     Interval prefillBacklogLimit = std::chrono::milliseconds(150);
     /// Of this router's equal part of an endpoint's slots, that a prefix may fill before the
     /// bound counts. Where a router has a few requests at each endpoint, a bound of 1.25 times
-    /// their mean is less than two, and a prefix left its home with the second request:
-    /// shared parts read again fell from 1.06 to 0.37 million tokens a quiet day of 44 s.
+    /// their mean is less than two, and a prefix would leave its home with the second request.
     double freeShare = 0.0;
     /// A prefix that spares more prefill than a round trip costs has so many homes, in any
     /// failure domain, of which the less loaded is chosen; 0: it has one in each domain, and
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -48,8 +48,8 @@
 
 struct TokenHolderSettings
 {
-    /// Demand to hold tokens for. Outages of the store of 7 to 9 s came twice a minute in
-    /// the days the design is for; less refuses in them, more is lost with a dead process.
+    /// Demand to hold tokens for: the store's outage that is outlasted. Less refuses callers in
+    /// it, more is lost with a process whose end nobody can date.
     Interval horizon = std::chrono::seconds(9);
     /// Without a batch for so long, what the last one says no longer bounds the holder. Longer
     /// than a killed process takes to be started again, with its last batch's age.
@@ -87,14 +87,14 @@
     /// seem scarce for a burst.
     Interval fleetsMemory = std::chrono::seconds(8);
     /// A host that isn't a home holds tokens of its own if its demand over the horizon is so
-    /// many usual requests: below two, what it holds is mostly a part of a request.
+    /// many usual requests: with less, what it holds is mostly a part of a request.
     double ownRequests = 2.0;
     /// Asking peers again for the same workspace.
     Interval askInterval = std::chrono::milliseconds(60);
     /// Asking peers for a workspace whose tokens run low but still serve.
     Interval calmAskInterval = std::chrono::milliseconds(150);
-    /// Asking in vain doubles that, so many times at most: to a bit more than a second.
-    /// Without it sixty hosts that all lacked tokens made 10,000 moves a second, of crumbs.
+    /// Asking in vain doubles that, so many times at most: to a bit more than a second. Else
+    /// hosts that all lack tokens would move crumbs between them without end.
     uint32_t mostDoublings = 3;
     /// What peers asked for stays movable for so long: a few of their intervals.
     Interval lending = std::chrono::milliseconds(1500);
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// A holder that only runs low is given this part of what its peer has, or nothing: without
-/// a bound the fleet made 6,000 moves in 44 s, most of them of a few tokens.
+/// A holder that only runs low is given this part of what its peer has, or nothing: else the
+/// fleet makes a move for a few tokens with each request.
 constexpr uint64_t LeastEvening = 8;
 
 /// Peers that are asked at once: each may bring a part of what is needed.
