[Ledger] Work out a row's pace once, and don't name the own host as a witness

limitDue made a whole row, with its window a second time, to compare its pace. Before the own row is read back the host is listed with the process before it, whose clock could stand among the peers' in the first batch: nobody would have been asked for it.

--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -239,8 +239,7 @@
     bool inUse(const Account &account, Instant now) const;
     uint64_t mayUse(const Account &account, Instant now) const;
     uint64_t rowLimit(const Allotment &row, Instant composedAt, Instant now) const;
-    Allotment rowOf(const WorkspaceId &workspace, const Account &account, uint64_t total,
-                    Instant now) const;
+    uint64_t paceOf(const WorkspaceId &workspace, const Account &account, Instant now) const;
     uint64_t windowOf(const WorkspaceId &workspace, const Account &account, Instant now) const;
     bool limitDue(const WorkspaceId &workspace, const Account &account, Instant now) const;
     void judge(const RowInFlight &flight);
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -280,7 +280,7 @@
     std::vector<std::pair<Instant, const Peer *>> fresh;
     for (const auto &[name, peer] : hosts_) {
         const auto batch = batches_.find(peer.incarnation);
-        if (batch != batches_.end()) {
+        if (peer.host != settings_.host && batch != batches_.end()) {
             fresh.emplace_back(batch->second.at, &peer);
         }
     }
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -166,16 +166,12 @@
     return account.demand.over(settings_.demandMemory, now) > account.typical / 20;
 }
 
-Allotment TokenHolder::rowOf(const WorkspaceId &workspace, const Account &account, uint64_t total,
+uint64_t TokenHolder::paceOf(const WorkspaceId &workspace, const Account &account,
                              Instant now) const
 {
-    Allotment row;
-    row.tokens = total;
-    row.usedAtMost = std::min(total, used(account) + windowOf(workspace, account, now));
     const uint64_t demand = account.demand.over(std::chrono::seconds(1), now);
     const bool scarce = isScarce(workspace, account, now);
-    row.usePerSecond = scaled(demand, scarce ? settings_.scarcePace : settings_.paceFactor);
-    return row;
+    return scaled(demand, scarce ? settings_.scarcePace : settings_.paceFactor);
 }
 
 bool TokenHolder::limitDue(const WorkspaceId &workspace, const Account &account, Instant now) const
@@ -193,7 +189,7 @@
     const bool canAllowMore = written.usedAtMost < account.owned;
     const bool low = left < scaled(window, settings_.rewriteBelow);
     const uint64_t usual = std::max(window, account.typical);
-    const uint64_t pace = rowOf(workspace, account, account.owned, now).usePerSecond;
+    const uint64_t pace = paceOf(workspace, account, now);
     // Far more than is needed: a process that is killed now would lose it.
     const bool high = left > 3 * usual || written.usePerSecond > 2 * pace + usual;
     const bool slow = 2 * written.usePerSecond + usual < pace;
@@ -309,7 +305,8 @@
         }
         account.correct = false;
         const uint64_t total = account.owned + claim;
-        account.flight = rowOf(workspace, account, total, now);
+        const uint64_t usedAtMost = used(account) + windowOf(workspace, account, now);
+        account.flight = {total, std::min(total, usedAtMost), paceOf(workspace, account, now)};
         const AllotmentRow row{workspace, self_, account.flight};
         flight.rows.push_back({row, claim});
         rows.push_back(row);
@@ -379,9 +376,9 @@
     std::vector<AllotmentRow> rows;
     for (AllotmentRow row : table_.rowsOf(dead)) {
         const Allotment &last = row.allotment;
-        const uint64_t used =
+        const uint64_t lost =
                 keptToItsRows ? std::min(last.tokens, last.usedAfter(*elapsed)) : last.tokens;
-        const Allotment sealed{used, used, 0};
+        const Allotment sealed{lost, lost, 0};
         if (sealed != last) {
             row.allotment = sealed;
             rows.push_back(row);
