[Ledger] Don't take the use before a process started for a burst

The fleet's use was averaged over that as if it were of this moment, so each budget of which less than a quarter was left seemed scarce for some ten seconds, and its callers waited for a row with each request. Found by reading the change. Only what comes after the first reading counts now; the test failed before.

--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -253,6 +253,7 @@
     Instant writtenAt_{};        ///< when the last batch that the store has was composed
     uint64_t judgedThrough_ = 0; ///< offsets of own rows below this were judged
     uint32_t holders_ = 1;
+    bool caughtUp_ = false; ///< the store's rows were read once
     bool storeReachable_ = false;
     bool stopping_ = false;
 };
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -125,9 +125,14 @@
     table_.set(row, offset);
     const uint64_t after = table_.used(row.workspace);
     Account *account = find(row.workspace);
-    if (account != nullptr && after > before) {
+    // What is read first was used long ago: taken for use of this moment, it would make each
+    // budget seem scarce to a process that has just started.
+    if (account == nullptr || !caughtUp_) {
+        return;
+    }
+    if (after > before) {
         account->fleetsUse.add(after - before, now);
-    } else if (account != nullptr) {
+    } else {
         account->fleetsUse.remove(before - after, now);
     }
 }
@@ -328,6 +333,7 @@
 
 bool TokenHolder::onPosition(uint64_t next)
 {
+    caughtUp_ = true;
     if (!inFlight_ || inFlight_->rows.empty()) {
         return false;
     }
--- a/unittests/Ledger/TokenHolderTest.cpp
+++ b/unittests/Ledger/TokenHolderTest.cpp
@@ -212,6 +212,32 @@
     EXPECT_EQ(unknown[0].allotment.tokens, a_.usable(W) + 60);
 }
 
+// Callers of a workspace wait for a row with each request after their host's process started
+// again, though its budget lasts for hours: the new process read what was used all day, took it
+// for the use of this moment, and the budget for scarce.
+TEST_F(Holding, UseBeforeTheStartIsntTakenForABurst)
+{
+    TokenHolder started(Incarnation("c"), testSettings());
+    started.setBudgets({{W, Prepaid}}, now_);
+    started.setHolders(2);
+    started.setStoreReachable(true);
+    started.onRow({W, Incarnation("old"), {800, 800, 0}}, 0, now_);
+    started.onPosition(1);
+    ASSERT_FALSE(started.reserve(W, 10, now_));
+    const auto rows = started.nextBatch(now_);
+    ASSERT_TRUE(rows);
+    ASSERT_EQ(rows->size(), 1U);
+    started.onRow((*rows)[0], 1, now_);
+    started.onPosition(2);
+    ASSERT_TRUE(started.reserve(W, 10, now_));
+    started.noLongerShort(W);
+    const auto next = started.nextBatch(now_);
+    ASSERT_TRUE(next);
+    ASSERT_EQ(next->size(), 1U);
+    // Room for the next request, beyond the one that was served.
+    EXPECT_GE((*next)[0].allotment.usedAtMost, 20U);
+}
+
 struct UseCase
 {
     const char *name;
