[Edge] Believe only clocks that this process asked for, of the machine that was named

Cause: an answer to the process before on the same address, late by a restart, was taken for the own question's. It was read before this process started, so the bound came out too small, and tokens that had been used would have been given back. And a witness went by its host's name, which a replacing machine may bear: its time of day beside another machine's compares two hosts' clocks. The question now names the asker and the address that the peer had, and the answer bears both.

--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -38,6 +38,15 @@
     boost::asio::ip::udp::endpoint listens; ///< bound by the process, and by no other meanwhile
 };
 
+/// What a peer's clocks said when this process asked.
+struct ClockAnswer
+{
+    boost::asio::ip::udp::endpoint address; ///< that was asked
+    Incarnation process;                    ///< that answered
+    ClockReading clocks;
+    Millis askedAfterStart{}; ///< as it was asked with
+};
+
 /// Single-threaded.
 class PeerLink
 {
@@ -48,13 +57,12 @@
         std::function<uint64_t(const TokenAsk &)> onAsk;
         std::function<uint64_t(const WorkspaceId &)> usable;
         std::function<void(const WorkspaceId &, uint64_t tokens)> onTokens;
-        /// A peer told its clocks. \p asked is what askClocks was called with.
-        std::function<void(const HostId &, const Incarnation &, const ClockReading &, Millis asked)>
-                onClocks;
+        /// A peer told its clocks, as this process asked.
+        std::function<void(const ClockAnswer &)> onClocks;
     };
 
     /// \throws boost::system::system_error if the address can't be had
-    PeerLink(boost::asio::io_context &io, const boost::asio::ip::udp::endpoint &listen, HostId host,
+    PeerLink(boost::asio::io_context &io, const boost::asio::ip::udp::endpoint &listen,
              Incarnation self, DomainId domain, EventLog &log, Handlers handlers);
 
     void setPeers(std::vector<Peer> peers);
@@ -63,8 +71,9 @@
     /// Asks for a request that waits: first the near home, then the others, then any peers.
     /// Asks some peers else, others the next time.
     void ask(const TokenAsk &ask);
-    /// Asks a host's process for its clocks; \p asked comes back with the answer.
-    void askClocks(const HostId &host, Millis asked);
+    /// Asks the process that is reached at \p address for its clocks, \p asked after the start of
+    /// this one.
+    void askClocks(const boost::asio::ip::udp::endpoint &address, Millis asked);
     /// Sends what isn't acknowledged again. Call some times a second.
     void tick(Instant now);
     /// What peers said they have, if all of them answered since \p since; they may have
@@ -102,7 +111,6 @@
     void send(const std::string &text, const boost::asio::ip::udp::endpoint &to);
 
     boost::asio::ip::udp::socket socket_;
-    HostId host_;
     Incarnation self_;
     DomainId domain_;
     EventLog &log_;
--- a/lib/Edge/LedgerRows.cpp
+++ b/lib/Edge/LedgerRows.cpp
@@ -120,7 +120,7 @@
     std::string value = clocksText(batch.clocks) + ' ' + batch.clocks.sinceBoot.boot;
     for (const PeerClock &peer : batch.peers) {
         value += fmt::format("|{} {} {}", clocksText(peer.clocks), processMark(peer.process),
-                             peer.host.text());
+                             addressText(peer.address));
     }
     return {std::string(BatchPrefix) + batch.holder.text(), std::move(value), 0};
 }
@@ -148,8 +148,12 @@
         if (!good || space == std::string_view::npos) {
             return std::nullopt;
         }
+        const auto address = parseUdpAddress(std::string(text.substr(space + 1)));
+        if (!address) {
+            return std::nullopt;
+        }
         peer.process = Incarnation(std::string(text.substr(0, space)));
-        peer.host = HostId(std::string(text.substr(space + 1)));
+        peer.address = *address;
         batch.peers.push_back(std::move(peer));
     }
     return batch;
--- a/lib/Edge/LedgerRows.h
+++ b/lib/Edge/LedgerRows.h
@@ -31,8 +31,8 @@
 /// A peer's clocks, as its last batch told them.
 struct PeerClock
 {
-    HostId host;
-    Incarnation process; ///< its mark, where it was read from a row
+    boost::asio::ip::udp::endpoint address; ///< a host's alone, unlike its name
+    Incarnation process;                    ///< its mark, where it was read from a row
     ClockReading clocks;
 };
 
--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include "Addresses.h"
+
 namespace sequoiagate {
 
 using boost::asio::ip::udp;
@@ -22,10 +24,10 @@
 
 } // namespace
 
-PeerLink::PeerLink(boost::asio::io_context &io, const udp::endpoint &listen, HostId host,
-                   Incarnation self, DomainId domain, EventLog &log, Handlers handlers)
-    : socket_(io, listen), host_(std::move(host)), self_(std::move(self)),
-      domain_(std::move(domain)), log_(log), handlers_(std::move(handlers))
+PeerLink::PeerLink(boost::asio::io_context &io, const udp::endpoint &listen, Incarnation self,
+                   DomainId domain, EventLog &log, Handlers handlers)
+    : socket_(io, listen), self_(std::move(self)), domain_(std::move(domain)), log_(log),
+      handlers_(std::move(handlers))
 {
     socket_.non_blocking(true);
     receive();
@@ -188,22 +190,22 @@
     unacknowledged_.erase(message.at("id").get<uint64_t>());
 }
 
-void PeerLink::askClocks(const HostId &host, Millis asked)
+void PeerLink::askClocks(const udp::endpoint &address, Millis asked)
 {
-    const nlohmann::json message = {{"kind", "ask_clocks"}, {"asked_ms", asked.count()}};
-    for (const Peer &peer : peers_) {
-        if (peer.host == host) {
-            send(message.dump(), peer.address);
-        }
-    }
+    const nlohmann::json message = {{"kind", "ask_clocks"},
+                                    {"from", self_.text()},
+                                    {"about", addressText(address)},
+                                    {"asked_ms", asked.count()}};
+    send(message.dump(), address);
 }
 
 void PeerLink::onClockAsk(const nlohmann::json &message)
 {
     const ClockReading clocks = readClocks();
     const nlohmann::json answer = {{"kind", "clocks"},
-                                   {"host", host_.text()},
                                    {"from", self_.text()},
+                                   {"to", message.at("from")},
+                                   {"about", message.at("about")},
                                    {"boot", clocks.sinceBoot.boot},
                                    {"since_boot_ms", clocks.sinceBoot.sinceBoot.count()},
                                    {"time_ms", clocks.timeOfDay.count()},
@@ -213,12 +215,17 @@
 
 void PeerLink::onClocks(const nlohmann::json &message)
 {
+    const auto address = parseUdpAddress(message.at("about").get<std::string>());
+    // The process before this one on the address may have asked: its answer was read before
+    // this one started, and would make the time that passed seem shorter.
+    if (!address || message.at("to").get<std::string>() != self_.text()) {
+        return;
+    }
     const ClockReading clocks{{message.at("boot").get<std::string>(),
                                Millis(message.at("since_boot_ms").get<int64_t>())},
                               Millis(message.at("time_ms").get<int64_t>())};
-    handlers_.onClocks(HostId(message.at("host").get<std::string>()),
-                       Incarnation(message.at("from").get<std::string>()), clocks,
-                       Millis(message.at("asked_ms").get<int64_t>()));
+    handlers_.onClocks({*address, Incarnation(message.at("from").get<std::string>()), clocks,
+                        Millis(message.at("asked_ms").get<int64_t>())});
 }
 
 void PeerLink::tick(Instant now)
--- a/lib/Edge/Predecessor.cpp
+++ b/lib/Edge/Predecessor.cpp
@@ -15,36 +15,36 @@
 } // namespace
 
 Predecessor::Predecessor(BatchMoment last, DomainId domain, ClockReading started,
-                         const std::map<HostId, DomainId> &domainOf, Instant now)
+                         const std::map<Address, DomainId> &domainOf, Instant now)
     : last_(std::move(last)), domain_(std::move(domain)), started_(std::move(started)),
       allAnswerBy_(now + AllAnswerWithin), giveUpAt_(now + GiveUpAfter)
 {
     for (const PeerClock &peer : last_.peers) {
-        const auto found = domainOf.find(peer.host);
+        const auto found = domainOf.find(peer.address);
         if (found != domainOf.end()) {
-            asked_[peer.host] = {peer, found->second, std::nullopt};
+            asked_[peer.address] = {peer, found->second, std::nullopt};
         }
     }
 }
 
-std::vector<HostId> Predecessor::asks(Instant now)
+std::vector<Predecessor::Address> Predecessor::asks(Instant now)
 {
-    std::vector<HostId> hosts;
+    std::vector<Address> addresses;
     if (now < askAgainAt_) {
-        return hosts;
+        return addresses;
     }
     askAgainAt_ = now + AskAgainAfter;
-    for (const auto &[host, asked] : asked_) {
+    for (const auto &[address, asked] : asked_) {
         if (!asked.answer) {
-            hosts.push_back(host);
+            addresses.push_back(address);
         }
     }
-    return hosts;
+    return addresses;
 }
 
 void Predecessor::onAnswer(const ClockAnswer &answer)
 {
-    const auto found = asked_.find(answer.host);
+    const auto found = asked_.find(answer.address);
     if (found != asked_.end() && !found->second.answer) {
         found->second.answer = answer;
     }
@@ -65,7 +65,7 @@
 std::optional<Millis> Predecessor::bound() const
 {
     ElapsedEvidence evidence{domain_, last_.clocks, started_, {}};
-    for (const auto &[host, asked] : asked_) {
+    for (const auto &[address, asked] : asked_) {
         if (asked.answer) {
             evidence.peers.push_back({asked.domain, asked.before.process,
                                       Incarnation(processMark(asked.answer->process)),
--- a/lib/Edge/Predecessor.h
+++ b/lib/Edge/Predecessor.h
@@ -14,27 +14,20 @@
 
 namespace sequoiagate {
 
-/// What a peer answered.
-struct ClockAnswer
-{
-    HostId host;
-    Incarnation process;
-    ClockReading clocks;
-    Millis askedAfterStart{}; ///< as it was asked with
-};
-
 /// Not thread safe.
 class Predecessor
 {
 public:
-    /// \p last is the predecessor's last batch; \p domainOf names the hosts that can be asked.
+    using Address = boost::asio::ip::udp::endpoint;
+
+    /// \p last is the predecessor's last batch; \p domainOf has the addresses that can be asked.
     /// \pre the predecessor has ended, and \p started was read after that
     Predecessor(BatchMoment last, DomainId domain, ClockReading started,
-                const std::map<HostId, DomainId> &domainOf, Instant now);
+                const std::map<Address, DomainId> &domainOf, Instant now);
 
     const Incarnation &process() const { return last_.holder; }
-    /// The hosts to ask now.
-    std::vector<HostId> asks(Instant now);
+    /// Whom to ask now.
+    std::vector<Address> asks(Instant now);
     void onAnswer(const ClockAnswer &answer);
     /// Whether no more answers are worth the wait.
     bool decided(Instant now) const;
@@ -54,7 +47,7 @@
     BatchMoment last_;
     DomainId domain_;
     ClockReading started_;
-    std::map<HostId, Asked> asked_;
+    std::map<Address, Asked> asked_;
     Instant askAgainAt_{};
     Instant allAnswerBy_; ///< then those that did are enough, if they give a bound
     Instant giveUpAt_;
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -68,8 +68,7 @@
                            EventLog &log, Metrics &metrics)
     : store_(store), settings_(std::move(settings)), log_(log), metrics_(metrics),
       holder_(settings_.incarnation, settings_.holder),
-      peers_(io, settings_.listenPeers, settings_.host, settings_.incarnation, settings_.domain,
-             log,
+      peers_(io, settings_.listenPeers, settings_.incarnation, settings_.domain, log,
              {[this](const TokenAsk &ask) {
                   return holder_.give(ask, std::chrono::steady_clock::now());
               },
@@ -78,10 +77,9 @@
                   holder_.take(workspace, tokens);
                   serveWaiting(std::chrono::steady_clock::now());
               },
-              [this](const HostId &host, const Incarnation &process, const ClockReading &clocks,
-                     Millis asked) {
+              [this](const ClockAnswer &answer) {
                   if (predecessor_) {
-                      predecessor_->onAnswer({host, process, clocks, asked});
+                      predecessor_->onAnswer(answer);
                   }
               }}),
       follower_(io, store, followerSettings(settings_.topic),
@@ -237,9 +235,9 @@
     if (!sameAddress || !batch) {
         return;
     }
-    std::map<HostId, DomainId> domains;
+    std::map<Predecessor::Address, DomainId> domains;
     for (const auto &[name, peer] : hosts_) {
-        domains[peer.host] = peer.domain;
+        domains[peer.address] = peer.domain;
     }
     predecessor_ = std::make_unique<Predecessor>(*batch, settings_.domain, startedClocks_, domains,
                                                  std::chrono::steady_clock::now());
@@ -252,8 +250,8 @@
     }
     if (!predecessor_->decided(now)) {
         const auto asked = std::chrono::duration_cast<Millis>(now - startedAt_);
-        for (const HostId &host : predecessor_->asks(now)) {
-            peers_.askClocks(host, asked);
+        for (const Predecessor::Address &address : predecessor_->asks(now)) {
+            peers_.askClocks(address, asked);
         }
         return;
     }
@@ -293,7 +291,7 @@
             continue;
         }
         if (const std::optional<BatchMoment> batch = lastBatchOf(peer->incarnation)) {
-            clocks.push_back({peer->host, peer->incarnation, batch->clocks});
+            clocks.push_back({peer->address, peer->incarnation, batch->clocks});
         }
     }
     return clocks;
--- a/unittests/Edge/LedgerRowsTest.cpp
+++ b/unittests/Edge/LedgerRowsTest.cpp
@@ -22,8 +22,9 @@
     EXPECT_EQ(row->holder, Incarnation("i"));
     EXPECT_EQ(row->allotment, (Allotment{700, 300, 40}));
 
-    const PeerClock peerClock{
-            HostId("p"), Incarnation("j"), {{std::string(), Millis(5)}, Millis(4321)}};
+    const PeerClock peerClock{udp::endpoint(make_address("10.0.0.9"), 7200),
+                              Incarnation("j"),
+                              {{std::string(), Millis(5)}, Millis(4321)}};
     const StoreRow batch = encodeBatch(
             {Incarnation("i"), {{"a boot", Millis(1234)}, Millis(1'700'000'000'000)}, {peerClock}});
     EXPECT_EQ(ledgerRowOf(batch.key), LedgerRow::Batch);
@@ -34,7 +35,7 @@
     EXPECT_EQ(moment->clocks.sinceBoot.sinceBoot, Millis(1234));
     EXPECT_EQ(moment->clocks.timeOfDay, Millis(1'700'000'000'000));
     ASSERT_EQ(moment->peers.size(), 1U);
-    EXPECT_EQ(moment->peers[0].host, HostId("p"));
+    EXPECT_EQ(moment->peers[0].address, peerClock.address);
     EXPECT_EQ(moment->peers[0].process, Incarnation("j"));
     EXPECT_EQ(moment->peers[0].clocks.sinceBoot.sinceBoot, Millis(5));
     EXPECT_EQ(moment->peers[0].clocks.timeOfDay, Millis(4321));
@@ -58,8 +59,14 @@
     EXPECT_EQ(peer.listens, peer.address);
 }
 
-const char *const MalformedBatches[] = {
-        "", "12", "12 x boot", "12 34 boot|1 2", "12 34 boot|x 2 p h", "12 9f3a", "12x 34 boot"};
+const char *const MalformedBatches[] = {"",
+                                        "12",
+                                        "12 x boot",
+                                        "12 34 boot|1 2",
+                                        "12 34 boot|x 2 p 10.0.0.1:1",
+                                        "12 34 boot|1 2 p h",
+                                        "12 9f3a",
+                                        "12x 34 boot"};
 
 TEST(LedgerRows, MalformedBatchesTellNothing)
 {
--- /dev/null
+++ b/unittests/Edge/PeerLinkTest.cpp
@@ -0,0 +1,111 @@
+/// What peers tell each other by datagrams, on loopback.
+
+#include <cstdio>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include "sequoiagate/Edge/PeerLink.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+using boost::asio::ip::udp;
+
+const udp::endpoint AnyPort(boost::asio::ip::address_v4::loopback(), 0);
+
+class Link : public testing::Test
+{
+protected:
+    Link()
+        : file_(std::tmpfile()),
+          log_({"test", HostId("h"), DomainId("d"), Incarnation("self")}, file_),
+          far_(io_, AnyPort), link_(io_, AnyPort, Incarnation("self"), DomainId("d"), log_,
+                                    {[](const TokenAsk &) { return uint64_t{0}; },
+                                     [](const WorkspaceId &) { return uint64_t{0}; },
+                                     [](const WorkspaceId &, uint64_t) {},
+                                     [this](const ClockAnswer &answer) {
+                                         answers_.push_back(answer);
+                                     }})
+    {}
+    ~Link() override { std::fclose(file_); }
+
+    /// Waits for the link's question, and \returns it.
+    nlohmann::json question()
+    {
+        std::array<char, 2048> buffer{};
+        const std::size_t bytes = far_.receive_from(boost::asio::buffer(buffer), asker_);
+        return nlohmann::json::parse(std::string_view(buffer.data(), bytes));
+    }
+
+    /// Sends \p message to the link, and lets it read it.
+    void tell(const nlohmann::json &message)
+    {
+        far_.send_to(boost::asio::buffer(message.dump()), asker_);
+        io_.restart();
+        io_.run_one();
+    }
+
+    static nlohmann::json answerTo(const nlohmann::json &question)
+    {
+        return {{"kind", "clocks"},
+                {"from", "peer"},
+                {"to", question.at("from")},
+                {"about", question.at("about")},
+                {"boot", "b"},
+                {"since_boot_ms", 700},
+                {"time_ms", 90'000},
+                {"asked_ms", question.at("asked_ms")}};
+    }
+
+    boost::asio::io_context io_;
+    std::FILE *file_;
+    EventLog log_;
+    udp::socket far_; ///< a peer
+    PeerLink link_;
+    udp::endpoint asker_;
+    std::vector<ClockAnswer> answers_;
+};
+
+TEST_F(Link, HandsOverWhatAPeersClocksSay)
+{
+    link_.askClocks(far_.local_endpoint(), Millis(40));
+    tell(answerTo(question()));
+    ASSERT_EQ(answers_.size(), 1U);
+    EXPECT_EQ(answers_[0].address, far_.local_endpoint());
+    EXPECT_EQ(answers_[0].process, Incarnation("peer"));
+    EXPECT_EQ(answers_[0].clocks.sinceBoot.sinceBoot, Millis(700));
+    EXPECT_EQ(answers_[0].clocks.timeOfDay, Millis(90'000));
+    EXPECT_EQ(answers_[0].askedAfterStart, Millis(40));
+}
+
+// A budget is overspent: a process asked a peer for its clocks and was killed; the answer came
+// late, to the next process on the address. It was read before that one started, so that the
+// time since the last batch seemed shorter, and tokens were given back that had been used.
+TEST_F(Link, AnswerToTheProcessBeforeIsntTakenForOnes)
+{
+    link_.askClocks(far_.local_endpoint(), Millis(40));
+    nlohmann::json late = answerTo(question());
+    late["to"] = "the process before";
+    tell(late);
+    EXPECT_TRUE(answers_.empty());
+}
+
+TEST_F(Link, TellsItsOwnClocks)
+{
+    link_.askClocks(far_.local_endpoint(), Millis(40));
+    nlohmann::json ask = question();
+    ask["from"] = "peer";
+    tell(ask);
+    const nlohmann::json told = question();
+    EXPECT_EQ(told.at("kind"), "clocks");
+    EXPECT_EQ(told.at("to"), "peer");
+    EXPECT_EQ(told.at("from"), "self");
+    EXPECT_EQ(told.at("about"), ask.at("about"));
+    EXPECT_GT(told.at("since_boot_ms").get<int64_t>(), 0);
+}
+
+} // namespace
--- a/unittests/Edge/PredecessorTest.cpp
+++ b/unittests/Edge/PredecessorTest.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+using boost::asio::ip::make_address;
+using boost::asio::ip::udp;
+
+const udp::endpoint A(make_address("10.0.0.1"), 7200);
+const udp::endpoint B(make_address("10.0.0.2"), 7200);
+const udp::endpoint Gone(make_address("10.0.0.3"), 7200);
 const DomainId D("d");
 const DomainId E("e");
 
@@ -17,9 +23,9 @@
     BatchMoment batch;
     batch.holder = Incarnation("dead");
     batch.clocks = {{"boot", Millis(1000)}, Millis(50'000)};
-    batch.peers = {{HostId("a"), Incarnation("a1"), {{std::string(), Millis(700)}, Millis(50'000)}},
-                   {HostId("b"), Incarnation("b1"), {{std::string(), Millis(900)}, Millis(50'000)}},
-                   {HostId("gone"), Incarnation("g1"), {{std::string(), Millis(1)}, Millis(1)}}};
+    batch.peers = {{A, Incarnation("a1"), {{std::string(), Millis(700)}, Millis(50'000)}},
+                   {B, Incarnation("b1"), {{std::string(), Millis(900)}, Millis(50'000)}},
+                   {Gone, Incarnation("g1"), {{std::string(), Millis(1)}, Millis(1)}}};
     return batch;
 }
 
@@ -27,49 +33,50 @@
 {
 protected:
     Asking()
-        : predecessor_(lastBatch(), D, {{"boot", Millis(9)}, Millis(51'000)},
-                       {{HostId("a"), D}, {HostId("b"), E}}, now_)
+        : predecessor_(lastBatch(), D, {{"boot", Millis(9)}, Millis(51'000)}, {{A, D}, {B, E}},
+                       now_)
     {}
 
-    void answer(const char *host, const char *process, Millis sinceBoot, Millis timeOfDay)
+    void answer(const udp::endpoint &address, const char *process, Millis sinceBoot,
+                Millis timeOfDay)
     {
         predecessor_.onAnswer(
-                {HostId(host), Incarnation(process), {{"", sinceBoot}, timeOfDay}, Millis(100)});
+                {address, Incarnation(process), {{"", sinceBoot}, timeOfDay}, Millis(100)});
     }
 
     Instant now_{std::chrono::hours(1)};
     Predecessor predecessor_;
 };
 
-TEST_F(Asking, GoesToListedHostsUntilTheyAnswer)
+TEST_F(Asking, GoesToListedAddressesUntilTheyAnswer)
 {
-    EXPECT_EQ(predecessor_.asks(now_), (std::vector<HostId>{HostId("a"), HostId("b")}));
+    EXPECT_EQ(predecessor_.asks(now_), (std::vector<udp::endpoint>{A, B}));
     EXPECT_TRUE(predecessor_.asks(now_).empty());
-    answer("a", "a1", Millis(2000), Millis(0));
+    answer(A, "a1", Millis(2000), Millis(0));
     now_ += std::chrono::seconds(1);
-    EXPECT_EQ(predecessor_.asks(now_), (std::vector<HostId>{HostId("b")}));
+    EXPECT_EQ(predecessor_.asks(now_), (std::vector<udp::endpoint>{B}));
 }
 
 TEST_F(Asking, IsDecidedWhenAllAnswered)
 {
     EXPECT_FALSE(predecessor_.decided(now_));
-    answer("a", "a1", Millis(2000), Millis(0));
+    answer(A, "a1", Millis(2000), Millis(0));
     EXPECT_FALSE(predecessor_.decided(now_));
-    answer("b", "b2", Millis(3), Millis(51'500));
+    answer(B, "b2", Millis(3), Millis(51'500));
     EXPECT_TRUE(predecessor_.decided(now_));
     EXPECT_EQ(predecessor_.bound(), Millis(1200));
 }
 
 TEST_F(Asking, DoesWithThoseThatAnsweredInTime)
 {
-    answer("a", "a1", Millis(2000), Millis(0));
+    answer(A, "a1", Millis(2000), Millis(0));
     now_ += std::chrono::seconds(1);
     EXPECT_TRUE(predecessor_.decided(now_));
 }
 
 TEST_F(Asking, WaitsForMoreWhileThereIsNoBound)
 {
-    answer("a", "a2", Millis(3), Millis(51'400));
+    answer(A, "a2", Millis(3), Millis(51'400));
     now_ += std::chrono::seconds(1);
     EXPECT_FALSE(predecessor_.decided(now_));
     now_ += std::chrono::seconds(10);
