[Ledger] Hold tokens at a few homes per failure domain, so that claims don't wait for the whole fleet

At 195 hosts requests were refused for lack of tokens while the store had millions of unallotted ones. The store appends the batches of a topic one after another, 2 ms each. Every host was a home of some workspace or held tokens for its own demand, and wrote a heartbeat twice a second plus rows as it used tokens: some 500 batches a second, which is the store's full capacity for one topic. A request waits 200 ms.

Ruled out: the rate limit of the store for all hosts (3,200 writing calls a second; 951 were made at most); in earlier trials, the bound on idle tokens and the size of claims.

Change. - In a failure domain of up to 4 hosts all hosts are homes; in a larger one an eighth of them, at least 4 (TokenHomes). Other hosts hold no tokens for their own demand and ask a home for each request. - A holder whose rows leave no unused tokens sends no heartbeat, as nothing of it could be given back. - A row is rewritten for its pace only where it can allow more. - A home claims tokens that peers asked for and didn't get, before they ask again. The fair share of a claim counts the holders of the workspace, not all hosts. - Moved tokens that a request left unused go back to the near home after 500 ms, if that home answered within the last 5 s. Before, they stayed at each host in amounts too small for a request.

The random schedules also return leftovers; one that isn't deducted is detected as overspending.

--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -79,6 +79,11 @@
     /// Asks for a request that waits: first the near home, then the others, then any peers.
     /// Asks some peers else, others the next time.
     void ask(const TokenAsk &ask);
+    /// Whether the near home of \p workspace has answered recently enough to move tokens to it.
+    bool homeAnsweredRecently(const WorkspaceId &workspace, Instant now) const;
+    /// Moves \p tokens, already released by the holder, to the near home.
+    /// \pre homeAnsweredRecently
+    void moveToHome(const WorkspaceId &workspace, uint64_t tokens, Instant now);
     /// Asks the process that is reached at \p address for its clock since boot, \p asked after the
     /// start of this one.
     void askClock(const boost::asio::ip::udp::endpoint &address, Millis asked);
@@ -116,6 +121,8 @@
     void onClockAsk(const nlohmann::json &message);
     void onClock(const nlohmann::json &message);
     uint64_t underWay(const WorkspaceId &workspace) const;
+    void sendMove(const WorkspaceId &workspace, uint64_t tokens, const std::string &to,
+                  const boost::asio::ip::udp::endpoint &address, Instant now);
     std::vector<boost::asio::ip::udp::endpoint> addressees(const TokenAsk &ask);
     void send(const std::string &text, const boost::asio::ip::udp::endpoint &to);
 
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -110,7 +110,9 @@
     void serveWaiting(Instant now);
     void expireWaiting(Instant now);
     void noLongerWaits(const WorkspaceId &workspace);
+    uint64_t give(const TokenAsk &ask, Instant now);
     void askPeers(Instant now);
+    void returnLeftovers(Instant now);
     HeldTokens held(const WorkspaceId &workspace) const;
     Verdict shortage(const Waiting &waiting, Instant now) const;
     void finishStop(Instant now);
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -101,6 +101,9 @@
     uint32_t mostDoublings = 3;
     /// What peers asked for stays movable for so long: a few of their intervals.
     Interval lending = std::chrono::milliseconds(1500);
+    /// How long moved tokens that a request left unused stay here for the next one. Kept longer,
+    /// they would be split over the hosts in amounts too small for a request.
+    Interval leftoverRetention = std::chrono::milliseconds(500);
 };
 
 struct WorkspaceBudget
@@ -140,6 +143,9 @@
     /// How many homes \p workspace has, and whether this holder is one. 0: it has none, and
     /// each holder holds for itself.
     void setHomes(const WorkspaceId &workspace, uint32_t homes, bool isHome);
+    /// Whether this holder may keep tokens for its own demand in workspaces for which it isn't a
+    /// home. Otherwise it holds only what open requests need, and asks a home for each request.
+    void setHoldsForOwnDemand(bool enabled) { holdsForOwnDemand_ = enabled; }
     /// Whether the store answers. Without it nothing is claimed or given back.
     void setStoreReachable(bool reachable) { storeReachable_ = reachable; }
 
@@ -175,7 +181,10 @@
     std::vector<TokenAsk> asks(Instant now);
     /// Tokens to move to the peer that asks; they are this holder's no more. 0: none.
     uint64_t give(const TokenAsk &ask, Instant now);
-    void take(const WorkspaceId &workspace, uint64_t tokens);
+    void take(const WorkspaceId &workspace, uint64_t tokens, Instant now);
+    /// Releases unused tokens that came from peers, after `leftoverRetention` and only if this
+    /// host relies on homes. \returns how many to move to a home.
+    uint64_t releaseLeftover(const WorkspaceId &workspace, Instant now);
 
     /// The process stops: gives back all that isn't reserved.
     void returnAll();
@@ -214,6 +223,7 @@
         Allotment flight;      ///< by the batch in flight
         bool lowered = false;  ///< the budget fell, and the holders' totals still exceed it
         bool correct = false;  ///< the store's row says something else than `owned`
+        Instant returnAt{};    ///< when unused moved tokens go back to a home
         Instant nextAskAt{};
         uint32_t askedInVain = 0; ///< times in a row
         uint32_t askRounds = 0;   ///< for the request that waits now
@@ -251,6 +261,9 @@
     static uint64_t used(const Account &account);
     bool inUse(const Account &account, Instant now) const;
     uint64_t mayUse(const Account &account, Instant now) const;
+    static uint64_t askedByPeers(const Account &account, Instant now);
+    uint32_t maxHoldersOf(const Account &account) const;
+    bool anyRowHasUnusedTokens() const;
     uint64_t rowLimit(const Allotment &row, Instant composedAt, Instant now) const;
     uint64_t paceOf(const WorkspaceId &workspace, const Account &account, Instant now) const;
     uint64_t windowOf(const WorkspaceId &workspace, const Account &account, Instant now) const;
@@ -266,6 +279,7 @@
     Instant writtenAt_{};        ///< when the last batch that the store has was composed
     uint64_t judgedThrough_ = 0; ///< offsets of own rows below this were judged
     uint32_t holders_ = 1;
+    bool holdsForOwnDemand_ = true;
     bool caughtUp_ = false; ///< the store's rows were read once
     bool storeReachable_ = false;
     bool stopping_ = false;
--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -23,6 +23,9 @@
 /// Longest cut between hosts that a move outlasts. Past it the tokens are lost.
 constexpr Interval MoveLasts = std::chrono::seconds(20);
 
+/// A home that hasn't answered within this time may have ended; tokens moved to it would be lost.
+constexpr Interval HomeAnswerMaxAge = std::chrono::seconds(5);
+
 } // namespace
 
 PeerLink::PeerLink(boost::asio::io_context &io, const udp::endpoint &listen, Incarnation self,
@@ -138,29 +141,51 @@
     ask.round = message.value("round", 0U);
     const auto from = message.at("from").get<std::string>();
     const uint64_t tokens = handlers_.onAsk(ask);
+    sendMove(ask.workspace, tokens, from, sender_, std::chrono::steady_clock::now());
+}
+
+void PeerLink::sendMove(const WorkspaceId &workspace, uint64_t tokens, const std::string &to,
+                        const udp::endpoint &address, Instant now)
+{
     const uint64_t id = tokens > 0 ? ++lastMove_ : 0;
-    const HeldTokens held = handlers_.held(ask.workspace);
-    const nlohmann::json move = {{"kind", "move"},
-                                 {"from", self_.text()},
-                                 {"to", from},
-                                 {"id", id},
-                                 {"workspace", ask.workspace.text()},
-                                 {"tokens", tokens},
-                                 {"usable", held.usable},
-                                 {"reserved", held.reserved + underWay(ask.workspace)},
-                                 {"settling", held.settling}};
-    const std::string text = move.dump();
+    const HeldTokens held = handlers_.held(workspace);
+    const nlohmann::json message = {{"kind", "move"},
+                                    {"from", self_.text()},
+                                    {"to", to},
+                                    {"id", id},
+                                    {"workspace", workspace.text()},
+                                    {"tokens", tokens},
+                                    {"usable", held.usable},
+                                    {"reserved", held.reserved + underWay(workspace)},
+                                    {"settling", held.settling}};
+    const std::string text = message.dump();
     if (tokens > 0) {
-        const Instant now = std::chrono::steady_clock::now();
-        unacknowledged_[id] = {sender_,           text,           ask.workspace, tokens,
+        unacknowledged_[id] = {address,           text,           workspace, tokens,
                                now + ResendAfter, now + MoveLasts};
         log_.write(Event("tokens.given")
-                           .with("workspace", ask.workspace)
+                           .with("workspace", workspace)
                            .with("tokens", tokens)
-                           .with("to", from)
+                           .with("to", to)
                            .with("id", id));
     }
-    send(text, sender_);
+    send(text, address);
+}
+
+bool PeerLink::homeAnsweredRecently(const WorkspaceId &workspace, Instant now) const
+{
+    const auto homes = homes_.find(workspace);
+    const auto told = told_.find(workspace);
+    if (homes == homes_.end() || homes->second.empty() || told == told_.end()) {
+        return false;
+    }
+    const auto found = told->second.find(homes->second.front().incarnation);
+    return found != told->second.end() && now < found->second.at + HomeAnswerMaxAge;
+}
+
+void PeerLink::moveToHome(const WorkspaceId &workspace, uint64_t tokens, Instant now)
+{
+    const Peer &home = homes_.at(workspace).front();
+    sendMove(workspace, tokens, home.incarnation.text(), home.address, now);
 }
 
 void PeerLink::onMove(const nlohmann::json &message)
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -7,7 +7,7 @@
 
 #include "LedgerRows.h"
 #include "Predecessor.h"
-#include "sequoiagate/Base/Rendezvous.h"
+#include "sequoiagate/Ledger/TokenHomes.h"
 
 namespace sequoiagate {
 
@@ -43,18 +43,6 @@
 /// the two clocks that are read for them aren't read in one moment.
 constexpr Millis SealMargin = std::chrono::milliseconds(50);
 
-/// The index of the host that holds \p workspace's tokens for the others of its domain. Hosts
-/// that know of different members may choose differently: it costs a round of asking.
-std::size_t homeAmong(const WorkspaceId &workspace, const std::vector<const Peer *> &members)
-{
-    std::vector<std::string_view> names;
-    names.reserve(members.size());
-    for (const Peer *member : members) {
-        names.emplace_back(member->host.text());
-    }
-    return rendezvousChoice(workspace.text(), names);
-}
-
 FollowerSettings followerSettings(const std::string &topic)
 {
     FollowerSettings settings;
@@ -70,13 +58,12 @@
     : store_(store), settings_(std::move(settings)), log_(log), metrics_(metrics),
       holder_(settings_.incarnation, settings_.holder),
       peers_(io, settings_.listenPeers, settings_.incarnation, settings_.domain, log,
-             {[this](const TokenAsk &ask) {
-                  return holder_.give(ask, std::chrono::steady_clock::now());
-              },
+             {[this](const TokenAsk &ask) { return give(ask, std::chrono::steady_clock::now()); },
               [this](const WorkspaceId &workspace) { return held(workspace); },
               [this](const WorkspaceId &workspace, uint64_t tokens) {
-                  holder_.take(workspace, tokens);
-                  serveWaiting(std::chrono::steady_clock::now());
+                  const Instant now = std::chrono::steady_clock::now();
+                  holder_.take(workspace, tokens, now);
+                  serveWaiting(now);
               },
               [this](const ClockAnswer &answer) {
                   if (predecessor_) {
@@ -124,6 +111,7 @@
     sealPredecessor(now);
     write();
     askPeers(now);
+    returnLeftovers(now);
     peers_.tick(now);
     serveWaiting(now);
     expireWaiting(now);
@@ -376,24 +364,27 @@
 
 void TokenService::chooseHomes()
 {
-    std::map<DomainId, std::vector<const Peer *>> domains;
+    std::vector<HostLocation> locations;
+    locations.reserve(hosts_.size());
     for (const auto &[name, peer] : hosts_) {
-        domains[peer.domain].push_back(&peer);
+        locations.push_back({peer.host, peer.domain});
     }
+    TokenHomes tokenHomes;
+    tokenHomes.setHosts(locations);
+    holder_.setHoldsForOwnDemand(tokenHomes.isHome({settings_.host, settings_.domain}));
     for (const WorkspaceId &workspace : holder_.workspaces()) {
-        std::vector<Peer> homes;
-        bool isHome = false;
-        for (const auto &[domain, members] : domains) {
-            const Peer &home = *members[homeAmong(workspace, members)];
-            if (home.host == settings_.host) {
-                isHome = true;
-            } else {
-                homes.push_back(home);
+        // Processes that know of different hosts may choose different homes. This costs an extra
+        // round of asks.
+        const std::vector<HostLocation> homes = tokenHomes.homesOf(workspace);
+        std::vector<Peer> others;
+        for (const HostLocation &home : homes) {
+            if (home.host != settings_.host) {
+                others.push_back(hosts_.at(home.host.text()));
             }
         }
-        const auto count = static_cast<uint32_t>(domains.size());
-        holder_.setHomes(workspace, count, isHome);
-        peers_.setHomes(workspace, std::move(homes));
+        const bool isHome = others.size() < homes.size();
+        holder_.setHomes(workspace, static_cast<uint32_t>(homes.size()), isHome);
+        peers_.setHomes(workspace, std::move(others));
     }
 }
 
@@ -609,6 +600,15 @@
     return {holder_.usable(workspace), holder_.reserved(workspace), isSettling};
 }
 
+uint64_t TokenService::give(const TokenAsk &ask, Instant now)
+{
+    const uint64_t tokens = holder_.give(ask, now);
+    if (tokens < ask.need) {
+        write(); // claims the missing tokens before the peer asks again, if possible
+    }
+    return tokens;
+}
+
 void TokenService::askPeers(Instant now)
 {
     for (const TokenAsk &ask : holder_.asks(now)) {
@@ -616,6 +616,18 @@
     }
 }
 
+void TokenService::returnLeftovers(Instant now)
+{
+    for (const WorkspaceId &workspace : holder_.workspaces()) {
+        if (!peers_.homeAnsweredRecently(workspace, now)) {
+            continue;
+        }
+        if (const uint64_t tokens = holder_.releaseLeftover(workspace, now)) {
+            peers_.moveToHome(workspace, tokens, now);
+        }
+    }
+}
+
 void TokenService::stop(Instant deadline, std::function<void()> done)
 {
     stopDeadline_ = deadline;
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -13,6 +13,10 @@
 /// Peers that are asked at once: each may bring a part of what is needed.
 constexpr uint64_t AskedPeers = 8;
 
+/// Most holders assumed to claim a workspace's tokens per home: the home itself and hosts whose own
+/// demand is large enough.
+constexpr uint32_t MaxHoldersPerHome = 4;
+
 uint64_t scaled(uint64_t tokens, double factor)
 {
     return static_cast<uint64_t>(static_cast<double>(tokens) * factor);
@@ -65,6 +69,9 @@
     if (account.homes == 0 || account.isHome) {
         return false;
     }
+    if (!holdsForOwnDemand_) {
+        return true;
+    }
     const uint64_t own = scaled(account.typical, settings_.ownRequests);
     return account.typical == 0 || account.demand.over(bridged(workspace, account, now), now) < own;
 }
@@ -150,9 +157,9 @@
 uint64_t TokenHolder::windowOf(const WorkspaceId &workspace, const Account &account,
                                Instant now) const
 {
-    const uint64_t lent = now < account.askedUntil ? account.askedFor : 0;
+    const uint64_t forPeers = askedByPeers(account, now);
     if (isScarce(workspace, account, now)) {
-        return account.shortOf + lent;
+        return account.shortOf + forPeers;
     }
     const uint64_t byDemand = account.demand.over(settings_.window, now);
     // The next request of a workspace that is in use here needn't wait for a row; a larger
@@ -163,7 +170,25 @@
     } else if (inUse(account, now)) {
         next = account.typical + account.typical / 2;
     }
-    return std::max({byDemand, next, account.shortOf}) + lent;
+    return std::max({byDemand, next, account.shortOf}) + forPeers;
+}
+
+uint64_t TokenHolder::askedByPeers(const Account &account, Instant now)
+{
+    return now < account.askedUntil ? account.askedFor : 0;
+}
+
+uint32_t TokenHolder::maxHoldersOf(const Account &account) const
+{
+    return account.homes == 0 ? holders_ : std::min(holders_, account.homes * MaxHoldersPerHome);
+}
+
+bool TokenHolder::anyRowHasUnusedTokens() const
+{
+    return std::any_of(accounts_.begin(), accounts_.end(), [](const auto &entry) {
+        const Allotment &written = entry.second.written;
+        return written.usedAtMost < written.tokens;
+    });
 }
 
 bool TokenHolder::inUse(const Account &account, Instant now) const
@@ -197,9 +222,10 @@
     const uint64_t usual = std::max(window, account.typical);
     const uint64_t pace = paceOf(workspace, account, now);
     // Far more than is needed: a process that is killed now would lose it.
-    const bool high = left > 3 * usual || written.usePerSecond > 2 * pace + usual;
+    const bool high = left > 3 * usual;
+    const bool fast = written.usePerSecond > 2 * pace + usual;
     const bool slow = 2 * written.usePerSecond + usual < pace;
-    return high || slow || (canAllowMore && (low || isShort));
+    return high || (canAllowMore && (fast || slow || low || isShort));
 }
 
 void TokenHolder::settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent,
@@ -212,6 +238,7 @@
     account->reserved -= reserved;
     account->spent += spent;
     account->usable += reserved - spent;
+    account->returnAt = now + settings_.leftoverRetention;
     account->demand.remove(reserved - spent, now);
     if (account->lowered) {
         giveBack(*account, reserved - spent);
@@ -256,7 +283,7 @@
     const uint64_t byDemand = account.demand.over(bridged(workspace, account, now), now);
     const uint64_t idle = mostIdle(workspace, account);
     // Where the workspace is in use its next request needn't wait for the store.
-    const bool allMayHoldOne = account.typical * holders_ <= idle;
+    const bool allMayHoldOne = account.typical * maxHoldersOf(account) <= idle;
     const uint64_t next = allMayHoldOne && inUse(account, now) ? account.typical : 0;
     // Once it is in use anywhere, demand says where its tokens belong. Floors at all of the
     // hosts added up to twenty seconds' demand of a small workspace, lost when all died.
@@ -282,8 +309,9 @@
 uint64_t TokenHolder::claimFor(const WorkspaceId &workspace, const Account &account,
                                Instant now) const
 {
-    const uint64_t wanted = std::max(target(workspace, account, now), account.shortOf);
-    const bool isShort = account.usable < account.shortOf;
+    const uint64_t requested = account.shortOf + (account.isHome ? askedByPeers(account, now) : 0);
+    const uint64_t wanted = std::max(target(workspace, account, now), requested);
+    const bool isShort = account.usable < requested;
     // The first round goes to a home, which answers sooner than a claim is read back.
     if (isShort && account.askRounds < 2 && leavesItToHomes(workspace, account, now)) {
         return 0;
@@ -292,8 +320,8 @@
         return 0;
     }
     const uint64_t left = unallotted(workspace);
-    const uint64_t fair = scaled(left, std::min(1.0, settings_.greed / holders_));
-    const uint64_t need = isShort ? account.shortOf - account.usable : 0;
+    const uint64_t fair = scaled(left, std::min(1.0, settings_.greed / maxHoldersOf(account)));
+    const uint64_t need = isShort ? requested - account.usable : 0;
     const uint64_t most = std::min(left, std::max(fair, need));
     return std::min(most, wanted - std::min(wanted, account.usable));
 }
@@ -323,7 +351,8 @@
         account.lowered = account.lowered && table_.allotted(workspace) > account.prepaid;
         if (!stopping_) {
             const uint64_t wanted = target(workspace, account, now);
-            const bool waits = account.shortOf > 0;
+            const bool waits =
+                    account.shortOf > 0 || (account.isHome && askedByPeers(account, now) > 0);
             if (!waits && account.usable > scaled(wanted, settings_.returnAbove)) {
                 giveBack(account, account.usable - wanted);
             }
@@ -341,7 +370,7 @@
         flight.rows.push_back({row, claim});
         rows.push_back(row);
     }
-    const bool heartbeatDue = now >= writtenAt_ + settings_.heartbeat;
+    const bool heartbeatDue = now >= writtenAt_ + settings_.heartbeat && anyRowHasUnusedTokens();
     if (rows.empty() && !heartbeatDue) {
         return std::nullopt;
     }
@@ -453,8 +482,11 @@
     const bool asHome = account->isHome && ask.need > 0;
     uint64_t gift = asHome ? giftOfHome(*account, ask, now) : evenGift(*account, ask, now);
     const uint64_t movable = std::min(gift, mayUse(*account, now));
-    const uint64_t open = now < account->askedUntil ? account->askedFor : 0;
-    account->askedFor = std::max(open, gift) - movable;
+    const uint64_t open = askedByPeers(*account, now);
+    // A repeated ask is for tokens already counted; a first one adds to what other peers asked for.
+    const uint64_t asked = asHome ? ask.need : gift;
+    const bool isRepeat = !asHome || ask.round > 0;
+    account->askedFor = (isRepeat ? std::max(open, asked) : open + asked) - movable;
     account->askedUntil = now + settings_.lending;
     gift = movable;
     account->usable -= gift;
@@ -505,13 +537,27 @@
     return std::max(gift, spares ? ask.need : 0);
 }
 
-void TokenHolder::take(const WorkspaceId &workspace, uint64_t tokens)
+uint64_t TokenHolder::releaseLeftover(const WorkspaceId &workspace, Instant now)
+{
+    Account *account = find(workspace);
+    if (account == nullptr || account->shortOf > 0 || now < account->returnAt
+        || !leavesItToHomes(workspace, *account, now)) {
+        return 0;
+    }
+    // Tokens that the store counts as this holder's are given back by its row instead.
+    const uint64_t moved = account->usable - std::min(account->usable, account->owned);
+    account->usable -= moved;
+    return moved;
+}
+
+void TokenHolder::take(const WorkspaceId &workspace, uint64_t tokens, Instant now)
 {
     Account *account = find(workspace);
     if (account == nullptr) {
         return;
     }
     account->usable += tokens;
+    account->returnAt = now + settings_.leftoverRetention;
     if (tokens >= account->typical / 4) {
         account->askedInVain = 0;
     }
--- a/unittests/Edge/PeerLinkTest.cpp
+++ b/unittests/Edge/PeerLinkTest.cpp
@@ -144,6 +144,49 @@
 INSTANTIATE_TEST_SUITE_P(Rows, LinkHeldElsewhere, testing::ValuesIn(ElsewhereCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct HomeCase
+{
+    const char *name;
+    const char *answeredBy; ///< incarnation that the answer comes from
+    bool isHome;
+};
+
+class LinkHome : public Link, public testing::WithParamInterface<HomeCase>
+{};
+
+const HomeCase HomeCases[] = {{"ListedProcess", "peer", true},
+                              {"PreviousProcessOfTheHost", "previous", false}};
+
+// Guards against moving tokens to a process that has ended, where they would be lost.
+TEST_P(LinkHome, GetsTokensOnlyAfterItAnswered)
+{
+    const WorkspaceId workspace("w");
+    link_.setHomes(workspace, {{HostId("p"), DomainId("d"), Incarnation("peer"),
+                                far_.local_endpoint(), far_.local_endpoint()}});
+    const Instant now = std::chrono::steady_clock::now();
+    EXPECT_FALSE(link_.homeAnsweredRecently(workspace, now));
+    link_.askClock(far_.local_endpoint(), Millis(0));
+    question();
+    tell({{"kind", "move"},
+          {"from", GetParam().answeredBy},
+          {"to", "self"},
+          {"id", 0},
+          {"workspace", "w"},
+          {"tokens", 0},
+          {"usable", 0}});
+    ASSERT_EQ(link_.homeAnsweredRecently(workspace, now), GetParam().isHome);
+    if (GetParam().isHome) {
+        link_.moveToHome(workspace, 30, now);
+        const nlohmann::json move = question();
+        EXPECT_EQ(move.at("to"), "peer");
+        EXPECT_EQ(move.at("tokens"), 30);
+    }
+    EXPECT_FALSE(link_.homeAnsweredRecently(workspace, now + std::chrono::minutes(1)));
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, LinkHome, testing::ValuesIn(HomeCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 TEST_F(Link, TellsWhatItHoldsAndWhatMayComeBack)
 {
     link_.askClock(far_.local_endpoint(), Millis(0));
--- a/unittests/Ledger/HomesTest.cpp
+++ b/unittests/Ledger/HomesTest.cpp
@@ -146,7 +146,7 @@
                 const uint64_t moved = to == from ? 0 : holders_[to]->give(ask, now_);
                 if (moved > 0) {
                     ++moves_;
-                    holders_[from]->take(W, moved);
+                    holders_[from]->take(W, moved, now_);
                 }
             }
         }
--- a/unittests/Ledger/TokenHolderModelTest.cpp
+++ b/unittests/Ledger/TokenHolderModelTest.cpp
@@ -184,6 +184,7 @@
         settings.initialShare = 0.5;
         // Shorter than the longest outages of the model, so that holders go on beyond their rows.
         settings.silence = std::chrono::milliseconds(2400);
+        settings.leftoverRetention = Interval::zero();
         return settings;
     }
 
@@ -231,6 +232,7 @@
         if (homes_) {
             // Hosts may disagree on who is a home: it must cost nothing but time.
             host.holder->setHomes(W, 2, homesRandom_() % 2 == 0);
+            host.holder->setHoldsForOwnDemand(homesRandom_() % 2 == 0);
         }
         if (before.hasFlight && chance(0.3)) {
             stragglers_.push_back({before.incarnation, before.flight, before.flightBatch});
@@ -481,11 +483,19 @@
             return;
         }
         for (const TokenAsk &ask : hosts_[index].holder->asks(now_)) {
-            const uint64_t tokens = hosts_[other].holder->give(ask, now_);
-            hosts_[other].given += tokens;
-            if (tokens > 0) {
-                moves_.push_back({++lastMove_, index, hosts_[index].incarnation, tokens});
-            }
+            move(other, index, hosts_[other].holder->give(ask, now_));
+        }
+        if (homes_ && homesRandom_() % 2 == 0) {
+            hosts_[index].holder->noLongerShort(W);
+            move(index, other, hosts_[index].holder->releaseLeftover(W, now_));
+        }
+    }
+
+    void move(std::size_t from, std::size_t to, uint64_t tokens)
+    {
+        hosts_[from].given += tokens;
+        if (tokens > 0) {
+            moves_.push_back({++lastMove_, to, hosts_[to].incarnation, tokens});
         }
     }
 
@@ -518,7 +528,7 @@
         }
         const bool first = host.taken.emplace(move.id, true).second;
         if (first || leftOut_ == LeftOut::MoveOnce) {
-            host.holder->take(W, move.tokens);
+            host.holder->take(W, move.tokens, now_);
             host.got += move.tokens;
         }
     }
--- a/unittests/Ledger/TokenHolderTest.cpp
+++ b/unittests/Ledger/TokenHolderTest.cpp
@@ -128,7 +128,7 @@
     moved += a_.give(asks[0], now_);
     EXPECT_GE(moved, asks[0].need);
     EXPECT_EQ(a_.usable(W) + b_.usable(W) + moved, before);
-    b_.take(W, moved);
+    b_.take(W, moved, now_);
     EXPECT_EQ(a_.usable(W) + b_.usable(W), before);
 }
 
--- /dev/null
+++ b/unittests/Ledger/TokenHomesTest.cpp
@@ -0,0 +1,72 @@
+#include "sequoiagate/Ledger/TokenHomes.h"
+
+#include <algorithm>
+#include <set>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+using namespace sequoiagate;
+
+namespace {
+
+const DomainId Domain("d");
+
+std::vector<HostLocation> hosts(std::size_t count)
+{
+    std::vector<HostLocation> locations;
+    for (std::size_t i = 0; i < count; ++i) {
+        locations.push_back({HostId(fmt::format("host-{}", i)), Domain});
+    }
+    return locations;
+}
+
+struct HomeCountCase
+{
+    std::size_t hosts;
+    std::size_t homes;
+};
+
+class TokenHomesInDomain : public testing::TestWithParam<HomeCountCase>
+{};
+
+// Guards against too many homes in a large fleet: claims queue behind the batches of all homes.
+TEST_P(TokenHomesInDomain, HomeCountMatchesHostCount)
+{
+    const std::vector<HostLocation> locations = hosts(GetParam().hosts);
+    TokenHomes homes;
+    homes.setHosts(locations);
+    std::set<HostId> chosen;
+    for (int i = 0; i < 500; ++i) {
+        const std::vector<HostLocation> chosenHomes =
+                homes.homesOf(WorkspaceId(fmt::format("workspace-{}", i)));
+        ASSERT_EQ(chosenHomes.size(), 1U);
+        EXPECT_TRUE(homes.isHome(chosenHomes.front()));
+        chosen.insert(chosenHomes.front().host);
+    }
+    EXPECT_EQ(chosen.size(), GetParam().homes);
+    const auto included =
+            std::count_if(locations.begin(), locations.end(),
+                          [&](const HostLocation &location) { return homes.isHome(location); });
+    EXPECT_EQ(static_cast<std::size_t>(included), GetParam().homes);
+}
+
+const HomeCountCase HomeCountCases[] = {{1, 1}, {4, 4}, {5, 4}, {32, 4}, {33, 5}, {167, 21}};
+
+INSTANTIATE_TEST_SUITE_P(Rows, TokenHomesInDomain, testing::ValuesIn(HomeCountCases),
+                         [](const auto &row) { return fmt::format("{}Hosts", row.param.hosts); });
+
+// Guards against processes that list the hosts in different orders choosing different homes.
+TEST(TokenHomes, AreIndependentOfHostOrder)
+{
+    std::vector<HostLocation> locations = hosts(40);
+    TokenHomes homes;
+    homes.setHosts(locations);
+    std::reverse(locations.begin(), locations.end());
+    TokenHomes reversed;
+    reversed.setHosts(locations);
+    const WorkspaceId workspace("w");
+    EXPECT_EQ(homes.homesOf(workspace).front().host, reversed.homesOf(workspace).front().host);
+}
+
+} // namespace
