[Ledger] Request tokens for all waiting requests, and hold tokens where a workspace's demand is high

The host asked for, or claimed, only the tokens of the largest waiting request, and did so again 60 ms later for the next one, while some 30 requests waited at a time. A request that got no tokens within 200 ms was refused, and for the next 300 ms every request at least as large was refused immediately, although the store had 3.1 million unallotted tokens of the workspace.

A request that was refused immediately, or that its caller cancelled while it waited, remained recorded as waiting.

Change. - Sum the tokens that all waiting requests of a workspace need, and update the sum when a request is served, refused or cancelled. - After a shortage, refuse requests immediately only if the store can't cover them. - Let a host that isn't a home hold tokens for its own demand only if it has at least an equal share of the workspace's demand among the expected number of holders (four per home). Where that number includes all hosts, the rule is as before. This replaces the rule that only candidates for homes hold tokens for their own demand, and removes its predicate (TokenHomes::isHome, with its two checks).

TokenHolderFleet gets rows in which all requests of the busiest workspace arrive at one host. Without the change, 26 requests at 195 hosts and 481 at 374 hosts are refused in 5 s.

--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -109,7 +109,7 @@
     void onAppended(const AppendAnswer &answer);
     void serveWaiting(Instant now);
     void expireWaiting(Instant now);
-    void noLongerWaits(const WorkspaceId &workspace);
+    void updateShortOf(const WorkspaceId &workspace);
     uint64_t give(const TokenAsk &ask, Instant now);
     void askPeers(Instant now);
     void returnLeftovers(Instant now);
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -143,9 +143,6 @@
     /// How many homes \p workspace has, and whether this holder is one. 0: it has none, and
     /// each holder holds for itself.
     void setHomes(const WorkspaceId &workspace, uint32_t homes, bool isHome);
-    /// Whether this holder may keep tokens for its own demand in workspaces for which it isn't a
-    /// home. Otherwise it holds only what open requests need, and asks a home for each request.
-    void setHoldsForOwnDemand(bool enabled) { holdsForOwnDemand_ = enabled; }
     /// Whether the store answers. Without it nothing is claimed or given back.
     void setStoreReachable(bool reachable) { storeReachable_ = reachable; }
 
@@ -154,6 +151,9 @@
     bool reserve(const WorkspaceId &workspace, uint64_t tokens, Instant now);
     /// The request ended. \pre spent <= reserved, and both were reserved.
     void settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent, Instant now);
+    /// Sets the total number of tokens that the waiting requests of \p workspace need. 0: none
+    /// waits.
+    void setShortOf(const WorkspaceId &workspace, uint64_t tokens);
     /// No request waits for tokens of \p workspace any more.
     void noLongerShort(const WorkspaceId &workspace);
 
@@ -216,7 +216,7 @@
         uint64_t reserved = 0; ///< of open requests
         uint64_t spent = 0;
         uint64_t typical = 0;  ///< reservation, a moving mean
-        uint64_t shortOf = 0;  ///< a request waits for so many
+        uint64_t shortOf = 0;  ///< total that waiting requests need
         uint64_t askedFor = 0; ///< by peers that lack tokens, a moment ago
         Instant askedUntil{};  ///< they may ask again, and find that it can be moved by then
         Allotment written;     ///< by the last batch that the store has
@@ -279,7 +279,6 @@
     Instant writtenAt_{};        ///< when the last batch that the store has was composed
     uint64_t judgedThrough_ = 0; ///< offsets of own rows below this were judged
     uint32_t holders_ = 1;
-    bool holdsForOwnDemand_ = true;
     bool caughtUp_ = false; ///< the store's rows were read once
     bool storeReachable_ = false;
     bool stopping_ = false;
--- a/include/sequoiagate/Ledger/TokenHomes.h
+++ b/include/sequoiagate/Ledger/TokenHomes.h
@@ -33,9 +33,6 @@
     /// The homes of \p workspace, one per failure domain with hosts, ordered by failure domain.
     std::vector<HostLocation> homesOf(const WorkspaceId &workspace) const;
 
-    /// Whether \p location is one of the hosts from which homes are chosen.
-    bool isHome(const HostLocation &location) const;
-
     /// The number of homes in a failure domain with \p hosts hosts.
     static std::size_t homeCount(std::size_t hosts);
 
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -371,7 +371,6 @@
     }
     TokenHomes tokenHomes;
     tokenHomes.setHosts(locations);
-    holder_.setHoldsForOwnDemand(tokenHomes.isHome({settings_.host, settings_.domain}));
     for (const WorkspaceId &workspace : holder_.workspaces()) {
         // Processes that know of different hosts may choose different homes. This costs an extra
         // round of asks.
@@ -499,14 +498,18 @@
                     std::move(handler)};
     const auto known = shortages_.find(workspace);
     const bool isKnown = known != shortages_.end() && now < known->second.until
-                         && tokens >= known->second.tokens;
+                         && tokens >= known->second.tokens
+                         && holder_.state(workspace, tokens) != BudgetState::Covered;
     if (isKnown) {
+        // The failed reservation noted this request as waiting.
+        updateShortOf(workspace);
         const auto refuse = std::move(waiting.handler);
         refuse(shortage(waiting, now));
         return 0;
     }
     const TokenTicket ticket = waiting.ticket;
     waiting_.push_back(std::move(waiting));
+    updateShortOf(workspace);
     write();
     askPeers(now);
     return ticket;
@@ -514,7 +517,15 @@
 
 void TokenService::cancel(TokenTicket ticket)
 {
-    waiting_.remove_if([ticket](const Waiting &waiting) { return waiting.ticket == ticket; });
+    const auto found =
+            std::find_if(waiting_.begin(), waiting_.end(),
+                         [ticket](const Waiting &waiting) { return waiting.ticket == ticket; });
+    if (found == waiting_.end()) {
+        return;
+    }
+    const WorkspaceId workspace = found->workspace;
+    waiting_.erase(found);
+    updateShortOf(workspace);
 }
 
 void TokenService::settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent)
@@ -538,19 +549,18 @@
         waiting = next;
     }
     for (const Waiting &waiting : served) {
-        noLongerWaits(waiting.workspace);
+        updateShortOf(waiting.workspace);
         waiting.handler(std::nullopt);
     }
 }
 
-void TokenService::noLongerWaits(const WorkspaceId &workspace)
+void TokenService::updateShortOf(const WorkspaceId &workspace)
 {
-    const auto isOfWorkspace = [&workspace](const Waiting &waiting) {
-        return waiting.workspace == workspace;
-    };
-    if (std::none_of(waiting_.begin(), waiting_.end(), isOfWorkspace)) {
-        holder_.noLongerShort(workspace);
+    uint64_t tokens = 0;
+    for (const Waiting &waiting : waiting_) {
+        tokens += waiting.workspace == workspace ? waiting.tokens : 0;
     }
+    holder_.setShortOf(workspace, tokens);
 }
 
 void TokenService::expireWaiting(Instant now)
@@ -565,7 +575,7 @@
     }
     for (const Waiting &waiting : expired) {
         shortages_[waiting.workspace] = {waiting.tokens, now + ShortageLasts};
-        noLongerWaits(waiting.workspace);
+        updateShortOf(waiting.workspace);
         waiting.handler(shortage(waiting, now));
     }
 }
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -69,11 +69,16 @@
     if (account.homes == 0 || account.isHome) {
         return false;
     }
-    if (!holdsForOwnDemand_) {
+    const uint64_t own = scaled(account.typical, settings_.ownRequests);
+    if (account.typical == 0 || account.demand.over(bridged(workspace, account, now), now) < own) {
         return true;
     }
-    const uint64_t own = scaled(account.typical, settings_.ownRequests);
-    return account.typical == 0 || account.demand.over(bridged(workspace, account, now), now) < own;
+    // Limits the number of holders: if not every host may be one, a host must have at least an
+    // equal share of the workspace's demand among them.
+    const uint64_t maxHolders = maxHoldersOf(account);
+    const uint64_t ownDemand = account.demand.over(settings_.fleetsMemory, now);
+    const uint64_t fleetsUse = account.fleetsUse.over(settings_.fleetsMemory, now);
+    return maxHolders < holders_ && ownDemand * maxHolders < fleetsUse;
 }
 
 bool TokenHolder::reserve(const WorkspaceId &workspace, uint64_t tokens, Instant now)
@@ -245,14 +250,19 @@
     }
 }
 
-void TokenHolder::noLongerShort(const WorkspaceId &workspace)
+void TokenHolder::setShortOf(const WorkspaceId &workspace, uint64_t tokens)
 {
     if (Account *account = find(workspace)) {
-        account->shortOf = 0;
-        account->askRounds = 0;
+        account->shortOf = tokens;
+        account->askRounds = tokens == 0 ? 0 : account->askRounds;
     }
 }
 
+void TokenHolder::noLongerShort(const WorkspaceId &workspace)
+{
+    setShortOf(workspace, 0);
+}
+
 uint64_t TokenHolder::mostIdle(const WorkspaceId &workspace, const Account &account) const
 {
     const uint64_t left = leftToUse(workspace, account);
--- a/lib/Ledger/TokenHomes.cpp
+++ b/lib/Ledger/TokenHomes.cpp
@@ -50,13 +50,6 @@
     }
 }
 
-bool TokenHomes::isHome(const HostLocation &location) const
-{
-    const auto found = homes_.find(location.domain);
-    return found != homes_.end()
-           && std::count(found->second.begin(), found->second.end(), location.host) > 0;
-}
-
 std::vector<HostLocation> TokenHomes::homesOf(const WorkspaceId &workspace) const
 {
     std::vector<HostLocation> homes;
--- a/unittests/Ledger/TokenHolderFleetTest.cpp
+++ b/unittests/Ledger/TokenHolderFleetTest.cpp
@@ -28,6 +28,7 @@
 constexpr Interval RequestDuration = std::chrono::milliseconds(400);
 constexpr std::size_t AskedAtOnce = 8;
 constexpr std::size_t Workspaces = 12;
+constexpr std::size_t BusiestWorkspaceHost = 3;
 constexpr uint64_t LeastTokens = 1'000; // of a request
 constexpr uint64_t TokensSpread = 12'000;
 constexpr uint64_t RequestsPerSecondPerHost = 2;
@@ -36,7 +37,8 @@
 class Fleet
 {
 public:
-    Fleet(std::size_t hosts, std::size_t domains) : hostCount_(hosts)
+    Fleet(std::size_t hosts, std::size_t domains, bool busiestOnOneHost)
+        : hostCount_(hosts), busiestOnOneHost_(busiestOnOneHost)
     {
         std::vector<HostLocation> locations;
         for (std::size_t i = 0; i < hosts; ++i) {
@@ -62,7 +64,6 @@
             holder.setBudgets(budgets, now_);
             holder.setHolders(static_cast<uint32_t>(hosts));
             holder.setStoreReachable(true);
-            holder.setHoldsForOwnDemand(homes.isHome(locations[i]));
             for (std::size_t w = 0; w < Workspaces; ++w) {
                 const std::vector<std::size_t> &workspaceHomes = homes_[w];
                 holder.setHomes(workspace(w), static_cast<uint32_t>(workspaceHomes.size()),
@@ -153,13 +154,15 @@
         const Interval between = std::chrono::duration_cast<Interval>(std::chrono::seconds(1))
                                  / (RequestsPerSecondPerHost * hosts_.size());
         at(now_ + between, [this] { addRequest(); });
-        const std::size_t host = random_() % hosts_.size();
         // At least a third of the requests are for one workspace.
         const std::size_t w = random_() % 3 == 0 ? 0 : random_() % Workspaces;
+        const std::size_t host =
+                busiestOnOneHost_ && w == 0 ? BusiestWorkspaceHost : random_() % hosts_.size();
         const uint64_t tokens = LeastTokens + random_() % TokensSpread;
         ++arrived_;
         if (!start(host, w, tokens)) {
             hosts_[host].waiting.push_back({w, tokens, now_ + Patience});
+            updateShortOf(host, w);
             write(host);
             ask(host);
         }
@@ -190,13 +193,17 @@
             }
             const std::size_t w = next->workspace;
             next = waiting.erase(next);
-            const bool others = std::any_of(waiting.begin(), waiting.end(), [w](const auto &other) {
-                return other.workspace == w;
-            });
-            if (!others) {
-                hosts_[host].holder->noLongerShort(workspace(w));
-            }
+            updateShortOf(host, w);
+        }
+    }
+
+    void updateShortOf(std::size_t host, std::size_t w)
+    {
+        uint64_t tokens = 0;
+        for (const Waiting &waiting : hosts_[host].waiting) {
+            tokens += waiting.workspace == w ? waiting.tokens : 0;
         }
+        hosts_[host].holder->setShortOf(workspace(w), tokens);
     }
 
     void tick(std::size_t host)
@@ -315,6 +322,7 @@
     std::minstd_rand random_{1};
     Instant now_{std::chrono::hours(1)};
     std::size_t hostCount_;
+    bool busiestOnOneHost_; ///< sends all requests of the busiest workspace to one host
     std::vector<Host> hosts_;
     std::vector<std::vector<std::size_t>> homes_; ///< of each workspace
     std::vector<AllotmentRow> log_;
@@ -331,9 +339,11 @@
 {
     std::size_t hosts;
     std::size_t domains;
+    bool busiestOnOneHost;
 };
 
-const FleetSize FleetSizes[] = {{8, 3}, {75, 4}, {195, 6}, {374, 6}};
+const FleetSize FleetSizes[] = {{8, 3, false}, {75, 4, false}, {195, 6, false}, {374, 6, false},
+                                {8, 3, true},  {75, 4, true},  {195, 6, true},  {374, 6, true}};
 
 class TokenHolderFleet : public testing::TestWithParam<FleetSize>
 {};
@@ -342,7 +352,7 @@
 {
     constexpr Interval WarmUp = std::chrono::seconds(5);
     constexpr Interval MeasuredTime = std::chrono::seconds(5);
-    Fleet fleet(GetParam().hosts, GetParam().domains);
+    Fleet fleet(GetParam().hosts, GetParam().domains, GetParam().busiestOnOneHost);
     fleet.play(WarmUp);
     const uint64_t refused = fleet.refused();
     const std::size_t batches = fleet.batches();
@@ -353,6 +363,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(FleetSizes, TokenHolderFleet, testing::ValuesIn(FleetSizes),
-                         [](const auto &row) { return fmt::format("{}Hosts", row.param.hosts); });
+                         [](const auto &row) {
+                             return fmt::format("{}Hosts{}", row.param.hosts,
+                                                row.param.busiestOnOneHost ? "BusiestOnOneHost"
+                                                                           : "");
+                         });
 
 } // namespace
--- a/unittests/Ledger/TokenHolderModelTest.cpp
+++ b/unittests/Ledger/TokenHolderModelTest.cpp
@@ -232,7 +232,6 @@
         if (homes_) {
             // Hosts may disagree on who is a home: it must cost nothing but time.
             host.holder->setHomes(W, 2, homesRandom_() % 2 == 0);
-            host.holder->setHoldsForOwnDemand(homesRandom_() % 2 == 0);
         }
         if (before.hasFlight && chance(0.3)) {
             stragglers_.push_back({before.incarnation, before.flight, before.flightBatch});
--- a/unittests/Ledger/TokenHolderTest.cpp
+++ b/unittests/Ledger/TokenHolderTest.cpp
@@ -113,6 +113,18 @@
     EXPECT_LE(a_.usable(W) + a_.spent(W), 30U);
 }
 
+// Guards against asking for one waiting request at a time, so that the others time out.
+TEST_F(Holding, AsksForAllRequestsThatWait)
+{
+    ASSERT_FALSE(b_.reserve(W, 70, now_));
+    b_.setShortOf(W, 70 + 50);
+    const std::vector<TokenAsk> asks = b_.asks(now_);
+    ASSERT_EQ(asks.size(), 1U);
+    EXPECT_EQ(asks[0].need, 120U);
+    b_.setShortOf(W, 0);
+    EXPECT_TRUE(b_.asks(now_ + std::chrono::seconds(1)).empty());
+}
+
 TEST_F(Holding, MovedTokensLeaveTheirGiverFirst)
 {
     round(a_);
