[Edge] Log token state on change, and measure append latency

A workspace's state is now logged only if it has changed since it was last logged.

The new metric ledger_append_seconds records the time from sending a batch to receiving its answer.

--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -26,6 +26,7 @@
 namespace sequoiagate {
 
 class Predecessor;
+class TokenStateLog;
 struct BatchMoment;
 struct PeerClock;
 
@@ -126,6 +127,7 @@
     PeerLink peers_;
     TopicFollower follower_;
     boost::asio::steady_timer timer_;
+    std::unique_ptr<TokenStateLog> stateLog_;
     std::unordered_map<std::string, Peer> hosts_;
     std::unordered_map<Incarnation, ReadBatch> batches_; ///< each holder's last
     std::optional<Peer> listedBefore_;                   ///< the process that this host ran before
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -7,6 +7,7 @@
 
 #include "LedgerRows.h"
 #include "Predecessor.h"
+#include "TokenStateLog.h"
 #include "sequoiagate/Ledger/TokenHomes.h"
 
 namespace sequoiagate {
@@ -82,7 +83,8 @@
                      log_.write(Event(reachable ? "ledger.reachable" : "ledger.lost")
                                         .with("outcome", storeOutcomeName(outcome)));
                  }}),
-      timer_(io), startedAt_(std::chrono::steady_clock::now())
+      timer_(io), stateLog_(std::make_unique<TokenStateLog>()),
+      startedAt_(std::chrono::steady_clock::now())
 {}
 
 TokenService::~TokenService() = default;
@@ -125,16 +127,22 @@
 void TokenService::report()
 {
     const bool current = follower_.reachable() && follower_.caughtUp();
+    std::vector<TokenState> states;
     for (const WorkspaceId &workspace : holder_.workspaces()) {
+        states.push_back({workspace, holder_.prepaid(workspace), holder_.owned(workspace),
+                          holder_.usable(workspace), holder_.reserved(workspace),
+                          holder_.spent(workspace), holder_.unallotted(workspace), current});
+    }
+    for (const TokenState &state : stateLog_->select(states)) {
         log_.write(Event("tokens.state")
-                           .with("workspace", workspace)
-                           .with("prepaid", holder_.prepaid(workspace))
-                           .with("owned", holder_.owned(workspace))
-                           .with("usable", holder_.usable(workspace))
-                           .with("reserved", holder_.reserved(workspace))
-                           .with("spent", holder_.spent(workspace))
-                           .with("unallotted", holder_.unallotted(workspace))
-                           .with("current", current)
+                           .with("workspace", state.workspace)
+                           .with("prepaid", state.prepaid)
+                           .with("owned", state.owned)
+                           .with("usable", state.usable)
+                           .with("reserved", state.reserved)
+                           .with("spent", state.spent)
+                           .with("unallotted", state.unallotted)
+                           .with("current", state.current)
                            .essential());
     }
 }
@@ -446,7 +454,9 @@
 void TokenService::append()
 {
     appending_ = true;
-    store_.append(*batch_, [this, seq = batch_->seq](const AppendAnswer &answer) {
+    const Instant sentAt = std::chrono::steady_clock::now();
+    store_.append(*batch_, [this, sentAt, seq = batch_->seq](const AppendAnswer &answer) {
+        metrics_.observe("ledger_append_seconds", std::chrono::steady_clock::now() - sentAt);
         // A batch that was read back is done, whatever becomes of its answer: waiting for
         // one that is lost would hold up the next claim for as long as the time-out.
         if (batch_ && batch_->seq == seq) {
