[Edge] Ask peers for their clocks to bound when a killed process ended in fleets of any size

The tokens that a killed process did not use are given back only if its peers' clocks prove that its last batch was younger than 2.4 s when it ended. A batch names the clocks of three peers, which its holder had read from their batches in the store. At 195 hosts a process reads the topic every 1.23 s, and peers write every 0.5 s.

Change. - A process whose rows leave tokens unused asks up to six peers, at most two per failure domain, for their clocks every 300 ms. Its batches name up to five of the newest readings, answers before batches. A reading is still taken before the batch is composed, which is all that the proof requires. - Readings and batches of peers move from TokenService to PeerClocks. - A predecessor that cannot be sealed is logged with the reason (ledger.predecessor_unsealed). It replaces the line ledger.malformed for a predecessor's batch that cannot be decoded.

The random schedules also name current readings: with each safeguard left out they overspend as before, and with all safeguards they never do.

--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -25,10 +25,9 @@
 
 namespace sequoiagate {
 
+class PeerClocks;
 class Predecessor;
 class TokenStateLog;
-struct BatchMoment;
-struct PeerClock;
 
 struct TokenServiceSettings
 {
@@ -83,13 +82,6 @@
         Instant until{};
     };
 
-    /// A holder's batch, and when it was read.
-    struct ReadBatch
-    {
-        StoreRow row;
-        Instant at{};
-    };
-
     void onRows(const std::vector<StoreRow> &rows);
     void noteReadBack(const StoreRow &row);
     void onBudgetRow(const StoreRow &row);
@@ -99,8 +91,8 @@
     void sealPredecessor(Instant now);
     /// Logs what becomes of the tokens of \p dead. \pre seals_ are its own
     void reportGivenUp(const Incarnation &dead, std::optional<Interval> elapsed);
-    std::optional<BatchMoment> lastBatchOf(const Incarnation &holder) const;
-    std::vector<PeerClock> freshestPeers() const;
+    void askClocks(Instant now);
+    void onClock(const ClockAnswer &answer);
     void publishPeers();
     void chooseHomes();
     void tick();
@@ -129,10 +121,10 @@
     boost::asio::steady_timer timer_;
     std::unique_ptr<TokenStateLog> stateLog_;
     std::unordered_map<std::string, Peer> hosts_;
-    std::unordered_map<Incarnation, ReadBatch> batches_; ///< each holder's last
-    std::optional<Peer> listedBefore_;                   ///< the process that this host ran before
-    std::unique_ptr<Predecessor> predecessor_;           ///< while it is found out what it used
-    std::vector<AllotmentRow> seals_;                    ///< to be written
+    std::unique_ptr<PeerClocks> peerClocks_;
+    std::optional<Peer> listedBefore_;         ///< the process that this host ran before
+    std::unique_ptr<Predecessor> predecessor_; ///< while it is found out what it used
+    std::vector<AllotmentRow> seals_;          ///< to be written
     Instant startedAt_;
     std::list<Waiting> waiting_;
     std::unordered_map<WorkspaceId, Shortage> shortages_;
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -169,6 +169,9 @@
     /// \returns true if the batch in flight was found in the store: it needn't be sent again.
     bool onPosition(uint64_t next);
     bool batchInFlight() const { return inFlight_.has_value(); }
+    /// Whether any row of this holder in the store leaves tokens unused. Otherwise no heartbeats
+    /// are written, and a successor has nothing to give back.
+    bool anyRowHasUnusedTokens() const;
     /// The rows by which what a dead holder didn't use is given back, and its demand is no
     /// longer counted. \p elapsed: the most time that can have passed between its last batch
     /// and its end; nullopt: that isn't known, and all of it counts as spent.
@@ -263,7 +266,6 @@
     uint64_t mayUse(const Account &account, Instant now) const;
     static uint64_t askedByPeers(const Account &account, Instant now);
     uint32_t maxHoldersOf(const Account &account) const;
-    bool anyRowHasUnusedTokens() const;
     uint64_t rowLimit(const Allotment &row, Instant composedAt, Instant now) const;
     uint64_t paceOf(const WorkspaceId &workspace, const Account &account, Instant now) const;
     uint64_t windowOf(const WorkspaceId &workspace, const Account &account, Instant now) const;
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "LedgerRows.h"
+#include "PeerClocks.h"
 #include "Predecessor.h"
 #include "TokenStateLog.h"
 #include "sequoiagate/Ledger/TokenHomes.h"
@@ -67,9 +68,7 @@
                   serveWaiting(now);
               },
               [this](const ClockAnswer &answer) {
-                  if (predecessor_) {
-                      predecessor_->onAnswer(answer);
-                  }
+                  onClock(answer);
               }}),
       follower_(io, store, followerSettings(settings_.topic),
                 {[this](const std::vector<StoreRow> &rows, bool) { onRows(rows); },
@@ -84,6 +83,7 @@
                                         .with("outcome", storeOutcomeName(outcome)));
                  }}),
       timer_(io), stateLog_(std::make_unique<TokenStateLog>()),
+      peerClocks_(std::make_unique<PeerClocks>(settings_.host)),
       startedAt_(std::chrono::steady_clock::now())
 {}
 
@@ -111,6 +111,7 @@
     const Instant now = std::chrono::steady_clock::now();
     holder_.setStoreReachable(follower_.current());
     sealPredecessor(now);
+    askClocks(now);
     write();
     askPeers(now);
     returnLeftovers(now);
@@ -204,27 +205,12 @@
 
 void TokenService::onBatchRow(const StoreRow &row)
 {
-    // Read by each host from all others some times a second, and used now and then: decoded
-    // only then. A tenth of a core has no room for the rest.
     const Incarnation holder = batchHolder(row);
     if (holder != settings_.incarnation) {
-        batches_[holder] = {row, std::chrono::steady_clock::now()};
+        peerClocks_->onBatch(holder, row, std::chrono::steady_clock::now());
     }
 }
 
-std::optional<BatchMoment> TokenService::lastBatchOf(const Incarnation &holder) const
-{
-    const auto found = batches_.find(holder);
-    if (found == batches_.end()) {
-        return std::nullopt;
-    }
-    std::optional<BatchMoment> batch = decodeBatch(found->second.row);
-    if (!batch) {
-        log_.write(Event("ledger.malformed").with("key", found->second.row.key));
-    }
-    return batch;
-}
-
 void TokenService::findPredecessor()
 {
     const std::optional<Peer> listed = std::exchange(listedBefore_, std::nullopt);
@@ -233,8 +219,12 @@
     }
     // The address is this process's now, so whoever had it before has ended.
     const bool sameAddress = listed->listens == settings_.listenPeers;
-    const std::optional<BatchMoment> batch = lastBatchOf(listed->incarnation);
+    const std::optional<BatchMoment> batch = peerClocks_->lastBatchOf(listed->incarnation);
     if (!sameAddress || !batch) {
+        log_.write(Event("ledger.predecessor_unsealed")
+                           .with("holder", listed->incarnation)
+                           .with("same_address", sameAddress)
+                           .with("has_batch", batch.has_value()));
         return;
     }
     std::set<Predecessor::Address> addresses;
@@ -298,31 +288,23 @@
     }
 }
 
-std::vector<PeerClock> TokenService::freshestPeers() const
+void TokenService::onClock(const ClockAnswer &answer)
 {
-    // Two a failure domain at most: what befalls one domain mustn't leave none.
-    constexpr std::size_t Most = 3;
-    constexpr uint32_t MostADomain = 2;
-    std::vector<std::pair<Instant, const Peer *>> fresh;
-    for (const auto &[name, peer] : hosts_) {
-        const auto batch = batches_.find(peer.incarnation);
-        if (peer.host != settings_.host && batch != batches_.end()) {
-            fresh.emplace_back(batch->second.at, &peer);
-        }
+    peerClocks_->onAnswer(answer, std::chrono::steady_clock::now());
+    if (predecessor_) {
+        predecessor_->onAnswer(answer);
     }
-    std::sort(fresh.begin(), fresh.end(),
-              [](const auto &a, const auto &b) { return a.first > b.first; });
-    std::map<DomainId, uint32_t> chosen;
-    std::vector<PeerClock> clocks;
-    for (const auto &[at, peer] : fresh) {
-        if (clocks.size() == Most || ++chosen[peer->domain] > MostADomain) {
-            continue;
-        }
-        if (const std::optional<BatchMoment> batch = lastBatchOf(peer->incarnation)) {
-            clocks.push_back({peer->address, peer->incarnation, batch->sinceBoot});
-        }
+}
+
+void TokenService::askClocks(Instant now)
+{
+    // Without unused tokens in its rows, a successor has nothing to give back.
+    if (!holder_.anyRowHasUnusedTokens()) {
+        return;
+    }
+    for (const boost::asio::ip::udp::endpoint &address : peerClocks_->asks(now)) {
+        peers_.askClock(address, Millis(0));
     }
-    return clocks;
 }
 
 void TokenService::onHostRow(const StoreRow &row)
@@ -363,6 +345,7 @@
     // Every process's batches wake every reader: the reads a second of the fleet would grow
     // with the square of its size. Own batches are read back without the pause.
     follower_.setPace(std::max<Interval>(ReadPace, ReadPacePerProcess * count));
+    peerClocks_->setPeers(peers);
     peers_.setPeers(std::move(peers));
     chooseHomes();
     if (onProcesses) {
@@ -428,7 +411,8 @@
     }
     batchHasTokens_ = !batch.rows.empty();
     if (rows) {
-        batch.rows.push_back(encodeBatch({settings_.incarnation, clock, freshestPeers()}));
+        batch.rows.push_back(
+                encodeBatch({settings_.incarnation, clock, peerClocks_->newestClocks(now)}));
     }
     for (const AllotmentRow &row : std::exchange(seals_, {})) {
         batch.rows.push_back(encodeBudget(row));
--- a/unittests/Ledger/TokenHolderModelTest.cpp
+++ b/unittests/Ledger/TokenHolderModelTest.cpp
@@ -446,7 +446,14 @@
         host.hasFlight = true;
         host.flightBatch = {clocksOf(host), {}};
         for (std::size_t peer = 0; peer < Hosts; ++peer) {
-            if (peer != indexOf(host) && told_[peer].told) {
+            if (peer == indexOf(host)) {
+                continue;
+            }
+            // Names either the current clocks of a running peer or those from its last batch.
+            if (runs(hosts_[peer]) && homesRandom_() % 2 == 0) {
+                host.flightBatch.peers.push_back(
+                        {peer, hosts_[peer].incarnation, clocksOf(hosts_[peer])});
+            } else if (told_[peer].told) {
                 host.flightBatch.peers.push_back({peer, told_[peer].process, told_[peer].clocks});
             }
         }
