[Test] Cover an outage with the default bound on idle tokens

HomesInAnOutage simulates a fleet of 76 hosts with a fifth of a budget left, with the bound on idle tokens disabled. The new row, HomesWithDefaultSettings, runs it with the default settings and the bounds of the row Homes.

--- a/unittests/Ledger/HomesTest.cpp
+++ b/unittests/Ledger/HomesTest.cpp
@@ -27,6 +27,8 @@
 constexpr int RequestEach = 8; // ticks: five requests a second over the fleet
 constexpr Interval Patience = std::chrono::milliseconds(200);
 constexpr std::size_t AskedAtOnce = 8;
+/// High enough that the bound on idle tokens never applies and only their placement matters.
+constexpr double UnboundedIdleShare = 1000.0;
 
 struct Waiting
 {
@@ -39,11 +41,10 @@
 class Fleet
 {
 public:
-    explicit Fleet(bool homes) : homes_(homes)
+    Fleet(bool homes, double idleShare) : homes_(homes)
     {
-        // What is held idle isn't bounded here: where it lies decides who is served.
         TokenHolderSettings settings;
-        settings.idleShare = 1000.0;
+        settings.idleShare = idleShare;
         for (std::size_t i = 0; i < Hosts; ++i) {
             holders_.push_back(
                     std::make_unique<TokenHolder>(Incarnation(fmt::format("h{}", i)), settings));
@@ -168,14 +169,18 @@
 {
     const char *name;
     bool homes;
+    double idleShare;
     int leastServed; ///< percent of the requests in the outage
     int mostServed;
     uint64_t mostMoves; ///< of tokens, in the outage
 };
 
 /// Without homes fewer are served than must be with them, and by many times the moves.
-const Outage Outages[] = {{"EachHostForItself", false, 75, 94, 2'000},
-                          {"Homes", true, 95, 100, 300}};
+const Outage Outages[] = {
+        {"EachHostForItself", false, UnboundedIdleShare, 75, 94, 2'000},
+        {"Homes", true, UnboundedIdleShare, 95, 100, 300},
+        // Guards against refusals caused by the default bound on idle tokens.
+        {"HomesWithDefaultSettings", true, TokenHolderSettings().idleShare, 95, 100, 300}};
 
 class HomesInAnOutage : public testing::TestWithParam<Outage>
 {};
@@ -185,7 +190,7 @@
     constexpr int CalmSeconds = 30;
     constexpr int OutageSeconds = 9;
     constexpr int Requests = OutageSeconds * TicksASecond / RequestEach;
-    Fleet fleet(GetParam().homes);
+    Fleet fleet(GetParam().homes, GetParam().idleShare);
     const int before = fleet.play(CalmSeconds);
     EXPECT_GE(before, CalmSeconds * TicksASecond / RequestEach * 95 / 100);
     fleet.setStoreReachable(false);
