[Edge] Log why a caller's connection was closed, what ended a process, and a held-up event loop

A signal that ends the process leaves its name and stack on standard error (absl's failure signal handler), beside process.failed for exceptions. edge_loop_lag_seconds and loop.held_up say when the event loop ran late.

No logic changes. CallerConnectionClose holds the reasons.

--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -62,6 +62,7 @@
     void checkStop();
     void drainCallers();
     void tick();
+    void noteLoopLag(Instant now);
     void updateGauges();
 
     EdgeSettings settings_;
@@ -94,6 +95,7 @@
     bool returning_ = false; ///< tokens are being given back
     Instant acceptUntil_ = Never;
     Instant cutAt_ = Never;
+    Instant tickDueAt_ = Never;
     std::size_t cut_ = 0;
 };
 
--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -60,7 +60,7 @@
     void onTimer();
     void queue(std::string bytes);
     void write();
-    void close();
+    void close(CallerClose why, const ErrorCode &error = ErrorCode());
 
     ProxyContext &context_;
     boost::asio::ip::tcp::socket socket_;
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -23,6 +23,7 @@
 
 #include "sequoiagate/Ledger/Charge.h"
 #include "sequoiagate/Proxy/AnswerSink.h"
+#include "sequoiagate/Proxy/CallerClose.h"
 #include "sequoiagate/Proxy/EventSplitter.h"
 
 namespace sequoiagate {
@@ -44,8 +45,8 @@
     ~Exchange() override;
 
     void start();
-    /// The caller closed its connection.
-    void callerGone();
+    /// The caller's connection is closed. \param detail the error, if there was one
+    void callerGone(CallerClose why, const std::string &detail);
     /// The caller took bytes: more may be read from the endpoint.
     void callerTook();
     bool ended() const { return position_.ended(); }
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -18,6 +18,9 @@
 
 constexpr Interval TickInterval = std::chrono::milliseconds(100);
 
+/// The event loop counts as held up when a tick comes this late.
+constexpr Interval LoopHeldUp = std::chrono::milliseconds(50);
+
 /// Endpoints' entries come as many small rows, each heartbeat one: reads are spaced so
 /// that they share one. Far below the seconds in which a leaving endpoint must be known.
 constexpr Interval EndpointReadPace = std::chrono::milliseconds(300);
@@ -351,10 +354,12 @@
 void Edge::tick()
 {
     const Instant now = std::chrono::steady_clock::now();
+    noteLoopLag(now);
     endpoints_.tick(now);
     pool_.sweep(now);
     checkStop();
-    timer_.expires_after(TickInterval);
+    tickDueAt_ = now + TickInterval;
+    timer_.expires_at(tickDueAt_);
     timer_.async_wait([this](const error_code &error) {
         if (!error) {
             tick();
@@ -362,6 +367,20 @@
     });
 }
 
+void Edge::noteLoopLag(Instant now)
+{
+    if (tickDueAt_ == Never) {
+        return;
+    }
+    const Interval lag = now - tickDueAt_;
+    metrics_.observe("edge_loop_lag_seconds", lag);
+    if (lag > LoopHeldUp) {
+        log_.write(Event("loop.held_up")
+                           .with("ms", std::chrono::duration_cast<Millis>(lag).count())
+                           .with("callers", callers_.size()));
+    }
+}
+
 void Edge::updateGauges()
 {
     const Instant now = std::chrono::steady_clock::now();
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -92,7 +92,8 @@
         return;
     }
     if (error) {
-        close();
+        const bool ended = error == asio::error::eof;
+        close(ended ? CallerClose::PeerClosed : CallerClose::ReadFailed, error);
         return;
     }
     if (lingering_) {
@@ -257,11 +258,11 @@
 void CallerConnection::onTimer()
 {
     if (lingering_ || closeWhenWritten_ || exchange_) {
-        close();
+        close(exchange_ ? CallerClose::Idle : CallerClose::Answered);
         return;
     }
     if (!reader_->begun()) {
-        close();
+        close(CallerClose::Idle);
         return;
     }
     // A request that didn't come in time hasn't run.
@@ -275,13 +276,13 @@
 {
     const bool waits = !exchange_ && reader_ && !reader_->begun() && unread_.empty();
     if (waits && outgoing_.empty()) {
-        close();
+        close(CallerClose::Drained);
     }
 }
 
 void CallerConnection::shutDown()
 {
-    close();
+    close(CallerClose::StopForced);
 }
 
 void CallerConnection::queue(std::string bytes)
@@ -326,7 +327,7 @@
                               return;
                           }
                           if (error) {
-                              self->close();
+                              self->close(CallerClose::WriteFailed, error);
                               return;
                           }
                           if (self->exchange_) {
@@ -336,7 +337,7 @@
                       });
 }
 
-void CallerConnection::close()
+void CallerConnection::close(CallerClose why, const ErrorCode &error)
 {
     if (isClosed_) {
         return;
@@ -346,8 +347,10 @@
     ErrorCode ignored;
     socket_.close(ignored);
     const auto self = shared_from_this();
+    context_.metrics.count("proxy_caller_closed_total", {{"why", std::string(callerCloseName(why))},
+                                                         {"request", exchange_ ? "open" : "none"}});
     if (const std::shared_ptr<Exchange> exchange = std::move(exchange_)) {
-        exchange->callerGone();
+        exchange->callerGone(why, error ? error.message() : std::string());
     }
     if (closed_) {
         closed_(self);
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -644,11 +644,16 @@
             std::chrono::steady_clock::now() + ComeBackSoon});
 }
 
-void Exchange::callerGone()
+void Exchange::callerGone(CallerClose why, const std::string &detail)
 {
     if (ended() || !self_) {
         return;
     }
+    log(Event("request.caller_gone")
+                .with("why", callerCloseName(why))
+                .with("detail", detail)
+                .with("passed_on", possibleRuns_ > 0)
+                .with("answering", streaming_));
     noteBrokenOff(AttemptEnd::Cancelled);
     dropAttempt(true);
     finish("hang_up", "cancelled", 0);
--- a/lib/Service/Program.cpp
+++ b/lib/Service/Program.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 
+#include <absl/debugging/failure_signal_handler.h>
 #include <fmt/format.h>
 
 #include "Service/ShareFiles.h"
@@ -56,6 +57,14 @@
     }
 }
 
+/// Has a crash leave its signal and stack on standard error before it ends the process.
+void reportCrashes()
+{
+    absl::FailureSignalHandlerOptions options;
+    options.alarm_on_failure_secs = 0;
+    absl::InstallFailureSignalHandler(options);
+}
+
 } // namespace
 
 StopSignal::StopSignal()
@@ -92,6 +101,7 @@
 int runDaemon(int argc, char **argv, const std::string &program, const std::string &summary,
               const std::function<int(DaemonContext &)> &body, LogOutput output)
 {
+    reportCrashes();
     StopSignal stop;
     cxxopts::Options options(program, summary);
     addCommonOptions(options);
--- /dev/null
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -0,0 +1,43 @@
+/// How a caller's connection ends while a request of it is open.
+
+#include <gtest/gtest.h>
+
+#include "ProxyWorld.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+struct CloseCase
+{
+    const char *name;
+    void (*close)(ProxyWorld &world);
+    const char *why;
+};
+
+class CallerConnectionClose : public testing::TestWithParam<CloseCase>
+{};
+
+const CloseCase CloseCases[] = {
+        {"CallerLeaves", [](ProxyWorld &world) { world.hangUp(); }, "\"why\":\"peer_closed\""},
+        {"ConnectionIsReset", [](ProxyWorld &world) { world.reset(); }, "\"why\":\"read_failed\""},
+        {"StopIsForced", [](ProxyWorld &world) { world.connection().shutDown(); },
+         "\"why\":\"stop_forced\""},
+};
+
+// A request has no answer, and no line says which side closed its connection.
+TEST_P(CallerConnectionClose, IsLoggedWithItsReason)
+{
+    ProxyWorld world({{{"", Afterwards::Hang}}});
+    world.send(ProxyWorld::request("/once/a", "r"));
+    ASSERT_TRUE(world.waitUntil([&world] { return world.endpoints[0]->received().size() == 1; }));
+    GetParam().close(world);
+    EXPECT_TRUE(world.waitUntil([&world] { return world.endpoints[0]->closedByPeer() == 1; }));
+    EXPECT_EQ(world.logged(GetParam().why), 1U);
+    EXPECT_EQ(world.logged("\"passed_on\":true"), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, CallerConnectionClose, testing::ValuesIn(CloseCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+} // namespace
--- a/unittests/Proxy/ProxyWorld.cpp
+++ b/unittests/Proxy/ProxyWorld.cpp
@@ -20,10 +20,11 @@
     return {boost::asio::ip::address_v4::loopback(), 0};
 }
 
-std::shared_ptr<ServingConfig> makeConfig()
+std::shared_ptr<ServingConfig> makeConfig(Interval idleTimeout)
 {
     auto config = std::make_shared<ServingConfig>();
     config->version = 1;
+    config->limits.idleTimeout = idleTimeout;
     config->limits.headerBytes = 2 * 1024;
     const auto route = [](const char *name, RouteKind kind) {
         Route made;
@@ -167,8 +168,9 @@
     ++settled;
 }
 
-ProxyWorld::ProxyWorld(std::vector<std::vector<Reply>> scripts)
-    : config(makeConfig()), chart_(Statechart::parse(readShareFile("statecharts/exchange.json"))),
+ProxyWorld::ProxyWorld(std::vector<std::vector<Reply>> scripts, ProxyWorldSettings settings)
+    : config(makeConfig(settings.idleTimeout)),
+      chart_(Statechart::parse(readShareFile("statecharts/exchange.json"))),
       logFile_(std::tmpfile()),
       log_({"test", HostId("h"), DomainId("d"), Incarnation("i")}, logFile_),
       pool_(io, {}), context_{io,
@@ -193,11 +195,22 @@
                 {EndpointId(fmt::format("e{}", i)), endpoints[i]->address(), "order"});
     }
     tcp::acceptor acceptor(io, loopback());
+    caller_.open(tcp::v4());
+    constexpr int LittleBytes = 4096;
+    if (settings.isCallerSlow) {
+        caller_.set_option(boost::asio::socket_base::receive_buffer_size(LittleBytes));
+    }
     caller_.connect(acceptor.local_endpoint());
+    tcp::socket accepted = acceptor.accept();
+    if (settings.isCallerSlow) {
+        accepted.set_option(boost::asio::socket_base::send_buffer_size(LittleBytes));
+    }
     connection_ = std::make_shared<CallerConnection>(
-            context_, acceptor.accept(), [](const std::shared_ptr<CallerConnection> &) {});
+            context_, std::move(accepted), [](const std::shared_ptr<CallerConnection> &) {});
     connection_->start();
-    readAsCaller();
+    if (!settings.isCallerSlow) {
+        readAsCaller();
+    }
 }
 
 ProxyWorld::~ProxyWorld()
@@ -261,6 +274,25 @@
     closed_ = true;
 }
 
+void ProxyWorld::reset()
+{
+    error_code ignored;
+    caller_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    hangUp();
+}
+
+std::size_t ProxyWorld::logged(const std::string &text) const
+{
+    std::size_t count = 0;
+    std::rewind(logFile_);
+    std::array<char, 4096> line{};
+    while (std::fgets(line.data(), static_cast<int>(line.size()), logFile_) != nullptr) {
+        count += std::string_view(line.data()).find(text) != std::string_view::npos ? 1 : 0;
+    }
+    std::fseek(logFile_, 0, SEEK_END);
+    return count;
+}
+
 std::string ProxyWorld::request(const std::string &path, const std::string &id,
                                 const std::string &extra)
 {
--- a/unittests/Proxy/ProxyWorld.h
+++ b/unittests/Proxy/ProxyWorld.h
@@ -94,10 +94,18 @@
     int settled = 0;
 };
 
+struct ProxyWorldSettings
+{
+    /// Of the caller's connection, also until its first request.
+    Interval idleTimeout = std::chrono::seconds(15);
+    /// The caller takes nothing, and its connection holds little.
+    bool isCallerSlow = false;
+};
+
 class ProxyWorld
 {
 public:
-    explicit ProxyWorld(std::vector<std::vector<Reply>> scripts);
+    explicit ProxyWorld(std::vector<std::vector<Reply>> scripts, ProxyWorldSettings settings = {});
     ~ProxyWorld();
 
     /// Writes \p bytes as the caller.
@@ -109,6 +117,13 @@
     /// Runs until the caller's connection is closed.
     bool waitForClose();
     void hangUp();
+    /// Ends the caller's connection as a lost one: what it sent last may be lost with it.
+    void reset();
+    /// Begins to read as a caller that was slow until now.
+    void readAsCaller();
+    /// Lines of the log that hold \p text.
+    std::size_t logged(const std::string &text) const;
+    CallerConnection &connection() { return *connection_; }
     const std::string &got() const { return got_; }
     bool closed() const { return closed_; }
 
@@ -127,8 +142,6 @@
     LinkLoad link{LinkLoadSettings{}};
 
 private:
-    void readAsCaller();
-
     Statechart chart_;
     std::FILE *logFile_;
     EventLog log_;
