[Proxy] Don't let a timer that was disarmed close a connection whose request was passed on

What callers see: a request on a kept connection is passed on to an endpoint, and the connection is closed with no answer.

Cause: cancelling a timer of Boost.Asio doesn't reach a handler that is already queued. An idle connection's limit passes, its next request is read in the same round of the event loop, begins its exchange and cancels the timer, and the queued handler then takes the connection for one to close. The longer a round is (a held-up process, a core that is a quota), the more requests meet it.

Change: DeadlineTimer calls no handler of an earlier arming. The other timers look at a stored deadline or state when they fire (Exchange's silence and deadline, HttpConnection's connect, TopicFollower, ticks).

--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -16,10 +16,10 @@
 #include "sequoiagate/Proxy/Exchange.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "sequoiagate/Proxy/AnswerSink.h"
 #include "sequoiagate/Proxy/HttpReader.h"
+#include "sequoiagate/Service/DeadlineTimer.h"
 
 namespace sequoiagate {
 
@@ -65,7 +65,7 @@
     ProxyContext &context_;
     boost::asio::ip::tcp::socket socket_;
     Closed closed_;
-    boost::asio::steady_timer timer_;
+    DeadlineTimer timer_;
     std::array<char, 8192> readBuffer_;
     std::string unread_; ///< received, not yet a request
     std::optional<RequestReader> reader_;
--- a/lib/Edge/StatusServer.cpp
+++ b/lib/Edge/StatusServer.cpp
@@ -4,11 +4,11 @@
 #include <memory>
 #include <optional>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include "sequoiagate/Base/Time.h"
 #include "sequoiagate/Proxy/HttpReader.h"
+#include "sequoiagate/Service/DeadlineTimer.h"
 
 namespace sequoiagate {
 
@@ -23,19 +23,17 @@
 class StatusConnection : public std::enable_shared_from_this<StatusConnection>
 {
 public:
-    StatusConnection(tcp::socket socket, const StatusServer::Page &page)
-        : socket_(std::move(socket)), timer_(socket_.get_executor()), page_(page)
+    StatusConnection(boost::asio::io_context &io, tcp::socket socket,
+                     const StatusServer::Page &page)
+        : socket_(std::move(socket)), timer_(io), page_(page)
     {}
 
     void start()
     {
         reader_.emplace(HttpReaderLimits());
-        timer_.expires_after(IdleTimeout);
-        timer_.async_wait([self = shared_from_this()](const error_code &error) {
-            if (!error) {
-                error_code ignored;
-                self->socket_.close(ignored);
-            }
+        timer_.arm(std::chrono::steady_clock::now() + IdleTimeout, [self = shared_from_this()] {
+            error_code ignored;
+            self->socket_.close(ignored);
         });
         read();
     }
@@ -47,7 +45,7 @@
                 boost::asio::buffer(buffer_),
                 [self = shared_from_this()](const error_code &error, std::size_t bytes) {
                     if (error) {
-                        self->timer_.cancel();
+                        self->timer_.disarm();
                         return;
                     }
                     self->reader_->feed(std::string_view(self->buffer_.data(), bytes));
@@ -56,7 +54,7 @@
                     } else if (self->reader_->fault() == HttpFault::None) {
                         self->read();
                     } else {
-                        self->timer_.cancel();
+                        self->timer_.disarm();
                     }
                 });
     }
@@ -76,13 +74,13 @@
                     if (!error && keep) {
                         self->start();
                     } else {
-                        self->timer_.cancel();
+                        self->timer_.disarm();
                     }
                 });
     }
 
     tcp::socket socket_;
-    boost::asio::steady_timer timer_;
+    DeadlineTimer timer_;
     const StatusServer::Page &page_;
     std::optional<RequestReader> reader_;
     std::array<char, 1024> buffer_;
@@ -92,7 +90,7 @@
 } // namespace
 
 StatusServer::StatusServer(boost::asio::io_context &io, const tcp::endpoint &listen, Page page)
-    : acceptor_(io, listen), page_(std::move(page))
+    : io_(io), acceptor_(io, listen), page_(std::move(page))
 {
     accept();
 }
@@ -104,7 +102,7 @@
             return;
         }
         if (!error) {
-            std::make_shared<StatusConnection>(std::move(socket), page_)->start();
+            std::make_shared<StatusConnection>(io_, std::move(socket), page_)->start();
         }
         accept();
     });
--- a/lib/Edge/StatusServer.h
+++ b/lib/Edge/StatusServer.h
@@ -33,6 +33,7 @@
 private:
     void accept();
 
+    boost::asio::io_context &io_;
     boost::asio::ip::tcp::acceptor acceptor_;
     Page page_;
 };
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -143,7 +143,7 @@
 
 void CallerConnection::beginExchange()
 {
-    timer_.cancel();
+    timer_.disarm();
     CallerRequest request;
     request.head = std::move(reader_->head());
     request.body = std::exchange(body_, std::string());
@@ -247,18 +247,14 @@
 
 void CallerConnection::armTimer(Interval limit)
 {
-    timer_.expires_after(limit);
-    timer_.async_wait([self = shared_from_this()](const ErrorCode &error) {
-        if (!error && !self->isClosed_) {
-            self->onTimer();
-        }
-    });
+    timer_.arm(std::chrono::steady_clock::now() + limit,
+               [self = shared_from_this()] { self->onTimer(); });
 }
 
 void CallerConnection::onTimer()
 {
-    if (lingering_ || closeWhenWritten_ || exchange_) {
-        close(exchange_ ? CallerClose::Idle : CallerClose::Answered);
+    if (lingering_ || closeWhenWritten_) {
+        close(CallerClose::Answered);
         return;
     }
     if (!reader_->begun()) {
@@ -343,7 +339,7 @@
         return;
     }
     isClosed_ = true;
-    timer_.cancel();
+    timer_.disarm();
     ErrorCode ignored;
     socket_.close(ignored);
     const auto self = shared_from_this();
--- a/unittests/Proxy/CallerConnectionTest.cpp
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -1,5 +1,7 @@
 /// How a caller's connection ends while a request of it is open.
 
+#include <thread>
+
 #include <gtest/gtest.h>
 
 #include "ProxyWorld.h"
@@ -8,6 +10,13 @@
 
 namespace {
 
+constexpr const char *Head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n";
+
+std::string plain(const std::string &body)
+{
+    return std::string(Head) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 struct CloseCase
 {
     const char *name;
@@ -40,4 +49,16 @@
 INSTANTIATE_TEST_SUITE_P(Rows, CallerConnectionClose, testing::ValuesIn(CloseCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// A request is passed on and its connection is closed with no answer: the idle limit had passed
+// in the same round of the event loop in which the request was read.
+TEST(CallerConnection, RequestReadTogetherWithTheIdleTimeoutIsAnswered)
+{
+    ProxyWorldSettings settings;
+    settings.idleTimeout = std::chrono::milliseconds(1);
+    ProxyWorld world({{{plain("good")}}}, settings);
+    world.send(ProxyWorld::request("/once/a", "r"));
+    std::this_thread::sleep_for(2 * settings.idleTimeout);
+    EXPECT_TRUE(world.waitFor("good")) << world.got();
+}
+
 } // namespace
