[Proxy] Begin no request with the reader of the one before

What callers see: a 400 for a request that was sent well, and from then on each answer one request late.

Cause: behind an answer the next request is begun by a handler that is queued. Bytes that were read in the same round, before that handler ran, went to the reader of the request before, which was done: an exchange began with its empty head. It needs a caller that sends its next request before it has the answer, or a round that holds both. Change: bytes that come in between wait for the queued handler.

RequestReadTogetherWithTheAnswerBeforeIsServed failed before, with the 400.

--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -101,7 +101,9 @@
         return;
     }
     unread_.append(readBuffer_.data(), bytes);
-    if (!exchange_ && !closeWhenWritten_) {
+    // Behind an answer the next request is begun by the handler that answered() queued.
+    const bool isBetweenRequests = reader_->done();
+    if (!exchange_ && !closeWhenWritten_ && !isBetweenRequests) {
         readRequest();
     }
     read();
--- a/unittests/Proxy/CallerConnectionTest.cpp
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -61,4 +61,16 @@
     EXPECT_TRUE(world.waitFor("good")) << world.got();
 }
 
+// The caller gets a 400 for a request that it sent well: its bytes came together with the answer
+// to the one before.
+TEST(CallerConnection, RequestReadTogetherWithTheAnswerBeforeIsServed)
+{
+    ProxyWorld world({{{plain("first")}, {plain("second")}}});
+    world.send(ProxyWorld::request("/get/a", "r1"));
+    ASSERT_TRUE(world.waitUntil([&world] { return world.endpoints[0]->received().size() == 1; }));
+    world.send(ProxyWorld::request("/get/b", "r2"));
+    EXPECT_TRUE(world.waitFor("second")) << world.got();
+    EXPECT_EQ(world.got().find("400"), std::string::npos) << world.got();
+}
+
 } // namespace
