[Proxy] Let a planned stop close no connection whose answer is still being written

What callers see: an answer that is cut off by a planned stop, or has not begun, when they take it slowly.

Cause: the bytes of an answer leave the queue when their write begins; a stop took an empty queue for a written answer and closed the connection. Change: it waits for the write.

--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -273,7 +273,7 @@
 void CallerConnection::drain()
 {
     const bool waits = !exchange_ && reader_ && !reader_->begun() && unread_.empty();
-    if (waits && outgoing_.empty()) {
+    if (waits && outgoing_.empty() && !writing_) {
         close(CallerClose::Drained);
     }
 }
--- a/unittests/Proxy/CallerConnectionTest.cpp
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -73,4 +73,21 @@
     EXPECT_EQ(world.got().find("400"), std::string::npos) << world.got();
 }
 
+// An answer is cut off by a planned stop while its caller is still taking it.
+TEST(CallerConnection, StopWaitsUntilTheAnswerIsTaken)
+{
+    ProxyWorldSettings settings;
+    settings.isCallerSlow = true;
+    const std::string body(200'000, 'x');
+    ProxyWorld world({{{plain(body + "end")}}}, settings);
+    world.send(ProxyWorld::request("/get/a", "r"));
+    ASSERT_TRUE(world.waitUntil([&world] { return world.desk.settled == 1; }));
+    world.stopping = true;
+    world.connection().drain();
+    world.readAsCaller();
+    EXPECT_TRUE(world.waitFor("xend")) << world.got().size();
+    world.connection().drain();
+    EXPECT_TRUE(world.waitForClose());
+}
+
 } // namespace
