--- a/unittests/PlatformAdapter/StoreTest.cpp
+++ b/unittests/PlatformAdapter/StoreTest.cpp
@@ -77,4 +77,32 @@
     EXPECT_EQ(outcome, StoreOutcome::Ok);
 }
 
+struct AppendCase
+{
+    const char *name;
+    int status;
+    const char *body;
+    StoreOutcome outcome;
+};
+
+class MalformedAppendAnswer : public testing::TestWithParam<AppendCase>
+{};
+
+const AppendCase AppendCases[] = {
+        {"OffsetOfAnotherType", 200, R"({"offset":"7"})", StoreOutcome::Ok},
+        {"NoOffset", 200, R"({})", StoreOutcome::Ok},
+        {"ReasonOfAnotherType", 409, R"({"reason":7})", StoreOutcome::Rejected},
+        {"NotAnObject", 409, R"([1])", StoreOutcome::Rejected},
+        {"NotJson", 200, "<html>", StoreOutcome::Ok},
+};
+
+// The process ends, and cuts off all its callers, by an answer that it didn't expect.
+TEST_P(MalformedAppendAnswer, EndsNothing)
+{
+    EXPECT_EQ(decodeAppend(GetParam().status, GetParam().body, 1).outcome, GetParam().outcome);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, MalformedAppendAnswer, testing::ValuesIn(AppendCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
