[Edge] Answer the requests in progress when a handler throws, before the process ends

What callers see: all requests of a host are cut off with no answer, those on kept connections too.

Cause: an exception that left any handler left the event loop, and the process ended with all its connections: the fault of one request, row or datagram was everybody's.

Change: the event loop goes on, and the process stops as for a SIGTERM: readiness is withdrawn, requests in progress get their answers, tokens go back to the store, and then it ends with the failure. Ticks are armed before they do their work, so that a stop ends although a tick fails; at the end of the grace it ends in any case.

EdgeFailure.RequestsInProgressGetTheirAnswers failed before: the caller got nothing. The fixture of the edge's tests moved to a header that both test files use.

--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -7,7 +7,11 @@
 /// Ready means: a configuration and the endpoints are known, and no stop was asked for. A
 /// stop closes nothing that is open: the balancer is told first, callers that still come
 /// are served, tokens go back to the store, and the process ends when all is answered.
+///
+/// An exception that leaves a handler begins the same stop: ended at once, the process would
+/// cut off all requests of its host for the fault of one.
 
+#include <exception>
 #include <memory>
 #include <set>
 #include <string>
@@ -45,9 +49,12 @@
     ~Edge();
 
     /// Runs until a planned stop has ended. \returns connections that it had to cut.
+    /// \throws what a handler threw, once the stop that it began has ended
     std::size_t run();
 
 private:
+    /// \returns whether the event loop came to its end
+    bool runUntilFailure();
     void accept();
     void onConfigRows(const std::vector<StoreRow> &rows);
     void adopt(const StoreRow &row);
@@ -95,8 +102,10 @@
     bool returning_ = false; ///< tokens are being given back
     Instant acceptUntil_ = Never;
     Instant cutAt_ = Never;
+    Instant endAt_ = Never; ///< the process ends then, whatever is left
     Instant tickDueAt_ = Never;
     std::size_t cut_ = 0;
+    std::exception_ptr failure_; ///< of the last handler that threw
 };
 
 } // namespace sequoiagate
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -156,10 +156,29 @@
     accept();
     awaitSignals();
     tick();
-    io_.run();
+    while (!runUntilFailure()) {
+        // A handler that threw has ended; the others' requests still get their answers.
+        beginStop();
+    }
+    if (failure_) {
+        std::rethrow_exception(failure_);
+    }
     return cut_;
 }
 
+bool Edge::runUntilFailure()
+{
+    try {
+        io_.run();
+        return true;
+    } catch (const std::exception &error) {
+        log_.write(Event("process.failing").with("error", error.what()));
+        metrics_.count("edge_failures_total");
+        failure_ = std::current_exception();
+        return false;
+    }
+}
+
 void Edge::accept()
 {
     acceptor_.async_accept([this](const error_code &error, tcp::socket socket) {
@@ -311,6 +330,7 @@
     const Instant now = std::chrono::steady_clock::now();
     acceptUntil_ = now + settings_.readyGrace;
     cutAt_ = now + settings_.stopGrace - CutBeforeEnd;
+    endAt_ = now + settings_.stopGrace;
     log_.write(Event(events::ProcessDraining).with("callers", callers_.size()));
     drainCallers();
 }
@@ -326,7 +346,14 @@
 void Edge::checkStop()
 {
     const Instant now = std::chrono::steady_clock::now();
-    if (drain_.state() != "draining" || returning_) {
+    if (drain_.state() != "draining") {
+        return;
+    }
+    if (now >= endAt_) {
+        io_.stop();
+        return;
+    }
+    if (returning_) {
         return;
     }
     if (now >= acceptUntil_ && acceptor_.is_open()) {
@@ -355,9 +382,7 @@
 {
     const Instant now = std::chrono::steady_clock::now();
     noteLoopLag(now);
-    endpoints_.tick(now);
-    pool_.sweep(now);
-    checkStop();
+    // Armed first: a stop must come to its end also if something below fails.
     tickDueAt_ = now + TickInterval;
     timer_.expires_at(tickDueAt_);
     timer_.async_wait([this](const error_code &error) {
@@ -365,6 +390,9 @@
             tick();
         }
     });
+    checkStop();
+    endpoints_.tick(now);
+    pool_.sweep(now);
 }
 
 void Edge::noteLoopLag(Instant now)
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -100,8 +100,9 @@
     timer_.expires_after(TickInterval);
     timer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
-            tick();
+            // Armed first: the tokens are to be returned also if a tick fails.
             armTick();
+            tick();
         }
     });
 }
--- a/test/Edge/EdgeTest.cpp
+++ b/test/Edge/EdgeTest.cpp
@@ -12,46 +12,13 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include "EdgeProcess.h"
 #include "sequoiagate/Operate/TokenAccount.h"
-#include "test/Support/PlatformStandin.h"
-#include "test/Support/Process.h"
 
 using namespace sequoiagate;
 
 namespace {
 
-constexpr const char *OwnTopic = "keyed.sequoiagate";
-constexpr int CallerPort = 8740;
-constexpr int ReadyPort = 8741;
-constexpr int PeerPort = 8742;
-constexpr int MetricsPort = 8743;
-
-/// Loopback addresses of this test process alone, so that ports needn't be found.
-std::string ip(int host)
-{
-    const int id = static_cast<int>(::getpid());
-    return fmt::format("127.{}.{}.{}", 1 + (id >> 8) % 250, id % 250, host);
-}
-
-nlohmann::json route(const std::string &name, const std::string &kind)
-{
-    return {{"name", name},  {"host", "h.example"}, {"path-prefix", "/" + name + "/"},
-            {"type", kind},  {"timeout-ms", 20000}, {"slo-ms", 5000},
-            {"priority", 0}, {"backend", "s"},      {"max-attempts", 1}};
-}
-
-std::string configRow(uint64_t version, uint64_t prepaid)
-{
-    return nlohmann::json(
-                   {{"version", version},
-                    {"routes", {route("once", "non_idempotent"), route("stream", "streaming")}},
-                    {"backends",
-                     {{{"name", "s"}, {"max-conns", 100}, {"engine", {{"stride", 1}}}}}},
-                    {"limits", nlohmann::json::object()},
-                    {"tenants", {{{"name", "w"}, {"api-keys", {"key"}}, {"prepaid", prepaid}}}}})
-            .dump();
-}
-
 /// Tells whether any process has opened a file of a folder since the construction.
 class OpenedFiles
 {
@@ -85,118 +52,6 @@
     int descriptor_;
 };
 
-class EdgeProcess : public testing::Test
-{
-protected:
-    EdgeProcess() : store_(ip(200)), endpoint_(ip(201), "e-1")
-    {
-        store_.put("keyed.op", "config", configRow(1, 100'000));
-        list(endpoint_, "ready");
-    }
-
-    void list(const EndpointStandin &endpoint, const std::string &state)
-    {
-        store_.put("keyed.servers", endpoint.id(),
-                   nlohmann::json({{"backend", "s"},
-                                   {"address", endpoint.address()},
-                                   {"zone", "d1"},
-                                   {"slots", 8},
-                                   {"state", state},
-                                   {"born", 1}})
-                           .dump());
-    }
-
-    nlohmann::json settings(int host) const
-    {
-        return {{"host", fmt::format("h{}", host)},
-                {"domain", "d1"},
-                {"listen", fmt::format("{}:{}", ip(host), CallerPort)},
-                {"listen_ready", fmt::format("{}:{}", ip(host), ReadyPort)},
-                {"listen_peers", fmt::format("{}:{}", ip(host), PeerPort)},
-                {"listen_metrics", fmt::format("{}:{}", ip(host), MetricsPort)},
-                {"store", store_.address()},
-                {"ready_grace_ms", 100}};
-    }
-
-    std::unique_ptr<Process> start(int host, const std::string &name)
-    {
-        auto process = std::make_unique<Process>(scratch_, "sequoia-edge", name, settings(host));
-        process->waitFor("config.in_force");
-        process->waitFor("endpoint.listed");
-        return process;
-    }
-
-    static httplib::Result post(int host, const std::string &id, uint64_t tokens,
-                                const std::string &key = "key")
-    {
-        httplib::Client client(ip(host), CallerPort);
-        client.set_read_timeout(std::chrono::seconds(60));
-        const httplib::Headers headers = {{"Host", "h.example"},
-                                          {"Request-Id", id},
-                                          {"Authorization", "Token " + key},
-                                          {"Deadline-Ms", "20000"},
-                                          {"Token-Count", fmt::format("{},0", tokens)}};
-        return client.Post("/once/a", headers, "body", "text/plain");
-    }
-
-    /// Asks for an answer of \p output tokens at most, and gets none of them.
-    static httplib::Result postForAnswer(int host, const std::string &id, uint64_t output)
-    {
-        httplib::Client client(ip(host), CallerPort);
-        return postForAnswer(client, id, output);
-    }
-
-    static httplib::Result postForAnswer(httplib::Client &client, const std::string &id,
-                                         uint64_t output)
-    {
-        client.set_read_timeout(std::chrono::seconds(60));
-        const httplib::Headers headers = {{"Host", "h.example"},
-                                          {"Request-Id", id},
-                                          {"Authorization", "Token key"},
-                                          {"Deadline-Ms", "20000"},
-                                          {"Token-Count", fmt::format("0,{}", output)}};
-        return client.Post("/once/a", headers, "body", "text/plain");
-    }
-
-    static int status(const httplib::Result &result) { return result ? result->status : 0; }
-
-    /// Asks until the answer is \p wanted; the limit ends a run that has failed already.
-    static bool eventually(const std::function<bool()> &condition)
-    {
-        for (int i = 0; i < 600; ++i) {
-            if (condition()) {
-                return true;
-            }
-            std::this_thread::sleep_for(std::chrono::milliseconds(50));
-        }
-        return false;
-    }
-
-    /// Tokens that the store's rows give to holders.
-    uint64_t allotted()
-    {
-        uint64_t total = 0;
-        for (const auto &[key, value] : store_.newest(OwnTopic)) {
-            total += key.rfind("budget/", 0) == 0 ? std::stoull(value) : 0;
-        }
-        return total;
-    }
-
-    /// Processes whose last batch names what they had read of a peer's clock.
-    std::size_t batchesThatNamePeers()
-    {
-        std::size_t count = 0;
-        for (const auto &[key, value] : store_.newest(OwnTopic)) {
-            count += key.rfind("batch/", 0) == 0 && value.find('|') != std::string::npos ? 1 : 0;
-        }
-        return count;
-    }
-
-    ScratchFolder scratch_;
-    StoreStandin store_;
-    EndpointStandin endpoint_;
-};
-
 TEST_F(EdgeProcess, ServesAndRefuses)
 {
     const auto edge = start(1, "edge");
--- /dev/null
+++ b/test/Edge/FailureTest.cpp
@@ -0,0 +1,80 @@
+/// What callers see when the edge's own code fails.
+
+#include <cstdio>
+
+#include <gtest/gtest.h>
+
+#include "EdgeProcess.h"
+#include "platform/PlatformAdapter.h"
+#include "sequoiagate/Edge/Edge.h"
+#include "sequoiagate/Service/Program.h"
+#include "sequoiagate/Service/Settings.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+constexpr uint64_t FailingVersion = 2;
+
+/// Fails in a way that nobody expects for one version of the configuration.
+class FailingAdapter : public platform::PlatformAdapter
+{
+public:
+    ServingConfigPtr decodeConfig(const std::string &value) const override
+    {
+        ServingConfigPtr config = PlatformAdapter::decodeConfig(value);
+        if (config->version == FailingVersion) {
+            throw std::logic_error("a fault of the program");
+        }
+        return config;
+    }
+};
+
+class EdgeFailure : public EdgeProcess
+{
+protected:
+    /// Runs the edge of host 1 in this process until it ends. \returns why it failed.
+    std::string run()
+    {
+        const nlohmann::json schema =
+                nlohmann::json::parse(readShareFile("schemas/sequoia-edge.json"));
+        const nlohmann::json checked = checkSettings(settings(1), schema, "settings");
+        const std::unique_ptr<std::FILE, int (*)(std::FILE *)> file(std::tmpfile(), &std::fclose);
+        EventLog log({"sequoia-edge", HostId("h1"), DomainId("d1"), Incarnation("i")}, file.get());
+        FailingAdapter adapter;
+        Edge edge(edgeSettingsFrom(checked), adapter, log,
+                  [&checked] { return edgeSettingsFrom(checked); });
+        try {
+            edge.run();
+        } catch (const std::exception &error) {
+            return error.what();
+        }
+        return "";
+    }
+};
+
+// One handler throws, and all requests of the host are cut off with it.
+TEST_F(EdgeFailure, RequestsInProgressGetTheirAnswers)
+{
+    std::string failure;
+    std::thread edge([this, &failure] { failure = run(); });
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+    endpoint_.hold(true);
+    const int before = endpoint_.runs();
+    int answer = 0;
+    std::thread caller([&answer] { answer = status(post(1, "r2", 100)); });
+    EXPECT_TRUE(eventually([this, before] { return endpoint_.runs() == before + 1; }));
+    store_.put("keyed.op", "config", configRow(FailingVersion, 100'000));
+    EXPECT_TRUE(eventually([] {
+        httplib::Client ready(ip(1), ReadyPort);
+        const auto page = ready.Get("/-/ready");
+        return !page || page->status == 503;
+    }));
+    endpoint_.hold(false);
+    caller.join();
+    edge.join();
+    EXPECT_EQ(answer, 200);
+    EXPECT_EQ(failure, "a fault of the program");
+}
+
+} // namespace
