[Edge] Tell the callers whose requests outlast the grace of a stop

What callers see: a request in progress at the end of a stop's grace ends with a closed connection and no answer.

Cause: the stop closed all connections half a second before its grace was over. Change: an open request is ended first, told as 502 (it may have run) or 503 (it hasn't), a stream without its end; connections whose caller doesn't take that within 0.1 s are closed. EdgeProcess.RequestThatOutlastsTheGraceOfAStopIsTold failed before, with no answer.

--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -68,6 +68,7 @@
     void beginStop();
     void checkStop();
     void drainCallers();
+    void cutOffCallers(Instant now);
     void tick();
     void noteLoopLag(Instant now);
     void updateGauges();
--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -34,6 +34,8 @@
     void start();
     /// Closes the connection if it waits for a request; else its answer says that it closes.
     void drain();
+    /// Ends an open request and closes the connection behind what its caller is told.
+    void cutOff();
     /// Closes it whatever it does.
     void shutDown();
     bool serving() const { return exchange_ != nullptr; }
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -47,6 +47,8 @@
     void start();
     /// The caller's connection is closed. \param detail the error, if there was one
     void callerGone(CallerClose why, const std::string &detail);
+    /// Ends it at once, since the process ends, and tells its caller whether it may have run.
+    void cutOff();
     /// The caller took bytes: more may be read from the endpoint.
     void callerTook();
     bool ended() const { return position_.ended(); }
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -25,9 +25,12 @@
 /// that they share one. Far below the seconds in which a leaving endpoint must be known.
 constexpr Interval EndpointReadPace = std::chrono::milliseconds(300);
 
-/// What is left of the stop's grace when connections are cut, for the store to hear of the
-/// tokens that come back.
-constexpr Interval CutBeforeEnd = std::chrono::milliseconds(500);
+/// What is left of the stop's grace when requests are cut off, for their callers to be told and
+/// for the store to hear of the tokens that come back.
+constexpr Interval CutBeforeEnd = std::chrono::milliseconds(600);
+
+/// For callers to take what they are told then; the connection is closed past it.
+constexpr Interval CloseAfterCut = std::chrono::milliseconds(100);
 
 /// Longest time for the store to take the tokens back; they are lost past it.
 constexpr Interval ReturnTokensWithin = std::chrono::milliseconds(400);
@@ -343,6 +346,19 @@
     }
 }
 
+void Edge::cutOffCallers(Instant now)
+{
+    const std::set<std::shared_ptr<CallerConnection>> callers = callers_;
+    for (const std::shared_ptr<CallerConnection> &caller : callers) {
+        cut_ += caller->serving() ? 1 : 0;
+        if (now < cutAt_ + CloseAfterCut) {
+            caller->cutOff();
+        } else {
+            caller->shutDown();
+        }
+    }
+}
+
 void Edge::checkStop()
 {
     const Instant now = std::chrono::steady_clock::now();
@@ -362,11 +378,7 @@
     }
     drainCallers();
     if (now >= cutAt_) {
-        const std::set<std::shared_ptr<CallerConnection>> callers = callers_;
-        for (const std::shared_ptr<CallerConnection> &caller : callers) {
-            cut_ += caller->serving() ? 1 : 0;
-            caller->shutDown();
-        }
+        cutOffCallers(now);
     }
     if (acceptor_.is_open() || !callers_.empty()) {
         return;
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -278,6 +278,18 @@
     }
 }
 
+void CallerConnection::cutOff()
+{
+    if (exchange_) {
+        const std::shared_ptr<Exchange> exchange = exchange_;
+        exchange->cutOff();
+        return;
+    }
+    if (!closeWhenWritten_) {
+        close(CallerClose::StopForced);
+    }
+}
+
 void CallerConnection::shutDown()
 {
     close(CallerClose::StopForced);
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -659,6 +659,21 @@
     finish("hang_up", "cancelled", 0);
 }
 
+void Exchange::cutOff()
+{
+    if (ended()) {
+        return;
+    }
+    const std::string why = "the process ends";
+    if (possibleRuns_ > 0) {
+        noteBrokenOff(AttemptEnd::Cancelled);
+        fail(Reason::Draining, why, 502);
+        return;
+    }
+    refuse({Execution::NotRun, Reason::Draining, why,
+            std::chrono::steady_clock::now() + ComeBackElsewhere});
+}
+
 void Exchange::noteBrokenOff(AttemptEnd end)
 {
     if (attempt_) {
--- a/test/Edge/EdgeTest.cpp
+++ b/test/Edge/EdgeTest.cpp
@@ -90,6 +90,26 @@
     EXPECT_EQ(allotted(), 200U);
 }
 
+// A request that outlasts the grace of a stop ends with a closed connection and no answer.
+TEST_F(EdgeProcess, RequestThatOutlastsTheGraceOfAStopIsTold)
+{
+    nlohmann::json brief = settings(1);
+    brief["stop_grace_ms"] = 1000;
+    Process edge(scratch_, "sequoia-edge", "edge", brief);
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
+    endpoint_.hold(true);
+    const int before = endpoint_.runs();
+    int answer = 0;
+    std::thread caller([&answer] { answer = status(post(1, "r2", 100)); });
+    EXPECT_TRUE(eventually([this, before] { return endpoint_.runs() == before + 1; }));
+    edge.signal(SIGTERM);
+    caller.join();
+    endpoint_.hold(false);
+    EXPECT_EQ(answer, 502);
+    EXPECT_EQ(edge.wait(), 0);
+    EXPECT_EQ(edge.waitFor("process.stopped").at("cut_off"), 1);
+}
+
 // A workspace is refused though nobody spent its tokens: they went with a killed process.
 TEST_F(EdgeProcess, NextProcessGivesBackWhatAKilledOneDidntUse)
 {
--- a/unittests/Proxy/CallerConnectionTest.cpp
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -17,6 +17,12 @@
     return std::string(Head) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string streamHead()
+{
+    return std::string(Head)
+           + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
 struct CloseCase
 {
     const char *name;
@@ -49,6 +55,47 @@
 INSTANTIATE_TEST_SUITE_P(Rows, CallerConnectionClose, testing::ValuesIn(CloseCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct CutOffCase
+{
+    const char *name;
+    const char *path;
+    std::vector<Reply> replies;
+    const char *before; ///< what the caller has by then
+    const char *told;
+    const char *untold;
+};
+
+class CallerConnectionCutOff : public testing::TestWithParam<CutOffCase>
+{};
+
+const CutOffCase CutOffCases[] = {
+        {"PassedOn", "/once/a", {{"", Afterwards::Hang}}, "", "HTTP/1.1 502", "Retry-After"},
+        {"StreamBegun",
+         "/stream/a",
+         {{streamHead() + writeChunk("id: 1\ndata: x\n\n"), Afterwards::Hang}},
+         "id: 1",
+         "id: 1",
+         "0\r\n\r\n"},
+};
+
+// A request that outlasts the grace of a stop ends with a closed connection and no answer.
+TEST_P(CallerConnectionCutOff, CallerIsTold)
+{
+    ProxyWorld world({GetParam().replies});
+    world.send(ProxyWorld::request(GetParam().path, "r"));
+    ASSERT_TRUE(world.waitUntil([&world] { return world.endpoints[0]->received().size() == 1; }));
+    ASSERT_TRUE(world.waitFor(GetParam().before));
+    world.stopping = true;
+    world.connection().cutOff();
+    EXPECT_TRUE(world.waitFor(GetParam().told)) << world.got();
+    EXPECT_TRUE(world.waitForClose());
+    EXPECT_EQ(world.got().find(GetParam().untold), std::string::npos) << world.got();
+    EXPECT_EQ(world.endpoints[0]->closedByPeer(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, CallerConnectionCutOff, testing::ValuesIn(CutOffCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 // A request is passed on and its connection is closed with no answer: the idle limit had passed
 // in the same round of the event loop in which the request was read.
 TEST(CallerConnection, RequestReadTogetherWithTheIdleTimeoutIsAnswered)
