[Edge] Serve no connection that was taken together with the close of the listener

What callers could see: a request is passed on and cut off when its host ends its planned stop. The stop ends when the listener is closed and no connection is left; one that had been accepted in the same round of the event loop was added after that. It is closed unread now, which a caller may repeat. No test: the round can't be staged from outside.

--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -185,7 +185,9 @@
 void Edge::accept()
 {
     acceptor_.async_accept([this](const error_code &error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) {
+        // A connection may have been taken in the round in which a stop closed the listener: its
+        // requests would be cut off when the process ends.
+        if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
             return;
         }
         if (error) {
