--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -16,10 +16,10 @@
 #include "sequoiagate/Proxy/Exchange.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "sequoiagate/Proxy/AnswerSink.h"
 #include "sequoiagate/Proxy/HttpReader.h"
+#include "sequoiagate/Service/DeadlineTimer.h"
 
 namespace sequoiagate {
 
@@ -34,6 +34,8 @@
     void start();
     /// Closes the connection if it waits for a request; else its answer says that it closes.
     void drain();
+    /// Ends an open request and closes the connection behind what its caller is told.
+    void cutOff();
     /// Closes it whatever it does.
     void shutDown();
     bool serving() const { return exchange_ != nullptr; }
@@ -60,12 +62,12 @@
     void onTimer();
     void queue(std::string bytes);
     void write();
-    void close();
+    void close(CallerClose why, const ErrorCode &error = ErrorCode());
 
     ProxyContext &context_;
     boost::asio::ip::tcp::socket socket_;
     Closed closed_;
-    boost::asio::steady_timer timer_;
+    DeadlineTimer timer_;
     std::array<char, 8192> readBuffer_;
     std::string unread_; ///< received, not yet a request
     std::optional<RequestReader> reader_;
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -18,13 +18,19 @@
 
 constexpr Interval TickInterval = std::chrono::milliseconds(100);
 
+/// The event loop counts as held up when a tick comes this late.
+constexpr Interval LoopHeldUp = std::chrono::milliseconds(50);
+
 /// Endpoints' entries come as many small rows, each heartbeat one: reads are spaced so
 /// that they share one. Far below the seconds in which a leaving endpoint must be known.
 constexpr Interval EndpointReadPace = std::chrono::milliseconds(300);
 
-/// What is left of the stop's grace when connections are cut, for the store to hear of the
-/// tokens that come back.
-constexpr Interval CutBeforeEnd = std::chrono::milliseconds(500);
+/// What is left of the stop's grace when requests are cut off, for their callers to be told and
+/// for the store to hear of the tokens that come back.
+constexpr Interval CutBeforeEnd = std::chrono::milliseconds(600);
+
+/// For callers to take what they are told then; the connection is closed past it.
+constexpr Interval CloseAfterCut = std::chrono::milliseconds(100);
 
 /// Longest time for the store to take the tokens back; they are lost past it.
 constexpr Interval ReturnTokensWithin = std::chrono::milliseconds(400);
@@ -153,14 +159,35 @@
     accept();
     awaitSignals();
     tick();
-    io_.run();
+    while (!runUntilFailure()) {
+        // A handler that threw has ended; the others' requests still get their answers.
+        beginStop();
+    }
+    if (failure_) {
+        std::rethrow_exception(failure_);
+    }
     return cut_;
 }
 
+bool Edge::runUntilFailure()
+{
+    try {
+        io_.run();
+        return true;
+    } catch (const std::exception &error) {
+        log_.write(Event("process.failing").with("error", error.what()));
+        metrics_.count("edge_failures_total");
+        failure_ = std::current_exception();
+        return false;
+    }
+}
+
 void Edge::accept()
 {
     acceptor_.async_accept([this](const error_code &error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) {
+        // A connection may have been taken in the round in which a stop closed the listener: its
+        // requests would be cut off when the process ends.
+        if (error == boost::asio::error::operation_aborted || !acceptor_.is_open()) {
             return;
         }
         if (error) {
@@ -308,6 +335,7 @@
     const Instant now = std::chrono::steady_clock::now();
     acceptUntil_ = now + settings_.readyGrace;
     cutAt_ = now + settings_.stopGrace - CutBeforeEnd;
+    endAt_ = now + settings_.stopGrace;
     log_.write(Event(events::ProcessDraining).with("callers", callers_.size()));
     drainCallers();
 }
@@ -320,10 +348,30 @@
     }
 }
 
+void Edge::cutOffCallers(Instant now)
+{
+    const std::set<std::shared_ptr<CallerConnection>> callers = callers_;
+    for (const std::shared_ptr<CallerConnection> &caller : callers) {
+        cut_ += caller->serving() ? 1 : 0;
+        if (now < cutAt_ + CloseAfterCut) {
+            caller->cutOff();
+        } else {
+            caller->shutDown();
+        }
+    }
+}
+
 void Edge::checkStop()
 {
     const Instant now = std::chrono::steady_clock::now();
-    if (drain_.state() != "draining" || returning_) {
+    if (drain_.state() != "draining") {
+        return;
+    }
+    if (now >= endAt_) {
+        io_.stop();
+        return;
+    }
+    if (returning_) {
         return;
     }
     if (now >= acceptUntil_ && acceptor_.is_open()) {
@@ -332,11 +380,7 @@
     }
     drainCallers();
     if (now >= cutAt_) {
-        const std::set<std::shared_ptr<CallerConnection>> callers = callers_;
-        for (const std::shared_ptr<CallerConnection> &caller : callers) {
-            cut_ += caller->serving() ? 1 : 0;
-            caller->shutDown();
-        }
+        cutOffCallers(now);
     }
     if (acceptor_.is_open() || !callers_.empty()) {
         return;
@@ -351,15 +395,32 @@
 void Edge::tick()
 {
     const Instant now = std::chrono::steady_clock::now();
-    endpoints_.tick(now);
-    pool_.sweep(now);
-    checkStop();
-    timer_.expires_after(TickInterval);
+    noteLoopLag(now);
+    // Armed first: a stop must come to its end also if something below fails.
+    tickDueAt_ = now + TickInterval;
+    timer_.expires_at(tickDueAt_);
     timer_.async_wait([this](const error_code &error) {
         if (!error) {
             tick();
         }
     });
+    checkStop();
+    endpoints_.tick(now);
+    pool_.sweep(now);
+}
+
+void Edge::noteLoopLag(Instant now)
+{
+    if (tickDueAt_ == Never) {
+        return;
+    }
+    const Interval lag = now - tickDueAt_;
+    metrics_.observe("edge_loop_lag_seconds", lag);
+    if (lag > LoopHeldUp) {
+        log_.write(Event("loop.held_up")
+                           .with("ms", std::chrono::duration_cast<Millis>(lag).count())
+                           .with("callers", callers_.size()));
+    }
 }
 
 void Edge::updateGauges()
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -92,7 +92,8 @@
         return;
     }
     if (error) {
-        close();
+        const bool ended = error == asio::error::eof;
+        close(ended ? CallerClose::PeerClosed : CallerClose::ReadFailed, error);
         return;
     }
     if (lingering_) {
@@ -100,7 +101,9 @@
         return;
     }
     unread_.append(readBuffer_.data(), bytes);
-    if (!exchange_ && !closeWhenWritten_) {
+    // Behind an answer the next request is begun by the handler that answered() queued.
+    const bool isBetweenRequests = reader_->done();
+    if (!exchange_ && !closeWhenWritten_ && !isBetweenRequests) {
         readRequest();
     }
     read();
@@ -142,7 +145,7 @@
 
 void CallerConnection::beginExchange()
 {
-    timer_.cancel();
+    timer_.disarm();
     CallerRequest request;
     request.head = std::move(reader_->head());
     request.body = std::exchange(body_, std::string());
@@ -246,22 +249,18 @@
 
 void CallerConnection::armTimer(Interval limit)
 {
-    timer_.expires_after(limit);
-    timer_.async_wait([self = shared_from_this()](const ErrorCode &error) {
-        if (!error && !self->isClosed_) {
-            self->onTimer();
-        }
-    });
+    timer_.arm(std::chrono::steady_clock::now() + limit,
+               [self = shared_from_this()] { self->onTimer(); });
 }
 
 void CallerConnection::onTimer()
 {
-    if (lingering_ || closeWhenWritten_ || exchange_) {
-        close();
+    if (lingering_ || closeWhenWritten_) {
+        close(CallerClose::Answered);
         return;
     }
     if (!reader_->begun()) {
-        close();
+        close(CallerClose::Idle);
         return;
     }
     // A request that didn't come in time hasn't run.
@@ -274,14 +273,26 @@
 void CallerConnection::drain()
 {
     const bool waits = !exchange_ && reader_ && !reader_->begun() && unread_.empty();
-    if (waits && outgoing_.empty()) {
-        close();
+    if (waits && outgoing_.empty() && !writing_) {
+        close(CallerClose::Drained);
+    }
+}
+
+void CallerConnection::cutOff()
+{
+    if (exchange_) {
+        const std::shared_ptr<Exchange> exchange = exchange_;
+        exchange->cutOff();
+        return;
+    }
+    if (!closeWhenWritten_) {
+        close(CallerClose::StopForced);
     }
 }
 
 void CallerConnection::shutDown()
 {
-    close();
+    close(CallerClose::StopForced);
 }
 
 void CallerConnection::queue(std::string bytes)
@@ -326,7 +337,7 @@
                               return;
                           }
                           if (error) {
-                              self->close();
+                              self->close(CallerClose::WriteFailed, error);
                               return;
                           }
                           if (self->exchange_) {
@@ -336,18 +347,20 @@
                       });
 }
 
-void CallerConnection::close()
+void CallerConnection::close(CallerClose why, const ErrorCode &error)
 {
     if (isClosed_) {
         return;
     }
     isClosed_ = true;
-    timer_.cancel();
+    timer_.disarm();
     ErrorCode ignored;
     socket_.close(ignored);
     const auto self = shared_from_this();
+    context_.metrics.count("proxy_caller_closed_total", {{"why", std::string(callerCloseName(why))},
+                                                         {"request", exchange_ ? "open" : "none"}});
     if (const std::shared_ptr<Exchange> exchange = std::move(exchange_)) {
-        exchange->callerGone();
+        exchange->callerGone(why, error ? error.message() : std::string());
     }
     if (closed_) {
         closed_(self);
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -644,16 +644,36 @@
             std::chrono::steady_clock::now() + ComeBackSoon});
 }
 
-void Exchange::callerGone()
+void Exchange::callerGone(CallerClose why, const std::string &detail)
 {
     if (ended() || !self_) {
         return;
     }
+    log(Event("request.caller_gone")
+                .with("why", callerCloseName(why))
+                .with("detail", detail)
+                .with("passed_on", possibleRuns_ > 0)
+                .with("answering", streaming_));
     noteBrokenOff(AttemptEnd::Cancelled);
     dropAttempt(true);
     finish("hang_up", "cancelled", 0);
 }
 
+void Exchange::cutOff()
+{
+    if (ended()) {
+        return;
+    }
+    const std::string why = "the process ends";
+    if (possibleRuns_ > 0) {
+        noteBrokenOff(AttemptEnd::Cancelled);
+        fail(Reason::Draining, why, 502);
+        return;
+    }
+    refuse({Execution::NotRun, Reason::Draining, why,
+            std::chrono::steady_clock::now() + ComeBackElsewhere});
+}
+
 void Exchange::noteBrokenOff(AttemptEnd end)
 {
     if (attempt_) {
--- /dev/null
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -0,0 +1,140 @@
+/// How a caller's connection ends while a request of it is open.
+
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "ProxyWorld.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+constexpr const char *Head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n";
+
+std::string plain(const std::string &body)
+{
+    return std::string(Head) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string streamHead()
+{
+    return std::string(Head)
+           + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+struct CloseCase
+{
+    const char *name;
+    void (*close)(ProxyWorld &world);
+    const char *why;
+};
+
+class CallerConnectionClose : public testing::TestWithParam<CloseCase>
+{};
+
+const CloseCase CloseCases[] = {
+        {"CallerLeaves", [](ProxyWorld &world) { world.hangUp(); }, "\"why\":\"peer_closed\""},
+        {"ConnectionIsReset", [](ProxyWorld &world) { world.reset(); }, "\"why\":\"read_failed\""},
+        {"StopIsForced", [](ProxyWorld &world) { world.connection().shutDown(); },
+         "\"why\":\"stop_forced\""},
+};
+
+// A request has no answer, and no line says which side closed its connection.
+TEST_P(CallerConnectionClose, IsLoggedWithItsReason)
+{
+    ProxyWorld world({{{"", Afterwards::Hang}}});
+    world.send(ProxyWorld::request("/once/a", "r"));
+    ASSERT_TRUE(world.waitUntil([&world] { return world.endpoints[0]->received().size() == 1; }));
+    GetParam().close(world);
+    EXPECT_TRUE(world.waitUntil([&world] { return world.endpoints[0]->closedByPeer() == 1; }));
+    EXPECT_EQ(world.logged(GetParam().why), 1U);
+    EXPECT_EQ(world.logged("\"passed_on\":true"), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, CallerConnectionClose, testing::ValuesIn(CloseCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+struct CutOffCase
+{
+    const char *name;
+    const char *path;
+    std::vector<Reply> replies;
+    const char *before; ///< what the caller has by then
+    const char *told;
+    const char *untold;
+};
+
+class CallerConnectionCutOff : public testing::TestWithParam<CutOffCase>
+{};
+
+const CutOffCase CutOffCases[] = {
+        {"PassedOn", "/once/a", {{"", Afterwards::Hang}}, "", "HTTP/1.1 502", "Retry-After"},
+        {"StreamBegun",
+         "/stream/a",
+         {{streamHead() + writeChunk("id: 1\ndata: x\n\n"), Afterwards::Hang}},
+         "id: 1",
+         "id: 1",
+         "0\r\n\r\n"},
+};
+
+// A request that outlasts the grace of a stop ends with a closed connection and no answer.
+TEST_P(CallerConnectionCutOff, CallerIsTold)
+{
+    ProxyWorld world({GetParam().replies});
+    world.send(ProxyWorld::request(GetParam().path, "r"));
+    ASSERT_TRUE(world.waitUntil([&world] { return world.endpoints[0]->received().size() == 1; }));
+    ASSERT_TRUE(world.waitFor(GetParam().before));
+    world.stopping = true;
+    world.connection().cutOff();
+    EXPECT_TRUE(world.waitFor(GetParam().told)) << world.got();
+    EXPECT_TRUE(world.waitForClose());
+    EXPECT_EQ(world.got().find(GetParam().untold), std::string::npos) << world.got();
+    EXPECT_EQ(world.endpoints[0]->closedByPeer(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, CallerConnectionCutOff, testing::ValuesIn(CutOffCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+// A request is passed on and its connection is closed with no answer: the idle limit had passed
+// in the same round of the event loop in which the request was read.
+TEST(CallerConnection, RequestReadTogetherWithTheIdleTimeoutIsAnswered)
+{
+    ProxyWorldSettings settings;
+    settings.idleTimeout = std::chrono::milliseconds(1);
+    ProxyWorld world({{{plain("good")}}}, settings);
+    world.send(ProxyWorld::request("/once/a", "r"));
+    std::this_thread::sleep_for(2 * settings.idleTimeout);
+    EXPECT_TRUE(world.waitFor("good")) << world.got();
+}
+
+// The caller gets a 400 for a request that it sent well: its bytes came together with the answer
+// to the one before.
+TEST(CallerConnection, RequestReadTogetherWithTheAnswerBeforeIsServed)
+{
+    ProxyWorld world({{{plain("first")}, {plain("second")}}});
+    world.send(ProxyWorld::request("/get/a", "r1"));
+    ASSERT_TRUE(world.waitUntil([&world] { return world.endpoints[0]->received().size() == 1; }));
+    world.send(ProxyWorld::request("/get/b", "r2"));
+    EXPECT_TRUE(world.waitFor("second")) << world.got();
+    EXPECT_EQ(world.got().find("400"), std::string::npos) << world.got();
+}
+
+// An answer is cut off by a planned stop while its caller is still taking it.
+TEST(CallerConnection, StopWaitsUntilTheAnswerIsTaken)
+{
+    ProxyWorldSettings settings;
+    settings.isCallerSlow = true;
+    const std::string body(200'000, 'x');
+    ProxyWorld world({{{plain(body + "end")}}}, settings);
+    world.send(ProxyWorld::request("/get/a", "r"));
+    ASSERT_TRUE(world.waitUntil([&world] { return world.desk.settled == 1; }));
+    world.stopping = true;
+    world.connection().drain();
+    world.readAsCaller();
+    EXPECT_TRUE(world.waitFor("xend")) << world.got().size();
+    world.connection().drain();
+    EXPECT_TRUE(world.waitForClose());
+}
+
+} // namespace
