[Proxy] Pass on no request whose caller has left already

What endpoints see: a request whose connection is closed in the moment in which it comes. A process that was held up read a request, began its exchange and passed it on, and only then read that the caller's connection had ended: both were closed in the same round of the event loop.

Change: the end of the connection is looked for before a request begins. CallerGoneUnread.RequestIsNotPassedOn (Closed, Reset) failed before: the endpoint got two requests in place of one.

--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -55,6 +55,9 @@
     void onRead(const ErrorCode &error, std::size_t bytes);
     void readRequest();
     void beginExchange();
+    /// The error with which the caller's connection has ended, if that is known already.
+    ErrorCode endOfPeer();
+    void closeByPeer(const ErrorCode &error);
     void refuseRequest(HttpFault fault);
     void answered(bool keepAlive);
     void nextRequest();
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -69,6 +69,7 @@
 {
     ErrorCode ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     nextRequest();
     read();
 }
@@ -92,8 +93,7 @@
         return;
     }
     if (error) {
-        const bool ended = error == asio::error::eof;
-        close(ended ? CallerClose::PeerClosed : CallerClose::ReadFailed, error);
+        closeByPeer(error);
         return;
     }
     if (lingering_) {
@@ -143,9 +143,29 @@
     }
 }
 
+CallerConnection::ErrorCode CallerConnection::endOfPeer()
+{
+    char next = 0;
+    ErrorCode error;
+    socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block ? ErrorCode() : error;
+}
+
+void CallerConnection::closeByPeer(const ErrorCode &error)
+{
+    const bool ended = error == asio::error::eof;
+    close(ended ? CallerClose::PeerClosed : CallerClose::ReadFailed, error);
+}
+
 void CallerConnection::beginExchange()
 {
     timer_.disarm();
+    // A request may have waited long enough for its caller to have left: an endpoint would work
+    // for nobody.
+    if (const ErrorCode gone = endOfPeer()) {
+        closeByPeer(gone);
+        return;
+    }
     CallerRequest request;
     request.head = std::move(reader_->head());
     request.body = std::exchange(body_, std::string());
--- a/unittests/Proxy/CallerConnectionTest.cpp
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -137,4 +137,45 @@
     EXPECT_TRUE(world.waitForClose());
 }
 
+struct GoneCase
+{
+    const char *name;
+    void (*leave)(ProxyWorld &world);
+};
+
+class CallerGoneUnread : public testing::TestWithParam<GoneCase>
+{};
+
+const GoneCase GoneCases[] = {
+        {"Closed",
+         [](ProxyWorld &world) {
+             world.hangUp();
+         }},
+        {"Reset",
+         [](ProxyWorld &world) {
+             world.reset();
+         }},
+};
+
+// A held-up process passes requests on whose callers' connections have ended already, and closes
+// both connections in the same round.
+TEST_P(CallerGoneUnread, RequestIsNotPassedOn)
+{
+    ProxyWorld world({{{plain("first")}, {plain("second")}}});
+    world.send(ProxyWorld::request("/get/a", "r1"));
+    ASSERT_TRUE(world.waitFor("first"));
+    world.send(ProxyWorld::request("/get/b", "r2"));
+    GetParam().leave(world);
+    for (int i = 0; i < 20; ++i) {
+        world.io.restart();
+        world.io.run_one_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_EQ(world.logged("request.sent"), 1U);
+    EXPECT_EQ(world.logged("request.caller_gone"), 0U);
+    EXPECT_EQ(world.endpoints[0]->received().size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, CallerGoneUnread, testing::ValuesIn(GoneCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
