[Proxy] Watch for the silence of an endpoint also behind one that broke off

What callers see: a request that may be repeated waits for a silent endpoint until its deadline.

Cause: the wait for the silence of the endpoint before was cancelled, its handler hadn't run yet, and the flag that a wait is open kept the next endpoint's from being armed. Change: a DeadlineTimer, whose handlers don't run once disarmed, so that the flag falls with it. ExchangeSilence.IsWatchedAfterABreak failed before, with 504 at the deadline.

--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -25,6 +25,7 @@
 #include "sequoiagate/Proxy/AnswerSink.h"
 #include "sequoiagate/Proxy/CallerClose.h"
 #include "sequoiagate/Proxy/EventSplitter.h"
+#include "sequoiagate/Service/DeadlineTimer.h"
 
 namespace sequoiagate {
 
@@ -107,6 +108,7 @@
     void onSilence();
     void armSilence(Interval limit);
     void awaitSilence();
+    void noLongerAwaitSilence();
 
     void finish(std::string_view event, std::string_view outcome, int status);
     void settle();
@@ -128,7 +130,7 @@
     StatechartPosition position_;
     Instant deadline_ = Never;
     boost::asio::steady_timer deadlineTimer_;
-    boost::asio::steady_timer silenceTimer_;
+    DeadlineTimer silenceTimer_;
     Instant silentAt_ = Never; ///< the endpoint counts as silent then
     bool awaitsSilence_ = false;
     std::optional<TokenTicket> ticket_;
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -266,10 +266,9 @@
     // Each event moves the moment; the timer looks again when it fires, since arming it for
     // each event cost as much as reading one.
     awaitsSilence_ = true;
-    silenceTimer_.expires_at(silentAt_);
-    silenceTimer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+    silenceTimer_.arm(silentAt_, [self = shared_from_this()] {
         self->awaitsSilence_ = false;
-        if (error || !self->attempt_ || self->silentAt_ == Never) {
+        if (!self->attempt_ || self->silentAt_ == Never) {
             return;
         }
         if (std::chrono::steady_clock::now() < self->silentAt_) {
@@ -280,6 +279,13 @@
     });
 }
 
+void Exchange::noLongerAwaitSilence()
+{
+    silentAt_ = Never;
+    awaitsSilence_ = false;
+    silenceTimer_.disarm();
+}
+
 void Exchange::onSilence()
 {
     if (ended() || !mayRunAgain()) {
@@ -549,8 +555,7 @@
 
 void Exchange::endAttempt(bool succeeded)
 {
-    silentAt_ = Never;
-    silenceTimer_.cancel();
+    noLongerAwaitSilence();
     if (!attempt_) {
         return;
     }
@@ -712,7 +717,7 @@
     const uint64_t spent = holdsTokens_ ? spentTokens() : 0;
     settle();
     deadlineTimer_.cancel();
-    silenceTimer_.cancel();
+    noLongerAwaitSilence();
     position_.handle(event);
     const Interval took = now - request_.receivedAt;
     log(Event("request.ended")
--- a/unittests/Proxy/CallerConnectionTest.cpp
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -178,4 +178,14 @@
 INSTANTIATE_TEST_SUITE_P(Rows, CallerGoneUnread, testing::ValuesIn(GoneCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// An endpoint that is silent is kept until the deadline if the one before broke off.
+TEST(ExchangeSilence, IsWatchedAfterABreak)
+{
+    ProxyWorld world({{{"", Afterwards::Close}}, {{"", Afterwards::Hang}}, {{plain("good")}}});
+    world.config->routes[0].mostEndpoints = 3;
+    world.config->routes[0].objective = std::chrono::milliseconds(100);
+    world.send(ProxyWorld::request("/get/a", "r"));
+    EXPECT_TRUE(world.waitFor("good")) << world.got();
+}
+
 } // namespace
