[Edge] Tell callers at the end of a stop also when the process is held up there

What callers see: a request that outlasts the grace of a stop ends with a closed connection and no answer.

Cause: callers were told within 0.1 s of a fixed moment only, which is one tick: a process that was held up then closed their connections at once. Change: the time that they have begins when they were told.

--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -103,7 +103,8 @@
     bool returning_ = false; ///< tokens are being given back
     Instant acceptUntil_ = Never;
     Instant cutAt_ = Never;
-    Instant endAt_ = Never; ///< the process ends then, whatever is left
+    Instant closeAt_ = Never; ///< connections of callers that were told are closed then
+    Instant endAt_ = Never;   ///< the process ends then, whatever is left
     Instant tickDueAt_ = Never;
     std::size_t cut_ = 0;
     std::exception_ptr failure_; ///< of the last handler that threw
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -350,10 +350,13 @@
 
 void Edge::cutOffCallers(Instant now)
 {
+    // Counted from when they are told: the process may have been held up until then.
+    const bool isFirst = closeAt_ == Never;
+    closeAt_ = isFirst ? now + CloseAfterCut : closeAt_;
     const std::set<std::shared_ptr<CallerConnection>> callers = callers_;
     for (const std::shared_ptr<CallerConnection> &caller : callers) {
         cut_ += caller->serving() ? 1 : 0;
-        if (now < cutAt_ + CloseAfterCut) {
+        if (now < closeAt_) {
             caller->cutOff();
         } else {
             caller->shutDown();
@@ -367,7 +370,7 @@
     if (drain_.state() != "draining") {
         return;
     }
-    if (now >= endAt_) {
+    if (now >= endAt_ && (closeAt_ == Never ? callers_.empty() : now >= closeAt_)) {
         io_.stop();
         return;
     }
