[Edge] Keep a failure to the row or request that it came from

What callers could see: by one row of the store all hosts end together; or, since the event loop goes on after an exception, a host answers 401 by a configuration that it stopped reading, and judges claims without rows that it lost.

Rows whose handler throws are read again, the reader isn't current until then, and after a failure the configuration counts as out of date.

--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -227,7 +227,8 @@
             return;
         }
         config_ = std::move(config);
-    } catch (const DecodeError &error) {
+    } catch (const std::exception &error) {
+        // Each host reads this row: an end of the process would be the end of all of them.
         newestConfigRead_ = false;
         log_.write(Event("config.malformed").with("offset", row.offset).with("why", error.what()));
         return;
@@ -253,7 +254,7 @@
         present.push_back(id);
         try {
             endpoints_.update(adapter_.decodeEndpoint(row.key, row.value), now);
-        } catch (const DecodeError &error) {
+        } catch (const std::exception &error) {
             // It names no endpoint that could be used; one known by that id isn't, either.
             log_.write(Event("endpoint.malformed").with("endpoint", id).with("why", error.what()));
             endpoints_.remove(id, Delisting::Malformed, now);
@@ -276,7 +277,7 @@
 
 bool Edge::configIsCurrent() const
 {
-    return config_ && newestConfigRead_ && configFollower_->current();
+    return !failure_ && config_ && newestConfigRead_ && configFollower_->current();
 }
 
 bool Edge::ready()
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -176,7 +176,12 @@
     AnswerSink &sink = *this;
     const auto exchange = std::make_shared<Exchange>(context_, std::move(request), sink);
     exchange_ = exchange;
-    exchange->start();
+    try {
+        exchange->start();
+    } catch (const std::exception &) {
+        cutOff();
+        throw;
+    }
 }
 
 void CallerConnection::refuseRequest(HttpFault fault)
--- a/lib/Store/TopicFollower.cpp
+++ b/lib/Store/TopicFollower.cpp
@@ -127,10 +127,11 @@
     // The pages aren't of one moment: a row of a late page may stand behind the first
     // page's end. The tail from that end on brings whatever the pages missed, and a row
     // that comes twice does no harm.
+    current_ = false;
+    handlers_.onRows(rows, true);
     position_ = snapshotEnd_;
     caughtUp_ = true;
     current_ = position_ >= end;
-    handlers_.onRows(rows, true);
     handlers_.onPosition(position_);
     next(Interval::zero());
 }
@@ -151,11 +152,13 @@
         return;
     }
     noteAnswer();
-    position_ = std::max(position_, answer.next);
-    current_ = position_ >= answer.end;
+    // Rows whose handler throws are read again, and until then the reader isn't current.
+    current_ = false;
     if (!answer.rows.empty()) {
         handlers_.onRows(answer.rows, false);
     }
+    position_ = std::max(position_, answer.next);
+    current_ = position_ >= answer.end;
     handlers_.onPosition(position_);
     next(answer.rows.empty() || !current_ ? Interval::zero() : settings_.pace);
 }
--- a/unittests/Store/TopicFollowerTest.cpp
+++ b/unittests/Store/TopicFollowerTest.cpp
@@ -235,4 +235,32 @@
 INSTANTIATE_TEST_SUITE_P(Rows, FollowerIsCurrent, testing::ValuesIn(CurrentCases),
                          [](const auto &script) { return std::string(script.param.name); });
 
+// The rows of a read whose handler threw are never told: where the event loop goes on, the next
+// read begins behind them.
+TEST(TopicFollower, RowsWhoseHandlerThrewAreReadAgain)
+{
+    boost::asio::io_context io;
+    ScriptedStore store(io);
+    store.snapshots = {First};
+    store.tails = {{StoreOutcome::Ok, {row("b", "2", 4)}, 5}};
+    FollowerSettings settings;
+    settings.topic = "t";
+    TopicFollower follower(io, store, settings,
+                           {[](const std::vector<StoreRow> &, bool whole) {
+                                if (!whole) {
+                                    throw std::logic_error("a fault of the program");
+                                }
+                            },
+                            [](uint64_t) {},
+                            [](bool, StoreOutcome) {
+                            }});
+    follower.start();
+    EXPECT_THROW(io.run(), std::logic_error);
+    EXPECT_FALSE(follower.current());
+    follower.hurry();
+    io.restart();
+    io.run_for(std::chrono::milliseconds(20));
+    EXPECT_EQ(store.calls, (std::vector<std::string>{"snapshot ", "tail 4", "tail 4"}));
+}
+
 } // namespace
