[Proxy] Tell callers how long they may use an idle connection again

What callers see: the connection that a request was sent on is closed in the same moment, and the request has to be sent once more.

Cause: answers named no time, and callers used connections again that had been idle for up to 20 s, while this side closes them at the configuration's limit of 15 s. Change: answers on kept connections say the limit less 2 s. CallerConnectionIdleLimit (Kept) failed before.

--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -60,6 +60,8 @@
     void closeByPeer(const ErrorCode &error);
     void refuseRequest(HttpFault fault);
     void answered(bool keepAlive);
+    /// Says for how long an idle connection may be used again, if it is kept.
+    void nameIdleLimit(ResponseHead &head) const;
     void nextRequest();
     void armTimer(Interval limit);
     void onTimer();
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
+#include <fmt/format.h>
 
 #include "Refusals.h"
 
@@ -23,6 +24,10 @@
 /// For a caller to send the rest of a body once its head is in.
 constexpr Interval BodyTimeout = std::chrono::seconds(10);
 
+/// What callers are told is shorter than the idle limit by this: a request on its way must not
+/// cross the close.
+constexpr Interval IdleMargin = std::chrono::seconds(2);
+
 /// Closing a socket that has unread bytes resets it, and the peer may lose the answer
 /// before it has read it: it is given this long to close first.
 constexpr Interval LingerTime = std::chrono::milliseconds(500);
@@ -205,16 +210,27 @@
 {
     const bool keep = keepAlive_ && !context_.sendsAway();
     head.keepAlive = keep;
+    nameIdleLimit(head);
     std::string bytes = writeResponseHead(head, BodyFraming::Length, body.size());
     bytes.append(body);
     queue(std::move(bytes));
     answered(keep);
 }
 
+void CallerConnection::nameIdleLimit(ResponseHead &head) const
+{
+    const Interval told = limitsOf(context_).idleTimeout - IdleMargin;
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(told).count();
+    if (head.keepAlive && seconds > 0) {
+        head.fields.push_back({"Keep-Alive", fmt::format("timeout={}", seconds)});
+    }
+}
+
 void CallerConnection::beginStream(ResponseHead head)
 {
     keepAlive_ = keepAlive_ && !context_.sendsAway();
     head.keepAlive = keepAlive_;
+    nameIdleLimit(head);
     queue(writeResponseHead(head, BodyFraming::Chunked, 0));
 }
 
--- a/unittests/Proxy/CallerConnectionTest.cpp
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -188,4 +188,39 @@
     EXPECT_TRUE(world.waitFor("good")) << world.got();
 }
 
+struct IdleLimitCase
+{
+    const char *name;
+    Interval idleTimeout;
+    bool stopping;
+    const char *said;
+    const char *unsaid;
+};
+
+class CallerConnectionIdleLimit : public testing::TestWithParam<IdleLimitCase>
+{};
+
+const IdleLimitCase IdleLimitCases[] = {
+        {"Kept", std::chrono::seconds(15), false, "Keep-Alive: timeout=13\r\n",
+         "Connection: close"},
+        {"TooShortToSay", std::chrono::milliseconds(2900), false, "good", "Keep-Alive"},
+        {"Closed", std::chrono::seconds(15), true, "Connection: close", "Keep-Alive"},
+};
+
+// Requests cross the close of their connection: callers don't know its idle limit.
+TEST_P(CallerConnectionIdleLimit, IsNamedInTheAnswer)
+{
+    ProxyWorldSettings settings;
+    settings.idleTimeout = GetParam().idleTimeout;
+    ProxyWorld world({{{plain("good")}}}, settings);
+    world.stopping = GetParam().stopping;
+    world.send(ProxyWorld::request("/get/a", "r"));
+    EXPECT_TRUE(world.waitFor("good"));
+    EXPECT_NE(world.got().find(GetParam().said), std::string::npos) << world.got();
+    EXPECT_EQ(world.got().find(GetParam().unsaid), std::string::npos) << world.got();
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, CallerConnectionIdleLimit, testing::ValuesIn(IdleLimitCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
