[Ledger] Let each ask of a peer end by itself

A home added up what peers asked for and couldn't be given, and each further ask put off the end of the whole sum. What had been met elsewhere, or given up, stayed in the sum as long as the home was asked at least every 1.5 s; the home claimed tokens for it, and gave none of them back.

Each ask has its own end. Moved tokens count for the newest ask.

HomeHolding.HoldsNothingForAnAskThatIsLongOver: 200 tokens held before the change, at most 10 asked for.

--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -209,6 +209,13 @@
     std::vector<WorkspaceId> workspaces() const;
 
 private:
+    /// What a peer asked for and wasn't given yet.
+    struct OpenAsk
+    {
+        uint64_t tokens = 0;
+        Instant until{}; ///< it may ask again, and find that it can be moved by then
+    };
+
     struct Account
     {
         Account(Interval memory, Interval fleetsMemory) : demand(memory), fleetsUse(fleetsMemory) {}
@@ -218,15 +225,14 @@
         uint64_t usable = 0;   ///< may be reserved
         uint64_t reserved = 0; ///< of open requests
         uint64_t spent = 0;
-        uint64_t typical = 0;  ///< reservation, a moving mean
-        uint64_t shortOf = 0;  ///< total that waiting requests need
-        uint64_t askedFor = 0; ///< by peers that lack tokens, a moment ago
-        Instant askedUntil{};  ///< they may ask again, and find that it can be moved by then
-        Allotment written;     ///< by the last batch that the store has
-        Allotment flight;      ///< by the batch in flight
-        bool lowered = false;  ///< the budget fell, and the holders' totals still exceed it
-        bool correct = false;  ///< the store's row says something else than `owned`
-        Instant returnAt{};    ///< when unused moved tokens go back to a home
+        uint64_t typical = 0;          ///< reservation, a moving mean
+        uint64_t shortOf = 0;          ///< total that waiting requests need
+        std::vector<OpenAsk> openAsks; ///< of peers that lack tokens, oldest first
+        Allotment written;             ///< by the last batch that the store has
+        Allotment flight;              ///< by the batch in flight
+        bool lowered = false;          ///< the budget fell, and the holders' totals still exceed it
+        bool correct = false;          ///< the store's row says something else than `owned`
+        Instant returnAt{};            ///< when unused moved tokens go back to a home
         Instant nextAskAt{};
         uint32_t askedInVain = 0; ///< times in a row
         uint32_t askRounds = 0;   ///< for the request that waits now
@@ -265,6 +271,8 @@
     bool inUse(const Account &account, Instant now) const;
     uint64_t mayUse(const Account &account, Instant now) const;
     static uint64_t askedByPeers(const Account &account, Instant now);
+    void noteAsk(Account &account, uint64_t tokens, bool isRepeat, Instant now) const;
+    static void noteMoved(Account &account, uint64_t tokens);
     uint32_t maxHoldersOf(const Account &account) const;
     uint64_t rowLimit(const Allotment &row, Instant composedAt, Instant now) const;
     uint64_t paceOf(const WorkspaceId &workspace, const Account &account, Instant now) const;
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -180,7 +180,38 @@
 
 uint64_t TokenHolder::askedByPeers(const Account &account, Instant now)
 {
-    return now < account.askedUntil ? account.askedFor : 0;
+    uint64_t tokens = 0;
+    for (const OpenAsk &ask : account.openAsks) {
+        tokens += now < ask.until ? ask.tokens : 0;
+    }
+    return tokens;
+}
+
+void TokenHolder::noteAsk(Account &account, uint64_t tokens, bool isRepeat, Instant now) const
+{
+    std::vector<OpenAsk> &asks = account.openAsks;
+    asks.erase(std::remove_if(asks.begin(), asks.end(),
+                              [now](const OpenAsk &ask) { return now >= ask.until; }),
+               asks.end());
+    // A repeated ask is for tokens already counted; a first one adds to what other peers asked for.
+    const uint64_t counted = isRepeat ? askedByPeers(account, now) : 0;
+    if (tokens > counted) {
+        asks.push_back({tokens - counted, now + settings_.lending});
+    }
+}
+
+void TokenHolder::noteMoved(Account &account, uint64_t tokens)
+{
+    // An older ask is more likely to have been met elsewhere.
+    std::vector<OpenAsk> &asks = account.openAsks;
+    while (tokens > 0 && !asks.empty()) {
+        const uint64_t met = std::min(tokens, asks.back().tokens);
+        tokens -= met;
+        asks.back().tokens -= met;
+        if (asks.back().tokens == 0) {
+            asks.pop_back();
+        }
+    }
 }
 
 uint32_t TokenHolder::maxHoldersOf(const Account &account) const
@@ -492,12 +523,8 @@
     const bool asHome = account->isHome && ask.need > 0;
     uint64_t gift = asHome ? giftOfHome(*account, ask, now) : evenGift(*account, ask, now);
     const uint64_t movable = std::min(gift, mayUse(*account, now));
-    const uint64_t open = askedByPeers(*account, now);
-    // A repeated ask is for tokens already counted; a first one adds to what other peers asked for.
-    const uint64_t asked = asHome ? ask.need : gift;
-    const bool isRepeat = !asHome || ask.round > 0;
-    account->askedFor = (isRepeat ? std::max(open, asked) : open + asked) - movable;
-    account->askedUntil = now + settings_.lending;
+    noteAsk(*account, asHome ? ask.need : gift, !asHome || ask.round > 0, now);
+    noteMoved(*account, movable);
     gift = movable;
     account->usable -= gift;
     return gift;
--- a/unittests/Ledger/TokenHolderTest.cpp
+++ b/unittests/Ledger/TokenHolderTest.cpp
@@ -144,6 +144,35 @@
     EXPECT_EQ(a_.usable(W) + b_.usable(W), before);
 }
 
+// Guards against holding tokens for an ask that was met elsewhere as long as other asks arrive.
+TEST(HomeHolding, HoldsNothingForAnAskThatIsLongOver)
+{
+    TokenHolderSettings settings;
+    settings.idleShare = 0; // holds only what is asked for
+    TokenHolder home(Incarnation("home"), settings);
+    home.setBudgets({{W, Prepaid}}, Now);
+    home.setHomes(W, 1, true);
+    home.setStoreReachable(true);
+    OneLog log;
+    Instant now = Now;
+    const auto write = [&] {
+        if (const auto rows = home.nextBatch(now)) {
+            log.write(*rows, {&home});
+            home.onWritten();
+        }
+    };
+    EXPECT_EQ(home.give({W, 200, 0, 0, 0}, now), 0U);
+    write();
+    EXPECT_EQ(home.usable(W), 200U);
+    for (int ask = 0; ask < 10; ++ask) {
+        now += std::chrono::milliseconds(500);
+        write();
+        home.give({W, 10, 0, 0, 0}, now);
+        write();
+    }
+    EXPECT_LE(home.usable(W), 10U);
+}
+
 TEST_F(Holding, StopGivesBackAllThatIsntReserved)
 {
     round(a_);
