[Router] Back up bills also at keepers that drain or that the last view lacks

Callers saw nothing; the operator lost the bill of a whole answer when the host that gave it was lost (HostLost.AfterAWholeAnswerItIsBilled, 3 of 13 runs beside 20 busy processes): the router had named no second keeper.

Cause: KeeperClient::backupFor left out keepers that are marked as draining. A keeper that hasn't read the ledger marks itself so, though it can hold a bill. If its first datagram goes out before it has read the ledger, its peers hear the opposite one probe period later, and until then the routers of the domain have no second keeper. The same held where the view came from a keeper that hadn't heard of the other yet: the view replaced the seeds.

Change: backupsFor gives the keepers on other hosts in order: those that serve, those that drain, then seeds and earlier keepers that the last view lacks. The router asks one after the other until one holds the bill, before the end of the answer is passed on. A keeper that isn't in the view is asked until a call to it fails, for 10 s at most; of the keepers that gave no answer within the last two seconds at most one is asked, as before. A backup is left out only where the holder is known to be on another host, no longer where the holder is unknown. member.changed logs whether the member drains.

Tests: HostLost.BesideAKeeperWithoutTheLedgerAnswersAreBilled stages the order of events with real processes and failed 3 of 3 times before, without load ("1 requests of w0 were never billed: r1"); SecondKeeper rows Draining and NotHeardOfByTheFirst had no bill at the second keeper; TwoKeepers.UnlistedOneThatFailsIsNotAskedAgain holds the wait down where there is none.

--- a/include/sequoiagate/Router/ChatDriver.h
+++ b/include/sequoiagate/Router/ChatDriver.h
@@ -57,7 +57,7 @@
 
     void settle(const std::optional<Verdict> &failure);
     wire::SettleRequest openNote(const std::string &streamId) const;
-    std::string backupKeeper() const;
+    std::vector<std::string> backupKeepers() const;
     void tellBackup(const std::string &streamId);
     void settleWithBackup(wire::SettleRequest request);
     wire::Bill billOf(const std::optional<Verdict> &failure);
--- a/include/sequoiagate/Router/KeeperClient.h
+++ b/include/sequoiagate/Router/KeeperClient.h
@@ -31,6 +31,7 @@
                  Millis claimTimeout);
 
     /// Replaces what is known. An empty list is ignored: the seeds are better than none.
+    /// Keepers that the list no longer names may still back up a bill, see backupsFor().
     void setKeepers(const std::vector<wire::KeeperEntry> &keepers);
 
     /// \param unanswered the names of keepers that were asked and gave no answer: they may
@@ -51,10 +52,14 @@
     /// Asks the keeper that holds the reservation first, draining or not: it waits for
     /// just this.
     wire::SettleReply settle(const wire::SettleRequest &request);
-    /// The keeper to back up a reservation of \p holder: one on another host than \p host,
-    /// if \p holder is on that very host. Empty: there is none, or none is needed.
-    std::string backupFor(const std::string &workspace, const Incarnation &holder,
-                          const HostId &host) const;
+    /// The keepers that can back up a reservation of \p holder, best first: those on other
+    /// hosts than \p host, which is the router's own. One that drains comes later, it still
+    /// takes bills. One that the last view doesn't name comes last: the keeper that answered
+    /// may not have heard of it yet. It is left out after a call to it has failed, or when no
+    /// view has named it for some seconds. Empty: there is none, or \p holder is on
+    /// another host and none is needed.
+    std::vector<std::string> backupsFor(const std::string &workspace, const Incarnation &holder,
+                                        const HostId &host) const;
     /// Settles with the keeper of that name alone. \throws VerdictError if it gives no answer.
     wire::SettleReply settleWith(const std::string &name, const wire::SettleRequest &request);
     wire::FinishRunReply finishRun(const wire::FinishRunRequest &request);
@@ -73,7 +78,8 @@
         Incarnation incarnation; ///< empty: a seed, not heard of yet
         std::unique_ptr<wire::KeeperService::Stub> stub;
         bool draining = false;
-        Instant avoidUntil; ///< it didn't answer: others are asked first until then
+        Instant avoidUntil;       ///< it didn't answer: others are asked first until then
+        Instant forgetAt = Never; ///< armed when a view no longer names it
     };
     using KeeperPtr = std::shared_ptr<Keeper>;
 
@@ -96,12 +102,15 @@
                    Millis timeout, const std::function<Request()> &prepare,
                    std::vector<std::string> &unanswered);
     KeeperPtr find(const std::string &name) const;
+    KeeperPtr findUnlisted(const std::string &name) const;
+    void keepUnlisted(const std::vector<KeeperPtr> &listed) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     Security &security_;
     Millis timeout_;
     Millis claimTimeout_;
     mutable absl::Mutex mutex_;
     std::vector<KeeperPtr> keepers_;
+    std::vector<KeeperPtr> unlisted_; ///< seeds and earlier keepers that the last view lacks
     std::string viewSource_;
     grpc::ClientContext *openView_ = nullptr; ///< of the readView in progress
     bool viewCancelled_ = false;
--- a/lib/Keeper/Gossip.cpp
+++ b/lib/Keeper/Gossip.cpp
@@ -148,11 +148,11 @@
     }
     flush();
     for (const MemberChange &change : changes) {
-        keeper_.log().write(
-                Event("member.changed")
-                        .with("member", change.member.host())
-                        .with("member_incarnation", change.member.incarnation())
-                        .with("health", wire::MemberHealth_Name(change.member.health())));
+        keeper_.log().write(Event("member.changed")
+                                    .with("member", change.member.host())
+                                    .with("member_incarnation", change.member.incarnation())
+                                    .with("health", wire::MemberHealth_Name(change.member.health()))
+                                    .with("draining", change.member.draining()));
     }
     if (!changes.empty()) {
         keeper_.run([&](KeeperCore &core, Instant at, WallTime) { core.onMembers(members, at); });
--- a/lib/Router/ChatDriver.cpp
+++ b/lib/Router/ChatDriver.cpp
@@ -374,10 +374,10 @@
     return open;
 }
 
-std::string ChatDriver::backupKeeper() const
+std::vector<std::string> ChatDriver::backupKeepers() const
 {
-    return context_.keepers.backupFor(order_.workspace.text(), Incarnation(reservation_.keeper()),
-                                      context_.log.identity().host);
+    return context_.keepers.backupsFor(order_.workspace.text(), Incarnation(reservation_.keeper()),
+                                       context_.log.identity().host);
 }
 
 /// A host that is lost takes this router and the keeper beside it in one moment. If that
@@ -385,8 +385,8 @@
 /// sent and when it is seen, and bills it if we are gone.
 void ChatDriver::tellBackup(const std::string &streamId)
 {
-    std::string backup = backupKeeper();
-    if (backup.empty()) {
+    std::vector<std::string> backups = backupKeepers();
+    if (backups.empty()) {
         return;
     }
     wire::SettleRequest note = openNote(streamId);
@@ -395,27 +395,29 @@
     note.set_prompt_bound(order_.promptBound);
     note.set_router_address(context_.address);
     note.set_body_hash(order_.bodyHash);
-    context_.outbox.announceBackup(std::move(backup), std::move(note));
+    context_.outbox.announceBackup(std::move(backups.front()), std::move(note));
 }
 
 /// Before the caller learns of its answer's end, a keeper on another host has the bill:
 /// else a host lost just then leaves a whole answer that nobody bills. One round trip at
 /// a stream's end, and only where the reservation is held on our own host. A backup that
-/// gives no answer isn't waited for beyond the keepers' timeout; the log says so.
+/// gives no answer isn't waited for beyond the keepers' timeout, and the next is asked; the
+/// log says so.
 void ChatDriver::settleWithBackup(wire::SettleRequest request)
 {
-    const std::string backup = backupKeeper();
-    if (backup.empty()) {
-        return;
-    }
     request.set_backup(true);
-    try {
-        context_.keepers.settleWith(backup, request);
-    } catch (const VerdictError &error) {
-        context_.log.write(Event("backup.unreachable")
-                                   .with("request", order_.request)
-                                   .with("workspace", order_.workspace)
-                                   .with("detail", error.verdict().detail));
+    for (const std::string &backup : backupKeepers()) {
+        try {
+            if (context_.keepers.settleWith(backup, request).held()) {
+                return;
+            }
+        } catch (const VerdictError &error) {
+            context_.log.write(Event("backup.unreachable")
+                                       .with("request", order_.request)
+                                       .with("workspace", order_.workspace)
+                                       .with("keeper", backup)
+                                       .with("detail", error.verdict().detail));
+        }
     }
 }
 
--- a/lib/Router/KeeperClient.cpp
+++ b/lib/Router/KeeperClient.cpp
@@ -14,6 +14,8 @@
 /// home doesn't cost each request a timeout, short enough that a keeper back from
 /// a pause gets its workspaces back before their grants elsewhere have grown.
 constexpr Millis AvoidFor{2000};
+/// Many probe periods of the keepers: a live keeper is in each view again by then.
+constexpr Millis ForgetUnlistedAfter{10'000};
 constexpr Millis ComeBackAfter{1000};
 /// Longer than the keeper holds a view, by what an answer may take.
 constexpr Millis ViewSlack{1000};
@@ -62,9 +64,26 @@
         next.back()->incarnation = Incarnation(entry.incarnation());
         next.back()->draining = entry.draining();
     }
+    keepUnlisted(next);
     keepers_ = std::move(next);
 }
 
+void KeeperClient::keepUnlisted(const std::vector<KeeperPtr> &listed)
+{
+    const Instant now = std::chrono::steady_clock::now();
+    for (const KeeperPtr &keeper : keepers_) {
+        keeper->forgetAt = now + ForgetUnlistedAfter;
+    }
+    unlisted_.insert(unlisted_.end(), keepers_.begin(), keepers_.end());
+    std::erase_if(unlisted_, [&](const KeeperPtr &keeper) {
+        const bool isListed =
+                std::any_of(listed.begin(), listed.end(), [&](const KeeperPtr &other) {
+                    return other->name == keeper->name || other->address == keeper->address;
+                });
+        return isListed || keeper->avoidUntil > now || keeper->forgetAt <= now;
+    });
+}
+
 wire::ReserveReply KeeperClient::reserve(const wire::ReserveRequest &request,
                                          std::vector<std::string> &unanswered)
 {
@@ -120,26 +139,49 @@
     return call(&wire::KeeperService::Stub::Settle, request.bill().workspace(), request, timeout_);
 }
 
-std::string KeeperClient::backupFor(const std::string &workspace, const Incarnation &holder,
-                                    const HostId &host) const
+std::vector<std::string> KeeperClient::backupsFor(const std::string &workspace,
+                                                  const Incarnation &holder,
+                                                  const HostId &host) const
 {
-    std::string backup;
-    bool onOurHost = false;
-    for (const KeeperPtr &keeper : orderFor(workspace, Incarnation())) {
-        onOurHost |= keeper->incarnation == holder && keeper->name == host.text();
-        const bool usable = keeper->name != host.text() && !keeper->draining;
-        if (usable && backup.empty()) {
-            backup = keeper->name;
+    const std::vector<KeeperPtr> order = orderFor(workspace, Incarnation());
+    const Instant now = std::chrono::steady_clock::now();
+    std::vector<std::string> backups;
+    std::string silent;
+    absl::MutexLock lock(&mutex_);
+    for (const KeeperPtr &keeper : order) {
+        if (keeper->name == host.text()) {
+            continue;
+        }
+        if (keeper->incarnation == holder) {
+            return {};
+        }
+        if (keeper->avoidUntil <= now) {
+            backups.push_back(keeper->name);
+        } else if (silent.empty()) {
+            silent = keeper->name;
+        }
+    }
+    for (const KeeperPtr &keeper : unlisted_) {
+        if (keeper->name != host.text() && keeper->forgetAt > now) {
+            backups.push_back(keeper->name);
         }
     }
-    return onOurHost ? backup : std::string();
+    // At most one that has just given no answer: each may cost the caller the whole timeout.
+    if (backups.empty() && !silent.empty()) {
+        backups.push_back(std::move(silent));
+    }
+    return backups;
 }
 
 wire::SettleReply KeeperClient::settleWith(const std::string &name,
                                            const wire::SettleRequest &request)
 {
     std::vector<KeeperPtr> order;
-    if (KeeperPtr keeper = find(name)) {
+    KeeperPtr keeper = find(name);
+    if (!keeper) {
+        keeper = findUnlisted(name);
+    }
+    if (keeper) {
         order.push_back(std::move(keeper));
     }
     std::vector<std::string> unanswered;
@@ -187,6 +229,14 @@
     return found == keepers_.end() ? nullptr : *found;
 }
 
+KeeperClient::KeeperPtr KeeperClient::findUnlisted(const std::string &name) const
+{
+    absl::MutexLock lock(&mutex_);
+    const auto found = std::find_if(unlisted_.begin(), unlisted_.end(),
+                                    [&](const KeeperPtr &keeper) { return keeper->name == name; });
+    return found == unlisted_.end() ? nullptr : *found;
+}
+
 std::vector<KeeperClient::KeeperPtr> KeeperClient::orderFor(const std::string &key,
                                                             const Incarnation &holder) const
 {
@@ -214,6 +264,7 @@
 {
     absl::MutexLock lock(&mutex_);
     keeper.avoidUntil = std::chrono::steady_clock::now() + AvoidFor;
+    std::erase_if(unlisted_, [&](const KeeperPtr &other) { return other.get() == &keeper; });
 }
 
 void KeeperClient::setOpenView(grpc::ClientContext *context)
--- a/test/Proofs/HostLossTest.cpp
+++ b/test/Proofs/HostLossTest.cpp
@@ -53,12 +53,8 @@
     }
 }
 
-// Callers have just got their whole answers when the host is lost. Each answer is
-// billed all the same: before its end was passed on, a keeper on another host held
-// the bill, since the host's own router and keeper die together.
-TEST(HostLost, AfterAWholeAnswerItIsBilled)
+void getWholeAnswers(Fleet &fleet)
 {
-    Fleet fleet(twoHosts());
     std::vector<std::thread> callers;
     for (int i = 0; i < Workspaces; ++i) {
         callers.emplace_back([&fleet, i] {
@@ -68,7 +64,36 @@
     for (std::thread &caller : callers) {
         caller.join();
     }
+}
+
+// Callers have just got their whole answers when the host is lost. Each answer is
+// billed all the same: before its end was passed on, a keeper on another host held
+// the bill, since the host's own router and keeper die together.
+TEST(HostLost, AfterAWholeAnswerItIsBilled)
+{
+    Fleet fleet(twoHosts());
+    getWholeAnswers(fleet);
+    loseHost(fleet);
+    waitBilled(fleet);
+    expectHolds(fleet.history());
+}
+
+// The second keeper has just started and hasn't read the ledger: it takes the bills all the same.
+TEST(HostLost, BesideAKeeperWithoutTheLedgerAnswersAreBilled)
+{
+    Fleet fleet(twoHosts());
+    fleet.keeper(1).kill();
+    fleet.restartKeeper(1, {"log"});
+    const std::string started = fleet.keeper(1).waitFor("process.started").at("incarnation");
+    fleet.keeper(0).waitFor("member.changed", [&](const Process::Line &line) {
+        return line.value("member_incarnation", "") == started && line.value("draining", false);
+    });
+    fleet.keeper(1).waitFor("member.changed");
+    // Its first view of the keepers is one with the second in this state.
+    fleet.restartRouter(0);
+    getWholeAnswers(fleet);
     loseHost(fleet);
+    fleet.cut(1, {});
     waitBilled(fleet);
     expectHolds(fleet.history());
 }
--- a/test/Router/FakeKeeper.cpp
+++ b/test/Router/FakeKeeper.cpp
@@ -12,6 +12,9 @@
     builder.RegisterService(this);
     server_ = builder.BuildAndStart();
     address_ = fmt::format("127.0.0.1:{}", port);
+    entry.set_host("fake");
+    entry.set_incarnation("fake");
+    entry.set_address(address_);
 }
 
 FakeKeeper::~FakeKeeper()
@@ -23,6 +26,18 @@
     server_->Shutdown(std::chrono::system_clock::now());
 }
 
+void FakeKeeper::failSettles()
+{
+    absl::MutexLock lock(&mutex_);
+    failSettles_ = true;
+}
+
+bool FakeKeeper::sawSettleOf(const std::string &request) const
+{
+    absl::MutexLock lock(&mutex_);
+    return settledRequests_.count(request) > 0;
+}
+
 void FakeKeeper::answerReserves(wire::ReserveReply reply)
 {
     absl::MutexLock lock(&mutex_);
@@ -111,7 +126,7 @@
     }
     reply->mutable_reservation()->set_id(open->second);
     reply->mutable_reservation()->set_tokens(request->prompt_tokens() + request->output_ceiling());
-    reply->mutable_reservation()->set_keeper("fake");
+    reply->mutable_reservation()->set_keeper(entry.incarnation());
     return grpc::Status::OK;
 }
 
@@ -119,6 +134,10 @@
                                 wire::SettleReply *reply)
 {
     absl::MutexLock lock(&mutex_);
+    settledRequests_.insert(request->bill().request());
+    if (failSettles_) {
+        return grpc::Status(grpc::StatusCode::UNAVAILABLE, "told to fail");
+    }
     reply->set_held(true);
     if (request->still_open()) {
         return grpc::Status::OK;
@@ -190,9 +209,10 @@
     *reply->mutable_config() = config_;
     reply->set_config_version(config_.version());
     reply->set_view_serial(1);
-    wire::KeeperEntry *self = reply->add_keepers();
-    self->set_host("fake");
-    self->set_address(address_);
+    *reply->add_keepers() = entry;
+    for (const wire::KeeperEntry &other : others) {
+        *reply->add_keepers() = other;
+    }
     return grpc::Status::OK;
 }
 
--- a/test/Router/FakeKeeper.h
+++ b/test/Router/FakeKeeper.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,13 @@
     ~FakeKeeper() override;
 
     const std::string &address() const { return address_; }
+    /// What views say of this keeper. Set both before a router reads one.
+    wire::KeeperEntry entry;
+    std::vector<wire::KeeperEntry> others; ///< whom its views name, too
+    /// Every Settle fails from now on.
+    void failSettles();
+    /// Whether a Settle of this request came, also one that failed.
+    bool sawSettleOf(const std::string &request) const;
     /// The reply to every Reserve from now on; an unset outcome grants again.
     void answerReserves(wire::ReserveReply reply);
     /// The next reservations are made, and their answers lost.
@@ -56,6 +64,8 @@
 private:
     mutable absl::Mutex mutex_;
     wire::ConfigState config_;
+    bool failSettles_ = false;
+    std::set<std::string> settledRequests_;
     wire::ReserveReply reserveReply_;
     bool loseClaimAnswers_ = false;
     std::map<std::string, wire::Bill> bills_; ///< by workspace and request
--- a/test/Router/RouterTest.cpp
+++ b/test/Router/RouterTest.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include "sequoiagate/Base/Rendezvous.h"
 #include "sequoiagate/Service/Program.h"
 #include "sequoiagate/Service/Settings.h"
 #include "sequoiagate/Standins/EngineStandin.h"
@@ -45,11 +46,11 @@
     }
 }
 
-RouterSettings settingsFor(const std::string &keeper)
+RouterSettings settingsFor(const std::vector<std::string> &keepers)
 {
     const nlohmann::json given = {
             {"host", "h1"},           {"domain", "d1"},          {"listen", "127.0.0.1:0"},
-            {"keepers", {keeper}},    {"resume_key", ResumeKey}, {"hang_up_grace_ms", 50},
+            {"keepers", keepers},     {"resume_key", ResumeKey}, {"hang_up_grace_ms", 50},
             {"stall_timeout_ms", 300}};
     const ScratchFolder scratch;
     const std::string path = scratch.write("settings.json", given.dump());
@@ -69,15 +70,14 @@
     {
         engine_.start();
         service_.start();
-        wire::ConfigState config;
-        config.set_version(1);
-        addWorkspace(config, "w1");
-        addWorkspace(config, "w2");
-        *config.add_endpoints() = endpointOf("e1", engine_.address(), wire::MODEL_ENGINE, "chat");
-        *config.add_endpoints() =
+        config_.set_version(1);
+        addWorkspace(config_, "w1");
+        addWorkspace(config_, "w2");
+        *config_.add_endpoints() = endpointOf("e1", engine_.address(), wire::MODEL_ENGINE, "chat");
+        *config_.add_endpoints() =
                 endpointOf("s1", service_.address(), wire::PLAIN_SERVICE, "bookings");
-        *config.add_endpoints() = endpointOf("e2", rude_.address(), wire::MODEL_ENGINE, "rude");
-        keeper_ = std::make_unique<FakeKeeper>(config);
+        *config_.add_endpoints() = endpointOf("e2", rude_.address(), wire::MODEL_ENGINE, "rude");
+        keeper_ = std::make_unique<FakeKeeper>(config_);
         router_ = startRouter();
         router2_ = startRouter();
     }
@@ -88,9 +88,11 @@
         std::fclose(file_);
     }
 
-    std::unique_ptr<Router> startRouter()
+    std::unique_ptr<Router> startRouter() { return startRouter({keeper_->address()}); }
+
+    std::unique_ptr<Router> startRouter(const std::vector<std::string> &keepers)
     {
-        auto router = std::make_unique<Router>(settingsFor(keeper_->address()), security_, log_);
+        auto router = std::make_unique<Router>(settingsFor(keepers), security_, log_);
         router->start();
         httplib::Client client("http://" + router->address());
         while (client.Get("/readyz")->status != 200) {
@@ -142,6 +144,7 @@
     EngineStandin engine_{{.name = "e1", .betweenTokens = Millis(1)}, log_};
     RudeEngine rude_;
     ServiceStandin service_{{.name = "s1"}, log_};
+    wire::ConfigState config_;
     std::unique_ptr<FakeKeeper> keeper_;
     std::unique_ptr<Router> router_;
     std::unique_ptr<Router> router2_;
@@ -511,4 +514,81 @@
     EXPECT_EQ(keeper_->bills().size(), 1U);
 }
 
+/// A keeper on the router's own host, which holds all reservations, and one on another.
+class TwoKeepers : public RouterTest
+{
+protected:
+    TwoKeepers()
+    {
+        // The router asks the first choice for its view, and that is to be its own host's.
+        const std::string router = log_.identity().incarnation.text();
+        if (rendezvousWeight(router, own_->address())
+            < rendezvousWeight(router, other_->address())) {
+            std::swap(own_, other_);
+        }
+        own_->entry.set_host("h1");
+        own_->entry.set_incarnation("incarnation-1");
+        other_->entry.set_host("h3");
+        other_->entry.set_incarnation("incarnation-2");
+        other_->others = {own_->entry};
+    }
+
+    /// Chats through a router that has both as its seeds.
+    CallerAnswer chat(const std::string &request)
+    {
+        if (!ownRouter_) {
+            ownRouter_ = startRouter({own_->address(), other_->address()});
+        }
+        ChatCall call = chatCall(request);
+        call.router = ownRouter_->address();
+        return caller_.chat(call);
+    }
+
+    std::unique_ptr<FakeKeeper> own_ = std::make_unique<FakeKeeper>(config_);
+    std::unique_ptr<FakeKeeper> other_ = std::make_unique<FakeKeeper>(config_);
+    std::unique_ptr<Router> ownRouter_;
+};
+
+struct SecondKeeperRow
+{
+    const char *name;
+    bool listed;
+    bool draining;
+};
+
+constexpr SecondKeeperRow SecondKeeperRows[] = {
+        {"Serving", true, false},
+        {"Draining", true, true},
+        {"NotHeardOfByTheFirst", false, false},
+};
+
+class SecondKeeper : public TwoKeepers, public testing::WithParamInterface<SecondKeeperRow>
+{};
+
+// The host is lost right after a whole answer: the bill is at a keeper on another host by then.
+TEST_P(SecondKeeper, HasTheBillBeforeTheAnswerIsWhole)
+{
+    other_->entry.set_draining(GetParam().draining);
+    if (GetParam().listed) {
+        own_->others = {other_->entry};
+    }
+    EXPECT_TRUE(chat("r1").whole);
+    EXPECT_EQ(other_->bills().size(), 1U);
+    EXPECT_EQ(own_->reservations(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Known, SecondKeeper, testing::ValuesIn(SecondKeeperRows),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+// Each answer waits for a keeper that is gone: it is asked until it fails, and not again.
+TEST_F(TwoKeepers, UnlistedOneThatFailsIsNotAskedAgain)
+{
+    other_->failSettles();
+    EXPECT_TRUE(chat("r1").whole);
+    EXPECT_TRUE(other_->sawSettleOf("r1"));
+    EXPECT_TRUE(chat("r2").whole);
+    EXPECT_FALSE(other_->sawSettleOf("r2"));
+    own_->awaitBills(2);
+}
+
 } // namespace
--- a/test/Support/Fleet.cpp
+++ b/test/Support/Fleet.cpp
@@ -215,9 +215,9 @@
     return settings;
 }
 
-void Fleet::startKeeper(std::size_t host)
+void Fleet::startKeeper(std::size_t host, const std::vector<std::string> &blockedHosts)
 {
-    cut(host, {});
+    cut(host, blockedHosts);
     const std::string name = fmt::format("keeper-{}-{}", host, ++starts_);
     keepers_[host] =
             std::make_unique<Process>(scratch_, "sequoia-keeper", name, keeperSettings(host));
@@ -243,10 +243,10 @@
     });
 }
 
-void Fleet::restartKeeper(std::size_t host)
+void Fleet::restartKeeper(std::size_t host, const std::vector<std::string> &blockedHosts)
 {
     replaced_.push_back(std::move(keepers_[host]));
-    startKeeper(host);
+    startKeeper(host, blockedHosts);
 }
 
 void Fleet::restartRouter(std::size_t host)
--- a/test/Support/Fleet.h
+++ b/test/Support/Fleet.h
@@ -71,8 +71,8 @@
     std::string apiKey(const std::string &workspace) const;
 
     /// Starts a host's process anew after a loss. A keeper keeps its address, which
-    /// stands in the settings of its domain's routers.
-    void restartKeeper(std::size_t host);
+    /// stands in the settings of its domain's routers. It starts cut off from \p blockedHosts.
+    void restartKeeper(std::size_t host, const std::vector<std::string> &blockedHosts = {});
     void restartRouter(std::size_t host);
     /// Cuts the traffic between \p host's keeper and the named hosts ("log" is the
     /// log service), both ways; an empty list heals it.
@@ -101,7 +101,7 @@
     void publishFirstConfig();
     nlohmann::json keeperSettings(std::size_t host) const;
     nlohmann::json routerSettings(std::size_t host) const;
-    void startKeeper(std::size_t host);
+    void startKeeper(std::size_t host, const std::vector<std::string> &blockedHosts = {});
     void startRouter(std::size_t host);
     void waitReady(std::size_t host);
     std::vector<FinalBill> bills();
