[Service] Hold signals that come during the start until the handlers stand

Cause: StopSignal blocked SIGTERM and SIGINT, but the edge unblocked them before its signal_set existed, so that one that was held came with its default action. SIGHUP wasn't blocked at all.

Change: StopSignal blocks SIGHUP, too, and before anything else in runDaemon. The edge unblocks after it is constructed: the signal_set has its handlers by then, and keeps what comes until it is waited for. Programs that wait in StopSignal::wait() give SIGHUP its default action there, as they did before.

Test: EarlySignal holds the start up by a pipe as the settings file, sends the signal while the process reads it, and waits for process.stopped or process.reloaded.

Left: a signal between exec and main, while the dynamic loader runs, ends the process still.

--- a/include/sequoiagate/Service/Program.h
+++ b/include/sequoiagate/Service/Program.h
@@ -21,15 +21,17 @@
     ExitConflict = 4,    ///< somebody else's change won
 };
 
-/// Blocks SIGTERM and SIGINT in the calling thread and those it starts later, and
-/// waits for them. Construct it first thing in main.
+/// Blocks SIGTERM, SIGINT and SIGHUP in the calling thread and those it starts later: one
+/// that comes during the start is held. Construct it first thing in main.
 class StopSignal
 {
 public:
     StopSignal();
-    /// Returns when the process is asked to stop. Call from one thread.
+    /// Returns when the process is asked to stop by SIGTERM or SIGINT. SIGHUP has its default
+    /// action again. Call from one thread.
     void wait();
-    /// Lets the signals through again, for a body that takes them in its own event loop.
+    /// Lets the signals through again, for a body that takes them in its own event loop. Call
+    /// it after the body has installed its handlers: those held come at once.
     void unblock();
 };
 
--- a/lib/Service/Program.cpp
+++ b/lib/Service/Program.cpp
@@ -26,6 +26,13 @@
     return signals;
 }
 
+sigset_t heldSignals()
+{
+    sigset_t signals = stopSignals();
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
 ProcessIdentity identityFrom(const nlohmann::json &settings, const std::string &program)
 {
     ProcessIdentity identity;
@@ -69,7 +76,7 @@
 
 StopSignal::StopSignal()
 {
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = heldSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     // A peer that closes its end must give an error from write, not end the process.
     std::signal(SIGPIPE, SIG_IGN);
@@ -77,12 +84,16 @@
 
 void StopSignal::unblock()
 {
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = heldSignals();
     pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
 void StopSignal::wait()
 {
+    sigset_t hangUp;
+    sigemptyset(&hangUp);
+    sigaddset(&hangUp, SIGHUP);
+    pthread_sigmask(SIG_UNBLOCK, &hangUp, nullptr);
     const sigset_t signals = stopSignals();
     int caught = 0;
     sigwait(&signals, &caught);
@@ -101,8 +112,8 @@
 int runDaemon(int argc, char **argv, const std::string &program, const std::string &summary,
               const std::function<int(DaemonContext &)> &body, LogOutput output)
 {
-    reportCrashes();
     StopSignal stop;
+    reportCrashes();
     cxxopts::Options options(program, summary);
     addCommonOptions(options);
     try {
--- a/test/Edge/EdgeTest.cpp
+++ b/test/Edge/EdgeTest.cpp
@@ -2,7 +2,9 @@
 /// endpoints.
 
 #include <csignal>
+#include <fcntl.h>
 #include <sys/inotify.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <filesystem>
@@ -90,6 +92,51 @@
     EXPECT_EQ(allotted(), 200U);
 }
 
+struct EarlySignalRow
+{
+    const char *name;
+    int signal;
+    const char *event; ///< the process answers the signal with it
+};
+
+constexpr EarlySignalRow EarlySignalRows[] = {
+        {"Terminate", SIGTERM, "process.stopped"},
+        {"Interrupt", SIGINT, "process.stopped"},
+        {"HangUp", SIGHUP, "process.reloaded"},
+};
+
+class EarlySignal : public EdgeProcess, public testing::WithParamInterface<EarlySignalRow>
+{};
+
+// A stop or a reload that comes while the process starts ends it at once, without a stop.
+TEST_P(EarlySignal, WaitsForItsHandler)
+{
+    const std::string pipe = scratch_.path("settings");
+    ASSERT_EQ(::mkfifo(pipe.c_str(), 0600), 0);
+    Process edge(scratch_, "sequoia-edge", "edge", SettingsPath{pipe});
+    int descriptor = -1;
+    // It opens when the process reads its settings.
+    ASSERT_TRUE(eventually([&] {
+        descriptor = ::open(pipe.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+        return descriptor >= 0;
+    }));
+    edge.signal(GetParam().signal);
+    const std::string text = settings(1).dump();
+    // What is read again on a reload is a plain file.
+    scratch_.write("settings", text);
+    std::signal(SIGPIPE, SIG_IGN);
+    EXPECT_EQ(::write(descriptor, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+    ::close(descriptor);
+    edge.waitFor(GetParam().event);
+    if (GetParam().signal == SIGHUP) {
+        edge.signal(SIGTERM);
+    }
+    EXPECT_EQ(edge.wait(), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Signals, EarlySignal, testing::ValuesIn(EarlySignalRows),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 // A request that outlasts the grace of a stop ends with a closed connection and no answer.
 TEST_F(EdgeProcess, RequestThatOutlastsTheGraceOfAStopIsTold)
 {
--- a/test/Support/Process.cpp
+++ b/test/Support/Process.cpp
@@ -136,11 +136,16 @@
 
 Process::Process(const ScratchFolder &scratch, const std::string &program, const std::string &name,
                  const nlohmann::json &settings, std::vector<std::string> environment)
+    : Process(scratch, program, name, SettingsPath{scratch.write(name + ".json", settings.dump(4))},
+              std::move(environment))
+{}
+
+Process::Process(const ScratchFolder &scratch, const std::string &program, const std::string &name,
+                 const SettingsPath &settings, std::vector<std::string> environment)
     : name_(name), logPath_(scratch.path(name + ".log"))
 {
-    const std::string file = scratch.write(name + ".json", settings.dump(4));
     // The edge logs on standard output, the others on standard error.
-    id_ = spawn(program, {"--settings", file}, logPath_, logPath_, std::move(environment));
+    id_ = spawn(program, {"--settings", settings.path}, logPath_, logPath_, std::move(environment));
 }
 
 Process::~Process()
--- a/test/Support/Process.h
+++ b/test/Support/Process.h
@@ -45,6 +45,12 @@
 ProgramResult runProgram(const ScratchFolder &scratch, const std::string &program,
                          const std::vector<std::string> &arguments);
 
+/// The path of a settings file that the test makes itself.
+struct SettingsPath
+{
+    std::string path;
+};
+
 /// A running daemon. Not thread safe.
 class Process
 {
@@ -57,6 +63,9 @@
     /// folder.
     Process(const ScratchFolder &scratch, const std::string &program, const std::string &name,
             const nlohmann::json &settings, std::vector<std::string> environment = {});
+    /// Starts it with the settings of that file, which may be a pipe that holds the start up.
+    Process(const ScratchFolder &scratch, const std::string &program, const std::string &name,
+            const SettingsPath &settings, std::vector<std::string> environment = {});
     ~Process(); ///< SIGKILL if it still runs
     Process(const Process &) = delete;
     Process &operator=(const Process &) = delete;
--- a/tools/sequoia-edge/Main.cpp
+++ b/tools/sequoia-edge/Main.cpp
@@ -9,11 +9,11 @@
 
 int serve(DaemonContext &daemon)
 {
-    daemon.stop.unblock();
     const EdgeSettings settings = edgeSettingsFrom(daemon.settings);
     platform::PlatformAdapter adapter;
     Edge edge(settings, adapter, daemon.log,
               [&daemon] { return edgeSettingsFrom(daemon.reread()); });
+    daemon.stop.unblock();
     daemon.log.write(Event(events::ProcessStarted).with("address", settings.listenCallers));
     const std::size_t cutOff = edge.run();
     daemon.log.write(Event(events::ProcessStopped).with("cut_off", cutOff));
