--- a/lib/Service/Program.cpp
+++ b/lib/Service/Program.cpp
@@ -67,9 +67,7 @@
 /// Has a crash leave its signal and stack on standard error before it ends the process.
 void reportCrashes()
 {
-    absl::FailureSignalHandlerOptions options;
-    options.alarm_on_failure_secs = 0;
-    absl::InstallFailureSignalHandler(options);
+    absl::InstallFailureSignalHandler(absl::FailureSignalHandlerOptions());
 }
 
 } // namespace
