[Ledger] Hold less idle below half of a budget

All refusals are for the budget. Requests without tokens are a little under a quarter there, so that some workspace must have tokens left. What hosts hold idle when all die stays counted as spent; for a budget with three tenths left the bound on it was 5% of the budget.

Want of endpoints (no refusal for it); a store or peers out of reach (the 503 of that time say "0 given to nobody"); tokens lost between hosts (0 but for one workspace that was used up before 30 s).

Below half of a budget the bound on idle tokens falls with the cube of the part that is left.

PowerLossNearTheEnd.CostsAtMostThreePercentOfTheBudget with 30%, 20% and 10% left: with 30% left 4.0% was never used before the change.

--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -54,6 +54,9 @@
     /// What all holders together hold idle is at most about this part of what is left of a budget,
     /// less as less is left: it is what a loss of power of all hosts costs.
     double idleShare = 0.6;
+    /// With less than this part of a budget left that bound falls with the cube of the part,
+    /// instead of in proportion to it.
+    double idleLowRest = 0.5;
     /// Without a batch for so long, what the last one says no longer bounds the holder. Longer
     /// than a killed process takes to be started again, with its last batch's age.
     Interval silence = std::chrono::milliseconds(2400);
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -299,7 +299,8 @@
     const uint64_t left = leftToUse(workspace, account);
     const double leftPart =
             static_cast<double>(left) / static_cast<double>(std::max<uint64_t>(account.prepaid, 1));
-    return scaled(left, settings_.idleShare * leftPart);
+    const double low = std::min(1.0, leftPart / settings_.idleLowRest);
+    return scaled(left, settings_.idleShare * leftPart * low * low);
 }
 
 Interval TokenHolder::bridged(const WorkspaceId &workspace, const Account &account,
--- a/unittests/Ledger/PowerLossTest.cpp
+++ b/unittests/Ledger/PowerLossTest.cpp
@@ -138,4 +138,29 @@
     expectAQuarterServed(std::chrono::milliseconds(1700));
 }
 
+class PowerLossNearTheEnd : public testing::TestWithParam<int>
+{};
+
+// Guards against refusing callers for a budget of which more than 3% was never used.
+TEST_P(PowerLossNearTheEnd, CostsAtMostThreePercentOfTheBudget)
+{
+    constexpr uint64_t Prepaid = DayTokens * 85 / 100;
+    Fleet fleet(Prepaid);
+    uint64_t spent = 0;
+    bool isPowerLost = false;
+    for (int step = 0; step < DaySeconds * StepsASecond; ++step) {
+        const uint64_t left = Prepaid - spent;
+        if (!isPowerLost && left * 100 <= Prepaid * static_cast<uint64_t>(GetParam())) {
+            isPowerLost = true;
+            fleet.losePower(std::nullopt);
+        }
+        spent += static_cast<uint64_t>(fleet.step()) * TokensARequest;
+    }
+    ASSERT_TRUE(isPowerLost);
+    EXPECT_LE(spent, Prepaid);
+    EXPECT_GE(spent * 100, Prepaid * 97) << spent << " of " << Prepaid << " used";
+}
+
+INSTANTIATE_TEST_SUITE_P(PercentLeft, PowerLossNearTheEnd, testing::Values(30, 20, 10));
+
 } // namespace
