[Edge] Wait before accepting again at the status listeners, too

Out of descriptors, the edge's event loop had no time for callers while somebody asked for readiness or metrics: StatusServer::accept tried again at once after an error, and the connection that it can't take stays in the listener's queue.

Change: AcceptRetry has the wait of 100 ms that Edge::accept made for itself; both use it.

--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -24,6 +24,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "sequoiagate/Base/Statechart.h"
+#include "sequoiagate/Edge/AcceptRetry.h"
 #include "sequoiagate/Edge/EdgeSettings.h"
 #include "sequoiagate/Edge/EndpointDirectory.h"
 #include "sequoiagate/Edge/TokenService.h"
@@ -80,6 +81,7 @@
     Metrics metrics_;
     boost::asio::io_context io_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    AcceptRetry acceptRetry_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
     Statechart exchangeChart_;
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -88,7 +88,7 @@
 Edge::Edge(EdgeSettings settings, EdgeAdapter &adapter, EventLog &log,
            std::function<EdgeSettings()> reread)
     : settings_(std::move(settings)), adapter_(adapter), log_(log), reread_(std::move(reread)),
-      acceptor_(io_), signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_),
+      acceptor_(io_), acceptRetry_(io_), signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_),
       exchangeChart_(Statechart::parse(readShareFile("statecharts/exchange.json"))),
       drainChart_(Statechart::parse(readShareFile("statecharts/drain.json"))), drain_(drainChart_),
       pool_(io_, {}), endpoints_(settings_.domain, settings_.retries, log),
@@ -191,10 +191,8 @@
             return;
         }
         if (error) {
-            // Out of descriptors, mostly: try again with the next tick's room.
             log_.write(Event("caller.not_accepted").with("why", error.message()));
-            const auto again = std::make_shared<boost::asio::steady_timer>(io_, TickInterval);
-            again->async_wait([this, again](const error_code &) { accept(); });
+            acceptRetry_.arm([this] { accept(); });
             return;
         }
         const auto caller = std::make_shared<CallerConnection>(
--- a/lib/Edge/StatusServer.cpp
+++ b/lib/Edge/StatusServer.cpp
@@ -90,7 +90,7 @@
 } // namespace
 
 StatusServer::StatusServer(boost::asio::io_context &io, const tcp::endpoint &listen, Page page)
-    : io_(io), acceptor_(io, listen), page_(std::move(page))
+    : io_(io), acceptor_(io, listen), acceptRetry_(io), page_(std::move(page))
 {
     accept();
 }
@@ -101,9 +101,11 @@
         if (error == boost::asio::error::operation_aborted) {
             return;
         }
-        if (!error) {
-            std::make_shared<StatusConnection>(io_, std::move(socket), page_)->start();
+        if (error) {
+            acceptRetry_.arm([this] { accept(); });
+            return;
         }
+        std::make_shared<StatusConnection>(io_, std::move(socket), page_)->start();
         accept();
     });
 }
--- a/lib/Edge/StatusServer.h
+++ b/lib/Edge/StatusServer.h
@@ -10,6 +10,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "sequoiagate/Edge/AcceptRetry.h"
+
 namespace sequoiagate {
 
 struct StatusPage
@@ -35,6 +37,7 @@
 
     boost::asio::io_context &io_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    AcceptRetry acceptRetry_;
     Page page_;
 };
 
