[Soak] Let callers return at the idle limit, and allow no request to be closed unanswered

The soak used the default idle limit of 15 s, which no connection of its reached, and a pause excused all that was cut off behind it.

Change: in seeds of remainder 6 of 8 the idle limit is 250 ms, and as many callers more keep a connection to one host idle for about that long and send together. In all seeds a new check: a request that reached an endpoint, run or not, doesn't end with its caller's connection closed and no head of an answer, unless the caller left, or a kill, a loss of power or a reset of callers' connections at its host explains it (with the aftermath of 3 s that the other checks have). The other checks and the list of seeds are as they were.

--- a/test/Soak/Callers.cpp
+++ b/test/Soak/Callers.cpp
@@ -86,6 +86,10 @@
     attempt.sentTo = {host, fleet_.incarnation(host)};
     std::string body;
     httplib::Request request = this->request(attempt);
+    request.response_handler = [&attempt](const httplib::Response &) {
+        attempt.answerBegan = true;
+        return true;
+    };
     request.content_receiver = [&body, hangsUp](const char *bytes, std::size_t size, uint64_t,
                                                 uint64_t) {
         body.append(bytes, size);
@@ -153,11 +157,15 @@
     }
 }
 
-Callers::Callers(const FleetView &fleet, Record &record, int count, uint64_t seed)
+Callers::Callers(const FleetView &fleet, Record &record, int count, uint64_t seed,
+                 std::chrono::milliseconds idleLimit)
     : fleet_(fleet), record_(record)
 {
     for (int i = 0; i < count; ++i) {
         threads_.emplace_back([this, i, seed] { run(i, seed); });
+        if (idleLimit > std::chrono::milliseconds::zero()) {
+            threads_.emplace_back([this, i, seed, idleLimit] { runIdle(i, seed, idleLimit); });
+        }
     }
 }
 
@@ -200,4 +208,21 @@
     }
 }
 
+void Callers::runIdle(int number, uint64_t seed, std::chrono::milliseconds idleLimit)
+{
+    constexpr std::chrono::milliseconds Spread(20);
+    std::mt19937_64 random(~seed * 1000 + static_cast<uint64_t>(number));
+    Caller caller(fleet_, record_, fmt::format("i{}", number));
+    const int host = number % fleet_.hosts;
+    while (!stopping_) {
+        caller.send(random() % 2 == 0 ? "once" : "read", host, "large");
+        // All wake within the spread of common moments, some just before their connection's limit
+        // and some just behind it.
+        const auto now = std::chrono::steady_clock::now() + Spread;
+        const Instant next =
+                now - now.time_since_epoch() % (idleLimit + Spread) + idleLimit + Spread;
+        std::this_thread::sleep_until(next - std::chrono::milliseconds(random() % Spread.count()));
+    }
+}
+
 } // namespace sequoiagate::soak
--- a/test/Soak/Callers.h
+++ b/test/Soak/Callers.h
@@ -4,6 +4,7 @@
 /// Callers that keep connections to all hosts and use them until the host is gone.
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,12 +60,16 @@
 class Callers
 {
 public:
-    Callers(const FleetView &fleet, Record &record, int count, uint64_t seed);
+    /// \param idleLimit of callers' connections; if it isn't zero, \p count more callers keep a
+    /// connection idle for about that long between requests, and send together.
+    Callers(const FleetView &fleet, Record &record, int count, uint64_t seed,
+            std::chrono::milliseconds idleLimit);
     ~Callers();
     void stop();
 
 private:
     void run(int number, uint64_t seed);
+    void runIdle(int number, uint64_t seed, std::chrono::milliseconds idleLimit);
 
     const FleetView &fleet_;
     Record &record_;
--- a/test/Soak/Checks.cpp
+++ b/test/Soak/Checks.cpp
@@ -44,15 +44,27 @@
     return attempt.route == "once" || attempt.route == "chat";
 }
 
+bool reaches(const Disturbance &disturbance, const Attempt &attempt)
+{
+    const bool here =
+            disturbance.host == Disturbance::AllHosts || disturbance.host == attempt.sentTo.host;
+    return here && disturbance.from <= attempt.endedAt
+           && attempt.sentAt <= disturbance.until + Aftermath;
+}
+
 bool undisturbed(const Record &record, const Attempt &attempt)
 {
-    return std::none_of(record.unplanned.begin(), record.unplanned.end(),
-                        [&attempt](const Disturbance &disturbance) {
-                            const bool here = disturbance.host == Disturbance::AllHosts
-                                              || disturbance.host == attempt.sentTo.host;
-                            return here && disturbance.from <= attempt.endedAt
-                                   && attempt.sentAt <= disturbance.until + Aftermath;
-                        });
+    return std::none_of(
+            record.unplanned.begin(), record.unplanned.end(),
+            [&attempt](const Disturbance &disturbance) { return reaches(disturbance, attempt); });
+}
+
+bool closedFromOutside(const Record &record, const Attempt &attempt)
+{
+    return std::any_of(record.unplanned.begin(), record.unplanned.end(),
+                       [&attempt](const Disturbance &disturbance) {
+                           return disturbance.closesCallers && reaches(disturbance, attempt);
+                       });
 }
 
 void checkOwnAnswers(const View &view, Findings &findings)
@@ -232,6 +244,21 @@
     }
 }
 
+/// Unlike a cut-off, this is excused by no failure that leaves the process and its callers'
+/// connections up.
+void checkAnswered(const View &view, Findings &findings)
+{
+    for (const Attempt &attempt : view.record.attempts) {
+        const bool closed = attempt.status == 0 && !attempt.answerBegan && !attempt.leftByCaller;
+        const bool received = view.record.received.count(attempt.id) > 0;
+        if (closed && received && !closedFromOutside(view.record, attempt)) {
+            findings.push_back(fmt::format("nothing is closed unanswered: {} ({}) reached an "
+                                           "endpoint, and host {} closed",
+                                           attempt.id, attempt.route, attempt.sentTo.host));
+        }
+    }
+}
+
 void checkStops(const View &view, Findings &findings)
 {
     for (const StopOf &stop : view.record.stops) {
@@ -247,9 +274,9 @@
 
 using Check = void (*)(const View &, Findings &);
 
-constexpr Check AllChecks[] = {checkOwnAnswers,    checkAtMostOnce, checkNotRun,
-                               checkWorkspaces,    checkSpend,      checkLeaving,
-                               checkConfiguration, checkCutOff,     checkStops};
+constexpr Check AllChecks[] = {
+        checkOwnAnswers, checkAtMostOnce,    checkNotRun, checkWorkspaces, checkSpend,
+        checkLeaving,    checkConfiguration, checkCutOff, checkAnswered,   checkStops};
 
 } // namespace
 
--- a/test/Soak/ChecksTest.cpp
+++ b/test/Soak/ChecksTest.cpp
@@ -30,6 +30,7 @@
     attempt.endedAt = at(11);
     attempt.status = 200;
     attempt.whole = true;
+    attempt.answerBegan = true;
     return attempt;
 }
 
@@ -43,6 +44,7 @@
     chat.events = 10;
     record.add(chat);
     record.add(Run{"b", "w", "e2", 10, false});
+    record.received = {"a", "b"};
     record.prepaid = {{"w", 200}};
     record.allotted = {{"w", 140}};
     record.exact = true;
@@ -127,6 +129,20 @@
              r.attempts[0].status = 0;
              r.attempts[0].whole = false;
          }},
+        {"ClosedUnansweredAfterAPause", "nothing is closed unanswered",
+         [](Record &r) {
+             r.attempts[0].status = 0;
+             r.attempts[0].whole = false;
+             r.attempts[0].answerBegan = false;
+             r.unplanned.push_back({"pause", 1, at(8), at(10)});
+         }},
+        {"ClosedUnansweredAndNotRun", "nothing is closed unanswered",
+         [](Record &r) {
+             r.attempts[0].status = 0;
+             r.attempts[0].whole = false;
+             r.attempts[0].answerBegan = false;
+             r.runs.erase(r.runs.begin());
+         }},
         {"BadExit", "a planned stop",
          [](Record &r) {
              r.stops.push_back({{1, 0}, 1, 0});
@@ -198,6 +214,21 @@
              r.attempts[0].whole = false;
              r.unplanned.push_back({"callers reset", 1, at(8), at(8)});
          }},
+        {"ClosedByAKill",
+         [](Record &r) {
+             r.attempts[0].status = 0;
+             r.attempts[0].whole = false;
+             r.attempts[0].answerBegan = false;
+             r.unplanned.push_back({"kill", 1, at(8), at(10), true});
+         }},
+        {"NeverReachedAnEndpoint",
+         [](Record &r) {
+             r.attempts[0].status = 0;
+             r.attempts[0].whole = false;
+             r.attempts[0].answerBegan = false;
+             r.runs.erase(r.runs.begin());
+             r.received.erase("a");
+         }},
         {"LeftByItsCaller",
          [](Record &r) {
              r.attempts[1].status = 0;
--- a/test/Soak/Endpoint.cpp
+++ b/test/Soak/Endpoint.cpp
@@ -86,6 +86,7 @@
 void Endpoint::serve(const httplib::Request &request, httplib::Response &response)
 {
     const std::string id = request.get_header_value("Request-Id");
+    record_.addReceived(id);
     const int spoilt = spoils_ ? spoiltKind(id) : Sound;
     response.set_header("Request-Id", spoilt == Foreign ? "another" : id);
     if (request.get_header_value("Expect-Instance") != this->id()) {
--- a/test/Soak/Record.h
+++ b/test/Soak/Record.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,7 @@
     int status = 0;            ///< 0: no answer
     bool notRun = false;       ///< the answer says that it has not run
     bool whole = false;        ///< the whole of its own answer came
+    bool answerBegan = false;  ///< the head of an answer came
     std::string wrong;         ///< what was wrong with a success, if anything
     uint64_t events = 0;       ///< of a stream, as they came
     bool leftByCaller = false; ///< it gave up or hung up: how it would have ended isn't known
@@ -65,6 +67,7 @@
     int host = AllHosts;
     Instant from{};
     Instant until{};
+    bool closesCallers = false; ///< it breaks callers' connections
 };
 
 /// A record of the store that processes must act on once they have read past it.
@@ -88,6 +91,7 @@
 {
     std::vector<Attempt> attempts;
     std::vector<Run> runs;
+    std::set<std::string> received; ///< requests that reached an endpoint, also if not run
     std::vector<Disturbance> unplanned;
     std::vector<Published> published;
     std::vector<StopOf> stops;
@@ -107,6 +111,11 @@
         const std::lock_guard lock(mutex);
         runs.push_back(std::move(run));
     }
+    void addReceived(const std::string &id)
+    {
+        const std::lock_guard lock(mutex);
+        received.insert(id);
+    }
 
     std::mutex mutex;
 };
--- a/test/Soak/Schedule.cpp
+++ b/test/Soak/Schedule.cpp
@@ -24,6 +24,7 @@
     int longestMs;
     Act begin;
     Act end; ///< nullptr: it is over at once
+    bool closesCallers = false;
 };
 
 /// A stop ends with the process; the new one starts behind it.
@@ -36,7 +37,7 @@
 };
 
 constexpr Kind Failures[] = {
-        {"kill", Target::Host, Reach::ItsHost, 100, 2500, &World::kill, &World::restart},
+        {"kill", Target::Host, Reach::ItsHost, 100, 2500, &World::kill, &World::restart, true},
         {"pause", Target::Host, Reach::ItsHost, 100, 3500, &World::pause, &World::resume},
         {"store one way", Target::Host, Reach::ItsHost, 300, 4000, &World::holdStoreForth,
          &World::healStore},
@@ -62,7 +63,7 @@
          &World::healPeers},
         {"callers far", Target::Host, Reach::ItsHost, 300, 2000, &World::delayCallers,
          &World::healCallers},
-        {"callers reset", Target::Host, Reach::ItsHost, 0, 0, &World::resetCallers, nullptr},
+        {"callers reset", Target::Host, Reach::ItsHost, 0, 0, &World::resetCallers, nullptr, true},
         {"endpoint far", Target::Endpoint, Reach::AllHosts, 300, 2000, &World::delayEndpoint,
          &World::healEndpoint},
         {"endpoint silent", Target::Endpoint, Reach::AllHosts, 300, 4000, &World::silenceEndpoint,
@@ -78,8 +79,8 @@
 };
 
 /// Played apart, at moments of their own.
-constexpr Kind PowerLost = {"power lost", Target::Host,      Reach::ItsHost, 100,
-                            3000,         &World::losePower, &World::restart};
+constexpr Kind PowerLost = {"power lost", Target::Host,      Reach::ItsHost,  100,
+                            3000,         &World::losePower, &World::restart, true};
 constexpr Kind StoreDark = {"store dark", Target::Host,       Reach::AllHosts, 5000,
                             8000,         &World::silenceAll, &World::healAll};
 
@@ -177,7 +178,7 @@
         // Until its end is noted it lasts.
         const Instant until =
                 step.kind->end == nullptr ? now : Instant::max() - std::chrono::hours(1);
-        record.unplanned.push_back({step.kind->name, host, now, until});
+        record.unplanned.push_back({step.kind->name, host, now, until, step.kind->closesCallers});
         return;
     }
     for (Disturbance &disturbance : record.unplanned) {
--- a/test/Soak/SoakTest.cpp
+++ b/test/Soak/SoakTest.cpp
@@ -22,6 +22,10 @@
 constexpr uint64_t PlannedEach = 4;
 /// In the seeds of this remainder of it, hosts lose power: all of them, more than once.
 constexpr uint64_t DarkRemainder = 3;
+/// In the seeds of this remainder of so many, callers return after about the idle limit.
+constexpr uint64_t IdleEach = 8;
+constexpr uint64_t IdleRemainder = 6;
+constexpr std::chrono::milliseconds IdleLimit(250);
 
 int numberFrom(const char *variable, int otherwise)
 {
@@ -64,6 +68,9 @@
     WorldShape shape;
     shape.seed = plan.seed;
     shape.hosts = numberFrom("SEQUOIAGATE_SOAK_HOSTS", shape.hosts);
+    if (plan.seed % IdleEach == IdleRemainder) {
+        shape.idleLimit = IdleLimit;
+    }
     // Holders that have much to do use much of what they have while the store is silent.
     shape.callers = (dark ? 8 : 2) * shape.hosts;
     shape.smallBudget = dark ? 4 * shape.smallBudget : shape.smallBudget;
@@ -71,7 +78,7 @@
     {
         World world(shape, record);
         {
-            Callers callers(world.view(), record, shape.callers, plan.seed);
+            Callers callers(world.view(), record, shape.callers, plan.seed, shape.idleLimit);
             play(plan, world, record);
         }
         world.finish();
--- a/test/Soak/World.cpp
+++ b/test/Soak/World.cpp
@@ -48,7 +48,8 @@
             {"gap-target-ms", 400}};
 }
 
-nlohmann::json configuration(uint64_t version, uint64_t smallBudget, uint64_t largeBudget)
+nlohmann::json configuration(uint64_t version, uint64_t smallBudget, uint64_t largeBudget,
+                             const nlohmann::json &limits)
 {
     nlohmann::json routes = {
             route("/once/", "non_idempotent", "plain"), route("/read/", "idempotent", "plain"),
@@ -64,7 +65,7 @@
             {"backends",
              {{{"name", "plain"}, {"max-conns", 400}},
               {{"name", "engines"}, {"max-conns", 400}, {"engine", {{"stride", TokensPerEvent}}}}}},
-            {"limits", nlohmann::json::object()},
+            {"limits", limits},
             {"tenants",
              {{{"name", "small"}, {"api-keys", {"key-small"}}, {"prepaid", smallBudget}},
               {{"name", "large"}, {"api-keys", keys}, {"prepaid", largeBudget}}}}};
@@ -212,10 +213,20 @@
     places_.emplace_back(topic, offset);
 }
 
+nlohmann::json World::limits() const
+{
+    nlohmann::json limits = nlohmann::json::object();
+    if (shape_.idleLimit > std::chrono::milliseconds::zero()) {
+        limits["idle-timeout-ms"] = shape_.idleLimit.count();
+    }
+    return limits;
+}
+
 void World::configure()
 {
     const uint64_t version = version_ + 1;
-    const std::string row = configuration(version, smallBudget_, shape_.largeBudget).dump();
+    const std::string row =
+            configuration(version, smallBudget_, shape_.largeBudget, limits()).dump();
     publish({version, {}, {}, {}}, ConfigTopic, "config", row);
     version_ = version;
 }
--- a/test/Soak/World.h
+++ b/test/Soak/World.h
@@ -29,6 +29,7 @@
     uint64_t smallBudget = 40'000; ///< runs dry within a few seconds
     uint64_t largeBudget = 4'000'000;
     uint64_t seed = 1;
+    std::chrono::milliseconds idleLimit{}; ///< of callers' connections; zero: the default
 };
 
 /// Used by the thread that plays the faults.
@@ -121,6 +122,7 @@
     void start(int host);
     void stopped(int host);
     void list(int endpoint, const std::string &state);
+    nlohmann::json limits() const;
     void configure();
     void publish(Published published, const std::string &topic, const std::string &key,
                  const std::string &value);
