--- a/test/Edge/EdgeProcess.h
+++ b/test/Edge/EdgeProcess.h
@@ -125,6 +125,41 @@
 
     static int status(const httplib::Result &result) { return result ? result->status : 0; }
 
+    /// A request that its endpoint holds back until it is released.
+    class HeldRequest
+    {
+    public:
+        HeldRequest(EndpointStandin &endpoint, const std::string &id) : endpoint_(endpoint)
+        {
+            endpoint_.hold(true);
+            const int before = endpoint_.runs();
+            caller_ = std::thread([this, id] { status_ = status(post(1, id, 100)); });
+            EXPECT_TRUE(eventually([this, before] { return endpoint_.runs() == before + 1; }));
+        }
+        ~HeldRequest()
+        {
+            release();
+            answer();
+        }
+        HeldRequest(const HeldRequest &) = delete;
+        HeldRequest &operator=(const HeldRequest &) = delete;
+
+        void release() { endpoint_.hold(false); }
+        /// The status of its answer; 0 if its connection was closed without one.
+        int answer()
+        {
+            if (caller_.joinable()) {
+                caller_.join();
+            }
+            return status_;
+        }
+
+    private:
+        EndpointStandin &endpoint_;
+        std::thread caller_;
+        int status_ = 0;
+    };
+
     /// Asks until the answer is \p wanted; the limit ends a run that has failed already.
     static bool eventually(const std::function<bool()> &condition)
     {
--- a/test/Edge/EdgeTest.cpp
+++ b/test/Edge/EdgeTest.cpp
@@ -75,18 +75,13 @@
 {
     const auto edge = start(1, "edge");
     ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
-    endpoint_.hold(true);
-    const int before = endpoint_.runs();
-    int answer = 0;
-    std::thread caller([&answer] { answer = status(post(1, "r2", 100)); });
-    EXPECT_TRUE(eventually([this, before] { return endpoint_.runs() == before + 1; }));
+    HeldRequest held(endpoint_, "r2");
     edge->signal(SIGTERM);
     edge->waitFor("process.draining");
     httplib::Client ready(ip(1), ReadyPort);
     EXPECT_EQ(ready.Get("/-/ready")->status, 503);
-    endpoint_.hold(false);
-    caller.join();
-    EXPECT_EQ(answer, 200);
+    held.release();
+    EXPECT_EQ(held.answer(), 200);
     EXPECT_EQ(edge->wait(), 0);
     EXPECT_EQ(edge->waitFor("process.stopped").at("cut_off"), 0);
     EXPECT_EQ(allotted(), 200U);
@@ -144,15 +139,9 @@
     brief["stop_grace_ms"] = 1000;
     Process edge(scratch_, "sequoia-edge", "edge", brief);
     ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
-    endpoint_.hold(true);
-    const int before = endpoint_.runs();
-    int answer = 0;
-    std::thread caller([&answer] { answer = status(post(1, "r2", 100)); });
-    EXPECT_TRUE(eventually([this, before] { return endpoint_.runs() == before + 1; }));
+    HeldRequest held(endpoint_, "r2");
     edge.signal(SIGTERM);
-    caller.join();
-    endpoint_.hold(false);
-    EXPECT_EQ(answer, 502);
+    EXPECT_EQ(held.answer(), 502);
     EXPECT_EQ(edge.wait(), 0);
     EXPECT_EQ(edge.waitFor("process.stopped").at("cut_off"), 1);
 }
--- a/test/Edge/FailureTest.cpp
+++ b/test/Edge/FailureTest.cpp
@@ -77,16 +77,11 @@
     std::string failure;
     std::thread edge([this, &failure] { failure = run(); });
     ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
-    endpoint_.hold(true);
-    const int before = endpoint_.runs();
-    int answer = 0;
-    std::thread caller([&answer] { answer = status(post(1, "r2", 100)); });
-    EXPECT_TRUE(eventually([this, before] { return endpoint_.runs() == before + 1; }));
+    HeldRequest held(endpoint_, "r2");
     EXPECT_EQ(status(post(1, "fail", 100)), 503);
-    endpoint_.hold(false);
-    caller.join();
+    held.release();
+    EXPECT_EQ(held.answer(), 200);
     edge.join();
-    EXPECT_EQ(answer, 200);
     EXPECT_EQ(failure, "a fault of the program");
 }
 
--- a/test/Edge/HeldUpTest.cpp
+++ b/test/Edge/HeldUpTest.cpp
@@ -83,19 +83,13 @@
     brief["stop_grace_ms"] = 3000;
     Process edge(scratch_, "sequoia-edge", "edge", brief);
     ASSERT_TRUE(eventually([] { return status(post(1, "r1", 100)) == 200; }));
-    endpoint_.hold(true);
-    const int before = endpoint_.runs();
-    int answer = 0;
-    std::thread caller([&answer] { answer = status(post(1, "r2", 100)); });
-    EXPECT_TRUE(eventually([this, before] { return endpoint_.runs() == before + 1; }));
+    HeldRequest held(endpoint_, "r2");
     edge.signal(SIGTERM);
     std::this_thread::sleep_for(std::chrono::milliseconds(2330));
     edge.signal(SIGSTOP);
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
     edge.signal(SIGCONT);
-    caller.join();
-    endpoint_.hold(false);
-    EXPECT_EQ(answer, 502);
+    EXPECT_EQ(held.answer(), 502);
     EXPECT_EQ(edge.wait(), 0);
 }
 
