--- a/test/Edge/HeldUpTest.cpp
+++ b/test/Edge/HeldUpTest.cpp
@@ -75,8 +75,7 @@
     EXPECT_EQ(edge->wait(), 0);
 }
 
-// A request that outlasts the grace of a stop ends with a closed connection and no answer: the
-// process was held up in the tenth of a second in which callers are told.
+// A process that is held up at the end of a stop closes its connections without telling callers.
 TEST_F(EdgeProcess, RequestThatOutlastsTheGraceIsToldByAHeldUpProcess)
 {
     nlohmann::json brief = settings(1);
--- a/unittests/PlatformAdapter/StoreTest.cpp
+++ b/unittests/PlatformAdapter/StoreTest.cpp
@@ -53,8 +53,7 @@
     bool isAsked_ = false;
 };
 
-// A write counts as unanswered, and is sent again, though its answer is coming: the timeout had
-// passed in the same round of the event loop in which the first part was read.
+// A write whose answer is coming counts as unanswered: its timeout passed in the same round.
 TEST_F(SlowStore, AnswerThatBeginsTogetherWithTheTimeoutIsTaken)
 {
     bool isDone = false;
--- a/unittests/Proxy/CallerConnectionTest.cpp
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -96,8 +96,7 @@
 INSTANTIATE_TEST_SUITE_P(Rows, CallerConnectionCutOff, testing::ValuesIn(CutOffCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
-// A request is passed on and its connection is closed with no answer: the idle limit had passed
-// in the same round of the event loop in which the request was read.
+// A request is passed on and its connection closed: its idle limit passed in the same round.
 TEST(CallerConnection, RequestReadTogetherWithTheIdleTimeoutIsAnswered)
 {
     ProxyWorldSettings settings;
@@ -108,8 +107,7 @@
     EXPECT_TRUE(world.waitFor("good")) << world.got();
 }
 
-// The caller gets a 400 for a request that it sent well: its bytes came together with the answer
-// to the one before.
+// A sound request gets a 400, since its bytes came together with the answer to the one before.
 TEST(CallerConnection, RequestReadTogetherWithTheAnswerBeforeIsServed)
 {
     ProxyWorld world({{{plain("first")}, {plain("second")}}});
@@ -157,8 +155,7 @@
          }},
 };
 
-// A held-up process passes requests on whose callers' connections have ended already, and closes
-// both connections in the same round.
+// A request is passed on though its caller's connection has ended already.
 TEST_P(CallerGoneUnread, RequestIsNotPassedOn)
 {
     ProxyWorld world({{{plain("first")}, {plain("second")}}});
--- a/unittests/Store/TopicFollowerTest.cpp
+++ b/unittests/Store/TopicFollowerTest.cpp
@@ -235,8 +235,7 @@
 INSTANTIATE_TEST_SUITE_P(Rows, FollowerIsCurrent, testing::ValuesIn(CurrentCases),
                          [](const auto &script) { return std::string(script.param.name); });
 
-// The rows of a read whose handler threw are never told: where the event loop goes on, the next
-// read begins behind them.
+// Rows whose handler threw are never told, since the next read begins behind them.
 TEST(TopicFollower, RowsWhoseHandlerThrewAreReadAgain)
 {
     boost::asio::io_context io;
