[Soak] Keep the logs of a seed that fails, with what was done and when the test stood still

A failing seed now keeps its folder and prints the schedule as it was played, each request that got no whole answer with the endpoints that ran it, the hosts' log lines about the requests of the findings, and when the test's own process (callers, endpoints and store) stood still for more than 200 ms. No check changed.

Trace.* hold the two texts.

--- a/test/Soak/Callers.cpp
+++ b/test/Soak/Callers.cpp
@@ -111,6 +111,7 @@
     const bool hungUp = !result && result.error() == httplib::Error::Canceled;
     attempt.leftByCaller = timedOut || hungUp;
     attempt.status = result ? result->status : 0;
+    attempt.error = result ? std::string() : httplib::to_string(result.error());
     if (streams(attempt.route) && (!result || result->status == 200)) {
         judgeStream(attempt, static_cast<bool>(result), body);
         return;
--- a/test/Soak/Record.h
+++ b/test/Soak/Record.h
@@ -46,6 +46,7 @@
     std::string wrong;         ///< what was wrong with a success, if anything
     uint64_t events = 0;       ///< of a stream, as they came
     bool leftByCaller = false; ///< it gave up or hung up: how it would have ended isn't known
+    std::string error;         ///< why its connection failed, as the caller's library says it
 };
 
 /// A request as an endpoint ran it.
@@ -70,6 +71,18 @@
     bool closesCallers = false; ///< it breaks callers' connections
 };
 
+/// A step of the schedule, as it was played.
+struct PlayedStep
+{
+    static constexpr int TestItself = -1;
+
+    std::string what;
+    bool begins = false;
+    int target = 0; ///< a host's or an endpoint's number, or TestItself
+    Instant at{};
+    Instant doneAt{};
+};
+
 /// A record of the store that processes must act on once they have read past it.
 struct Published
 {
@@ -93,6 +106,7 @@
     std::vector<Run> runs;
     std::set<std::string> received; ///< requests that reached an endpoint, also if not run
     std::vector<Disturbance> unplanned;
+    std::vector<PlayedStep> played;
     std::vector<Published> published;
     std::vector<StopOf> stops;
     std::map<std::string, uint64_t> prepaid;  ///< the most that was in force, by workspace
--- a/test/Soak/Schedule.cpp
+++ b/test/Soak/Schedule.cpp
@@ -201,9 +201,11 @@
             note(record, step, before);
         }
         (world.*step.act)(step.target);
+        const Instant after = std::chrono::steady_clock::now();
         if (!step.begins) {
-            note(record, step, std::chrono::steady_clock::now());
+            note(record, step, after);
         }
+        record.played.push_back({step.kind->name, step.begins, step.target, before, after});
     }
     std::this_thread::sleep_until(start + plan.length);
 }
--- a/test/Soak/SoakTest.cpp
+++ b/test/Soak/SoakTest.cpp
@@ -2,7 +2,8 @@
 /// that overlap. The promises are checked from what callers and endpoints saw.
 ///
 /// By hand, other seeds: SEQUOIAGATE_SOAK_SEEDS=FIRST:COUNT, with SEQUOIAGATE_SOAK_HOSTS and
-/// SEQUOIAGATE_SOAK_SECONDS for larger and longer ones; SEQUOIAGATE_KEEP=1 keeps the logs.
+/// SEQUOIAGATE_SOAK_SECONDS for larger and longer ones; SEQUOIAGATE_KEEP=1 keeps the logs; those of
+/// a seed that fails are always kept.
 
 #include <algorithm>
 #include <cstdlib>
@@ -11,7 +12,9 @@
 #include <gtest/gtest.h>
 
 #include "Checks.h"
+#include "HoldUps.h"
 #include "Schedule.h"
+#include "Trace.h"
 
 using namespace sequoiagate;
 using namespace sequoiagate::soak;
@@ -51,6 +54,23 @@
     return chosen;
 }
 
+/// Keeps the logs of a seed that failed, and prints what is needed to trace it.
+void report(uint64_t seed, const Record &record, ScratchFolder &scratch)
+{
+    const std::vector<std::string> broken = brokenPromises(record);
+    if (broken.empty()) {
+        return;
+    }
+    scratch.keep();
+    const std::string timeline = timelineOf(record);
+    scratch.write("timeline.txt", timeline);
+    for (const std::string &promise : broken) {
+        ADD_FAILURE() << "seed " << seed << ": " << promise;
+    }
+    fmt::print("logs kept in {}\n{}{}", scratch.path(""), timeline,
+               logLinesOf(broken, scratch.path("")));
+}
+
 class Soak : public testing::TestWithParam<uint64_t>
 {};
 
@@ -75,17 +95,19 @@
     shape.callers = (dark ? 8 : 2) * shape.hosts;
     shape.smallBudget = dark ? 4 * shape.smallBudget : shape.smallBudget;
     Record record;
+    ScratchFolder scratch;
+    HoldUps holdUps;
     {
-        World world(shape, record);
+        World world(shape, record, scratch);
         {
             Callers callers(world.view(), record, shape.callers, plan.seed, shape.idleLimit);
             play(plan, world, record);
         }
         world.finish();
     }
-    for (const std::string &broken : brokenPromises(record)) {
-        ADD_FAILURE() << "seed " << plan.seed << ": " << broken;
-    }
+    const std::vector<PlayedStep> heldUp = holdUps.stop();
+    record.played.insert(record.played.end(), heldUp.begin(), heldUp.end());
+    report(plan.seed, record, scratch);
     std::map<std::string, int> outcomes;
     for (const Attempt &attempt : record.attempts) {
         ++outcomes[fmt::format("{} {}", attempt.route,
--- a/test/Soak/World.cpp
+++ b/test/Soak/World.cpp
@@ -73,9 +73,9 @@
 
 } // namespace
 
-World::World(WorldShape shape, Record &record)
-    : shape_(shape), record_(record), store_(ip(StoreHost), Workers), hosts_(at(shape.hosts)),
-      endpoints_(at(shape.endpoints)),
+World::World(WorldShape shape, Record &record, const ScratchFolder &scratch)
+    : shape_(shape), record_(record), scratch_(scratch), store_(ip(StoreHost), Workers),
+      hosts_(at(shape.hosts)), endpoints_(at(shape.endpoints)),
       incarnations_(std::make_unique<std::atomic<int>[]>(at(shape.hosts))),
       smallBudget_(shape.smallBudget), random_(shape.seed)
 {
--- a/test/Soak/World.h
+++ b/test/Soak/World.h
@@ -36,7 +36,8 @@
 class World
 {
 public:
-    World(WorldShape shape, Record &record);
+    /// \pre \p scratch outlives it. The processes' logs are written there.
+    World(WorldShape shape, Record &record, const ScratchFolder &scratch);
     ~World();
 
     const WorldShape &shape() const { return shape_; }
@@ -132,7 +133,7 @@
 
     WorldShape shape_;
     Record &record_;
-    ScratchFolder scratch_;
+    const ScratchFolder &scratch_;
     RelayLoop loop_;
     StoreStandin store_;
     std::vector<Host> hosts_;
--- a/test/Support/Process.cpp
+++ b/test/Support/Process.cpp
@@ -101,7 +101,7 @@
 ScratchFolder::~ScratchFolder()
 {
     std::error_code ignored;
-    if (std::getenv("SEQUOIAGATE_KEEP") == nullptr) {
+    if (!keeps_ && std::getenv("SEQUOIAGATE_KEEP") == nullptr) {
         std::filesystem::remove_all(path_, ignored);
     }
 }
