--- a/unittests/Ledger/HomesTest.cpp
+++ b/unittests/Ledger/HomesTest.cpp
@@ -66,10 +66,12 @@
     }
 
     /// \returns requests that were served.
-    int play(int seconds)
+    int play(int seconds) { return playTicks(seconds * TicksASecond); }
+
+    int playTicks(int ticks)
     {
         int served = 0;
-        for (int tick = 0; tick < seconds * TicksASecond; ++tick) {
+        for (int tick = 0; tick < ticks; ++tick) {
             if (tick % RequestEach == 0) {
                 waiting_.push_back({random_() % Hosts, LeastTokens + random_() % TokensSpread,
                                     now_ + Patience});
@@ -78,6 +80,7 @@
             for (std::size_t i = 0; i < Hosts; ++i) {
                 write(*holders_[i]);
                 ask(i);
+                returnLeftover(i);
             }
             served += serve();
             now_ += Tick;
@@ -86,6 +89,15 @@
     }
 
     uint64_t spent() const { return spent_; }
+    /// What all holders together have and haven't used: what a loss of power of all of them costs.
+    uint64_t idle() const
+    {
+        uint64_t owned = 0;
+        for (const auto &holder : holders_) {
+            owned += holder->owned(W);
+        }
+        return owned - spent_;
+    }
     uint64_t moves() const { return moves_; }
 
 private:
@@ -153,6 +165,16 @@
         }
     }
 
+    /// To the near home, as the hosts do with what a request left of moved tokens.
+    void returnLeftover(std::size_t from)
+    {
+        if (!homes_) {
+            return;
+        }
+        const uint64_t moved = holders_[from]->releaseLeftover(W, now_);
+        holders_[from % Domains]->take(W, moved, now_);
+    }
+
     bool homes_;
     std::minstd_rand random_{1};
     Instant now_{std::chrono::hours(1)};
@@ -202,6 +224,25 @@
     EXPECT_LE(fleet.spent(), Prepaid);
 }
 
+// Guards against refusing callers for a budget of which more than 3% was never used.
+TEST(HomesNearTheEnd, LossOfPowerCostsAtMostThreePercentOfTheBudget)
+{
+    constexpr uint64_t MostCost = Prepaid * 3 / 100;
+    Fleet fleet(true, TokenHolderSettings().idleShare);
+    uint64_t mostIdle = 0;
+    uint64_t leftThen = 0;
+    while (fleet.spent() < Prepaid * 90 / 100) {
+        ASSERT_GT(fleet.playTicks(TicksASecond), 0);
+        const uint64_t left = Prepaid - fleet.spent();
+        const bool isNearTheEnd = left * 100 <= Prepaid * 30;
+        if (isNearTheEnd && fleet.idle() > mostIdle) {
+            mostIdle = fleet.idle();
+            leftThen = left;
+        }
+    }
+    EXPECT_LE(mostIdle, MostCost) << "held idle with " << leftThen << " of " << Prepaid << " left";
+}
+
 INSTANTIATE_TEST_SUITE_P(Outages, HomesInAnOutage, testing::ValuesIn(Outages),
                          [](const auto &row) { return std::string(row.param.name); });
 
