[Router] End reservations at keepers that the last view lacks, too

A keeper made a reservation, its answer was lost, and by the time the router came to end it the keeper was missing from its view (paused, or cut off for seconds). KeeperClient::release took that for "gone, and its reservations with it" and dropped it. The keeper came back and kept the tokens for as long as the router lived: the workspace could use less than it prepaid, and nothing was overspent.

TwoKeepers.ReservationAtOneThatAViewLacksIsEnded failed before, the reservation was still open 30 s after the keeper was listed again; it passes with the change, as do the other tests of two keepers and of lost answers. The outbox tries on for 10 minutes, far longer than a pause or a cut; past that a keeper counts as gone.

--- a/include/sequoiagate/Router/KeeperClient.h
+++ b/include/sequoiagate/Router/KeeperClient.h
@@ -40,8 +40,8 @@
     wire::ReserveReply reserve(const wire::ReserveRequest &request,
                                std::vector<std::string> &unanswered);
     /// Ends the reservation that \p request may have made at the keeper \p name.
-    /// \returns false when it must be tried again; true also when the keeper is gone,
-    /// and its reservations with it.
+    /// \returns false when it must be tried again: the keeper gave no answer, or the last view
+    /// doesn't name it.
     bool release(const std::string &name, const wire::ReserveRequest &request);
     /// Claims under an attempt of its own at each keeper asked. A keeper that gave no
     /// answer takes its claim back in time and writes that it wasn't run: were the
--- a/include/sequoiagate/Router/KeeperOutbox.h
+++ b/include/sequoiagate/Router/KeeperOutbox.h
@@ -60,6 +60,7 @@
     {
         std::string keeper;
         wire::ReserveRequest request;
+        Instant giveUpAt; ///< the keeper counts as gone then, and its reservations with it
     };
 
     struct Item
--- a/lib/Router/KeeperClient.cpp
+++ b/lib/Router/KeeperClient.cpp
@@ -96,7 +96,9 @@
 {
     const KeeperPtr keeper = find(name);
     if (!keeper) {
-        return true;
+        // Out of the view isn't gone: one that was paused or cut off comes back with its
+        // reservations.
+        return false;
     }
     // The same attempt again is answered with the reservation it made before, or makes
     // one now; either is ended at once.
--- a/lib/Router/KeeperOutbox.cpp
+++ b/lib/Router/KeeperOutbox.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Millis AfterFailure{200};
+/// Far longer than a host's pause or a cut between hosts lasts.
+constexpr std::chrono::minutes ReleaseWithin{10};
 
 } // namespace
 
@@ -49,7 +51,8 @@
 void KeeperOutbox::release(std::string keeper, wire::ReserveRequest request)
 {
     // A planned stop doesn't wait for it: the keeper asks after silent routers' requests.
-    post({Release{std::move(keeper), std::move(request)}, Instant(), true, false});
+    const Instant giveUpAt = std::chrono::steady_clock::now() + ReleaseWithin;
+    post({Release{std::move(keeper), std::move(request), giveUpAt}, Instant(), true, false});
 }
 
 void KeeperOutbox::post(Item item)
@@ -121,7 +124,9 @@
         return keepers_.settleWith(note->keeper, note->request);
     }
     const Release &release = std::get<Release>(item.message);
-    result.set_durable_offset(keepers_.release(release.keeper, release.request) ? 1 : 0);
+    const bool isOver = keepers_.release(release.keeper, release.request)
+                        || std::chrono::steady_clock::now() >= release.giveUpAt;
+    result.set_durable_offset(isOver ? 1 : 0);
     return result;
 }
 
--- a/test/Router/FakeKeeper.cpp
+++ b/test/Router/FakeKeeper.cpp
@@ -26,10 +26,22 @@
     server_->Shutdown(std::chrono::system_clock::now());
 }
 
-void FakeKeeper::failSettles()
+bool FakeKeeper::show(std::vector<wire::KeeperEntry> newOthers)
+{
+    const auto isRead = [&] {
+        mutex_.AssertHeld();
+        return viewSerialRead_ == viewSerial_;
+    };
+    absl::MutexLock lock(&mutex_);
+    others = std::move(newOthers);
+    ++viewSerial_;
+    return mutex_.AwaitWithTimeout(absl::Condition(&isRead), absl::Seconds(30));
+}
+
+void FakeKeeper::failSettles(bool fail)
 {
     absl::MutexLock lock(&mutex_);
-    failSettles_ = true;
+    failSettles_ = fail;
 }
 
 bool FakeKeeper::sawSettleOf(const std::string &request) const
@@ -202,13 +214,18 @@
                                   wire::ReadViewReply *reply)
 {
     absl::MutexLock lock(&mutex_);
+    viewSerialRead_ = request->have_view_serial();
+    const auto isOver = [&] {
+        mutex_.AssertHeld();
+        return stopping_ || request->have_view_serial() < viewSerial_;
+    };
     if (request->have_config_version() >= config_.version() && request->have_view_serial() > 0) {
-        mutex_.AwaitWithTimeout(absl::Condition(&stopping_),
+        mutex_.AwaitWithTimeout(absl::Condition(&isOver),
                                 absl::Milliseconds(static_cast<int64_t>(request->wait_ms())));
     }
     *reply->mutable_config() = config_;
     reply->set_config_version(config_.version());
-    reply->set_view_serial(1);
+    reply->set_view_serial(viewSerial_);
     *reply->add_keepers() = entry;
     for (const wire::KeeperEntry &other : others) {
         *reply->add_keepers() = other;
--- a/test/Router/FakeKeeper.h
+++ b/test/Router/FakeKeeper.h
@@ -28,8 +28,12 @@
     /// What views say of this keeper. Set both before a router reads one.
     wire::KeeperEntry entry;
     std::vector<wire::KeeperEntry> others; ///< whom its views name, too
-    /// Every Settle fails from now on.
-    void failSettles();
+    /// Its views name these from now on, too. Waits until the router has such a view. \pre one
+    /// router reads its views. \returns false if it still hasn't after a limit that only a failed
+    /// run reaches.
+    bool show(std::vector<wire::KeeperEntry> others);
+    /// Whether every Settle fails from now on.
+    void failSettles(bool fail);
     /// Whether a Settle of this request came, also one that failed.
     bool sawSettleOf(const std::string &request) const;
     /// The reply to every Reserve from now on; an unset outcome grants again.
@@ -64,6 +68,8 @@
 private:
     mutable absl::Mutex mutex_;
     wire::ConfigState config_;
+    uint64_t viewSerial_ = 1;
+    uint64_t viewSerialRead_ = 0; ///< that the router has
     bool failSettles_ = false;
     std::set<std::string> settledRequests_;
     wire::ReserveReply reserveReply_;
--- a/test/Router/RouterTest.cpp
+++ b/test/Router/RouterTest.cpp
@@ -583,7 +583,7 @@
 // Each answer waits for a keeper that is gone: it is asked until it fails, and not again.
 TEST_F(TwoKeepers, UnlistedOneThatFailsIsNotAskedAgain)
 {
-    other_->failSettles();
+    other_->failSettles(true);
     EXPECT_TRUE(chat("r1").whole);
     EXPECT_TRUE(other_->sawSettleOf("r1"));
     EXPECT_TRUE(chat("r2").whole);
@@ -591,4 +591,30 @@
     own_->awaitBills(2);
 }
 
+// A workspace's tokens are set aside for as long as the router lives: the keeper that holds the
+// reservation was missing from a view when the router came to end it.
+TEST_F(TwoKeepers, ReservationAtOneThatAViewLacksIsEnded)
+{
+    constexpr Millis UntilNextTry{3000};
+    // The other one is the workspace's home, and the router's own host is asked for its views.
+    const std::string router = log_.identity().incarnation.text();
+    const auto weighsMore = [&](const std::string &key) {
+        return rendezvousWeight(key, other_->entry.host()) > rendezvousWeight(key, "h1");
+    };
+    for (int host = 3; !weighsMore("w1") || weighsMore(router); ++host) {
+        other_->entry.set_host(fmt::format("h{}", host));
+    }
+    own_->others = {other_->entry};
+    other_->failSettles(true);
+    other_->loseReserveAnswers(1);
+    EXPECT_TRUE(chat("r1").whole);
+    EXPECT_EQ(other_->reservations(), 1U);
+    ASSERT_TRUE(own_->show({}));
+    // The router tries to end it while its view lacks the keeper.
+    std::this_thread::sleep_for(UntilNextTry);
+    other_->failSettles(false);
+    ASSERT_TRUE(own_->show({other_->entry}));
+    EXPECT_TRUE(other_->awaitNothingOpen());
+}
+
 } // namespace
