--- a/test/Soak/SoakTest.cpp
+++ b/test/Soak/SoakTest.cpp
@@ -54,21 +54,19 @@
     return chosen;
 }
 
-/// Keeps the logs of a seed that failed, and prints what is needed to trace it.
-void report(uint64_t seed, const Record &record, ScratchFolder &scratch)
+/// Prints what is needed to trace a seed that failed, beside its logs.
+void report(uint64_t seed, const Record &record, const ScratchFolder &scratch)
 {
     const std::vector<std::string> broken = brokenPromises(record);
     if (broken.empty()) {
         return;
     }
-    scratch.keep();
     const std::string timeline = timelineOf(record);
     scratch.write("timeline.txt", timeline);
     for (const std::string &promise : broken) {
         ADD_FAILURE() << "seed " << seed << ": " << promise;
     }
-    fmt::print("logs kept in {}\n{}{}", scratch.path(""), timeline,
-               logLinesOf(broken, scratch.path("")));
+    fmt::print("{}{}", timeline, logLinesOf(broken, scratch.path("")));
 }
 
 class Soak : public testing::TestWithParam<uint64_t>
--- a/test/Support/Process.cpp
+++ b/test/Support/Process.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -10,6 +11,7 @@
 
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <gtest/gtest.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -100,8 +102,13 @@
 
 ScratchFolder::~ScratchFolder()
 {
-    std::error_code ignored;
-    if (!keeps_ && std::getenv("SEQUOIAGATE_KEEP") == nullptr) {
+    // What a test throws is counted as its failure only behind this.
+    const bool hasFailed = std::uncaught_exceptions() > 0 || testing::Test::HasFailure();
+    if (hasFailed) {
+        fmt::print("the failed test's files are kept in {}\n", path_);
+    }
+    if (!hasFailed && std::getenv("SEQUOIAGATE_KEEP") == nullptr) {
+        std::error_code ignored;
         std::filesystem::remove_all(path_, ignored);
     }
 }
--- a/test/Support/Process.h
+++ b/test/Support/Process.h
@@ -16,7 +16,8 @@
 
 namespace sequoiagate {
 
-/// A folder of one test, removed at its end unless keep() was called.
+/// A folder of one test, removed at its end. That of a test that failed is left, and its path
+/// printed.
 class ScratchFolder
 {
 public:
@@ -25,15 +26,12 @@
     ScratchFolder(const ScratchFolder &) = delete;
     ScratchFolder &operator=(const ScratchFolder &) = delete;
 
-    /// Leaves the folder and its files where they are.
-    void keep() { keeps_ = true; }
     std::string path(const std::string &name) const { return path_ + "/" + name; }
     /// Writes a file whole, by rename, so that a reader never sees half of it.
     std::string write(const std::string &name, const std::string &text) const;
 
 private:
     std::string path_;
-    bool keeps_ = false;
 };
 
 /// What a program that ended by itself left.
--- a/unittests/Ledger/HomesTest.cpp
+++ b/unittests/Ledger/HomesTest.cpp
@@ -168,11 +168,10 @@
     /// To the near home, as the hosts do with what a request left of moved tokens.
     void returnLeftover(std::size_t from)
     {
-        if (!homes_) {
-            return;
+        const uint64_t moved = homes_ ? holders_[from]->releaseLeftover(W, now_) : 0;
+        if (moved > 0) {
+            holders_[from % Domains]->take(W, moved, now_);
         }
-        const uint64_t moved = holders_[from]->releaseLeftover(W, now_);
-        holders_[from % Domains]->take(W, moved, now_);
     }
 
     bool homes_;
