[Proxy] [Edge] Read and log what endpoints say about their load

Responses may name the requests per second that an endpoint accepts and the rejections per second that it bears. Nothing read these fields, so that neither logs nor metrics could tell which limit held at a decision. The dialect decodes them, placement gets them with the time at which the request was sent, and a change is logged as endpoint.notice. No decision depends on them yet.

A 421 comes from another server at the endpoint's address; its notice isn't passed on.

--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -65,6 +65,8 @@
     void onSent(const EndpointId &endpoint, const WorkItem &item, Instant now) override;
     void onFirstToken(const EndpointId &endpoint, const RequestId &request, Instant now) override;
     void onAttemptEnd(const AttemptResult &result, Instant now) override;
+    void onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant sentAt,
+                  Instant now) override;
     void onStaleEndpoint(const EndpointId &endpoint, Instant now) override;
     bool mayRetry(const ServiceId &service, Instant now) override;
     void onRequest(const ServiceId &service, Instant now) override;
@@ -78,6 +80,7 @@
         boost::asio::ip::tcp::endpoint address;
         Instant removeAt = Never; ///< end of the grace period after its entry disappeared
         Instant excludedUntil{};  ///< not chosen before then, since it was unreachable
+        EndpointNotice notice;    ///< of its last response
     };
 
     EventLog &log_;
--- a/include/sequoiagate/Proxy/Dialect.h
+++ b/include/sequoiagate/Proxy/Dialect.h
@@ -13,6 +13,7 @@
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
 #include "sequoiagate/Base/Verdict.h"
+#include "sequoiagate/Decisions/EndpointNotice.h"
 #include "sequoiagate/Proxy/HttpMessage.h"
 
 namespace sequoiagate {
@@ -57,6 +58,7 @@
     bool isEventStream = false;
     bool hasContentEncoding = false; ///< the body has a content coding (e.g. compressed)
     bool hasSignature = false;
+    EndpointNotice notice;
 };
 
 /// Immutable and therefore thread-safe.
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -20,6 +20,7 @@
 #include "sequoiagate/Base/Statechart.h"
 #include "sequoiagate/Base/Verdict.h"
 #include "sequoiagate/Config/ServingConfig.h"
+#include "sequoiagate/Decisions/EndpointNotice.h"
 #include "sequoiagate/Decisions/EndpointSpec.h"
 #include "sequoiagate/Decisions/LinkLoad.h"
 #include "sequoiagate/Decisions/WorkItem.h"
@@ -51,6 +52,9 @@
     virtual void onFirstToken(const EndpointId &endpoint, const RequestId &request,
                               Instant now) = 0;
     virtual void onAttemptEnd(const AttemptResult &result, Instant now) = 0;
+    /// The endpoint's response to a request sent at \p sentAt has arrived, with this notice.
+    virtual void onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant sentAt,
+                          Instant now) = 0;
     /// The directory entry is out of date: the address belongs to another endpoint or to none.
     virtual void onStaleEndpoint(const EndpointId &endpoint, Instant now) = 0;
     /// Whether the retry budget of \p service allows one more retry.
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -1,6 +1,7 @@
 #include "sequoiagate/Edge/EndpointDirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -249,6 +250,28 @@
     selector_.onEnd(result, now);
 }
 
+void EndpointDirectory::onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant,
+                                 Instant)
+{
+    const auto found = entries_.find(endpoint);
+    if (found == entries_.end()) {
+        return;
+    }
+    const EndpointNotice known = std::exchange(found->second.notice, notice);
+    const bool changed = known.maxRequestsPerSecond != notice.maxRequestsPerSecond
+                         || known.maxRejectionsPerSecond != notice.maxRejectionsPerSecond;
+    if (!changed) {
+        return;
+    }
+    constexpr double None = -1.0;
+    log_.write(Event("endpoint.notice")
+                       .with("endpoint", endpoint)
+                       .with("max_requests_per_s", notice.maxRequestsPerSecond.value_or(None))
+                       .with("max_rejections_per_s", notice.maxRejectionsPerSecond
+                                                             ? *notice.maxRejectionsPerSecond
+                                                             : None));
+}
+
 void EndpointDirectory::onStaleEndpoint(const EndpointId &endpoint, Instant now)
 {
     const auto found = entries_.find(endpoint);
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -33,6 +33,9 @@
 /// most of the 1.5 s that short calls wait.
 constexpr uint32_t MaxConnectFailures = 3;
 
+/// Another endpoint has taken over the address.
+constexpr int MisdirectedStatus = 421;
+
 Interval scaled(Interval interval, double factor)
 {
     return std::chrono::duration_cast<Interval>(interval * factor);
@@ -340,6 +343,10 @@
         retryOrFail(isForOtherRequest ? "another request's answer came" : "the answer is spoilt");
         return;
     }
+    const bool isOwnResponse = head.status != MisdirectedStatus;
+    if (isOwnResponse) {
+        context_.placement.onNotice(attempt_->endpoint, metadata.notice, attempt_->sentAt, now);
+    }
     if (metadata.notExecuted) {
         return;
     }
@@ -492,11 +499,11 @@
     const Instant now = std::chrono::steady_clock::now();
     const int status = attempt_->head.status;
     const EndpointId endpoint = attempt_->endpoint;
-    if (status == 421) {
+    if (status == MisdirectedStatus) {
         context_.placement.onStaleEndpoint(endpoint, now);
     }
     attempt_->outcome = AttemptOutcome::NotExecuted;
-    endAttempt(status != 421);
+    endAttempt(status != MisdirectedStatus);
     statechart_.handle("not_run");
     const std::string detail = fmt::format("endpoint {} refused with {}", endpoint.text(), status);
     const bool mayRetryNow =
--- a/unittests/PlatformAdapter/DialectTest.cpp
+++ b/unittests/PlatformAdapter/DialectTest.cpp
@@ -121,6 +121,52 @@
     EXPECT_TRUE(dialect.decodeResponse(head).notExecuted);
 }
 
+struct NoticeCase
+{
+    const char *name;
+    int status;
+    std::vector<HttpField> fields;
+    std::optional<double> maxRequestsPerSecond;
+    std::optional<uint32_t> maxRejectionsPerSecond;
+    bool rejected;
+};
+
+class DialectNotice : public testing::TestWithParam<NoticeCase>
+{};
+
+const NoticeCase NoticeCases[] = {
+        {"None", 200, {}, std::nullopt, std::nullopt, false},
+        {"RequestLimit", 200, {{"Server-Limit", " 2.1"}}, 2.1, std::nullopt, false},
+        {"RequestLimitOfNone", 200, {{"server-limit", "0"}}, 0.0, std::nullopt, false},
+        {"RejectionLimit", 200, {{"Server-Brittle", "4"}}, std::nullopt, 4U, false},
+        {"Rejected", 503, {{"Not-Executed", "1"}, {"Server-Limit", "3"}}, 3.0, std::nullopt, true},
+        {"FailedWhileItRan", 503, {}, std::nullopt, std::nullopt, false},
+        {"Misdirected", 421, {{"Not-Executed", "1"}}, std::nullopt, std::nullopt, false},
+        // Guards against reading a malformed limit as one of zero, which would stop all requests.
+        {"Malformed",
+         200,
+         {{"Server-Limit", "-1"}, {"Server-Brittle", "few"}},
+         std::nullopt,
+         std::nullopt,
+         false},
+        {"NotFinite", 200, {{"Server-Limit", "inf"}}, std::nullopt, std::nullopt, false},
+};
+
+TEST_P(DialectNotice, IsDecoded)
+{
+    const NoticeCase &row = GetParam();
+    ResponseHead head;
+    head.status = row.status;
+    head.fields = row.fields;
+    const EndpointNotice notice = platform::PlatformDialect().decodeResponse(head).notice;
+    EXPECT_EQ(notice.maxRequestsPerSecond, row.maxRequestsPerSecond);
+    EXPECT_EQ(notice.maxRejectionsPerSecond, row.maxRejectionsPerSecond);
+    EXPECT_EQ(notice.rejected, row.rejected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, DialectNotice, testing::ValuesIn(NoticeCases),
+                         [](const auto &row) { return row.param.name; });
+
 TEST(Dialect, RefusalHasRetryAfter)
 {
     const platform::PlatformDialect dialect;
--- a/unittests/Proxy/ExchangeTest.cpp
+++ b/unittests/Proxy/ExchangeTest.cpp
@@ -346,6 +346,22 @@
 INSTANTIATE_TEST_SUITE_P(Rows, ExchangeResponse, testing::ValuesIn(ResponseCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against taking over the notice of another server that has got the endpoint's address.
+TEST(Exchange, PassesOnNoticesOfTheEndpointAlone)
+{
+    ProxyTestHarness harness({{{status(421, "Server-Limit: 9\r\n")}},
+                              {{status(503, "Not-Executed: 1\r\nServer-Limit: 2.5\r\n")}},
+                              {{plain("good")}}});
+    harness.config->routes[0].maxAttempts = 3;
+    harness.config->buildIndexes();
+    harness.send(ProxyTestHarness::request("/get/a", "r1"));
+    ASSERT_TRUE(harness.waitFor("good"));
+    ASSERT_EQ(harness.placement.notices.size(), 2U);
+    EXPECT_EQ(harness.placement.notices[0].maxRequestsPerSecond, 2.5);
+    EXPECT_TRUE(harness.placement.notices[0].rejected);
+    EXPECT_FALSE(harness.placement.notices[1].maxRequestsPerSecond);
+}
+
 struct RefusalCase
 {
     const char *name;
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -68,6 +68,10 @@
     void onSent(const EndpointId &, const WorkItem &, Instant) override { ++sent; }
     void onFirstToken(const EndpointId &, const RequestId &, Instant) override {}
     void onAttemptEnd(const AttemptResult &, Instant) override { ++ended; }
+    void onNotice(const EndpointId &, const EndpointNotice &notice, Instant, Instant) override
+    {
+        notices.push_back(notice);
+    }
     void onStaleEndpoint(const EndpointId &endpoint, Instant) override
     {
         staleEndpoints.push_back(endpoint);
@@ -77,6 +81,7 @@
 
     std::vector<PlacementTarget> endpoints;
     std::vector<EndpointId> staleEndpoints;
+    std::vector<EndpointNotice> notices;
     int retriesLeft = 10;
     int sent = 0;
     int ended = 0;
