--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -238,8 +238,27 @@
     released_.notify_all();
 }
 
+void EndpointStandin::setLimit(std::optional<double> perSecond)
+{
+    const std::lock_guard lock(mutex_);
+    limit_ = perSecond;
+}
+
+std::vector<Instant> EndpointStandin::arrivals()
+{
+    const std::lock_guard lock(mutex_);
+    return arrivals_;
+}
+
 void EndpointStandin::serve(const httplib::Request &request, httplib::Response &response)
 {
+    {
+        const std::lock_guard lock(mutex_);
+        arrivals_.push_back(std::chrono::steady_clock::now());
+        if (limit_) {
+            response.set_header("Server-Limit", fmt::format("{}", *limit_));
+        }
+    }
     response.set_header("Request-Id", request.get_header_value("Request-Id"));
     if (request.get_header_value("Expect-Instance") != id_) {
         response.status = 421;
--- a/test/Support/PlatformStandin.h
+++ b/test/Support/PlatformStandin.h
@@ -97,6 +97,10 @@
     int runs() const { return runs_; }
     /// Holds answers back until released.
     void hold(bool held);
+    /// Sets the requests per second that answers name as the endpoint's limit; nullopt: none.
+    void setLimit(std::optional<double> perSecond);
+    /// When each request arrived, including those that it didn't run.
+    std::vector<Instant> arrivals();
 
 private:
     void serve(const httplib::Request &request, httplib::Response &response);
@@ -106,6 +110,8 @@
     std::mutex mutex_;
     std::condition_variable released_;
     bool held_ = false;
+    std::optional<double> limit_;
+    std::vector<Instant> arrivals_;
     HttpStandin http_;
 };
 
