--- /dev/null
+++ b/include/sequoiagate/Decisions/EndpointLimits.h
@@ -0,0 +1,109 @@
+#ifndef SEQUOIAGATE_DECISIONS_ENDPOINTLIMITS_H
+#define SEQUOIAGATE_DECISIONS_ENDPOINTLIMITS_H
+
+/// Decides when this host may send to endpoints that limit the requests of all hosts together.
+/// Pure.
+///
+/// Request limit: an endpoint that names one accepts so many requests per second from the fleet.
+/// A few hosts, chosen by rendezvous hashing over all of them, may send to it, each at an equal
+/// share of the rate and with hardly any burst (the generic cell rate algorithm). With n hosts of
+/// which each had a bucket of its own, the fleet could send n requests at once, however low the
+/// limit is. Hosts that know different members for a while choose nearly the same
+/// holders, so that the sum exceeds the limit by one share for each change of members.
+///
+/// What one host observes reaches the others as records. The newest observation of an endpoint
+/// counts, by its age, so that no clocks are compared.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Decisions/EndpointNotice.h"
+
+namespace sequoiagate {
+
+/// The limits of an endpoint as last observed by any host.
+struct EndpointLimitRecord
+{
+    EndpointId endpoint;
+    uint64_t startedAtMillis = 0; ///< identifies the endpoint's process
+    std::optional<double> maxRequestsPerSecond;
+    std::optional<uint32_t> maxRejectionsPerSecond;
+    Instant observedAt{}; ///< by this host's clock
+};
+
+/// Not thread safe.
+class EndpointLimits
+{
+public:
+    /// How long the end of a limit is told to other hosts.
+    static constexpr Interval EndedRecordLifetime = std::chrono::seconds(10);
+
+    explicit EndpointLimits(HostId self) : self_(std::move(self)) {}
+
+    /// Sets all hosts of the fleet, including this one.
+    void setHosts(std::vector<HostId> hosts);
+    /// Sets the process that listens as \p endpoint; what was known of an earlier one is dropped.
+    void setEndpoint(const EndpointId &endpoint, uint64_t startedAtMillis);
+    void removeEndpoint(const EndpointId &endpoint);
+
+    /// Records the notice of a response to a request that was sent at \p sentAt.
+    /// \returns whether the other hosts should be told at once
+    bool onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant sentAt,
+                  Instant now);
+    /// Records what another host observed. Older observations and endpoints that aren't listed
+    /// here, or run as another process, are ignored.
+    /// \returns whether the limits changed
+    bool onRecord(const EndpointLimitRecord &record, Instant now);
+    void onSent(const EndpointId &endpoint, Instant now);
+
+    /// When this host may next send to \p endpoint: not after \p now if it may now; Never if its
+    /// share is held by other hosts.
+    Instant availableAt(const EndpointId &endpoint, Instant now) const;
+    bool isAvailable(const EndpointId &endpoint, Instant now) const
+    {
+        return availableAt(endpoint, now) <= now;
+    }
+    /// Whether no endpoint has a limit, so that none needs to be checked.
+    bool isEmpty() const { return limitedCount_ == 0; }
+    std::size_t limitedCount() const { return limitedCount_; }
+    /// This host's share of the endpoint's request limit, per second; nullopt without a limit.
+    std::optional<double> sharePerSecond(const EndpointId &endpoint) const;
+    /// The limits that hold for \p endpoint, their age and this host's share, for logs.
+    std::string describe(const EndpointId &endpoint, Instant now) const;
+    /// What other hosts need to know, with ended limits for some time after their end.
+    std::vector<EndpointLimitRecord> records(Instant now) const;
+    std::optional<EndpointLimitRecord> recordOf(const EndpointId &endpoint) const;
+
+    /// The number of hosts that may send to an endpoint with a limit of \p perSecond, in a fleet
+    /// of \p hosts. With one request of each holder at once and one holder too many, the fleet
+    /// stays within one and a half times the limit over four seconds, and five requests.
+    static std::size_t holderCount(double perSecond, std::size_t hosts);
+
+private:
+    struct Endpoint
+    {
+        EndpointLimitRecord record;
+        Instant lastNamedAt{}; ///< a response that named a limit arrived
+        bool isHolder = false; ///< of a share of the request limit
+        double share = 0.0;    ///< per second
+        Instant nextSendAt{};  ///< by that share
+    };
+
+    void apply(Endpoint &endpoint, const EndpointLimitRecord &record);
+    void computeShare(Endpoint &endpoint) const;
+    const Endpoint *find(const EndpointId &id) const;
+
+    HostId self_;
+    std::vector<HostId> hosts_;
+    std::map<EndpointId, Endpoint> endpoints_;
+    std::size_t limitedCount_ = 0;
+};
+
+} // namespace sequoiagate
+
+#endif
--- a/include/sequoiagate/Decisions/EndpointSelector.h
+++ b/include/sequoiagate/Decisions/EndpointSelector.h
@@ -116,8 +116,15 @@
     /// added after the first set begins with a slow start.
     void setEndpoints(const std::vector<EndpointSpec> &endpoints, Instant now);
     /// \param attempted endpoints to exclude: a retry never goes to the same failing endpoint
+    /// \param unavailable endpoints to exclude for a time; unlike an attempted one, such an
+    ///     endpoint doesn't make the request a retry
     SelectionOutcome select(const WorkItem &item, const std::vector<EndpointId> &attempted,
-                            Instant now);
+                            const std::vector<EndpointId> &unavailable, Instant now);
+    SelectionOutcome select(const WorkItem &item, const std::vector<EndpointId> &attempted,
+                            Instant now)
+    {
+        return select(item, attempted, {}, now);
+    }
     void onSent(const EndpointId &endpoint, const WorkItem &item, Instant now);
     /// Records the first token of a request. Without it a slow endpoint is noticed only
     /// when its streams end.
@@ -186,12 +193,13 @@
     const Candidate &selectHome(const WorkItem &item, Instant now);
     static double loadSeconds(const Candidate &candidate);
     void reviewHealth(Service &service, Instant now);
-    void collectCandidates(const Service &service, const std::vector<EndpointId> &attempted,
+    void collectCandidates(const Service &service, const std::vector<EndpointId> &excluded,
                            Instant now);
-    Endpoint *lastResort(const Service &service, const std::vector<EndpointId> &attempted,
+    Endpoint *lastResort(const Service &service, const std::vector<EndpointId> &excluded,
                          Instant now);
     Endpoint *selectProbe(const Service &service, const WorkItem &item, bool isLong,
-                          const std::vector<EndpointId> &attempted, Instant now);
+                          const std::vector<EndpointId> &attempted,
+                          const std::vector<EndpointId> &unavailable, Instant now);
     void markLanes(const Service &service, const ServiceId &name, Instant now);
     static Interval prefillBacklog(const Endpoint &endpoint, Instant now);
     void markEligible(bool isLong, bool localOnly, Instant now);
--- a/include/sequoiagate/Decisions/WorkItem.h
+++ b/include/sequoiagate/Decisions/WorkItem.h
@@ -21,6 +21,7 @@
     WorkspaceId workspace;
     ServiceId service;
     WorkClass workClass = WorkClass::Interactive;
+    uint32_t priority = 0; ///< 0 is the highest
     uint64_t promptTokens = 0;
     uint64_t outputCeiling = 0;
     uint64_t cacheablePrefixTokens = 0; ///< prompt tokens an endpoint may have cached; 0: unknown
--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -72,6 +72,8 @@
     void drainCallers();
     void abortCallers(Instant now);
     void tick();
+    void gossipLimits(Instant now);
+    void onPeerLimits(const std::vector<EndpointLimitRecord> &records);
     void recordLoopLag(Instant now);
     void updateGauges();
 
@@ -109,6 +111,7 @@
     Instant closeAt_ = Never; ///< aborted connections are closed then
     Instant endAt_ = Never;   ///< the process exits then even if requests are open
     Instant tickDueAt_ = Never;
+    Instant nextGossipAt_{};
     std::size_t abortedConnections_ = 0;
     std::exception_ptr failure_; ///< thrown by the last handler that failed
 };
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -9,7 +9,12 @@
 ///   disappears during an outage or shortly after it therefore stays in use for a grace period.
 /// - An endpoint that is unreachable, or whose address now belongs to another one, is excluded for
 ///   a while.
+/// - An endpoint that limits the requests of all hosts gets this host's share of them. Where all
+///   endpoints of a service do, requests beyond the share are refused at once, the less urgent ones
+///   first.
 
+#include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -17,6 +22,7 @@
 
 #include "sequoiagate/Config/ServingConfig.h"
 #include "sequoiagate/Decisions/DistributedRetryBudget.h"
+#include "sequoiagate/Decisions/EndpointLimits.h"
 #include "sequoiagate/Decisions/EndpointSelector.h"
 #include "sequoiagate/Proxy/ProxyContext.h"
 
@@ -41,7 +47,11 @@
     /// partitioned may be reachable again at any time.
     static constexpr Interval UnreachableRetryDelay = std::chrono::milliseconds(1000);
 
-    EndpointDirectory(const DomainId &self, DistributedRetryBudgetSettings retries, EventLog &log);
+    EndpointDirectory(const HostId &host, const DomainId &self,
+                      DistributedRetryBudgetSettings retries, EventLog &log);
+
+    /// Called when the other hosts should learn at once what this one observed of an endpoint.
+    std::function<void(const EndpointLimitRecord &)> onLimitObserved;
 
     /// Adds or changes an entry. Takes effect with the next publish.
     void update(const EndpointEntry &entry, Instant now);
@@ -55,7 +65,18 @@
     void tick(Instant now);
     /// Makes changes visible to place().
     void publish(Instant now);
-    void setProcesses(uint32_t count);
+    /// Sets the hosts that share retry budgets and endpoints' limits, including this one.
+    void setHosts(const std::vector<HostId> &hosts);
+    /// Takes over what another host observed.
+    void onPeerLimits(const std::vector<EndpointLimitRecord> &records, Instant now);
+    /// What other hosts need to know of endpoints' limits.
+    std::vector<EndpointLimitRecord> limitRecords(Instant now) const
+    {
+        return limits_.records(now);
+    }
+    std::size_t limitedEndpoints() const { return limits_.limitedCount(); }
+    /// The number of requests that an endpoint's limit sent elsewhere or refused.
+    uint64_t limitedRequests() const { return limitedRequests_; }
     void setRetries(DistributedRetryBudgetSettings settings) { retryBudget_.setSettings(settings); }
     std::size_t size() const { return entries_.size(); }
     std::size_t usable() const;
@@ -72,6 +93,13 @@
     void onRequest(const ServiceId &service, Instant now) override;
 
 private:
+    /// The endpoints of \p service that this host may not send to now, because of their limits.
+    std::vector<EndpointId> limitedNow(const ServiceId &service, Instant now) const;
+    bool yieldsToMoreUrgent(const WorkItem &item, Instant now) const;
+    Verdict refuseByLimits(const WorkItem &item, const std::vector<EndpointId> &limited,
+                           Instant now);
+    std::string describeLimits(const std::vector<EndpointId> &endpoints, Instant now) const;
+    void logLimit(const EndpointLimitRecord &record, const char *source) const;
     void logServiceChanges();
 
     struct ListedEndpoint
@@ -80,11 +108,20 @@
         boost::asio::ip::tcp::endpoint address;
         Instant removeAt = Never; ///< end of the grace period after its entry disappeared
         Instant excludedUntil{};  ///< not chosen before then, since it was unreachable
-        EndpointNotice notice;    ///< of its last response
+    };
+
+    /// Requests of a service that endpoints' limits refused lately.
+    struct Scarcity
+    {
+        std::map<uint32_t, Instant> refusedUntil; ///< by priority
+        Instant nextReturn{};                     ///< when the next refused caller should return
     };
 
     EventLog &log_;
     EndpointSelector selector_;
+    EndpointLimits limits_;
+    std::map<ServiceId, Scarcity> scarcities_;
+    uint64_t limitedRequests_ = 0;
     DistributedRetryBudget retryBudget_;
     std::unordered_map<EndpointId, ListedEndpoint> entries_;
     std::set<ServiceId> servedServices_; ///< services with an endpoint that isn't draining
--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -22,6 +22,7 @@
 
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Decisions/EndpointLimits.h"
 #include "sequoiagate/Ledger/TokenHolder.h"
 #include "sequoiagate/Service/EventLog.h"
 
@@ -68,6 +69,8 @@
         std::function<void(const WorkspaceId &, uint64_t tokens)> onTokensReceived;
         /// A peer responded to a clock request of this process.
         std::function<void(const ClockResponse &)> onClockResponse;
+        /// A peer observed limits of endpoints.
+        std::function<void(const std::vector<EndpointLimitRecord> &)> onLimits;
     };
 
     /// \throws boost::system::system_error if the address can't be bound
@@ -89,6 +92,11 @@
     /// Requests the clock since boot of the process at \p address. \p sinceStart is the time since
     /// the start of this process; the response repeats it.
     void requestClock(const boost::asio::ip::udp::endpoint &address, Millis sinceStart);
+    /// Tells all peers what this host has just observed of an endpoint.
+    void broadcastLimit(const EndpointLimitRecord &record, Instant now);
+    /// Tells a few peers, in rotation, what is known of endpoints' limits: those that missed a
+    /// broadcast or started after it learn it within a few such rounds.
+    void gossipLimits(const std::vector<EndpointLimitRecord> &records, Instant now);
     /// Retransmits unacknowledged transfers. To be called several times a second.
     void tick(Instant now);
     /// The tokens that the peers last reported as usable or reserved; nullopt unless each of them
@@ -123,6 +131,7 @@
     void onAck(const nlohmann::json &message);
     void onClockRequest(const nlohmann::json &message);
     void onClockResponse(const nlohmann::json &message);
+    void onLimits(const nlohmann::json &message);
     uint64_t tokensInTransit(const WorkspaceId &workspace) const;
     void sendTransfer(const WorkspaceId &workspace, uint64_t tokens, const std::string &to,
                       const boost::asio::ip::udp::endpoint &address, Instant now);
@@ -137,6 +146,7 @@
     std::vector<Peer> peers_;
     std::map<WorkspaceId, std::vector<Peer>> homes_; ///< those in this failure domain first
     std::size_t nextPeer_ = 0;
+    std::size_t nextGossipPeer_ = 0;
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 2048> buffer_;
     uint64_t lastTransferId_ = 0;
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -48,8 +48,10 @@
                  EventLog &log, Metrics &metrics);
     ~TokenService() override;
 
-    /// Called when the number of processes in the fleet, including this one, changes.
-    std::function<void(uint32_t)> onProcessCountChanged;
+    /// Called when the hosts of the fleet, including this one, change.
+    std::function<void(const std::vector<HostId> &)> onHostsChanged;
+    /// Called with what another host observed of endpoints' limits.
+    std::function<void(const std::vector<EndpointLimitRecord> &)> onPeerLimits;
 
     void start();
     void setHorizon(Interval horizon) { holder_.setHorizon(horizon); }
@@ -58,6 +60,7 @@
     /// them or \p deadline has passed.
     void stop(Instant deadline, std::function<void()> done);
     bool storeReachable() const { return follower_.reachable(); }
+    PeerLink &peers() { return peers_; }
 
     ReservationTicket reserve(const WorkspaceId &workspace, uint64_t tokens, Instant deadline,
                               std::function<void(std::optional<Verdict>)> handler) override;
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -122,6 +122,7 @@
     /// Records the outcome of the open attempt, if any, when this side aborts it.
     void recordLocalEnd(AttemptOutcome outcome);
     WorkItem workItem() const;
+    uint32_t priority() const;
     Interval remaining(Instant now) const;
     void log(Event event);
 
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -36,6 +36,7 @@
     EndpointId endpoint;
     boost::asio::ip::tcp::endpoint address;
     std::string reason;
+    std::string limits; ///< the endpoint's limits, and those that excluded others, for logs
 };
 
 using PlacementResult = std::variant<PlacementTarget, Verdict>;
--- a/lib/Decisions/EndpointSelector.cpp
+++ b/lib/Decisions/EndpointSelector.cpp
@@ -71,7 +71,8 @@
 }
 
 SelectionOutcome EndpointSelector::select(const WorkItem &item,
-                                          const std::vector<EndpointId> &attempted, Instant now)
+                                          const std::vector<EndpointId> &attempted,
+                                          const std::vector<EndpointId> &unavailable, Instant now)
 {
     const auto found = services_.find(item.service);
     if (found == services_.end()) {
@@ -82,12 +83,15 @@
     reviewHealth(service, now);
     const bool isLong = settings_.longPromptLanes && attempted.empty()
                         && service.longPrompts.classify(item.promptTokens, now);
-    if (Endpoint *probed = selectProbe(service, item, isLong, attempted, now); probed != nullptr) {
+    if (Endpoint *probed = selectProbe(service, item, isLong, attempted, unavailable, now);
+        probed != nullptr) {
         return SelectedEndpoint{probed->spec.id, "probe"};
     }
-    collectCandidates(service, attempted, now);
+    std::vector<EndpointId> excluded = attempted;
+    excluded.insert(excluded.end(), unavailable.begin(), unavailable.end());
+    collectCandidates(service, excluded, now);
     if (candidates_.empty()) {
-        if (Endpoint *last = lastResort(service, attempted, now); last != nullptr) {
+        if (Endpoint *last = lastResort(service, excluded, now); last != nullptr) {
             return SelectedEndpoint{last->spec.id, "last_resort"};
         }
         return noEndpointVerdict(service, attempted, now);
@@ -200,15 +204,14 @@
 }
 
 void EndpointSelector::collectCandidates(const Service &service,
-                                         const std::vector<EndpointId> &attempted, Instant now)
+                                         const std::vector<EndpointId> &excluded, Instant now)
 {
     candidates_.clear();
     double reported = 0.0;
     double ownAtReport = 0.0;
     for (const std::size_t i : service.endpoints) {
         Endpoint &endpoint = endpoints_[i];
-        if (usability(endpoint, now) != Usability::Usable
-            || contains(attempted, endpoint.spec.id)) {
+        if (usability(endpoint, now) != Usability::Usable || contains(excluded, endpoint.spec.id)) {
             continue;
         }
         const EndpointLoad &load = endpoint.load;
@@ -226,7 +229,7 @@
 }
 
 EndpointSelector::Endpoint *EndpointSelector::lastResort(const Service &service,
-                                                         const std::vector<EndpointId> &attempted,
+                                                         const std::vector<EndpointId> &excluded,
                                                          Instant now)
 {
     // A slow or unconfirmed endpoint is better than none.
@@ -235,7 +238,7 @@
         Endpoint &endpoint = endpoints_[i];
         const Usability state = usability(endpoint, now);
         const bool isFallback = state == Usability::Ejected || state == Usability::Probing;
-        if (!isFallback || contains(attempted, endpoint.spec.id)) {
+        if (!isFallback || contains(excluded, endpoint.spec.id)) {
             continue;
         }
         if (best == nullptr || endpoint.load.ownRequests() < best->load.ownRequests()) {
@@ -245,10 +248,10 @@
     return best;
 }
 
-EndpointSelector::Endpoint *EndpointSelector::selectProbe(const Service &service,
-                                                          const WorkItem &item, bool isLong,
-                                                          const std::vector<EndpointId> &attempted,
-                                                          Instant now)
+EndpointSelector::Endpoint *
+EndpointSelector::selectProbe(const Service &service, const WorkItem &item, bool isLong,
+                              const std::vector<EndpointId> &attempted,
+                              const std::vector<EndpointId> &unavailable, Instant now)
 {
     // Only first attempts that can be retried, and that are short if the endpoint is healthy.
     if (!service.outliers.anyOutOfService() || !item.idempotent || isLong || !attempted.empty()) {
@@ -256,7 +259,8 @@
     }
     for (const std::size_t i : service.endpoints) {
         Endpoint &endpoint = endpoints_[i];
-        if (usability(endpoint, now) == Usability::Probing && endpoint.health.wantsProbe(now)) {
+        if (usability(endpoint, now) == Usability::Probing && endpoint.health.wantsProbe(now)
+            && !contains(unavailable, endpoint.spec.id)) {
             return &endpoint;
         }
     }
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -26,6 +26,9 @@
 /// draining endpoint must be noticed.
 constexpr Interval MinEndpointReadInterval = std::chrono::milliseconds(300);
 
+/// How often a few peers are told what is known of endpoints' limits, while any holds.
+constexpr Interval GossipInterval = std::chrono::milliseconds(500);
+
 /// How long before the end of the stop's grace period open requests are aborted: time to send
 /// errors to their callers and to return the tokens to the store.
 constexpr Interval AbortBeforeEnd = std::chrono::milliseconds(600);
@@ -93,7 +96,7 @@
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_),
       exchangeChart_(Statechart::parse(readShareFile("statecharts/exchange.json"))),
       drainChart_(Statechart::parse(readShareFile("statecharts/drain.json"))), drain_(drainChart_),
-      pool_(io_, {}), endpoints_(settings_.domain, settings_.retries, log),
+      pool_(io_, {}), endpoints_(settings_.host, settings_.domain, settings_.retries, log),
       link_(LinkLoadSettings{settings_.linkBytesPerSecond})
 {
     const tcp::endpoint listen = tcpSetting("listen", settings_.listenCallers);
@@ -106,8 +109,14 @@
             io_, *store_,
             tokenSettings(settings_, adapter_.topics().ledger, log.identity().incarnation), log,
             metrics_);
-    tokens_->onProcessCountChanged = [this](uint32_t count) {
-        endpoints_.setProcesses(count);
+    tokens_->onHostsChanged = [this](const std::vector<HostId> &hosts) {
+        endpoints_.setHosts(hosts);
+    };
+    tokens_->onPeerLimits = [this](const std::vector<EndpointLimitRecord> &records) {
+        onPeerLimits(records);
+    };
+    endpoints_.onLimitObserved = [this](const EndpointLimitRecord &record) {
+        tokens_->peers().broadcastLimit(record, std::chrono::steady_clock::now());
     };
     context_ = std::make_unique<ProxyContext>(ProxyContext{
             io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_, link_, log_,
@@ -410,9 +419,27 @@
     });
     checkStop();
     endpoints_.tick(now);
+    gossipLimits(now);
     pool_.closeExpired(now);
 }
 
+void Edge::gossipLimits(Instant now)
+{
+    if (now < nextGossipAt_) {
+        return;
+    }
+    nextGossipAt_ = now + GossipInterval;
+    const std::vector<EndpointLimitRecord> records = endpoints_.limitRecords(now);
+    if (!records.empty()) {
+        tokens_->peers().gossipLimits(records, now);
+    }
+}
+
+void Edge::onPeerLimits(const std::vector<EndpointLimitRecord> &records)
+{
+    endpoints_.onPeerLimits(records, std::chrono::steady_clock::now());
+}
+
 void Edge::recordLoopLag(Instant now)
 {
     if (tickDueAt_ == Never) {
@@ -435,6 +462,8 @@
     };
     metrics_.gauge("edge_callers", static_cast<double>(callers_.size()));
     metrics_.gauge("edge_endpoints_usable", static_cast<double>(endpoints_.usable()));
+    metrics_.gauge("edge_endpoints_limited", static_cast<double>(endpoints_.limitedEndpoints()));
+    metrics_.gauge("edge_requests_limited", static_cast<double>(endpoints_.limitedRequests()));
     metrics_.gauge("edge_config_version", config_ ? static_cast<double>(config_->version) : 0.0);
     metrics_.gauge("edge_config_age_seconds", age(*configFollower_));
     metrics_.gauge("edge_endpoints_age_seconds", age(*endpointFollower_));
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/ip/address_v4.hpp>
+#include <fmt/format.h>
 
 #include "Addresses.h"
 
@@ -22,6 +23,15 @@
     return settings;
 }
 
+/// For this long after a request was refused because of endpoints' limits, less urgent ones of
+/// the service leave them to it.
+constexpr Interval ScarcityDuration = std::chrono::seconds(1);
+
+/// Retry delays told to callers refused because of endpoints' limits: the first where this host
+/// has no share that becomes free earlier.
+constexpr Interval LimitRetryDelay = std::chrono::milliseconds(500);
+constexpr Interval MaxLimitRetryDelay = std::chrono::seconds(2);
+
 struct RemovalReasonName
 {
     RemovalReason reason;
@@ -62,9 +72,9 @@
     return hash;
 }
 
-EndpointDirectory::EndpointDirectory(const DomainId &self, DistributedRetryBudgetSettings retries,
-                                     EventLog &log)
-    : log_(log), selector_(self, selectorSettings()), retryBudget_(retries)
+EndpointDirectory::EndpointDirectory(const HostId &host, const DomainId &self,
+                                     DistributedRetryBudgetSettings retries, EventLog &log)
+    : log_(log), selector_(self, selectorSettings()), limits_(host), retryBudget_(retries)
 {}
 
 void EndpointDirectory::update(const EndpointEntry &entry, Instant now)
@@ -92,6 +102,7 @@
     if (restarted) {
         listed.excludedUntil = Instant();
     }
+    limits_.setEndpoint(entry.id, entry.startedAtMillis);
     changed_ = true;
     log_.write(Event(added ? "endpoint.listed" : "endpoint.changed")
                        .with("endpoint", entry.id)
@@ -143,7 +154,13 @@
 void EndpointDirectory::tick(Instant now)
 {
     const std::size_t before = entries_.size();
-    std::erase_if(entries_, [now](const auto &entry) { return now >= entry.second.removeAt; });
+    std::erase_if(entries_, [this, now](const auto &entry) {
+        const bool isOver = now >= entry.second.removeAt;
+        if (isOver) {
+            limits_.removeEndpoint(entry.first);
+        }
+        return isOver;
+    });
     if (entries_.size() != before) {
         changed_ = true;
     }
@@ -195,10 +212,12 @@
     servedServices_ = std::move(served);
 }
 
-void EndpointDirectory::setProcesses(uint32_t count)
+void EndpointDirectory::setHosts(const std::vector<HostId> &hosts)
 {
+    const auto count = static_cast<uint32_t>(hosts.size());
     selector_.setRouterCount(count);
     retryBudget_.setProcessCount(count);
+    limits_.setHosts(hosts);
 }
 
 std::size_t EndpointDirectory::usable() const
@@ -208,35 +227,111 @@
                           [](const auto &entry) { return !entry.second.entry.draining; }));
 }
 
+std::vector<EndpointId> EndpointDirectory::limitedNow(const ServiceId &service, Instant now) const
+{
+    std::vector<EndpointId> limited;
+    if (limits_.isEmpty()) {
+        return limited;
+    }
+    for (const auto &[id, listed] : entries_) {
+        if (listed.entry.service == service && !limits_.isAvailable(id, now)) {
+            limited.push_back(id);
+        }
+    }
+    return limited;
+}
+
 PlacementResult EndpointDirectory::place(const WorkItem &item,
                                          const std::vector<PromptPart> &prompt,
                                          const std::vector<EndpointId> &tried, Instant now)
 {
-    std::vector<EndpointId> excluded = tried;
+    const std::vector<EndpointId> limited = limitedNow(item.service, now);
+    std::vector<EndpointId> unavailable = limited;
     for (const auto &[id, listed] : entries_) {
         if (now < listed.excludedUntil) {
-            excluded.push_back(id);
+            unavailable.push_back(id);
         }
     }
     WorkItem work = item;
     work.prefixHash = sharedPromptHash(prompt);
     work.cacheablePrefixTokens = sharedPromptTokens(prompt);
-    SelectionOutcome outcome = selector_.select(work, excluded, now);
-    if (std::holds_alternative<Verdict>(outcome) && excluded.size() > tried.size()) {
+    SelectionOutcome outcome = selector_.select(work, tried, unavailable, now);
+    if (std::holds_alternative<Verdict>(outcome) && unavailable.size() > limited.size()) {
         // No other endpoint can be used: one that was unreachable a moment ago is better than
         // none.
-        outcome = selector_.select(work, tried, now);
+        outcome = selector_.select(work, tried, limited, now);
     }
-    if (auto *verdict = std::get_if<Verdict>(&outcome)) {
-        return std::move(*verdict);
+    limitedRequests_ += limited.empty() ? 0 : 1;
+    const auto *chosen = std::get_if<SelectedEndpoint>(&outcome);
+    if (chosen == nullptr && limited.empty()) {
+        return std::move(std::get<Verdict>(outcome));
     }
-    const SelectedEndpoint &chosen = std::get<SelectedEndpoint>(outcome);
-    return PlacementTarget{chosen.endpoint, entries_.at(chosen.endpoint).address, chosen.reason};
+    if (chosen == nullptr) {
+        return refuseByLimits(item, limited, now);
+    }
+    const bool isShared = limits_.sharePerSecond(chosen->endpoint).has_value();
+    if (isShared && yieldsToMoreUrgent(item, now)) {
+        return refuseByLimits(item, {chosen->endpoint}, now);
+    }
+    std::string reason = limits_.describe(chosen->endpoint, now);
+    if (!limited.empty()) {
+        reason += fmt::format("; not available: {}", describeLimits(limited, now));
+    }
+    return PlacementTarget{chosen->endpoint, entries_.at(chosen->endpoint).address, chosen->reason,
+                           std::move(reason)};
+}
+
+bool EndpointDirectory::yieldsToMoreUrgent(const WorkItem &item, Instant now) const
+{
+    const auto found = scarcities_.find(item.service);
+    if (found == scarcities_.end()) {
+        return false;
+    }
+    const std::map<uint32_t, Instant> &refusedUntil = found->second.refusedUntil;
+    return std::any_of(refusedUntil.begin(), refusedUntil.lower_bound(item.priority),
+                       [now](const auto &refused) { return now < refused.second; });
+}
+
+Verdict EndpointDirectory::refuseByLimits(const WorkItem &item,
+                                          const std::vector<EndpointId> &limited, Instant now)
+{
+    Scarcity &scarcity = scarcities_[item.service];
+    scarcity.refusedUntil[item.priority] = now + ScarcityDuration;
+    Instant earliest = now + LimitRetryDelay;
+    double perSecond = 0.0;
+    for (const EndpointId &id : limited) {
+        earliest = std::min(earliest, std::max(limits_.availableAt(id, now), now));
+        perSecond += limits_.sharePerSecond(id).value_or(0.0);
+    }
+    // Refused callers return one by one, as fast as this host's shares allow.
+    Instant returnAt = std::max(earliest, scarcity.nextReturn);
+    if (perSecond > 0.0) {
+        const std::chrono::duration<double> step(1.0 / perSecond);
+        scarcity.nextReturn = returnAt + std::chrono::duration_cast<Interval>(step);
+    }
+    returnAt = std::min(returnAt, now + MaxLimitRetryDelay);
+    scarcity.nextReturn = std::min(scarcity.nextReturn, now + MaxLimitRetryDelay);
+    return {Execution::NotRun, Reason::QueueFull,
+            "endpoints limit their requests: " + describeLimits(limited, now), returnAt};
+}
+
+std::string EndpointDirectory::describeLimits(const std::vector<EndpointId> &endpoints,
+                                              Instant now) const
+{
+    constexpr std::size_t MaxDescribed = 3;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(endpoints.size(), MaxDescribed); ++i) {
+        text += (i == 0 ? "" : "; ") + limits_.describe(endpoints[i], now);
+    }
+    return endpoints.size() > MaxDescribed
+                   ? fmt::format("{}; {} more", text, endpoints.size() - MaxDescribed)
+                   : text;
 }
 
 void EndpointDirectory::onSent(const EndpointId &endpoint, const WorkItem &item, Instant now)
 {
     selector_.onSent(endpoint, item, now);
+    limits_.onSent(endpoint, now);
 }
 
 void EndpointDirectory::onFirstToken(const EndpointId &endpoint, const RequestId &request,
@@ -250,26 +345,39 @@
     selector_.onEnd(result, now);
 }
 
-void EndpointDirectory::onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant,
-                                 Instant)
+void EndpointDirectory::onNotice(const EndpointId &endpoint, const EndpointNotice &notice,
+                                 Instant sentAt, Instant now)
 {
-    const auto found = entries_.find(endpoint);
-    if (found == entries_.end()) {
+    if (!limits_.onNotice(endpoint, notice, sentAt, now)) {
         return;
     }
-    const EndpointNotice known = std::exchange(found->second.notice, notice);
-    const bool changed = known.maxRequestsPerSecond != notice.maxRequestsPerSecond
-                         || known.maxRejectionsPerSecond != notice.maxRejectionsPerSecond;
-    if (!changed) {
-        return;
+    const EndpointLimitRecord record = *limits_.recordOf(endpoint);
+    logLimit(record, "answer");
+    if (onLimitObserved) {
+        onLimitObserved(record);
     }
+}
+
+void EndpointDirectory::onPeerLimits(const std::vector<EndpointLimitRecord> &records, Instant now)
+{
+    for (const EndpointLimitRecord &record : records) {
+        if (limits_.onRecord(record, now)) {
+            logLimit(record, "peer");
+        }
+    }
+}
+
+void EndpointDirectory::logLimit(const EndpointLimitRecord &record, const char *source) const
+{
     constexpr double None = -1.0;
-    log_.write(Event("endpoint.notice")
-                       .with("endpoint", endpoint)
-                       .with("max_requests_per_s", notice.maxRequestsPerSecond.value_or(None))
-                       .with("max_rejections_per_s", notice.maxRejectionsPerSecond
-                                                             ? *notice.maxRejectionsPerSecond
-                                                             : None));
+    log_.write(
+            Event("endpoint.notice")
+                    .with("endpoint", record.endpoint)
+                    .with("source", source)
+                    .with("max_requests_per_s", record.maxRequestsPerSecond.value_or(None))
+                    .with("max_rejections_per_s",
+                          record.maxRejectionsPerSecond ? *record.maxRejectionsPerSecond : None)
+                    .with("share_per_s", limits_.sharePerSecond(record.endpoint).value_or(None)));
 }
 
 void EndpointDirectory::onStaleEndpoint(const EndpointId &endpoint, Instant now)
--- /dev/null
+++ b/lib/Edge/EndpointLimitMessage.cpp
@@ -0,0 +1,72 @@
+#include "EndpointLimitMessage.h"
+
+#include <algorithm>
+
+namespace sequoiagate {
+
+namespace {
+
+/// Records per datagram; some 60 bytes each, so that it isn't fragmented.
+constexpr std::size_t MaxRecords = 20;
+
+template <typename Number>
+nlohmann::json optionalNumber(const std::optional<Number> &number)
+{
+    return number ? nlohmann::json(*number) : nlohmann::json();
+}
+
+template <typename Number>
+std::optional<Number> parseOptional(const nlohmann::json &value)
+{
+    return value.is_null() ? std::nullopt : std::optional(value.get<Number>());
+}
+
+nlohmann::json encodeRecord(const EndpointLimitRecord &record, Instant now)
+{
+    const auto age = std::chrono::duration_cast<Millis>(now - record.observedAt);
+    return {record.endpoint.text(), record.startedAtMillis,
+            optionalNumber(record.maxRequestsPerSecond),
+            optionalNumber(record.maxRejectionsPerSecond), age.count()};
+}
+
+EndpointLimitRecord decodeRecord(const nlohmann::json &value, Instant now)
+{
+    EndpointLimitRecord record;
+    record.endpoint = EndpointId(value.at(0).get<std::string>());
+    record.startedAtMillis = value.at(1).get<uint64_t>();
+    record.maxRequestsPerSecond = parseOptional<double>(value.at(2));
+    record.maxRejectionsPerSecond = parseOptional<uint32_t>(value.at(3));
+    record.observedAt = now - Millis(std::max<int64_t>(value.at(4).get<int64_t>(), 0));
+    return record;
+}
+
+} // namespace
+
+std::vector<std::string> encodeEndpointLimits(const std::vector<EndpointLimitRecord> &records,
+                                              Instant now)
+{
+    std::vector<std::string> datagrams;
+    for (std::size_t first = 0; first < records.size(); first += MaxRecords) {
+        const std::size_t end = std::min(first + MaxRecords, records.size());
+        nlohmann::json encoded = nlohmann::json::array();
+        for (std::size_t i = first; i < end; ++i) {
+            encoded.push_back(encodeRecord(records[i], now));
+        }
+        const nlohmann::json datagram = {{"kind", EndpointLimitMessageKind},
+                                         {"version", 1},
+                                         {"records", std::move(encoded)}};
+        datagrams.push_back(datagram.dump());
+    }
+    return datagrams;
+}
+
+std::vector<EndpointLimitRecord> decodeEndpointLimits(const nlohmann::json &message, Instant now)
+{
+    std::vector<EndpointLimitRecord> records;
+    for (const nlohmann::json &value : message.at("records")) {
+        records.push_back(decodeRecord(value, now));
+    }
+    return records;
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Edge/EndpointLimitMessage.h
@@ -0,0 +1,29 @@
+#ifndef SEQUOIAGATE_LIB_EDGE_ENDPOINTLIMITMESSAGE_H
+#define SEQUOIAGATE_LIB_EDGE_ENDPOINTLIMITMESSAGE_H
+
+/// The datagrams by which hosts tell each other what they observed of endpoints' limits.
+///
+/// Processes of versions before this message ignore it. One of a later version is read as far as
+/// its fields are known.
+
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Decisions/EndpointLimits.h"
+
+namespace sequoiagate {
+
+inline constexpr const char *EndpointLimitMessageKind = "limits";
+
+/// Returns one datagram, or several if the records don't fit into one. Thread safe.
+std::vector<std::string> encodeEndpointLimits(const std::vector<EndpointLimitRecord> &records,
+                                              Instant now);
+/// \throws nlohmann::json::exception for a malformed message. Thread safe.
+std::vector<EndpointLimitRecord> decodeEndpointLimits(const nlohmann::json &message, Instant now);
+
+} // namespace sequoiagate
+
+#endif
--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/buffer.hpp>
 
 #include "Addresses.h"
+#include "EndpointLimitMessage.h"
 #include "sequoiagate/Base/BootClock.h"
+#include "sequoiagate/Base/Rendezvous.h"
 
 namespace sequoiagate {
 
@@ -29,12 +31,18 @@
 /// lost.
 constexpr Interval HomeResponseMaxAge = std::chrono::seconds(5);
 
+/// Peers that get each round of gossip; with three, a record reaches all of 200 hosts in about five
+/// rounds.
+constexpr std::size_t GossipPeers = 3;
+
 } // namespace
 
 PeerLink::PeerLink(boost::asio::io_context &io, const udp::endpoint &listen, Incarnation self,
                    DomainId domain, EventLog &log, Handlers handlers)
     : socket_(io, listen), self_(std::move(self)), domain_(std::move(domain)), log_(log),
-      handlers_(std::move(handlers))
+      handlers_(std::move(handlers)),
+      // Hosts that know the same peers must not all begin with the same ones.
+      nextGossipPeer_(stableHash(self_.text()))
 {
     socket_.non_blocking(true);
     receive();
@@ -108,7 +116,8 @@
                               {"move", &PeerLink::onTransfer},
                               {"ack", &PeerLink::onAck},
                               {"ask_clocks", &PeerLink::onClockRequest},
-                              {"clocks", &PeerLink::onClockResponse}};
+                              {"clocks", &PeerLink::onClockResponse},
+                              {EndpointLimitMessageKind, &PeerLink::onLimits}};
     try {
         const nlohmann::json message = nlohmann::json::parse(text);
         const auto name = message.at("kind").get<std::string>();
@@ -264,6 +273,32 @@
                                Millis(message.at("asked_ms").get<int64_t>())});
 }
 
+void PeerLink::broadcastLimit(const EndpointLimitRecord &record, Instant now)
+{
+    for (const std::string &datagram : encodeEndpointLimits({record}, now)) {
+        for (const Peer &peer : peers_) {
+            send(datagram, peer.address);
+        }
+    }
+}
+
+void PeerLink::gossipLimits(const std::vector<EndpointLimitRecord> &records, Instant now)
+{
+    const std::vector<std::string> datagrams = encodeEndpointLimits(records, now);
+    const std::size_t count = std::min(GossipPeers, peers_.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        for (const std::string &datagram : datagrams) {
+            send(datagram, peers_[nextGossipPeer_ % peers_.size()].address);
+        }
+        ++nextGossipPeer_;
+    }
+}
+
+void PeerLink::onLimits(const nlohmann::json &message)
+{
+    handlers_.onLimits(decodeEndpointLimits(message, std::chrono::steady_clock::now()));
+}
+
 void PeerLink::tick(Instant now)
 {
     for (auto transfer = unacknowledged_.begin(); transfer != unacknowledged_.end();) {
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -70,8 +70,11 @@
                   holder_.transferIn(workspace, tokens, now);
                   serveWaitingRequests(now);
               },
-              [this](const ClockResponse &response) {
-                  onClockResponse(response);
+              [this](const ClockResponse &response) { onClockResponse(response); },
+              [this](const std::vector<EndpointLimitRecord> &records) {
+                  if (onPeerLimits) {
+                      onPeerLimits(records);
+                  }
               }}),
       follower_(io, store, followerSettings(settings_.topic),
                 {[this](const std::vector<StoreRow> &rows, bool) { onRows(rows); },
@@ -353,8 +356,14 @@
     peerClocks_->setPeers(peers);
     peers_.setPeers(std::move(peers));
     chooseHomes();
-    if (onProcessCountChanged) {
-        onProcessCountChanged(count);
+    if (onHostsChanged) {
+        std::vector<HostId> hosts = {settings_.host};
+        for (const auto &[name, peer] : hosts_) {
+            if (peer.host != settings_.host) {
+                hosts.push_back(peer.host);
+            }
+        }
+        onHostsChanged(hosts);
     }
 }
 
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -187,6 +187,12 @@
     place();
 }
 
+uint32_t Exchange::priority() const
+{
+    const bool isOverridden = workspace_ != nullptr && workspace_->overridesPriority;
+    return isOverridden ? workspace_->priority : route_->priority;
+}
+
 WorkItem Exchange::workItem() const
 {
     WorkItem item;
@@ -195,6 +201,7 @@
     item.service = service_->name;
     const bool isInteractive = route_->priority == 0;
     item.workClass = isInteractive ? WorkClass::Interactive : WorkClass::Batch;
+    item.priority = priority();
     item.promptTokens = metadata_.promptTokens;
     item.outputCeiling = metadata_.maxOutputTokens;
     item.idempotent = route_->kind == RouteKind::Idempotent || route_->resumable;
@@ -230,9 +237,7 @@
         metadata.workspace = workspace_->name;
     }
     metadata.sendPriority = service_->isModelEngine;
-    metadata.priority = workspace_ != nullptr && workspace_->overridesPriority
-                                ? workspace_->priority
-                                : route_->priority;
+    metadata.priority = priority();
     return context_.dialect.encodeForward(request_.head, metadata);
 }
 
@@ -253,6 +258,7 @@
                 .with("why", target.reason)
                 .with("attempt", sendCount_)
                 .with("left_ms", millis(remaining(now)).count())
+                .with("limits", target.limits)
                 .with("config", config_->version));
     context_.placement.onSent(target.endpoint, workItem(), now);
     std::string bytes = writeRequestHead(forwardHead(now, target.endpoint), request_.body.size());
--- /dev/null
+++ b/unittests/Decisions/EndpointLimitsTest.cpp
@@ -0,0 +1,460 @@
+/// Limits that endpoints name for all hosts together, kept by fleets of various sizes.
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "sequoiagate/Decisions/EndpointLimits.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+const EndpointId Endpoint("e");
+constexpr uint64_t FirstProcess = 1;
+
+EndpointNotice requestLimit(double perSecond)
+{
+    EndpointNotice notice;
+    notice.maxRequestsPerSecond = perSecond;
+    return notice;
+}
+
+std::vector<HostId> hostNames(int count)
+{
+    std::vector<HostId> hosts;
+    for (int i = 0; i < count; ++i) {
+        hosts.emplace_back(fmt::format("host-{}", i));
+    }
+    return hosts;
+}
+
+/// A fleet of hosts that would send to one endpoint as often as they may. Messages between hosts
+/// take a millisecond or two, and some are lost.
+class LimitedFleet
+{
+public:
+    explicit LimitedFleet(int hosts) : names_(hostNames(hosts))
+    {
+        for (int i = 0; i < hosts; ++i) {
+            nodes_.emplace_back();
+            restart(i);
+        }
+        at(now_, [this] { gossip(); });
+    }
+
+    Instant now() const { return now_; }
+    /// The limit that responses name from now on.
+    std::optional<double> limit;
+    double lossShare = 0.1;
+
+    /// Starts the process of \p host anew, which knows nothing.
+    void restart(int host)
+    {
+        Node &node = nodes_[index(host)];
+        node.limits = std::make_unique<EndpointLimits>(names_[index(host)]);
+        node.limits->setHosts(names_);
+        node.limits->setEndpoint(Endpoint, FirstProcess);
+        ++node.process;
+    }
+
+    /// Adds a host. The others learn of it one after another, within \p within.
+    void join(Interval within)
+    {
+        names_.emplace_back(fmt::format("host-{}", names_.size()));
+        nodes_.emplace_back();
+        const int host = static_cast<int>(nodes_.size()) - 1;
+        restart(host);
+        for (std::size_t i = 0; i + 1 < nodes_.size(); ++i) {
+            const auto delay = Interval(
+                    static_cast<int64_t>(random_() % static_cast<uint64_t>(within.count())));
+            at(now_ + delay, [this, i] { nodes_[i].limits->setHosts(names_); });
+        }
+        call(host, 10.0);
+    }
+
+    /// Lets \p host try to send \p perSecond requests a second, at random times.
+    void call(int host, double perSecond)
+    {
+        std::exponential_distribution<double> gap(perSecond);
+        const auto delay =
+                std::chrono::duration_cast<Interval>(std::chrono::duration<double>(gap(random_)));
+        at(now_ + delay, [this, host, perSecond] {
+            trySend(host);
+            call(host, perSecond);
+        });
+    }
+
+    void run(Interval length)
+    {
+        const Instant end = now_ + length;
+        while (!events_.empty() && events_.top().at <= end) {
+            const Event event = events_.top();
+            events_.pop();
+            now_ = event.at;
+            event.act();
+        }
+        now_ = end;
+    }
+
+    /// The largest number of requests that arrived in 4 s that began at \p from or later.
+    std::size_t mostInWindow(Instant from) const
+    {
+        constexpr Interval Window = std::chrono::seconds(4);
+        std::size_t most = 0;
+        auto first = std::lower_bound(arrivals_.begin(), arrivals_.end(), from);
+        for (auto last = first; last != arrivals_.end(); ++last) {
+            while (*last - *first > Window) {
+                ++first;
+            }
+            most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+        }
+        return most;
+    }
+    std::size_t arrivalsSince(Instant from) const
+    {
+        return static_cast<std::size_t>(
+                arrivals_.end() - std::lower_bound(arrivals_.begin(), arrivals_.end(), from));
+    }
+
+private:
+    struct Node
+    {
+        std::unique_ptr<EndpointLimits> limits;
+        int process = 0;
+    };
+
+    struct Event
+    {
+        Instant at;
+        uint64_t order;
+        std::function<void()> act;
+        bool operator<(const Event &other) const
+        {
+            return std::pair(at, order) > std::pair(other.at, other.order);
+        }
+    };
+
+    static std::size_t index(int host) { return static_cast<std::size_t>(host); }
+    void at(Instant when, std::function<void()> act)
+    {
+        events_.push({when, ++order_, std::move(act)});
+    }
+
+    void trySend(int host)
+    {
+        Node &node = nodes_[index(host)];
+        if (!node.limits->isAvailable(Endpoint, now_)) {
+            return;
+        }
+        node.limits->onSent(Endpoint, now_);
+        arrivals_.push_back(now_);
+        EndpointNotice notice;
+        notice.maxRequestsPerSecond = limit;
+        constexpr Interval Work = std::chrono::milliseconds(20);
+        at(now_ + Work, [this, host, notice, sentAt = now_, process = node.process] {
+            Node &answered = nodes_[index(host)];
+            if (answered.process != process) {
+                return;
+            }
+            if (answered.limits->onNotice(Endpoint, notice, sentAt, now_)) {
+                for (std::size_t i = 0; i < nodes_.size(); ++i) {
+                    tell(i, *answered.limits->recordOf(Endpoint));
+                }
+            }
+        });
+    }
+
+    void tell(std::size_t host, EndpointLimitRecord record)
+    {
+        if (std::uniform_real_distribution<double>()(random_) < lossShare) {
+            return;
+        }
+        const Interval age = now_ - record.observedAt;
+        at(now_ + std::chrono::milliseconds(2), [this, host, record, age]() mutable {
+            record.observedAt = now_ - age;
+            nodes_[host].limits->onRecord(record, now_);
+        });
+    }
+
+    void gossip()
+    {
+        constexpr int Peers = 3;
+        for (const Node &node : nodes_) {
+            for (const EndpointLimitRecord &record : node.limits->records(now_)) {
+                for (int i = 0; i < Peers; ++i) {
+                    tell(random_() % nodes_.size(), record);
+                }
+            }
+        }
+        at(now_ + std::chrono::milliseconds(500), [this] { gossip(); });
+    }
+
+    std::vector<HostId> names_;
+    std::vector<Node> nodes_;
+    std::vector<Instant> arrivals_;
+    std::priority_queue<Event> events_;
+    uint64_t order_ = 0;
+    std::mt19937_64 random_{7};
+    Instant now_{std::chrono::hours(1)};
+};
+
+double allowedInWindow(double limit)
+{
+    constexpr double Tolerance = 1.5;
+    constexpr double Seconds = 4.0;
+    constexpr double Extra = 5.0;
+    return Tolerance * limit * Seconds + Extra;
+}
+
+constexpr Interval Settling = std::chrono::seconds(3);
+
+struct FleetLimitCase
+{
+    const char *name;
+    int hosts;
+    int hostsWithCallers;
+    double perSecond; ///< requests that each of them would send
+    double limit;
+};
+
+class FleetLimit : public testing::TestWithParam<FleetLimitCase>
+{};
+
+// Guards against a limit that each host applies alone: the endpoint then gets a multiple of it.
+TEST_P(FleetLimit, HoldsForAllHostsTogether)
+{
+    const FleetLimitCase &row = GetParam();
+    LimitedFleet fleet(row.hosts);
+    for (int host = 0; host < row.hostsWithCallers; ++host) {
+        fleet.call(host, row.perSecond);
+    }
+    fleet.run(std::chrono::seconds(2));
+    fleet.limit = row.limit;
+    const Instant named = fleet.now();
+    fleet.run(std::chrono::seconds(30));
+    EXPECT_LE(static_cast<double>(fleet.mostInWindow(named + Settling)),
+              allowedInWindow(row.limit));
+}
+
+const FleetLimitCase FleetLimitCases[] = {
+        {"One", 1, 1, 50.0, 2.1},
+        {"Six", 6, 6, 20.0, 2.1},
+        {"SixWithAllCallersAtOne", 6, 1, 100.0, 2.1},
+        {"SixWithCallersAtTwo", 6, 2, 40.0, 3.3},
+        {"SixAtALargerLimit", 6, 6, 30.0, 12.0},
+        {"SixAtLessThanOne", 6, 6, 20.0, 0.4},
+        {"SixAtNone", 6, 6, 20.0, 0.0},
+        {"Forty", 40, 40, 5.0, 2.1},
+        {"FortyAtALargerLimit", 40, 40, 5.0, 20.0},
+        {"SeventyFive", 75, 75, 3.0, 1.0},
+        {"Many", 195, 195, 3.0, 2.1},
+        {"ManyAtALargerLimit", 195, 195, 3.0, 60.0},
+        {"ManyWithCallersAtTen", 195, 10, 30.0, 5.0},
+};
+
+INSTANTIATE_TEST_SUITE_P(Fleets, FleetLimit, testing::ValuesIn(FleetLimitCases),
+                         [](const auto &row) { return row.param.name; });
+
+struct FleetEvent
+{
+    const char *name;
+    int hosts;
+    double limit;
+    std::function<void(LimitedFleet &)> play; ///< 10 s after the limit was named
+};
+
+class FleetLimitDuring : public testing::TestWithParam<FleetEvent>
+{};
+
+// Guards against exceeding a limit while hosts differ in what they know.
+TEST_P(FleetLimitDuring, Holds)
+{
+    const FleetEvent &row = GetParam();
+    LimitedFleet fleet(row.hosts);
+    for (int host = 0; host < row.hosts; ++host) {
+        fleet.call(host, 120.0 / row.hosts);
+    }
+    fleet.run(std::chrono::seconds(2));
+    fleet.limit = row.limit;
+    const Instant named = fleet.now();
+    fleet.run(std::chrono::seconds(10));
+    row.play(fleet);
+    fleet.run(std::chrono::seconds(15));
+    EXPECT_LE(static_cast<double>(fleet.mostInWindow(named + Settling)),
+              allowedInWindow(row.limit));
+}
+
+const FleetEvent FleetEvents[] = {
+        {"AJoin", 6, 2.1,
+         [](LimitedFleet &fleet) {
+             fleet.join(std::chrono::seconds(2));
+         }},
+        {"AJoinOfAManyHosts", 195, 2.1,
+         [](LimitedFleet &fleet) {
+             fleet.join(std::chrono::seconds(4));
+         }},
+        {"ARestart", 6, 2.1,
+         [](LimitedFleet &fleet) {
+             fleet.restart(3);
+         }},
+        {"ARestartOfOneOfMany", 195, 2.1,
+         [](LimitedFleet &fleet) {
+             fleet.restart(100);
+         }},
+        {"HeavyLoss", 40, 5.0,
+         [](LimitedFleet &fleet) {
+             fleet.lossShare = 0.6;
+         }},
+        // The bound is that of the earlier, higher limit.
+        {"ALowerLimit", 6, 8.0,
+         [](LimitedFleet &fleet) {
+             fleet.limit = 2.0;
+         }},
+};
+
+INSTANTIATE_TEST_SUITE_P(Fleets, FleetLimitDuring, testing::ValuesIn(FleetEvents),
+                         [](const auto &row) { return row.param.name; });
+
+// Guards against keeping to the higher limit after the endpoint has lowered it.
+TEST(FleetLimit, LowerLimitHoldsAfterwards)
+{
+    LimitedFleet fleet(40);
+    for (int host = 0; host < 40; ++host) {
+        fleet.call(host, 5.0);
+    }
+    fleet.limit = 20.0;
+    fleet.run(std::chrono::seconds(8));
+    fleet.limit = 2.0;
+    const Instant named = fleet.now();
+    fleet.run(std::chrono::seconds(15));
+    EXPECT_LE(static_cast<double>(fleet.mostInWindow(named + Settling)), allowedInWindow(2.0));
+}
+
+struct EndCase
+{
+    const char *name;
+    double limit;
+    std::optional<double> then;
+    double least; ///< requests per second that it gets afterwards, at least
+};
+
+class FleetLimitEnd : public testing::TestWithParam<EndCase>
+{};
+
+// Guards against an endpoint that is hardly used, so that nobody learns that its limit is over.
+TEST_P(FleetLimitEnd, IsNoticedByAllHosts)
+{
+    const EndCase &row = GetParam();
+    LimitedFleet fleet(40);
+    for (int host = 0; host < 40; ++host) {
+        fleet.call(host, 5.0);
+    }
+    fleet.limit = row.limit;
+    fleet.run(std::chrono::seconds(20));
+    fleet.limit = row.then;
+    fleet.run(std::chrono::seconds(20));
+    const Instant from = fleet.now();
+    fleet.run(std::chrono::seconds(10));
+    EXPECT_GE(static_cast<double>(fleet.arrivalsSince(from)) / 10.0, row.least);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, FleetLimitEnd,
+                         testing::Values(EndCase{"Ended", 2.0, std::nullopt, 180.0},
+                                         EndCase{"EndedAfterNone", 0.0, std::nullopt, 180.0},
+                                         EndCase{"Raised", 2.0, 40.0, 35.0}),
+                         [](const auto &row) { return row.param.name; });
+
+// Guards against leaving most of a limit unused: callers that other endpoints can't serve lose it.
+TEST(FleetLimit, IsUsedWhereDemandIsEven)
+{
+    LimitedFleet fleet(6);
+    for (int host = 0; host < 6; ++host) {
+        fleet.call(host, 20.0);
+    }
+    fleet.limit = 10.0;
+    fleet.run(std::chrono::seconds(5));
+    const Instant from = fleet.now();
+    fleet.run(std::chrono::seconds(20));
+    EXPECT_GE(static_cast<double>(fleet.arrivalsSince(from)) / 20.0, 9.0);
+}
+
+class EndpointLimitsOfOne : public testing::Test
+{
+protected:
+    EndpointLimitsOfOne()
+    {
+        limits_.setHosts({HostId("h")});
+        limits_.setEndpoint(Endpoint, FirstProcess);
+    }
+
+    Instant now_{std::chrono::hours(1)};
+    EndpointLimits limits_{HostId("h")};
+};
+
+// Guards against taking a response that left before the limit was named for the limit's end.
+TEST_F(EndpointLimitsOfOne, ResponseToAnEarlierRequestDoesNotEndALimit)
+{
+    const Instant earlier = now_ - std::chrono::seconds(1);
+    EXPECT_TRUE(limits_.onNotice(Endpoint, requestLimit(2.0), earlier, now_));
+    EXPECT_FALSE(limits_.onNotice(Endpoint, {}, earlier, now_ + Millis(1)));
+    EXPECT_EQ(limits_.limitedCount(), 1U);
+    EXPECT_TRUE(limits_.onNotice(Endpoint, {}, now_ + Millis(5), now_ + Millis(9)));
+    EXPECT_TRUE(limits_.isEmpty());
+}
+
+// Guards against applying a limit to the next process that listens as the endpoint.
+TEST_F(EndpointLimitsOfOne, LimitEndsWithTheEndpointsProcess)
+{
+    limits_.onNotice(Endpoint, requestLimit(2.0), now_, now_);
+    EndpointLimitRecord record = *limits_.recordOf(Endpoint);
+    limits_.setEndpoint(Endpoint, FirstProcess + 1);
+    EXPECT_TRUE(limits_.isEmpty());
+    record.observedAt = now_ + Millis(50);
+    EXPECT_FALSE(limits_.onRecord(record, now_ + Millis(60)));
+    EXPECT_TRUE(limits_.isEmpty());
+}
+
+TEST_F(EndpointLimitsOfOne, LimitEndsWithTheEndpointsEntry)
+{
+    limits_.onNotice(Endpoint, requestLimit(2.0), now_, now_);
+    limits_.removeEndpoint(Endpoint);
+    EXPECT_TRUE(limits_.isEmpty());
+    EXPECT_TRUE(limits_.isAvailable(Endpoint, now_));
+}
+
+TEST_F(EndpointLimitsOfOne, OlderRecordIsIgnored)
+{
+    limits_.onNotice(Endpoint, requestLimit(2.0), now_, now_);
+    EndpointLimitRecord record = *limits_.recordOf(Endpoint);
+    record.maxRequestsPerSecond = 50.0;
+    record.observedAt = now_ - Millis(1);
+    EXPECT_FALSE(limits_.onRecord(record, now_));
+    EXPECT_EQ(limits_.sharePerSecond(Endpoint), 2.0);
+}
+
+// Guards against a process that doesn't know the other hosts yet and takes the whole limit.
+TEST_F(EndpointLimitsOfOne, HasNoShareBeforeTheHostsAreKnown)
+{
+    EndpointLimits limits{HostId("h")};
+    limits.setEndpoint(Endpoint, FirstProcess);
+    limits.onNotice(Endpoint, requestLimit(50.0), now_, now_);
+    EXPECT_FALSE(limits.isAvailable(Endpoint, now_));
+    limits.setHosts({HostId("h"), HostId("i")});
+    EXPECT_TRUE(limits.isAvailable(Endpoint, now_));
+    EXPECT_EQ(limits.sharePerSecond(Endpoint), 25.0);
+}
+
+TEST_F(EndpointLimitsOfOne, DescribesLimitAgeAndShare)
+{
+    limits_.onNotice(Endpoint, requestLimit(2.5), now_, now_);
+    EXPECT_EQ(limits_.describe(Endpoint, now_ + Millis(40)),
+              "e: 2.5 requests/s, share 2.5, observed 40 ms ago");
+}
+
+} // namespace
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -27,7 +27,7 @@
     EndpointDirectoryTest()
         : file_(std::tmpfile()),
           log_({"test", HostId("h"), DomainId("d"), Incarnation("i")}, file_),
-          directory_(DomainId("d"), {}, log_)
+          directory_(HostId("h"), DomainId("d"), {}, log_)
     {
         directory_.setStoreReachable(true, now_);
         now_ += std::chrono::minutes(1);
@@ -152,6 +152,92 @@
     EXPECT_TRUE(verdict->retryAt);
 }
 
+EndpointNotice requestLimit(double perSecond)
+{
+    EndpointNotice notice;
+    notice.maxRequestsPerSecond = perSecond;
+    return notice;
+}
+
+// Guards against sending to a limited endpoint for the sake of its cached prefix, or because it is
+// the only one left, beyond this host's share.
+TEST_F(EndpointDirectoryTest, LimitedEndpointGetsItsShareAndOthersTheRest)
+{
+    directory_.setHosts({HostId("h")});
+    directory_.update(entry("a"), now_);
+    directory_.update(entry("b"), now_);
+    directory_.onNotice(EndpointId("a"), requestLimit(2.0), now_, now_);
+    directory_.onSent(EndpointId("a"), WorkItem(), now_);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(chosenEndpoint(), "b");
+    }
+    EXPECT_EQ(chosenEndpoint({EndpointId("b")}), "");
+    EXPECT_GT(directory_.limitedRequests(), 0U);
+    now_ += std::chrono::milliseconds(500);
+    EXPECT_EQ(chosenEndpoint({EndpointId("b")}), "a");
+}
+
+TEST_F(EndpointDirectoryTest, PeersLimitHolds)
+{
+    directory_.setHosts({HostId("h")});
+    directory_.update(entry("a"), now_);
+    directory_.publish(now_);
+    EndpointLimitRecord record;
+    record.endpoint = EndpointId("a");
+    record.startedAtMillis = 1;
+    record.maxRequestsPerSecond = 1.0;
+    record.observedAt = now_;
+    directory_.onPeerLimits({record}, now_);
+    EXPECT_EQ(directory_.limitedEndpoints(), 1U);
+    EXPECT_EQ(chosenEndpoint(), "a");
+    directory_.onSent(EndpointId("a"), WorkItem(), now_);
+    EXPECT_EQ(chosenEndpoint(), "");
+}
+
+/// The verdict on a request of \p priority that no endpoint's limit allows.
+Verdict refusalOf(EndpointDirectory &directory, uint32_t priority, Instant now)
+{
+    WorkItem item;
+    item.request = RequestId("r");
+    item.service = ServiceId("s");
+    item.priority = priority;
+    const PlacementResult placing = directory.place(item, {}, {}, now);
+    const auto *verdict = std::get_if<Verdict>(&placing);
+    return verdict == nullptr ? Verdict() : *verdict;
+}
+
+// Guards against callers who are all told to return at the same time, when one can be served.
+TEST_F(EndpointDirectoryTest, RefusedCallersReturnAtTheLimitsPace)
+{
+    directory_.setHosts({HostId("h")});
+    directory_.update(entry("a"), now_);
+    directory_.publish(now_);
+    directory_.onNotice(EndpointId("a"), requestLimit(4.0), now_, now_);
+    directory_.onSent(EndpointId("a"), WorkItem(), now_);
+    for (int i = 0; i < 3; ++i) {
+        const Verdict verdict = refusalOf(directory_, 0, now_);
+        EXPECT_EQ(verdict.execution, Execution::NotRun);
+        ASSERT_TRUE(verdict.retryAt);
+        EXPECT_GE(*verdict.retryAt,
+                  now_ + (i + 1) * std::chrono::milliseconds(250) - std::chrono::milliseconds(101));
+        EXPECT_LE(*verdict.retryAt, now_ + (i + 1) * std::chrono::milliseconds(250));
+    }
+}
+
+// Guards against serving less urgent requests from a limit that refuses more urgent ones.
+TEST_F(EndpointDirectoryTest, LessUrgentRequestsLeaveALimitToMoreUrgentOnes)
+{
+    directory_.setHosts({HostId("h")});
+    directory_.update(entry("a"), now_);
+    directory_.publish(now_);
+    directory_.onNotice(EndpointId("a"), requestLimit(4.0), now_, now_);
+    directory_.onSent(EndpointId("a"), WorkItem(), now_);
+    EXPECT_EQ(refusalOf(directory_, 0, now_).reason, Reason::QueueFull);
+    now_ += std::chrono::milliseconds(300);
+    EXPECT_EQ(refusalOf(directory_, 5, now_).reason, Reason::QueueFull);
+    EXPECT_EQ(refusalOf(directory_, 0, now_).reason, Reason::None);
+}
+
 TEST_F(EndpointDirectoryTest, MalformedAddressRemovesEndpoint)
 {
     directory_.update(entry("a"), now_);
--- /dev/null
+++ b/unittests/Edge/EndpointLimitMessageTest.cpp
@@ -0,0 +1,72 @@
+/// The datagrams about endpoints' limits between hosts, also of other versions.
+
+#include <gtest/gtest.h>
+
+#include "lib/Edge/EndpointLimitMessage.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+const Instant Now{std::chrono::hours(1)};
+
+EndpointLimitRecord record(const std::string &id)
+{
+    EndpointLimitRecord result;
+    result.endpoint = EndpointId(id);
+    result.startedAtMillis = 1'700'000'000'000;
+    result.maxRequestsPerSecond = 2.1;
+    result.observedAt = Now - std::chrono::milliseconds(340);
+    return result;
+}
+
+TEST(EndpointLimitMessage, KeepsRecordsAndTheirAge)
+{
+    EndpointLimitRecord ended = record("ended");
+    ended.maxRequestsPerSecond.reset();
+    const std::vector<std::string> datagrams = encodeEndpointLimits({record("e"), ended}, Now);
+    ASSERT_EQ(datagrams.size(), 1U);
+    const Instant later = Now + std::chrono::hours(2);
+    const std::vector<EndpointLimitRecord> decoded =
+            decodeEndpointLimits(nlohmann::json::parse(datagrams.front()), later);
+    ASSERT_EQ(decoded.size(), 2U);
+    EXPECT_EQ(decoded[0].endpoint, EndpointId("e"));
+    EXPECT_EQ(decoded[0].startedAtMillis, 1'700'000'000'000U);
+    EXPECT_EQ(decoded[0].maxRequestsPerSecond, 2.1);
+    EXPECT_EQ(decoded[0].observedAt, later - std::chrono::milliseconds(340));
+    EXPECT_FALSE(decoded[1].maxRequestsPerSecond);
+}
+
+// Guards against datagrams that a receiver's buffer cuts off.
+TEST(EndpointLimitMessage, ManyRecordsAreSplit)
+{
+    constexpr std::size_t BufferBytes = 2048;
+    std::vector<EndpointLimitRecord> records;
+    for (int i = 0; i < 78; ++i) {
+        records.push_back(record("i-0123456789abcdef-" + std::to_string(i)));
+    }
+    std::size_t decoded = 0;
+    for (const std::string &datagram : encodeEndpointLimits(records, Now)) {
+        EXPECT_LT(datagram.size(), BufferBytes);
+        decoded += decodeEndpointLimits(nlohmann::json::parse(datagram), Now).size();
+    }
+    EXPECT_EQ(decoded, records.size());
+}
+
+// Guards against a process that can't read what one of a later version sends beside it.
+TEST(EndpointLimitMessage, FieldsOfALaterVersionAreIgnored)
+{
+    const nlohmann::json message = nlohmann::json::parse(
+            R"({"kind":"limits","version":2,"new":{},"records":[["e",7,2.5,null,10,"more"]]})");
+    const std::vector<EndpointLimitRecord> decoded = decodeEndpointLimits(message, Now);
+    ASSERT_EQ(decoded.size(), 1U);
+    EXPECT_EQ(decoded[0].maxRequestsPerSecond, 2.5);
+}
+
+TEST(EndpointLimitMessage, MalformedOneThrows)
+{
+    const nlohmann::json message = nlohmann::json::parse(R"({"records":[["e",7]]})");
+    EXPECT_THROW(decodeEndpointLimits(message, Now), nlohmann::json::exception);
+}
+
+} // namespace
