[Decisions] [Edge] Lend slots of an endpoint's limit between hosts

A host that holds no share of a limit could send nothing to the endpoint while the holders had no callers, and where all endpoints of a service are limited its callers were refused although there was room. Hosts now request single slots of the holders. A slot expires after 300 ms; one that is wanted ahead of demand is lent only if its holder has left it unused, and a request that no other endpoint can serve waits up to 200 ms for one, unless every holder has said that none is free. The messages are new kinds with a version; processes before them ignore them, and a holder that doesn't respond is left out for a second.

In fleets of 6 and 195 hosts with callers at one or ten, nine tenths of a limit of 10 a second are used, and its bound holds.

--- a/include/sequoiagate/Decisions/EndpointLimits.h
+++ b/include/sequoiagate/Decisions/EndpointLimits.h
@@ -11,6 +11,11 @@
 /// limit is. Hosts that know different members for a while choose nearly the same
 /// holders, so that the sum exceeds the limit by one share for each change of members.
 ///
+/// A host that lacks a share, or needs more than it has, requests single slots of the holders. A
+/// slot is a time at which one request may be sent; it expires soon, so that few are outstanding.
+/// Requests for slots queue in the same bucket as the holder's own requests, and none waits for
+/// longer than it said it would.
+///
 /// What one host observes reaches the others as records. The newest observation of an endpoint
 /// counts, by its age, so that no clocks are compared.
 
@@ -36,6 +41,22 @@
     Instant observedAt{}; ///< by this host's clock
 };
 
+/// A request for one slot of another host's share.
+struct SlotRequest
+{
+    HostId holder;
+    uint64_t id = 0;     ///< unique at the requesting host
+    Interval maxDelay{}; ///< how long the slot's use may have to wait
+    EndpointLimitRecord record;
+};
+
+struct SlotResponse
+{
+    uint64_t id = 0;
+    std::optional<Interval> delay; ///< until the slot's time; nullopt: none is given
+    Interval retryAfter{};         ///< if none is given
+};
+
 /// Not thread safe.
 class EndpointLimits
 {
@@ -43,6 +64,11 @@
     /// How long the end of a limit is told to other hosts.
     static constexpr Interval EndedRecordLifetime = std::chrono::seconds(10);
 
+    /// A slot that isn't used within this time after its start is lost.
+    static constexpr Interval SlotLifetime = std::chrono::milliseconds(300);
+    /// Time for a holder to respond; after it another one is asked.
+    static constexpr Interval SlotResponseTimeout = std::chrono::milliseconds(60);
+
     explicit EndpointLimits(HostId self) : self_(std::move(self)) {}
 
     /// Sets all hosts of the fleet, including this one.
@@ -68,6 +94,17 @@
     {
         return availableAt(endpoint, now) <= now;
     }
+    /// Reserves a slot of this host's own share within \p maxDelay. \returns whether there is one
+    bool bookOwnSlot(const EndpointId &endpoint, Interval maxDelay, Instant now);
+    /// The request to send for a slot of another host's share; nullopt if none is needed, one is
+    /// open, or no holder is known to have one.
+    std::optional<SlotRequest> requestSlot(const EndpointId &endpoint, Interval maxDelay,
+                                           Instant now);
+    /// Gives a slot of this host's share to another host.
+    SlotResponse lendSlot(const SlotRequest &request, Instant now);
+    void onSlotResponse(const SlotResponse &response, Instant now);
+    /// The number of slots that this host has or has requested.
+    std::size_t pendingSlots(const EndpointId &endpoint, Instant now) const;
     /// Whether no endpoint has a limit, so that none needs to be checked.
     bool isEmpty() const { return limitedCount_ == 0; }
     std::size_t limitedCount() const { return limitedCount_; }
@@ -85,23 +122,48 @@
     static std::size_t holderCount(double perSecond, std::size_t hosts);
 
 private:
+    struct Slot
+    {
+        Instant usableAt{};
+        Instant expiresAt{};
+    };
+
+    struct Holder
+    {
+        HostId host;
+        Instant emptyUntil{}; ///< it has no slot before then
+    };
+
+    struct OpenSlotRequest
+    {
+        uint64_t id = 0;
+        std::size_t holder = 0; ///< index in Endpoint::otherHolders
+        Instant expiresAt{};
+    };
+
     struct Endpoint
     {
         EndpointLimitRecord record;
         Instant lastNamedAt{}; ///< a response that named a limit arrived
         bool isHolder = false; ///< of a share of the request limit
         double share = 0.0;    ///< per second
-        Instant nextSendAt{};  ///< by that share
+        std::vector<Holder> otherHolders;
+        std::vector<Slot> slots; ///< that this host may use
+        std::optional<OpenSlotRequest> slotRequest;
+        Instant nextSendAt{}; ///< by that share
     };
 
     void apply(Endpoint &endpoint, const EndpointLimitRecord &record);
     void computeShare(Endpoint &endpoint) const;
+    static void advance(Endpoint &endpoint, Instant now);
+    static void expire(Endpoint &endpoint, Instant now);
     const Endpoint *find(const EndpointId &id) const;
 
     HostId self_;
     std::vector<HostId> hosts_;
     std::map<EndpointId, Endpoint> endpoints_;
     std::size_t limitedCount_ = 0;
+    uint64_t lastSlotRequest_ = 0;
 };
 
 } // namespace sequoiagate
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -52,6 +52,8 @@
 
     /// Called when the other hosts should learn at once what this one observed of an endpoint.
     std::function<void(const EndpointLimitRecord &)> onLimitObserved;
+    /// Called when a slot of another host's share of a limit is needed.
+    std::function<void(const SlotRequest &)> onSlotNeeded;
 
     /// Adds or changes an entry. Takes effect with the next publish.
     void update(const EndpointEntry &entry, Instant now);
@@ -69,6 +71,14 @@
     void setHosts(const std::vector<HostId> &hosts);
     /// Takes over what another host observed.
     void onPeerLimits(const std::vector<EndpointLimitRecord> &records, Instant now);
+    SlotResponse lendSlot(const SlotRequest &request, Instant now)
+    {
+        return limits_.lendSlot(request, now);
+    }
+    void onSlotResponse(const SlotResponse &response, Instant now)
+    {
+        limits_.onSlotResponse(response, now);
+    }
     /// What other hosts need to know of endpoints' limits.
     std::vector<EndpointLimitRecord> limitRecords(Instant now) const
     {
@@ -95,6 +105,15 @@
 private:
     /// The endpoints of \p service that this host may not send to now, because of their limits.
     std::vector<EndpointId> limitedNow(const ServiceId &service, Instant now) const;
+    /// Books or requests slots of \p limited endpoints for a request that no other one can serve.
+    /// \returns when to place it again; nullopt if there is no slot within its wait
+    std::optional<PlacementDelay> awaitSlot(const WorkItem &item,
+                                            const std::vector<EndpointId> &limited, Instant now);
+    bool requestSlot(const EndpointId &endpoint, Interval maxDelay, Instant now);
+    /// Requests a slot of one of \p limited for the next request, if there is likely to be one
+    /// before the slot expires.
+    void prefetchSlot(const ServiceId &service, const std::vector<EndpointId> &limited,
+                      Instant now);
     bool yieldsToMoreUrgent(const WorkItem &item, Instant now) const;
     Verdict refuseByLimits(const WorkItem &item, const std::vector<EndpointId> &limited,
                            Instant now);
@@ -110,6 +129,13 @@
         Instant excludedUntil{};  ///< not chosen before then, since it was unreachable
     };
 
+    /// A request that waits for a slot of an endpoint's limit.
+    struct WaitingRequest
+    {
+        ServiceId service;
+        Instant until{};
+    };
+
     /// Requests of a service that endpoints' limits refused lately.
     struct Scarcity
     {
@@ -121,6 +147,9 @@
     EndpointSelector selector_;
     EndpointLimits limits_;
     std::map<ServiceId, Scarcity> scarcities_;
+    std::map<RequestId, WaitingRequest> waiting_;
+    std::map<ServiceId, Instant> lastPlacedAt_; ///< while limits hold
+    std::size_t nextLimited_ = 0;               ///< rotates among limited endpoints
     uint64_t limitedRequests_ = 0;
     DistributedRetryBudget retryBudget_;
     std::unordered_map<EndpointId, ListedEndpoint> entries_;
--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -71,6 +71,9 @@
         std::function<void(const ClockResponse &)> onClockResponse;
         /// A peer observed limits of endpoints.
         std::function<void(const std::vector<EndpointLimitRecord> &)> onLimits;
+        /// A peer requests a slot of this host's share of an endpoint's limit.
+        std::function<SlotResponse(const SlotRequest &)> onSlotRequest;
+        std::function<void(const SlotResponse &)> onSlotResponse;
     };
 
     /// \throws boost::system::system_error if the address can't be bound
@@ -97,6 +100,8 @@
     /// Tells a few peers, in rotation, what is known of endpoints' limits: those that missed a
     /// broadcast or started after it learn it within a few such rounds.
     void gossipLimits(const std::vector<EndpointLimitRecord> &records, Instant now);
+    /// Requests a slot of the holder that \p request names. A lost request isn't sent again.
+    void requestSlot(const SlotRequest &request, Instant now);
     /// Retransmits unacknowledged transfers. To be called several times a second.
     void tick(Instant now);
     /// The tokens that the peers last reported as usable or reserved; nullopt unless each of them
@@ -132,6 +137,8 @@
     void onClockRequest(const nlohmann::json &message);
     void onClockResponse(const nlohmann::json &message);
     void onLimits(const nlohmann::json &message);
+    void onSlotRequest(const nlohmann::json &message);
+    void onSlotResponse(const nlohmann::json &message);
     uint64_t tokensInTransit(const WorkspaceId &workspace) const;
     void sendTransfer(const WorkspaceId &workspace, uint64_t tokens, const std::string &to,
                       const boost::asio::ip::udp::endpoint &address, Instant now);
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -50,8 +50,10 @@
 
     /// Called when the hosts of the fleet, including this one, change.
     std::function<void(const std::vector<HostId> &)> onHostsChanged;
-    /// Called with what another host observed of endpoints' limits.
+    /// Called for peers' messages about endpoints' limits. Set before start.
     std::function<void(const std::vector<EndpointLimitRecord> &)> onPeerLimits;
+    std::function<SlotResponse(const SlotRequest &)> onSlotRequest;
+    std::function<void(const SlotResponse &)> onSlotResponse;
 
     void start();
     void setHorizon(Interval horizon) { holder_.setHorizon(horizon); }
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -84,6 +84,7 @@
     void reserveTokens();
     void onReserved(std::optional<Verdict> refusal);
     void place();
+    void placeNow();
     void send(const PlacementTarget &target);
     RequestHead forwardHead(Instant now, const EndpointId &endpoint) const;
 
@@ -140,6 +141,7 @@
     DeadlineTimer stallTimer_;
     Instant stallDeadline_ = Never; ///< when the endpoint counts as stalled
     bool stallTimerArmed_ = false;
+    DeadlineTimer placementTimer_; ///< until the request is placed again
     std::optional<ReservationTicket> ticket_;
     uint64_t reservedTokens_ = 0;
     bool hasReservation_ = false;
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -39,7 +39,13 @@
     std::string limits; ///< the endpoint's limits, and those that excluded others, for logs
 };
 
-using PlacementResult = std::variant<PlacementTarget, Verdict>;
+/// No endpoint may be used yet; the request is to be placed again at this time.
+struct PlacementDelay
+{
+    Instant until{};
+};
+
+using PlacementResult = std::variant<PlacementTarget, PlacementDelay, Verdict>;
 
 /// Selects endpoints and is notified of the outcome of requests there. Single-threaded.
 class Placement
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -115,6 +115,15 @@
     tokens_->onPeerLimits = [this](const std::vector<EndpointLimitRecord> &records) {
         onPeerLimits(records);
     };
+    tokens_->onSlotRequest = [this](const SlotRequest &request) {
+        return endpoints_.lendSlot(request, std::chrono::steady_clock::now());
+    };
+    tokens_->onSlotResponse = [this](const SlotResponse &response) {
+        endpoints_.onSlotResponse(response, std::chrono::steady_clock::now());
+    };
+    endpoints_.onSlotNeeded = [this](const SlotRequest &request) {
+        tokens_->peers().requestSlot(request, std::chrono::steady_clock::now());
+    };
     endpoints_.onLimitObserved = [this](const EndpointLimitRecord &record) {
         tokens_->peers().broadcastLimit(record, std::chrono::steady_clock::now());
     };
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -1,6 +1,7 @@
 #include "sequoiagate/Edge/EndpointDirectory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/ip/address_v4.hpp>
@@ -27,6 +28,10 @@
 /// the service leave them to it.
 constexpr Interval ScarcityDuration = std::chrono::seconds(1);
 
+/// How long a request waits for a slot of a limited endpoint, and how often it is placed again.
+constexpr Interval MaxSlotWait = std::chrono::milliseconds(200);
+constexpr Interval SlotPollInterval = std::chrono::milliseconds(10);
+
 /// Retry delays told to callers refused because of endpoints' limits: the first where this host
 /// has no share that becomes free earlier.
 constexpr Interval LimitRetryDelay = std::chrono::milliseconds(500);
@@ -164,6 +169,9 @@
     if (entries_.size() != before) {
         changed_ = true;
     }
+    // Those that are still here belong to callers who left while they waited.
+    std::erase_if(waiting_,
+                  [now](const auto &entry) { return now >= entry.second.until + MaxSlotWait; });
     publish(now);
 }
 
@@ -261,11 +269,25 @@
         // none.
         outcome = selector_.select(work, tried, limited, now);
     }
-    limitedRequests_ += limited.empty() ? 0 : 1;
     const auto *chosen = std::get_if<SelectedEndpoint>(&outcome);
     if (chosen == nullptr && limited.empty()) {
         return std::move(std::get<Verdict>(outcome));
     }
+    if (!limited.empty()) {
+        ++limitedRequests_;
+        prefetchSlot(item.service, limited, now);
+    }
+    if (chosen == nullptr) {
+        std::vector<EndpointId> untried;
+        std::copy_if(limited.begin(), limited.end(), std::back_inserter(untried),
+                     [&tried](const EndpointId &id) {
+                         return std::find(tried.begin(), tried.end(), id) == tried.end();
+                     });
+        if (const auto delay = awaitSlot(item, untried, now)) {
+            return *delay;
+        }
+    }
+    waiting_.erase(item.request);
     if (chosen == nullptr) {
         return refuseByLimits(item, limited, now);
     }
@@ -273,12 +295,61 @@
     if (isShared && yieldsToMoreUrgent(item, now)) {
         return refuseByLimits(item, {chosen->endpoint}, now);
     }
-    std::string reason = limits_.describe(chosen->endpoint, now);
+    std::string limits = limits_.describe(chosen->endpoint, now);
     if (!limited.empty()) {
-        reason += fmt::format("; not available: {}", describeLimits(limited, now));
+        limits += fmt::format("{}not available: {}", limits.empty() ? "" : "; ",
+                              describeLimits(limited, now));
     }
     return PlacementTarget{chosen->endpoint, entries_.at(chosen->endpoint).address, chosen->reason,
-                           std::move(reason)};
+                           std::move(limits)};
+}
+
+bool EndpointDirectory::requestSlot(const EndpointId &endpoint, Interval maxDelay, Instant now)
+{
+    const std::optional<SlotRequest> request = limits_.requestSlot(endpoint, maxDelay, now);
+    if (request && onSlotNeeded) {
+        onSlotNeeded(*request);
+    }
+    return request.has_value();
+}
+
+void EndpointDirectory::prefetchSlot(const ServiceId &service,
+                                     const std::vector<EndpointId> &limited, Instant now)
+{
+    const Instant last = std::exchange(lastPlacedAt_[service], now);
+    const EndpointId &endpoint = limited[nextLimited_++ % limited.size()];
+    if (now < last + EndpointLimits::SlotLifetime && limits_.pendingSlots(endpoint, now) == 0) {
+        requestSlot(endpoint, Interval::zero(), now);
+    }
+}
+
+std::optional<PlacementDelay> EndpointDirectory::awaitSlot(const WorkItem &item,
+                                                           const std::vector<EndpointId> &limited,
+                                                           Instant now)
+{
+    const auto added =
+            waiting_.try_emplace(item.request, WaitingRequest{item.service, now + MaxSlotWait});
+    const Interval left = std::min(added.first->second.until, item.deadline) - now;
+    if (limited.empty() || left <= Interval::zero()) {
+        return std::nullopt;
+    }
+    const auto waiting =
+            std::count_if(waiting_.begin(), waiting_.end(), [&item](const auto &entry) {
+                return entry.second.service == item.service;
+            });
+    std::size_t pending = 0;
+    for (const EndpointId &id : limited) {
+        pending += limits_.pendingSlots(id, now);
+    }
+    for (std::size_t i = 0; i < limited.size() && pending < static_cast<std::size_t>(waiting);
+         ++i) {
+        const EndpointId &id = limited[nextLimited_++ % limited.size()];
+        pending += limits_.bookOwnSlot(id, left, now) || requestSlot(id, left, now) ? 1 : 0;
+    }
+    if (pending == 0) {
+        return std::nullopt;
+    }
+    return PlacementDelay{now + SlotPollInterval};
 }
 
 bool EndpointDirectory::yieldsToMoreUrgent(const WorkItem &item, Instant now) const
--- a/lib/Edge/EndpointLimitMessage.cpp
+++ b/lib/Edge/EndpointLimitMessage.cpp
@@ -69,4 +69,50 @@
     return records;
 }
 
+std::string encodeSlotRequest(const SlotRequest &request, Instant now)
+{
+    const auto maxDelay = std::chrono::duration_cast<Millis>(request.maxDelay);
+    return nlohmann::json({{"kind", SlotRequestMessageKind},
+                           {"version", 1},
+                           {"id", request.id},
+                           {"max_delay_ms", maxDelay.count()},
+                           {"record", encodeRecord(request.record, now)}})
+            .dump();
+}
+
+SlotRequest decodeSlotRequest(const nlohmann::json &message, Instant now)
+{
+    SlotRequest request;
+    request.id = message.at("id").get<uint64_t>();
+    request.maxDelay = Millis(message.at("max_delay_ms").get<int64_t>());
+    request.record = decodeRecord(message.at("record"), now);
+    return request;
+}
+
+std::string encodeSlotResponse(const SlotResponse &response)
+{
+    nlohmann::json delay;
+    if (response.delay) {
+        delay = std::chrono::duration_cast<Millis>(*response.delay).count();
+    }
+    const auto retryAfter = std::chrono::duration_cast<Millis>(response.retryAfter);
+    return nlohmann::json({{"kind", SlotResponseMessageKind},
+                           {"version", 1},
+                           {"id", response.id},
+                           {"delay_ms", delay},
+                           {"retry_after_ms", retryAfter.count()}})
+            .dump();
+}
+
+SlotResponse decodeSlotResponse(const nlohmann::json &message)
+{
+    SlotResponse response;
+    response.id = message.at("id").get<uint64_t>();
+    if (const auto delay = parseOptional<int64_t>(message.at("delay_ms"))) {
+        response.delay = Millis(*delay);
+    }
+    response.retryAfter = Millis(message.at("retry_after_ms").get<int64_t>());
+    return response;
+}
+
 } // namespace sequoiagate
--- a/lib/Edge/EndpointLimitMessage.h
+++ b/lib/Edge/EndpointLimitMessage.h
@@ -17,6 +17,8 @@
 namespace sequoiagate {
 
 inline constexpr const char *EndpointLimitMessageKind = "limits";
+inline constexpr const char *SlotRequestMessageKind = "ask_slot";
+inline constexpr const char *SlotResponseMessageKind = "slot";
 
 /// Returns one datagram, or several if the records don't fit into one. Thread safe.
 std::vector<std::string> encodeEndpointLimits(const std::vector<EndpointLimitRecord> &records,
@@ -24,6 +26,13 @@
 /// \throws nlohmann::json::exception for a malformed message. Thread safe.
 std::vector<EndpointLimitRecord> decodeEndpointLimits(const nlohmann::json &message, Instant now);
 
+/// Thread safe, as are the following; the decoding ones throw nlohmann::json::exception for a
+/// malformed message.
+std::string encodeSlotRequest(const SlotRequest &request, Instant now);
+SlotRequest decodeSlotRequest(const nlohmann::json &message, Instant now);
+std::string encodeSlotResponse(const SlotResponse &response);
+SlotResponse decodeSlotResponse(const nlohmann::json &message);
+
 } // namespace sequoiagate
 
 #endif
--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -117,7 +117,9 @@
                               {"ack", &PeerLink::onAck},
                               {"ask_clocks", &PeerLink::onClockRequest},
                               {"clocks", &PeerLink::onClockResponse},
-                              {EndpointLimitMessageKind, &PeerLink::onLimits}};
+                              {EndpointLimitMessageKind, &PeerLink::onLimits},
+                              {SlotRequestMessageKind, &PeerLink::onSlotRequest},
+                              {SlotResponseMessageKind, &PeerLink::onSlotResponse}};
     try {
         const nlohmann::json message = nlohmann::json::parse(text);
         const auto name = message.at("kind").get<std::string>();
@@ -299,6 +301,27 @@
     handlers_.onLimits(decodeEndpointLimits(message, std::chrono::steady_clock::now()));
 }
 
+void PeerLink::requestSlot(const SlotRequest &request, Instant now)
+{
+    const auto holder = std::find_if(peers_.begin(), peers_.end(), [&request](const Peer &peer) {
+        return peer.host == request.holder;
+    });
+    if (holder != peers_.end()) {
+        send(encodeSlotRequest(request, now), holder->address);
+    }
+}
+
+void PeerLink::onSlotRequest(const nlohmann::json &message)
+{
+    const SlotRequest request = decodeSlotRequest(message, std::chrono::steady_clock::now());
+    send(encodeSlotResponse(handlers_.onSlotRequest(request)), sender_);
+}
+
+void PeerLink::onSlotResponse(const nlohmann::json &message)
+{
+    handlers_.onSlotResponse(decodeSlotResponse(message));
+}
+
 void PeerLink::tick(Instant now)
 {
     for (auto transfer = unacknowledged_.begin(); transfer != unacknowledged_.end();) {
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -71,10 +71,10 @@
                   serveWaitingRequests(now);
               },
               [this](const ClockResponse &response) { onClockResponse(response); },
-              [this](const std::vector<EndpointLimitRecord> &records) {
-                  if (onPeerLimits) {
-                      onPeerLimits(records);
-                  }
+              [this](const std::vector<EndpointLimitRecord> &records) { onPeerLimits(records); },
+              [this](const SlotRequest &request) { return onSlotRequest(request); },
+              [this](const SlotResponse &response) {
+                  onSlotResponse(response);
               }}),
       follower_(io, store, followerSettings(settings_.topic),
                 {[this](const std::vector<StoreRow> &rows, bool) { onRows(rows); },
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -50,7 +50,7 @@
 
 Exchange::Exchange(ProxyContext &context, CallerRequest request, ResponseSink &sink)
     : context_(context), request_(std::move(request)), sink_(sink), statechart_(context.chart),
-      deadlineTimer_(context.io), stallTimer_(context.io)
+      deadlineTimer_(context.io), stallTimer_(context.io), placementTimer_(context.io)
 {}
 
 Exchange::~Exchange() = default;
@@ -213,6 +213,11 @@
 void Exchange::place()
 {
     statechart_.handle("place");
+    placeNow();
+}
+
+void Exchange::placeNow()
+{
     const Instant now = std::chrono::steady_clock::now();
     PlacementResult result =
             context_.placement.place(workItem(), metadata_.prompt, triedEndpoints_, now);
@@ -224,6 +229,14 @@
         refuse(std::move(*verdict));
         return;
     }
+    if (const auto *delay = std::get_if<PlacementDelay>(&result)) {
+        placementTimer_.arm(delay->until, [self = shared_from_this()] {
+            if (!self->ended()) {
+                self->placeNow();
+            }
+        });
+        return;
+    }
     send(std::get<PlacementTarget>(result));
 }
 
@@ -742,6 +755,7 @@
     settle();
     deadlineTimer_.cancel();
     disarmStallTimer();
+    placementTimer_.disarm();
     statechart_.handle(event);
     const Interval took = now - request_.receivedAt;
     log(Event("request.ended")
--- a/unittests/Decisions/EndpointLimitsTest.cpp
+++ b/unittests/Decisions/EndpointLimitsTest.cpp
@@ -52,6 +52,7 @@
     /// The limit that responses name from now on.
     std::optional<double> limit;
     double lossShare = 0.1;
+    Interval maxSlotDelay{};
 
     /// Starts the process of \p host anew, which knows nothing.
     void restart(int host)
@@ -150,6 +151,7 @@
     {
         Node &node = nodes_[index(host)];
         if (!node.limits->isAvailable(Endpoint, now_)) {
+            requestSlot(host);
             return;
         }
         node.limits->onSent(Endpoint, now_);
@@ -170,9 +172,31 @@
         });
     }
 
+    bool isLost() { return std::uniform_real_distribution<double>()(random_) < lossShare; }
+
+    void requestSlot(int host)
+    {
+        const auto request = nodes_[index(host)].limits->requestSlot(Endpoint, maxSlotDelay, now_);
+        const auto holder =
+                request ? std::find(names_.begin(), names_.end(), request->holder) : names_.end();
+        if (holder == names_.end() || isLost()) {
+            return;
+        }
+        const auto holderIndex = static_cast<std::size_t>(holder - names_.begin());
+        at(now_ + std::chrono::milliseconds(2), [this, host, holderIndex, request] {
+            const SlotResponse response = nodes_[holderIndex].limits->lendSlot(*request, now_);
+            if (isLost()) {
+                return;
+            }
+            at(now_ + std::chrono::milliseconds(2), [this, host, response] {
+                nodes_[index(host)].limits->onSlotResponse(response, now_);
+            });
+        });
+    }
+
     void tell(std::size_t host, EndpointLimitRecord record)
     {
-        if (std::uniform_real_distribution<double>()(random_) < lossShare) {
+        if (isLost()) {
             return;
         }
         const Interval age = now_ - record.observedAt;
@@ -384,6 +408,44 @@
     EXPECT_GE(static_cast<double>(fleet.arrivalsSince(from)) / 20.0, 9.0);
 }
 
+struct UnevenCase
+{
+    const char *name;
+    int hosts;
+    int hostsWithCallers;
+    Interval maxSlotDelay;
+};
+
+class UnevenDemand : public testing::TestWithParam<UnevenCase>
+{};
+
+// Guards against holders without callers that leave their shares unused while others lack them.
+TEST_P(UnevenDemand, UsesTheSharesOfHoldersWithoutCallers)
+{
+    const UnevenCase &row = GetParam();
+    constexpr double Limit = 10.0;
+    LimitedFleet fleet(row.hosts);
+    fleet.lossShare = 0.0;
+    fleet.maxSlotDelay = row.maxSlotDelay;
+    for (int host = 0; host < row.hostsWithCallers; ++host) {
+        fleet.call(host, 200.0 / row.hostsWithCallers);
+    }
+    fleet.limit = Limit;
+    const Instant named = fleet.now();
+    fleet.run(std::chrono::seconds(5));
+    const Instant from = fleet.now();
+    fleet.run(std::chrono::seconds(20));
+    EXPECT_GE(static_cast<double>(fleet.arrivalsSince(from)) / 20.0, 0.9 * Limit);
+    EXPECT_LE(static_cast<double>(fleet.mostInWindow(named + Settling)), allowedInWindow(Limit));
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, UnevenDemand,
+                         testing::Values(UnevenCase{"OneOfSix", 6, 1, Interval::zero()},
+                                         UnevenCase{"OneOfMany", 195, 1, Interval::zero()},
+                                         UnevenCase{"TenOfManyThatWait", 195, 10,
+                                                    std::chrono::milliseconds(200)}),
+                         [](const auto &row) { return row.param.name; });
+
 class EndpointLimitsOfOne : public testing::Test
 {
 protected:
@@ -450,6 +512,37 @@
     EXPECT_EQ(limits.sharePerSecond(Endpoint), 25.0);
 }
 
+// Guards against asking a holder that has ended again and again.
+TEST_F(EndpointLimitsOfOne, UnresponsiveHolderIsNotAskedForAWhile)
+{
+    limits_.setHosts({HostId("h"), HostId("i"), HostId("j")});
+    limits_.onNotice(Endpoint, requestLimit(2.0), now_, now_);
+    const auto first = limits_.requestSlot(Endpoint, Interval::zero(), now_);
+    ASSERT_TRUE(first);
+    EXPECT_FALSE(limits_.requestSlot(Endpoint, Interval::zero(), now_));
+    now_ += EndpointLimits::SlotResponseTimeout;
+    const auto second = limits_.requestSlot(Endpoint, Interval::zero(), now_);
+    ASSERT_TRUE(second);
+    EXPECT_NE(first->holder, second->holder);
+    now_ += EndpointLimits::SlotResponseTimeout;
+    EXPECT_FALSE(limits_.requestSlot(Endpoint, Interval::zero(), now_));
+}
+
+TEST_F(EndpointLimitsOfOne, SlotsAreUsedOnceAndExpire)
+{
+    limits_.onNotice(Endpoint, requestLimit(2.0), now_, now_);
+    EXPECT_TRUE(limits_.bookOwnSlot(Endpoint, Interval::zero(), now_));
+    EXPECT_FALSE(limits_.bookOwnSlot(Endpoint, Millis(100), now_));
+    EXPECT_TRUE(limits_.bookOwnSlot(Endpoint, Millis(500), now_));
+    EXPECT_EQ(limits_.pendingSlots(Endpoint, now_), 2U);
+    EXPECT_TRUE(limits_.isAvailable(Endpoint, now_));
+    limits_.onSent(Endpoint, now_);
+    EXPECT_FALSE(limits_.isAvailable(Endpoint, now_));
+    EXPECT_TRUE(limits_.isAvailable(Endpoint, now_ + Millis(500)));
+    EXPECT_EQ(limits_.pendingSlots(Endpoint, now_ + Millis(500) + EndpointLimits::SlotLifetime),
+              0U);
+}
+
 TEST_F(EndpointLimitsOfOne, DescribesLimitAgeAndShare)
 {
     limits_.onNotice(Endpoint, requestLimit(2.5), now_, now_);
--- a/unittests/Edge/EndpointLimitMessageTest.cpp
+++ b/unittests/Edge/EndpointLimitMessageTest.cpp
@@ -69,4 +69,21 @@
     EXPECT_THROW(decodeEndpointLimits(message, Now), nlohmann::json::exception);
 }
 
+TEST(EndpointLimitMessage, KeepsSlotRequestsAndResponses)
+{
+    const SlotRequest sent{HostId("i"), 9, std::chrono::milliseconds(200), record("e")};
+    const SlotRequest request =
+            decodeSlotRequest(nlohmann::json::parse(encodeSlotRequest(sent, Now)), Now);
+    EXPECT_EQ(request.id, 9U);
+    EXPECT_EQ(request.maxDelay, std::chrono::milliseconds(200));
+    EXPECT_EQ(request.record.maxRequestsPerSecond, 2.1);
+    const SlotResponse given = decodeSlotResponse(
+            nlohmann::json::parse(encodeSlotResponse({9, std::chrono::milliseconds(40), {}})));
+    EXPECT_EQ(given.delay, std::chrono::milliseconds(40));
+    const SlotResponse none = decodeSlotResponse(nlohmann::json::parse(
+            encodeSlotResponse({9, std::nullopt, std::chrono::milliseconds(700)})));
+    EXPECT_FALSE(none.delay);
+    EXPECT_EQ(none.retryAfter, std::chrono::milliseconds(700));
+}
+
 } // namespace
