[Decisions] [Edge] Don't make endpoints fail that say how few rejections they bear

An endpoint may name the rejections per second for lack of capacity that it bears; one more and it fails for seconds. Nothing read this, and hosts filled its queue until it rejected. Class: a bound on the sum of what all hosts do, as for request limits, but on open requests.

The fleet keeps its open requests at such an endpoint within a window: its slots at first, shrunk by each rejection, growing again. As many hosts as it has slots, at most, hold a part each; others borrow room for one request, in the messages that lend slots of a request limit. Rejections are broadcast, and all hosts pause when half of what the endpoint bears fell into a second.

In a model of 6 and 195 hosts before three endpoints, no endpoint fails from 3 s after the first notice on, at up to three times the capacity, and at least half of the capacity is used (nineteen twentieths of the demand at 0.3 of it).

--- a/include/sequoiagate/Decisions/EndpointLimits.h
+++ b/include/sequoiagate/Decisions/EndpointLimits.h
@@ -11,6 +11,15 @@
 /// limit is. Hosts that know different members for a while choose nearly the same
 /// holders, so that the sum exceeds the limit by one share for each change of members.
 ///
+/// Rejection limit: an endpoint that names one fails if it must reject more requests per second
+/// for lack of capacity, so it must not be sent more than it has room for. The fleet keeps its
+/// open requests there within a window, which is the endpoint's slots at first. As many hosts as
+/// the endpoint has slots, at most, hold an equal part of the window; a part of less than one
+/// request spaces its holder's requests so that they amount to it on average. Hosts tell each
+/// other of each rejection; it shrinks the window, which then grows again (additive increase,
+/// multiplicative decrease), and all hosts pause until fewer than half of the bearable rejections
+/// fall into the last second.
+///
 /// A host that lacks a share, or needs more than it has, requests single slots of the holders. A
 /// slot is a time at which one request may be sent; it expires soon, so that few are outstanding.
 /// Requests for slots queue in the same bucket as the holder's own requests, and none waits for
@@ -20,6 +29,7 @@
 /// counts, by its age, so that no clocks are compared.
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -64,8 +74,12 @@
     /// How long the end of a limit is told to other hosts.
     static constexpr Interval EndedRecordLifetime = std::chrono::seconds(10);
 
+    /// Pause after a rejection by an endpoint that limits them.
+    static constexpr Interval RejectionPause = std::chrono::milliseconds(100);
     /// A slot that isn't used within this time after its start is lost.
     static constexpr Interval SlotLifetime = std::chrono::milliseconds(300);
+    /// The same for a slot of a window, which is occupied until its request has ended.
+    static constexpr Interval WindowSlotLifetime = std::chrono::milliseconds(30);
     /// Time for a holder to respond; after it another one is asked.
     static constexpr Interval SlotResponseTimeout = std::chrono::milliseconds(60);
 
@@ -74,7 +88,7 @@
     /// Sets all hosts of the fleet, including this one.
     void setHosts(std::vector<HostId> hosts);
     /// Sets the process that listens as \p endpoint; what was known of an earlier one is dropped.
-    void setEndpoint(const EndpointId &endpoint, uint64_t startedAtMillis);
+    void setEndpoint(const EndpointId &endpoint, uint64_t startedAtMillis, uint32_t slots);
     void removeEndpoint(const EndpointId &endpoint);
 
     /// Records the notice of a response to a request that was sent at \p sentAt.
@@ -85,7 +99,10 @@
     /// here, or run as another process, are ignored.
     /// \returns whether the limits changed
     bool onRecord(const EndpointLimitRecord &record, Instant now);
+    /// Records that \p endpoint rejected a request of another host.
+    void onPeerRejection(const EndpointId &endpoint, uint64_t startedAtMillis, Instant now);
     void onSent(const EndpointId &endpoint, Instant now);
+    void onEnd(const EndpointId &endpoint, Instant now);
 
     /// When this host may next send to \p endpoint: not after \p now if it may now; Never if its
     /// share is held by other hosts.
@@ -144,9 +161,20 @@
     struct Endpoint
     {
         EndpointLimitRecord record;
-        Instant lastNamedAt{}; ///< a response that named a limit arrived
-        bool isHolder = false; ///< of a share of the request limit
-        double share = 0.0;    ///< per second
+        Instant lastNamedAt{};  ///< a response that named a limit arrived
+        uint32_t slotCount = 1; ///< requests that it runs at once
+        uint32_t open = 0;      ///< requests of this host there
+        Instant openChangedAt{};
+        double openSeconds = 0.0; ///< of requests of this host, recent ones counting most
+        double ends = 0.0;        ///< requests of this host that ended, weighted alike
+        Instant lastSentAt{};
+        double window = 0.0; ///< of all hosts' open requests, at windowChangedAt
+        Instant windowChangedAt{};
+        std::deque<Instant> rejections; ///< of all hosts' requests, in the last second
+        bool isHolder = false;          ///< of a share of the limits
+        std::size_t holders = 1;        ///< of all hosts
+        double share = 0.0;             ///< of the request limit, per second
+        std::vector<Instant> lentUntil; ///< when requests of lent slots have probably ended
         std::vector<Holder> otherHolders;
         std::vector<Slot> slots; ///< that this host may use
         std::optional<OpenSlotRequest> slotRequest;
@@ -155,6 +183,16 @@
 
     void apply(Endpoint &endpoint, const EndpointLimitRecord &record);
     void computeShare(Endpoint &endpoint) const;
+    static void addRejection(Endpoint &endpoint, Instant now);
+    static void recordOpen(Endpoint &endpoint, Instant now);
+    /// The mean time for which this host's requests were open there.
+    static std::chrono::duration<double> meanDuration(const Endpoint &endpoint);
+    static double windowAt(const Endpoint &endpoint, Instant now);
+    static Instant resumesAfterRejections(const Endpoint &endpoint, Instant now);
+    static Instant availableByWindow(const Endpoint &endpoint, Instant now);
+    /// When this host's own share allows a request; Never if it has none.
+    static Instant availableByOwnShare(const Endpoint &endpoint, Instant now);
+    static Interval slotLifetime(const Endpoint &endpoint);
     static void advance(Endpoint &endpoint, Instant now);
     static void expire(Endpoint &endpoint, Instant now);
     const Endpoint *find(const EndpointId &id) const;
--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -73,7 +73,7 @@
     void abortCallers(Instant now);
     void tick();
     void gossipLimits(Instant now);
-    void onPeerLimits(const std::vector<EndpointLimitRecord> &records);
+    void onPeerLimits(const std::vector<EndpointLimitRecord> &records, bool rejected);
     void recordLoopLag(Instant now);
     void updateGauges();
 
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -51,7 +51,8 @@
                       DistributedRetryBudgetSettings retries, EventLog &log);
 
     /// Called when the other hosts should learn at once what this one observed of an endpoint.
-    std::function<void(const EndpointLimitRecord &)> onLimitObserved;
+    /// \param rejected whether the endpoint rejected a request
+    std::function<void(const EndpointLimitRecord &record, bool rejected)> onLimitObserved;
     /// Called when a slot of another host's share of a limit is needed.
     std::function<void(const SlotRequest &)> onSlotNeeded;
 
@@ -71,6 +72,7 @@
     void setHosts(const std::vector<HostId> &hosts);
     /// Takes over what another host observed.
     void onPeerLimits(const std::vector<EndpointLimitRecord> &records, Instant now);
+    void onPeerRejection(const EndpointLimitRecord &record, Instant now);
     SlotResponse lendSlot(const SlotRequest &request, Instant now)
     {
         return limits_.lendSlot(request, now);
--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -69,8 +69,8 @@
         std::function<void(const WorkspaceId &, uint64_t tokens)> onTokensReceived;
         /// A peer responded to a clock request of this process.
         std::function<void(const ClockResponse &)> onClockResponse;
-        /// A peer observed limits of endpoints.
-        std::function<void(const std::vector<EndpointLimitRecord> &)> onLimits;
+        /// A peer observed limits of endpoints; of a single one, perhaps a rejected request.
+        std::function<void(const std::vector<EndpointLimitRecord> &, bool rejected)> onLimits;
         /// A peer requests a slot of this host's share of an endpoint's limit.
         std::function<SlotResponse(const SlotRequest &)> onSlotRequest;
         std::function<void(const SlotResponse &)> onSlotResponse;
@@ -96,7 +96,7 @@
     /// the start of this process; the response repeats it.
     void requestClock(const boost::asio::ip::udp::endpoint &address, Millis sinceStart);
     /// Tells all peers what this host has just observed of an endpoint.
-    void broadcastLimit(const EndpointLimitRecord &record, Instant now);
+    void broadcastLimit(const EndpointLimitRecord &record, bool rejected, Instant now);
     /// Tells a few peers, in rotation, what is known of endpoints' limits: those that missed a
     /// broadcast or started after it learn it within a few such rounds.
     void gossipLimits(const std::vector<EndpointLimitRecord> &records, Instant now);
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -51,7 +51,7 @@
     /// Called when the hosts of the fleet, including this one, change.
     std::function<void(const std::vector<HostId> &)> onHostsChanged;
     /// Called for peers' messages about endpoints' limits. Set before start.
-    std::function<void(const std::vector<EndpointLimitRecord> &)> onPeerLimits;
+    std::function<void(const std::vector<EndpointLimitRecord> &, bool rejected)> onPeerLimits;
     std::function<SlotResponse(const SlotRequest &)> onSlotRequest;
     std::function<void(const SlotResponse &)> onSlotResponse;
 
--- a/lib/Decisions/EndpointLimits.cpp
+++ b/lib/Decisions/EndpointLimits.cpp
@@ -12,6 +12,16 @@
 
 namespace {
 
+constexpr Interval RejectionWindow = std::chrono::seconds(1);
+
+/// A rejection shrinks the window of open requests to this part of it; it grows again by this
+/// part of the endpoint's slots per second.
+constexpr double WindowDecrease = 0.7;
+constexpr double WindowIncreasePerSecond = 0.1;
+
+/// The time that a request is assumed to be open before one has ended.
+constexpr Interval DefaultDuration = std::chrono::milliseconds(200);
+
 /// An endpoint is sent requests at this rate at least, so that the end of its limit is noticed.
 constexpr double MinRequestsPerSecond = 0.2;
 
@@ -64,10 +74,15 @@
     }
 }
 
-void EndpointLimits::setEndpoint(const EndpointId &endpoint, uint64_t startedAtMillis)
+void EndpointLimits::setEndpoint(const EndpointId &endpoint, uint64_t startedAtMillis,
+                                 uint32_t slots)
 {
     const auto [found, added] = endpoints_.try_emplace(endpoint);
     EndpointLimitRecord &known = found->second.record;
+    if (found->second.slotCount != slots) {
+        found->second.slotCount = slots;
+        computeShare(found->second);
+    }
     if (!added && known.startedAtMillis == startedAtMillis) {
         return;
     }
@@ -76,6 +91,8 @@
     unlimited.startedAtMillis = startedAtMillis;
     apply(found->second, unlimited);
     found->second.lastNamedAt = Instant();
+    found->second.rejections.clear();
+    found->second.windowChangedAt = Instant();
     found->second.slots.clear();
     found->second.slotRequest.reset();
 }
@@ -100,7 +117,7 @@
 void EndpointLimits::computeShare(Endpoint &endpoint) const
 {
     const std::optional<double> &limit = endpoint.record.maxRequestsPerSecond;
-    if (!limit) {
+    if (!hasLimit(endpoint.record)) {
         endpoint.isHolder = true;
         return;
     }
@@ -115,7 +132,11 @@
     for (const HostId &host : hosts_) {
         ranked.emplace_back(rendezvousWeight(key, host.text()), &host);
     }
-    const std::size_t holders = holderCount(*limit, hosts_.size());
+    std::size_t holders = limit ? holderCount(*limit, hosts_.size()) : hosts_.size();
+    if (endpoint.record.maxRejectionsPerSecond) {
+        holders = std::clamp<std::size_t>(endpoint.slotCount, 1, holders);
+    }
+    endpoint.holders = holders;
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(holders),
                       ranked.end(), std::greater<>());
     endpoint.isHolder = false;
@@ -135,7 +156,8 @@
         endpoint.otherHolders = std::move(others);
         endpoint.slotRequest.reset();
     }
-    endpoint.share = std::max(*limit, MinRequestsPerSecond) / static_cast<double>(holders);
+    endpoint.share =
+            std::max(limit.value_or(0.0), MinRequestsPerSecond) / static_cast<double>(holders);
 }
 
 bool EndpointLimits::onNotice(const EndpointId &id, const EndpointNotice &notice, Instant sentAt,
@@ -159,7 +181,13 @@
     record.observedAt = now;
     apply(endpoint, record);
     endpoint.lastNamedAt = names ? now : endpoint.lastNamedAt;
-    return known.maxRejectionsPerSecond != record.maxRejectionsPerSecond
+    const bool isCounted = notice.rejected && notice.maxRejectionsPerSecond;
+    if (isCounted) {
+        addRejection(endpoint, now);
+        // Its end, which follows, says nothing about how long requests run.
+        endpoint.ends = std::max(endpoint.ends - 1.0, -1.0);
+    }
+    return isCounted || known.maxRejectionsPerSecond != record.maxRejectionsPerSecond
            || differsNoticeably(known.maxRequestsPerSecond, record.maxRequestsPerSecond);
 }
 
@@ -183,6 +211,59 @@
            || differsNoticeably(known.maxRequestsPerSecond, record.maxRequestsPerSecond);
 }
 
+void EndpointLimits::onPeerRejection(const EndpointId &id, uint64_t startedAtMillis, Instant now)
+{
+    const auto found = endpoints_.find(id);
+    if (found != endpoints_.end() && found->second.record.startedAtMillis == startedAtMillis) {
+        addRejection(found->second, now);
+    }
+}
+
+void EndpointLimits::addRejection(Endpoint &endpoint, Instant now)
+{
+    std::deque<Instant> &rejections = endpoint.rejections;
+    while (!rejections.empty() && now >= rejections.front() + RejectionWindow) {
+        rejections.pop_front();
+    }
+    // Rejections of requests that were sent at about the same time have one cause.
+    const bool isNew = rejections.empty() || now >= rejections.back() + RejectionPause;
+    rejections.push_back(now);
+    if (isNew) {
+        endpoint.window = std::max(WindowDecrease * windowAt(endpoint, now), 1.0);
+        endpoint.windowChangedAt = now;
+    }
+}
+
+double EndpointLimits::windowAt(const Endpoint &endpoint, Instant now)
+{
+    const double slots = std::max(endpoint.slotCount, 1U);
+    if (endpoint.windowChangedAt == Instant()) {
+        return slots;
+    }
+    const std::chrono::duration<double> elapsed = now - endpoint.windowChangedAt;
+    return std::min(slots, endpoint.window + WindowIncreasePerSecond * slots * elapsed.count());
+}
+
+void EndpointLimits::recordOpen(Endpoint &endpoint, Instant now)
+{
+    const std::chrono::duration<double> elapsed = now - endpoint.openChangedAt;
+    endpoint.openSeconds += endpoint.open * elapsed.count();
+    endpoint.openChangedAt = now;
+    constexpr double MaxEnds = 64.0;
+    if (endpoint.ends >= MaxEnds) {
+        endpoint.ends /= 2;
+        endpoint.openSeconds /= 2;
+    }
+}
+
+std::chrono::duration<double> EndpointLimits::meanDuration(const Endpoint &endpoint)
+{
+    const std::chrono::duration<double> unknown = DefaultDuration;
+    return endpoint.ends < 1.0
+                   ? unknown
+                   : std::chrono::duration<double>(endpoint.openSeconds / endpoint.ends);
+}
+
 void EndpointLimits::onSent(const EndpointId &id, Instant now)
 {
     const auto found = endpoints_.find(id);
@@ -190,7 +271,9 @@
         return;
     }
     Endpoint &endpoint = found->second;
-    if (!endpoint.record.maxRequestsPerSecond) {
+    recordOpen(endpoint, now);
+    ++endpoint.open;
+    if (!hasLimit(endpoint.record)) {
         return;
     }
     expire(endpoint, now);
@@ -203,8 +286,24 @@
     advance(endpoint, now);
 }
 
+void EndpointLimits::onEnd(const EndpointId &id, Instant now)
+{
+    const auto found = endpoints_.find(id);
+    if (found != endpoints_.end() && found->second.open > 0) {
+        recordOpen(found->second, now);
+        --found->second.open;
+        found->second.ends += 1.0;
+    }
+}
+
+Interval EndpointLimits::slotLifetime(const Endpoint &endpoint)
+{
+    return endpoint.record.maxRequestsPerSecond ? SlotLifetime : WindowSlotLifetime;
+}
+
 void EndpointLimits::advance(Endpoint &endpoint, Instant now)
 {
+    endpoint.lastSentAt = now;
     const auto interval = std::chrono::duration<double>(1.0 / endpoint.share);
     endpoint.nextSendAt = std::max(endpoint.nextSendAt, now - asInterval(BurstShare * interval))
                           + asInterval(interval);
@@ -213,6 +312,7 @@
 void EndpointLimits::expire(Endpoint &endpoint, Instant now)
 {
     std::erase_if(endpoint.slots, [now](const Slot &slot) { return now >= slot.expiresAt; });
+    std::erase_if(endpoint.lentUntil, [now](Instant until) { return now >= until; });
     std::optional<OpenSlotRequest> &open = endpoint.slotRequest;
     if (open && now >= open->expiresAt) {
         // A holder that doesn't respond isn't asked again for a while.
@@ -229,12 +329,13 @@
         return false;
     }
     Endpoint &endpoint = found->second;
-    const Instant at = std::max(endpoint.nextSendAt, now);
-    if (at > now + maxDelay) {
+    const Instant at =
+            std::max(availableByOwnShare(endpoint, now), resumesAfterRejections(endpoint, now));
+    if (at > now + maxDelay || availableByWindow(endpoint, now) > now) {
         return false;
     }
     advance(endpoint, now);
-    endpoint.slots.push_back({at, at + SlotLifetime});
+    endpoint.slots.push_back({at, at + slotLifetime(endpoint)});
     return true;
 }
 
@@ -242,12 +343,14 @@
                                                        Instant now)
 {
     const auto found = endpoints_.find(id);
-    if (found == endpoints_.end() || !found->second.record.maxRequestsPerSecond) {
+    if (found == endpoints_.end() || !hasLimit(found->second.record)) {
         return std::nullopt;
     }
     Endpoint &endpoint = found->second;
     expire(endpoint, now);
-    if (endpoint.slotRequest) {
+    // A holder's part of a window bounds what it has open, whoever's part that was.
+    const bool hasOwnPart = endpoint.isHolder && !endpoint.record.maxRequestsPerSecond;
+    if (endpoint.slotRequest || hasOwnPart) {
         return std::nullopt;
     }
     // The one that has had a slot for longest, so that all holders' shares are used.
@@ -267,20 +370,29 @@
     onRecord(request.record, now);
     SlotResponse response{request.id, std::nullopt, UnresponsiveHolderPause};
     const auto found = endpoints_.find(request.record.endpoint);
-    if (found == endpoints_.end() || !found->second.record.maxRequestsPerSecond
-        || !found->second.isHolder) {
+    if (found == endpoints_.end() || !hasLimit(found->second.record) || !found->second.isHolder) {
         return response;
     }
     Endpoint &endpoint = found->second;
+    expire(endpoint, now);
     // A slot for a request that may come isn't taken from a holder that is about to use it.
     const bool isForLater = request.maxDelay == Interval::zero();
-    const auto idle = std::chrono::duration<double>(isForLater ? IdleShare / endpoint.share : 0.0);
-    const Interval delay = std::max(endpoint.nextSendAt + asInterval(idle), now) - now;
-    if (delay > request.maxDelay) {
-        response.retryAfter = delay - request.maxDelay;
+    const bool hasRate = endpoint.record.maxRequestsPerSecond.has_value();
+    const std::chrono::duration<double> idle(isForLater && hasRate ? IdleShare / endpoint.share
+                                                                   : 0.0);
+    const Instant at =
+            std::max(resumesAfterRejections(endpoint, now),
+                     availableByOwnShare(endpoint, now - asInterval(idle)) + asInterval(idle));
+    const Interval delay = std::max(at, now) - now;
+    // When room in a window becomes free is only an estimate, so it isn't promised ahead.
+    const Interval byWindow = availableByWindow(endpoint, now) - now;
+    if (delay > request.maxDelay || byWindow > Interval::zero()) {
+        response.retryAfter = std::max(delay - request.maxDelay, byWindow);
         return response;
     }
     advance(endpoint, now);
+    endpoint.lentUntil.push_back(now + delay + slotLifetime(endpoint)
+                                 + asInterval(meanDuration(endpoint)));
     response.delay = delay;
     return response;
 }
@@ -295,7 +407,7 @@
         endpoint.slotRequest.reset();
         if (response.delay) {
             const Instant at = now + *response.delay;
-            endpoint.slots.push_back({at, at + SlotLifetime});
+            endpoint.slots.push_back({at, at + slotLifetime(endpoint)});
             holder.emptyUntil = at;
         } else {
             holder.emptyUntil = now + response.retryAfter;
@@ -316,19 +428,65 @@
     return static_cast<std::size_t>(live) + (isRequestOpen ? 1 : 0);
 }
 
+Instant EndpointLimits::resumesAfterRejections(const Endpoint &endpoint, Instant now)
+{
+    const std::deque<Instant> &rejections = endpoint.rejections;
+    if (rejections.empty()) {
+        return now;
+    }
+    const std::size_t bearable =
+            std::max<std::size_t>(endpoint.record.maxRejectionsPerSecond.value_or(0) / 2, 1);
+    Instant at = std::max(now, rejections.back() + RejectionPause);
+    if (rejections.size() >= bearable) {
+        at = std::max(at, rejections[rejections.size() - bearable] + RejectionWindow);
+    }
+    return at;
+}
+
+Instant EndpointLimits::availableByWindow(const Endpoint &endpoint, Instant now)
+{
+    if (!endpoint.record.maxRejectionsPerSecond) {
+        return now;
+    }
+    const double share = windowAt(endpoint, now) / static_cast<double>(endpoint.holders);
+    const std::chrono::duration<double> duration = meanDuration(endpoint);
+    const auto lent = std::count_if(endpoint.lentUntil.begin(), endpoint.lentUntil.end(),
+                                    [now](Instant until) { return now < until; });
+    const double open = endpoint.open + static_cast<double>(lent);
+    Instant at = now;
+    if (open >= std::max(std::floor(share), 1.0)) {
+        // About when the next of the open requests ends.
+        at = now + asInterval(duration / open);
+    }
+    if (share < 1.0) {
+        at = std::max(at, endpoint.lastSentAt + asInterval(duration / share));
+    }
+    return at;
+}
+
+Instant EndpointLimits::availableByOwnShare(const Endpoint &endpoint, Instant now)
+{
+    if (!endpoint.isHolder) {
+        return Never;
+    }
+    const Instant byRate =
+            endpoint.record.maxRequestsPerSecond ? std::max(now, endpoint.nextSendAt) : now;
+    return std::max(byRate, availableByWindow(endpoint, now));
+}
+
 Instant EndpointLimits::availableAt(const EndpointId &id, Instant now) const
 {
     const Endpoint *endpoint = find(id);
-    if (endpoint == nullptr || !endpoint->record.maxRequestsPerSecond) {
+    if (endpoint == nullptr || !hasLimit(endpoint->record)) {
         return now;
     }
-    Instant at = endpoint->isHolder ? std::max(now, endpoint->nextSendAt) : Never;
+    Instant at = availableByOwnShare(*endpoint, now);
     for (const Slot &slot : endpoint->slots) {
         if (now < slot.expiresAt) {
             at = std::min(at, std::max(now, slot.usableAt));
         }
     }
-    return at;
+    return std::max(at, resumesAfterRejections(*endpoint, now));
 }
 
 std::optional<double> EndpointLimits::sharePerSecond(const EndpointId &id) const
@@ -353,6 +511,11 @@
         text += fmt::format(" {:g} requests/s, share {:.3g},", *record.maxRequestsPerSecond,
                             sharePerSecond(id).value_or(0.0));
     }
+    if (record.maxRejectionsPerSecond) {
+        text += fmt::format(" {} rejections/s, {} lately, window {:.3g}, {} open here,",
+                            *record.maxRejectionsPerSecond, endpoint->rejections.size(),
+                            windowAt(*endpoint, now), endpoint->open);
+    }
     return text + fmt::format(" observed {} ms ago", age);
 }
 
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -112,8 +112,8 @@
     tokens_->onHostsChanged = [this](const std::vector<HostId> &hosts) {
         endpoints_.setHosts(hosts);
     };
-    tokens_->onPeerLimits = [this](const std::vector<EndpointLimitRecord> &records) {
-        onPeerLimits(records);
+    tokens_->onPeerLimits = [this](const std::vector<EndpointLimitRecord> &records, bool rejected) {
+        onPeerLimits(records, rejected);
     };
     tokens_->onSlotRequest = [this](const SlotRequest &request) {
         return endpoints_.lendSlot(request, std::chrono::steady_clock::now());
@@ -124,8 +124,8 @@
     endpoints_.onSlotNeeded = [this](const SlotRequest &request) {
         tokens_->peers().requestSlot(request, std::chrono::steady_clock::now());
     };
-    endpoints_.onLimitObserved = [this](const EndpointLimitRecord &record) {
-        tokens_->peers().broadcastLimit(record, std::chrono::steady_clock::now());
+    endpoints_.onLimitObserved = [this](const EndpointLimitRecord &record, bool rejected) {
+        tokens_->peers().broadcastLimit(record, rejected, std::chrono::steady_clock::now());
     };
     context_ = std::make_unique<ProxyContext>(ProxyContext{
             io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_, link_, log_,
@@ -444,9 +444,14 @@
     }
 }
 
-void Edge::onPeerLimits(const std::vector<EndpointLimitRecord> &records)
+void Edge::onPeerLimits(const std::vector<EndpointLimitRecord> &records, bool rejected)
 {
-    endpoints_.onPeerLimits(records, std::chrono::steady_clock::now());
+    const Instant now = std::chrono::steady_clock::now();
+    if (rejected) {
+        endpoints_.onPeerRejection(records.front(), now);
+    } else {
+        endpoints_.onPeerLimits(records, now);
+    }
 }
 
 void Edge::recordLoopLag(Instant now)
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -107,7 +107,7 @@
     if (restarted) {
         listed.excludedUntil = Instant();
     }
-    limits_.setEndpoint(entry.id, entry.startedAtMillis);
+    limits_.setEndpoint(entry.id, entry.startedAtMillis, entry.slots);
     changed_ = true;
     log_.write(Event(added ? "endpoint.listed" : "endpoint.changed")
                        .with("endpoint", entry.id)
@@ -339,7 +339,8 @@
             });
     std::size_t pending = 0;
     for (const EndpointId &id : limited) {
-        pending += limits_.pendingSlots(id, now);
+        const bool isSoon = limits_.availableAt(id, now) < now + left;
+        pending += limits_.pendingSlots(id, now) + (isSoon ? 1 : 0);
     }
     for (std::size_t i = 0; i < limited.size() && pending < static_cast<std::size_t>(waiting);
          ++i) {
@@ -414,6 +415,7 @@
 void EndpointDirectory::onAttemptEnd(const AttemptResult &result, Instant now)
 {
     selector_.onEnd(result, now);
+    limits_.onEnd(result.endpoint, now);
 }
 
 void EndpointDirectory::onNotice(const EndpointId &endpoint, const EndpointNotice &notice,
@@ -423,9 +425,9 @@
         return;
     }
     const EndpointLimitRecord record = *limits_.recordOf(endpoint);
-    logLimit(record, "answer");
+    logLimit(record, notice.rejected ? "rejected" : "answer");
     if (onLimitObserved) {
-        onLimitObserved(record);
+        onLimitObserved(record, notice.rejected);
     }
 }
 
@@ -438,6 +440,12 @@
     }
 }
 
+void EndpointDirectory::onPeerRejection(const EndpointLimitRecord &record, Instant now)
+{
+    limits_.onRecord(record, now);
+    limits_.onPeerRejection(record.endpoint, record.startedAtMillis, now);
+}
+
 void EndpointDirectory::logLimit(const EndpointLimitRecord &record, const char *source) const
 {
     constexpr double None = -1.0;
--- a/lib/Edge/EndpointLimitMessage.cpp
+++ b/lib/Edge/EndpointLimitMessage.cpp
@@ -42,31 +42,32 @@
 
 } // namespace
 
-std::vector<std::string> encodeEndpointLimits(const std::vector<EndpointLimitRecord> &records,
-                                              Instant now)
+std::vector<std::string> encodeEndpointLimits(const EndpointLimitMessage &message, Instant now)
 {
     std::vector<std::string> datagrams;
-    for (std::size_t first = 0; first < records.size(); first += MaxRecords) {
-        const std::size_t end = std::min(first + MaxRecords, records.size());
+    for (std::size_t first = 0; first < message.records.size(); first += MaxRecords) {
+        const std::size_t end = std::min(first + MaxRecords, message.records.size());
         nlohmann::json encoded = nlohmann::json::array();
         for (std::size_t i = first; i < end; ++i) {
-            encoded.push_back(encodeRecord(records[i], now));
+            encoded.push_back(encodeRecord(message.records[i], now));
         }
         const nlohmann::json datagram = {{"kind", EndpointLimitMessageKind},
                                          {"version", 1},
-                                         {"records", std::move(encoded)}};
+                                         {"records", std::move(encoded)},
+                                         {"rejected", message.rejected}};
         datagrams.push_back(datagram.dump());
     }
     return datagrams;
 }
 
-std::vector<EndpointLimitRecord> decodeEndpointLimits(const nlohmann::json &message, Instant now)
+EndpointLimitMessage decodeEndpointLimits(const nlohmann::json &message, Instant now)
 {
-    std::vector<EndpointLimitRecord> records;
+    EndpointLimitMessage decoded;
     for (const nlohmann::json &value : message.at("records")) {
-        records.push_back(decodeRecord(value, now));
+        decoded.records.push_back(decodeRecord(value, now));
     }
-    return records;
+    decoded.rejected = message.value("rejected", false) && decoded.records.size() == 1;
+    return decoded;
 }
 
 std::string encodeSlotRequest(const SlotRequest &request, Instant now)
--- a/lib/Edge/EndpointLimitMessage.h
+++ b/lib/Edge/EndpointLimitMessage.h
@@ -20,11 +20,16 @@
 inline constexpr const char *SlotRequestMessageKind = "ask_slot";
 inline constexpr const char *SlotResponseMessageKind = "slot";
 
+struct EndpointLimitMessage
+{
+    std::vector<EndpointLimitRecord> records;
+    bool rejected = false; ///< the endpoint of the only record rejected a request
+};
+
 /// Returns one datagram, or several if the records don't fit into one. Thread safe.
-std::vector<std::string> encodeEndpointLimits(const std::vector<EndpointLimitRecord> &records,
-                                              Instant now);
+std::vector<std::string> encodeEndpointLimits(const EndpointLimitMessage &message, Instant now);
 /// \throws nlohmann::json::exception for a malformed message. Thread safe.
-std::vector<EndpointLimitRecord> decodeEndpointLimits(const nlohmann::json &message, Instant now);
+EndpointLimitMessage decodeEndpointLimits(const nlohmann::json &message, Instant now);
 
 /// Thread safe, as are the following; the decoding ones throw nlohmann::json::exception for a
 /// malformed message.
--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -275,9 +275,9 @@
                                Millis(message.at("asked_ms").get<int64_t>())});
 }
 
-void PeerLink::broadcastLimit(const EndpointLimitRecord &record, Instant now)
+void PeerLink::broadcastLimit(const EndpointLimitRecord &record, bool rejected, Instant now)
 {
-    for (const std::string &datagram : encodeEndpointLimits({record}, now)) {
+    for (const std::string &datagram : encodeEndpointLimits({{record}, rejected}, now)) {
         for (const Peer &peer : peers_) {
             send(datagram, peer.address);
         }
@@ -286,7 +286,7 @@
 
 void PeerLink::gossipLimits(const std::vector<EndpointLimitRecord> &records, Instant now)
 {
-    const std::vector<std::string> datagrams = encodeEndpointLimits(records, now);
+    const std::vector<std::string> datagrams = encodeEndpointLimits({records, false}, now);
     const std::size_t count = std::min(GossipPeers, peers_.size());
     for (std::size_t i = 0; i < count; ++i) {
         for (const std::string &datagram : datagrams) {
@@ -298,7 +298,9 @@
 
 void PeerLink::onLimits(const nlohmann::json &message)
 {
-    handlers_.onLimits(decodeEndpointLimits(message, std::chrono::steady_clock::now()));
+    const EndpointLimitMessage limits =
+            decodeEndpointLimits(message, std::chrono::steady_clock::now());
+    handlers_.onLimits(limits.records, limits.rejected);
 }
 
 void PeerLink::requestSlot(const SlotRequest &request, Instant now)
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -71,7 +71,9 @@
                   serveWaitingRequests(now);
               },
               [this](const ClockResponse &response) { onClockResponse(response); },
-              [this](const std::vector<EndpointLimitRecord> &records) { onPeerLimits(records); },
+              [this](const std::vector<EndpointLimitRecord> &records, bool rejected) {
+                  onPeerLimits(records, rejected);
+              },
               [this](const SlotRequest &request) { return onSlotRequest(request); },
               [this](const SlotResponse &response) {
                   onSlotResponse(response);
--- a/unittests/Decisions/EndpointLimitsTest.cpp
+++ b/unittests/Decisions/EndpointLimitsTest.cpp
@@ -1,6 +1,7 @@
 /// Limits that endpoints name for all hosts together, kept by fleets of various sizes.
 
 #include <algorithm>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -25,6 +26,14 @@
     return notice;
 }
 
+EndpointNotice rejectionLimit(uint32_t perSecond, bool rejected)
+{
+    EndpointNotice notice;
+    notice.maxRejectionsPerSecond = perSecond;
+    notice.rejected = rejected;
+    return notice;
+}
+
 std::vector<HostId> hostNames(int count)
 {
     std::vector<HostId> hosts;
@@ -60,7 +69,7 @@
         Node &node = nodes_[index(host)];
         node.limits = std::make_unique<EndpointLimits>(names_[index(host)]);
         node.limits->setHosts(names_);
-        node.limits->setEndpoint(Endpoint, FirstProcess);
+        node.limits->setEndpoint(Endpoint, FirstProcess, 8);
         ++node.process;
     }
 
@@ -408,6 +417,220 @@
     EXPECT_GE(static_cast<double>(fleet.arrivalsSince(from)) / 20.0, 9.0);
 }
 
+struct BrittleCase
+{
+    const char *name;
+    int hosts;
+    uint32_t slots;
+    uint32_t queue;    ///< further requests that an endpoint lets wait
+    uint32_t limit;    ///< rejections per second
+    double overload;   ///< demand over capacity
+    double leastShare; ///< of the smaller of demand and capacity that is served
+};
+
+/// A fleet before a few endpoints that fail if they must reject too many requests in a second.
+class BrittleFleet
+{
+public:
+    explicit BrittleFleet(const BrittleCase &row)
+        : row_(row), names_(hostNames(row.hosts)), open_(Endpoints), rejections_(Endpoints)
+    {
+        for (const HostId &name : names_) {
+            nodes_.emplace_back(name);
+            nodes_.back().setHosts(names_);
+            for (std::size_t e = 0; e < Endpoints; ++e) {
+                nodes_.back().setEndpoint(id(e), FirstProcess, row.slots);
+            }
+        }
+    }
+
+    void run(std::chrono::seconds length)
+    {
+        constexpr std::chrono::milliseconds Step(1);
+        std::poisson_distribution<int> arrivals(row_.overload * capacityPerSecond() / 1000.0);
+        for (const Instant end = now_ + length; now_ < end; now_ += Step) {
+            while (!pending_.empty() && pending_.top().at <= now_) {
+                const Pending due = pending_.top();
+                pending_.pop();
+                due.act();
+            }
+            for (int i = arrivals(random_); i > 0; --i) {
+                place(random_() % nodes_.size());
+            }
+        }
+    }
+
+    uint64_t demanded() const { return demanded_; }
+    uint64_t served() const { return served_; }
+    std::size_t failures() const { return failures_; }
+    double capacityPerSecond() const
+    {
+        return Endpoints * row_.slots / std::chrono::duration<double>(Work).count();
+    }
+
+private:
+    static constexpr std::size_t Endpoints = 3;
+    static constexpr std::chrono::milliseconds Work{60};
+    static constexpr std::chrono::milliseconds Hop{2};
+
+    struct Pending
+    {
+        Instant at;
+        uint64_t order;
+        std::function<void()> act;
+        bool operator<(const Pending &other) const
+        {
+            return std::pair(at, order) > std::pair(other.at, other.order);
+        }
+    };
+
+    static EndpointId id(std::size_t endpoint) { return EndpointId(fmt::format("e{}", endpoint)); }
+
+    void after(Interval delay, std::function<void()> act)
+    {
+        pending_.push({now_ + delay, ++order_, std::move(act)});
+    }
+
+    void place(std::size_t host)
+    {
+        ++demanded_;
+        tryPlace(host, now_ + std::chrono::milliseconds(200));
+    }
+
+    /// Sends a request, or waits for capacity.
+    void tryPlace(std::size_t host, Instant giveUpAt)
+    {
+        const std::size_t first = random_() % Endpoints;
+        for (std::size_t i = 0; i < Endpoints; ++i) {
+            const std::size_t endpoint = (first + i) % Endpoints;
+            if (nodes_[host].isAvailable(id(endpoint), now_)) {
+                nodes_[host].onSent(id(endpoint), now_);
+                after(Hop,
+                      [this, host, endpoint, sentAt = now_] { arrive(host, endpoint, sentAt); });
+                return;
+            }
+        }
+        requestSlot(host, first, giveUpAt);
+        constexpr std::chrono::milliseconds Poll(10);
+        if (now_ + Poll < giveUpAt) {
+            after(Poll, [this, host, giveUpAt] { tryPlace(host, giveUpAt); });
+        }
+    }
+
+    void requestSlot(std::size_t host, std::size_t endpoint, Instant giveUpAt)
+    {
+        const auto request = nodes_[host].requestSlot(id(endpoint), giveUpAt - now_, now_);
+        if (!request) {
+            return;
+        }
+        after(Hop, [this, host, request] {
+            const auto holder = std::find(names_.begin(), names_.end(), request->holder);
+            const SlotResponse response =
+                    nodes_[static_cast<std::size_t>(holder - names_.begin())].lendSlot(*request,
+                                                                                       now_);
+            after(Hop, [this, host, response] { nodes_[host].onSlotResponse(response, now_); });
+        });
+    }
+
+    void arrive(std::size_t host, std::size_t endpoint, Instant sentAt)
+    {
+        const bool rejected = open_[endpoint] >= row_.slots + row_.queue;
+        if (rejected) {
+            reject(endpoint);
+        } else {
+            ++open_[endpoint];
+        }
+        const Interval busy = rejected ? Interval() : Interval(Work);
+        after(busy, [this, host, endpoint, sentAt, rejected] {
+            open_[endpoint] -= rejected ? 0 : 1;
+            served_ += rejected ? 0 : 1;
+            after(Hop, [this, host, endpoint, sentAt, rejected] {
+                respond(host, endpoint, sentAt, rejected);
+            });
+        });
+    }
+
+    void reject(std::size_t endpoint)
+    {
+        std::deque<Instant> &rejections = rejections_[endpoint];
+        rejections.push_back(now_);
+        while (rejections.front() + std::chrono::seconds(1) < now_) {
+            rejections.pop_front();
+        }
+        const bool mayFail = now_ > start_ + Settling;
+        if (mayFail && rejections.size() > row_.limit) {
+            ++failures_;
+            rejections.clear();
+        }
+    }
+
+    void respond(std::size_t host, std::size_t endpoint, Instant sentAt, bool rejected)
+    {
+        nodes_[host].onEnd(id(endpoint), now_);
+        if (!nodes_[host].onNotice(id(endpoint), rejectionLimit(row_.limit, rejected), sentAt,
+                                   now_)) {
+            return;
+        }
+        const EndpointLimitRecord record = *nodes_[host].recordOf(id(endpoint));
+        after(Hop, [this, host, record, rejected] {
+            for (std::size_t i = 0; i < nodes_.size(); ++i) {
+                if (i == host) {
+                    continue;
+                }
+                nodes_[i].onRecord(record, now_);
+                if (rejected) {
+                    nodes_[i].onPeerRejection(record.endpoint, record.startedAtMillis, now_);
+                }
+            }
+        });
+    }
+
+    const BrittleCase &row_;
+    std::vector<HostId> names_;
+    std::vector<EndpointLimits> nodes_;
+    std::vector<uint32_t> open_;
+    std::vector<std::deque<Instant>> rejections_;
+    std::priority_queue<Pending> pending_;
+    uint64_t order_ = 0;
+    std::mt19937_64 random_{11};
+    Instant start_{std::chrono::hours(1)};
+    Instant now_ = start_;
+    uint64_t demanded_ = 0;
+    uint64_t served_ = 0;
+    std::size_t failures_ = 0;
+};
+
+class BrittleEndpoints : public testing::TestWithParam<BrittleCase>
+{};
+
+// Guards against hosts that go on sending to endpoints which fail from the rejections.
+TEST_P(BrittleEndpoints, DoNotFail)
+{
+    const BrittleCase &row = GetParam();
+    constexpr std::chrono::seconds Length(20);
+    BrittleFleet fleet(row);
+    fleet.run(Length);
+    EXPECT_EQ(fleet.failures(), 0U);
+    const double possible =
+            std::min(static_cast<double>(fleet.demanded()),
+                     fleet.capacityPerSecond() * static_cast<double>(Length.count()));
+    EXPECT_GE(static_cast<double>(fleet.served()), row.leastShare * possible);
+}
+
+const BrittleCase BrittleCases[] = {
+        // Callers lose next to nothing where there is room.
+        {"SixHostsWithRoom", 6, 6, 2, 4, 0.3, 0.95},
+        {"SixHostsAtCapacity", 6, 6, 2, 4, 1.0, 0.5},
+        {"SixHostsOverloaded", 6, 6, 0, 4, 3.0, 0.5},
+        {"SixHostsManySlots", 6, 64, 4, 6, 2.0, 0.5},
+        {"ManyHostsWithRoom", 195, 6, 2, 4, 0.3, 0.95},
+        {"ManyHostsOverloaded", 195, 6, 1, 4, 3.0, 0.5},
+        {"FewRejections", 6, 6, 1, 2, 1.5, 0.5},
+};
+
+INSTANTIATE_TEST_SUITE_P(Fleets, BrittleEndpoints, testing::ValuesIn(BrittleCases),
+                         [](const auto &row) { return row.param.name; });
+
 struct UnevenCase
 {
     const char *name;
@@ -452,7 +675,7 @@
     EndpointLimitsOfOne()
     {
         limits_.setHosts({HostId("h")});
-        limits_.setEndpoint(Endpoint, FirstProcess);
+        limits_.setEndpoint(Endpoint, FirstProcess, 8);
     }
 
     Instant now_{std::chrono::hours(1)};
@@ -475,7 +698,7 @@
 {
     limits_.onNotice(Endpoint, requestLimit(2.0), now_, now_);
     EndpointLimitRecord record = *limits_.recordOf(Endpoint);
-    limits_.setEndpoint(Endpoint, FirstProcess + 1);
+    limits_.setEndpoint(Endpoint, FirstProcess + 1, 8);
     EXPECT_TRUE(limits_.isEmpty());
     record.observedAt = now_ + Millis(50);
     EXPECT_FALSE(limits_.onRecord(record, now_ + Millis(60)));
@@ -504,7 +727,7 @@
 TEST_F(EndpointLimitsOfOne, HasNoShareBeforeTheHostsAreKnown)
 {
     EndpointLimits limits{HostId("h")};
-    limits.setEndpoint(Endpoint, FirstProcess);
+    limits.setEndpoint(Endpoint, FirstProcess, 8);
     limits.onNotice(Endpoint, requestLimit(50.0), now_, now_);
     EXPECT_FALSE(limits.isAvailable(Endpoint, now_));
     limits.setHosts({HostId("h"), HostId("i")});
--- a/unittests/Edge/EndpointLimitMessageTest.cpp
+++ b/unittests/Edge/EndpointLimitMessageTest.cpp
@@ -24,11 +24,11 @@
 {
     EndpointLimitRecord ended = record("ended");
     ended.maxRequestsPerSecond.reset();
-    const std::vector<std::string> datagrams = encodeEndpointLimits({record("e"), ended}, Now);
+    const std::vector<std::string> datagrams = encodeEndpointLimits({{record("e"), ended}}, Now);
     ASSERT_EQ(datagrams.size(), 1U);
     const Instant later = Now + std::chrono::hours(2);
     const std::vector<EndpointLimitRecord> decoded =
-            decodeEndpointLimits(nlohmann::json::parse(datagrams.front()), later);
+            decodeEndpointLimits(nlohmann::json::parse(datagrams.front()), later).records;
     ASSERT_EQ(decoded.size(), 2U);
     EXPECT_EQ(decoded[0].endpoint, EndpointId("e"));
     EXPECT_EQ(decoded[0].startedAtMillis, 1'700'000'000'000U);
@@ -37,6 +37,12 @@
     EXPECT_FALSE(decoded[1].maxRequestsPerSecond);
 }
 
+TEST(EndpointLimitMessage, KeepsARejection)
+{
+    const std::vector<std::string> datagrams = encodeEndpointLimits({{record("e")}, true}, Now);
+    EXPECT_TRUE(decodeEndpointLimits(nlohmann::json::parse(datagrams.front()), Now).rejected);
+}
+
 // Guards against datagrams that a receiver's buffer cuts off.
 TEST(EndpointLimitMessage, ManyRecordsAreSplit)
 {
@@ -46,9 +52,9 @@
         records.push_back(record("i-0123456789abcdef-" + std::to_string(i)));
     }
     std::size_t decoded = 0;
-    for (const std::string &datagram : encodeEndpointLimits(records, Now)) {
+    for (const std::string &datagram : encodeEndpointLimits({records}, Now)) {
         EXPECT_LT(datagram.size(), BufferBytes);
-        decoded += decodeEndpointLimits(nlohmann::json::parse(datagram), Now).size();
+        decoded += decodeEndpointLimits(nlohmann::json::parse(datagram), Now).records.size();
     }
     EXPECT_EQ(decoded, records.size());
 }
@@ -58,7 +64,7 @@
 {
     const nlohmann::json message = nlohmann::json::parse(
             R"({"kind":"limits","version":2,"new":{},"records":[["e",7,2.5,null,10,"more"]]})");
-    const std::vector<EndpointLimitRecord> decoded = decodeEndpointLimits(message, Now);
+    const std::vector<EndpointLimitRecord> decoded = decodeEndpointLimits(message, Now).records;
     ASSERT_EQ(decoded.size(), 1U);
     EXPECT_EQ(decoded[0].maxRequestsPerSecond, 2.5);
 }
