--- a/test/Soak/World.h
+++ b/test/Soak/World.h
@@ -15,9 +15,9 @@
 #include "Callers.h"
 #include "Endpoint.h"
 #include "Record.h"
-#include "Relay.h"
 #include "test/Support/PlatformStandin.h"
 #include "test/Support/Process.h"
+#include "test/Support/Relay.h"
 
 namespace sequoiagate::soak {
 
--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -126,6 +126,21 @@
     return rows;
 }
 
+void StoreStandin::setView(const std::string &ip, View view)
+{
+    const std::lock_guard lock(mutex_);
+    views_[ip] = std::move(view);
+}
+
+std::string StoreStandin::valueFor(const httplib::Request &request, const Record &record) const
+{
+    const auto view = views_.find(request.remote_addr);
+    if (view == views_.end() || record.value.empty()) {
+        return record.value;
+    }
+    return view->second(request.get_param_value("topic"), record.key, record.value);
+}
+
 void StoreStandin::forget(const std::string &topic)
 {
     const std::lock_guard lock(mutex_);
@@ -154,7 +169,8 @@
     std::string body = bigEndian(topic.records.size(), 8) + bigEndian(topic.first, 8);
     for (std::size_t i = from; i < topic.records.size(); ++i) {
         const Record &record = topic.records[i];
-        const std::string content = bigEndian(record.key.size(), 1) + record.key + record.value;
+        const std::string content =
+                bigEndian(record.key.size(), 1) + record.key + valueFor(request, record);
         body += bigEndian(content.size(), 4) + content;
     }
     response.set_content(body, "application/octet-stream");
@@ -170,7 +186,7 @@
     nlohmann::json items = nlohmann::json::array();
     for (const auto &[key, offset] : topic.newest) {
         items.push_back({{"key", key},
-                         {"value", absl::Base64Escape(topic.records[offset].value)},
+                         {"value", absl::Base64Escape(valueFor(request, topic.records[offset]))},
                          {"offset", offset}});
     }
     answerJson(response, {{"items", items}, {"has-more", false}, {"end", topic.records.size()}});
--- a/test/Support/PlatformStandin.h
+++ b/test/Support/PlatformStandin.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -42,6 +43,11 @@
     uint64_t put(const std::string &topic, const std::string &key, const std::string &value);
     /// The newest value of each key.
     std::map<std::string, std::string> newest(const std::string &topic);
+    /// Lets the reader at \p ip get each row's value as \p view returns it for topic, key and
+    /// value.
+    using View = std::function<std::string(const std::string &topic, const std::string &key,
+                                           const std::string &value)>;
+    void setView(const std::string &ip, View view);
     /// Forgets the history of \p topic; the newest rows stay.
     void forget(const std::string &topic);
     void setFault(StoreFault fault);
@@ -69,6 +75,7 @@
     void append(const httplib::Request &request, httplib::Response &response);
     void add(Topic &topic, const std::string &key, const std::string &value);
     void notePosition(const httplib::Request &request, uint64_t from);
+    std::string valueFor(const httplib::Request &request, const Record &record) const;
     nlohmann::json take(Topic &topic, const httplib::Request &request);
     /// Waits out a fault. \returns whether the call is to be served.
     bool admit(httplib::Response &response);
@@ -79,6 +86,7 @@
     std::map<std::string, std::pair<uint64_t, std::string>> writers_; ///< last seq and answer
     /// By reader and topic: what was read from, and when first.
     std::map<std::pair<std::string, std::string>, std::map<uint64_t, Instant>> positions_;
+    std::map<std::string, View> views_; ///< by reader
     StoreFault fault_ = StoreFault::None;
     bool stopping_ = false;
     HttpStandin http_;
--- a/test/Soak/Relay.cpp
+++ b/test/Support/Relay.cpp
@@ -1,6 +1,9 @@
-#include "Relay.h"
+#include "test/Support/Relay.h"
+
+#include <fcntl.h>
 
 #include <future>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -44,6 +47,13 @@
     done.get_future().wait();
 }
 
+/// A child that inherits a socket would keep it open when this process closes it.
+template <typename Socket>
+void keepFromChildren(Socket &socket)
+{
+    ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
+}
+
 } // namespace
 
 RelayLoop::RelayLoop() : work_(io_.get_executor()), thread_([this] { io_.run(); }) {}
@@ -77,8 +87,9 @@
 
 TcpRelay::TcpRelay(RelayLoop &loop, const std::string &ip, const std::string &target)
     : loop_(loop), acceptor_(loop.io(), tcp::endpoint(boost::asio::ip::make_address(ip), 0)),
-      target_(parseAddress<tcp::endpoint>(target))
+      listen_(acceptor_.local_endpoint()), target_(parseAddress<tcp::endpoint>(target))
 {
+    keepFromChildren(acceptor_);
     runOn(loop_.io(), [this] { accept(); });
 }
 
@@ -91,7 +102,59 @@
 
 std::string TcpRelay::address() const
 {
-    return addressText(acceptor_.local_endpoint());
+    return addressText(listen_);
+}
+
+void TcpRelay::listen()
+{
+    acceptor_ = tcp::acceptor(loop_.io());
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    keepFromChildren(acceptor_);
+    acceptor_.bind(listen_);
+    acceptor_.listen();
+    accept();
+}
+
+void TcpRelay::fillBacklog()
+{
+    // The kernel drops the opening packets of further connections once the queue is full.
+    error_code ignored;
+    acceptor_.cancel(ignored);
+    acceptor_.listen(0, ignored);
+    constexpr int MoreThanFit = 4;
+    for (int i = 0; i < MoreThanFit; ++i) {
+        tcp::socket &socket = backlog_.emplace_back(loop_.io());
+        socket.open(tcp::v4());
+        socket.async_connect(listen_, [](const error_code &) {});
+    }
+}
+
+void TcpRelay::setCut(RelayCut cut)
+{
+    if (cut == RelayCut::Reset) {
+        resetAll();
+    }
+    faults_.holdForth = cut == RelayCut::Hang;
+    faults_.holdBack = cut == RelayCut::Hang;
+    runOn(loop_.io(), [this, cut] {
+        const RelayCut before = std::exchange(cut_, cut);
+        if (before == cut) {
+            return;
+        }
+        backlog_.clear();
+        error_code ignored;
+        if (cut == RelayCut::Hang) {
+            fillBacklog();
+        } else if (cut == RelayCut::None && before == RelayCut::Hang) {
+            acceptor_.listen(boost::asio::socket_base::max_listen_connections, ignored);
+            accept();
+        } else if (cut == RelayCut::None) {
+            listen();
+        } else {
+            acceptor_.close(ignored);
+        }
+    });
 }
 
 void TcpRelay::setSource(const std::string &ip)
@@ -133,6 +196,8 @@
         pairs_.push_back(pair);
         error_code ignored;
         pair->far.open(tcp::v4(), ignored);
+        keepFromChildren(pair->near);
+        keepFromChildren(pair->far);
         if (!source_.is_unspecified()) {
             pair->far.bind(tcp::endpoint(source_, 0), ignored);
         }
--- a/test/Soak/Relay.h
+++ b/test/Support/Relay.h
@@ -1,5 +1,5 @@
-#ifndef TEST_SOAK_RELAY_H
-#define TEST_SOAK_RELAY_H
+#ifndef TEST_SUPPORT_RELAY_H
+#define TEST_SUPPORT_RELAY_H
 
 /// Relays on loopback between the programs and what they talk to. They delay, hold back one
 /// or both directions, reset and lose, and know nothing of what they carry.
@@ -48,6 +48,14 @@
     std::atomic<int> lossPercent{0}; ///< of datagrams
 };
 
+/// How a relay cuts those who connect to it off from its target.
+enum class RelayCut {
+    None,
+    Hang,      ///< open connections carry nothing, new ones aren't established
+    Reset,     ///< open connections are reset, new ones refused
+    RefuseNew, ///< open connections go on, new ones are refused
+};
+
 class TcpRelay
 {
 public:
@@ -61,11 +69,15 @@
     void setSource(const std::string &ip);
     /// Resets all connections. Thread safe.
     void resetAll();
+    /// Begins a cut, or ends it with RelayCut::None. Thread safe.
+    void setCut(RelayCut cut);
 
 private:
     struct Pair;
 
     void accept();
+    void listen();
+    void fillBacklog();
     void pump(const std::shared_ptr<Pair> &pair, bool forth);
     void forward(const std::shared_ptr<Pair> &pair, bool forth, std::size_t bytes);
     void carry(const std::shared_ptr<Pair> &pair, bool forth, std::size_t bytes);
@@ -73,6 +85,9 @@
 
     RelayLoop &loop_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::endpoint listen_;
+    RelayCut cut_ = RelayCut::None;
+    std::list<boost::asio::ip::tcp::socket> backlog_; ///< fill the queue of new connections
     boost::asio::ip::tcp::endpoint target_;
     boost::asio::ip::address source_;
     std::list<std::weak_ptr<Pair>> pairs_;
