--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -36,6 +36,7 @@
 
 namespace sequoiagate {
 
+class RelayServer;
 class StatusServer;
 
 /// Single-threaded.
@@ -72,6 +73,10 @@
     void drainCallers();
     void abortCallers(Instant now);
     void tick();
+    void onHostsChanged(const std::vector<Peer> &others);
+    void startRelayServer();
+    /// Tries a connection during a partition, to find out whether it is over.
+    void probeEndpoint(Instant now);
     void gossipLimits(Instant now);
     void onPeerLimits(const std::vector<EndpointLimitRecord> &records, bool rejected);
     void recordLoopLag(Instant now);
@@ -99,6 +104,7 @@
     std::unique_ptr<ProxyContext> context_;
     std::unique_ptr<TopicFollower> configFollower_;
     std::unique_ptr<TopicFollower> endpointFollower_;
+    std::unique_ptr<RelayServer> relayServer_; ///< nullptr if no requests are relayed
     std::unique_ptr<StatusServer> readyServer_;
     std::unique_ptr<StatusServer> metricsServer_;
     ServingConfigPtr config_;
--- a/include/sequoiagate/Edge/EdgeSettings.h
+++ b/include/sequoiagate/Edge/EdgeSettings.h
@@ -22,6 +22,8 @@
     std::string listenReady;
     std::string listenPeers;
     std::string advertisePeers; ///< the address that peers send to; listenPeers if empty
+    std::string listenRelay;    ///< no requests are relayed for other hosts if empty
+    std::string advertiseRelay; ///< the address that other hosts connect to; listenRelay if empty
     std::string listenMetrics;  ///< not served if empty
     std::string store;
     Interval stopGrace{};            ///< from the stop signal to the forced exit
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -12,6 +12,7 @@
 /// - An endpoint that limits the requests of all hosts gets this host's share of them. Where all
 ///   endpoints of a service do, requests beyond the share are refused at once, the less urgent ones
 ///   first.
+/// - While this host is partitioned from all endpoints, other hosts relay its requests.
 
 #include <functional>
 #include <map>
@@ -24,6 +25,8 @@
 #include "sequoiagate/Decisions/DistributedRetryBudget.h"
 #include "sequoiagate/Decisions/EndpointLimits.h"
 #include "sequoiagate/Decisions/EndpointSelector.h"
+#include "sequoiagate/Decisions/PartitionDetector.h"
+#include "sequoiagate/Decisions/RelaySelector.h"
 #include "sequoiagate/Proxy/ProxyContext.h"
 
 namespace sequoiagate {
@@ -70,6 +73,14 @@
     void publish(Instant now);
     /// Sets the hosts that share retry budgets and endpoints' limits, including this one.
     void setHosts(const std::vector<HostId> &hosts);
+    /// Sets the other hosts that relay requests.
+    void setRelays(std::map<HostId, boost::asio::ip::tcp::endpoint> relays);
+    bool isPartitioned() const { return partition_.isPartitioned(); }
+    /// The address of \p endpoint if it takes new requests.
+    std::optional<boost::asio::ip::tcp::endpoint> addressOf(const EndpointId &endpoint) const;
+    /// The endpoint to which a connection should be tried now, to find out whether a partition is
+    /// over. To be called several times a second.
+    std::optional<std::pair<EndpointId, boost::asio::ip::tcp::endpoint>> probeTarget(Instant now);
     /// Takes over what another host observed.
     void onPeerLimits(const std::vector<EndpointLimitRecord> &records, Instant now);
     void onPeerRejection(const EndpointLimitRecord &record, Instant now);
@@ -100,6 +111,10 @@
     void onAttemptEnd(const AttemptResult &result, Instant now) override;
     void onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant sentAt,
                   Instant now) override;
+    void onConnected(const EndpointId &endpoint, Instant now) override;
+    void onConnectFailed(const EndpointId &endpoint, Instant now) override;
+    void onResponse(const EndpointId &endpoint, Instant now) override;
+    void onRelayFailed(const HostId &host, Instant now) override;
     void onStaleEndpoint(const EndpointId &endpoint, Instant now) override;
     bool mayRetry(const ServiceId &service, Instant now) override;
     void onRequest(const ServiceId &service, Instant now) override;
@@ -116,6 +131,8 @@
     /// before the slot expires.
     void prefetchSlot(const ServiceId &service, const std::vector<EndpointId> &limited,
                       Instant now);
+    std::optional<RelayRoute> relayFor(const WorkItem &item, const EndpointId &endpoint,
+                                       Instant now);
     bool yieldsToMoreUrgent(const WorkItem &item, Instant now) const;
     Verdict refuseByLimits(const WorkItem &item, const std::vector<EndpointId> &limited,
                            Instant now);
@@ -148,6 +165,11 @@
     EventLog &log_;
     EndpointSelector selector_;
     EndpointLimits limits_;
+    PartitionDetector partition_;
+    RelaySelector relaySelector_;
+    std::map<HostId, boost::asio::ip::tcp::endpoint> relays_;
+    Instant nextProbeAt_{};
+    std::size_t nextProbed_ = 0;
     std::map<ServiceId, Scarcity> scarcities_;
     std::map<RequestId, WaitingRequest> waiting_;
     std::map<ServiceId, Instant> lastPlacedAt_; ///< while limits hold
--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -12,11 +12,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <nlohmann/json.hpp>
 
@@ -36,6 +38,8 @@
     Incarnation incarnation;
     boost::asio::ip::udp::endpoint address;       ///< datagrams to the process are sent here
     boost::asio::ip::udp::endpoint listenAddress; ///< bound by this process alone while it runs
+    /// Where the process relays requests; nullopt for earlier versions, which don't.
+    std::optional<boost::asio::ip::tcp::endpoint> relayAddress;
 };
 
 /// The tokens of a workspace that a process holds.
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -35,6 +35,7 @@
     DomainId domain;
     boost::asio::ip::udp::endpoint listenPeers;
     boost::asio::ip::udp::endpoint advertisePeers; ///< the address at which peers reach listenPeers
+    std::optional<boost::asio::ip::tcp::endpoint> advertiseRelay;
     std::string topic;
     Incarnation incarnation;
     TokenHolderSettings holder;
@@ -48,8 +49,8 @@
                  EventLog &log, Metrics &metrics);
     ~TokenService() override;
 
-    /// Called when the hosts of the fleet, including this one, change.
-    std::function<void(const std::vector<HostId> &)> onHostsChanged;
+    /// Called when the hosts of the fleet change, with the others.
+    std::function<void(const std::vector<Peer> &)> onHostsChanged;
     /// Called for peers' messages about endpoints' limits. Set before start.
     std::function<void(const std::vector<EndpointLimitRecord> &, bool rejected)> onPeerLimits;
     std::function<SlotResponse(const SlotRequest &)> onSlotRequest;
@@ -63,6 +64,8 @@
     void stop(Instant deadline, std::function<void()> done);
     bool storeReachable() const { return follower_.reachable(); }
     PeerLink &peers() { return peers_; }
+    /// Whether \p process is that of a listed host.
+    bool isListed(const Incarnation &process) const;
 
     ReservationTicket reserve(const WorkspaceId &workspace, uint64_t tokens, Instant deadline,
                               std::function<void(std::optional<Verdict>)> handler) override;
--- a/include/sequoiagate/Proxy/ConnectionPool.h
+++ b/include/sequoiagate/Proxy/ConnectionPool.h
@@ -35,6 +35,12 @@
                                          Interval maxIdleTime, Instant now);
     std::shared_ptr<HttpConnection> take(const boost::asio::ip::tcp::endpoint &address,
                                          Instant now);
+    /// Returns a new connection to \p address through a relay, for one call.
+    std::shared_ptr<HttpConnection> connectThrough(const boost::asio::ip::tcp::endpoint &address,
+                                                   RelayPath path);
+    /// Whether take() would return a connection that is open already.
+    bool hasIdle(const boost::asio::ip::tcp::endpoint &address, Interval maxIdleTime,
+                 Instant now) const;
     /// Closes the idle connections to \p address.
     void closeIdle(const boost::asio::ip::tcp::endpoint &address);
     /// Closes connections that have been idle for too long.
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -67,6 +67,7 @@
 
         std::shared_ptr<HttpConnection> connection;
         EndpointId endpoint;
+        HostId relay; ///< the host that relays it; empty if none does
         Instant sentAt;
         ResponseMetadata metadata;
         ResponseHead head;
@@ -88,7 +89,10 @@
     void send(const PlacementTarget &target);
     RequestHead forwardHead(Instant now, const EndpointId &endpoint) const;
 
+    std::shared_ptr<HttpConnection> connectionTo(const PlacementTarget &target, Instant now);
+
     // ---- response ----
+    void onConnected() override;
     void onHead(const ResponseHead &head) override;
     void onBody(std::string_view bytes) override;
     void onDone() override;
@@ -104,6 +108,7 @@
     // ---- failure handling ----
     bool mayRetry() const;
     void onNotConnected(const std::string &detail, Instant now);
+    void onRelayFailed(const std::string &detail, Instant now);
     void retryOrFail(const std::string &detail);
     void retryElsewhere(const std::string &detail);
     void refuse(Verdict verdict);
@@ -149,6 +154,7 @@
     std::vector<EndpointId> triedEndpoints_;
     uint32_t sendCount_ = 0;          ///< attempts of which a byte was or may have been sent
     uint32_t connectFailures_ = 0;    ///< endpoints that couldn't be connected to
+    uint32_t relayFailures_ = 0;      ///< hosts that couldn't be used as relays
     uint32_t possibleExecutions_ = 0; ///< attempts that may have started to run the request
     std::vector<AttemptOutcome> attemptOutcomes_; ///< outcomes of the finished attempts
     bool streaming_ = false;                      ///< the head of a stream was sent to the caller
--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -30,15 +30,25 @@
 /// How far a call had got when its connection was lost.
 enum class CallFailure {
     NotConnected, ///< no byte was sent
+    RelayFailed,  ///< no byte was sent: the relay couldn't be reached, or refused
     MaybeSent,    ///< a part of the request may have arrived
 };
 
+/// The host through which a connection is made, and the handshake that asks it to do so.
+struct RelayPath
+{
+    boost::asio::ip::tcp::endpoint relay;
+    std::string handshake;
+};
+
 /// Receives the events of one call. Each call ends with exactly one of onDone and onFailed,
 /// unless it is cancelled. Any method may cancel the call.
 class HttpCallObserver
 {
 public:
     virtual ~HttpCallObserver() = default;
+    /// A connection was established for this call, without a relay.
+    virtual void onConnected() {}
     virtual void onSent() {}
     virtual void onHead(const ResponseHead &head) = 0;
     virtual void onBody(std::string_view bytes) = 0;
@@ -55,6 +65,8 @@
     /// Time for sent bytes to be acknowledged; after it the peer counts as lost
     /// (TCP_USER_TIMEOUT).
     std::chrono::milliseconds unacknowledgedTimeout{1500};
+    /// Time to establish a connection through a relay, which connects within connectTimeout.
+    Interval relayTimeout = std::chrono::milliseconds(600);
     HttpReaderLimits limits;
 };
 
@@ -63,7 +75,7 @@
 {
 public:
     HttpConnection(boost::asio::io_context &io, boost::asio::ip::tcp::endpoint address,
-                   HttpConnectionSettings settings);
+                   HttpConnectionSettings settings, std::optional<RelayPath> path = {});
 
     /// Called when an idle connection is lost, and after each call that leaves it usable.
     std::function<void(HttpConnection &)> onIdleLost;
@@ -80,6 +92,7 @@
     void resumeReading();
 
     const boost::asio::ip::tcp::endpoint &address() const { return address_; }
+    bool isRelayed() const { return path_.has_value(); }
     bool usable() const { return connected_ && !closed_; }
     /// Whether it was ever established, closed or not. Before that no byte of a call was sent.
     bool wasConnected() const { return connected_; }
@@ -93,6 +106,11 @@
 
     void connect();
     void onConnected(const ErrorCode &error);
+    void onEstablished();
+    void sendHandshake();
+    void readHandshake();
+    void onHandshakeDone();
+    CallFailure connectFailure() const;
     void write();
     void read();
     void onRead(const ErrorCode &error, std::size_t bytes);
@@ -104,6 +122,7 @@
 
     boost::asio::ip::tcp::endpoint address_;
     HttpConnectionSettings settings_;
+    std::optional<RelayPath> path_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer connectTimer_;
     std::array<char, 8192> readBuffer_;
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -30,12 +30,22 @@
 
 namespace sequoiagate {
 
+/// Another host that relays a request to its endpoint.
+struct RelayRoute
+{
+    HostId host;
+    boost::asio::ip::tcp::endpoint address;
+    /// Whether a connection of this host that is open already is better.
+    bool prefersOpenConnection = false;
+};
+
 /// The endpoint chosen for a request.
 struct PlacementTarget
 {
     EndpointId endpoint;
     boost::asio::ip::tcp::endpoint address;
     std::string reason;
+    std::optional<RelayRoute> relay;
     std::string limits; ///< the endpoint's limits, and those that excluded others, for logs
 };
 
@@ -62,6 +72,13 @@
     /// The endpoint's response to a request sent at \p sentAt has arrived, with this notice.
     virtual void onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant sentAt,
                           Instant now) = 0;
+    /// A connection of this host to an endpoint was established, or failed to be.
+    virtual void onConnected(const EndpointId &endpoint, Instant now) = 0;
+    virtual void onConnectFailed(const EndpointId &endpoint, Instant now) = 0;
+    /// \p endpoint responded on a connection of this host.
+    virtual void onResponse(const EndpointId &endpoint, Instant now) = 0;
+    /// \p host couldn't be reached as a relay, or refused.
+    virtual void onRelayFailed(const HostId &host, Instant now) = 0;
     /// The directory entry is out of date: the address belongs to another endpoint or to none.
     virtual void onStaleEndpoint(const EndpointId &endpoint, Instant now) = 0;
     /// Whether the retry budget of \p service allows one more retry.
--- /dev/null
+++ b/lib/Decisions/RelaySelector.cpp
@@ -0,0 +1,35 @@
+#include "sequoiagate/Decisions/RelaySelector.h"
+
+#include <algorithm>
+
+namespace sequoiagate {
+
+void RelaySelector::setHosts(std::vector<HostId> hosts)
+{
+    hosts_ = std::move(hosts);
+    std::erase_if(pausedUntil_, [this](const auto &paused) {
+        return std::find(hosts_.begin(), hosts_.end(), paused.first) == hosts_.end();
+    });
+}
+
+std::optional<HostId> RelaySelector::select(Instant now)
+{
+    std::vector<const HostId *> usable;
+    for (const HostId &host : hosts_) {
+        const auto paused = pausedUntil_.find(host);
+        if (paused == pausedUntil_.end() || now >= paused->second) {
+            usable.push_back(&host);
+        }
+    }
+    if (usable.empty()) {
+        return std::nullopt;
+    }
+    return *usable[random_() % usable.size()];
+}
+
+void RelaySelector::onFailed(const HostId &host, Instant now)
+{
+    pausedUntil_[host] = now + FailurePause;
+}
+
+} // namespace sequoiagate
--- a/lib/Edge/Addresses.cpp
+++ b/lib/Edge/Addresses.cpp
@@ -41,4 +41,9 @@
     return address.address().to_string() + ":" + std::to_string(address.port());
 }
 
+std::string addressText(const boost::asio::ip::tcp::endpoint &address)
+{
+    return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
 } // namespace sequoiagate
--- a/lib/Edge/Addresses.h
+++ b/lib/Edge/Addresses.h
@@ -16,6 +16,7 @@
 std::optional<boost::asio::ip::udp::endpoint> parseUdpAddress(const std::string &text);
 
 std::string addressText(const boost::asio::ip::udp::endpoint &address);
+std::string addressText(const boost::asio::ip::tcp::endpoint &address);
 
 } // namespace sequoiagate
 
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -4,7 +4,9 @@
 #include <csignal>
 
 #include "Addresses.h"
+#include "RelayServer.h"
 #include "StatusServer.h"
+#include "sequoiagate/Service/DeadlineTimer.h"
 #include "sequoiagate/Service/Events.h"
 #include "sequoiagate/Service/Program.h"
 #include "sequoiagate/Service/Settings.h"
@@ -70,6 +72,10 @@
         settings.advertisePeers = parsedOrThrow(parseUdpAddress(edge.advertisePeers),
                                                 "announce_peers", edge.advertisePeers);
     }
+    const std::string &relay = edge.advertiseRelay.empty() ? edge.listenRelay : edge.advertiseRelay;
+    if (!relay.empty()) {
+        settings.advertiseRelay = tcpSetting("listen_relay", relay);
+    }
     settings.topic = topic;
     settings.incarnation = incarnation;
     settings.holder = edge.tokens;
@@ -109,8 +115,8 @@
             io_, *store_,
             tokenSettings(settings_, adapter_.topics().ledger, log.identity().incarnation), log,
             metrics_);
-    tokens_->onHostsChanged = [this](const std::vector<HostId> &hosts) {
-        endpoints_.setHosts(hosts);
+    tokens_->onHostsChanged = [this](const std::vector<Peer> &others) {
+        onHostsChanged(others);
     };
     tokens_->onPeerLimits = [this](const std::vector<EndpointLimitRecord> &records, bool rejected) {
         onPeerLimits(records, rejected);
@@ -155,6 +161,7 @@
                                                 reachable, std::chrono::steady_clock::now());
                                         onReachabilityChanged("endpoints", reachable, outcome);
                                     }});
+    startRelayServer();
     readyServer_ = std::make_unique<StatusServer>(
             io_, tcpSetting("listen_ready", settings_.listenReady), [this] {
                 const bool isReady = ready();
@@ -171,6 +178,69 @@
 
 Edge::~Edge() = default;
 
+void Edge::startRelayServer()
+{
+    if (settings_.listenRelay.empty()) {
+        return;
+    }
+    relayServer_ = std::make_unique<RelayServer>(
+            io_, tcpSetting("listen_relay", settings_.listenRelay), log_, metrics_,
+            RelayServer::Handlers{
+                    [this](const Incarnation &process) {
+                        return drain_.state() == "serving" && !endpoints_.isPartitioned()
+                               && tokens_->isListed(process);
+                    },
+                    [this](const EndpointId &endpoint) { return endpoints_.addressOf(endpoint); },
+                    [this](const EndpointId &endpoint, bool connected) {
+                        const Instant now = std::chrono::steady_clock::now();
+                        if (connected) {
+                            endpoints_.onConnected(endpoint, now);
+                        } else {
+                            endpoints_.onConnectFailed(endpoint, now);
+                        }
+                    }});
+}
+
+void Edge::onHostsChanged(const std::vector<Peer> &others)
+{
+    std::vector<HostId> hosts = {settings_.host};
+    std::map<HostId, tcp::endpoint> relays;
+    for (const Peer &peer : others) {
+        hosts.push_back(peer.host);
+        if (peer.relayAddress) {
+            relays[peer.host] = *peer.relayAddress;
+        }
+    }
+    endpoints_.setHosts(hosts);
+    endpoints_.setRelays(std::move(relays));
+}
+
+void Edge::probeEndpoint(Instant now)
+{
+    const auto target = endpoints_.probeTarget(now);
+    if (!target) {
+        return;
+    }
+    struct Probe
+    {
+        explicit Probe(boost::asio::io_context &io) : socket(io), timer(io) {}
+        tcp::socket socket;
+        DeadlineTimer timer;
+    };
+    const auto probe = std::make_shared<Probe>(io_);
+    probe->timer.arm(now + HttpConnectionSettings().connectTimeout, [probe] {
+        error_code ignored;
+        probe->socket.close(ignored);
+    });
+    probe->socket.async_connect(
+            target->second, [this, probe, endpoint = target->first](const error_code &error) {
+                probe->timer.disarm();
+                if (!error) {
+                    endpoints_.onConnected(endpoint, std::chrono::steady_clock::now());
+                }
+            });
+}
+
 std::size_t Edge::run()
 {
     configFollower_->start();
@@ -404,7 +474,8 @@
     if (now >= abortAt_) {
         abortCallers(now);
     }
-    if (acceptor_.is_open() || !callers_.empty()) {
+    const bool isRelaying = relayServer_ && relayServer_->open() > 0 && now < abortAt_;
+    if (acceptor_.is_open() || !callers_.empty() || isRelaying) {
         return;
     }
     returningTokens_ = true;
@@ -428,6 +499,7 @@
     });
     checkStop();
     endpoints_.tick(now);
+    probeEndpoint(now);
     gossipLimits(now);
     pool_.closeExpired(now);
 }
@@ -477,6 +549,9 @@
     metrics_.gauge("edge_callers", static_cast<double>(callers_.size()));
     metrics_.gauge("edge_endpoints_usable", static_cast<double>(endpoints_.usable()));
     metrics_.gauge("edge_endpoints_limited", static_cast<double>(endpoints_.limitedEndpoints()));
+    metrics_.gauge("edge_partitioned", endpoints_.isPartitioned() ? 1.0 : 0.0);
+    metrics_.gauge("edge_requests_relayed_now",
+                   relayServer_ ? static_cast<double>(relayServer_->open()) : 0.0);
     metrics_.gauge("edge_requests_limited", static_cast<double>(endpoints_.limitedRequests()));
     metrics_.gauge("edge_config_version", config_ ? static_cast<double>(config_->version) : 0.0);
     metrics_.gauge("edge_config_age_seconds", age(*configFollower_));
--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -13,6 +13,8 @@
     edge.listenReady = settings.at("listen_ready").get<std::string>();
     edge.listenPeers = settings.at("listen_peers").get<std::string>();
     edge.advertisePeers = settings.at("announce_peers").get<std::string>();
+    edge.listenRelay = settings.at("listen_relay").get<std::string>();
+    edge.advertiseRelay = settings.at("announce_relay").get<std::string>();
     edge.listenMetrics = settings.at("listen_metrics").get<std::string>();
     edge.store = settings.at("store").get<std::string>();
     edge.stopGrace = millisOf(settings, "stop_grace_ms");
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "Addresses.h"
+#include "sequoiagate/Base/Rendezvous.h"
 
 namespace sequoiagate {
 
@@ -28,6 +29,9 @@
 /// the service leave them to it.
 constexpr Interval ScarcityDuration = std::chrono::seconds(1);
 
+/// How often a connection is tried during a partition.
+constexpr Interval PartitionProbeInterval = std::chrono::milliseconds(300);
+
 /// How long a request waits for a slot of a limited endpoint, and how often it is placed again.
 constexpr Interval MaxSlotWait = std::chrono::milliseconds(200);
 constexpr Interval SlotPollInterval = std::chrono::milliseconds(10);
@@ -79,7 +83,8 @@
 
 EndpointDirectory::EndpointDirectory(const HostId &host, const DomainId &self,
                                      DistributedRetryBudgetSettings retries, EventLog &log)
-    : log_(log), selector_(self, selectorSettings()), limits_(host), retryBudget_(retries)
+    : log_(log), selector_(self, selectorSettings()), limits_(host),
+      relaySelector_(stableHash(host.text())), retryBudget_(retries)
 {}
 
 void EndpointDirectory::update(const EndpointEntry &entry, Instant now)
@@ -196,6 +201,7 @@
     std::sort(specs.begin(), specs.end(),
               [](const EndpointSpec &a, const EndpointSpec &b) { return a.id < b.id; });
     selector_.setEndpoints(specs, now);
+    partition_.setEndpointCount(specs.size());
     logServiceChanges();
 }
 
@@ -301,7 +307,99 @@
                               describeLimits(limited, now));
     }
     return PlacementTarget{chosen->endpoint, entries_.at(chosen->endpoint).address, chosen->reason,
-                           std::move(limits)};
+                           relayFor(item, chosen->endpoint, now), std::move(limits)};
+}
+
+std::optional<RelayRoute> EndpointDirectory::relayFor(const WorkItem &item,
+                                                      const EndpointId &endpoint, Instant now)
+{
+    const bool isPartitioned = partition_.isPartitioned();
+    if (!isPartitioned && !(item.connectFailed && partition_.isSuspect(now))) {
+        return std::nullopt;
+    }
+    const std::optional<HostId> host = relaySelector_.select(now);
+    if (!host) {
+        return std::nullopt;
+    }
+    const bool isOpenSound = !isPartitioned || partition_.hasRespondedSince(endpoint);
+    return RelayRoute{*host, relays_.at(*host), isOpenSound};
+}
+
+void EndpointDirectory::setRelays(std::map<HostId, boost::asio::ip::tcp::endpoint> relays)
+{
+    relays_ = std::move(relays);
+    std::vector<HostId> hosts;
+    for (const auto &[host, address] : relays_) {
+        hosts.push_back(host);
+    }
+    relaySelector_.setHosts(std::move(hosts));
+}
+
+std::optional<boost::asio::ip::tcp::endpoint>
+EndpointDirectory::addressOf(const EndpointId &endpoint) const
+{
+    const auto found = entries_.find(endpoint);
+    if (found == entries_.end() || found->second.entry.draining) {
+        return std::nullopt;
+    }
+    return found->second.address;
+}
+
+std::optional<std::pair<EndpointId, boost::asio::ip::tcp::endpoint>>
+EndpointDirectory::probeTarget(Instant now)
+{
+    if (!partition_.isPartitioned() || now < nextProbeAt_ || entries_.empty()) {
+        return std::nullopt;
+    }
+    nextProbeAt_ = now + PartitionProbeInterval;
+    auto probed = entries_.begin();
+    std::advance(probed, static_cast<std::ptrdiff_t>(nextProbed_++ % entries_.size()));
+    return std::pair(probed->first, probed->second.address);
+}
+
+void EndpointDirectory::onConnected(const EndpointId &endpoint, Instant now)
+{
+    const Instant since = partition_.partitionedSince();
+    partition_.onConnected(now);
+    if (since != Never) {
+        log_.write(
+                Event("path.restored")
+                        .with("endpoint", endpoint)
+                        .with("after_ms", std::chrono::duration_cast<Millis>(now - since).count())
+                        .essential());
+    }
+}
+
+void EndpointDirectory::onConnectFailed(const EndpointId &endpoint, Instant now)
+{
+    const bool wasPartitioned = partition_.isPartitioned();
+    partition_.onConnectFailed(endpoint, now);
+    if (!partition_.isPartitioned()) {
+        onStaleEndpoint(endpoint, now);
+        return;
+    }
+    if (wasPartitioned) {
+        return;
+    }
+    // The endpoints weren't at fault.
+    for (auto &[id, listed] : entries_) {
+        listed.excludedUntil = Instant();
+    }
+    log_.write(Event("path.partitioned")
+                       .with("failed_endpoints", partition_.failedEndpoints())
+                       .with("relays", relays_.size())
+                       .essential());
+}
+
+void EndpointDirectory::onResponse(const EndpointId &endpoint, Instant now)
+{
+    partition_.onResponse(endpoint, now);
+}
+
+void EndpointDirectory::onRelayFailed(const HostId &host, Instant now)
+{
+    relaySelector_.onFailed(host, now);
+    log_.write(Event("relay.failed").with("host", host));
 }
 
 bool EndpointDirectory::requestSlot(const EndpointId &endpoint, Interval maxDelay, Instant now)
--- a/lib/Edge/LedgerRows.cpp
+++ b/lib/Edge/LedgerRows.cpp
@@ -163,10 +163,13 @@
 
 StoreRow encodeHost(const Peer &peer)
 {
-    const nlohmann::json value = {{"address", addressText(peer.address)},
-                                  {"listens", addressText(peer.listenAddress)},
-                                  {"domain", peer.domain.text()},
-                                  {"incarnation", peer.incarnation.text()}};
+    nlohmann::json value = {{"address", addressText(peer.address)},
+                            {"listens", addressText(peer.listenAddress)},
+                            {"domain", peer.domain.text()},
+                            {"incarnation", peer.incarnation.text()}};
+    if (peer.relayAddress) {
+        value["relay"] = addressText(*peer.relayAddress);
+    }
     return {std::string(HostPrefix) + peer.host.text(), value.dump(), 0};
 }
 
@@ -190,8 +193,12 @@
     if (!address || !listenAddress) {
         throw std::invalid_argument("malformed address; allowed: IP:port");
     }
-    return {hostOf(row), DomainId(value.at("domain").get<std::string>()),
-            Incarnation(value.at("incarnation").get<std::string>()), *address, *listenAddress};
+    return {hostOf(row),
+            DomainId(value.at("domain").get<std::string>()),
+            Incarnation(value.at("incarnation").get<std::string>()),
+            *address,
+            *listenAddress,
+            parseTcpAddress(value.value("relay", ""))};
 }
 
 } // namespace sequoiagate
--- /dev/null
+++ b/lib/Edge/RelayServer.cpp
@@ -0,0 +1,263 @@
+#include "RelayServer.h"
+
+#include <netinet/tcp.h>
+
+#include <array>
+
+#include <boost/asio/write.hpp>
+
+#include "sequoiagate/Proxy/HttpReader.h"
+#include "sequoiagate/Service/DeadlineTimer.h"
+
+namespace sequoiagate {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr Interval HandshakeTimeout = std::chrono::seconds(1);
+constexpr Interval ConnectTimeout = std::chrono::milliseconds(400);
+
+/// After a request's deadline its host has closed the connection, unless it can't any more.
+constexpr Interval DeadlineMargin = std::chrono::seconds(1);
+
+} // namespace
+
+class RelayTunnel : public std::enable_shared_from_this<RelayTunnel>
+{
+public:
+    RelayTunnel(RelayServer &server, tcp::socket peer)
+        : server_(server), peer_(std::move(peer)), endpoint_(server.io_), timer_(server.io_)
+    {}
+
+    void start()
+    {
+        error_code ignored;
+        peer_.set_option(tcp::no_delay(true), ignored);
+        reader_.emplace(HttpReaderLimits());
+        closeAt(std::chrono::steady_clock::now() + HandshakeTimeout);
+        readHandshake();
+    }
+
+    void close()
+    {
+        if (isClosed_) {
+            return;
+        }
+        isClosed_ = true;
+        timer_.disarm();
+        error_code ignored;
+        peer_.close(ignored);
+        endpoint_.close(ignored);
+        server_.onClosed(shared_from_this());
+    }
+
+private:
+    /// One direction of an established tunnel.
+    struct Direction
+    {
+        tcp::socket &from;
+        tcp::socket &to;
+        std::array<char, 16 * 1024> buffer{};
+    };
+
+    void closeAt(Instant deadline)
+    {
+        timer_.arm(deadline, [self = shared_from_this()] { self->close(); });
+    }
+
+    void readHandshake()
+    {
+        peer_.async_read_some(
+                asio::buffer(forth_.buffer),
+                [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+                    if (self->isClosed_) {
+                        return;
+                    }
+                    if (error) {
+                        self->close();
+                        return;
+                    }
+                    self->reader_->feed(std::string_view(self->forth_.buffer.data(), bytes));
+                    if (self->reader_->fault() != HttpParseError::None) {
+                        self->close();
+                    } else if (self->reader_->done()) {
+                        self->connect();
+                    } else {
+                        self->readHandshake();
+                    }
+                });
+    }
+
+    void connect()
+    {
+        request_ = decodeRelayRequest(reader_->head());
+        const bool mayRelay = request_ && server_.handlers_.mayRelayFor(request_->process)
+                              && server_.open() <= RelayServer::MaxTunnels;
+        std::optional<tcp::endpoint> address;
+        if (mayRelay) {
+            address = server_.handlers_.resolve(request_->endpoint);
+        }
+        if (!address) {
+            respond(RelayRefused);
+            return;
+        }
+        timer_.arm(std::chrono::steady_clock::now() + ConnectTimeout,
+                   [self = shared_from_this()] { self->onConnected(asio::error::timed_out); });
+        endpoint_.async_connect(*address, [self = shared_from_this()](const error_code &error) {
+            if (!self->isClosed_ && !self->isDecided_) {
+                self->onConnected(error);
+            }
+        });
+    }
+
+    void onConnected(const error_code &error)
+    {
+        isDecided_ = true;
+        server_.handlers_.onConnectResult(request_->endpoint, !error);
+        if (error) {
+            respond(RelayUnreachableEndpoint);
+            return;
+        }
+        error_code ignored;
+        endpoint_.set_option(tcp::no_delay(true), ignored);
+        respond(RelayEstablished);
+    }
+
+    void respond(int status)
+    {
+        server_.metrics_.count("relay_requests_total", {{"status", std::to_string(status)}});
+        server_.log_.write(Event("relay.request")
+                                   .with("status", status)
+                                   .with("endpoint", request_ ? request_->endpoint : EndpointId())
+                                   .with("for", request_ ? request_->process : Incarnation())
+                                   .with("open", server_.open()));
+        ResponseHead head;
+        head.status = status;
+        response_ = writeResponseHead(head, BodyFraming::Length, 0);
+        asio::async_write(
+                peer_, asio::buffer(response_),
+                [self = shared_from_this(), status](const error_code &error, std::size_t) {
+                    if (self->isClosed_) {
+                        return;
+                    }
+                    if (error || status != RelayEstablished) {
+                        self->close();
+                        return;
+                    }
+                    self->carry();
+                });
+    }
+
+    void carry()
+    {
+        closeAt(std::chrono::steady_clock::now() + request_->timeout + DeadlineMargin);
+        pump(forth_);
+        pump(back_);
+    }
+
+    void pump(Direction &direction)
+    {
+        direction.from.async_read_some(asio::buffer(direction.buffer),
+                                       [self = shared_from_this(),
+                                        &direction](const error_code &error, std::size_t bytes) {
+                                           if (self->isClosed_) {
+                                               return;
+                                           }
+                                           if (error) {
+                                               self->onEnd(direction, error);
+                                               return;
+                                           }
+                                           self->write(direction, bytes);
+                                       });
+    }
+
+    void write(Direction &direction, std::size_t bytes)
+    {
+        asio::async_write(
+                direction.to, asio::buffer(direction.buffer.data(), bytes),
+                [self = shared_from_this(), &direction](const error_code &error, std::size_t) {
+                    if (self->isClosed_) {
+                        return;
+                    }
+                    if (error) {
+                        self->onEnd(direction, error);
+                        return;
+                    }
+                    self->pump(direction);
+                });
+    }
+
+    void onEnd(const Direction &direction, const error_code &error)
+    {
+        // A response may end with its connection. One that was reset must not look complete.
+        const bool isOrderly = error == asio::error::eof && &direction == &back_;
+        if (!isOrderly) {
+            error_code ignored;
+            peer_.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        close();
+    }
+
+    RelayServer &server_;
+    tcp::socket peer_;
+    tcp::socket endpoint_;
+    DeadlineTimer timer_;
+    std::optional<RequestReader> reader_;
+    std::optional<RelayRequest> request_;
+    std::string response_;
+    Direction forth_{peer_, endpoint_};
+    Direction back_{endpoint_, peer_};
+    bool isDecided_ = false; ///< whether the endpoint can be connected to
+    bool isClosed_ = false;
+};
+
+RelayServer::RelayServer(asio::io_context &io, const tcp::endpoint &listen, EventLog &log,
+                         Metrics &metrics, Handlers handlers)
+    : io_(io), acceptor_(io, listen), acceptRetry_(io), log_(log), metrics_(metrics),
+      handlers_(std::move(handlers))
+{
+    accept();
+}
+
+RelayServer::~RelayServer() = default;
+
+void RelayServer::accept()
+{
+    acceptor_.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+            return;
+        }
+        if (error) {
+            acceptRetry_.arm([this] { accept(); });
+            return;
+        }
+        const auto tunnel = std::make_shared<RelayTunnel>(*this, std::move(socket));
+        tunnels_.insert(tunnel);
+        tunnel->start();
+        accept();
+    });
+}
+
+void RelayServer::stopAccepting()
+{
+    error_code ignored;
+    acceptor_.close(ignored);
+}
+
+void RelayServer::closeAll()
+{
+    const std::set<std::shared_ptr<RelayTunnel>> tunnels = tunnels_;
+    for (const std::shared_ptr<RelayTunnel> &tunnel : tunnels) {
+        tunnel->close();
+    }
+}
+
+void RelayServer::onClosed(const std::shared_ptr<RelayTunnel> &tunnel)
+{
+    tunnels_.erase(tunnel);
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Edge/RelayServer.h
@@ -0,0 +1,71 @@
+#ifndef SEQUOIAGATE_LIB_EDGE_RELAYSERVER_H
+#define SEQUOIAGATE_LIB_EDGE_RELAYSERVER_H
+
+/// Relays requests of partitioned hosts to endpoints: a connection for one request each, which
+/// carries bytes and knows nothing of them. The host that asked keeps the request, with its tokens,
+/// retries and deadline; closing its connection closes the endpoint's, which cancels the work.
+///
+/// A relay connects to endpoints alone, never to another relay.
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "sequoiagate/Edge/AcceptRetry.h"
+#include "sequoiagate/Proxy/RelayHandshake.h"
+#include "sequoiagate/Service/EventLog.h"
+#include "sequoiagate/Service/Metrics.h"
+
+namespace sequoiagate {
+
+class RelayTunnel;
+
+/// Single-threaded.
+class RelayServer
+{
+public:
+    struct Handlers
+    {
+        /// Whether requests of this process may be relayed now: it belongs to a listed host, and
+        /// this host isn't partitioned or stopping itself.
+        std::function<bool(const Incarnation &)> mayRelayFor;
+        /// The address of an endpoint that takes new requests.
+        std::function<std::optional<boost::asio::ip::tcp::endpoint>(const EndpointId &)> resolve;
+        std::function<void(const EndpointId &, bool connected)> onConnectResult;
+    };
+
+    /// Bounds memory and descriptors: a tunnel has two connections and two buffers.
+    static constexpr std::size_t MaxTunnels = 256;
+
+    /// \throws boost::system::system_error if the address can't be bound
+    RelayServer(boost::asio::io_context &io, const boost::asio::ip::tcp::endpoint &listen,
+                EventLog &log, Metrics &metrics, Handlers handlers);
+    ~RelayServer();
+
+    /// The number of requests that are being relayed.
+    std::size_t open() const { return tunnels_.size(); }
+    void stopAccepting();
+    void closeAll();
+
+private:
+    friend class RelayTunnel;
+
+    void accept();
+    void onClosed(const std::shared_ptr<RelayTunnel> &tunnel);
+
+    boost::asio::io_context &io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    AcceptRetry acceptRetry_;
+    EventLog &log_;
+    Metrics &metrics_;
+    Handlers handlers_;
+    std::set<std::shared_ptr<RelayTunnel>> tunnels_;
+};
+
+} // namespace sequoiagate
+
+#endif
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -356,19 +356,20 @@
     // grow with the square of its size. Own batches are read back without this delay.
     follower_.setPace(std::max<Interval>(MinReadInterval, MinReadIntervalPerProcess * count));
     peerClocks_->setPeers(peers);
+    const std::vector<Peer> others = peers;
     peers_.setPeers(std::move(peers));
     chooseHomes();
     if (onHostsChanged) {
-        std::vector<HostId> hosts = {settings_.host};
-        for (const auto &[name, peer] : hosts_) {
-            if (peer.host != settings_.host) {
-                hosts.push_back(peer.host);
-            }
-        }
-        onHostsChanged(hosts);
+        onHostsChanged(others);
     }
 }
 
+bool TokenService::isListed(const Incarnation &process) const
+{
+    return std::any_of(hosts_.begin(), hosts_.end(),
+                       [&process](const auto &host) { return host.second.incarnation == process; });
+}
+
 void TokenService::chooseHomes()
 {
     std::vector<HostLocation> locations;
@@ -435,7 +436,8 @@
     }
     if (!hostRowQueued_) {
         batch.rows.push_back(encodeHost({settings_.host, settings_.domain, settings_.incarnation,
-                                         settings_.advertisePeers, settings_.listenPeers}));
+                                         settings_.advertisePeers, settings_.listenPeers,
+                                         settings_.advertiseRelay}));
         hostRowQueued_ = true;
     }
     if (onStopped_ && !hostRemovalQueued_) {
--- a/lib/Proxy/ConnectionPool.cpp
+++ b/lib/Proxy/ConnectionPool.cpp
@@ -43,6 +43,26 @@
     return connection;
 }
 
+std::shared_ptr<HttpConnection> ConnectionPool::connectThrough(const tcp::endpoint &address,
+                                                               RelayPath path)
+{
+    ++opened_;
+    return std::make_shared<HttpConnection>(io_, address, settings_.connection, std::move(path));
+}
+
+bool ConnectionPool::hasIdle(const tcp::endpoint &address, Interval maxIdleTime, Instant now) const
+{
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) {
+        return false;
+    }
+    return std::any_of(found->second.begin(), found->second.end(),
+                       [maxIdleTime, now](const std::shared_ptr<HttpConnection> &connection) {
+                           return connection->usable() && now < connection->reusableUntil()
+                                  && now - connection->idleSince() <= maxIdleTime;
+                       });
+}
+
 void ConnectionPool::addIdle(const std::shared_ptr<HttpConnection> &connection)
 {
     IdleConnections &idle = idle_[connection->address()];
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -6,6 +6,7 @@
 
 #include "Refusals.h"
 #include "sequoiagate/Base/Rendezvous.h"
+#include "sequoiagate/Proxy/RelayHandshake.h"
 
 namespace sequoiagate {
 
@@ -33,6 +34,9 @@
 /// most of the 1.5 s that short calls wait.
 constexpr uint32_t MaxConnectFailures = 3;
 
+/// Maximum number of hosts that fail as relays of a request. Most refuse within a round trip.
+constexpr uint32_t MaxRelayFailures = 4;
+
 /// Another endpoint has taken over the address.
 constexpr int MisdirectedStatus = 421;
 
@@ -205,6 +209,7 @@
     item.promptTokens = metadata_.promptTokens;
     item.outputCeiling = metadata_.maxOutputTokens;
     item.idempotent = route_->kind == RouteKind::Idempotent || route_->resumable;
+    item.connectFailed = connectFailures_ > 0;
     item.arrivedAt = request_.receivedAt;
     item.deadline = deadline_;
     return item;
@@ -262,13 +267,15 @@
     ++sendCount_;
     ++possibleExecutions_;
     attempt_.emplace(target.endpoint, now);
-    const bool repeatable = route_->kind == RouteKind::Idempotent || route_->resumable;
-    attempt_->connection =
-            repeatable ? context_.pool.take(target.address, now)
-                       : context_.pool.take(target.address, MaxIdleForNonIdempotent, now);
+    attempt_->connection = connectionTo(target, now);
+    if (attempt_->connection->isRelayed()) {
+        attempt_->relay = target.relay->host;
+        context_.metrics.count("proxy_relayed_total");
+    }
     log(Event("request.sent")
                 .with("endpoint", target.endpoint)
                 .with("why", target.reason)
+                .with("relay", attempt_->relay)
                 .with("attempt", sendCount_)
                 .with("left_ms", millis(remaining(now)).count())
                 .with("limits", target.limits)
@@ -281,6 +288,24 @@
     attempt_->connection->call(std::move(bytes), *this);
 }
 
+std::shared_ptr<HttpConnection> Exchange::connectionTo(const PlacementTarget &target, Instant now)
+{
+    const bool repeatable = route_->kind == RouteKind::Idempotent || route_->resumable;
+    const Interval maxIdle =
+            repeatable ? ConnectionPoolSettings().maxIdleTime : MaxIdleForNonIdempotent;
+    const std::optional<RelayRoute> &relay = target.relay;
+    const bool hasOpen = relay && relay->prefersOpenConnection
+                         && context_.pool.hasIdle(target.address, maxIdle, now);
+    if (!relay || hasOpen) {
+        return repeatable ? context_.pool.take(target.address, now)
+                          : context_.pool.take(target.address, MaxIdleForNonIdempotent, now);
+    }
+    const RelayRequest request{target.endpoint, context_.log.identity().incarnation,
+                               std::max(millis(remaining(now)), Millis(1))};
+    return context_.pool.connectThrough(target.address,
+                                        {relay->address, encodeRelayRequest(request)});
+}
+
 void Exchange::setStallTimeout(Interval limit)
 {
     stallDeadline_ = mayRetry() ? std::chrono::steady_clock::now() + limit : Never;
@@ -334,12 +359,20 @@
     return repeatable && sendCount_ < route_->maxAttempts;
 }
 
+void Exchange::onConnected()
+{
+    context_.placement.onConnected(attempt_->endpoint, std::chrono::steady_clock::now());
+}
+
 void Exchange::onHead(const ResponseHead &head)
 {
     attempt_->head = head;
     attempt_->metadata = context_.dialect.decodeResponse(head);
     const ResponseMetadata &metadata = attempt_->metadata;
     const Instant now = std::chrono::steady_clock::now();
+    if (attempt_->relay.empty()) {
+        context_.placement.onResponse(attempt_->endpoint, now);
+    }
     if (metadata.keepAliveTimeout) {
         // Half a second less than the endpoint's own timeout: a request in flight when the
         // endpoint closes may have run.
@@ -537,11 +570,15 @@
 void Exchange::onFailed(CallFailure failure, const std::string &detail)
 {
     const Instant now = std::chrono::steady_clock::now();
-    if (failure == CallFailure::NotConnected) {
+    if (failure != CallFailure::MaybeSent) {
         // No byte was sent, so this doesn't count as a sent attempt.
         --possibleExecutions_;
         --sendCount_;
-        onNotConnected(detail, now);
+        if (failure == CallFailure::RelayFailed) {
+            onRelayFailed(detail, now);
+        } else {
+            onNotConnected(detail, now);
+        }
         return;
     }
     endAttempt(false);
@@ -554,7 +591,9 @@
     // as dead and trying the next led to 6,700 attempts in a minute on a link of 10 Mbit/s and
     // kept callers waiting until their deadlines.
     const bool ownLinkBusy = context_.link.busy(now);
-    if (!ownLinkBusy) {
+    if (!ownLinkBusy && attempt_->relay.empty()) {
+        context_.placement.onConnectFailed(attempt_->endpoint, now);
+    } else if (!ownLinkBusy) {
         context_.placement.onStaleEndpoint(attempt_->endpoint, now);
     }
     attempt_->outcome = AttemptOutcome::NotConnected;
@@ -569,6 +608,21 @@
     retryElsewhere(detail);
 }
 
+void Exchange::onRelayFailed(const std::string &detail, Instant now)
+{
+    context_.placement.onRelayFailed(attempt_->relay, now);
+    attempt_->outcome = AttemptOutcome::NotConnected;
+    endAttempt(true);
+    // The endpoint may still serve the request, through another relay.
+    triedEndpoints_.pop_back();
+    statechart_.handle("not_run");
+    if (++relayFailures_ >= MaxRelayFailures) {
+        refuse({Execution::NotRun, Reason::NoEndpoint, detail, now + RetryElsewhereDelay});
+        return;
+    }
+    retryElsewhere(detail);
+}
+
 void Exchange::retryOrFail(const std::string &detail)
 {
     const Instant now = std::chrono::steady_clock::now();
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -6,14 +6,17 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 
+#include "sequoiagate/Proxy/RelayHandshake.h"
+
 namespace sequoiagate {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
 HttpConnection::HttpConnection(asio::io_context &io, tcp::endpoint address,
-                               HttpConnectionSettings settings)
-    : address_(std::move(address)), settings_(settings), socket_(io), connectTimer_(io)
+                               HttpConnectionSettings settings, std::optional<RelayPath> path)
+    : address_(std::move(address)), settings_(settings), path_(std::move(path)), socket_(io),
+      connectTimer_(io)
 {}
 
 void HttpConnection::call(std::string request, HttpCallObserver &observer)
@@ -38,22 +41,23 @@
         // Mostly out of file descriptors. Posted, since the end of a call is always reported
         // asynchronously.
         asio::post(socket_.get_executor(), [self = shared_from_this(), error] {
-            self->failCall(CallFailure::NotConnected, error.message());
+            self->failCall(self->connectFailure(), error.message());
         });
         return;
     }
     socket_.set_option(tcp::no_delay(true), error);
     const auto timeout = static_cast<unsigned>(settings_.unacknowledgedTimeout.count());
     ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
-    connectTimer_.expires_after(settings_.connectTimeout);
+    connectTimer_.expires_after(path_ ? settings_.relayTimeout : settings_.connectTimeout);
     connectTimer_.async_wait([self = shared_from_this()](const ErrorCode &waited) {
         if (!waited && !self->connected_) {
-            self->failCall(CallFailure::NotConnected, "no connection in time");
+            self->failCall(self->connectFailure(), "no connection in time");
         }
     });
-    socket_.async_connect(address_, [self = shared_from_this()](const ErrorCode &connected) {
-        self->onConnected(connected);
-    });
+    socket_.async_connect(path_ ? path_->relay : address_,
+                          [self = shared_from_this()](const ErrorCode &connected) {
+                              self->onConnected(connected);
+                          });
 }
 
 void HttpConnection::onConnected(const ErrorCode &error)
@@ -61,16 +65,81 @@
     if (closed_) {
         return;
     }
-    connectTimer_.cancel();
     if (error) {
-        failCall(CallFailure::NotConnected, error.message());
+        failCall(connectFailure(), error.message());
+        return;
+    }
+    if (path_) {
+        sendHandshake();
         return;
     }
+    if (observer_ != nullptr) {
+        observer_->onConnected();
+    }
+    onEstablished();
+}
+
+CallFailure HttpConnection::connectFailure() const
+{
+    return path_ ? CallFailure::RelayFailed : CallFailure::NotConnected;
+}
+
+void HttpConnection::onEstablished()
+{
+    connectTimer_.cancel();
     connected_ = true;
     write();
     read();
 }
 
+void HttpConnection::sendHandshake()
+{
+    asio::async_write(socket_, asio::buffer(path_->handshake),
+                      [self = shared_from_this()](const ErrorCode &error, std::size_t) {
+                          if (!self->closed_ && !error) {
+                              self->readHandshake();
+                          } else if (error) {
+                              self->failCall(CallFailure::RelayFailed, error.message());
+                          }
+                      });
+}
+
+void HttpConnection::readHandshake()
+{
+    socket_.async_read_some(asio::buffer(readBuffer_),
+                            [self = shared_from_this()](const ErrorCode &error, std::size_t bytes) {
+                                if (self->closed_) {
+                                    return;
+                                }
+                                if (error) {
+                                    self->failCall(CallFailure::RelayFailed, error.message());
+                                    return;
+                                }
+                                self->reader_->feed(
+                                        std::string_view(self->readBuffer_.data(), bytes));
+                                if (self->reader_->done()) {
+                                    self->onHandshakeDone();
+                                } else if (self->reader_->fault() != HttpParseError::None) {
+                                    self->failCall(CallFailure::RelayFailed, "not a relay");
+                                } else {
+                                    self->readHandshake();
+                                }
+                            });
+}
+
+void HttpConnection::onHandshakeDone()
+{
+    const int status = reader_->head().status;
+    if (status != RelayEstablished) {
+        const bool isEndpoint = status == RelayUnreachableEndpoint;
+        failCall(isEndpoint ? CallFailure::NotConnected : CallFailure::RelayFailed,
+                 "the relay answered " + std::to_string(status));
+        return;
+    }
+    reader_.emplace(settings_.limits);
+    onEstablished();
+}
+
 void HttpConnection::write()
 {
     writing_ = true;
@@ -195,6 +264,11 @@
     idleSince_ = std::chrono::steady_clock::now();
     const auto self = shared_from_this();
     observer->onDone();
+    if (path_) {
+        // A relay carries one request per connection, so that it can stop between two.
+        cancel();
+        return;
+    }
     if (!closed_ && observer_ == nullptr && onIdle) {
         onIdle(self);
     }
--- a/test/Edge/EdgeProcess.h
+++ b/test/Edge/EdgeProcess.h
@@ -23,6 +23,7 @@
 inline constexpr int ReadyPort = 8741;
 inline constexpr int PeerPort = 8742;
 inline constexpr int MetricsPort = 8743;
+inline constexpr int RelayPort = 8744;
 
 /// Loopback addresses of this test process alone, so that ports needn't be found.
 inline std::string ip(int host)
@@ -78,6 +79,7 @@
                 {"listen", fmt::format("{}:{}", ip(host), CallerPort)},
                 {"listen_ready", fmt::format("{}:{}", ip(host), ReadyPort)},
                 {"listen_peers", fmt::format("{}:{}", ip(host), PeerPort)},
+                {"listen_relay", fmt::format("{}:{}", ip(host), RelayPort)},
                 {"listen_metrics", fmt::format("{}:{}", ip(host), MetricsPort)},
                 {"store", store_.address()},
                 {"ready_grace_ms", 100}};
--- /dev/null
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -0,0 +1,182 @@
+/// What a host relays for others, and how its tunnels end.
+
+#include <array>
+
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include "lib/Edge/RelayServer.h"
+
+using namespace sequoiagate;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+tcp::endpoint loopback()
+{
+    return {boost::asio::ip::address_v4::loopback(), 0};
+}
+
+class RelayServerTest : public testing::Test
+{
+protected:
+    RelayServerTest()
+        : file_(std::tmpfile()),
+          log_({"test", HostId("h"), DomainId("d"), Incarnation("i")}, file_),
+          endpoint_(io_, loopback()), relayAddress_(freeAddress()), peer_(io_), accepted_(io_)
+    {
+        server_ = std::make_unique<RelayServer>(
+                io_, relayAddress_, log_, metrics_,
+                RelayServer::Handlers{[this](const Incarnation &process) {
+                                          return mayRelay_ && process == Incarnation("listed");
+                                      },
+                                      [this](const EndpointId &id) {
+                                          return id == EndpointId("e")
+                                                         ? std::optional(endpoint_.local_endpoint())
+                                                         : std::nullopt;
+                                      },
+                                      [this](const EndpointId &, bool connected) {
+                                          ++(connected ? connected_ : failed_);
+                                      }});
+    }
+    ~RelayServerTest() override
+    {
+        server_->closeAll();
+        server_->stopAccepting();
+        io_.restart();
+        io_.poll();
+        std::fclose(file_);
+    }
+
+    tcp::endpoint freeAddress() { return tcp::acceptor(io_, loopback()).local_endpoint(); }
+
+    bool waitUntil(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 400 && !condition(); ++i) {
+            io_.restart();
+            io_.run_one_for(std::chrono::milliseconds(25));
+        }
+        return condition();
+    }
+
+    /// Sends a handshake. \returns the status of the response
+    int handshake(const std::string &process, const std::string &endpoint)
+    {
+        peer_.connect(relayAddress_);
+        boost::asio::write(peer_,
+                           boost::asio::buffer(encodeRelayRequest(
+                                   {EndpointId(endpoint), Incarnation(process), Millis(5000)})));
+        endpoint_.async_accept([this](const error_code &error, tcp::socket socket) {
+            if (!error) {
+                accepted_ = std::move(socket);
+            }
+        });
+        EXPECT_TRUE(waitUntil([this] { return peer_.available() > 0; }));
+        std::array<char, 512> buffer{};
+        const std::size_t bytes = peer_.read_some(boost::asio::buffer(buffer));
+        return std::stoi(std::string(buffer.data(), bytes).substr(9, 3));
+    }
+
+    std::string received(tcp::socket &socket)
+    {
+        EXPECT_TRUE(waitUntil([&socket] { return socket.available() > 0; }));
+        std::array<char, 512> buffer{};
+        return {buffer.data(), socket.read_some(boost::asio::buffer(buffer))};
+    }
+
+    /// How \p socket ends: eof or a reset.
+    error_code endOf(tcp::socket &socket)
+    {
+        error_code result;
+        bool ended = false;
+        char next = 0;
+        socket.async_read_some(boost::asio::buffer(&next, 1),
+                               [&](const error_code &error, std::size_t) {
+                                   result = error;
+                                   ended = true;
+                               });
+        EXPECT_TRUE(waitUntil([&ended] { return ended; }));
+        return result;
+    }
+
+    boost::asio::io_context io_;
+    std::FILE *file_;
+    EventLog log_;
+    Metrics metrics_;
+    tcp::acceptor endpoint_;
+    tcp::endpoint relayAddress_;
+    std::unique_ptr<RelayServer> server_;
+    tcp::socket peer_;
+    tcp::socket accepted_; ///< the endpoint's side of the tunnel
+    bool mayRelay_ = true;
+    int connected_ = 0;
+    int failed_ = 0;
+};
+
+TEST_F(RelayServerTest, CarriesBytesInBothDirections)
+{
+    EXPECT_EQ(handshake("listed", "e"), RelayEstablished);
+    EXPECT_EQ(connected_, 1);
+    EXPECT_EQ(server_->open(), 1U);
+    boost::asio::write(peer_, boost::asio::buffer("request", 7));
+    ASSERT_TRUE(waitUntil([this] { return accepted_.is_open(); }));
+    EXPECT_EQ(received(accepted_), "request");
+    boost::asio::write(accepted_, boost::asio::buffer("answer", 6));
+    EXPECT_EQ(received(peer_), "answer");
+    accepted_.close();
+    EXPECT_EQ(endOf(peer_), boost::asio::error::eof);
+    EXPECT_EQ(server_->open(), 0U);
+}
+
+// Guards against a relay that anybody can use, that reaches other addresses than endpoints', or
+// that takes work while it stops or is partitioned itself.
+TEST_F(RelayServerTest, RefusesProcessesThatAreNotListed)
+{
+    EXPECT_EQ(handshake("stranger", "e"), RelayRefused);
+    EXPECT_EQ(connected_ + failed_, 0);
+}
+
+TEST_F(RelayServerTest, RefusesEndpointsThatAreNotListed)
+{
+    EXPECT_EQ(handshake("listed", "127.0.0.1:80"), RelayRefused);
+}
+
+TEST_F(RelayServerTest, RefusesWhileItMustNotRelay)
+{
+    mayRelay_ = false;
+    EXPECT_EQ(handshake("listed", "e"), RelayRefused);
+}
+
+TEST_F(RelayServerTest, ReportsAnEndpointThatCannotBeReached)
+{
+    const tcp::endpoint gone = endpoint_.local_endpoint();
+    endpoint_.close();
+    endpoint_ = tcp::acceptor(io_);
+    endpoint_.open(tcp::v4());
+    endpoint_.bind(gone); // no listener: refused
+    EXPECT_EQ(handshake("listed", "e"), RelayUnreachableEndpoint);
+    EXPECT_EQ(failed_, 1);
+}
+
+// Guards against a response that was cut off and looks complete to the host that asked.
+TEST_F(RelayServerTest, PassesAResetOn)
+{
+    EXPECT_EQ(handshake("listed", "e"), RelayEstablished);
+    ASSERT_TRUE(waitUntil([this] { return accepted_.is_open(); }));
+    accepted_.set_option(boost::asio::socket_base::linger(true, 0));
+    accepted_.close();
+    EXPECT_EQ(endOf(peer_), boost::asio::error::connection_reset);
+}
+
+// Guards against work that goes on after the host that asked has cancelled it.
+TEST_F(RelayServerTest, ClosesTheEndpointsConnectionWithTheHosts)
+{
+    EXPECT_EQ(handshake("listed", "e"), RelayEstablished);
+    ASSERT_TRUE(waitUntil([this] { return accepted_.is_open(); }));
+    peer_.close();
+    EXPECT_TRUE(endOf(accepted_));
+    EXPECT_EQ(server_->open(), 0U);
+}
+
+} // namespace
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -76,12 +76,21 @@
     {
         staleEndpoints.push_back(endpoint);
     }
+    void onConnected(const EndpointId &, Instant) override { ++connected; }
+    void onConnectFailed(const EndpointId &endpoint, Instant) override
+    {
+        staleEndpoints.push_back(endpoint);
+    }
+    void onResponse(const EndpointId &, Instant) override {}
+    void onRelayFailed(const HostId &host, Instant) override { failedRelays.push_back(host); }
     bool mayRetry(const ServiceId &, Instant) override { return retriesLeft-- > 0; }
     void onRequest(const ServiceId &, Instant) override {}
 
     std::vector<PlacementTarget> endpoints;
     std::vector<EndpointId> staleEndpoints;
     std::vector<EndpointNotice> notices;
+    std::vector<HostId> failedRelays;
+    int connected = 0;
     int retriesLeft = 10;
     int sent = 0;
     int ended = 0;
