[Soak] Hosts partitioned from endpoints, endpoints that name limits or fall silent for a second

In one seed of eight hosts reach the endpoints by links of their own, which hang, are reset or refuse new connections; endpoints name a limit of requests or bear few rejections, and count what arrives; and endpoints are silent for about a second, which excuses nothing. Seeds 9 and 17 join the list. The other seeds play what they played before.

--- a/test/Soak/Checks.cpp
+++ b/test/Soak/Checks.cpp
@@ -259,6 +259,13 @@
     }
 }
 
+void checkLimits(const View &view, Findings &findings)
+{
+    for (const std::string &excess : view.record.excesses) {
+        findings.push_back("limits of endpoints hold: " + excess);
+    }
+}
+
 void checkStops(const View &view, Findings &findings)
 {
     for (const StopOf &stop : view.record.stops) {
@@ -274,9 +281,10 @@
 
 using Check = void (*)(const View &, Findings &);
 
-constexpr Check AllChecks[] = {
-        checkOwnAnswers, checkAtMostOnce,    checkNotRun, checkWorkspaces, checkSpend,
-        checkLeaving,    checkConfiguration, checkCutOff, checkAnswered,   checkStops};
+constexpr Check AllChecks[] = {checkOwnAnswers,    checkAtMostOnce, checkNotRun,
+                               checkWorkspaces,    checkSpend,      checkLeaving,
+                               checkConfiguration, checkCutOff,     checkAnswered,
+                               checkStops,         checkLimits};
 
 } // namespace
 
--- a/test/Soak/Endpoint.cpp
+++ b/test/Soak/Endpoint.cpp
@@ -1,5 +1,6 @@
 #include "Endpoint.h"
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 
@@ -20,6 +21,26 @@
 constexpr uint64_t SpoiltOf = 30;
 constexpr int Sound = Kinds;
 
+/// What a limited endpoint names, and how many requests it lets run. Streams aren't counted.
+constexpr double RequestLimit = 3.0;
+constexpr int RejectionLimit = 4;
+constexpr int MaxOpen = 4;
+constexpr std::chrono::seconds LimitSettling(3);
+constexpr std::chrono::seconds LimitWindow(4);
+
+/// Counts a request that runs.
+class Occupied
+{
+public:
+    explicit Occupied(std::atomic<int> &open) : open_(open) { ++open_; }
+    ~Occupied() { --open_; }
+    Occupied(const Occupied &) = delete;
+    Occupied &operator=(const Occupied &) = delete;
+
+private:
+    std::atomic<int> &open_;
+};
+
 int spoiltKind(const std::string &id)
 {
     const uint64_t remainder = stableHash(id) % SpoiltOf;
@@ -68,6 +89,65 @@
     id_ = id;
 }
 
+void Endpoint::limitRequests(bool limits)
+{
+    const std::lock_guard lock(mutex_);
+    requestsLimitedAt_ = limits ? std::chrono::steady_clock::now() : Never;
+    arrivals_.clear();
+}
+
+void Endpoint::limitRejections(bool limits)
+{
+    const std::lock_guard lock(mutex_);
+    rejectionsLimitedAt_ = limits ? std::chrono::steady_clock::now() : Never;
+    rejections_.clear();
+}
+
+void Endpoint::noteExcess(const std::vector<Instant> &times, std::chrono::seconds window,
+                          double allowed, const char *what)
+{
+    const Instant from = times.back() - window;
+    const auto count = std::count_if(times.begin(), times.end(),
+                                     [from](Instant time) { return time >= from; });
+    if (static_cast<double>(count) > allowed) {
+        const std::lock_guard lock(record_.mutex);
+        record_.excesses.push_back(
+                fmt::format("{} got {} {}, allowed {:.1f}", id_, count, what, allowed));
+    }
+}
+
+bool Endpoint::applyLimits(httplib::Response &response)
+{
+    const std::lock_guard lock(mutex_);
+    const Instant now = std::chrono::steady_clock::now();
+    if (requestsLimitedAt_ != Never) {
+        response.set_header("Server-Limit", fmt::format("{}", RequestLimit));
+        arrivals_.push_back(now);
+        // Only what came after the hosts had time to learn the limit.
+        std::erase_if(arrivals_,
+                      [this](Instant time) { return time < requestsLimitedAt_ + LimitSettling; });
+        constexpr double Tolerance = 1.5;
+        constexpr double Extra = 5.0;
+        if (!arrivals_.empty()) {
+            noteExcess(arrivals_, LimitWindow,
+                       Tolerance * RequestLimit * static_cast<double>(LimitWindow.count()) + Extra,
+                       "requests in 4 s");
+        }
+    }
+    if (rejectionsLimitedAt_ == Never) {
+        return false;
+    }
+    response.set_header("Server-Brittle", std::to_string(RejectionLimit));
+    if (open_ < MaxOpen) {
+        return false;
+    }
+    if (now >= rejectionsLimitedAt_ + LimitSettling) {
+        rejections_.push_back(now);
+        noteExcess(rejections_, std::chrono::seconds(1), RejectionLimit, "rejections in 1 s");
+    }
+    return true;
+}
+
 std::size_t Endpoint::begin(const httplib::Request &request, bool spoilt)
 {
     const std::lock_guard lock(record_.mutex);
@@ -93,12 +173,13 @@
         response.status = 421;
         return;
     }
-    if (spoilt == Refused) {
+    if (applyLimits(response) || spoilt == Refused) {
         response.status = 503;
         response.set_header("Not-Executed", "1");
         return;
     }
     const std::size_t run = begin(request, spoilt != Sound);
+    const Occupied occupied(open_);
     if (spoilt == Failed) {
         response.status = 500;
         return;
--- a/test/Soak/Endpoint.h
+++ b/test/Soak/Endpoint.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <mutex>
 #include <string>
+#include <vector>
 
 #include "Record.h"
 #include "sequoiagate/Standins/HttpStandin.h"
@@ -30,8 +31,17 @@
     void setId(const std::string &id);
     /// One answer in six is refused, cut in the middle, late, a failure or another request's.
     void setSpoils(bool spoils) { spoils_ = spoils; }
+    /// Names a limit of requests per second from now on, and notes requests beyond it.
+    void limitRequests(bool limits);
+    /// Rejects requests beyond a few at a time from now on, names the rejections that it bears, and
+    /// notes when there are more.
+    void limitRejections(bool limits);
 
 private:
+    /// Counts a request against the limits. \returns whether it is rejected
+    bool applyLimits(httplib::Response &response);
+    void noteExcess(const std::vector<Instant> &times, std::chrono::seconds window, double allowed,
+                    const char *what);
     void serve(const httplib::Request &request, httplib::Response &response);
     void servePlain(const std::string &id, std::size_t run, int spoilt,
                     httplib::Response &response);
@@ -44,6 +54,11 @@
     std::mutex mutex_;
     std::string id_;
     std::atomic<bool> spoils_{false};
+    std::atomic<int> open_{0};
+    Instant requestsLimitedAt_ = Never;
+    Instant rejectionsLimitedAt_ = Never;
+    std::vector<Instant> arrivals_;   ///< while requests are limited
+    std::vector<Instant> rejections_; ///< while rejections are
     HttpStandin http_;
 };
 
--- a/test/Soak/Record.h
+++ b/test/Soak/Record.h
@@ -112,6 +112,7 @@
     std::map<std::string, uint64_t> prepaid;  ///< the most that was in force, by workspace
     std::map<std::string, uint64_t> allotted; ///< by the store's rows after all had stopped
     std::vector<std::string> unserved; ///< hosts that didn't serve after the end of all faults
+    std::vector<std::string> excesses; ///< beyond what an endpoint said that it bears
     /// Nothing was killed and no datagram lost: the store's totals must be what was used.
     bool exact = false;
 
--- a/test/Soak/Schedule.cpp
+++ b/test/Soak/Schedule.cpp
@@ -78,6 +78,25 @@
          &World::endLeaving},
 };
 
+/// Conditions under which callers are to be served. A partition excuses what is open at its host.
+constexpr Kind Partitions[] = {
+        {"links hang", Target::Host, Reach::ItsHost, 2000, 5000, &World::hangLinks,
+         &World::healLinks},
+        {"links reset", Target::Host, Reach::ItsHost, 2000, 5000, &World::resetLinks,
+         &World::healLinks},
+        {"links refuse", Target::Host, Reach::ItsHost, 2000, 5000, &World::refuseLinks,
+         &World::healLinks},
+};
+constexpr Kind Limits[] = {
+        {"requests limited", Target::Endpoint, Reach::Nobody, 5000, 8000, &World::limitRequests,
+         &World::unlimitRequests},
+        {"rejections limited", Target::Endpoint, Reach::Nobody, 5000, 8000, &World::limitRejections,
+         &World::unlimitRejections},
+};
+constexpr Kind ShortSilence = {
+        "endpoint silent for a second", Target::Endpoint,    Reach::Nobody, 800, 1300,
+        &World::silenceEndpoint,        &World::healEndpoint};
+
 /// Played apart, at moments of their own.
 constexpr Kind PowerLost = {"power lost", Target::Host,      Reach::ItsHost,  100,
                             3000,         &World::losePower, &World::restart, true};
@@ -150,6 +169,23 @@
     }
 }
 
+void addConditions(std::vector<Step> &steps, const SoakPlan &plan, const WorldShape &shape)
+{
+    // Apart from the other steps, which stay as they are.
+    std::mt19937_64 random(plan.seed ^ 0x5bd1e995U);
+    const auto addOne = [&](const Kind &kind) {
+        const int most = kind.target == Target::Host ? shape.hosts : shape.endpoints;
+        const std::chrono::milliseconds at(
+                between(random, 0, static_cast<int>(plan.length.count()) / 2));
+        add(steps, kind, between(random, 0, most - 1), at, duration(random, kind));
+    };
+    for (int i = 0; i < plan.conditions; ++i) {
+        addOne(Partitions[random() % std::size(Partitions)]);
+        addOne(Limits[random() % std::size(Limits)]);
+        addOne(ShortSilence);
+    }
+}
+
 std::vector<Step> steps(const SoakPlan &plan, const WorldShape &shape)
 {
     std::mt19937_64 random(plan.seed);
@@ -163,6 +199,7 @@
         add(steps, kind, target, at, duration(random, kind));
     }
     addDarkTimes(steps, plan, shape);
+    addConditions(steps, plan, shape);
     std::stable_sort(steps.begin(), steps.end(),
                      [](const Step &a, const Step &b) { return a.at < b.at; });
     return steps;
--- a/test/Soak/Schedule.h
+++ b/test/Soak/Schedule.h
@@ -20,6 +20,9 @@
     /// All hosts lose power this often, each time while the store is silent for all or about then;
     /// single hosts lose it in between.
     int darkTimes = 0;
+    /// Hosts are partitioned from all endpoints, and endpoints name limits or are silent for about
+    /// a second, this often each.
+    int conditions = 0;
 };
 
 /// Plays \p plan on \p world while callers call, and notes in \p record what was done.
--- a/test/Soak/SoakTest.cpp
+++ b/test/Soak/SoakTest.cpp
@@ -29,6 +29,10 @@
 constexpr uint64_t IdleEach = 8;
 constexpr uint64_t IdleRemainder = 6;
 constexpr std::chrono::milliseconds IdleLimit(250);
+/// In the seeds of this remainder of so many, hosts are partitioned from endpoints, which name
+/// limits.
+constexpr uint64_t ConditionsEach = 8;
+constexpr uint64_t ConditionsRemainder = 1;
 
 int numberFrom(const char *variable, int otherwise)
 {
@@ -41,7 +45,7 @@
 {
     const char *const text = std::getenv("SEQUOIAGATE_SOAK_SEEDS");
     if (text == nullptr) {
-        return {4, 5, 6, 7, 10, 15, 1020};
+        return {4, 5, 6, 7, 9, 10, 15, 17, 1020};
     }
     const std::string range(text);
     const uint64_t first = std::stoull(range);
@@ -85,6 +89,11 @@
     plan.darkTimes = dark ? std::max(2, seconds / 4) : 0;
     WorldShape shape;
     shape.seed = plan.seed;
+    if (plan.seed % ConditionsEach == ConditionsRemainder) {
+        plan.conditions = std::max(2, seconds / 4);
+        plan.length += std::chrono::seconds(4);
+        shape.ownLinks = true;
+    }
     shape.hosts = numberFrom("SEQUOIAGATE_SOAK_HOSTS", shape.hosts);
     if (plan.seed % IdleEach == IdleRemainder) {
         shape.idleLimit = IdleLimit;
--- a/test/Soak/World.cpp
+++ b/test/Soak/World.cpp
@@ -17,6 +17,7 @@
 constexpr int CallerPort = 8740;
 constexpr int ReadyPort = 8741;
 constexpr int PeerPort = 8742;
+constexpr int RelayPort = 8744;
 constexpr int StoreHost = 200;
 constexpr int RelayHost = 201;
 constexpr int FirstEndpointHost = 210;
@@ -95,6 +96,9 @@
                                                   fmt::format("{}:{}", ip(1 + i), CallerPort));
         host.peers = std::make_unique<UdpRelay>(loop_, ip(RelayHost),
                                                 fmt::format("{}:{}", ip(1 + i), PeerPort));
+        if (shape_.ownLinks) {
+            makeLinks(host);
+        }
         start(i);
     }
     view_.hosts = shape_.hosts;
@@ -136,12 +140,28 @@
             {"listen_ready", fmt::format("{}:{}", ip(1 + host), ReadyPort)},
             {"listen_peers", fmt::format("{}:{}", ip(1 + host), PeerPort)},
             {"announce_peers", of.peers->address()},
+            {"listen_relay", fmt::format("{}:{}", ip(1 + host), RelayPort)},
             {"store", of.store->address()},
             {"ready_grace_ms", 1000},
             {"stop_grace_ms", StopGraceMs},
             {"retry_ratio", Ratio + RatioStep * static_cast<double>(reloads % Steps)}};
 }
 
+void World::makeLinks(Host &host)
+{
+    for (const EndpointPlace &place : endpoints_) {
+        const std::string address = place.relay->address();
+        host.links[address] = std::make_unique<TcpRelay>(loop_, ip(RelayHost), address);
+    }
+}
+
+void World::cutLinks(int host, RelayCut cut)
+{
+    for (const auto &[address, link] : hosts_[at(host)].links) {
+        link->setCut(cut);
+    }
+}
+
 void World::start(int host)
 {
     Host &of = hosts_[at(host)];
@@ -151,7 +171,22 @@
     ++of.incarnation;
     // What a process before it still had under way must not be taken for this one's.
     of.store->resetAll();
-    of.store->setSource(sourceOf({host, of.incarnation}));
+    const std::string source = sourceOf({host, of.incarnation});
+    of.store->setSource(source);
+    if (shape_.ownLinks) {
+        store_.setView(source, [&of](const std::string &topic, const std::string &,
+                                     const std::string &value) {
+            if (topic != EndpointTopic) {
+                return value;
+            }
+            nlohmann::json row = nlohmann::json::parse(value);
+            const auto link = of.links.find(row["address"].get<std::string>());
+            if (link != of.links.end()) {
+                row["address"] = link->second->address();
+            }
+            return row.dump();
+        });
+    }
     incarnations_[at(host)] = of.incarnation;
     of.process = std::make_unique<Process>(
             scratch_, "sequoia-edge", fmt::format("h{}-{}", host, of.incarnation),
@@ -458,12 +493,15 @@
     for (int i = 0; i < shape_.endpoints; ++i) {
         healEndpoint(i);
         spoilNoAnswers(i);
+        unlimitRequests(i);
+        unlimitRejections(i);
         endLeaving(i);
     }
     for (int i = 0; i < shape_.hosts; ++i) {
         healStore(i);
         healPeers(i);
         healCallers(i);
+        healLinks(i);
         resume(i);
         endStop(i);
         restart(i);
--- a/test/Soak/World.h
+++ b/test/Soak/World.h
@@ -30,6 +30,7 @@
     uint64_t largeBudget = 4'000'000;
     uint64_t seed = 1;
     std::chrono::milliseconds idleLimit{}; ///< of callers' connections; zero: the default
+    bool ownLinks = false;                 ///< each host reaches the endpoints by links of its own
 };
 
 /// Used by the thread that plays the faults.
@@ -90,6 +91,20 @@
     void spoilNoAnswers(int endpoint) { endpoints_[at(endpoint)].server->setSpoils(false); }
     void delist(int endpoint);
 
+    // ---- conditions that excuse nothing, or only what is open at a host when they begin ----
+    /// Partitions \p host from all endpoints. \pre shape().ownLinks
+    void hangLinks(int host) { cutLinks(host, RelayCut::Hang); }
+    void resetLinks(int host) { cutLinks(host, RelayCut::Reset); }
+    void refuseLinks(int host) { cutLinks(host, RelayCut::RefuseNew); }
+    void healLinks(int host) { cutLinks(host, RelayCut::None); }
+    void limitRequests(int endpoint) { endpoints_[at(endpoint)].server->limitRequests(true); }
+    void unlimitRequests(int endpoint) { endpoints_[at(endpoint)].server->limitRequests(false); }
+    void limitRejections(int endpoint) { endpoints_[at(endpoint)].server->limitRejections(true); }
+    void unlimitRejections(int endpoint)
+    {
+        endpoints_[at(endpoint)].server->limitRejections(false);
+    }
+
     /// Ends every failure, waits until each host serves again, spends what is left of the small
     /// budget, stops all as planned, and notes what the store holds. \pre no callers run
     void finish();
@@ -105,6 +120,7 @@
         std::unique_ptr<TcpRelay> store;
         std::unique_ptr<TcpRelay> callers;
         std::unique_ptr<UdpRelay> peers;
+        std::map<std::string, std::unique_ptr<TcpRelay>> links; ///< by the endpoint's address
         uint64_t reloads = 0;
         std::chrono::milliseconds bootClockOffset{};
     };
@@ -121,6 +137,8 @@
     static std::string sourceOf(const ProcessOf &process);
     nlohmann::json settings(int host, uint64_t reloads) const;
     void start(int host);
+    void makeLinks(Host &host);
+    void cutLinks(int host, RelayCut cut);
     void stopped(int host);
     void list(int endpoint, const std::string &state);
     nlohmann::json limits() const;
