[Proxy] Bear endpoints that acknowledge nothing for a second or two

TCP_USER_TIMEOUT was 1.5 s on connections to endpoints, so that one which falls silent for a little longer lost its connection: a request that may run once got 502, though the endpoint went on. It is 4 s for requests now; requests that may be retried are, by the stall timer, before that, and the store's connections keep 1.5 s. No socket has keep-alive probes on, whose end the option would also decide; gRPC's channels of the product's other programs set it to their keep-alive timeout, 3 s. The test fails with 1.5 s: an endpoint that reads nothing for 2.6 s.

--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -63,7 +63,7 @@
     /// between failure domains takes some milliseconds; a lost SYN is retransmitted after 1 s.
     Interval connectTimeout = std::chrono::milliseconds(400);
     /// Time for sent bytes to be acknowledged; after it the peer counts as lost
-    /// (TCP_USER_TIMEOUT).
+    /// (TCP_USER_TIMEOUT). Where keep-alive probes are on, it also decides when they give up.
     std::chrono::milliseconds unacknowledgedTimeout{1500};
     /// Time to establish a connection through a relay, which connects within connectTimeout.
     Interval relayTimeout = std::chrono::milliseconds(600);
@@ -91,6 +91,9 @@
     void pauseReading() { readingPaused_ = true; }
     void resumeReading();
 
+    /// Sets the time for sent bytes to be acknowledged, for this and later calls.
+    void setUnacknowledgedTimeout(std::chrono::milliseconds timeout);
+
     const boost::asio::ip::tcp::endpoint &address() const { return address_; }
     bool isRelayed() const { return path_.has_value(); }
     bool usable() const { return connected_ && !closed_; }
@@ -105,6 +108,7 @@
     using ErrorCode = boost::system::error_code;
 
     void connect();
+    void applyUnacknowledgedTimeout();
     void onConnected(const ErrorCode &error);
     void onEstablished();
     void sendHandshake();
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -34,6 +34,10 @@
 /// most of the 1.5 s that short calls wait.
 constexpr uint32_t MaxConnectFailures = 3;
 
+/// How long an endpoint may leave a request unacknowledged. Sound ones fall silent for a second or
+/// so; a request that may be retried is, before that.
+constexpr Millis MaxEndpointSilence{4000};
+
 /// Maximum number of hosts that fail as relays of a request. Most refuse within a round trip.
 constexpr uint32_t MaxRelayFailures = 4;
 
@@ -268,6 +272,7 @@
     ++possibleExecutions_;
     attempt_.emplace(target.endpoint, now);
     attempt_->connection = connectionTo(target, now);
+    attempt_->connection->setUnacknowledgedTimeout(MaxEndpointSilence);
     if (attempt_->connection->isRelayed()) {
         attempt_->relay = target.relay->host;
         context_.metrics.count("proxy_relayed_total");
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -46,8 +46,7 @@
         return;
     }
     socket_.set_option(tcp::no_delay(true), error);
-    const auto timeout = static_cast<unsigned>(settings_.unacknowledgedTimeout.count());
-    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    applyUnacknowledgedTimeout();
     connectTimer_.expires_after(path_ ? settings_.relayTimeout : settings_.connectTimeout);
     connectTimer_.async_wait([self = shared_from_this()](const ErrorCode &waited) {
         if (!waited && !self->connected_) {
@@ -79,6 +78,20 @@
     onEstablished();
 }
 
+void HttpConnection::setUnacknowledgedTimeout(std::chrono::milliseconds timeout)
+{
+    settings_.unacknowledgedTimeout = timeout;
+    if (socket_.is_open()) {
+        applyUnacknowledgedTimeout();
+    }
+}
+
+void HttpConnection::applyUnacknowledgedTimeout()
+{
+    const auto timeout = static_cast<unsigned>(settings_.unacknowledgedTimeout.count());
+    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
 CallFailure HttpConnection::connectFailure() const
 {
     return path_ ? CallFailure::RelayFailed : CallFailure::NotConnected;
--- a/unittests/Proxy/ExchangeTest.cpp
+++ b/unittests/Proxy/ExchangeTest.cpp
@@ -1,5 +1,7 @@
 /// What a caller receives for one request when endpoints respond, fail or don't respond.
 
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "ProxyTestHarness.h"
@@ -346,6 +348,63 @@
 INSTANTIATE_TEST_SUITE_P(Rows, ExchangeResponse, testing::ValuesIn(ResponseCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+/// Accepts one connection, and reads nothing from it until it is told to.
+class UnreadingEndpoint
+{
+public:
+    explicit UnreadingEndpoint(boost::asio::io_context &io) : acceptor_(io), socket_(io)
+    {
+        constexpr int SmallBufferBytes = 4096;
+        acceptor_.open(boost::asio::ip::tcp::v4());
+        acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(SmallBufferBytes));
+        acceptor_.bind({boost::asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen();
+        acceptor_.async_accept(socket_, [](const boost::system::error_code &) {});
+    }
+
+    boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+    void readAndAnswer(const std::string &answer)
+    {
+        socket_.async_read_some(
+                boost::asio::buffer(buffer_),
+                [this, answer](const boost::system::error_code &error, std::size_t bytes) {
+                    received_.append(buffer_.data(), error ? 0 : bytes);
+                    if (error || received_.find("THE END") != std::string::npos) {
+                        boost::system::error_code ignored;
+                        boost::asio::write(socket_, boost::asio::buffer(answer), ignored);
+                        return;
+                    }
+                    readAndAnswer(answer);
+                });
+    }
+
+private:
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::socket socket_;
+    std::array<char, 65536> buffer_;
+    std::string received_;
+};
+
+// Guards against giving up on a sound endpoint that acknowledges nothing for a second or two: a
+// request that may run once then fails, though the endpoint goes on.
+TEST(Exchange, BearsAnEndpointThatIsSilentForAMoment)
+{
+    ProxyTestHarness harness(std::vector<std::vector<Reply>>(1));
+    UnreadingEndpoint endpoint(harness.io);
+    harness.placement.endpoints[0].address = endpoint.address();
+    const std::string body(3'500'000, 'x');
+    harness.config->limits.maxBodyBytes = 2 * body.size();
+    harness.send(fmt::format("POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+                             "Deadline-Ms: 9000\r\nAuthorization: Token key\r\n"
+                             "Token-Count: 100,40\r\nContent-Length: {}\r\n\r\n{}THE END",
+                             body.size() + 7, body));
+    boost::asio::steady_timer silence(harness.io, std::chrono::milliseconds(2600));
+    const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n"
+                               "Content-Length: 4\r\n\r\ngood";
+    silence.async_wait([&](const boost::system::error_code &) { endpoint.readAndAnswer(answer); });
+    EXPECT_TRUE(harness.waitFor("good")) << harness.received();
+}
+
 // Guards against taking over the notice of another server that has got the endpoint's address.
 TEST(Exchange, PassesOnNoticesOfTheEndpointAlone)
 {
