[Proxy] [Edge] Don't try one unreachable relay after the other

A host that is cut off from the other hosts as well tried four relays for each request, 0.6 s each, and its callers got 504 at their deadline in place of 503 at once. Relays that refuse are told apart from those that can't be reached; after two of the latter in a row none is tried for a second, and connecting to one takes 250 ms at most.

--- a/include/sequoiagate/Decisions/RelaySelector.h
+++ b/include/sequoiagate/Decisions/RelaySelector.h
@@ -5,7 +5,8 @@
 ///
 /// Hosts are picked at random, so that those that relay share the load evenly whatever they know
 /// of each other. One that refuses or can't be reached is left out for a while: a partition often
-/// hits several hosts of a failure domain.
+/// hits several hosts of a failure domain. If several in a row can't be reached, this host is cut
+/// off from them as well, and none is selected for a while: each try would keep a caller waiting.
 
 #include <map>
 #include <optional>
@@ -23,6 +24,9 @@
 public:
     /// How long a host that refused, or couldn't be reached, is left out.
     static constexpr Interval FailurePause = std::chrono::seconds(2);
+    /// How many hosts in a row have to be unreachable, and for how long none is selected then.
+    static constexpr uint32_t MaxUnreachableInARow = 2;
+    static constexpr Interval IsolationPause = std::chrono::seconds(1);
 
     explicit RelaySelector(uint64_t seed) : random_(seed) {}
 
@@ -30,11 +34,16 @@
     void setHosts(std::vector<HostId> hosts);
     /// \returns std::nullopt if no host is likely to relay
     std::optional<HostId> select(Instant now);
-    void onFailed(const HostId &host, Instant now);
+    /// \p host was reached, and refused.
+    void onRefused(const HostId &host, Instant now);
+    void onConnected() { unreachableInARow_ = 0; }
+    void onUnreachable(const HostId &host, Instant now);
 
 private:
     std::vector<HostId> hosts_;
     std::map<HostId, Instant> pausedUntil_;
+    uint32_t unreachableInARow_ = 0;
+    Instant isolatedUntil_{};
     std::mt19937_64 random_;
 };
 
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -114,7 +114,7 @@
     void onConnected(const EndpointId &endpoint, Instant now) override;
     void onConnectFailed(const EndpointId &endpoint, Instant now) override;
     void onResponse(const EndpointId &endpoint, Instant now) override;
-    void onRelayFailed(const HostId &host, Instant now) override;
+    void onRelayResult(const HostId &host, RelayResult result, Instant now) override;
     void onStaleEndpoint(const EndpointId &endpoint, Instant now) override;
     bool mayRetry(const ServiceId &service, Instant now) override;
     void onRequest(const ServiceId &service, Instant now) override;
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -108,7 +108,7 @@
     // ---- failure handling ----
     bool mayRetry() const;
     void onNotConnected(const std::string &detail, Instant now);
-    void onRelayFailed(const std::string &detail, Instant now);
+    void onRelayFailed(RelayResult result, const std::string &detail, Instant now);
     void retryOrFail(const std::string &detail);
     void retryElsewhere(const std::string &detail);
     void refuse(Verdict verdict);
--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -29,9 +29,10 @@
 
 /// How far a call had got when its connection was lost.
 enum class CallFailure {
-    NotConnected, ///< no byte was sent
-    RelayFailed,  ///< no byte was sent: the relay couldn't be reached, or refused
-    MaybeSent,    ///< a part of the request may have arrived
+    NotConnected,     ///< no byte was sent
+    RelayUnreachable, ///< no byte was sent: the relay doesn't respond
+    RelayRefused,     ///< no byte was sent: the relay doesn't serve the request
+    MaybeSent,        ///< a part of the request may have arrived
 };
 
 /// The host through which a connection is made, and the handshake that asks it to do so.
@@ -47,7 +48,7 @@
 {
 public:
     virtual ~HttpCallObserver() = default;
-    /// A connection was established for this call, without a relay.
+    /// A connection was established for this call.
     virtual void onConnected() {}
     virtual void onSent() {}
     virtual void onHead(const ResponseHead &head) = 0;
@@ -65,8 +66,10 @@
     /// Time for sent bytes to be acknowledged; after it the peer counts as lost
     /// (TCP_USER_TIMEOUT). Where keep-alive probes are on, it also decides when they give up.
     std::chrono::milliseconds unacknowledgedTimeout{1500};
-    /// Time to establish a connection through a relay, which connects within connectTimeout.
-    Interval relayTimeout = std::chrono::milliseconds(600);
+    /// Time to connect to a relay, and then for its handshake, in which it connects to the server
+    /// within connectTimeout.
+    Interval relayConnectTimeout = std::chrono::milliseconds(250);
+    Interval handshakeTimeout = std::chrono::milliseconds(500);
     HttpReaderLimits limits;
 };
 
@@ -108,6 +111,7 @@
     using ErrorCode = boost::system::error_code;
 
     void connect();
+    void armConnectTimer(Interval limit);
     void applyUnacknowledgedTimeout();
     void onConnected(const ErrorCode &error);
     void onEstablished();
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -39,6 +39,12 @@
     bool prefersOpenConnection = false;
 };
 
+enum class RelayResult {
+    Connected,
+    Refused,
+    Unreachable,
+};
+
 /// The endpoint chosen for a request.
 struct PlacementTarget
 {
@@ -77,8 +83,8 @@
     virtual void onConnectFailed(const EndpointId &endpoint, Instant now) = 0;
     /// \p endpoint responded on a connection of this host.
     virtual void onResponse(const EndpointId &endpoint, Instant now) = 0;
-    /// \p host couldn't be reached as a relay, or refused.
-    virtual void onRelayFailed(const HostId &host, Instant now) = 0;
+    /// \p host, as a relay, connected to the endpoint, refused or couldn't be reached.
+    virtual void onRelayResult(const HostId &host, RelayResult result, Instant now) = 0;
     /// The directory entry is out of date: the address belongs to another endpoint or to none.
     virtual void onStaleEndpoint(const EndpointId &endpoint, Instant now) = 0;
     /// Whether the retry budget of \p service allows one more retry.
--- a/lib/Decisions/RelaySelector.cpp
+++ b/lib/Decisions/RelaySelector.cpp
@@ -14,6 +14,9 @@
 
 std::optional<HostId> RelaySelector::select(Instant now)
 {
+    if (now < isolatedUntil_) {
+        return std::nullopt;
+    }
     std::vector<const HostId *> usable;
     for (const HostId &host : hosts_) {
         const auto paused = pausedUntil_.find(host);
@@ -27,9 +30,18 @@
     return *usable[random_() % usable.size()];
 }
 
-void RelaySelector::onFailed(const HostId &host, Instant now)
+void RelaySelector::onRefused(const HostId &host, Instant now)
 {
+    unreachableInARow_ = 0;
     pausedUntil_[host] = now + FailurePause;
 }
 
+void RelaySelector::onUnreachable(const HostId &host, Instant now)
+{
+    pausedUntil_[host] = now + FailurePause;
+    if (++unreachableInARow_ >= MaxUnreachableInARow) {
+        isolatedUntil_ = now + IsolationPause;
+    }
+}
+
 } // namespace sequoiagate
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -396,10 +396,19 @@
     partition_.onResponse(endpoint, now);
 }
 
-void EndpointDirectory::onRelayFailed(const HostId &host, Instant now)
+void EndpointDirectory::onRelayResult(const HostId &host, RelayResult result, Instant now)
 {
-    relaySelector_.onFailed(host, now);
-    log_.write(Event("relay.failed").with("host", host));
+    if (result == RelayResult::Connected) {
+        relaySelector_.onConnected();
+        return;
+    }
+    const bool refused = result == RelayResult::Refused;
+    if (refused) {
+        relaySelector_.onRefused(host, now);
+    } else {
+        relaySelector_.onUnreachable(host, now);
+    }
+    log_.write(Event("relay.failed").with("host", host).with("refused", refused));
 }
 
 bool EndpointDirectory::requestSlot(const EndpointId &endpoint, Interval maxDelay, Instant now)
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -366,7 +366,12 @@
 
 void Exchange::onConnected()
 {
-    context_.placement.onConnected(attempt_->endpoint, std::chrono::steady_clock::now());
+    const Instant now = std::chrono::steady_clock::now();
+    if (attempt_->relay.empty()) {
+        context_.placement.onConnected(attempt_->endpoint, now);
+    } else {
+        context_.placement.onRelayResult(attempt_->relay, RelayResult::Connected, now);
+    }
 }
 
 void Exchange::onHead(const ResponseHead &head)
@@ -579,10 +584,11 @@
         // No byte was sent, so this doesn't count as a sent attempt.
         --possibleExecutions_;
         --sendCount_;
-        if (failure == CallFailure::RelayFailed) {
-            onRelayFailed(detail, now);
-        } else {
+        if (failure == CallFailure::NotConnected) {
             onNotConnected(detail, now);
+        } else {
+            const bool refused = failure == CallFailure::RelayRefused;
+            onRelayFailed(refused ? RelayResult::Refused : RelayResult::Unreachable, detail, now);
         }
         return;
     }
@@ -613,9 +619,9 @@
     retryElsewhere(detail);
 }
 
-void Exchange::onRelayFailed(const std::string &detail, Instant now)
+void Exchange::onRelayFailed(RelayResult result, const std::string &detail, Instant now)
 {
-    context_.placement.onRelayFailed(attempt_->relay, now);
+    context_.placement.onRelayResult(attempt_->relay, result, now);
     attempt_->outcome = AttemptOutcome::NotConnected;
     endAttempt(true);
     // The endpoint may still serve the request, through another relay.
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -47,16 +47,21 @@
     }
     socket_.set_option(tcp::no_delay(true), error);
     applyUnacknowledgedTimeout();
-    connectTimer_.expires_after(path_ ? settings_.relayTimeout : settings_.connectTimeout);
+    armConnectTimer(path_ ? settings_.relayConnectTimeout : settings_.connectTimeout);
+    socket_.async_connect(path_ ? path_->relay : address_,
+                          [self = shared_from_this()](const ErrorCode &connected) {
+                              self->onConnected(connected);
+                          });
+}
+
+void HttpConnection::armConnectTimer(Interval limit)
+{
+    connectTimer_.expires_after(limit);
     connectTimer_.async_wait([self = shared_from_this()](const ErrorCode &waited) {
         if (!waited && !self->connected_) {
             self->failCall(self->connectFailure(), "no connection in time");
         }
     });
-    socket_.async_connect(path_ ? path_->relay : address_,
-                          [self = shared_from_this()](const ErrorCode &connected) {
-                              self->onConnected(connected);
-                          });
 }
 
 void HttpConnection::onConnected(const ErrorCode &error)
@@ -69,12 +74,10 @@
         return;
     }
     if (path_) {
+        armConnectTimer(settings_.handshakeTimeout);
         sendHandshake();
         return;
     }
-    if (observer_ != nullptr) {
-        observer_->onConnected();
-    }
     onEstablished();
 }
 
@@ -94,13 +97,16 @@
 
 CallFailure HttpConnection::connectFailure() const
 {
-    return path_ ? CallFailure::RelayFailed : CallFailure::NotConnected;
+    return path_ ? CallFailure::RelayUnreachable : CallFailure::NotConnected;
 }
 
 void HttpConnection::onEstablished()
 {
     connectTimer_.cancel();
     connected_ = true;
+    if (observer_ != nullptr) {
+        observer_->onConnected();
+    }
     write();
     read();
 }
@@ -112,7 +118,7 @@
                           if (!self->closed_ && !error) {
                               self->readHandshake();
                           } else if (error) {
-                              self->failCall(CallFailure::RelayFailed, error.message());
+                              self->failCall(CallFailure::RelayUnreachable, error.message());
                           }
                       });
 }
@@ -125,7 +131,7 @@
                                     return;
                                 }
                                 if (error) {
-                                    self->failCall(CallFailure::RelayFailed, error.message());
+                                    self->failCall(CallFailure::RelayUnreachable, error.message());
                                     return;
                                 }
                                 self->reader_->feed(
@@ -133,7 +139,7 @@
                                 if (self->reader_->done()) {
                                     self->onHandshakeDone();
                                 } else if (self->reader_->fault() != HttpParseError::None) {
-                                    self->failCall(CallFailure::RelayFailed, "not a relay");
+                                    self->failCall(CallFailure::RelayUnreachable, "not a relay");
                                 } else {
                                     self->readHandshake();
                                 }
@@ -145,7 +151,7 @@
     const int status = reader_->head().status;
     if (status != RelayEstablished) {
         const bool isEndpoint = status == RelayUnreachableEndpoint;
-        failCall(isEndpoint ? CallFailure::NotConnected : CallFailure::RelayFailed,
+        failCall(isEndpoint ? CallFailure::NotConnected : CallFailure::RelayRefused,
                  "the relay answered " + std::to_string(status));
         return;
     }
--- a/unittests/Decisions/PartitionDetectorTest.cpp
+++ b/unittests/Decisions/PartitionDetectorTest.cpp
@@ -134,13 +134,29 @@
     for (const auto &[host, count] : selected) {
         EXPECT_GT(count, 50) << host;
     }
-    selector.onFailed(HostId("x"), at(0));
-    selector.onFailed(HostId("y"), at(0));
+    selector.onRefused(HostId("x"), at(0));
+    selector.onRefused(HostId("y"), at(0));
     EXPECT_EQ(selector.select(at(100)), HostId("z"));
-    selector.onFailed(HostId("z"), at(100));
+    selector.onRefused(HostId("z"), at(100));
     EXPECT_FALSE(selector.select(at(200)));
     const Instant later = at(0) + RelaySelector::FailurePause;
     EXPECT_TRUE(selector.select(later));
 }
 
+// Guards against keeping callers waiting for one unreachable host after the other, where this host
+// is cut off from all of them.
+TEST(RelaySelector, SelectsNobodyAfterSeveralWereUnreachable)
+{
+    RelaySelector selector(3);
+    selector.setHosts({HostId("w"), HostId("x"), HostId("y"), HostId("z")});
+    selector.onUnreachable(HostId("x"), at(0));
+    EXPECT_TRUE(selector.select(at(10)));
+    selector.onConnected();
+    selector.onUnreachable(HostId("y"), at(20));
+    EXPECT_TRUE(selector.select(at(30)));
+    selector.onUnreachable(HostId("z"), at(40));
+    EXPECT_FALSE(selector.select(at(50)));
+    EXPECT_EQ(selector.select(at(40) + RelaySelector::IsolationPause), HostId("w"));
+}
+
 } // namespace
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -82,7 +82,12 @@
         staleEndpoints.push_back(endpoint);
     }
     void onResponse(const EndpointId &, Instant) override {}
-    void onRelayFailed(const HostId &host, Instant) override { failedRelays.push_back(host); }
+    void onRelayResult(const HostId &host, RelayResult result, Instant) override
+    {
+        if (result != RelayResult::Connected) {
+            failedRelays.push_back(host);
+        }
+    }
     bool mayRetry(const ServiceId &, Instant) override { return retriesLeft-- > 0; }
     void onRequest(const ServiceId &, Instant) override {}
 
