--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -120,6 +120,10 @@
     void onRequest(const ServiceId &service, Instant now) override;
 
 private:
+    SelectionOutcome selectEndpoint(const WorkItem &item, const std::vector<EndpointId> &tried,
+                                    const std::vector<EndpointId> &limited, Instant now);
+    PlacementResult awaitSlotOrRefuse(const WorkItem &item, const std::vector<EndpointId> &tried,
+                                      const std::vector<EndpointId> &limited, Instant now);
     /// The endpoints of \p service that this host may not send to now, because of their limits.
     std::vector<EndpointId> limitedNow(const ServiceId &service, Instant now) const;
     /// Books or requests slots of \p limited endpoints for a request that no other one can serve.
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -255,59 +255,75 @@
     return limited;
 }
 
-PlacementResult EndpointDirectory::place(const WorkItem &item,
-                                         const std::vector<PromptPart> &prompt,
-                                         const std::vector<EndpointId> &tried, Instant now)
+SelectionOutcome EndpointDirectory::selectEndpoint(const WorkItem &item,
+                                                   const std::vector<EndpointId> &tried,
+                                                   const std::vector<EndpointId> &limited,
+                                                   Instant now)
 {
-    const std::vector<EndpointId> limited = limitedNow(item.service, now);
     std::vector<EndpointId> unavailable = limited;
     for (const auto &[id, listed] : entries_) {
         if (now < listed.excludedUntil) {
             unavailable.push_back(id);
         }
     }
-    WorkItem work = item;
-    work.prefixHash = sharedPromptHash(prompt);
-    work.cacheablePrefixTokens = sharedPromptTokens(prompt);
-    SelectionOutcome outcome = selector_.select(work, tried, unavailable, now);
+    SelectionOutcome outcome = selector_.select(item, tried, unavailable, now);
     if (std::holds_alternative<Verdict>(outcome) && unavailable.size() > limited.size()) {
         // No other endpoint can be used: one that was unreachable a moment ago is better than
         // none.
-        outcome = selector_.select(work, tried, limited, now);
-    }
-    const auto *chosen = std::get_if<SelectedEndpoint>(&outcome);
-    if (chosen == nullptr && limited.empty()) {
-        return std::move(std::get<Verdict>(outcome));
+        outcome = selector_.select(item, tried, limited, now);
     }
+    return outcome;
+}
+
+PlacementResult EndpointDirectory::place(const WorkItem &item,
+                                         const std::vector<PromptPart> &prompt,
+                                         const std::vector<EndpointId> &tried, Instant now)
+{
+    WorkItem work = item;
+    work.prefixHash = sharedPromptHash(prompt);
+    work.cacheablePrefixTokens = sharedPromptTokens(prompt);
+    const std::vector<EndpointId> limited = limitedNow(item.service, now);
+    SelectionOutcome outcome = selectEndpoint(work, tried, limited, now);
     if (!limited.empty()) {
         ++limitedRequests_;
         prefetchSlot(item.service, limited, now);
     }
-    if (chosen == nullptr) {
-        std::vector<EndpointId> untried;
-        std::copy_if(limited.begin(), limited.end(), std::back_inserter(untried),
-                     [&tried](const EndpointId &id) {
-                         return std::find(tried.begin(), tried.end(), id) == tried.end();
-                     });
-        if (const auto delay = awaitSlot(item, untried, now)) {
-            return *delay;
+    if (auto *verdict = std::get_if<Verdict>(&outcome)) {
+        if (limited.empty()) {
+            return std::move(*verdict);
         }
+        return awaitSlotOrRefuse(item, tried, limited, now);
     }
+    const SelectedEndpoint &chosen = std::get<SelectedEndpoint>(outcome);
     waiting_.erase(item.request);
-    if (chosen == nullptr) {
-        return refuseByLimits(item, limited, now);
-    }
-    const bool isShared = limits_.sharePerSecond(chosen->endpoint).has_value();
+    const bool isShared = limits_.sharePerSecond(chosen.endpoint).has_value();
     if (isShared && yieldsToMoreUrgent(item, now)) {
-        return refuseByLimits(item, {chosen->endpoint}, now);
+        return refuseByLimits(item, {chosen.endpoint}, now);
     }
-    std::string limits = limits_.describe(chosen->endpoint, now);
+    std::string limits = limits_.describe(chosen.endpoint, now);
     if (!limited.empty()) {
         limits += fmt::format("{}not available: {}", limits.empty() ? "" : "; ",
                               describeLimits(limited, now));
     }
-    return PlacementTarget{chosen->endpoint, entries_.at(chosen->endpoint).address, chosen->reason,
-                           relayFor(item, chosen->endpoint, now), std::move(limits)};
+    return PlacementTarget{chosen.endpoint, entries_.at(chosen.endpoint).address, chosen.reason,
+                           relayFor(item, chosen.endpoint, now), std::move(limits)};
+}
+
+PlacementResult EndpointDirectory::awaitSlotOrRefuse(const WorkItem &item,
+                                                     const std::vector<EndpointId> &tried,
+                                                     const std::vector<EndpointId> &limited,
+                                                     Instant now)
+{
+    std::vector<EndpointId> untried;
+    std::copy_if(limited.begin(), limited.end(), std::back_inserter(untried),
+                 [&tried](const EndpointId &id) {
+                     return std::find(tried.begin(), tried.end(), id) == tried.end();
+                 });
+    if (const auto delay = awaitSlot(item, untried, now)) {
+        return *delay;
+    }
+    waiting_.erase(item.request);
+    return refuseByLimits(item, limited, now);
 }
 
 std::optional<RelayRoute> EndpointDirectory::relayFor(const WorkItem &item,
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -277,14 +277,19 @@
         attempt_->relay = target.relay->host;
         context_.metrics.count("proxy_relayed_total");
     }
-    log(Event("request.sent")
-                .with("endpoint", target.endpoint)
-                .with("why", target.reason)
-                .with("relay", attempt_->relay)
-                .with("attempt", sendCount_)
-                .with("left_ms", millis(remaining(now)).count())
-                .with("limits", target.limits)
-                .with("config", config_->version));
+    Event event = Event("request.sent")
+                          .with("endpoint", target.endpoint)
+                          .with("why", target.reason)
+                          .with("attempt", sendCount_)
+                          .with("left_ms", millis(remaining(now)).count())
+                          .with("config", config_->version);
+    if (!attempt_->relay.empty()) {
+        event = std::move(event).with("relay", attempt_->relay);
+    }
+    if (!target.limits.empty()) {
+        event = std::move(event).with("limits", target.limits);
+    }
+    log(std::move(event));
     context_.placement.onSent(target.endpoint, workItem(), now);
     std::string bytes = writeRequestHead(forwardHead(now, target.endpoint), request_.body.size());
     bytes += request_.body;
