--- a/unittests/Edge/LedgerRowsTest.cpp
+++ b/unittests/Edge/LedgerRowsTest.cpp
@@ -44,6 +44,7 @@
     EXPECT_EQ(read.host, peer.host);
     EXPECT_EQ(read.address, peer.address);
     EXPECT_EQ(read.listenAddress, peer.listenAddress);
+    EXPECT_FALSE(read.relayAddress);
     EXPECT_EQ(hostOf(encodeHostRemoval(peer.host)), peer.host);
 }
 
@@ -117,6 +118,16 @@
 INSTANTIATE_TEST_SUITE_P(Rows, MalformedBudget, testing::ValuesIn(MalformedBudgets),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against asking a process of an earlier version, which doesn't relay, to do so.
+TEST(LedgerRows, KnowsWhichHostsRelay)
+{
+    Peer peer = decodeHost(
+            {"host/h", R"({"address": "10.0.0.1:7200", "domain": "d", "incarnation": "i"})", 0});
+    EXPECT_FALSE(peer.relayAddress);
+    peer.relayAddress = boost::asio::ip::tcp::endpoint(make_address("10.0.0.1"), 7200);
+    EXPECT_EQ(decodeHost(encodeHost(peer)).relayAddress, peer.relayAddress);
+}
+
 const MalformedRow MalformedHosts[] = {
         {"NotJson", "host/h", "{broken"},
         {"NoAddress", "host/h", R"({"domain": "d", "incarnation": "i"})"},
