[Test] A scripted endpoint's queued handlers don't outlive it

The address sanitizer saw one write into an endpoint of the proxy's tests that was gone: connections through relays are closed at the end of a request, so that a handler may be queued at teardown.

--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -79,7 +79,10 @@
     accept();
 }
 
-ScriptedEndpoint::~ScriptedEndpoint() = default;
+ScriptedEndpoint::~ScriptedEndpoint()
+{
+    *isAlive_ = false;
+}
 
 void ScriptedEndpoint::accept()
 {
@@ -97,7 +100,10 @@
 {
     connection->socket.async_read_some(
             boost::asio::buffer(connection->buffer),
-            [this, connection](const error_code &error, std::size_t bytes) {
+            [this, connection, isAlive = isAlive_](const error_code &error, std::size_t bytes) {
+                if (!*isAlive) {
+                    return;
+                }
                 if (error) {
                     closedByPeer_ += error != boost::asio::error::operation_aborted ? 1 : 0;
                     return;
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -57,6 +57,8 @@
     std::vector<CallerRequest> received_;
     std::vector<std::shared_ptr<Connection>> connections_;
     std::size_t closedByPeer_ = 0;
+    /// False once the endpoint is gone; a handler may be queued then.
+    std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
 };
 
 /// Selects the endpoints in order, skipping those already attempted.
