[Decisions] A request limit named after a rejection limit is used at once

Requests under a rejection limit alone advanced the pace of a request share that didn't exist, so that a request limit which the endpoint named later was left unused for seconds. The test failed before. Fleets of 6 and 195 hosts whose requests are all rejected and sent again keep to a limit.

--- a/lib/Decisions/EndpointLimits.cpp
+++ b/lib/Decisions/EndpointLimits.cpp
@@ -304,6 +304,9 @@
 void EndpointLimits::advance(Endpoint &endpoint, Instant now)
 {
     endpoint.lastSentAt = now;
+    if (!endpoint.record.maxRequestsPerSecond) {
+        return;
+    }
     const auto interval = std::chrono::duration<double>(1.0 / endpoint.share);
     endpoint.nextSendAt = std::max(endpoint.nextSendAt, now - asInterval(BurstShare * interval))
                           + asInterval(interval);
--- a/unittests/Decisions/EndpointLimitsTest.cpp
+++ b/unittests/Decisions/EndpointLimitsTest.cpp
@@ -62,6 +62,8 @@
     std::optional<double> limit;
     double lossShare = 0.1;
     Interval maxSlotDelay{};
+    /// Whether each request is rejected, and sent again once if the limits allow it.
+    bool rejects = false;
 
     /// Starts the process of \p host anew, which knows nothing.
     void restart(int host)
@@ -156,7 +158,7 @@
         events_.push({when, ++order_, std::move(act)});
     }
 
-    void trySend(int host)
+    void trySend(int host, bool isRetry = false)
     {
         Node &node = nodes_[index(host)];
         if (!node.limits->isAvailable(Endpoint, now_)) {
@@ -168,11 +170,15 @@
         EndpointNotice notice;
         notice.maxRequestsPerSecond = limit;
         constexpr Interval Work = std::chrono::milliseconds(20);
-        at(now_ + Work, [this, host, notice, sentAt = now_, process = node.process] {
+        const bool retries = rejects && !isRetry;
+        at(now_ + Work, [this, host, notice, retries, sentAt = now_, process = node.process] {
             Node &answered = nodes_[index(host)];
             if (answered.process != process) {
                 return;
             }
+            if (retries) {
+                trySend(host, true);
+            }
             if (answered.limits->onNotice(Endpoint, notice, sentAt, now_)) {
                 for (std::size_t i = 0; i < nodes_.size(); ++i) {
                     tell(i, *answered.limits->recordOf(Endpoint));
@@ -340,6 +346,14 @@
          [](LimitedFleet &fleet) {
              fleet.restart(100);
          }},
+        {"RetriesOfRejectedRequests", 6, 4.0,
+         [](LimitedFleet &fleet) {
+             fleet.rejects = true;
+         }},
+        {"RetriesInALargeFleet", 195, 4.0,
+         [](LimitedFleet &fleet) {
+             fleet.rejects = true;
+         }},
         {"HeavyLoss", 40, 5.0,
          [](LimitedFleet &fleet) {
              fleet.lossShare = 0.6;
@@ -735,6 +749,20 @@
     EXPECT_EQ(limits.sharePerSecond(Endpoint), 25.0);
 }
 
+// Guards against a pause of seconds where an endpoint that named a rejection limit alone names a
+// request limit later.
+TEST_F(EndpointLimitsOfOne, RequestLimitAfterARejectionLimitIsUsedAtOnce)
+{
+    limits_.onNotice(Endpoint, rejectionLimit(4, false), now_, now_);
+    limits_.onSent(Endpoint, now_);
+    limits_.onEnd(Endpoint, now_ + Millis(50));
+    now_ += std::chrono::seconds(1);
+    EndpointNotice both = rejectionLimit(4, false);
+    both.maxRequestsPerSecond = 2.0;
+    limits_.onNotice(Endpoint, both, now_, now_);
+    EXPECT_TRUE(limits_.isAvailable(Endpoint, now_));
+}
+
 // Guards against asking a holder that has ended again and again.
 TEST_F(EndpointLimitsOfOne, UnresponsiveHolderIsNotAskedForAWhile)
 {
