--- a/lib/Edge/EndpointLimitMessage.cpp
+++ b/lib/Edge/EndpointLimitMessage.cpp
@@ -36,7 +36,8 @@
     record.startedAtMillis = value.at(1).get<uint64_t>();
     record.maxRequestsPerSecond = parseOptional<double>(value.at(2));
     record.maxRejectionsPerSecond = parseOptional<uint32_t>(value.at(3));
-    record.observedAt = now - Millis(std::max<int64_t>(value.at(4).get<int64_t>(), 0));
+    record.observedAt =
+            now - std::clamp(Millis(value.at(4).get<int64_t>()), Millis(0), MaxRecordAge);
     return record;
 }
 
--- a/lib/Edge/EndpointLimitMessage.h
+++ b/lib/Edge/EndpointLimitMessage.h
@@ -20,6 +20,9 @@
 inline constexpr const char *SlotRequestMessageKind = "ask_slot";
 inline constexpr const char *SlotResponseMessageKind = "slot";
 
+/// Records name no greater age.
+inline constexpr Millis MaxRecordAge = std::chrono::hours(1);
+
 struct EndpointLimitMessage
 {
     std::vector<EndpointLimitRecord> records;
--- a/unittests/Edge/EndpointLimitMessageTest.cpp
+++ b/unittests/Edge/EndpointLimitMessageTest.cpp
@@ -69,6 +69,16 @@
     EXPECT_EQ(decoded[0].maxRequestsPerSecond, 2.5);
 }
 
+// Guards against an age that is out of the range of the clock.
+TEST(EndpointLimitMessage, AgeIsBounded)
+{
+    const nlohmann::json message = nlohmann::json::parse(
+            R"({"records":[["e",7,2.5,null,9223372036854775807],["f",7,2.5,null,-5]]})");
+    const std::vector<EndpointLimitRecord> decoded = decodeEndpointLimits(message, Now).records;
+    EXPECT_EQ(decoded[0].observedAt, Now - MaxRecordAge);
+    EXPECT_EQ(decoded[1].observedAt, Now);
+}
+
 TEST(EndpointLimitMessage, MalformedOneThrows)
 {
     const nlohmann::json message = nlohmann::json::parse(R"({"records":[["e",7]]})");
