--- a/unittests/Proxy/ExchangeRelayTest.cpp
+++ b/unittests/Proxy/ExchangeRelayTest.cpp
@@ -12,9 +12,17 @@
 constexpr const char *Established = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 constexpr const char *Good = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
                              "Content-Length: 4\r\n\r\ngood";
+constexpr const char *StreamHead =
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 constexpr const char *Half = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
                              "Content-Length: 9\r\n\r\nhal";
 
+std::string event(int id)
+{
+    return writeChunk("id: " + std::to_string(id) + "\ndata: x\n\n");
+}
+
 std::string refusedWith(int status)
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: 0\r\n\r\n";
@@ -107,6 +115,49 @@
 INSTANTIATE_TEST_SUITE_P(Rows, ExchangeRelay, testing::ValuesIn(RelayCases),
                          [](const auto &row) { return row.param.name; });
 
+TEST(ExchangeRelay, StreamsAreRelayed)
+{
+    ProxyTestHarness harness(
+            {{{Established}, {StreamHead + event(0) + event(1) + std::string(LastChunk)}}});
+    harness.placement.endpoints[0].relay =
+            RelayRoute{HostId("other"), harness.endpoints[0]->address(), false};
+    harness.send(ProxyTestHarness::request("/stream/a", "r1"));
+    EXPECT_TRUE(harness.waitFor("0\r\n\r\n"));
+    EXPECT_NE(harness.received().find("id: 1"), std::string::npos);
+}
+
+// Guards against a stream that ends, or repeats events, because its relay died.
+TEST(ExchangeRelay, ResumableStreamGoesOnThroughAnotherRelay)
+{
+    ProxyTestHarness harness(
+            {{{Established}, {StreamHead + event(0) + event(1), AfterReply::Reset}},
+             {{Established}, {StreamHead + event(2) + std::string(LastChunk)}}});
+    for (std::size_t i = 0; i < 2; ++i) {
+        harness.placement.endpoints[i].relay = RelayRoute{HostId("host" + std::to_string(i)),
+                                                          harness.endpoints[i]->address(), false};
+    }
+    harness.send(ProxyTestHarness::request("/resume/a", "r1"));
+    EXPECT_TRUE(harness.waitFor("0\r\n\r\n")) << harness.received();
+    EXPECT_NE(harness.received().find("id: 2"), std::string::npos);
+    const std::string *after =
+            findField(harness.endpoints[1]->received().at(1).head.fields, "Last-Event-Id");
+    ASSERT_NE(after, nullptr);
+    EXPECT_EQ(*after, "1");
+}
+
+// Guards against a stream whose relay died and that looks complete.
+TEST(ExchangeRelay, OtherStreamIsCutOffWithItsRelay)
+{
+    ProxyTestHarness harness(
+            {{{Established}, {StreamHead + event(0), AfterReply::Reset}}, {{Established}, {Good}}});
+    harness.placement.endpoints[0].relay =
+            RelayRoute{HostId("other"), harness.endpoints[0]->address(), false};
+    harness.send(ProxyTestHarness::request("/stream/a", "r1"));
+    EXPECT_TRUE(harness.waitForClose());
+    EXPECT_EQ(harness.received().find("0\r\n\r\n"), std::string::npos);
+    EXPECT_EQ(harness.endpoints[1]->received().size(), 0U);
+}
+
 // Guards against an endpoint that goes on working for a caller who has left.
 TEST(ExchangeRelay, CallersCloseClosesTheRelaysConnection)
 {
