--- a/include/sequoiagate/Decisions/EndpointLimits.h
+++ b/include/sequoiagate/Decisions/EndpointLimits.h
@@ -182,6 +182,8 @@
     };
 
     void apply(Endpoint &endpoint, const EndpointLimitRecord &record);
+    /// The hosts that share the limits of an endpoint with so many slots.
+    std::vector<HostId> holdersOf(const EndpointLimitRecord &record, uint32_t slots) const;
     void computeShare(Endpoint &endpoint) const;
     static void addRejection(Endpoint &endpoint, Instant now);
     static void recordOpen(Endpoint &endpoint, Instant now);
--- a/lib/Decisions/EndpointLimits.cpp
+++ b/lib/Decisions/EndpointLimits.cpp
@@ -114,9 +114,30 @@
     computeShare(endpoint);
 }
 
+std::vector<HostId> EndpointLimits::holdersOf(const EndpointLimitRecord &record,
+                                              uint32_t slots) const
+{
+    const std::optional<double> &limit = record.maxRequestsPerSecond;
+    std::size_t count = limit ? holderCount(*limit, hosts_.size()) : hosts_.size();
+    if (record.maxRejectionsPerSecond) {
+        count = std::clamp<std::size_t>(slots, 1, count);
+    }
+    std::vector<std::pair<uint64_t, HostId>> ranked;
+    ranked.reserve(hosts_.size());
+    for (const HostId &host : hosts_) {
+        ranked.emplace_back(rendezvousWeight(record.endpoint.text(), host.text()), host);
+    }
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranked.end(), std::greater<>());
+    std::vector<HostId> holders;
+    for (std::size_t i = 0; i < count; ++i) {
+        holders.push_back(std::move(ranked[i].second));
+    }
+    return holders;
+}
+
 void EndpointLimits::computeShare(Endpoint &endpoint) const
 {
-    const std::optional<double> &limit = endpoint.record.maxRequestsPerSecond;
     if (!hasLimit(endpoint.record)) {
         endpoint.isHolder = true;
         return;
@@ -126,25 +147,16 @@
         endpoint.isHolder = false;
         return;
     }
-    const std::string &key = endpoint.record.endpoint.text();
-    std::vector<std::pair<uint64_t, const HostId *>> ranked;
-    ranked.reserve(hosts_.size());
-    for (const HostId &host : hosts_) {
-        ranked.emplace_back(rendezvousWeight(key, host.text()), &host);
-    }
-    std::size_t holders = limit ? holderCount(*limit, hosts_.size()) : hosts_.size();
-    if (endpoint.record.maxRejectionsPerSecond) {
-        holders = std::clamp<std::size_t>(endpoint.slotCount, 1, holders);
-    }
-    endpoint.holders = holders;
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(holders),
-                      ranked.end(), std::greater<>());
+    const std::vector<HostId> holders = holdersOf(endpoint.record, endpoint.slotCount);
+    const double limit = endpoint.record.maxRequestsPerSecond.value_or(0.0);
+    endpoint.holders = holders.size();
+    endpoint.share = std::max(limit, MinRequestsPerSecond) / static_cast<double>(holders.size());
     endpoint.isHolder = false;
     std::vector<Holder> others;
-    for (std::size_t i = 0; i < holders; ++i) {
-        const HostId &host = *ranked[i].second;
-        endpoint.isHolder = endpoint.isHolder || host == self_;
-        if (host != self_) {
+    for (const HostId &host : holders) {
+        if (host == self_) {
+            endpoint.isHolder = true;
+        } else {
             others.push_back({host, {}});
         }
     }
@@ -156,8 +168,6 @@
         endpoint.otherHolders = std::move(others);
         endpoint.slotRequest.reset();
     }
-    endpoint.share =
-            std::max(limit.value_or(0.0), MinRequestsPerSecond) / static_cast<double>(holders);
 }
 
 bool EndpointLimits::onNotice(const EndpointId &id, const EndpointNotice &notice, Instant sentAt,
