--- a/include/sequoiagate/Base/Ids.h
+++ b/include/sequoiagate/Base/Ids.h
@@ -46,6 +46,7 @@
 using AttemptId = Id<struct AttemptTag>;
 using RunKey = Id<struct RunKeyTag>;
 using ServiceId = Id<struct ServiceTag>; ///< a model or a plain service, as named by callers
+using SoftwareVersion = Id<struct SoftwareVersionTag>; ///< of an endpoint; empty: not stated
 
 /// Identifies one run of a process: random at each start, never reused. Whatever a
 /// process promised ends with its incarnation.
--- a/include/sequoiagate/Config/ServingConfig.h
+++ b/include/sequoiagate/Config/ServingConfig.h
@@ -115,6 +115,7 @@
     ServiceId service;
     DomainId domain;
     std::string address; ///< IP:port
+    SoftwareVersion version;
     uint32_t slots = 1;
     bool draining = false;
     uint64_t startedAtMillis = 0; ///< Unix time of its start; a new value means a new process
--- a/include/sequoiagate/Proxy/Dialect.h
+++ b/include/sequoiagate/Proxy/Dialect.h
@@ -36,6 +36,7 @@
     bool hasTokenCounts = false; ///< whether the caller sent the two above
     std::vector<PromptPart> prompt;
     std::optional<uint64_t> lastEventId; ///< the stream resumes after this event
+    RequestId resumedStream; ///< the request that brought the resumed stream's first event
 };
 
 /// Metadata that is added to the request forwarded to an endpoint.
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -53,6 +53,7 @@
     std::string reason;
     std::optional<RelayRoute> relay;
     std::string limits; ///< the endpoint's limits, and those that excluded others, for logs
+    SoftwareVersion version;
 };
 
 /// No endpoint may be used yet; the request is to be placed again at this time.
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -102,7 +102,7 @@
     const bool isUnchanged = !added && !restarted && known.address == entry.address
                              && known.service == entry.service && known.domain == entry.domain
                              && known.slots == entry.slots && known.draining == entry.draining
-                             && listed.removeAt == Never;
+                             && known.version == entry.version && listed.removeAt == Never;
     if (isUnchanged) {
         return;
     }
@@ -117,6 +117,7 @@
     log_.write(Event(added ? "endpoint.listed" : "endpoint.changed")
                        .with("endpoint", entry.id)
                        .with("service", entry.service)
+                       .with("version", entry.version)
                        .with("draining", entry.draining)
                        .with("reborn", restarted));
 }
@@ -305,8 +306,10 @@
         limits += fmt::format("{}not available: {}", limits.empty() ? "" : "; ",
                               describeLimits(limited, now));
     }
-    return PlacementTarget{chosen.endpoint, entries_.at(chosen.endpoint).address, chosen.reason,
-                           relayFor(item, chosen.endpoint, now), std::move(limits)};
+    const ListedEndpoint &listed = entries_.at(chosen.endpoint);
+    return PlacementTarget{chosen.endpoint,   listed.address,
+                           chosen.reason,     relayFor(item, chosen.endpoint, now),
+                           std::move(limits), listed.entry.version};
 }
 
 PlacementResult EndpointDirectory::awaitSlotOrRefuse(const WorkItem &item,
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -81,6 +81,11 @@
     // A caller whose stream was interrupted resumes after its last event; a stream sent from
     // the start would repeat events.
     lastEventId_ = metadata_.lastEventId;
+    if (lastEventId_) {
+        log(Event("stream.resumes")
+                    .with("stream", metadata_.resumedStream)
+                    .with("after_event", *lastEventId_));
+    }
     admit();
 }
 
@@ -280,6 +285,7 @@
     Event event = Event("request.sent")
                           .with("endpoint", target.endpoint)
                           .with("why", target.reason)
+                          .with("version", target.version)
                           .with("attempt", sendCount_)
                           .with("left_ms", millis(remaining(now)).count())
                           .with("config", config_->version);
--- a/unittests/PlatformAdapter/DialectTest.cpp
+++ b/unittests/PlatformAdapter/DialectTest.cpp
@@ -26,7 +26,8 @@
                         {"Deadline-Ms", "1500"},
                         {"Token-Count", "1460,80"},
                         {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
-                        {"Last-Event-Id", "12"}}));
+                        {"Last-Event-Id", "12"},
+                        {"resumes", "r0"}}));
     EXPECT_EQ(metadata.id, RequestId("r"));
     EXPECT_EQ(metadata.key, "k");
     EXPECT_EQ(metadata.timeout, std::chrono::milliseconds(1500));
@@ -36,6 +37,7 @@
     EXPECT_EQ(metadata.prompt[1].id, 0x91bd3f06U);
     EXPECT_EQ(metadata.prompt[2].tokens, 250U);
     EXPECT_EQ(metadata.lastEventId, 12U);
+    EXPECT_EQ(metadata.resumedStream, RequestId("r0"));
 }
 
 // Guards against a 401 for a valid key: authentication schemes are case-insensitive.
--- a/unittests/PlatformAdapter/RowsTest.cpp
+++ b/unittests/PlatformAdapter/RowsTest.cpp
@@ -99,7 +99,7 @@
                          [](const auto &row) { return std::string(row.param.name); });
 
 const std::string GoodEndpoint =
-        R"({"backend":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":5})";
+        R"({"backend":"s","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready","born":5,"version":"v1.2"})";
 
 TEST(EndpointRow, IsDecoded)
 {
@@ -110,6 +110,14 @@
     EXPECT_EQ(entry.slots, 6U);
     EXPECT_FALSE(entry.draining);
     EXPECT_EQ(entry.startedAtMillis, 5U);
+    EXPECT_EQ(entry.version, SoftwareVersion("v1.2"));
+}
+
+TEST(EndpointRow, MayStateNoVersion)
+{
+    const EndpointEntry entry = platform::decodeEndpoint(
+            "i-1", R"({"backend":"s","address":"a","zone":"z","slots":6,"state":"ready"})");
+    EXPECT_TRUE(entry.version.empty());
 }
 
 class BadEndpoint : public testing::TestWithParam<BadRow>
@@ -124,6 +132,9 @@
          "slots"},
         {"UnknownState", R"({"backend":"s","address":"a","zone":"z","slots":6,"state":"odd"})",
          "state"},
+        {"VersionIsNumber",
+         R"({"backend":"s","address":"a","zone":"z","slots":6,"state":"ready","version":2})",
+         "version"},
         {"WithoutState", R"({"backend":"s","address":"a","zone":"z","slots":6})", "state"},
 };
 
