--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -236,8 +236,8 @@
     response.set_content(writers_[writer].second, "application/json");
 }
 
-EndpointStandin::EndpointStandin(const std::string &ip, std::string id)
-    : id_(std::move(id)), http_(ip, 0, EndpointWorkers)
+EndpointStandin::EndpointStandin(const std::string &ip, std::string id, std::string version)
+    : id_(std::move(id)), version_(std::move(version)), http_(ip, 0, EndpointWorkers)
 {
     const auto handler = [this](const auto &request, auto &response) {
         serve(request, response);
@@ -287,10 +287,17 @@
     if (request.has_header("X-Events")) {
         const int events = std::stoi(request.get_header_value("X-Events"));
         const bool breaks = request.has_header("X-Break");
+        const std::string after = request.get_header_value("Last-Event-Id");
+        const int first = after.empty() ? 0 : std::stoi(after) + 1;
         response.set_chunked_content_provider(
-                "text/event-stream", [events, breaks](std::size_t, httplib::DataSink &sink) {
-                    for (int i = 0; i < events; ++i) {
-                        const std::string event = fmt::format("id: {}\ndata: {:50}\n\n", i, "x");
+                "text/event-stream", [this, first, events, breaks, breaksBefore = breaks_.load()](
+                                             std::size_t, httplib::DataSink &sink) {
+                    for (int i = first; i < events; ++i) {
+                        if (breaks_ != breaksBefore) {
+                            return false;
+                        }
+                        const std::string event =
+                                fmt::format("id: {}\ndata: {:50}\n\n", i, version_);
                         sink.write(event.data(), event.size());
                         std::this_thread::sleep_for(EventPause);
                     }
--- a/test/Support/PlatformStandin.h
+++ b/test/Support/PlatformStandin.h
@@ -93,16 +93,20 @@
 };
 
 /// An endpoint that answers every request as it was told; one with "X-Events: N" by a stream
-/// of so many events, and with "X-Break" without the stream's end. Thread safe.
+/// of so many events, and with "X-Break" without the stream's end. Each event names the endpoint's
+/// software version. Thread safe.
 class EndpointStandin
 {
 public:
-    EndpointStandin(const std::string &ip, std::string id);
+    EndpointStandin(const std::string &ip, std::string id, std::string version = "");
 
     const std::string &address() const { return http_.address(); }
     const std::string &id() const { return id_; }
+    const std::string &version() const { return version_; }
     /// Requests that ran here.
     int runs() const { return runs_; }
+    /// Breaks off all open streams.
+    void breakStreams() { ++breaks_; }
     /// Holds answers back until released.
     void hold(bool held);
     /// Sets the requests per second that answers name as the endpoint's limit; nullopt: none.
@@ -114,7 +118,9 @@
     void serve(const httplib::Request &request, httplib::Response &response);
 
     std::string id_;
+    std::string version_;
     std::atomic<int> runs_{0};
+    std::atomic<int> breaks_{0};
     std::mutex mutex_;
     std::condition_variable released_;
     bool held_ = false;
