[Proxy] [Edge] [Decisions] Streams go on only at the software version that began them

Callers saw streams that held events of two software versions of a service, inside one response and over their attempts. The version of an endpoint's entry wasn't read, so that a stream went on at whichever endpoint came next; and a host that was asked to go on couldn't know where the stream began, since hosts told each other nothing of streams and Resumes wasn't read. Class: state of a conversation that lives in the process that began it alone.

Now the host that forwards a stream's first event sends a record of its version to hosts of several failure domains, chosen by rendezvous hashing, until they acknowledge it. A host that is asked to go on finds it there and places the request at that version only; without a record only if the service had one version all the time, which costs no messages. What can't go on is refused at once, as not run. A split route chooses its service by the stream, so that all requests for it go to one. The messages are versioned; earlier processes ignore them.

Exchange.CallersLastEventIdIsForwarded now names the stream in Resumes, as callers have to.

--- a/include/sequoiagate/Base/Verdict.h
+++ b/include/sequoiagate/Base/Verdict.h
@@ -27,24 +27,25 @@
     None,
     BadRequest,
     Unauthenticated,
-    NotAllowed,        ///< the workspace may not call that service
-    UnknownRoute,      ///< no configured route matches the host and path
-    UnknownService,    ///< no configured endpoint offers it
-    BudgetSpent,       ///< no budget remains anywhere
-    BudgetUnreachable, ///< budget may remain, but can't be obtained here now
-    QueueFull,         ///< rejected by admission control
-    QueueTimeout,      ///< its deadline passed while it was queued
-    RateShare,         ///< the workspace exceeds its fair share under saturation
-    NoEndpoint,        ///< none that offers it is listed, or all are leaving, ejected or down
-    EndpointFailed,    ///< the endpoint failed before or during its response
-    StreamCut,         ///< the stream ended without its end marker
-    KeeperUnreachable, ///< no keeper of the failure domain responds
-    LogUnavailable,    ///< a record that must be written first can't be written
-    AlreadyRunning,    ///< the same request is in progress elsewhere
-    AlreadyClaimed,    ///< another party holds a claim on the run
-    KeyTooOld,         ///< the idempotency key is older than the retention of claims
-    BodyMismatch,      ///< the same id was used with another body
-    NotReady,          ///< no configuration yet
+    NotAllowed,         ///< the workspace may not call that service
+    UnknownRoute,       ///< no configured route matches the host and path
+    UnknownService,     ///< no configured endpoint offers it
+    BudgetSpent,        ///< no budget remains anywhere
+    BudgetUnreachable,  ///< budget may remain, but can't be obtained here now
+    QueueFull,          ///< rejected by admission control
+    QueueTimeout,       ///< its deadline passed while it was queued
+    RateShare,          ///< the workspace exceeds its fair share under saturation
+    NoEndpoint,         ///< none that offers it is listed, or all are leaving, ejected or down
+    EndpointFailed,     ///< the endpoint failed before or during its response
+    StreamCut,          ///< the stream ended without its end marker
+    StreamNotResumable, ///< no endpoint can continue the stream, now or later
+    KeeperUnreachable,  ///< no keeper of the failure domain responds
+    LogUnavailable,     ///< a record that must be written first can't be written
+    AlreadyRunning,     ///< the same request is in progress elsewhere
+    AlreadyClaimed,     ///< another party holds a claim on the run
+    KeyTooOld,          ///< the idempotency key is older than the retention of claims
+    BodyMismatch,       ///< the same id was used with another body
+    NotReady,           ///< no configuration yet
     Draining,
     Timeout,
     Internal,
--- /dev/null
+++ b/include/sequoiagate/Decisions/VersionHistory.h
@@ -0,0 +1,80 @@
+#ifndef SEQUOIAGATE_DECISIONS_VERSIONHISTORY_H
+#define SEQUOIAGATE_DECISIONS_VERSIONHISTORY_H
+
+/// The software versions that the endpoints of each service had of late, as far as this host has
+/// read. Pure.
+///
+/// While a service had one version for longer than any stream can have gone on, every stream began
+/// at that version, and nothing needs to be recorded of it. This holds only for a host that has
+/// read all changes of the list in that time and is up to date.
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/Time.h"
+
+namespace sequoiagate {
+
+/// A version that an endpoint of a service has.
+struct ListedVersion
+{
+    ServiceId service;
+    SoftwareVersion version;
+};
+
+/// What a host knows of the versions that a stream of a service can have begun at.
+enum class VersionKnowledge {
+    Unknown, ///< the host hasn't read the list for long enough, or isn't up to date
+    Several,
+    Sole,
+};
+
+struct VersionView
+{
+    VersionKnowledge knowledge = VersionKnowledge::Unknown;
+    SoftwareVersion version; ///< the sole one
+};
+
+/// Not thread safe.
+class VersionHistory
+{
+public:
+    /// How long a version still counts after its last endpoint was removed from the list: a host
+    /// that is partitioned from the store keeps endpoints whose entries were removed.
+    static constexpr Interval RemovedVersionSpan = std::chrono::minutes(2);
+    /// A list that was read longer ago isn't up to date. Reads return after less than a second.
+    static constexpr Interval MaxListAge = std::chrono::seconds(2);
+
+    /// Sets the longest time that a stream takes.
+    void setLongestStream(Interval longest) { longestStream_ = longest; }
+    /// Replaces the versions that are listed.
+    void setListed(const std::vector<ListedVersion> &listed, Instant now);
+    /// Called whenever the list is complete as of \p now.
+    void onRead(Instant now) { readAt_ = now; }
+    /// Called if changes of the list may have been missed.
+    void onGap(Instant now);
+    /// Called if requests that went to another service so far go to \p service from now on.
+    void onRouteMoved(const ServiceId &service, Instant now);
+
+    VersionView view(const ServiceId &service, Instant now) const;
+
+private:
+    struct Service
+    {
+        std::map<SoftwareVersion, Instant> lastListedAt; ///< Never while it is listed
+        Instant observedSince{};
+    };
+
+    Interval span() const { return RemovedVersionSpan + longestStream_; }
+
+    std::map<ServiceId, Service> services_;
+    Interval longestStream_{};
+    Instant observedSince_ = Never;
+    Instant readAt_{};
+};
+
+} // namespace sequoiagate
+
+#endif
--- a/include/sequoiagate/Decisions/WorkItem.h
+++ b/include/sequoiagate/Decisions/WorkItem.h
@@ -4,6 +4,7 @@
 /// The request properties that the decisions take as input.
 
 #include <cstdint>
+#include <optional>
 
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
@@ -27,8 +28,9 @@
     uint64_t cacheablePrefixTokens = 0; ///< prompt tokens an endpoint may have cached; 0: unknown
     uint64_t prefixHash = 0;            ///< stable hash of the prompt's first block; 0: none
     bool idempotent = true;
-    bool connectFailed = false; ///< a connection for it couldn't be established
-    double weight = 1.0;        ///< of its workspace, for fair queueing
+    std::optional<SoftwareVersion> version; ///< only endpoints of this version may run it
+    bool connectFailed = false;             ///< a connection for it couldn't be established
+    double weight = 1.0;                    ///< of its workspace, for fair queueing
     Instant arrivedAt;
     Instant deadline = Never; ///< a request that still waits then is refused
 };
--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -38,6 +38,7 @@
 
 class RelayServer;
 class StatusServer;
+class StreamOriginLink;
 
 /// Single-threaded.
 class Edge
@@ -62,6 +63,7 @@
     void onConfigRows(const std::vector<StoreRow> &rows);
     void applyConfig(const StoreRow &row);
     void onEndpointRows(const std::vector<StoreRow> &rows, bool whole);
+    void onEndpointsRead();
     void onReachabilityChanged(const char *topicName, bool reachable, StoreOutcome outcome);
     bool configIsCurrent() const;
     bool ready();
@@ -101,6 +103,7 @@
     LinkLoad link_;
     bool shedding_ = false; ///< as last logged
     std::unique_ptr<TokenService> tokens_;
+    std::unique_ptr<StreamOriginLink> streamOrigins_;
     std::unique_ptr<ProxyContext> context_;
     std::unique_ptr<TopicFollower> configFollower_;
     std::unique_ptr<TopicFollower> endpointFollower_;
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -27,6 +27,7 @@
 #include "sequoiagate/Decisions/EndpointSelector.h"
 #include "sequoiagate/Decisions/PartitionDetector.h"
 #include "sequoiagate/Decisions/RelaySelector.h"
+#include "sequoiagate/Decisions/VersionHistory.h"
 #include "sequoiagate/Proxy/ProxyContext.h"
 
 namespace sequoiagate {
@@ -102,6 +103,8 @@
     uint64_t limitedRequests() const { return limitedRequests_; }
     void setRetries(DistributedRetryBudgetSettings settings) { retryBudget_.setSettings(settings); }
     std::size_t size() const { return entries_.size(); }
+    /// The software versions of the endpoints of each service, including those that are draining.
+    std::vector<ListedVersion> listedVersions() const;
     std::size_t usable() const;
 
     PlacementResult place(const WorkItem &item, const std::vector<PromptPart> &prompt,
@@ -120,12 +123,17 @@
     void onRequest(const ServiceId &service, Instant now) override;
 
 private:
+    /// \param excluded endpoints that can't be selected even if no other one is left
     SelectionOutcome selectEndpoint(const WorkItem &item, const std::vector<EndpointId> &tried,
-                                    const std::vector<EndpointId> &limited, Instant now);
+                                    const std::vector<EndpointId> &excluded, Instant now);
     PlacementResult awaitSlotOrRefuse(const WorkItem &item, const std::vector<EndpointId> &tried,
                                       const std::vector<EndpointId> &limited, Instant now);
-    /// The endpoints of \p service that this host may not send to now, because of their limits.
-    std::vector<EndpointId> limitedNow(const ServiceId &service, Instant now) const;
+    /// The endpoints that could run \p item, but that this host may not send to now because of
+    /// their limits.
+    std::vector<EndpointId> limitedNow(const WorkItem &item, Instant now) const;
+    /// The endpoints of other software versions than the one that has to run \p item.
+    std::vector<EndpointId> otherVersions(const WorkItem &item) const;
+    bool isVersionLeft(const WorkItem &item) const;
     /// Books or requests slots of \p limited endpoints for a request that no other one can serve.
     /// \returns when to place it again; nullopt if there is no slot within its wait
     std::optional<PlacementDelay> awaitSlot(const WorkItem &item,
--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -106,6 +106,13 @@
     void gossipLimits(const std::vector<EndpointLimitRecord> &records, Instant now);
     /// Requests a slot of the holder that \p request names. A lost request isn't sent again.
     void requestSlot(const SlotRequest &request, Instant now);
+    /// Handles messages of \p kind, which this protocol doesn't know itself. The handler may throw
+    /// nlohmann::json::exception for a malformed message.
+    using MessageHandler = std::function<void(const nlohmann::json &message,
+                                              const boost::asio::ip::udp::endpoint &from)>;
+    void setHandler(const std::string &kind, MessageHandler handler);
+    /// Sends a datagram, which may be lost.
+    void send(const std::string &text, const boost::asio::ip::udp::endpoint &to);
     /// Retransmits unacknowledged transfers. To be called several times a second.
     void tick(Instant now);
     /// The tokens that the peers last reported as usable or reserved; nullopt unless each of them
@@ -147,13 +154,13 @@
     void sendTransfer(const WorkspaceId &workspace, uint64_t tokens, const std::string &to,
                       const boost::asio::ip::udp::endpoint &address, Instant now);
     std::vector<boost::asio::ip::udp::endpoint> recipients(const TokenRequest &request);
-    void send(const std::string &text, const boost::asio::ip::udp::endpoint &to);
 
     boost::asio::ip::udp::socket socket_;
     Incarnation self_;
     DomainId domain_;
     EventLog &log_;
     Handlers handlers_;
+    std::map<std::string, MessageHandler> otherHandlers_; ///< by the kind of message
     std::vector<Peer> peers_;
     std::map<WorkspaceId, std::vector<Peer>> homes_; ///< those in this failure domain first
     std::size_t nextPeer_ = 0;
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -68,6 +68,7 @@
         std::shared_ptr<HttpConnection> connection;
         EndpointId endpoint;
         HostId relay; ///< the host that relays it; empty if none does
+        SoftwareVersion version;
         Instant sentAt;
         ResponseMetadata metadata;
         ResponseHead head;
@@ -82,6 +83,9 @@
 
     void admit();
     bool resolveRouteAndWorkspace();
+    bool selectService();
+    void findStreamOrigin();
+    void onStreamOrigin(const StreamOrigin &origin);
     void reserveTokens();
     void onReserved(std::optional<Verdict> refusal);
     void place();
@@ -161,6 +165,7 @@
     bool plainResponseForwarded_ = false;         ///< a success, completely or in part
     uint64_t forwardedEvents_ = 0;
     std::optional<uint64_t> lastEventId_;
+    StreamContinuity continuity_;
     std::shared_ptr<Exchange> self_; ///< set while the request is open
 };
 
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -25,6 +25,7 @@
 #include "sequoiagate/Decisions/LinkLoad.h"
 #include "sequoiagate/Decisions/WorkItem.h"
 #include "sequoiagate/Proxy/Dialect.h"
+#include "sequoiagate/Proxy/StreamContinuity.h"
 #include "sequoiagate/Service/EventLog.h"
 #include "sequoiagate/Service/Metrics.h"
 
@@ -120,6 +121,7 @@
     ConnectionPool &pool;
     Placement &placement;
     TokenReservations &tokens;
+    StreamOriginSource &streamOrigins;
     LinkLoad &link;
     EventLog &log;
     Metrics &metrics;
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -6,6 +6,7 @@
 #include "Addresses.h"
 #include "RelayServer.h"
 #include "StatusServer.h"
+#include "StreamOriginLink.h"
 #include "sequoiagate/Service/DeadlineTimer.h"
 #include "sequoiagate/Service/Events.h"
 #include "sequoiagate/Service/Program.h"
@@ -133,9 +134,11 @@
     endpoints_.onLimitObserved = [this](const EndpointLimitRecord &record, bool rejected) {
         tokens_->peers().broadcastLimit(record, rejected, std::chrono::steady_clock::now());
     };
+    streamOrigins_ = std::make_unique<StreamOriginLink>(io_, tokens_->peers(), settings_.host,
+                                                        settings_.domain, metrics_);
     context_ = std::make_unique<ProxyContext>(ProxyContext{
-            io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_, link_, log_,
-            metrics_, [this] { return config_; }, [this] { return configIsCurrent(); },
+            io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_, *streamOrigins_,
+            link_, log_, metrics_, [this] { return config_; }, [this] { return configIsCurrent(); },
             [this] {
                 return drain_.state() != "serving";
             }});
@@ -155,7 +158,7 @@
             TopicFollower::Handlers{[this](const std::vector<StoreRow> &rows, bool whole) {
                                         onEndpointRows(rows, whole);
                                     },
-                                    [](uint64_t) {},
+                                    [this](uint64_t) { onEndpointsRead(); },
                                     [this](bool reachable, StoreOutcome outcome) {
                                         endpoints_.setStoreReachable(
                                                 reachable, std::chrono::steady_clock::now());
@@ -213,6 +216,7 @@
     }
     endpoints_.setHosts(hosts);
     endpoints_.setRelays(std::move(relays));
+    streamOrigins_->setHosts(others);
 }
 
 void Edge::probeEndpoint(Instant now)
@@ -314,6 +318,7 @@
         if (config_ && config->version <= config_->version) {
             return;
         }
+        streamOrigins_->onConfig(*config, config_.get(), std::chrono::steady_clock::now());
         config_ = std::move(config);
     } catch (const std::exception &error) {
         // All hosts read this row; if it ended this process, it would end all of them.
@@ -351,10 +356,20 @@
     if (whole) {
         endpoints_.keepOnly(present, now);
         endpointsKnown_ = true;
+        streamOrigins_->versions().onGap(now);
     }
     endpoints_.publish(now);
 }
 
+void Edge::onEndpointsRead()
+{
+    if (endpointFollower_->current()) {
+        const Instant now = std::chrono::steady_clock::now();
+        streamOrigins_->versions().setListed(endpoints_.listedVersions(), now);
+        streamOrigins_->versions().onRead(now);
+    }
+}
+
 void Edge::onReachabilityChanged(const char *topicName, bool reachable, StoreOutcome outcome)
 {
     log_.write(Event(reachable ? "store.reachable" : "store.lost")
@@ -552,6 +567,7 @@
     metrics_.gauge("edge_partitioned", endpoints_.isPartitioned() ? 1.0 : 0.0);
     metrics_.gauge("edge_requests_relayed_now",
                    relayServer_ ? static_cast<double>(relayServer_->open()) : 0.0);
+    metrics_.gauge("edge_stream_records", static_cast<double>(streamOrigins_->recordCount()));
     metrics_.gauge("edge_requests_limited", static_cast<double>(endpoints_.limitedRequests()));
     metrics_.gauge("edge_config_version", config_ ? static_cast<double>(config_->version) : 0.0);
     metrics_.gauge("edge_config_age_seconds", age(*configFollower_));
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -242,14 +242,50 @@
                           [](const auto &entry) { return !entry.second.entry.draining; }));
 }
 
-std::vector<EndpointId> EndpointDirectory::limitedNow(const ServiceId &service, Instant now) const
+std::vector<ListedVersion> EndpointDirectory::listedVersions() const
+{
+    std::vector<ListedVersion> versions;
+    versions.reserve(entries_.size());
+    for (const auto &[id, listed] : entries_) {
+        versions.push_back({listed.entry.service, listed.entry.version});
+    }
+    return versions;
+}
+
+std::vector<EndpointId> EndpointDirectory::otherVersions(const WorkItem &item) const
+{
+    std::vector<EndpointId> others;
+    if (!item.version) {
+        return others;
+    }
+    for (const auto &[id, listed] : entries_) {
+        if (listed.entry.service == item.service && listed.entry.version != *item.version) {
+            others.push_back(id);
+        }
+    }
+    return others;
+}
+
+bool EndpointDirectory::isVersionLeft(const WorkItem &item) const
+{
+    return !item.version
+           || std::any_of(entries_.begin(), entries_.end(), [&item](const auto &entry) {
+                  const EndpointEntry &listed = entry.second.entry;
+                  return listed.service == item.service && listed.version == *item.version
+                         && !listed.draining;
+              });
+}
+
+std::vector<EndpointId> EndpointDirectory::limitedNow(const WorkItem &item, Instant now) const
 {
     std::vector<EndpointId> limited;
     if (limits_.isEmpty()) {
         return limited;
     }
     for (const auto &[id, listed] : entries_) {
-        if (listed.entry.service == service && !limits_.isAvailable(id, now)) {
+        const bool isSuitable = listed.entry.service == item.service
+                                && (!item.version || listed.entry.version == *item.version);
+        if (isSuitable && !limits_.isAvailable(id, now)) {
             limited.push_back(id);
         }
     }
@@ -258,20 +294,20 @@
 
 SelectionOutcome EndpointDirectory::selectEndpoint(const WorkItem &item,
                                                    const std::vector<EndpointId> &tried,
-                                                   const std::vector<EndpointId> &limited,
+                                                   const std::vector<EndpointId> &excluded,
                                                    Instant now)
 {
-    std::vector<EndpointId> unavailable = limited;
+    std::vector<EndpointId> unavailable = excluded;
     for (const auto &[id, listed] : entries_) {
         if (now < listed.excludedUntil) {
             unavailable.push_back(id);
         }
     }
     SelectionOutcome outcome = selector_.select(item, tried, unavailable, now);
-    if (std::holds_alternative<Verdict>(outcome) && unavailable.size() > limited.size()) {
+    if (std::holds_alternative<Verdict>(outcome) && unavailable.size() > excluded.size()) {
         // No other endpoint can be used: one that was unreachable a moment ago is better than
         // none.
-        outcome = selector_.select(item, tried, limited, now);
+        outcome = selector_.select(item, tried, excluded, now);
     }
     return outcome;
 }
@@ -283,8 +319,15 @@
     WorkItem work = item;
     work.prefixHash = sharedPromptHash(prompt);
     work.cacheablePrefixTokens = sharedPromptTokens(prompt);
-    const std::vector<EndpointId> limited = limitedNow(item.service, now);
-    SelectionOutcome outcome = selectEndpoint(work, tried, limited, now);
+    if (!isVersionLeft(item)) {
+        return Verdict{Execution::NotRun, Reason::StreamNotResumable,
+                       "no endpoint of software version " + item.version->text() + " is left",
+                       std::nullopt};
+    }
+    const std::vector<EndpointId> limited = limitedNow(item, now);
+    std::vector<EndpointId> excluded = otherVersions(item);
+    excluded.insert(excluded.end(), limited.begin(), limited.end());
+    SelectionOutcome outcome = selectEndpoint(work, tried, excluded, now);
     if (!limited.empty()) {
         ++limitedRequests_;
         prefetchSlot(item.service, limited, now);
--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -128,11 +128,20 @@
                 (this->*kind.handle)(message);
             }
         }
+        const auto other = otherHandlers_.find(name);
+        if (other != otherHandlers_.end()) {
+            other->second(message, sender_);
+        }
     } catch (const nlohmann::json::exception &error) {
         log_.write(Event("peer.malformed").with("why", error.what()));
     }
 }
 
+void PeerLink::setHandler(const std::string &kind, MessageHandler handler)
+{
+    otherHandlers_[kind] = std::move(handler);
+}
+
 void PeerLink::requestTokens(const TokenRequest &request)
 {
     const nlohmann::json message = {{"kind", "ask"},
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -58,7 +58,8 @@
 
 Exchange::Exchange(ProxyContext &context, CallerRequest request, ResponseSink &sink)
     : context_(context), request_(std::move(request)), sink_(sink), statechart_(context.chart),
-      deadlineTimer_(context.io), stallTimer_(context.io), placementTimer_(context.io)
+      deadlineTimer_(context.io), stallTimer_(context.io), placementTimer_(context.io),
+      continuity_(context.streamOrigins)
 {}
 
 Exchange::~Exchange() = default;
@@ -81,11 +82,6 @@
     // A caller whose stream was interrupted resumes after its last event; a stream sent from
     // the start would repeat events.
     lastEventId_ = metadata_.lastEventId;
-    if (lastEventId_) {
-        log(Event("stream.resumes")
-                    .with("stream", metadata_.resumedStream)
-                    .with("after_event", *lastEventId_));
-    }
     admit();
 }
 
@@ -101,6 +97,50 @@
             self->onDeadline();
         }
     });
+    const bool isStream = route_->kind == RouteKind::Stream;
+    continuity_.begin(metadata_, isStream, isStream && route_->resumable);
+    if (!selectService()) {
+        return;
+    }
+    if (continuity_.isResumed()) {
+        findStreamOrigin();
+        return;
+    }
+    reserveTokens();
+}
+
+void Exchange::findStreamOrigin()
+{
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    continuity_.findOrigin(service_->name, std::chrono::steady_clock::now(),
+                           [weak](const StreamOrigin &origin) {
+                               const std::shared_ptr<Exchange> self = weak.lock();
+                               if (self && !self->ended()) {
+                                   self->onStreamOrigin(origin);
+                               }
+                           });
+}
+
+void Exchange::onStreamOrigin(const StreamOrigin &origin)
+{
+    const char *source = originSourceName(origin.source);
+    log(Event("stream.resumes")
+                .with("stream", metadata_.resumedStream)
+                .with("after_event", *lastEventId_)
+                .with("version", origin.version)
+                .with("source", source)
+                .with("told_by", origin.host)
+                .with("asked", origin.asked)
+                .with("responded", origin.responded));
+    context_.metrics.count("proxy_resumptions_total", {{"source", source}});
+    continuity_.onOriginFound(origin);
+    if (!continuity_.version()) {
+        refuse({Execution::NotRun,
+                Reason::StreamNotResumable,
+                "the software version that began the stream isn't known",
+                {}});
+        return;
+    }
     reserveTokens();
 }
 
@@ -133,10 +173,10 @@
     return true;
 }
 
-void Exchange::reserveTokens()
+bool Exchange::selectService()
 {
-    // A split route chooses its service by the hash of the request id and the weights, so that
-    // a retry goes to the same service.
+    // A split route chooses its service by a hash and the weights, so that all requests for a
+    // stream go to one service.
     uint32_t total = 0;
     for (const WeightedService &candidate : route_->services) {
         total += candidate.weight;
@@ -144,9 +184,9 @@
     if (total == 0) {
         refuse({Execution::NotRun, Reason::NoEndpoint, "the route leads nowhere",
                 request_.receivedAt + RetryDelay});
-        return;
+        return false;
     }
-    uint64_t pick = stableHash(metadata_.id.text()) % total;
+    uint64_t pick = stableHash(continuity_.serviceKey().text()) % total;
     for (const WeightedService &candidate : route_->services) {
         service_ = config_->findService(candidate.service);
         if (pick < candidate.weight) {
@@ -157,8 +197,13 @@
     if (service_ == nullptr) {
         refuse({Execution::NotRun, Reason::NoEndpoint, "the route's service isn't configured",
                 request_.receivedAt + RetryDelay});
-        return;
+        return false;
     }
+    return true;
+}
+
+void Exchange::reserveTokens()
+{
     const Instant now = std::chrono::steady_clock::now();
     if (context_.link.refuses(request_.body.size(), now)) {
         refuse({Execution::NotRun, Reason::QueueFull, "this host's link is full",
@@ -218,6 +263,7 @@
     item.promptTokens = metadata_.promptTokens;
     item.outputCeiling = metadata_.maxOutputTokens;
     item.idempotent = route_->kind == RouteKind::Idempotent || route_->resumable;
+    item.version = continuity_.version();
     item.connectFailed = connectFailures_ > 0;
     item.arrivedAt = request_.receivedAt;
     item.deadline = deadline_;
@@ -276,6 +322,7 @@
     ++sendCount_;
     ++possibleExecutions_;
     attempt_.emplace(target.endpoint, now);
+    attempt_->version = target.version;
     attempt_->connection = connectionTo(target, now);
     attempt_->connection->setUnacknowledgedTimeout(MaxEndpointSilence);
     if (attempt_->connection->isRelayed()) {
@@ -492,6 +539,7 @@
         attempt_->hasFirstEvent = true;
         const Instant now = std::chrono::steady_clock::now();
         context_.placement.onFirstToken(attempt_->endpoint, metadata_.id, now);
+        continuity_.onFirstEvent(service_->name, attempt_->version, now);
         statechart_.handle("event");
     }
     beginStream();
--- a/test/Edge/StreamVersionTest.cpp
+++ b/test/Edge/StreamVersionTest.cpp
@@ -122,7 +122,7 @@
     }
     ~VersionedFleet() override { edges_.clear(); }
 
-    void listVersion(const std::string &version)
+    void listVersion(const std::string &version, const std::string &state = "ready")
     {
         for (const auto &endpoint : endpoints_) {
             if (endpoint->version() == version) {
@@ -131,7 +131,7 @@
                                            {"address", endpoint->address()},
                                            {"zone", "d1"},
                                            {"slots", 64},
-                                           {"state", "ready"},
+                                           {"state", state},
                                            {"version", version},
                                            {"born", 1}})
                                    .dump());
@@ -139,15 +139,6 @@
         }
     }
 
-    void delistVersion(const std::string &version)
-    {
-        for (const auto &endpoint : endpoints_) {
-            if (endpoint->version() == version) {
-                store_.put("keyed.servers", endpoint->id(), "");
-            }
-        }
-    }
-
     void configure(int maxAttempts)
     {
         nlohmann::json config = nlohmann::json::parse(configRow(2, 10'000'000));
@@ -268,7 +259,7 @@
     static void versionIsReplaced(VersionedFleet &fleet)
     {
         of(fleet).listVersion("v2");
-        of(fleet).delistVersion("v1");
+        of(fleet).listVersion("v1", "draining");
         pause(std::chrono::milliseconds(350));
         for (int i = 0; i < EndpointsPerVersion; ++i) {
             of(fleet).breakStreams(i);
@@ -291,18 +282,25 @@
     int mixed = 0;
     int broken = 0;
     int wentOn = 0;
+    int whole = 0;
     for (const StreamOutcome &outcome : outcomes) {
         mixed += outcome.versions.size() > 1 ? 1 : 0;
         broken += outcome.broke ? 1 : 0;
+        whole += outcome.whole ? 1 : 0;
         wentOn += outcome.broke && outcome.wentOn ? 1 : 0;
         // Whoever is told to come back elsewhere is told the truth.
         for (const int status : outcome.refusals) {
             EXPECT_TRUE(status == 503 || status == 502) << status;
         }
     }
+    RecordProperty("broken", broken);
+    RecordProperty("went_on", wentOn);
     EXPECT_EQ(mixed, 0);
     if (row.goOn) {
         EXPECT_GE(2 * wentOn, broken) << wentOn << " of " << broken;
+        EXPECT_GE(2 * whole, Streams) << whole;
+    } else {
+        EXPECT_EQ(wentOn, 0);
     }
 }
 
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -73,6 +73,74 @@
     EXPECT_EQ(chosenEndpoint(), "");
 }
 
+struct VersionCase
+{
+    const char *name;
+    std::vector<std::pair<const char *, const char *>> endpoints; ///< ids and versions
+    std::vector<const char *> unreachable;
+    std::vector<const char *> draining;
+    const char *chosen;            ///< for a request that v1 has to run; empty: refused
+    std::optional<Reason> refusal; ///< of a refused request
+};
+
+class DirectoryVersions : public EndpointDirectoryTest,
+                          public testing::WithParamInterface<VersionCase>
+{};
+
+const VersionCase VersionCases[] = {
+        {"OneOfTwoVersions", {{"a", "v2"}, {"b", "v1"}, {"c", "v2"}}, {}, {}, "b", {}},
+        {"UnreachableIsBetterThanAnotherVersion", {{"a", "v2"}, {"b", "v1"}}, {"b"}, {}, "b", {}},
+        // Guards against a caller that comes back for a stream that can't go on any more.
+        {"VersionIsGone", {{"a", "v2"}}, {}, {}, "", Reason::StreamNotResumable},
+        {"VersionIsDraining",
+         {{"a", "v2"}, {"b", "v1"}},
+         {},
+         {"b"},
+         "",
+         Reason::StreamNotResumable},
+        {"VersionIsNotStated", {{"a", "v2"}, {"b", ""}}, {}, {}, "", Reason::StreamNotResumable},
+};
+
+TEST_P(DirectoryVersions, AreKeptApart)
+{
+    const VersionCase &row = GetParam();
+    for (const auto &[id, version] : row.endpoints) {
+        EndpointEntry listed = entry(id);
+        listed.version = SoftwareVersion(version);
+        directory_.update(listed, now_);
+    }
+    for (const char *id : row.draining) {
+        EndpointEntry listed = entry(id, true);
+        listed.version = SoftwareVersion("v1");
+        directory_.update(listed, now_);
+    }
+    directory_.publish(now_);
+    for (const char *id : row.unreachable) {
+        directory_.onStaleEndpoint(EndpointId(id), now_);
+    }
+    constexpr int Requests = 20;
+    for (int i = 0; i < Requests; ++i) {
+        WorkItem item;
+        item.request = RequestId("r" + std::to_string(i));
+        item.service = ServiceId("s");
+        item.version = SoftwareVersion("v1");
+        item.arrivedAt = now_;
+        item.deadline = now_ + std::chrono::seconds(1);
+        const PlacementResult placed = directory_.place(item, {}, {}, now_);
+        const auto *target = std::get_if<PlacementTarget>(&placed);
+        EXPECT_EQ(target == nullptr ? std::string() : target->endpoint.text(), row.chosen);
+        if (row.refusal) {
+            const auto *verdict = std::get_if<Verdict>(&placed);
+            ASSERT_NE(verdict, nullptr);
+            EXPECT_EQ(verdict->reason, *row.refusal);
+            EXPECT_FALSE(verdict->retryAt);
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, DirectoryVersions, testing::ValuesIn(VersionCases),
+                         [](const auto &row) { return row.param.name; });
+
 TEST_F(EndpointDirectoryTest, RemovedEndpointGetsNoNewRequests)
 {
     directory_.update(entry("a"), now_);
--- a/unittests/Proxy/ExchangeTest.cpp
+++ b/unittests/Proxy/ExchangeTest.cpp
@@ -639,7 +639,9 @@
 TEST(Exchange, CallersLastEventIdIsForwarded)
 {
     ProxyTestHarness harness({{{streamHead() + chunk(event(8)) + "0\r\n\r\n"}}});
-    harness.send(ProxyTestHarness::request("/resume/a", "r", "Last-Event-Id: 7\r\n"));
+    harness.streamOrigins.origins[RequestId("r0")] = SoftwareVersion();
+    harness.send(
+            ProxyTestHarness::request("/resume/a", "r", "Last-Event-Id: 7\r\nResumes: r0\r\n"));
     EXPECT_TRUE(harness.waitFor("id: 8"));
     const HttpFields &fields = harness.endpoints[0]->received()[0].head.fields;
     ASSERT_NE(findField(fields, "Last-Event-Id"), nullptr);
--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -144,11 +144,12 @@
     }
 }
 
-PlacementResult OrderedPlacement::place(const WorkItem &, const std::vector<PromptPart> &,
+PlacementResult OrderedPlacement::place(const WorkItem &item, const std::vector<PromptPart> &,
                                         const std::vector<EndpointId> &tried, Instant now)
 {
     for (const PlacementTarget &placed : endpoints) {
-        if (std::find(tried.begin(), tried.end(), placed.endpoint) == tried.end()) {
+        const bool isSuitable = !item.version || *item.version == placed.version;
+        if (isSuitable && std::find(tried.begin(), tried.end(), placed.endpoint) == tried.end()) {
             return placed;
         }
     }
@@ -169,6 +170,18 @@
     return 0;
 }
 
+void FakeStreamOrigins::find(const ServiceId &, const RequestId &first, Instant,
+                             std::function<void(const StreamOrigin &)> handler)
+{
+    const auto known = origins.find(first);
+    StreamOrigin origin;
+    if (known != origins.end()) {
+        origin.source = OriginSource::Own;
+        origin.version = known->second;
+    }
+    handler(origin);
+}
+
 void FakeTokenReservations::settle(const WorkspaceId &, uint64_t reservedTokens,
                                    uint64_t spentTokens)
 {
@@ -190,6 +203,7 @@
                               pool_,
                               placement,
                               tokenReservations,
+                              streamOrigins,
                               link,
                               log_,
                               metrics_,
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -4,6 +4,7 @@
 /// One caller's connection and scripted endpoints on loopback, in one event loop. The tests
 /// check what the caller receives and which requests the endpoints receive.
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -118,6 +119,29 @@
     int settled = 0;
 };
 
+/// Knows the origins that a test sets, and notes streams that begin.
+class FakeStreamOrigins : public StreamOriginSource
+{
+public:
+    struct Begun
+    {
+        ServiceId service;
+        RequestId first;
+        SoftwareVersion version;
+    };
+
+    void onStreamBegan(const ServiceId &service, const RequestId &first,
+                       const SoftwareVersion &version, Instant) override
+    {
+        begun.push_back({service, first, version});
+    }
+    void find(const ServiceId &, const RequestId &first, Instant,
+              std::function<void(const StreamOrigin &)> handler) override;
+
+    std::map<RequestId, SoftwareVersion> origins;
+    std::vector<Begun> begun;
+};
+
 struct ProxyTestSettings
 {
     /// Idle timeout of the caller's connection, also before its first request.
@@ -161,6 +185,7 @@
     std::vector<std::unique_ptr<ScriptedEndpoint>> endpoints;
     OrderedPlacement placement;
     FakeTokenReservations tokenReservations;
+    FakeStreamOrigins streamOrigins;
     std::shared_ptr<ServingConfig> config;
     bool configIsCurrent = true;
     bool stopping = false;
