[Soak] Endpoints of two software versions, and callers that take streams up

Events name the version of their endpoint, an endpoint that starts anew may have the other one, and a caller takes a stream that broke off up at hosts of its choice. A new check finds streams that hold events of two versions.

--- a/test/Soak/Callers.h
+++ b/test/Soak/Callers.h
@@ -37,6 +37,8 @@
 public:
     Caller(const FleetView &fleet, Record &record, std::string name);
 
+    /// Takes up the stream that broke off in the last request, if one did and may be taken up.
+    void takeUp(int host);
     /// Sends a request of \p route to \p host and notes how it went. \returns whether its own
     /// whole answer came. \p probes is the version whose own route is tried; 0: none. \p
     /// promptTokens counts for streams.
@@ -44,6 +46,7 @@
               bool hangsUp = false, uint64_t promptTokens = UsualPrompt);
 
 private:
+    void perform(Attempt attempt, int host, bool hangsUp);
     httplib::Client &client(int host);
     httplib::Request request(const Attempt &attempt) const;
     void judge(Attempt &attempt, const httplib::Result &result, const std::string &body) const;
@@ -53,6 +56,7 @@
     Record &record_;
     std::string name_;
     uint64_t sent_ = 0;
+    Attempt last_;
     std::map<int, std::unique_ptr<httplib::Client>> clients_;
 };
 
--- a/test/Soak/ChecksTest.cpp
+++ b/test/Soak/ChecksTest.cpp
@@ -108,6 +108,18 @@
          [](Record &r) {
              r.allotted["w"] = 240;
          }},
+        {"MixedVersions", "a stream keeps its version",
+         [](Record &r) {
+             r.attempts[1].stream = "b";
+             r.attempts[1].versions = {"v1"};
+             Attempt next = r.attempts[1];
+             next.id = "c";
+             next.resumedAt = next.events;
+             next.promptTokens = 0;
+             next.versions = {"v2"};
+             r.runs.push_back({"c", "w", "e2", 0, false});
+             r.add(next);
+         }},
         {"LeavingEndpointGotWork", "a leaving endpoint",
          [](Record &r) {
              r.published.push_back({0, "e1", at(8), {{ProcessOf{1, 0}, at(9)}}});
--- a/test/Soak/Record.h
+++ b/test/Soak/Record.h
@@ -39,14 +39,17 @@
     uint64_t probes = 0; ///< the version whose own route and key it used; 0: none
     Instant sentAt{};
     Instant endedAt{};
-    int status = 0;            ///< 0: no answer
-    bool notRun = false;       ///< the answer says that it has not run
-    bool whole = false;        ///< the whole of its own answer came
-    bool answerBegan = false;  ///< the head of an answer came
-    std::string wrong;         ///< what was wrong with a success, if anything
-    uint64_t events = 0;       ///< of a stream, as they came
-    bool leftByCaller = false; ///< it gave up or hung up: how it would have ended isn't known
-    std::string error;         ///< why its connection failed, as the caller's library says it
+    int status = 0;                 ///< 0: no answer
+    bool notRun = false;            ///< the answer says that it has not run
+    bool whole = false;             ///< the whole of its own answer came
+    bool answerBegan = false;       ///< the head of an answer came
+    std::string wrong;              ///< what was wrong with a success, if anything
+    uint64_t events = 0;            ///< of a stream, as they came
+    std::string stream;             ///< the request that brought the stream's first event
+    uint64_t resumedAt = 0;         ///< the event at which a stream that was taken up goes on
+    std::set<std::string> versions; ///< of the endpoints' software, as the events name them
+    bool leftByCaller = false;      ///< it gave up or hung up: how it would have ended isn't known
+    std::string error;              ///< why its connection failed, as the caller's library says it
 };
 
 /// A request as an endpoint ran it.
--- a/test/Soak/SoakTest.cpp
+++ b/test/Soak/SoakTest.cpp
@@ -119,6 +119,9 @@
     for (const Attempt &attempt : record.attempts) {
         ++outcomes[fmt::format("{} {}", attempt.route,
                                attempt.whole ? "whole" : std::to_string(attempt.status))];
+        if (attempt.resumedAt > 0) {
+            ++outcomes[attempt.events > attempt.resumedAt ? "taken up, went on" : "taken up"];
+        }
     }
     for (const auto &[outcome, count] : outcomes) {
         RecordProperty(outcome, count);
