--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -247,6 +247,24 @@
     http_.start();
 }
 
+std::string EndpointStandin::id() const
+{
+    const std::lock_guard lock(mutex_);
+    return id_;
+}
+
+void EndpointStandin::setId(const std::string &id)
+{
+    const std::lock_guard lock(mutex_);
+    id_ = id;
+}
+
+void EndpointStandin::crashOn(const std::string &part, std::function<void()> crash)
+{
+    crashPart_ = part;
+    crash_ = std::move(crash);
+}
+
 void EndpointStandin::hold(bool held)
 {
     const std::lock_guard lock(mutex_);
@@ -276,14 +294,20 @@
         }
     }
     response.set_header("Request-Id", request.get_header_value("Request-Id"));
-    if (request.get_header_value("Expect-Instance") != id_) {
+    const std::string id = this->id();
+    if (request.get_header_value("Expect-Instance") != id) {
         response.status = 421;
         return;
     }
     ++runs_;
+    const std::string prompt = request.get_header_value("Prompt-Prefix");
+    if (crash_ && prompt.find(crashPart_ + ":") != std::string::npos) {
+        crash_();
+        return;
+    }
     std::unique_lock lock(mutex_);
     released_.wait(lock, [this] { return !held_; });
-    response.set_header("Response-Stamp", id_);
+    response.set_header("Response-Stamp", id);
     if (request.has_header("X-Events")) {
         const int events = std::stoi(request.get_header_value("X-Events"));
         const bool breaks = request.has_header("X-Break");
@@ -309,7 +333,7 @@
                 });
         return;
     }
-    response.set_content(fmt::format("{} ran {}", id_, request.path), "text/plain");
+    response.set_content(fmt::format("{} ran {}", id, request.path), "text/plain");
 }
 
 } // namespace sequoiagate
--- a/test/Support/PlatformStandin.h
+++ b/test/Support/PlatformStandin.h
@@ -101,7 +101,12 @@
     EndpointStandin(const std::string &ip, std::string id, std::string version = "");
 
     const std::string &address() const { return http_.address(); }
-    const std::string &id() const { return id_; }
+    std::string id() const;
+    /// It was started anew: requests for the id that it had are refused.
+    void setId(const std::string &id);
+    /// Calls \p crash, on any thread, for each request with \p part in its prompt that begins to
+    /// run, in place of an answer. Set before requests come.
+    void crashOn(const std::string &part, std::function<void()> crash);
     const std::string &version() const { return version_; }
     /// Requests that ran here.
     int runs() const { return runs_; }
@@ -119,9 +124,11 @@
 
     std::string id_;
     std::string version_;
+    std::string crashPart_;
+    std::function<void()> crash_;
     std::atomic<int> runs_{0};
     std::atomic<int> breaks_{0};
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable released_;
     bool held_ = false;
     std::optional<double> limit_;
