--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -54,6 +54,16 @@
     return std::chrono::duration_cast<Millis>(interval);
 }
 
+/// The parts of \p prompt that other requests may share, for logs.
+std::string describeShared(const std::vector<PromptPart> &prompt)
+{
+    std::string text;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+        text += fmt::format("{}{:x}", text.empty() ? "" : " ", prompt[i].id);
+    }
+    return text;
+}
+
 } // namespace
 
 Exchange::Exchange(ProxyContext &context, CallerRequest request, ResponseSink &sink)
@@ -651,6 +661,10 @@
         }
         return;
     }
+    log(Event("request.connection_lost")
+                .with("endpoint", attempt_->endpoint)
+                .with("events", forwardedEvents_)
+                .with("shared_parts", describeShared(metadata_.prompt)));
     endAttempt(false);
     retryOrFail(detail);
 }
