[Proxy] [Edge] [Decisions] Quarantine prompt parts that crash endpoints

Each host counted a lost connection against its endpoint alone; that one part of a prompt was at work at all of them was seen by nobody. Class: a failure that travels with the input, counted by place.

Now hosts report which shared parts were open and barely begun at an endpoint that ended, to hosts chosen by part; these count crashes by part, ask all hosts for answers written on it since, and quarantine a part that explains the crashes and was never answered. Requests with it are refused at once, as not run. A lost connection is a crash only if the endpoint accepts no new one. Without crashes nothing is sent. The messages are versioned; earlier processes ignore them.

--- a/include/sequoiagate/Base/Verdict.h
+++ b/include/sequoiagate/Base/Verdict.h
@@ -38,6 +38,7 @@
     NoEndpoint,         ///< none that offers it is listed, or all are leaving, ejected or down
     EndpointFailed,     ///< the endpoint failed before or during its response
     StreamCut,          ///< the stream ended without its end marker
+    PromptQuarantined,  ///< a part of the prompt crashed endpoints
     StreamNotResumable, ///< no endpoint can continue the stream, now or later
     KeeperUnreachable,  ///< no keeper of the failure domain responds
     LogUnavailable,     ///< a record that must be written first can't be written
--- /dev/null
+++ b/include/sequoiagate/Decisions/CrashingParts.h
@@ -0,0 +1,233 @@
+#ifndef SEQUOIAGATE_DECISIONS_CRASHINGPARTS_H
+#define SEQUOIAGATE_DECISIONS_CRASHINGPARTS_H
+
+/// Finds the parts of prompts that crash endpoints, and quarantines them. Pure: messages, probes
+/// and deadlines are the caller's.
+///
+/// A query of death crashes each endpoint that begins to write an answer on it, and its callers
+/// carry it to the next one. Requests that share the caller or other parts are innocent, and so are
+/// those that were open at the same endpoint. This is group testing (Dorfman, 1943) with one-sided
+/// evidence: each crash names the parts of the requests that the endpoint had just begun or was
+/// about to begin, and an answer that was written clears all parts of its prompt.
+///
+/// Each host sees only its own requests. It reports the suspects of a crash to hosts that
+/// rendezvous hashing selects for each part (ReplicaPlacement), which count crashes by part. A part
+/// that was suspected in several crashes, one after the other, is inquired about at all hosts; if
+/// none has had an answer on it since the first of these crashes, it is quarantined at all hosts.
+/// Nothing is sent while no endpoint crashes.
+///
+/// Crashes for other reasons: endpoints that crash at about the same time count once; a part has to
+/// explain most of the crashes of its service since the first one, and more than could be chance
+/// where many requests of the service are lost; an endpoint that still accepts
+/// connections hasn't crashed; a service that serves no prompt at all is at fault itself.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Decisions/ReplicaPlacement.h"
+
+namespace sequoiagate {
+
+/// Identifies a part of prompts at one service.
+using PartKey = uint64_t;
+
+PartKey partKey(const ServiceId &service, uint64_t part);
+
+/// A part that may have crashed an endpoint.
+struct SuspectPart
+{
+    PartKey key = 0;
+    uint32_t depth = 0; ///< its position in its prompt
+};
+
+/// What one host had open at an endpoint that crashed.
+struct CrashReport
+{
+    uint64_t service = 0; ///< stable hash of its name
+    EndpointId endpoint;
+    std::vector<SuspectPart> parts;
+    Instant at{};
+};
+
+/// Asks whether an answer on a part was written since a time, and which endpoints of its service
+/// crashed.
+struct PartInquiry
+{
+    PartKey part = 0;
+    uint64_t service = 0;
+    Instant since{};
+};
+
+struct InquiryResponse
+{
+    PartKey part = 0;
+    uint64_t service = 0;
+    std::optional<Instant> servedAt;
+    std::vector<EndpointId> crashed;
+};
+
+struct Quarantine
+{
+    PartKey part = 0;
+    uint32_t level = 0; ///< the number of quarantines before it
+    Instant until{};
+    std::vector<EndpointId> crashed;
+    HostId decidedBy;
+};
+
+struct CrashingPartsSettings
+{
+    HostId host;
+    DomainId domain;
+};
+
+/// Not thread safe.
+class CrashingParts
+{
+public:
+    /// Crashes after which a part is quarantined, and after a quarantine that was lifted.
+    static constexpr std::size_t CrashesToQuarantine = 3;
+    /// How likely a sound part may be to be lost that often in a row, at the share of requests of
+    /// its service that are lost.
+    static constexpr double MaxChance = 1e-7;
+    /// Requests longer ago don't count for that share.
+    static constexpr Interval OutcomeWindow = std::chrono::seconds(10);
+    static constexpr std::size_t CrashesAfterQuarantine = 1;
+    /// Crashes within this time of each other count as one.
+    static constexpr Interval CrashSpacing = std::chrono::milliseconds(300);
+    /// The share of the crashes of its service that a part has to explain.
+    static constexpr double MostCrashes = 0.5;
+    /// A smaller share that is enough after more crashes, of parts that crash endpoints among
+    /// others.
+    static constexpr double ManyCrashes = 0.25;
+    static constexpr std::size_t CrashesAmongOthers = 6;
+    /// A crash longer ago doesn't count.
+    static constexpr Interval CrashLifetime = std::chrono::minutes(5);
+    /// How long other hosts have to say that a part was served.
+    static constexpr Interval InquiryTime = std::chrono::milliseconds(100);
+    /// Each quarantine of a part lasts four times as long as the one before.
+    static constexpr Interval FirstQuarantine = std::chrono::minutes(30);
+    static constexpr Interval MaxQuarantine = std::chrono::hours(24);
+    static constexpr Interval ResendDelay = std::chrono::milliseconds(100);
+    /// Bound memory and the size of a message.
+    static constexpr std::size_t MaxServedParts = 32'768;
+    static constexpr std::size_t MaxSuspects = 4'096;
+    static constexpr std::size_t MaxQuarantines = 1'024;
+    static constexpr std::size_t MaxReportedParts = 32;
+    static constexpr std::size_t MaxNamedEndpoints = 32;
+
+    explicit CrashingParts(CrashingPartsSettings settings);
+
+    // Called to send messages. Set before any other call.
+    std::function<void(const HostId &to, const CrashReport &)> sendReport;
+    std::function<void(const PartInquiry &)> broadcastInquiry;
+    std::function<void(const Quarantine &)> broadcastQuarantine;
+    /// Called when a part is quarantined here for the first time.
+    std::function<void(const Quarantine &)> onQuarantined;
+
+    void setHosts(const std::vector<HostPlace> &others) { placement_.setHosts(others); }
+
+    /// An answer on a prompt with these shared parts was written, or has been for a while.
+    void onAnswerWritten(const ServiceId &service, const std::vector<uint64_t> &parts, Instant now);
+    /// The connection of a request was lost that had no answer yet, or an answer that had just
+    /// begun. \returns whether to find out if \p endpoint has ended, and to call onEndpointProbed
+    bool onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
+                          const std::vector<uint64_t> &parts, Instant now);
+    void onEndpointProbed(const EndpointId &endpoint, bool hasEnded, Instant now);
+    /// The quarantine of one of these parts; nullptr if none is quarantined.
+    const Quarantine *find(const ServiceId &service, const std::vector<uint64_t> &parts,
+                           Instant now) const;
+
+    // ---- messages of other hosts ----
+    void onReport(const CrashReport &report, Instant now);
+    /// \returns std::nullopt if this host knows nothing that matters
+    std::optional<InquiryResponse> onInquiry(const PartInquiry &inquiry) const;
+    void onInquiryResponse(const InquiryResponse &response, Instant now);
+    void onQuarantine(const Quarantine &quarantine, Instant now);
+    /// Those in force, for hosts that missed them.
+    std::vector<Quarantine> quarantines(Instant now) const;
+
+    /// To be called at nextDeadline().
+    void tick(Instant now);
+    Instant nextDeadline() const;
+
+private:
+    struct Loss
+    {
+        uint64_t service = 0;
+        std::map<PartKey, uint32_t> parts; ///< depth by part
+        Instant at{};
+    };
+
+    /// How requests of this host ended.
+    struct Outcomes
+    {
+        uint64_t written = 0;
+        uint64_t lost = 0;
+        std::map<EndpointId, uint64_t> lostAt;
+    };
+
+    struct ServiceOutcomes
+    {
+        Outcomes current;
+        Outcomes previous;
+        Instant turnAt{}; ///< when current becomes previous
+    };
+
+    struct Suspect
+    {
+        uint64_t service = 0;
+        uint32_t depth = 0;
+        std::map<EndpointId, Instant> crashes;
+        Instant decideAt = Never;
+    };
+
+    void report(const EndpointId &endpoint, const Loss &loss, Instant now);
+    std::optional<Instant> servedAt(PartKey part) const;
+    static void clear(Suspect &suspect, Instant until);
+    static std::size_t countCrashes(const Suspect &suspect);
+    static Instant firstCrash(const Suspect &suspect);
+    Outcomes &outcomesOf(uint64_t service, Instant now);
+    /// The share of a service's requests that are lost, without those at the endpoints that
+    /// \p suspect was at if \p excludesOwn.
+    double shareLost(const Suspect &suspect, bool excludesOwn) const;
+    bool isSignificant(PartKey part, const Suspect &suspect) const;
+    bool isQuarantined(PartKey part, Instant now) const;
+    void noteCrash(uint64_t service, const EndpointId &endpoint, Instant at);
+    /// The share of the endpoints of its service that crashed since its first crash, at which
+    /// \p suspect was.
+    double shareExplained(const Suspect &suspect) const;
+    /// Whether another part, as deep in the prompts or deeper, was at all but one of the same
+    /// endpoints, so that it can't be told which of the two crashed them.
+    bool isAmbiguous(PartKey part, const Suspect &suspect) const;
+    void review(PartKey part, Suspect &suspect, Instant now);
+    void decide(PartKey part, Instant now);
+    void dropOldSuspects(Instant now);
+    static Interval quarantineTime(uint32_t level);
+
+    CrashingPartsSettings settings_;
+    ReplicaPlacement placement_;
+    // Two generations, so that old entries go without a search.
+    std::unordered_map<PartKey, Instant> served_;
+    std::unordered_map<PartKey, Instant> servedBefore_;
+    std::map<uint64_t, Instant> serviceServed_;
+    std::map<uint64_t, ServiceOutcomes> outcomes_;
+    std::map<EndpointId, Loss> losses_;   ///< until the endpoint is probed
+    std::map<EndpointId, Instant> ended_; ///< when they were found to have ended
+    /// When endpoints crashed, by service, without those that quarantined parts crashed.
+    std::map<uint64_t, std::map<EndpointId, Instant>> crashes_;
+    std::map<PartKey, Suspect> suspects_;
+    std::map<PartKey, Quarantine> quarantines_; ///< including those that were lifted
+    std::map<PartKey, Instant> resends_;
+};
+
+} // namespace sequoiagate
+
+#endif
--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -36,6 +36,7 @@
 
 namespace sequoiagate {
 
+class CrashingPartsLink;
 class RelayServer;
 class StatusServer;
 class StreamOriginLink;
@@ -79,7 +80,7 @@
     void startRelayServer();
     /// Tries a connection during a partition, to find out whether it is over.
     void probeEndpoint(Instant now);
-    void gossipLimits(Instant now);
+    void gossip(Instant now);
     void onPeerLimits(const std::vector<EndpointLimitRecord> &records, bool rejected);
     void recordLoopLag(Instant now);
     void updateGauges();
@@ -104,6 +105,7 @@
     bool shedding_ = false; ///< as last logged
     std::unique_ptr<TokenService> tokens_;
     std::unique_ptr<StreamOriginLink> streamOrigins_;
+    std::unique_ptr<CrashingPartsLink> crashingParts_;
     std::unique_ptr<ProxyContext> context_;
     std::unique_ptr<TopicFollower> configFollower_;
     std::unique_ptr<TopicFollower> endpointFollower_;
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -76,7 +76,9 @@
         EventSplitter splitter;
         bool isSuccess = false; ///< the head of a successful response was received
         bool hasFirstEvent = false;
-        bool passThrough = false; ///< a non-streaming response too large to buffer
+        Instant firstEventAt{};
+        bool isAnswerReported = false; ///< that the endpoint has been writing for a while
+        bool passThrough = false;      ///< a non-streaming response too large to buffer
         /// The outcome if the attempt ends now. Without a known cause it is a lost connection.
         AttemptOutcome outcome = AttemptOutcome::ConnectionLost;
     };
@@ -86,6 +88,8 @@
     bool selectService();
     void findStreamOrigin();
     void onStreamOrigin(const StreamOrigin &origin);
+    /// Refuses a request whose prompt may not be sent. \returns whether it did
+    bool refuseQuarantined();
     void reserveTokens();
     void onReserved(std::optional<Verdict> refusal);
     void place();
@@ -106,6 +110,10 @@
     void beginStream();
     void onNotExecuted();
     void onPlainResponse();
+    /// Reports that the endpoint has written, or is writing, an answer on the prompt.
+    void reportAnswer(Instant now);
+    /// Reports a lost connection, if the endpoint had no more than just begun to write.
+    void reportLoss(Instant now);
     void endAttempt(bool succeeded);
     void cancelAttempt(bool succeeded);
 
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -25,6 +25,7 @@
 #include "sequoiagate/Decisions/LinkLoad.h"
 #include "sequoiagate/Decisions/WorkItem.h"
 #include "sequoiagate/Proxy/Dialect.h"
+#include "sequoiagate/Proxy/PromptGuard.h"
 #include "sequoiagate/Proxy/StreamContinuity.h"
 #include "sequoiagate/Service/EventLog.h"
 #include "sequoiagate/Service/Metrics.h"
@@ -122,6 +123,7 @@
     Placement &placement;
     TokenReservations &tokens;
     StreamOriginSource &streamOrigins;
+    PromptGuard &prompts;
     LinkLoad &link;
     EventLog &log;
     Metrics &metrics;
--- /dev/null
+++ b/lib/Edge/CrashMessage.cpp
@@ -0,0 +1,145 @@
+#include "CrashMessage.h"
+
+#include <algorithm>
+
+namespace sequoiagate {
+
+namespace {
+
+///
+
+/// Messages name no greater age.
+constexpr Millis MaxAge = std::chrono::hours(1);
+
+nlohmann::json messageOf(const char *kind)
+{
+    return {{"kind", kind}, {"version", 1}};
+}
+
+/// Names come from the platform and may hold any bytes.
+std::string textOf(const nlohmann::json &message)
+{
+    return message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+/// Names no more endpoints than fit into a datagram.
+nlohmann::json namesOf(const std::vector<EndpointId> &endpoints)
+{
+    nlohmann::json names = nlohmann::json::array();
+    const std::size_t count = std::min(endpoints.size(), CrashingParts::MaxNamedEndpoints);
+    for (std::size_t i = 0; i < count; ++i) {
+        names.push_back(endpoints[i].text());
+    }
+    return names;
+}
+
+std::vector<EndpointId> endpointsOf(const nlohmann::json &names)
+{
+    std::vector<EndpointId> endpoints;
+    for (const nlohmann::json &name : names) {
+        endpoints.emplace_back(name.get<std::string>());
+    }
+    return endpoints;
+}
+
+int64_t ageOf(Instant at, Instant now)
+{
+    return std::chrono::duration_cast<Millis>(now - at).count();
+}
+
+Instant timeOf(const nlohmann::json &age, Instant now)
+{
+    return now - std::clamp(Millis(age.get<int64_t>()), Millis(0), MaxAge);
+}
+
+} // namespace
+
+std::string encodeCrashReport(const CrashReport &report, Instant now)
+{
+    nlohmann::json message = messageOf(CrashReportMessageKind);
+    message["service"] = report.service;
+    message["endpoint"] = report.endpoint.text();
+    message["age_ms"] = ageOf(report.at, now);
+    message["parts"] = nlohmann::json::array();
+    for (const SuspectPart &part : report.parts) {
+        message["parts"].push_back({part.key, part.depth});
+    }
+    return textOf(message);
+}
+
+CrashReport decodeCrashReport(const nlohmann::json &message, Instant now)
+{
+    CrashReport report;
+    report.service = message.at("service").get<uint64_t>();
+    report.endpoint = EndpointId(message.at("endpoint").get<std::string>());
+    report.at = timeOf(message.at("age_ms"), now);
+    for (const nlohmann::json &part : message.at("parts")) {
+        report.parts.push_back({part.at(0).get<PartKey>(), part.at(1).get<uint32_t>()});
+    }
+    return report;
+}
+
+std::string encodePartInquiry(const PartInquiry &inquiry, Instant now)
+{
+    nlohmann::json message = messageOf(PartInquiryMessageKind);
+    message["part"] = inquiry.part;
+    message["service"] = inquiry.service;
+    message["age_ms"] = ageOf(inquiry.since, now);
+    return textOf(message);
+}
+
+PartInquiry decodePartInquiry(const nlohmann::json &message, Instant now)
+{
+    return {message.at("part").get<PartKey>(), message.at("service").get<uint64_t>(),
+            timeOf(message.at("age_ms"), now)};
+}
+
+std::string encodeInquiryResponse(const InquiryResponse &response, Instant now)
+{
+    nlohmann::json message = messageOf(InquiryResponseMessageKind);
+    message["part"] = response.part;
+    message["service"] = response.service;
+    if (response.servedAt) {
+        message["served_age_ms"] = ageOf(*response.servedAt, now);
+    }
+    message["crashed"] = namesOf(response.crashed);
+    return textOf(message);
+}
+
+InquiryResponse decodeInquiryResponse(const nlohmann::json &message, Instant now)
+{
+    InquiryResponse response;
+    response.part = message.at("part").get<PartKey>();
+    response.service = message.at("service").get<uint64_t>();
+    if (const auto age = message.find("served_age_ms"); age != message.end()) {
+        response.servedAt = timeOf(*age, now);
+    }
+    response.crashed = endpointsOf(message.at("crashed"));
+    return response;
+}
+
+std::string encodeQuarantine(const Quarantine &quarantine, Instant now)
+{
+    nlohmann::json message = messageOf(QuarantineMessageKind);
+    message["part"] = quarantine.part;
+    message["level"] = quarantine.level;
+    message["remaining_ms"] = std::chrono::duration_cast<Millis>(quarantine.until - now).count();
+    message["decided_by"] = quarantine.decidedBy.text();
+    message["crashed"] = namesOf(quarantine.crashed);
+    return textOf(message);
+}
+
+Quarantine decodeQuarantine(const nlohmann::json &message, Instant now)
+{
+    Quarantine quarantine;
+    quarantine.part = message.at("part").get<PartKey>();
+    quarantine.level = message.at("level").get<uint32_t>();
+    const Millis remaining(message.at("remaining_ms").get<int64_t>());
+    quarantine.until =
+            now + std::clamp<Interval>(remaining, Interval::zero(), CrashingParts::MaxQuarantine);
+    quarantine.decidedBy = HostId(message.at("decided_by").get<std::string>());
+    quarantine.crashed = endpointsOf(message.at("crashed"));
+    return quarantine;
+}
+
+} // namespace sequoiagate
--- /dev/null
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -0,0 +1,197 @@
+#include "CrashingPartsLink.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include <fmt/format.h>
+
+#include "ConnectProbe.h"
+#include "CrashMessage.h"
+#include "sequoiagate/Base/Rendezvous.h"
+
+namespace sequoiagate {
+
+namespace {
+
+/// An endpoint that doesn't accept a connection within this time has ended. One that is sound does
+/// within a round trip.
+constexpr Interval ProbeTimeout = std::chrono::milliseconds(300);
+
+/// Hosts that get each round of gossip.
+constexpr std::size_t GossipHosts = 3;
+
+/// The last part belongs to one request, or to its session, and isn't shared.
+std::vector<uint64_t> sharedParts(const std::vector<PromptPart> &prompt)
+{
+    std::vector<uint64_t> parts;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+        parts.push_back(prompt[i].id);
+    }
+    return parts;
+}
+
+std::string listOf(const std::vector<EndpointId> &endpoints)
+{
+    std::string text;
+    for (const EndpointId &endpoint : endpoints) {
+        text += (text.empty() ? "" : " ") + endpoint.text();
+    }
+    return text;
+}
+
+} // namespace
+
+CrashingPartsLink::CrashingPartsLink(boost::asio::io_context &io, PeerLink &peers,
+                                     const CrashingPartsSettings &settings, Resolve resolve,
+                                     EventLog &log, Metrics &metrics)
+    : io_(io), peers_(peers), resolve_(std::move(resolve)), log_(log), metrics_(metrics),
+      parts_(settings),
+      // Hosts that know the same others must not all begin with the same ones.
+      nextGossiped_(stableHash(settings.host.text())), timer_(io)
+{
+    parts_.sendReport = [this](const HostId &to, const CrashReport &report) {
+        const auto found = addresses_.find(to);
+        if (found != addresses_.end()) {
+            peers_.send(encodeCrashReport(report, std::chrono::steady_clock::now()), found->second);
+        }
+    };
+    parts_.broadcastInquiry = [this](const PartInquiry &inquiry) {
+        broadcast(encodePartInquiry(inquiry, std::chrono::steady_clock::now()));
+    };
+    parts_.broadcastQuarantine = [this](const Quarantine &quarantine) {
+        broadcast(encodeQuarantine(quarantine, std::chrono::steady_clock::now()));
+    };
+    parts_.onQuarantined = [this](const Quarantine &quarantine) {
+        onQuarantined(quarantine);
+    };
+    registerHandlers();
+}
+
+void CrashingPartsLink::registerHandlers()
+{
+    peers_.setHandler(CrashReportMessageKind,
+                      [this](const nlohmann::json &message, const Address &) {
+                          const Instant now = std::chrono::steady_clock::now();
+                          parts_.onReport(decodeCrashReport(message, now), now);
+                          armTimer();
+                      });
+    peers_.setHandler(
+            PartInquiryMessageKind, [this](const nlohmann::json &message, const Address &from) {
+                const Instant now = std::chrono::steady_clock::now();
+                if (const auto response = parts_.onInquiry(decodePartInquiry(message, now))) {
+                    peers_.send(encodeInquiryResponse(*response, now), from);
+                }
+            });
+    peers_.setHandler(InquiryResponseMessageKind,
+                      [this](const nlohmann::json &message, const Address &) {
+                          const Instant now = std::chrono::steady_clock::now();
+                          parts_.onInquiryResponse(decodeInquiryResponse(message, now), now);
+                      });
+    peers_.setHandler(QuarantineMessageKind,
+                      [this](const nlohmann::json &message, const Address &) {
+                          const Instant now = std::chrono::steady_clock::now();
+                          parts_.onQuarantine(decodeQuarantine(message, now), now);
+                      });
+}
+
+void CrashingPartsLink::setHosts(const std::vector<Peer> &others)
+{
+    std::vector<HostPlace> places;
+    addresses_.clear();
+    for (const Peer &peer : others) {
+        places.push_back({peer.host, peer.domain});
+        addresses_[peer.host] = peer.address;
+    }
+    parts_.setHosts(places);
+}
+
+void CrashingPartsLink::broadcast(const std::string &text)
+{
+    for (const auto &[host, address] : addresses_) {
+        peers_.send(text, address);
+    }
+}
+
+void CrashingPartsLink::gossip(Instant now)
+{
+    const std::vector<Quarantine> quarantines = parts_.quarantines(now);
+    const std::size_t count = quarantines.empty() ? 0 : std::min(GossipHosts, addresses_.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto place = static_cast<std::ptrdiff_t>(nextGossiped_++ % addresses_.size());
+        const Address &to = std::next(addresses_.begin(), place)->second;
+        for (const Quarantine &quarantine : quarantines) {
+            peers_.send(encodeQuarantine(quarantine, now), to);
+        }
+    }
+}
+
+std::optional<Verdict> CrashingPartsLink::refusal(const ServiceId &service,
+                                                  const std::vector<PromptPart> &prompt,
+                                                  Instant now)
+{
+    const Quarantine *quarantine = parts_.find(service, sharedParts(prompt), now);
+    if (quarantine == nullptr) {
+        return std::nullopt;
+    }
+    return Verdict{Execution::NotRun, Reason::PromptQuarantined,
+                   fmt::format("prompt part {:016x} crashed {} endpoints", quarantine->part,
+                               quarantine->crashed.size()),
+                   quarantine->until};
+}
+
+void CrashingPartsLink::onAnswerWritten(const ServiceId &service,
+                                        const std::vector<PromptPart> &prompt, Instant now)
+{
+    parts_.onAnswerWritten(service, sharedParts(prompt), now);
+}
+
+void CrashingPartsLink::onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
+                                         const std::vector<PromptPart> &prompt, Instant now)
+{
+    const auto address = resolve_(endpoint);
+    if (!address) {
+        return; // It is leaving.
+    }
+    const bool isProbed = parts_.onConnectionLost(service, endpoint, sharedParts(prompt), now);
+    armTimer();
+    if (!isProbed) {
+        return;
+    }
+    probeConnection(io_, *address, now + ProbeTimeout, [this, endpoint](bool connected) {
+        if (!connected) {
+            log_.write(Event("endpoint.ended").with("endpoint", endpoint));
+            metrics_.count("endpoint_crashes_seen_total");
+        }
+        parts_.onEndpointProbed(endpoint, !connected, std::chrono::steady_clock::now());
+        armTimer();
+    });
+}
+
+void CrashingPartsLink::onQuarantined(const Quarantine &quarantine)
+{
+    const auto remaining =
+            std::chrono::duration_cast<Millis>(quarantine.until - std::chrono::steady_clock::now());
+    log_.write(Event("part.quarantined")
+                       .with("part", fmt::format("{:016x}", quarantine.part))
+                       .with("decided_by", quarantine.decidedBy)
+                       .with("crashed", listOf(quarantine.crashed))
+                       .with("level", quarantine.level)
+                       .with("for_ms", remaining.count())
+                       .essential());
+    metrics_.count("prompt_quarantines_total");
+}
+
+void CrashingPartsLink::armTimer()
+{
+    const Instant deadline = parts_.nextDeadline();
+    if (deadline == Never) {
+        timer_.disarm();
+        return;
+    }
+    timer_.arm(deadline, [this] {
+        parts_.tick(std::chrono::steady_clock::now());
+        armTimer();
+    });
+}
+
+} // namespace sequoiagate
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -4,6 +4,8 @@
 #include <csignal>
 
 #include "Addresses.h"
+#include "ConnectProbe.h"
+#include "CrashingPartsLink.h"
 #include "RelayServer.h"
 #include "StatusServer.h"
 #include "StreamOriginLink.h"
@@ -29,7 +31,8 @@
 /// draining endpoint must be noticed.
 constexpr Interval MinEndpointReadInterval = std::chrono::milliseconds(300);
 
-/// How often a few peers are told what is known of endpoints' limits, while any holds.
+/// How often a few peers are told what is known of endpoints' limits and of quarantined parts,
+/// while there are any.
 constexpr Interval GossipInterval = std::chrono::milliseconds(500);
 
 /// How long before the end of the stop's grace period open requests are aborted: time to send
@@ -136,12 +139,17 @@
     };
     streamOrigins_ = std::make_unique<StreamOriginLink>(io_, tokens_->peers(), settings_.host,
                                                         settings_.domain, metrics_);
-    context_ = std::make_unique<ProxyContext>(ProxyContext{
-            io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_, *streamOrigins_,
-            link_, log_, metrics_, [this] { return config_; }, [this] { return configIsCurrent(); },
-            [this] {
-                return drain_.state() != "serving";
-            }});
+    crashingParts_ = std::make_unique<CrashingPartsLink>(
+            io_, tokens_->peers(), CrashingPartsSettings{settings_.host, settings_.domain},
+            [this](const EndpointId &endpoint) { return endpoints_.addressOf(endpoint); }, log_,
+            metrics_);
+    context_ = std::make_unique<ProxyContext>(
+            ProxyContext{io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_,
+                         *streamOrigins_, *crashingParts_, link_, log_, metrics_,
+                         [this] { return config_; }, [this] { return configIsCurrent(); },
+                         [this] {
+                             return drain_.state() != "serving";
+                         }});
     configFollower_ = std::make_unique<TopicFollower>(
             io_, *store_, FollowerSettings{adapter_.topics().config},
             TopicFollower::Handlers{
@@ -217,6 +225,7 @@
     endpoints_.setHosts(hosts);
     endpoints_.setRelays(std::move(relays));
     streamOrigins_->setHosts(others);
+    crashingParts_->setHosts(others);
 }
 
 void Edge::probeEndpoint(Instant now)
@@ -225,24 +234,12 @@
     if (!target) {
         return;
     }
-    struct Probe
-    {
-        explicit Probe(boost::asio::io_context &io) : socket(io), timer(io) {}
-        tcp::socket socket;
-        DeadlineTimer timer;
-    };
-    const auto probe = std::make_shared<Probe>(io_);
-    probe->timer.arm(now + HttpConnectionSettings().connectTimeout, [probe] {
-        error_code ignored;
-        probe->socket.close(ignored);
-    });
-    probe->socket.async_connect(
-            target->second, [this, probe, endpoint = target->first](const error_code &error) {
-                probe->timer.disarm();
-                if (!error) {
-                    endpoints_.onConnected(endpoint, std::chrono::steady_clock::now());
-                }
-            });
+    probeConnection(io_, target->second, now + HttpConnectionSettings().connectTimeout,
+                    [this, endpoint = target->first](bool connected) {
+                        if (connected) {
+                            endpoints_.onConnected(endpoint, std::chrono::steady_clock::now());
+                        }
+                    });
 }
 
 std::size_t Edge::run()
@@ -515,11 +512,11 @@
     checkStop();
     endpoints_.tick(now);
     probeEndpoint(now);
-    gossipLimits(now);
+    gossip(now);
     pool_.closeExpired(now);
 }
 
-void Edge::gossipLimits(Instant now)
+void Edge::gossip(Instant now)
 {
     if (now < nextGossipAt_) {
         return;
@@ -529,6 +526,7 @@
     if (!records.empty()) {
         tokens_->peers().gossipLimits(records, now);
     }
+    crashingParts_->gossip(now);
 }
 
 void Edge::onPeerLimits(const std::vector<EndpointLimitRecord> &records, bool rejected)
@@ -568,6 +566,7 @@
     metrics_.gauge("edge_requests_relayed_now",
                    relayServer_ ? static_cast<double>(relayServer_->open()) : 0.0);
     metrics_.gauge("edge_stream_records", static_cast<double>(streamOrigins_->recordCount()));
+    metrics_.gauge("edge_parts_quarantined", static_cast<double>(crashingParts_->quarantined(now)));
     metrics_.gauge("edge_requests_limited", static_cast<double>(endpoints_.limitedRequests()));
     metrics_.gauge("edge_config_version", config_ ? static_cast<double>(config_->version) : 0.0);
     metrics_.gauge("edge_config_age_seconds", age(*configFollower_));
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -109,7 +109,7 @@
     });
     const bool isStream = route_->kind == RouteKind::Stream;
     continuity_.begin(metadata_, isStream, isStream && route_->resumable);
-    if (!selectService()) {
+    if (!selectService() || refuseQuarantined()) {
         return;
     }
     if (continuity_.isResumed()) {
@@ -119,6 +119,19 @@
     reserveTokens();
 }
 
+bool Exchange::refuseQuarantined()
+{
+    if (metadata_.prompt.empty()) {
+        return false;
+    }
+    std::optional<Verdict> refusal = context_.prompts.refusal(service_->name, metadata_.prompt,
+                                                              std::chrono::steady_clock::now());
+    if (refusal) {
+        refuse(std::move(*refusal));
+    }
+    return refusal.has_value();
+}
+
 void Exchange::findStreamOrigin()
 {
     const std::weak_ptr<Exchange> weak = weak_from_this();
@@ -288,6 +301,9 @@
 
 void Exchange::placeNow()
 {
+    if (refuseQuarantined()) {
+        return;
+    }
     const Instant now = std::chrono::steady_clock::now();
     PlacementResult result =
             context_.placement.place(workItem(), metadata_.prompt, triedEndpoints_, now);
@@ -531,6 +547,7 @@
         return;
     }
     if (attempt_->hasFirstEvent) {
+        reportAnswer(std::chrono::steady_clock::now());
         setStallTimeout(scaled(route_->eventGapTarget, GapTimeoutFactor));
     }
     if (sink_.backlog() > MaxBacklogBytes) {
@@ -548,6 +565,7 @@
     if (!attempt_->hasFirstEvent) {
         attempt_->hasFirstEvent = true;
         const Instant now = std::chrono::steady_clock::now();
+        attempt_->firstEventAt = now;
         context_.placement.onFirstToken(attempt_->endpoint, metadata_.id, now);
         continuity_.onFirstEvent(service_->name, attempt_->version, now);
         statechart_.handle("event");
@@ -583,6 +601,7 @@
         return;
     }
     if (attempt_->splitter.pending() > 0 || !attempt_->hasFirstEvent) {
+        reportLoss(std::chrono::steady_clock::now());
         endAttempt(false);
         retryOrFail("the stream ended inside an event");
         return;
@@ -665,10 +684,32 @@
                 .with("endpoint", attempt_->endpoint)
                 .with("events", forwardedEvents_)
                 .with("shared_parts", describeShared(metadata_.prompt)));
+    reportLoss(now);
     endAttempt(false);
     retryOrFail(detail);
 }
 
+void Exchange::reportAnswer(Instant now)
+{
+    const bool isLongEnough = attempt_->outcome == AttemptOutcome::Completed
+                              || now >= attempt_->firstEventAt + PromptGuard::BeginningOfAnswer;
+    if (metadata_.prompt.empty() || attempt_->isAnswerReported || !isLongEnough) {
+        return;
+    }
+    attempt_->isAnswerReported = true;
+    context_.prompts.onAnswerWritten(service_->name, metadata_.prompt, now);
+}
+
+void Exchange::reportLoss(Instant now)
+{
+    const bool isLost = attempt_->outcome == AttemptOutcome::ConnectionLost;
+    const bool mayHaveCrashed = !attempt_->isAnswerReported && attempt_->relay.empty();
+    if (!metadata_.prompt.empty() && isLost && mayHaveCrashed) {
+        context_.prompts.onConnectionLost(service_->name, attempt_->endpoint, metadata_.prompt,
+                                          now);
+    }
+}
+
 void Exchange::onNotConnected(const std::string &detail, Instant now)
 {
     // While this host's own link is saturated, no endpoint connects in time. Treating each one
@@ -734,6 +775,9 @@
         return;
     }
     const Instant now = std::chrono::steady_clock::now();
+    if (attempt_->outcome == AttemptOutcome::Completed) {
+        reportAnswer(now);
+    }
     AttemptResult result;
     result.endpoint = attempt_->endpoint;
     result.request = metadata_.id;
--- /dev/null
+++ b/unittests/Edge/CrashMessageTest.cpp
@@ -0,0 +1,99 @@
+/// The datagrams by which hosts find the part of prompts that crashes endpoints.
+
+#include <gtest/gtest.h>
+
+#include "lib/Edge/CrashMessage.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+constexpr PartKey Part = 0xFFFF'FFFF'FFFF'FFF1U;
+constexpr uint64_t Service = 7;
+const Instant Now{std::chrono::hours(1)};
+const Instant Later = Now + std::chrono::seconds(5); ///< on the clock of another host
+const Interval Age = std::chrono::milliseconds(250);
+
+nlohmann::json parsed(const std::string &text)
+{
+    // A receiver reads no larger datagram.
+    EXPECT_LE(text.size(), 2048U);
+    const nlohmann::json message = nlohmann::json::parse(text);
+    EXPECT_EQ(message.at("version"), 1);
+    return message;
+}
+
+TEST(CrashMessage, ReportsAreDecoded)
+{
+    CrashReport report{Service, EndpointId("e"), {}, Now - Age};
+    for (uint32_t i = 0; i < CrashingParts::MaxReportedParts; ++i) {
+        report.parts.push_back({Part - i, i});
+    }
+    const CrashReport decoded = decodeCrashReport(parsed(encodeCrashReport(report, Now)), Later);
+    EXPECT_EQ(decoded.service, Service);
+    EXPECT_EQ(decoded.endpoint, EndpointId("e"));
+    EXPECT_EQ(decoded.at, Later - Age);
+    ASSERT_EQ(decoded.parts.size(), report.parts.size());
+    EXPECT_EQ(decoded.parts[3].key, Part - 3);
+    EXPECT_EQ(decoded.parts[3].depth, 3U);
+}
+
+TEST(CrashMessage, InquiriesAreDecoded)
+{
+    const PartInquiry inquiry =
+            decodePartInquiry(parsed(encodePartInquiry({Part, Service, Now - Age}, Now)), Later);
+    EXPECT_EQ(inquiry.part, Part);
+    EXPECT_EQ(inquiry.service, Service);
+    EXPECT_EQ(inquiry.since, Later - Age);
+}
+
+struct ResponseCase
+{
+    const char *name;
+    std::optional<Instant> servedAt;
+    std::optional<Instant> decoded;
+    std::vector<EndpointId> crashed;
+};
+
+class InquiryResponses : public testing::TestWithParam<ResponseCase>
+{};
+
+const ResponseCase ResponseCases[] = {
+        {"Served", Now - Age, Later - Age, {}},
+        {"NotServed", std::nullopt, std::nullopt, {EndpointId("a"), EndpointId("b")}},
+        // Guards against a time that is later than now at another host.
+        {"FromTheFuture", Now + Age, Later, {}},
+};
+
+TEST_P(InquiryResponses, AreDecoded)
+{
+    const ResponseCase &row = GetParam();
+    const InquiryResponse response = decodeInquiryResponse(
+            parsed(encodeInquiryResponse({Part, Service, row.servedAt, row.crashed}, Now)), Later);
+    EXPECT_EQ(response.part, Part);
+    EXPECT_EQ(response.service, Service);
+    EXPECT_EQ(response.servedAt, row.decoded);
+    EXPECT_EQ(response.crashed, row.crashed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, InquiryResponses, testing::ValuesIn(ResponseCases),
+                         [](const auto &row) { return row.param.name; });
+
+TEST(CrashMessage, QuarantinesAreDecodedAndBounded)
+{
+    Quarantine quarantine{Part, 2, Now + std::chrono::minutes(7), {}, HostId("h")};
+    for (int i = 0; i < 100; ++i) {
+        quarantine.crashed.emplace_back("endpoint-" + std::to_string(i));
+    }
+    const Quarantine decoded = decodeQuarantine(parsed(encodeQuarantine(quarantine, Now)), Later);
+    EXPECT_EQ(decoded.part, Part);
+    EXPECT_EQ(decoded.level, 2U);
+    EXPECT_EQ(decoded.until, Later + std::chrono::minutes(7));
+    EXPECT_EQ(decoded.decidedBy, HostId("h"));
+    EXPECT_EQ(decoded.crashed.size(), CrashingParts::MaxNamedEndpoints);
+    quarantine.until = Now + std::chrono::hours(1000);
+    EXPECT_EQ(decodeQuarantine(parsed(encodeQuarantine(quarantine, Now)), Later).until,
+              Later + CrashingParts::MaxQuarantine);
+}
+
+} // namespace
--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -170,6 +170,20 @@
     return 0;
 }
 
+std::optional<Verdict> FakePromptGuard::refusal(const ServiceId &,
+                                                const std::vector<PromptPart> &prompt, Instant now)
+{
+    const bool isKnown =
+            quarantined != 0
+            && std::any_of(prompt.begin(), prompt.end(),
+                           [this](const PromptPart &part) { return part.id == quarantined; });
+    if (!isKnown || refuseAfter-- > 0) {
+        return std::nullopt;
+    }
+    return Verdict{Execution::NotRun, Reason::PromptQuarantined, "quarantined",
+                   now + std::chrono::minutes(1)};
+}
+
 void FakeStreamOrigins::find(const ServiceId &, const RequestId &first, Instant,
                              std::function<void(const StreamOrigin &)> handler)
 {
@@ -204,6 +218,7 @@
                               placement,
                               tokenReservations,
                               streamOrigins,
+                              prompts,
                               link,
                               log_,
                               metrics_,
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -142,6 +142,28 @@
     std::vector<Begun> begun;
 };
 
+/// Refuses the prompts that a test names, and notes what is reported.
+class FakePromptGuard : public PromptGuard
+{
+public:
+    std::optional<Verdict> refusal(const ServiceId &, const std::vector<PromptPart> &prompt,
+                                   Instant now) override;
+    void onAnswerWritten(const ServiceId &, const std::vector<PromptPart> &, Instant) override
+    {
+        ++written;
+    }
+    void onConnectionLost(const ServiceId &, const EndpointId &endpoint,
+                          const std::vector<PromptPart> &, Instant) override
+    {
+        lost.push_back(endpoint);
+    }
+
+    uint64_t quarantined = 0; ///< a part; 0: none
+    int refuseAfter = 0;      ///< prompts with the part that pass before
+    int written = 0;
+    std::vector<EndpointId> lost;
+};
+
 struct ProxyTestSettings
 {
     /// Idle timeout of the caller's connection, also before its first request.
@@ -186,6 +208,7 @@
     OrderedPlacement placement;
     FakeTokenReservations tokenReservations;
     FakeStreamOrigins streamOrigins;
+    FakePromptGuard prompts;
     std::shared_ptr<ServingConfig> config;
     bool configIsCurrent = true;
     bool stopping = false;
