[Proxy] Responses without a length or chunks: tests, and none with chunks for HTTP/1.0

An answer or a stream may come with neither a length nor chunks and end with its connection. Whole, reset, closed inside an event, resumed, and all of these over a relay were right and have tests now. A caller of HTTP/1.0 got a stream in chunks, which it can't read, and a broken one ended in order: 2 of 3 rows of UnframedForOldCallers failed. It gets the bytes as they are now, the end by an orderly close and a break by a reset.

--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -87,6 +87,8 @@
     bool reading_ = false;
     bool writing_ = false;
     bool keepAlive_ = true;
+    bool acceptsChunks_ = true;
+    bool resetWhenWritten_ = false; ///< the end of the connection must not look orderly
     bool closeWhenWritten_ = false;
     bool lingering_ = false; ///< everything is written; waits for the peer to close
     bool isClosed_ = false;
--- a/include/sequoiagate/Proxy/HttpMessage.h
+++ b/include/sequoiagate/Proxy/HttpMessage.h
@@ -23,6 +23,7 @@
     std::string target;
     HttpFields fields;
     bool keepAlive = true;
+    bool acceptsChunks = true; ///< false for a caller of HTTP/1.0
 };
 
 struct ResponseHead
@@ -54,6 +55,7 @@
 enum class BodyFraming {
     Length,
     Chunked,
+    Close, ///< the connection ends with it
 };
 
 /// Serializes a response head. \p bodyBytes is used with BodyFraming::Length only.
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -176,6 +176,7 @@
     request.body = std::exchange(body_, std::string());
     request.receivedAt = requestStartedAt_;
     keepAlive_ = request.head.keepAlive;
+    acceptsChunks_ = request.head.acceptsChunks;
     context_.link.onReceived(request.body.size() + HeadBytes, std::chrono::steady_clock::now());
     // The local copy keeps the exchange alive: one that is refused ends inside start().
     ResponseSink &sink = *this;
@@ -228,29 +229,33 @@
 
 void CallerConnection::beginStream(ResponseHead head)
 {
-    keepAlive_ = keepAlive_ && !context_.shouldShedConnections();
+    keepAlive_ = keepAlive_ && acceptsChunks_ && !context_.shouldShedConnections();
     head.keepAlive = keepAlive_;
     addKeepAliveField(head);
-    queue(writeResponseHead(head, BodyFraming::Chunked, 0));
+    const BodyFraming framing = acceptsChunks_ ? BodyFraming::Chunked : BodyFraming::Close;
+    queue(writeResponseHead(head, framing, 0));
 }
 
 void CallerConnection::streamData(std::string_view bytes)
 {
     if (!bytes.empty()) {
-        queue(writeChunk(bytes));
+        queue(acceptsChunks_ ? writeChunk(bytes) : std::string(bytes));
     }
 }
 
 void CallerConnection::endStream()
 {
-    queue(std::string(LastChunk));
+    if (acceptsChunks_) {
+        queue(std::string(LastChunk));
+    }
     onResponseQueued(keepAlive_);
 }
 
 void CallerConnection::abort()
 {
     // Bytes already queued are still written. Without the last chunk the caller can tell that
-    // the response is incomplete.
+    // the response is incomplete; without chunks, by the reset.
+    resetWhenWritten_ = !acceptsChunks_;
     onResponseQueued(false);
     armTimer(LingerTime);
 }
@@ -354,6 +359,12 @@
         return;
     }
     if (outgoing_.empty()) {
+        if (closeWhenWritten_ && resetWhenWritten_) {
+            ErrorCode ignored;
+            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+            close(CallerCloseReason::Answered);
+            return;
+        }
         if (closeWhenWritten_ && !lingering_) {
             ErrorCode ignored;
             socket_.shutdown(tcp::socket::shutdown_send, ignored);
--- a/lib/Proxy/HttpMessage.cpp
+++ b/lib/Proxy/HttpMessage.cpp
@@ -123,7 +123,7 @@
     appendFields(text, head.fields);
     if (framing == BodyFraming::Chunked) {
         text += "Transfer-Encoding: chunked\r\n";
-    } else {
+    } else if (framing == BodyFraming::Length) {
         text += fmt::format("Content-Length: {}\r\n", bodyBytes);
     }
     if (!head.keepAlive) {
--- a/lib/Proxy/HttpReader.cpp
+++ b/lib/Proxy/HttpReader.cpp
@@ -105,9 +105,12 @@
 }
 
 template <bool IsRequest>
-void HttpReader<IsRequest>::on_request_impl(http::verb, Text name, Text target, int, ErrorCode &)
+void HttpReader<IsRequest>::on_request_impl(http::verb, Text name, Text target, int version,
+                                            ErrorCode &)
 {
+    constexpr int Http11 = 11;
     if constexpr (IsRequest) {
+        head_.acceptsChunks = version >= Http11;
         head_.method.assign(name.data(), name.size());
         head_.target.assign(target.data(), target.size());
     }
--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -275,6 +275,7 @@
                             [this](const error_code &error, std::size_t bytes) {
                                 if (error) {
                                     closed_ = true;
+                                    wasReset_ = error == boost::asio::error::connection_reset;
                                     return;
                                 }
                                 callerReceived_.append(buffer_.data(), bytes);
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -197,6 +197,8 @@
     CallerConnection &connection() { return *connection_; }
     const std::string &received() const { return callerReceived_; }
     bool closed() const { return closed_; }
+    /// Whether the caller's connection was closed by a reset.
+    bool wasReset() const { return wasReset_; }
 
     /// Returns a request in the format of the platform's callers.
     static std::string request(const std::string &path, const std::string &id,
@@ -226,6 +228,7 @@
     std::array<char, 4096> buffer_;
     std::string callerReceived_;
     bool closed_ = false;
+    bool wasReset_ = false;
 };
 
 } // namespace sequoiagate
--- /dev/null
+++ b/unittests/Proxy/UnframedResponseTest.cpp
@@ -0,0 +1,159 @@
+/// Responses without a length or chunks, which end with their connection.
+
+#include <gtest/gtest.h>
+
+#include "ProxyTestHarness.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+constexpr const char *Head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n";
+constexpr const char *Established = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+std::string plain(const std::string &body)
+{
+    return std::string(Head) + "\r\n" + body;
+}
+
+std::string stream(const std::string &events)
+{
+    return std::string(Head) + "Content-Type: text/event-stream\r\n\r\n" + events;
+}
+
+const char *const FirstEvents = "id: 0\ndata: x\n\nid: 1\ndata: x\n\n";
+const char *const LastEvent = "id: 2\ndata: x\n\n";
+
+struct UnframedCase
+{
+    const char *name;
+    const char *path;
+    std::vector<Reply> replies; ///< of two endpoints, one reply each
+    bool isWhole;               ///< whether the caller's response looks complete
+    const char *expected;       ///< substring of what the caller receives
+    const char *forbidden;
+};
+
+const UnframedCase UnframedCases[] = {
+        {"WholeAnswer", "/once/a", {{plain("good"), AfterReply::Close}}, true, "good", "502"},
+        // Guards against a part of an answer that looks whole.
+        {"AnswerCutByReset",
+         "/once/a",
+         {{plain("hal"), AfterReply::Reset}},
+         true,
+         "HTTP/1.1 502",
+         "hal"},
+        {"WholeStream",
+         "/stream/a",
+         {{stream(FirstEvents), AfterReply::Close}},
+         true,
+         "id: 1",
+         "502"},
+        // Guards against a stream that ends as if it were whole inside an event.
+        {"StreamClosedInsideAnEvent",
+         "/stream/a",
+         {{stream(std::string(FirstEvents) + "id: 2\nda"), AfterReply::Close}},
+         false,
+         "id: 1",
+         "id: 2"},
+        {"StreamReset",
+         "/stream/a",
+         {{stream(FirstEvents), AfterReply::Reset}},
+         false,
+         "id: 1",
+         "id: 2"},
+        {"StreamThatIsResumed",
+         "/resume/a",
+         {{stream(std::string(FirstEvents) + "id: 2\nda"), AfterReply::Close},
+          {stream(LastEvent), AfterReply::Close}},
+         true,
+         "id: 2\ndata: x",
+         "502"},
+        {"StreamThatIsResumedAfterAReset",
+         "/resume/a",
+         {{stream(FirstEvents), AfterReply::Reset}, {stream(LastEvent), AfterReply::Close}},
+         true,
+         "id: 2\ndata: x",
+         "502"},
+        {"StreamWithoutEvents",
+         "/stream/a",
+         {{stream(""), AfterReply::Close}},
+         true,
+         "HTTP/1.1 502",
+         "id:"},
+};
+
+class Unframed : public testing::TestWithParam<std::tuple<UnframedCase, bool>>
+{};
+
+TEST_P(Unframed, EndsWithItsConnection)
+{
+    const auto &[row, isRelayed] = GetParam();
+    std::vector<std::vector<Reply>> scripts;
+    for (const Reply &reply : row.replies) {
+        scripts.push_back(isRelayed ? std::vector<Reply>{{Established}, reply}
+                                    : std::vector<Reply>{reply});
+    }
+    ProxyTestHarness harness(scripts);
+    for (std::size_t i = 0; isRelayed && i < scripts.size(); ++i) {
+        harness.placement.endpoints[i].relay =
+                RelayRoute{HostId("other"), harness.endpoints[i]->address(), false};
+    }
+    harness.send(ProxyTestHarness::request(row.path, "r1"));
+    EXPECT_TRUE(harness.waitFor(row.expected)) << harness.received();
+    const bool isStream = std::string(row.expected).rfind("id:", 0) == 0;
+    if (!row.isWhole) {
+        EXPECT_TRUE(harness.waitForClose());
+        EXPECT_EQ(harness.received().find("0\r\n\r\n"), std::string::npos);
+    } else if (isStream) {
+        EXPECT_TRUE(harness.waitFor("0\r\n\r\n")) << harness.received();
+    }
+    EXPECT_EQ(harness.received().find(row.forbidden), std::string::npos) << harness.received();
+    // A caller that keeps its connection goes on using it after a whole response.
+    EXPECT_EQ(harness.closed(), !row.isWhole);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, Unframed,
+                         testing::Combine(testing::ValuesIn(UnframedCases), testing::Bool()),
+                         [](const auto &row) {
+                             return std::string(std::get<0>(row.param).name)
+                                    + (std::get<1>(row.param) ? "OverARelay" : "");
+                         });
+
+struct OldCallerCase
+{
+    const char *name;
+    std::string bytes;
+    AfterReply then;
+    bool isWhole;
+};
+
+class UnframedForOldCallers : public testing::TestWithParam<OldCallerCase>
+{};
+
+const OldCallerCase OldCallerCases[] = {
+        {"Whole", stream(FirstEvents), AfterReply::Close, true},
+        {"ClosedInsideAnEvent", stream(std::string(FirstEvents) + "id: 2\nda"), AfterReply::Close,
+         false},
+        {"Reset", stream(FirstEvents), AfterReply::Reset, false},
+};
+
+// Guards against a broken stream that looks whole to a caller of HTTP/1.0, for whom an orderly
+// close is its end.
+TEST_P(UnframedForOldCallers, BrokenStreamsAreReset)
+{
+    const OldCallerCase &row = GetParam();
+    ProxyTestHarness harness({{{row.bytes, row.then}}});
+    std::string request = ProxyTestHarness::request("/stream/a", "r1");
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    harness.send(request);
+    EXPECT_TRUE(harness.waitForClose());
+    EXPECT_EQ(harness.wasReset(), !row.isWhole) << harness.received();
+    EXPECT_EQ(harness.received().find("id: 2"), std::string::npos);
+    EXPECT_EQ(harness.received().find("chunked"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, UnframedForOldCallers, testing::ValuesIn(OldCallerCases),
+                         [](const auto &row) { return row.param.name; });
+
+} // namespace
