--- a/unittests/Decisions/CrashingPartsTest.cpp
+++ b/unittests/Decisions/CrashingPartsTest.cpp
@@ -23,7 +23,6 @@
 constexpr uint64_t SecondBadPart = 0xBAD2;
 constexpr int Domains = 3;
 constexpr Interval Step = std::chrono::milliseconds(5);
-constexpr Interval UntilFirstEvent = std::chrono::milliseconds(100);
 constexpr Interval UntilWritten = std::chrono::milliseconds(400);
 constexpr Interval UntilCrash = std::chrono::milliseconds(60);
 constexpr Interval RestartDelay = std::chrono::seconds(3);
