[Edge] [Docs] Name the quarantined part as callers and logs have it

The refusal gave the hash of the part and its service alone, which no other line has: it couldn't be matched to the shared parts of request.connection_lost.

--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -129,14 +129,17 @@
                                                   const std::vector<PromptPart> &prompt,
                                                   Instant now)
 {
-    const Quarantine *quarantine = parts_.find(service, sharedParts(prompt), now);
-    if (quarantine == nullptr) {
-        return std::nullopt;
+    for (const uint64_t part : sharedParts(prompt)) {
+        const Quarantine *quarantine = parts_.find(service, {part}, now);
+        if (quarantine != nullptr) {
+            return Verdict{Execution::NotRun, Reason::PromptQuarantined,
+                           fmt::format("prompt part {:x}, quarantined as {:016x}, crashed {} "
+                                       "endpoints",
+                                       part, quarantine->part, quarantine->crashed.size()),
+                           quarantine->until};
+        }
     }
-    return Verdict{Execution::NotRun, Reason::PromptQuarantined,
-                   fmt::format("prompt part {:016x} crashed {} endpoints", quarantine->part,
-                               quarantine->crashed.size()),
-                   quarantine->until};
+    return std::nullopt;
 }
 
 void CrashingPartsLink::onAnswerWritten(const ServiceId &service,
