[Proxy] [Decisions] Streams that callers don't name go on where nobody saw a second version

Such a stream goes on now if none of the hosts that are asked has seen more than one version of its service. Streams that are named are handled as before: without a record the service must have had one version for two minutes and the longest stream.

--- a/include/sequoiagate/Decisions/StreamOrigins.h
+++ b/include/sequoiagate/Decisions/StreamOrigins.h
@@ -110,6 +110,8 @@
     void onStreamBegan(const ServiceId &service, const RequestId &first,
                        const SoftwareVersion &version, Instant now);
     /// Calls \p handler, possibly from inside this call, at the latest after QueryTimeout.
+    /// \param first empty if the caller doesn't name it. Such a stream goes on if no host that is
+    ///     asked has seen more than one version of its service.
     void find(const ServiceId &service, const RequestId &first, Instant now, FoundHandler handler);
 
     /// Another host's record, which is to be acknowledged to it.
@@ -144,6 +146,7 @@
     struct Lookup
     {
         OriginQuery query;
+        bool isNamed = true;
         std::vector<FoundHandler> handlers;
         std::set<HostId> unanswered;
         std::vector<VersionView> views;
--- a/include/sequoiagate/Decisions/VersionHistory.h
+++ b/include/sequoiagate/Decisions/VersionHistory.h
@@ -34,7 +34,7 @@
 struct VersionView
 {
     VersionKnowledge knowledge = VersionKnowledge::Unknown;
-    SoftwareVersion version; ///< the sole one
+    SoftwareVersion version; ///< the sole one; if Unknown, the only one that the host has seen
 };
 
 /// Not thread safe.
--- a/include/sequoiagate/Proxy/StreamContinuity.h
+++ b/include/sequoiagate/Proxy/StreamContinuity.h
@@ -24,6 +24,7 @@
     virtual void onStreamBegan(const ServiceId &service, const RequestId &first,
                                const SoftwareVersion &version, Instant now) = 0;
     /// Calls \p handler once, possibly from inside this call, within a fraction of a second.
+    /// \param first empty if the caller doesn't name it
     virtual void find(const ServiceId &service, const RequestId &first, Instant now,
                       std::function<void(const StreamOrigin &)> handler) = 0;
 };
@@ -57,6 +58,7 @@
     RequestId own_;
     RequestId first_; ///< the request that brought the first event, or this one
     bool isResumed_ = false;
+    bool isNamed_ = true; ///< whether the caller says which request began a stream
     bool isRecorded_ = false;
     bool isForwarding_ = false; ///< an event was forwarded in this request
     std::optional<SoftwareVersion> version_;
--- a/lib/Decisions/StreamOrigins.cpp
+++ b/lib/Decisions/StreamOrigins.cpp
@@ -146,6 +146,7 @@
         return;
     }
     lookup.query = query;
+    lookup.isNamed = !first.empty();
     lookup.resendAt = now + QueryResendDelay;
     lookup.endAt = now + QueryTimeout;
     for (const ReplicaCandidates &hosts : placement_.candidates(query.key)) {
@@ -194,13 +195,14 @@
     views.push_back(versions_.view(lookup.query.service, now));
     const VersionView *sole = nullptr;
     for (const VersionView &view : views) {
+        const bool counts = view.knowledge == VersionKnowledge::Sole
+                            || (!lookup.isNamed && !view.version.empty());
         const bool contradicts = view.knowledge == VersionKnowledge::Several
-                                 || (view.knowledge == VersionKnowledge::Sole && sole != nullptr
-                                     && sole->version != view.version);
+                                 || (counts && sole != nullptr && sole->version != view.version);
         if (contradicts) {
             return origin;
         }
-        if (view.knowledge == VersionKnowledge::Sole) {
+        if (counts) {
             sole = &view;
         }
     }
--- a/lib/Proxy/StreamContinuity.cpp
+++ b/lib/Proxy/StreamContinuity.cpp
@@ -9,13 +9,14 @@
     own_ = request.id;
     isResumed_ = isStream && request.lastEventId.has_value();
     isRecorded_ = isRecorded;
-    first_ = isResumed_ && !request.resumedStream.empty() ? request.resumedStream : own_;
+    isNamed_ = !isResumed_ || !request.resumedStream.empty();
+    first_ = isResumed_ && isNamed_ ? request.resumedStream : own_;
 }
 
 void StreamContinuity::findOrigin(const ServiceId &service, Instant now,
                                   std::function<void(const StreamOrigin &)> handler)
 {
-    origins_.find(service, first_, now, std::move(handler));
+    origins_.find(service, isNamed_ ? first_ : RequestId(), now, std::move(handler));
 }
 
 void StreamContinuity::onOriginFound(const StreamOrigin &origin)
