[Edge] Probe an endpoint twice before it counts as alive

The logs show 30 of 39 crashes at which the host that lost the bad request saw no end of the endpoint: the connection that it tried at once was still accepted, since the endpoint's connections were reset a moment before its listener closed. Each of these was no evidence. An endpoint is alive now only if it accepts a second connection 0.1 s later as well.

--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <memory>
 
 #include <fmt/format.h>
 
@@ -17,6 +18,11 @@
 /// within a round trip.
 constexpr Interval ProbeTimeout = std::chrono::milliseconds(300);
 
+/// An endpoint that is ending may still accept a connection, so it is alive only if it accepts one
+/// a little later as well.
+constexpr int ProbeAttempts = 2;
+constexpr Interval ProbeInterval = std::chrono::milliseconds(100);
+
 /// Hosts that get each round of gossip.
 constexpr std::size_t GossipHosts = 3;
 
@@ -160,16 +166,36 @@
     if (!isProbed) {
         return;
     }
-    probeConnection(io_, *address, now + ProbeTimeout, [this, endpoint](bool connected) {
-        if (!connected) {
-            log_.write(Event("endpoint.ended").with("endpoint", endpoint));
-            metrics_.count("endpoint_crashes_seen_total");
+    probe(endpoint, *address, ProbeAttempts);
+}
+
+void CrashingPartsLink::probe(const EndpointId &endpoint,
+                              const boost::asio::ip::tcp::endpoint &address, int attempts)
+{
+    const Instant deadline = std::chrono::steady_clock::now() + ProbeTimeout;
+    probeConnection(io_, address, deadline, [this, endpoint, address, attempts](bool connected) {
+        if (!connected || attempts <= 1) {
+            onProbed(endpoint, !connected);
+            return;
         }
-        parts_.onEndpointProbed(endpoint, !connected, std::chrono::steady_clock::now());
-        armTimer();
+        const auto timer = std::make_shared<DeadlineTimer>(io_);
+        timer->arm(std::chrono::steady_clock::now() + ProbeInterval,
+                   [this, timer, endpoint, address, attempts] {
+                       probe(endpoint, address, attempts - 1);
+                   });
     });
 }
 
+void CrashingPartsLink::onProbed(const EndpointId &endpoint, bool hasEnded)
+{
+    if (hasEnded) {
+        log_.write(Event("endpoint.ended").with("endpoint", endpoint));
+        metrics_.count("endpoint_crashes_seen_total");
+    }
+    parts_.onEndpointProbed(endpoint, hasEnded, std::chrono::steady_clock::now());
+    armTimer();
+}
+
 void CrashingPartsLink::onQuarantined(const Quarantine &quarantine)
 {
     const auto remaining =
--- a/lib/Edge/CrashingPartsLink.h
+++ b/lib/Edge/CrashingPartsLink.h
@@ -47,6 +47,10 @@
     using Address = boost::asio::ip::udp::endpoint;
 
     void registerHandlers();
+    /// Finds out whether an endpoint has ended.
+    void probe(const EndpointId &endpoint, const boost::asio::ip::tcp::endpoint &address,
+               int attempts);
+    void onProbed(const EndpointId &endpoint, bool hasEnded);
     void broadcast(const std::string &text);
     void onQuarantined(const Quarantine &quarantine);
     void armTimer();
