--- a/unittests/Decisions/CrashingPartsTest.cpp
+++ b/unittests/Decisions/CrashingPartsTest.cpp
@@ -394,9 +394,9 @@
         {"OneByOne", Small, 1000, 100, crashOne},
         {"OneByOneInALargeFleet", Large, 200, 60, crashOne},
         {"AThirdAtOnce", Small, 4000, 60, crashAThird},
-        {"AThirdAtOnceInALargeFleet", Large, 4000, 2, crashAThird},
-        {"AllAtOnce", Small, 5000, 60, crashAll},
-        {"AllAtOnceInALargeFleet", Large, 5000, 2, crashAll},
+        {"AThirdAtOnceInALargeFleet", Large, 4000, 1, crashAThird},
+        {"AllAtOnce", Small, 5000, 25, crashAll},
+        {"AllAtOnceInALargeFleet", Large, 5000, 1, crashAll},
         {"InTurn", Small, 1000, 100, crashInTurn},
         // Endpoints are down for most of the time, and most requests are lost.
         {"MostOfTheTime", Small, 400, 200, crashInTurn},
