[Decisions] [Edge] Tell crashing parts from sound ones by how soon requests are lost

Cause: a part's losses were weighed against the share of requests lost over the last 10 to 20 s at the deciding host, without those at the part's own endpoints. At the beginning of a disturbance that share is the calm before it: a sound part lost at 5 of 6 crashes was weighed against 0.04, where three of four requests were lost. Once a part crashes most endpoints the share is too high instead.

Now all hosts tell, with their response to an inquiry, how their requests ended since 2 s before the part's first crash, and only requests that were lost at the ages of the suspect's count. A crashing part is lost soon after it is sent, so that it is still told apart where many requests are lost.

New rows: few callers, endpoints that crash late in a request, ordinary crashes beside the part, and sound requests with the same first part, counted in fleets of 6 and 195 hosts.

--- a/include/sequoiagate/Decisions/CrashingParts.h
+++ b/include/sequoiagate/Decisions/CrashingParts.h
@@ -16,10 +16,10 @@
 /// none has had an answer on it since the first of these crashes, it is quarantined at all hosts.
 /// Nothing is sent while no endpoint crashes.
 ///
-/// Crashes for other reasons: endpoints that crash at about the same time count once; a part has to
-/// explain most of the crashes of its service since the first one, and more than could be chance
-/// where many requests of the service are lost; an endpoint that still accepts
-/// connections hasn't crashed; a service that serves no prompt at all is at fault itself.
+/// Crashes for other reasons: a part has to explain most of the crashes of its service since the
+/// first one, at several times; sound requests must hardly be lost as often in a row and as soon
+/// after they were sent (LossStatistics); an endpoint that still accepts connections hasn't
+/// crashed; a service that serves no prompt at all is at fault itself.
 
 #include <cstdint>
 #include <functional>
@@ -31,6 +31,7 @@
 
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Decisions/LossStatistics.h"
 #include "sequoiagate/Decisions/ReplicaPlacement.h"
 
 namespace sequoiagate {
@@ -45,6 +46,8 @@
 {
     PartKey key = 0;
     uint32_t depth = 0; ///< its position in its prompt
+    /// The class of the age of the oldest request with it that was lost.
+    std::size_t ageClass = OutcomeCounts::AgeClasses - 1;
 };
 
 /// What one host had open at an endpoint that crashed.
@@ -56,8 +59,8 @@
     Instant at{};
 };
 
-/// Asks whether an answer on a part was written since a time, and which endpoints of its service
-/// crashed.
+/// Asks whether an answer on a part was written since a time, how requests for its service ended,
+/// and which of its endpoints crashed.
 struct PartInquiry
 {
     PartKey part = 0;
@@ -71,6 +74,7 @@
     uint64_t service = 0;
     std::optional<Instant> servedAt;
     std::vector<EndpointId> crashed;
+    OutcomeCounts outcomes;
 };
 
 struct Quarantine
@@ -94,14 +98,16 @@
 public:
     /// Crashes after which a part is quarantined, and after a quarantine that was lifted.
     static constexpr std::size_t CrashesToQuarantine = 3;
-    /// How likely a sound part may be to be lost that often in a row, at the share of requests of
-    /// its service that are lost.
-    static constexpr double MaxChance = 1e-7;
-    /// Requests longer ago don't count for that share.
-    static constexpr Interval OutcomeWindow = std::chrono::seconds(10);
+    /// How likely a sound part may be to be lost that often in a row: with a thousand crashes a day
+    /// and a hundred suspects each, one is quarantined in a hundred days.
+    static constexpr double MaxChance = 1e-5;
+    /// How long before the first crash of a part outcomes of requests count for that.
+    static constexpr Interval BaselineTime = std::chrono::seconds(2);
     static constexpr std::size_t CrashesAfterQuarantine = 1;
-    /// Crashes within this time of each other count as one.
+    /// Crashes within this time of each other count as one of these.
     static constexpr Interval CrashSpacing = std::chrono::milliseconds(300);
+    /// The least time between two inquiries about a part.
+    static constexpr Interval InquirySpacing = std::chrono::milliseconds(300);
     /// The share of the crashes of its service that a part has to explain.
     static constexpr double MostCrashes = 0.5;
     /// A smaller share that is enough after more crashes, of parts that crash endpoints among
@@ -138,8 +144,9 @@
     void onAnswerWritten(const ServiceId &service, const std::vector<uint64_t> &parts, Instant now);
     /// The connection of a request was lost that had no answer yet, or an answer that had just
     /// begun. \returns whether to find out if \p endpoint has ended, and to call onEndpointProbed
+    /// \pre \p sentAt isn't later than \p now
     bool onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
-                          const std::vector<uint64_t> &parts, Instant now);
+                          const std::vector<uint64_t> &parts, Instant sentAt, Instant now);
     void onEndpointProbed(const EndpointId &endpoint, bool hasEnded, Instant now);
     /// The quarantine of one of these parts; nullptr if none is quarantined.
     const Quarantine *find(const ServiceId &service, const std::vector<uint64_t> &parts,
@@ -159,34 +166,33 @@
     Instant nextDeadline() const;
 
 private:
-    struct Loss
+    struct LostPart
     {
-        uint64_t service = 0;
-        std::map<PartKey, uint32_t> parts; ///< depth by part
-        Instant at{};
+        uint32_t depth = 0;
+        std::size_t ageClass = 0;
     };
 
-    /// How requests of this host ended.
-    struct Outcomes
+    struct Loss
     {
-        uint64_t written = 0;
-        uint64_t lost = 0;
-        std::map<EndpointId, uint64_t> lostAt;
+        uint64_t service = 0;
+        std::map<PartKey, LostPart> parts;
+        Instant at{};
     };
 
-    struct ServiceOutcomes
+    struct Crash
     {
-        Outcomes current;
-        Outcomes previous;
-        Instant turnAt{}; ///< when current becomes previous
+        Instant at{};
+        std::size_t ageClass = 0;
     };
 
     struct Suspect
     {
         uint64_t service = 0;
         uint32_t depth = 0;
-        std::map<EndpointId, Instant> crashes;
+        std::map<EndpointId, Crash> crashes;
+        OutcomeCounts outcomesElsewhere; ///< that other hosts answered to the last inquiry
         Instant decideAt = Never;
+        Instant nextInquiryAt{};
     };
 
     void report(const EndpointId &endpoint, const Loss &loss, Instant now);
@@ -194,10 +200,11 @@
     static void clear(Suspect &suspect, Instant until);
     static std::size_t countCrashes(const Suspect &suspect);
     static Instant firstCrash(const Suspect &suspect);
-    Outcomes &outcomesOf(uint64_t service, Instant now);
-    /// The share of a service's requests that are lost, without those at the endpoints that
-    /// \p suspect was at if \p excludesOwn.
-    double shareLost(const Suspect &suspect, bool excludesOwn) const;
+    /// How likely a sound part is to be lost that often in a row and as early, as requests of its
+    /// service were lost since.
+    double chance(const Suspect &suspect) const;
+    /// Whether enough crashes name a part to ask other hosts about it.
+    bool isDue(PartKey part, const Suspect &suspect) const;
     bool isSignificant(PartKey part, const Suspect &suspect) const;
     bool isQuarantined(PartKey part, Instant now) const;
     void noteCrash(uint64_t service, const EndpointId &endpoint, Instant at);
@@ -218,7 +225,7 @@
     std::unordered_map<PartKey, Instant> served_;
     std::unordered_map<PartKey, Instant> servedBefore_;
     std::map<uint64_t, Instant> serviceServed_;
-    std::map<uint64_t, ServiceOutcomes> outcomes_;
+    std::map<uint64_t, LossStatistics> outcomes_;
     std::map<EndpointId, Loss> losses_;   ///< until the endpoint is probed
     std::map<EndpointId, Instant> ended_; ///< when they were found to have ended
     /// When endpoints crashed, by service, without those that quarantined parts crashed.
--- a/include/sequoiagate/Proxy/PromptGuard.h
+++ b/include/sequoiagate/Proxy/PromptGuard.h
@@ -27,9 +27,11 @@
     /// An answer on \p prompt was written, or has been for a while.
     virtual void onAnswerWritten(const ServiceId &service, const std::vector<PromptPart> &prompt,
                                  Instant now) = 0;
-    /// The connection to \p endpoint was lost before or just after it began to write an answer.
+    /// The connection to \p endpoint was lost before or just after it began to write an answer to a
+    /// request that was sent at \p sentAt.
     virtual void onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
-                                  const std::vector<PromptPart> &prompt, Instant now) = 0;
+                                  const std::vector<PromptPart> &prompt, Instant sentAt,
+                                  Instant now) = 0;
 };
 
 } // namespace sequoiagate
--- a/lib/Decisions/CrashingParts.cpp
+++ b/lib/Decisions/CrashingParts.cpp
@@ -33,7 +33,7 @@
 {
     const uint64_t serviceKey = stableHash(service.text());
     serviceServed_[serviceKey] = now;
-    ++outcomesOf(serviceKey, now).written;
+    outcomes_[serviceKey].onWritten(now);
     if (served_.size() >= MaxServedParts) {
         servedBefore_ = std::exchange(served_, {});
     }
@@ -59,18 +59,18 @@
 }
 
 bool CrashingParts::onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
-                                     const std::vector<uint64_t> &parts, Instant now)
+                                     const std::vector<uint64_t> &parts, Instant sentAt,
+                                     Instant now)
 {
     if (parts.empty()) {
         return false;
     }
+    const std::size_t age = ageClass(now - sentAt);
     Loss lost{stableHash(service.text()), {}, now};
     for (std::size_t i = 0; i < parts.size(); ++i) {
-        lost.parts[partKey(service, parts[i])] = static_cast<uint32_t>(i);
+        lost.parts[partKey(service, parts[i])] = {static_cast<uint32_t>(i), age};
     }
-    Outcomes &outcomes = outcomesOf(lost.service, now);
-    ++outcomes.lost;
-    ++outcomes.lostAt[endpoint];
+    outcomes_[lost.service].onLost(age, now);
     std::erase_if(ended_, [now](const auto &entry) { return now >= entry.second + EndedMemory; });
     const auto ended = ended_.find(endpoint);
     if (ended != ended_.end()) {
@@ -78,8 +78,9 @@
         return false;
     }
     const auto [found, added] = losses_.try_emplace(endpoint, lost);
-    if (!added) {
-        found->second.parts.merge(lost.parts);
+    for (const auto &[key, part] : lost.parts) {
+        LostPart &known = found->second.parts[key];
+        known = {std::max(known.depth, part.depth), std::max(known.ageClass, part.ageClass)};
     }
     return added;
 }
@@ -102,13 +103,13 @@
 {
     CrashReport report{loss.service, endpoint, {}, loss.at};
     std::set<HostId> recipients;
-    for (const auto &[key, depth] : loss.parts) {
+    for (const auto &[key, part] : loss.parts) {
         // What was served since the loss can't have caused it.
         const std::optional<Instant> served = servedAt(key);
         if ((served && *served >= loss.at) || report.parts.size() >= MaxReportedParts) {
             continue;
         }
-        report.parts.push_back({key, depth});
+        report.parts.push_back({key, part.depth, part.ageClass});
         for (const ReplicaCandidates &hosts : placement_.candidates(key)) {
             recipients.insert(hosts.begin(), hosts.end());
         }
@@ -121,14 +122,14 @@
 
 void CrashingParts::clear(Suspect &suspect, Instant until)
 {
-    std::erase_if(suspect.crashes, [until](const auto &crash) { return crash.second <= until; });
+    std::erase_if(suspect.crashes, [until](const auto &crash) { return crash.second.at <= until; });
 }
 
 std::size_t CrashingParts::countCrashes(const Suspect &suspect)
 {
     std::vector<Instant> times;
-    for (const auto &[endpoint, at] : suspect.crashes) {
-        times.push_back(at);
+    for (const auto &[endpoint, crash] : suspect.crashes) {
+        times.push_back(crash.at);
     }
     std::sort(times.begin(), times.end());
     std::size_t count = 0;
@@ -145,8 +146,8 @@
 Instant CrashingParts::firstCrash(const Suspect &suspect)
 {
     Instant first = Never;
-    for (const auto &[endpoint, at] : suspect.crashes) {
-        first = std::min(first, at);
+    for (const auto &[endpoint, crash] : suspect.crashes) {
+        first = std::min(first, crash.at);
     }
     return first;
 }
@@ -169,53 +170,37 @@
     return static_cast<double>(suspect.crashes.size()) / std::max(static_cast<double>(total), 1.0);
 }
 
-CrashingParts::Outcomes &CrashingParts::outcomesOf(uint64_t service, Instant now)
+double CrashingParts::chance(const Suspect &suspect) const
 {
-    ServiceOutcomes &outcomes = outcomes_[service];
-    if (now >= outcomes.turnAt) {
-        outcomes.previous = std::exchange(outcomes.current, {});
-        outcomes.turnAt = now + OutcomeWindow;
+    OutcomeCounts counts = suspect.outcomesElsewhere;
+    const auto own = outcomes_.find(suspect.service);
+    if (own != outcomes_.end()) {
+        counts += own->second.since(firstCrash(suspect) - BaselineTime);
     }
-    return outcomes.current;
+    std::size_t oldest = 0;
+    for (const auto &[endpoint, crash] : suspect.crashes) {
+        oldest = std::max(oldest, crash.ageClass);
+    }
+    const std::size_t count = suspect.crashes.size();
+    return std::pow(counts.lossChance(oldest, count), static_cast<double>(count));
 }
 
-double CrashingParts::shareLost(const Suspect &suspect, bool excludesOwn) const
+bool CrashingParts::isDue(PartKey part, const Suspect &suspect) const
 {
-    // As if half of one request more had been lost, since few requests tell little.
-    constexpr double Prior = 0.5;
-    const auto found = outcomes_.find(suspect.service);
-    double lost = Prior;
-    double written = Prior;
-    if (found != outcomes_.end()) {
-        for (const Outcomes *outcomes : {&found->second.current, &found->second.previous}) {
-            lost += static_cast<double>(outcomes->lost);
-            written += static_cast<double>(outcomes->written);
-            for (const auto &[endpoint, count] : outcomes->lostAt) {
-                const bool isExcluded = excludesOwn && suspect.crashes.count(endpoint) > 0;
-                lost -= isExcluded ? static_cast<double>(count) : 0.0;
-            }
-        }
+    const std::size_t count = suspect.crashes.size();
+    if (quarantines_.count(part) > 0) {
+        return count >= CrashesAfterQuarantine;
     }
-    return lost / (lost + written);
+    const double explained = shareExplained(suspect);
+    const bool explainsEnough =
+            explained > MostCrashes || (explained >= ManyCrashes && count >= CrashesAmongOthers);
+    return explainsEnough && countCrashes(suspect) >= CrashesToQuarantine;
 }
 
 bool CrashingParts::isSignificant(PartKey part, const Suspect &suspect) const
 {
-    if (quarantines_.count(part) > 0) {
-        return suspect.crashes.size() >= CrashesAfterQuarantine;
-    }
-    const double explained = shareExplained(suspect);
-    const bool explainsMost = explained > MostCrashes;
-    const std::size_t count = suspect.crashes.size();
-    if (!explainsMost && (explained < ManyCrashes || count < CrashesAmongOthers)) {
-        return false;
-    }
-    // Where most requests are lost anyway, those at its endpoints tell nothing of the part.
-    const double lost = shareLost(suspect, false);
-    const bool excludesOwn = explainsMost && lost < MostCrashes;
-    const double chance =
-            std::pow(excludesOwn ? shareLost(suspect, true) : lost, static_cast<double>(count));
-    return countCrashes(suspect) >= CrashesToQuarantine && chance <= MaxChance;
+    const bool isKnown = quarantines_.count(part) > 0;
+    return isDue(part, suspect) && (isKnown || chance(suspect) <= MaxChance);
 }
 
 bool CrashingParts::isQuarantined(PartKey part, Instant now) const
@@ -249,10 +234,10 @@
         Suspect &suspect = suspects_[part.key];
         suspect.service = report.service;
         suspect.depth = std::max(suspect.depth, part.depth);
-        const auto [found, added] = suspect.crashes.try_emplace(report.endpoint, report.at);
-        if (!added) {
-            found->second = std::min(found->second, report.at);
-        }
+        const Crash reported{report.at, part.ageClass};
+        Crash &crash = suspect.crashes.try_emplace(report.endpoint, reported).first->second;
+        crash.at = std::min(crash.at, reported.at);
+        crash.ageClass = std::max(crash.ageClass, reported.ageClass);
         if (const auto served = servedAt(part.key)) {
             clear(suspect, *served);
         }
@@ -267,11 +252,13 @@
 
 void CrashingParts::review(PartKey part, Suspect &suspect, Instant now)
 {
-    const bool isDue = isSignificant(part, suspect) && !isQuarantined(part, now);
-    if (!isDue || suspect.decideAt != Never) {
+    const bool isRunning = suspect.decideAt != Never || now < suspect.nextInquiryAt;
+    if (isRunning || isQuarantined(part, now) || !isDue(part, suspect)) {
         return;
     }
     suspect.decideAt = now + InquiryTime;
+    suspect.nextInquiryAt = now + InquirySpacing;
+    suspect.outcomesElsewhere = {};
     broadcastInquiry({part, suspect.service, firstCrash(suspect)});
 }
 
@@ -296,7 +283,7 @@
     quarantine.level = known == quarantines_.end() ? 0 : known->second.level + 1;
     quarantine.until = now + quarantineTime(quarantine.level);
     quarantine.decidedBy = settings_.host;
-    for (const auto &[endpoint, at] : suspect.crashes) {
+    for (const auto &[endpoint, crash] : suspect.crashes) {
         quarantine.crashed.push_back(endpoint);
     }
     broadcastQuarantine(quarantine);
@@ -339,7 +326,7 @@
 
 std::optional<InquiryResponse> CrashingParts::onInquiry(const PartInquiry &inquiry) const
 {
-    InquiryResponse response{inquiry.part, inquiry.service, servedAt(inquiry.part), {}};
+    InquiryResponse response{inquiry.part, inquiry.service, servedAt(inquiry.part), {}, {}};
     if (response.servedAt && *response.servedAt < inquiry.since) {
         response.servedAt.reset();
     }
@@ -351,7 +338,11 @@
             }
         }
     }
-    if (!response.servedAt && response.crashed.empty()) {
+    const auto outcomes = outcomes_.find(inquiry.service);
+    if (outcomes != outcomes_.end()) {
+        response.outcomes = outcomes->second.since(inquiry.since - BaselineTime);
+    }
+    if (!response.servedAt && response.crashed.empty() && response.outcomes.isEmpty()) {
         return std::nullopt;
     }
     return response;
@@ -363,7 +354,13 @@
         noteCrash(response.service, endpoint, now);
     }
     const auto found = suspects_.find(response.part);
-    if (found != suspects_.end() && response.servedAt) {
+    if (found == suspects_.end()) {
+        return;
+    }
+    if (found->second.decideAt != Never) {
+        found->second.outcomesElsewhere += response.outcomes;
+    }
+    if (response.servedAt) {
         clear(found->second, *response.servedAt);
     }
 }
@@ -398,7 +395,7 @@
 {
     for (auto &[part, suspect] : suspects_) {
         std::erase_if(suspect.crashes,
-                      [now](const auto &crash) { return now >= crash.second + CrashLifetime; });
+                      [now](const auto &crash) { return now >= crash.second.at + CrashLifetime; });
     }
     std::erase_if(suspects_, [](const auto &entry) { return entry.second.crashes.empty(); });
     for (auto &[service, crashed] : crashes_) {
--- a/lib/Edge/CrashMessage.cpp
+++ b/lib/Edge/CrashMessage.cpp
@@ -6,11 +6,12 @@
 
 namespace {
 
-///
-
 /// Messages name no greater age.
 constexpr Millis MaxAge = std::chrono::hours(1);
 
+/// What reports without an age of their requests are read as.
+constexpr std::size_t OldestAgeClass = OutcomeCounts::AgeClasses - 1;
+
 nlohmann::json messageOf(const char *kind)
 {
     return {{"kind", kind}, {"version", 1}};
@@ -42,6 +43,18 @@
     return endpoints;
 }
 
+OutcomeCounts outcomesOf(const nlohmann::json &message)
+{
+    OutcomeCounts outcomes;
+    outcomes.written = message.value("written", uint64_t(0));
+    const auto lost = message.find("lost");
+    const std::size_t classes = lost == message.end() ? 0 : lost->size();
+    for (std::size_t i = 0; i < std::min(classes, OutcomeCounts::AgeClasses); ++i) {
+        outcomes.lost.at(i) = lost->at(i).get<uint64_t>();
+    }
+    return outcomes;
+}
+
 int64_t ageOf(Instant at, Instant now)
 {
     return std::chrono::duration_cast<Millis>(now - at).count();
@@ -62,7 +75,7 @@
     message["age_ms"] = ageOf(report.at, now);
     message["parts"] = nlohmann::json::array();
     for (const SuspectPart &part : report.parts) {
-        message["parts"].push_back({part.key, part.depth});
+        message["parts"].push_back({part.key, part.depth, part.ageClass});
     }
     return textOf(message);
 }
@@ -74,7 +87,9 @@
     report.endpoint = EndpointId(message.at("endpoint").get<std::string>());
     report.at = timeOf(message.at("age_ms"), now);
     for (const nlohmann::json &part : message.at("parts")) {
-        report.parts.push_back({part.at(0).get<PartKey>(), part.at(1).get<uint32_t>()});
+        const std::size_t age = part.size() > 2 ? part.at(2).get<std::size_t>() : OldestAgeClass;
+        report.parts.push_back({part.at(0).get<PartKey>(), part.at(1).get<uint32_t>(),
+                                std::min(age, OldestAgeClass)});
     }
     return report;
 }
@@ -103,6 +118,8 @@
         message["served_age_ms"] = ageOf(*response.servedAt, now);
     }
     message["crashed"] = namesOf(response.crashed);
+    message["written"] = response.outcomes.written;
+    message["lost"] = response.outcomes.lost;
     return textOf(message);
 }
 
@@ -115,6 +132,7 @@
         response.servedAt = timeOf(*age, now);
     }
     response.crashed = endpointsOf(message.at("crashed"));
+    response.outcomes = outcomesOf(message);
     return response;
 }
 
--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -155,13 +155,15 @@
 }
 
 void CrashingPartsLink::onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
-                                         const std::vector<PromptPart> &prompt, Instant now)
+                                         const std::vector<PromptPart> &prompt, Instant sentAt,
+                                         Instant now)
 {
     const auto address = resolve_(endpoint);
     if (!address) {
         return; // It is leaving.
     }
-    const bool isProbed = parts_.onConnectionLost(service, endpoint, sharedParts(prompt), now);
+    const bool isProbed =
+            parts_.onConnectionLost(service, endpoint, sharedParts(prompt), sentAt, now);
     armTimer();
     if (!isProbed) {
         return;
--- a/lib/Edge/CrashingPartsLink.h
+++ b/lib/Edge/CrashingPartsLink.h
@@ -41,7 +41,8 @@
     void onAnswerWritten(const ServiceId &service, const std::vector<PromptPart> &prompt,
                          Instant now) override;
     void onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
-                          const std::vector<PromptPart> &prompt, Instant now) override;
+                          const std::vector<PromptPart> &prompt, Instant sentAt,
+                          Instant now) override;
 
 private:
     using Address = boost::asio::ip::udp::endpoint;
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -706,7 +706,7 @@
     const bool mayHaveCrashed = !attempt_->isAnswerReported && attempt_->relay.empty();
     if (!metadata_.prompt.empty() && isLost && mayHaveCrashed) {
         context_.prompts.onConnectionLost(service_->name, attempt_->endpoint, metadata_.prompt,
-                                          now);
+                                          attempt_->sentAt, now);
     }
 }
 
--- a/unittests/Decisions/CrashingPartsTest.cpp
+++ b/unittests/Decisions/CrashingPartsTest.cpp
@@ -25,6 +25,7 @@
 constexpr Interval Step = std::chrono::milliseconds(5);
 constexpr Interval UntilWritten = std::chrono::milliseconds(400);
 constexpr Interval UntilCrash = std::chrono::milliseconds(60);
+constexpr Interval StableTime = std::chrono::seconds(3); ///< the rules' stable-ms
 constexpr Interval RestartDelay = std::chrono::seconds(3);
 
 template <typename Case>
@@ -44,6 +45,14 @@
     int endpoints = 9;
     int soundPerSecond = 100;
     double loss = 0.0; ///< share of the datagrams that are lost
+    Interval untilCrash = UntilCrash;
+};
+
+/// First attempts of sound requests.
+struct SoundRequests
+{
+    int sent = 0;
+    int served = 0;
 };
 
 /// Hosts, endpoints and callers in simulated time.
@@ -102,6 +111,8 @@
     void send(const std::vector<uint64_t> &parts, bool isRepeat = false)
     {
         const HostId &host = places_[random_() % places_.size()].host;
+        const bool isSoundFirst = !isRepeat && badPart(parts) == 0;
+        sound_.sent += isSoundFirst ? 1 : 0;
         if (at(host).find(S, parts, now_) != nullptr) {
             ++refused;
             return;
@@ -120,7 +131,7 @@
         if (badPart(parts) != 0) {
             const uint64_t bad = badPart(parts);
             badArrivals[bad].push_back(now_);
-            queue_.emplace(now_ + UntilCrash,
+            queue_.emplace(now_ + shape_.untilCrash,
                            [this, endpoint, bad, starts = endpoints_[endpoint].starts] {
                                if (endpoints_[endpoint].starts == starts) {
                                    crash(endpoint);
@@ -140,7 +151,7 @@
         endpoint.downUntil = now_ + RestartDelay;
         for (const Request &request : std::exchange(endpoint.open, {})) {
             if (now_ < request.sentAt + UntilWritten
-                && at(request.host).onConnectionLost(S, id, request.parts, now_)) {
+                && at(request.host).onConnectionLost(S, id, request.parts, request.sentAt, now_)) {
                 queue_.emplace(now_ + millis(2), [this, host = request.host, id] {
                     at(host).onEndpointProbed(id, true, now_);
                 });
@@ -165,6 +176,8 @@
     uint64_t random(uint64_t below) { return random_() % below; }
     Instant now() const { return now_; }
     std::size_t sent() const { return sent_; }
+    /// Those since the last call.
+    SoundRequests takeSoundRequests() { return std::exchange(sound_, {}); }
 
     /// Lets time pass, with sound callers.
     void run(Interval time)
@@ -257,6 +270,7 @@
                     return false;
                 }
                 at(request.host).onAnswerWritten(S, request.parts, now_);
+                sound_.served += !request.isRepeat && badPart(request.parts) == 0 ? 1 : 0;
                 return true;
             });
         }
@@ -288,6 +302,7 @@
     std::vector<Endpoint> endpoints_;
     std::multimap<Instant, std::function<void()>> queue_;
     std::size_t sent_ = 0;
+    SoundRequests sound_;
 };
 
 constexpr FleetShape Small{6, 9, 100, 0.0};
@@ -300,11 +315,15 @@
     std::vector<std::vector<uint64_t>> prompts; ///< in turn
     int everyMs;
     std::set<uint64_t> bad;
+    bool withOrdinaryCrashes = false;
 };
 
 class BadParts : public testing::TestWithParam<std::tuple<BadPartCase, uint64_t>>
 {};
 
+const BadPartCase SlowToBeginWithFewCallers = {
+        "SlowToBeginWithFewCallers", {6, 9, 8, 0.0, millis(300)}, {{1, BadPart}}, 700, {BadPart}};
+
 const BadPartCase BadPartCases[] = {
         {"SmallFleet", Small, {{1, BadPart}}, 700, {BadPart}},
         {"LargeFleet", Large, {{1, BadPart}}, 700, {BadPart}},
@@ -322,8 +341,26 @@
          700,
          {BadPart}},
         {"TwoParts", Small, {{1, BadPart}, {2, SecondBadPart}}, 500, {BadPart, SecondBadPart}},
+        {"FewCallers", {6, 9, 8, 0.0}, {{1, BadPart}}, 700, {BadPart}},
+        // Guards against evidence that tells nothing where a crash comes late in a request.
+        {"SlowToBegin", {6, 9, 100, 0.0, millis(300)}, {{1, BadPart}}, 700, {BadPart}},
+        {"SlowToBeginInALargeFleet",
+         {195, 116, 1500, 0.0, millis(300)},
+         {{1, BadPart}},
+         700,
+         {BadPart}},
+        SlowToBeginWithFewCallers,
+        {"AmongOrdinaryCrashes", Small, {{1, BadPart}}, 700, {BadPart}, true},
 };
 
+/// When a fleet is to know a part: at its fifth crash, or at the last if there are fewer.
+Instant learntAt(SimulatedFleet &fleet, uint64_t part)
+{
+    const std::vector<Instant> &crashes = fleet.badCrashes[part];
+    constexpr std::size_t Learnt = 5;
+    return crashes.empty() ? Start : crashes[std::min(crashes.size(), Learnt) - 1];
+}
+
 // Guards against a prompt that crashes one endpoint after the other, and against refusing prompts
 // that only share other parts with it.
 TEST_P(BadParts, AreQuarantinedAndNoOthers)
@@ -335,6 +372,9 @@
     const int count = std::max(30, 40'000 / row.everyMs / 4);
     for (int i = 0; i < count; ++i) {
         fleet.send(row.prompts[static_cast<std::size_t>(i) % row.prompts.size()]);
+        if (row.withOrdinaryCrashes && i % 3 == 0) {
+            fleet.crash(fleet.randomEndpoint());
+        }
         fleet.run(millis(row.everyMs));
     }
     std::set<PartKey> expected;
@@ -343,14 +383,40 @@
     }
     EXPECT_EQ(fleet.quarantined(), expected);
     for (const uint64_t part : row.bad) {
-        const std::vector<Instant> &crashes = fleet.badCrashes[part];
-        const Instant learnt = crashes.size() < 5 ? fleet.now() : crashes[4];
+        const std::size_t crashes = fleet.badCrashes[part].size();
+        const Instant learnt = crashes < 5 ? fleet.now() : learntAt(fleet, part);
         const std::vector<Instant> &arrivals = fleet.badArrivals[part];
-        const auto late = std::count_if(arrivals.begin(), arrivals.end(), [learnt](Instant at) {
-            return at > learnt + std::chrono::seconds(3);
-        });
-        EXPECT_LE(late, 3) << crashes.size() << " crashes";
+        const auto late = std::count_if(arrivals.begin(), arrivals.end(),
+                                        [learnt](Instant at) { return at > learnt + StableTime; });
+        EXPECT_LE(late, 3) << crashes << " crashes";
+    }
+}
+
+// Guards against losing sound requests with the same first part once the crashing part is known.
+TEST_P(BadParts, CostSoundRequestsLittleOnceKnown)
+{
+    const auto &[row, seed] = GetParam();
+    SimulatedFleet fleet(row.shape, seed);
+    fleet.run(std::chrono::seconds(3));
+    const SoundRequests before = fleet.takeSoundRequests();
+    const int count = std::max(30, 40'000 / row.everyMs / 4);
+    bool isKnown = false;
+    for (int i = 0; i < count; ++i) {
+        fleet.send(row.prompts[static_cast<std::size_t>(i) % row.prompts.size()]);
+        fleet.run(millis(row.everyMs));
+        const bool wasKnown = std::exchange(
+                isKnown, std::all_of(row.bad.begin(), row.bad.end(), [&fleet](uint64_t part) {
+                    return fleet.now() >= learntAt(fleet, part) + 2 * StableTime;
+                }));
+        if (isKnown && !wasKnown) {
+            fleet.takeSoundRequests();
+        }
     }
+    ASSERT_TRUE(isKnown);
+    const SoundRequests after = fleet.takeSoundRequests();
+    EXPECT_GE(after.sent, 20);
+    EXPECT_GE(2 * after.served * before.sent, before.served * after.sent)
+            << after.served << " of " << after.sent;
 }
 
 INSTANTIATE_TEST_SUITE_P(Rows, BadParts,
@@ -400,6 +466,7 @@
         {"InTurn", Small, 1000, 100, crashInTurn},
         // Endpoints are down for most of the time, and most requests are lost.
         {"MostOfTheTime", Small, 400, 200, crashInTurn},
+        {"MostOfTheTimeAtRandom", Small, 400, 200, crashOne},
         {"MostOfTheTimeWithFewCallers", {6, 9, 8, 0.0}, 400, 200, crashInTurn},
 };
 
@@ -422,10 +489,19 @@
                                           testing::Range<uint64_t>(1, 5)),
                          [](const auto &row) { return nameOf(row.param); });
 
+// Guards against a part that is never found because most requests are lost with it.
+INSTANTIATE_TEST_SUITE_P(MostRequestsAreLost, BadParts,
+                         testing::Combine(testing::Values(SlowToBeginWithFewCallers),
+                                          testing::Values(uint64_t(116))),
+                         [](const auto &row) { return nameOf(row.param); });
+
+class JoiningHosts : public testing::TestWithParam<FleetShape>
+{};
+
 // Guards against a host that lets the part through because it joined after the decision.
-TEST(CrashingParts, HostsThatStartLaterLearnIt)
+TEST_P(JoiningHosts, LearnQuarantines)
 {
-    SimulatedFleet fleet(Small);
+    SimulatedFleet fleet(GetParam());
     fleet.run(std::chrono::seconds(1));
     for (int i = 0; i < 6; ++i) {
         fleet.send({1, BadPart});
@@ -439,6 +515,9 @@
     EXPECT_FALSE(fleet.knowsAll(2, {1, 1000}));
 }
 
+INSTANTIATE_TEST_SUITE_P(Rows, JoiningHosts, testing::Values(Small, Large),
+                         [](const auto &row) { return fmt::format("Hosts{}", row.param.hosts); });
+
 /// One host, which reports to nobody.
 class LoneHost : public testing::Test
 {
@@ -461,7 +540,7 @@
         for (int i = 0; i < SoundRequests; ++i) {
             parts_.onAnswerWritten(S, {5}, now_);
         }
-        if (parts_.onConnectionLost(S, EndpointId(endpoint), parts, now_)) {
+        if (parts_.onConnectionLost(S, EndpointId(endpoint), parts, now_ - UntilCrash, now_)) {
             parts_.onEndpointProbed(EndpointId(endpoint), hasEnded, now_);
         }
         parts_.tick(now_ + CrashingParts::InquiryTime);
@@ -506,7 +585,7 @@
 {
     crash("a", {1, BadPart});
     crash("b", {2, BadPart});
-    parts_.onInquiryResponse({partKey(S, BadPart), 0, now_, {}}, now_);
+    parts_.onInquiryResponse({partKey(S, BadPart), 0, now_, {}, {}}, now_);
     crash("c", {3, BadPart});
     EXPECT_FALSE(isQuarantined(BadPart));
 }
@@ -517,7 +596,7 @@
     for (int i = 0; i < 5; ++i) {
         now_ += std::chrono::seconds(1);
         const EndpointId endpoint(fmt::format("e{}", i));
-        parts_.onConnectionLost(S, endpoint, {1, BadPart}, now_);
+        parts_.onConnectionLost(S, endpoint, {1, BadPart}, now_ - UntilCrash, now_);
         parts_.onEndpointProbed(endpoint, true, now_);
         parts_.tick(now_ + CrashingParts::InquiryTime);
     }
--- a/unittests/Edge/CrashMessageTest.cpp
+++ b/unittests/Edge/CrashMessageTest.cpp
@@ -27,7 +27,7 @@
 {
     CrashReport report{Service, EndpointId("e"), {}, Now - Age};
     for (uint32_t i = 0; i < CrashingParts::MaxReportedParts; ++i) {
-        report.parts.push_back({Part - i, i});
+        report.parts.push_back({Part - i, i, i % OutcomeCounts::AgeClasses});
     }
     const CrashReport decoded = decodeCrashReport(parsed(encodeCrashReport(report, Now)), Later);
     EXPECT_EQ(decoded.service, Service);
@@ -36,6 +36,51 @@
     ASSERT_EQ(decoded.parts.size(), report.parts.size());
     EXPECT_EQ(decoded.parts[3].key, Part - 3);
     EXPECT_EQ(decoded.parts[3].depth, 3U);
+    EXPECT_EQ(decoded.parts[3].ageClass, 3U);
+}
+
+struct AgeClassCase
+{
+    const char *name;
+    nlohmann::json part;
+};
+
+class ReportedAges : public testing::TestWithParam<AgeClassCase>
+{};
+
+const AgeClassCase AgeClassCases[] = {
+        {"Missing", {Part, 1}},
+        {"OutOfRange", {Part, 1, 99}},
+};
+
+// Guards against a report that makes losses look earlier than they were.
+TEST_P(ReportedAges, AreTheOldestIfUnknown)
+{
+    CrashReport report{Service, EndpointId("e"), {}, Now};
+    nlohmann::json message = parsed(encodeCrashReport(report, Now));
+    message["parts"].push_back(GetParam().part);
+    const CrashReport decoded = decodeCrashReport(message, Later);
+    ASSERT_EQ(decoded.parts.size(), 1U);
+    EXPECT_EQ(decoded.parts[0].ageClass, OutcomeCounts::AgeClasses - 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, ReportedAges, testing::ValuesIn(AgeClassCases),
+                         [](const auto &row) { return row.param.name; });
+
+// Guards against outcomes of hosts that don't name them, or name more classes of age.
+TEST(CrashMessage, OutcomesAreDecodedAsFarAsTheyAreKnown)
+{
+    InquiryResponse response{Part, Service, std::nullopt, {}, {}};
+    response.outcomes.written = 12;
+    response.outcomes.lost[2] = 5;
+    nlohmann::json message = parsed(encodeInquiryResponse(response, Now));
+    message["lost"].push_back(77);
+    const OutcomeCounts outcomes = decodeInquiryResponse(message, Later).outcomes;
+    EXPECT_EQ(outcomes.written, 12U);
+    EXPECT_EQ(outcomes.lost, response.outcomes.lost);
+    message.erase("written");
+    message.erase("lost");
+    EXPECT_TRUE(decodeInquiryResponse(message, Later).outcomes.isEmpty());
 }
 
 TEST(CrashMessage, InquiriesAreDecoded)
@@ -69,7 +114,8 @@
 {
     const ResponseCase &row = GetParam();
     const InquiryResponse response = decodeInquiryResponse(
-            parsed(encodeInquiryResponse({Part, Service, row.servedAt, row.crashed}, Now)), Later);
+            parsed(encodeInquiryResponse({Part, Service, row.servedAt, row.crashed, {}}, Now)),
+            Later);
     EXPECT_EQ(response.part, Part);
     EXPECT_EQ(response.service, Service);
     EXPECT_EQ(response.servedAt, row.decoded);
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -153,7 +153,7 @@
         ++written;
     }
     void onConnectionLost(const ServiceId &, const EndpointId &endpoint,
-                          const std::vector<PromptPart> &, Instant) override
+                          const std::vector<PromptPart> &, Instant, Instant) override
     {
         lost.push_back(endpoint);
     }
