--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -1,7 +1,6 @@
 #include "CrashingPartsLink.h"
 
 #include <algorithm>
-#include <iterator>
 #include <memory>
 
 #include <fmt/format.h>
@@ -51,21 +50,18 @@
                                      const CrashingPartsSettings &settings, Resolve resolve,
                                      EventLog &log, Metrics &metrics)
     : io_(io), peers_(peers), resolve_(std::move(resolve)), log_(log), metrics_(metrics),
-      parts_(settings),
+      parts_(settings), hosts_(peers),
       // Hosts that know the same others must not all begin with the same ones.
       nextGossiped_(stableHash(settings.host.text())), timer_(io)
 {
     parts_.sendReport = [this](const HostId &to, const CrashReport &report) {
-        const auto found = addresses_.find(to);
-        if (found != addresses_.end()) {
-            peers_.send(encodeCrashReport(report, std::chrono::steady_clock::now()), found->second);
-        }
+        hosts_.send(to, encodeCrashReport(report, std::chrono::steady_clock::now()));
     };
     parts_.broadcastInquiry = [this](const PartInquiry &inquiry) {
-        broadcast(encodePartInquiry(inquiry, std::chrono::steady_clock::now()));
+        hosts_.broadcast(encodePartInquiry(inquiry, std::chrono::steady_clock::now()));
     };
     parts_.broadcastQuarantine = [this](const Quarantine &quarantine) {
-        broadcast(encodeQuarantine(quarantine, std::chrono::steady_clock::now()));
+        hosts_.broadcast(encodeQuarantine(quarantine, std::chrono::steady_clock::now()));
     };
     parts_.onQuarantined = [this](const Quarantine &quarantine) {
         onQuarantined(quarantine);
@@ -100,33 +96,14 @@
                       });
 }
 
-void CrashingPartsLink::setHosts(const std::vector<Peer> &others)
-{
-    std::vector<HostPlace> places;
-    addresses_.clear();
-    for (const Peer &peer : others) {
-        places.push_back({peer.host, peer.domain});
-        addresses_[peer.host] = peer.address;
-    }
-    parts_.setHosts(places);
-}
-
-void CrashingPartsLink::broadcast(const std::string &text)
-{
-    for (const auto &[host, address] : addresses_) {
-        peers_.send(text, address);
-    }
-}
-
 void CrashingPartsLink::gossip(Instant now)
 {
     const std::vector<Quarantine> quarantines = parts_.quarantines(now);
-    const std::size_t count = quarantines.empty() ? 0 : std::min(GossipHosts, addresses_.size());
+    const std::size_t count = quarantines.empty() ? 0 : std::min(GossipHosts, hosts_.size());
     for (std::size_t i = 0; i < count; ++i) {
-        const auto place = static_cast<std::ptrdiff_t>(nextGossiped_++ % addresses_.size());
-        const Address &to = std::next(addresses_.begin(), place)->second;
+        const std::size_t place = nextGossiped_++ % hosts_.size();
         for (const Quarantine &quarantine : quarantines) {
-            peers_.send(encodeQuarantine(quarantine, now), to);
+            hosts_.sendToNth(place, encodeQuarantine(quarantine, now));
         }
     }
 }
--- a/lib/Edge/CrashingPartsLink.h
+++ b/lib/Edge/CrashingPartsLink.h
@@ -4,12 +4,10 @@
 /// Connects CrashingParts to the other hosts, and probes endpoints for it.
 
 #include <functional>
-#include <map>
 #include <optional>
 #include <vector>
 
-#include "sequoiagate/Edge/PeerLink.h"
-
+#include "HostAddresses.h"
 #include "sequoiagate/Decisions/CrashingParts.h"
 #include "sequoiagate/Proxy/PromptGuard.h"
 #include "sequoiagate/Service/DeadlineTimer.h"
@@ -30,7 +28,7 @@
                       const CrashingPartsSettings &settings, Resolve resolve, EventLog &log,
                       Metrics &metrics);
 
-    void setHosts(const std::vector<Peer> &others);
+    void setHosts(const std::vector<Peer> &others) { parts_.setHosts(hosts_.set(others)); }
     /// Tells a few hosts, in rotation, which parts are quarantined: those that missed it or started
     /// later learn it within a few such rounds.
     void gossip(Instant now);
@@ -52,7 +50,6 @@
     void probe(const EndpointId &endpoint, const boost::asio::ip::tcp::endpoint &address,
                int attempts);
     void onProbed(const EndpointId &endpoint, bool hasEnded);
-    void broadcast(const std::string &text);
     void onQuarantined(const Quarantine &quarantine);
     void armTimer();
 
@@ -62,7 +59,7 @@
     EventLog &log_;
     Metrics &metrics_;
     CrashingParts parts_;
-    std::map<HostId, Address> addresses_;
+    HostAddresses hosts_;
     std::size_t nextGossiped_;
     DeadlineTimer timer_;
 };
--- a/lib/Edge/StreamOriginLink.cpp
+++ b/lib/Edge/StreamOriginLink.cpp
@@ -50,14 +50,14 @@
 
 StreamOriginLink::StreamOriginLink(boost::asio::io_context &io, PeerLink &peers, const HostId &self,
                                    const DomainId &domain, Metrics &metrics)
-    : peers_(peers), self_(self), metrics_(metrics), origins_(domain), timer_(io)
+    : peers_(peers), self_(self), metrics_(metrics), origins_(domain), hosts_(peers), timer_(io)
 {
     origins_.sendRecord = [this](const HostId &to, const StreamRecord &record) {
         metrics_.count("stream_records_sent_total");
-        send(to, encodeStreamRecord(self_, record));
+        hosts_.send(to, encodeStreamRecord(self_, record));
     };
     origins_.sendQuery = [this](const HostId &to, const OriginQuery &query) {
-        send(to, encodeOriginQuery(self_, query));
+        hosts_.send(to, encodeOriginQuery(self_, query));
     };
     registerHandlers();
 }
@@ -87,25 +87,6 @@
                       });
 }
 
-void StreamOriginLink::send(const HostId &to, const std::string &text)
-{
-    const auto found = addresses_.find(to);
-    if (found != addresses_.end()) {
-        peers_.send(text, found->second);
-    }
-}
-
-void StreamOriginLink::setHosts(const std::vector<Peer> &others)
-{
-    std::vector<HostPlace> places;
-    addresses_.clear();
-    for (const Peer &peer : others) {
-        places.push_back({peer.host, peer.domain});
-        addresses_[peer.host] = peer.address;
-    }
-    origins_.setHosts(places);
-}
-
 void StreamOriginLink::onConfig(const ServingConfig &config, const ServingConfig *previous,
                                 Instant now)
 {
--- a/lib/Edge/StreamOriginLink.h
+++ b/lib/Edge/StreamOriginLink.h
@@ -3,11 +3,9 @@
 
 /// Connects StreamOrigins to the other hosts.
 
-#include <map>
 #include <vector>
 
-#include "sequoiagate/Edge/PeerLink.h"
-
+#include "HostAddresses.h"
 #include "sequoiagate/Config/ServingConfig.h"
 #include "sequoiagate/Decisions/StreamOrigins.h"
 #include "sequoiagate/Proxy/StreamContinuity.h"
@@ -24,7 +22,7 @@
     StreamOriginLink(boost::asio::io_context &io, PeerLink &peers, const HostId &self,
                      const DomainId &domain, Metrics &metrics);
 
-    void setHosts(const std::vector<Peer> &others);
+    void setHosts(const std::vector<Peer> &others) { origins_.setHosts(hosts_.set(others)); }
     /// Called when \p config comes into force in place of \p previous, nullptr at first.
     void onConfig(const ServingConfig &config, const ServingConfig *previous, Instant now);
     VersionHistory &versions() { return origins_.versions(); }
@@ -39,14 +37,13 @@
     using Address = boost::asio::ip::udp::endpoint;
 
     void registerHandlers();
-    void send(const HostId &to, const std::string &text);
     void armTimer();
 
     PeerLink &peers_;
     HostId self_;
     Metrics &metrics_;
     StreamOrigins origins_;
-    std::map<HostId, Address> addresses_;
+    HostAddresses hosts_;
     DeadlineTimer timer_;
 };
 
