[Test] Streams taken up after a misdirected request

No test joined a 421, of an address that another version took over, with a stream's version. The stream goes on at another endpoint of its version or is refused as not run; nothing had to change.

--- a/unittests/Proxy/StreamContinuityTest.cpp
+++ b/unittests/Proxy/StreamContinuityTest.cpp
@@ -12,6 +12,10 @@
         "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
         "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+constexpr const char *Misdirected =
+        "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+
 /// Events of a stream, from \p first on.
 std::string events(int first, int count)
 {
@@ -98,6 +102,21 @@
          "id: 4",
          "502",
          {1, 0, 1}},
+        // Guards against another version that took over an endpoint's address.
+        {"GoesOnAtItsVersionAfterAMisdirectedRequest",
+         "/resume/a",
+         {{"v1", {{Misdirected}}}, {"v2", {{wholeFrom(4)}}}, {"v1", {{wholeFrom(4)}}}},
+         TakeUp,
+         "id: 4",
+         "503",
+         {1, 0, 1}},
+        {"IsRefusedAfterAMisdirectedRequest",
+         "/resume/a",
+         {{"v1", {{Misdirected}}}, {"v2", {{wholeFrom(4)}}}},
+         TakeUp,
+         "HTTP/1.1 503",
+         "id: 4",
+         {1, 0}},
         {"IsRefusedIfItsVersionIsGone",
          "/resume/a",
          {{"v2", {{wholeFrom(4)}}}},
