--- a/lib/Decisions/LossStatistics.cpp
+++ b/lib/Decisions/LossStatistics.cpp
@@ -42,7 +42,7 @@
     constexpr double Prior = 0.5;
     const auto sum = [this](std::size_t classes) {
         const auto end = lost.begin() + static_cast<std::ptrdiff_t>(classes);
-        return std::accumulate(lost.begin(), end, uint64_t(0));
+        return std::accumulate(lost.begin(), end, uint64_t{0});
     };
     const uint64_t within = sum(std::min(oldestClass + 1, AgeClasses));
     const uint64_t others = within - std::min<uint64_t>(within, excluded);
--- a/lib/Edge/CrashMessage.cpp
+++ b/lib/Edge/CrashMessage.cpp
@@ -46,7 +46,7 @@
 OutcomeCounts outcomesOf(const nlohmann::json &message)
 {
     OutcomeCounts outcomes;
-    outcomes.written = message.value("written", uint64_t(0));
+    outcomes.written = message.value("written", uint64_t{0});
     const auto lost = message.find("lost");
     const std::size_t classes = lost == message.end() ? 0 : lost->size();
     for (std::size_t i = 0; i < std::min(classes, OutcomeCounts::AgeClasses); ++i) {
