[Soak] Prompts with shared parts, a part that crashes endpoints, and crashes for other reasons

The soak's prompts had one part of their own, so that no run could show a sound part in quarantine. They share two now. Endpoints crash for reasons of their own as well. Two checks: no more than three requests with the part run later than 3 s after its fifth crash, where their host was in touch, and no sound prompt is refused as quarantined.

--- a/test/Soak/Callers.cpp
+++ b/test/Soak/Callers.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Endpoint.h"
+#include "sequoiagate/Base/Rendezvous.h"
 
 namespace sequoiagate::soak {
 
@@ -26,6 +27,22 @@
 constexpr Share Shares[] = {{20, "once", "large"}, {35, "read", "large"}, {55, "chat", "large"},
                             {65, "talk", "large"}, {80, "chat", "small"}, {100, "probe", "large"}};
 
+/// A prompt whose first two parts are shared by others. A short one has none to share.
+std::string promptOf(const Attempt &attempt)
+{
+    constexpr uint64_t Least = 8;
+    constexpr uint64_t SharedParts = 6;
+    const uint64_t tokens = attempt.promptTokens;
+    if (tokens < Least) {
+        return fmt::format("a1:{}", tokens);
+    }
+    const uint64_t hash = stableHash(attempt.id);
+    const std::string second =
+            attempt.crashesEndpoints ? CrashingPart : fmt::format("b{}", hash % SharedParts);
+    return fmt::format("a1:{},{}:{},{:x}:{}", tokens / 2, second, tokens / 4, hash,
+                       tokens - tokens / 2 - tokens / 4);
+}
+
 bool streams(const std::string &route)
 {
     return route == "chat" || route == "talk";
@@ -68,7 +85,7 @@
         request.headers.emplace("Token-Count",
                                 fmt::format("{},{}", attempt.promptTokens,
                                             streamLength(attempt.stream) * TokensPerEvent));
-        request.headers.emplace("Prompt-Prefix", fmt::format("a1:{}", attempt.promptTokens));
+        request.headers.emplace("Prompt-Prefix", promptOf(attempt));
     }
     if (attempt.resumedAt > 0) {
         request.headers.emplace("Last-Event-Id", std::to_string(attempt.resumedAt - 1));
@@ -92,6 +109,18 @@
     return last_.whole;
 }
 
+void Caller::sendCrashing(int host)
+{
+    Attempt attempt;
+    attempt.id = fmt::format("{}-{}", name_, ++sent_);
+    attempt.route = sent_ % 2 == 0 ? "chat" : "talk";
+    attempt.workspace = "large";
+    attempt.promptTokens = UsualPrompt;
+    attempt.stream = attempt.id;
+    attempt.crashesEndpoints = true;
+    perform(std::move(attempt), host, false);
+}
+
 void Caller::takeUp(int host)
 {
     const bool isBroken =
@@ -158,6 +187,7 @@
     }
     const nlohmann::json refusal = nlohmann::json::parse(body, nullptr, false);
     attempt.notRun = refusal.is_object() && refusal.value("execution", "") == "not_run";
+    attempt.reason = refusal.is_object() ? refusal.value("reason", "") : "";
 }
 
 void Caller::judgeStream(Attempt &attempt, bool ended, const std::string &body) const
@@ -191,6 +221,9 @@
                  std::chrono::milliseconds idleLimit)
     : fleet_(fleet), record_(record)
 {
+    if (fleet.hasCrashingPart) {
+        threads_.emplace_back([this, seed] { runCrashing(seed); });
+    }
     for (int i = 0; i < count; ++i) {
         threads_.emplace_back([this, i, seed] { run(i, seed); });
         if (idleLimit > std::chrono::milliseconds::zero()) {
@@ -243,6 +276,17 @@
     }
 }
 
+void Callers::runCrashing(uint64_t seed)
+{
+    constexpr std::chrono::milliseconds Between(250);
+    std::mt19937_64 random(~seed);
+    Caller caller(fleet_, record_, "x");
+    while (!stopping_) {
+        caller.sendCrashing(static_cast<int>(random() % static_cast<uint64_t>(fleet_.hosts)));
+        std::this_thread::sleep_for(Between);
+    }
+}
+
 void Callers::runIdle(int number, uint64_t seed, std::chrono::milliseconds idleLimit)
 {
     constexpr std::chrono::milliseconds Spread(20);
--- a/test/Soak/Callers.h
+++ b/test/Soak/Callers.h
@@ -27,6 +27,7 @@
     std::function<std::string(int)> address;
     std::function<int(int)> incarnation;
     std::function<uint64_t()> newestVersion;
+    bool hasCrashingPart = false; ///< a caller sends prompts that crash endpoints
 };
 
 constexpr uint64_t UsualPrompt = 200; // tokens
@@ -37,6 +38,8 @@
 public:
     Caller(const FleetView &fleet, Record &record, std::string name);
 
+    /// Sends a stream whose prompt crashes endpoints.
+    void sendCrashing(int host);
     /// Takes up the stream that broke off in the last request, if one did and may be taken up.
     void takeUp(int host);
     /// Sends a request of \p route to \p host and notes how it went. \returns whether its own
@@ -73,6 +76,7 @@
 
 private:
     void run(int number, uint64_t seed);
+    void runCrashing(uint64_t seed);
     void runIdle(int number, uint64_t seed, std::chrono::milliseconds idleLimit);
 
     const FleetView &fleet_;
--- a/test/Soak/Checks.cpp
+++ b/test/Soak/Checks.cpp
@@ -282,6 +282,50 @@
     }
 }
 
+/// Whether the process that got the request was up and undisturbed for long enough to know what all
+/// hosts know, crashes of endpoints aside.
+bool isInTouch(const Record &record, const Attempt &attempt)
+{
+    const bool isDisturbed = std::any_of(record.unplanned.begin(), record.unplanned.end(),
+                                         [&attempt](const Disturbance &disturbance) {
+                                             return disturbance.what != Disturbance::EndpointCrash
+                                                    && reaches(disturbance, attempt);
+                                         });
+    const bool isNew = std::any_of(
+            record.played.begin(), record.played.end(), [&attempt](const PlayedStep &step) {
+                return step.what == "stop" && step.target == attempt.sentTo.host
+                       && step.at <= attempt.endedAt && attempt.sentAt <= step.doneAt + Aftermath;
+            });
+    return !isDisturbed && !isNew;
+}
+
+void checkCrashingPart(const View &view, Findings &findings)
+{
+    constexpr std::size_t Learnt = 5;
+    constexpr int MaxLate = 3;
+    std::vector<Instant> crashes = view.record.partCrashes;
+    std::sort(crashes.begin(), crashes.end());
+    int late = 0;
+    for (const Attempt &attempt : view.record.attempts) {
+        if (!attempt.crashesEndpoints) {
+            if (attempt.reason == "prompt_quarantined") {
+                findings.push_back("sound prompts are let through: " + attempt.id + " wasn't");
+            }
+            continue;
+        }
+        for (const Run *run : view.runsOf(attempt.id)) {
+            const bool isLate =
+                    crashes.size() >= Learnt && run->at > crashes[Learnt - 1] + Aftermath;
+            late += isLate && isInTouch(view.record, attempt) ? 1 : 0;
+        }
+    }
+    if (late > MaxLate) {
+        findings.push_back(fmt::format("a crashing part is quarantined: {} requests with it ran "
+                                       "later than 3 s after the fifth of {} crashes",
+                                       late, crashes.size()));
+    }
+}
+
 void checkStops(const View &view, Findings &findings)
 {
     for (const StopOf &stop : view.record.stops) {
@@ -297,10 +341,10 @@
 
 using Check = void (*)(const View &, Findings &);
 
-constexpr Check AllChecks[] = {checkOwnAnswers,    checkAtMostOnce, checkNotRun,
-                               checkWorkspaces,    checkSpend,      checkLeaving,
-                               checkConfiguration, checkCutOff,     checkAnswered,
-                               checkStops,         checkLimits,     checkVersions};
+constexpr Check AllChecks[] = {
+        checkOwnAnswers, checkAtMostOnce,    checkNotRun,      checkWorkspaces, checkSpend,
+        checkLeaving,    checkConfiguration, checkCutOff,      checkAnswered,   checkStops,
+        checkLimits,     checkVersions,      checkCrashingPart};
 
 } // namespace
 
--- a/test/Soak/ChecksTest.cpp
+++ b/test/Soak/ChecksTest.cpp
@@ -120,6 +120,27 @@
              r.runs.push_back({"c", "w", "e2", 0, false});
              r.add(next);
          }},
+        {"SoundPromptRefused", "sound prompts are let through",
+         [](Record &r) {
+             Attempt next = attempt("c", "chat");
+             next.whole = false;
+             next.status = 503;
+             next.notRun = true;
+             next.reason = "prompt_quarantined";
+             r.add(next);
+         }},
+        {"CrashingPartGoesOn", "a crashing part is quarantined",
+         [](Record &r) {
+             for (int i = 0; i < 9; ++i) {
+                 Attempt next = attempt("x" + std::to_string(i), "talk");
+                 next.crashesEndpoints = true;
+                 next.whole = false;
+                 next.status = 502;
+                 r.partCrashes.push_back(at(i));
+                 r.runs.push_back({next.id, "w", "e2", 0, true, at(i < 5 ? i : i + 3)});
+                 r.add(next);
+             }
+         }},
         {"LeavingEndpointGotWork", "a leaving endpoint",
          [](Record &r) {
              r.published.push_back({0, "e1", at(8), {{ProcessOf{1, 0}, at(9)}}});
--- a/test/Soak/Endpoint.cpp
+++ b/test/Soak/Endpoint.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::chrono::milliseconds EventPause(10);
 constexpr std::chrono::milliseconds PlainWork(5);
+constexpr std::chrono::milliseconds UntilCrash(30);
 constexpr std::chrono::milliseconds LateBy(2500); // past the silence that a sound route bears
 
 /// How an answer is spoilt: the remainder of the request's hash by SpoiltOf.
@@ -161,7 +162,8 @@
     const std::lock_guard lock(record_.mutex);
     record_.runs.push_back({request.get_header_value("Request-Id"),
                             request.get_header_value("Tenant"),
-                            request.get_header_value("Expect-Instance"), 0, spoilt});
+                            request.get_header_value("Expect-Instance"), 0, spoilt,
+                            std::chrono::steady_clock::now()});
     return record_.runs.size() - 1;
 }
 
@@ -188,6 +190,12 @@
     }
     const std::size_t run = begin(request, spoilt != Sound);
     const Occupied occupied(open_);
+    const std::string prompt = request.get_header_value("Prompt-Prefix");
+    if (onCrash && prompt.find(fmt::format(",{}:", CrashingPart)) != std::string::npos) {
+        std::this_thread::sleep_for(UntilCrash);
+        onCrash();
+        return;
+    }
     if (spoilt == Failed) {
         response.status = 500;
         return;
--- a/test/Soak/Endpoint.h
+++ b/test/Soak/Endpoint.h
@@ -4,6 +4,7 @@
 /// An endpoint that notes each request that it runs, and now and then spoils an answer.
 
 #include <atomic>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -15,6 +16,8 @@
 
 /// The body of the answer to a plain request.
 std::string plainBody(const std::string &request);
+/// The part of prompts that crashes endpoints, as prompts name it.
+constexpr const char *CrashingPart = "bad";
 /// Events of the answer to a streamed request, and the data of each.
 uint64_t streamLength(const std::string &request);
 std::string eventData(const std::string &request, uint64_t event);
@@ -31,6 +34,10 @@
     std::string version();
     /// It was started anew: requests for the id that it had are refused.
     void restart(const std::string &id, const std::string &version);
+    /// Called from a thread of its own when a request with the part that crashes endpoints has
+    /// begun to run; the request isn't answered before it returns. Set before any request arrives.
+    std::function<void()> onCrash;
+
     /// One answer in six is refused, cut in the middle, late, a failure or another request's.
     void setSpoils(bool spoils) { spoils_ = spoils; }
     /// Names a limit of requests per second from now on, and notes requests beyond it.
--- a/test/Soak/Record.h
+++ b/test/Soak/Record.h
@@ -48,6 +48,8 @@
     std::string stream;             ///< the request that brought the stream's first event
     uint64_t resumedAt = 0;         ///< the event at which a stream that was taken up goes on
     std::set<std::string> versions; ///< of the endpoints' software, as the events name them
+    bool crashesEndpoints = false;  ///< a part of its prompt does
+    std::string reason;             ///< of a refusal
     bool leftByCaller = false;      ///< it gave up or hung up: how it would have ended isn't known
     std::string error;              ///< why its connection failed, as the caller's library says it
 };
@@ -60,12 +62,14 @@
     std::string endpoint;
     uint64_t events = 0; ///< written
     bool spoilt = false; ///< the endpoint broke its own answer off, lost or garbled it
+    Instant at{};
 };
 
 /// Something done to one host, or to all of them.
 struct Disturbance
 {
     static constexpr int AllHosts = -1;
+    static constexpr const char *EndpointCrash = "endpoint crashes";
 
     std::string what;
     int host = AllHosts;
@@ -116,6 +120,7 @@
     std::map<std::string, uint64_t> allotted; ///< by the store's rows after all had stopped
     std::vector<std::string> unserved; ///< hosts that didn't serve after the end of all faults
     std::vector<std::string> excesses; ///< beyond what an endpoint said that it bears
+    std::vector<Instant> partCrashes;  ///< of endpoints, by the part that crashes them
     /// Nothing was killed and no datagram lost: the store's totals must be what was used.
     bool exact = false;
 
--- a/test/Soak/Schedule.cpp
+++ b/test/Soak/Schedule.cpp
@@ -97,6 +97,10 @@
         "endpoint silent for a second", Target::Endpoint,    Reach::Nobody, 800, 1300,
         &World::silenceEndpoint,        &World::healEndpoint};
 
+constexpr Kind EndpointCrash = {
+        Disturbance::EndpointCrash, Target::Endpoint,       Reach::AllHosts, 700, 2000,
+        &World::crashEndpoint,      &World::restoreEndpoint};
+
 /// Played apart, at moments of their own.
 constexpr Kind PowerLost = {"power lost", Target::Host,      Reach::ItsHost,  100,
                             3000,         &World::losePower, &World::restart, true};
@@ -186,6 +190,18 @@
     }
 }
 
+void addCrashes(std::vector<Step> &steps, const SoakPlan &plan, const WorldShape &shape)
+{
+    // Apart from the other steps, which stay as they are.
+    std::mt19937_64 random(plan.seed ^ 0x9e3779b9U);
+    for (int i = 0; i < plan.crashes; ++i) {
+        const std::chrono::milliseconds at(
+                between(random, 0, static_cast<int>(plan.length.count())));
+        add(steps, EndpointCrash, between(random, 0, shape.endpoints - 1), at,
+            duration(random, EndpointCrash));
+    }
+}
+
 std::vector<Step> steps(const SoakPlan &plan, const WorldShape &shape)
 {
     std::mt19937_64 random(plan.seed);
@@ -200,6 +216,7 @@
     }
     addDarkTimes(steps, plan, shape);
     addConditions(steps, plan, shape);
+    addCrashes(steps, plan, shape);
     std::stable_sort(steps.begin(), steps.end(),
                      [](const Step &a, const Step &b) { return a.at < b.at; });
     return steps;
@@ -211,6 +228,7 @@
         return;
     }
     const int host = step.kind->reach == Reach::AllHosts ? Disturbance::AllHosts : step.target;
+    const std::lock_guard lock(record.mutex);
     if (step.begins) {
         // Until its end is noted it lasts.
         const Instant until =
--- a/test/Soak/Schedule.h
+++ b/test/Soak/Schedule.h
@@ -23,6 +23,7 @@
     /// Hosts are partitioned from all endpoints, and endpoints name limits or are silent for about
     /// a second, this often each.
     int conditions = 0;
+    int crashes = 0; ///< of endpoints, for reasons of their own
 };
 
 /// Plays \p plan on \p world while callers call, and notes in \p record what was done.
--- a/test/Soak/SoakTest.cpp
+++ b/test/Soak/SoakTest.cpp
@@ -34,6 +34,10 @@
 constexpr uint64_t ConditionsEach = 8;
 constexpr uint64_t ConditionsRemainder = 1;
 
+/// In the seeds of this remainder of so many, endpoints crash, most of them by a part of prompts.
+constexpr uint64_t CrashesEach = 8;
+constexpr uint64_t CrashesRemainder = 5;
+
 int numberFrom(const char *variable, int otherwise)
 {
     const char *const text = std::getenv(variable);
@@ -94,6 +98,11 @@
         plan.length += std::chrono::seconds(4);
         shape.ownLinks = true;
     }
+    if (plan.seed % CrashesEach == CrashesRemainder) {
+        plan.crashes = seconds / 4;
+        plan.length += std::chrono::seconds(6);
+        shape.hasCrashingPart = true;
+    }
     shape.hosts = numberFrom("SEQUOIAGATE_SOAK_HOSTS", shape.hosts);
     if (plan.seed % IdleEach == IdleRemainder) {
         shape.idleLimit = IdleLimit;
@@ -122,7 +131,11 @@
         if (attempt.resumedAt > 0) {
             ++outcomes[attempt.events > attempt.resumedAt ? "taken up, went on" : "taken up"];
         }
+        if (attempt.crashesEndpoints) {
+            ++outcomes[attempt.reason == "prompt_quarantined" ? "crashing, refused" : "crashing"];
+        }
     }
+    outcomes["crashes by a part"] = static_cast<int>(record.partCrashes.size());
     for (const auto &[outcome, count] : outcomes) {
         RecordProperty(outcome, count);
         if (std::getenv("SEQUOIAGATE_SOAK_SEEDS") != nullptr) {
--- a/test/Soak/World.cpp
+++ b/test/Soak/World.cpp
@@ -93,6 +93,11 @@
         place.server = std::make_unique<Endpoint>(ip(FirstEndpointHost + i), endpointId(i, 0),
                                                   softwareVersion(i, 0), record_, Workers);
         place.relay = std::make_unique<TcpRelay>(loop_, ip(RelayHost), place.server->address());
+        if (shape_.hasCrashingPart) {
+            place.server->onCrash = [this, i] {
+                crashByPart(i);
+            };
+        }
         list(i, "ready");
     }
     for (int i = 0; i < shape_.hosts; ++i) {
@@ -108,6 +113,7 @@
         start(i);
     }
     view_.hosts = shape_.hosts;
+    view_.hasCrashingPart = shape_.hasCrashingPart;
     view_.address = [this](int host) {
         return hosts_[at(host)].callers->address();
     };
@@ -300,6 +306,7 @@
 
 void World::beginLeaving(int endpoint)
 {
+    const std::lock_guard lock(endpointsMutex_);
     EndpointPlace &place = endpoints_[at(endpoint)];
     if (!place.leaving) {
         place.leaving = true;
@@ -309,10 +316,15 @@
 
 void World::endLeaving(int endpoint)
 {
-    EndpointPlace &place = endpoints_[at(endpoint)];
-    if (!place.leaving) {
-        return;
+    const std::lock_guard lock(endpointsMutex_);
+    if (endpoints_[at(endpoint)].leaving) {
+        listAnew(endpoint);
     }
+}
+
+void World::listAnew(int endpoint)
+{
+    EndpointPlace &place = endpoints_[at(endpoint)];
     store_.put(EndpointTopic, place.server->id(), "");
     place.leaving = false;
     ++place.starts;
@@ -321,8 +333,49 @@
     list(endpoint, "ready");
 }
 
+void World::crashEndpoint(int endpoint)
+{
+    const std::lock_guard lock(endpointsMutex_);
+    endpoints_[at(endpoint)].crashed = true;
+    endpoints_[at(endpoint)].relay->setCut(RelayCut::Reset);
+}
+
+void World::restoreEndpoint(int endpoint)
+{
+    const std::lock_guard lock(endpointsMutex_);
+    EndpointPlace &place = endpoints_[at(endpoint)];
+    if (!place.crashed) {
+        return;
+    }
+    place.crashed = false;
+    if (!place.leaving) {
+        listAnew(endpoint);
+    }
+    place.relay->setCut(RelayCut::None);
+}
+
+void World::crashByPart(int endpoint)
+{
+    constexpr std::chrono::milliseconds RestartDelay(700);
+    std::size_t noted = 0;
+    {
+        const std::lock_guard lock(record_.mutex);
+        const Instant now = std::chrono::steady_clock::now();
+        record_.partCrashes.push_back(now);
+        noted = record_.unplanned.size();
+        record_.unplanned.push_back({Disturbance::EndpointCrash, Disturbance::AllHosts, now,
+                                     now + RestartDelay, false});
+    }
+    crashEndpoint(endpoint);
+    std::this_thread::sleep_for(RestartDelay);
+    restoreEndpoint(endpoint);
+    const std::lock_guard lock(record_.mutex);
+    record_.unplanned[noted].until = std::chrono::steady_clock::now();
+}
+
 void World::delist(int endpoint)
 {
+    const std::lock_guard lock(endpointsMutex_);
     EndpointPlace &place = endpoints_[at(endpoint)];
     if (!place.leaving) {
         store_.put(EndpointTopic, place.server->id(), "");
--- a/test/Soak/World.h
+++ b/test/Soak/World.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <random>
 #include <set>
 #include <string>
@@ -31,6 +32,7 @@
     uint64_t seed = 1;
     std::chrono::milliseconds idleLimit{}; ///< of callers' connections; zero: the default
     bool ownLinks = false;                 ///< each host reaches the endpoints by links of its own
+    bool hasCrashingPart = false;          ///< of prompts; it crashes endpoints
 };
 
 /// Used by the thread that plays the faults.
@@ -90,6 +92,9 @@
     void spoilAnswers(int endpoint) { endpoints_[at(endpoint)].server->setSpoils(true); }
     void spoilNoAnswers(int endpoint) { endpoints_[at(endpoint)].server->setSpoils(false); }
     void delist(int endpoint);
+    /// Resets and refuses the connections of \p endpoint, until it is back under another id.
+    void crashEndpoint(int endpoint);
+    void restoreEndpoint(int endpoint);
 
     // ---- conditions that excuse nothing, or only what is open at a host when they begin ----
     /// Partitions \p host from all endpoints. \pre shape().ownLinks
@@ -131,6 +136,7 @@
         std::unique_ptr<TcpRelay> relay;
         int starts = 0;
         bool leaving = false;
+        bool crashed = false;
     };
 
     static std::size_t at(int number) { return static_cast<std::size_t>(number); }
@@ -141,6 +147,10 @@
     void cutLinks(int host, RelayCut cut);
     void stopped(int host);
     void list(int endpoint, const std::string &state);
+    /// Crashes \p endpoint by the part of a prompt, and waits until it is back.
+    void crashByPart(int endpoint);
+    /// Lists \p endpoint under a new id. \pre endpointsMutex_ is held
+    void listAnew(int endpoint);
     nlohmann::json limits() const;
     void configure();
     void publish(Published published, const std::string &topic, const std::string &key,
@@ -156,6 +166,7 @@
     StoreStandin store_;
     std::vector<Host> hosts_;
     std::vector<EndpointPlace> endpoints_;
+    std::mutex endpointsMutex_; ///< of their states; crashes by a part come from other threads
     std::unique_ptr<std::atomic<int>[]> incarnations_;
     std::atomic<uint64_t> version_{0};
     uint64_t smallBudget_;
