--- a/include/sequoiagate/Decisions/CrashingParts.h
+++ b/include/sequoiagate/Decisions/CrashingParts.h
@@ -98,13 +98,13 @@
 public:
     /// Crashes after which a part is quarantined, and after a quarantine that was lifted.
     static constexpr std::size_t CrashesToQuarantine = 3;
-    /// How likely a sound part may be to be lost that often in a row: with a thousand crashes a day
-    /// and a hundred suspects each, one is quarantined in a hundred days.
+    /// How likely a sound part may be to be lost that often in a row: with a hundred crashes a day
+    /// and ten parts that explain most of them each time, one is quarantined in a hundred days.
     static constexpr double MaxChance = 1e-5;
     /// How long before the first crash of a part outcomes of requests count for that.
     static constexpr Interval BaselineTime = std::chrono::seconds(2);
     static constexpr std::size_t CrashesAfterQuarantine = 1;
-    /// Crashes within this time of each other count as one of these.
+    /// Crashes within this time of each other count as one towards CrashesToQuarantine.
     static constexpr Interval CrashSpacing = std::chrono::milliseconds(300);
     /// The least time between two inquiries about a part.
     static constexpr Interval InquirySpacing = std::chrono::milliseconds(300);
--- a/include/sequoiagate/Decisions/LossStatistics.h
+++ b/include/sequoiagate/Decisions/LossStatistics.h
@@ -1,8 +1,8 @@
 #ifndef SEQUOIAGATE_DECISIONS_LOSSSTATISTICS_H
 #define SEQUOIAGATE_DECISIONS_LOSSSTATISTICS_H
 
-/// Counts how many requests are lost with their endpoints, and how soon after they were sent, to
-/// tell a request that crashes endpoints from one that shares their bad luck.
+/// Counts how many requests are lost with their endpoints, and how soon after they were sent: a
+/// request that crashes its endpoint is lost sooner than most that are lost with it.
 
 #include <array>
 #include <cstddef>
--- a/lib/Decisions/LossStatistics.cpp
+++ b/lib/Decisions/LossStatistics.cpp
@@ -1,6 +1,7 @@
 #include "sequoiagate/Decisions/LossStatistics.h"
 
 #include <algorithm>
+#include <functional>
 #include <numeric>
 
 namespace sequoiagate {
