[Test] Requests whose callers leave while something is awaited

A cancelled call's unsent bytes are delivered by the kernel, and a relay passes on a request that its host has given up.

--- a/unittests/Edge/RelayServerTest.cpp
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -179,4 +179,24 @@
     EXPECT_EQ(server_->open(), 0U);
 }
 
+// Guards against passing on a request that its host has given up already.
+TEST_F(RelayServerTest, DropsARequestThatWasCancelled)
+{
+    EXPECT_EQ(handshake("listed", "e"), RelayEstablished);
+    ASSERT_TRUE(waitUntil([this] { return accepted_.is_open(); }));
+    boost::asio::write(peer_, boost::asio::buffer("request", 7));
+    peer_.close();
+    std::array<char, 16> buffer{};
+    std::size_t received = 0;
+    error_code end;
+    accepted_.async_read_some(boost::asio::buffer(buffer),
+                              [&](const error_code &error, std::size_t bytes) {
+                                  received += bytes;
+                                  end = error;
+                              });
+    EXPECT_TRUE(waitUntil([&] { return end || received > 0; }));
+    EXPECT_EQ(received, 0U);
+    EXPECT_EQ(server_->open(), 0U);
+}
+
 } // namespace
--- /dev/null
+++ b/unittests/Proxy/CallerGoneTest.cpp
@@ -0,0 +1,163 @@
+/// Requests whose callers leave while something is awaited, on a host whose event loop is held up:
+/// the close and the completion are both ready when the loop goes on, the completion first.
+
+#include <array>
+#include <functional>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+#include "ProxyTestHarness.h"
+#include "sequoiagate/Proxy/HttpConnection.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+constexpr const char *Good = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
+                             "Content-Length: 4\r\n\r\ngood";
+constexpr const char *Full = "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\n"
+                             "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *Failed = "HTTP/1.1 500 Failed\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n"
+                               "Content-Length: 0\r\n\r\n";
+constexpr const char *Established = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+std::size_t requestsReceived(const ProxyTestHarness &harness)
+{
+    std::size_t count = 0;
+    for (const std::unique_ptr<ScriptedEndpoint> &endpoint : harness.endpoints) {
+        count += endpoint->received().size();
+    }
+    return count;
+}
+
+/// Runs until endpoint \p index has responded to \p requests, and the proxy hasn't read it yet.
+bool runUntilReplied(ProxyTestHarness &harness, std::size_t index, std::size_t requests)
+{
+    return harness.waitUntil(
+            [&] { return harness.endpoints[index]->received().size() == requests; });
+}
+
+struct CallerGoneCase
+{
+    const char *name;
+    std::vector<std::vector<Reply>> scripts;
+    /// Sends a request and runs until what it waits for is ready, and not yet noticed.
+    std::function<bool(ProxyTestHarness &)> begin;
+    /// What completes before the close is read, if it isn't in the socket.
+    std::function<void(ProxyTestHarness &)> complete;
+};
+
+class CallerGone : public testing::TestWithParam<CallerGoneCase>
+{};
+
+const CallerGoneCase CallerGoneCases[] = {
+        {"Connection",
+         {{{Good}}},
+         [](ProxyTestHarness &harness) {
+             harness.send(ProxyTestHarness::request("/get/a", "r1"));
+             return harness.waitUntil([&] { return harness.countLogLines("request.sent") == 1; });
+         },
+         nullptr},
+        {"RelaysHandshake",
+         {{{Established}, {Good}}},
+         [](ProxyTestHarness &harness) {
+             harness.placement.endpoints[0].relay =
+                     RelayRoute{HostId("other"), harness.endpoints[0]->address(), false};
+             harness.send(ProxyTestHarness::request("/get/a", "r1"));
+             return runUntilReplied(harness, 0, 1);
+         },
+         nullptr},
+        {"Rejection",
+         {{{Full}, {Full}}, {{Good}, {Good}}},
+         [](ProxyTestHarness &harness) {
+             harness.send(ProxyTestHarness::request("/get/a", "r1"));
+             if (!harness.waitFor("good")) {
+                 return false;
+             }
+             harness.send(ProxyTestHarness::request("/get/a", "r2"));
+             return runUntilReplied(harness, 0, 2);
+         },
+         nullptr},
+        {"FailureOfTheEndpoint",
+         {{{Failed}, {Failed}}, {{Good}, {Good}}},
+         [](ProxyTestHarness &harness) {
+             harness.send(ProxyTestHarness::request("/get/a", "r1"));
+             if (!harness.waitFor("good")) {
+                 return false;
+             }
+             harness.send(ProxyTestHarness::request("/get/a", "r2"));
+             return runUntilReplied(harness, 0, 2);
+         },
+         nullptr},
+        {"Tokens",
+         {{{Good}, {Good}}},
+         [](ProxyTestHarness &harness) {
+             harness.send(ProxyTestHarness::request("/get/a", "r1"));
+             if (!harness.waitFor("good")) {
+                 return false;
+             }
+             harness.tokenReservations.isDelayed = true;
+             harness.send(ProxyTestHarness::request("/get/a", "r2"));
+             return harness.waitUntil([&] { return harness.tokenReservations.delayed != nullptr; });
+         },
+         [](ProxyTestHarness &harness) {
+             harness.tokenReservations.delayed();
+         }},
+};
+
+// Guards against sending a request on after its caller has left.
+TEST_P(CallerGone, RequestIsNotSentOn)
+{
+    const CallerGoneCase &row = GetParam();
+    ProxyTestHarness harness(row.scripts);
+    ASSERT_TRUE(row.begin(harness));
+    const std::size_t before = requestsReceived(harness);
+    harness.closeCaller();
+    if (row.complete) {
+        row.complete(harness);
+    }
+    EXPECT_TRUE(
+            harness.waitUntil([&] { return harness.countLogLines("request.caller_gone") == 1; }));
+    for (int i = 0; i < 20; ++i) {
+        harness.io.restart();
+        harness.io.run_one_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_EQ(requestsReceived(harness), before);
+    EXPECT_EQ(harness.tokenReservations.reserved, 0U);
+    EXPECT_EQ(harness.placement.sent, harness.placement.ended);
+}
+
+INSTANTIATE_TEST_SUITE_P(WhileAwaiting, CallerGone, testing::ValuesIn(CallerGoneCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+// Guards against a request that the kernel delivers after it was cancelled.
+TEST(HttpConnection, UnsentBytesOfACancelledCallAreDropped)
+{
+    using boost::asio::ip::tcp;
+    struct Ignored : HttpCallObserver
+    {
+        void onHead(const ResponseHead &) override {}
+        void onBody(std::string_view) override {}
+        void onDone() override {}
+        void onFailed(CallFailure, const std::string &) override {}
+    };
+    constexpr std::size_t BodyBytes = 16 * 1024 * 1024;
+    boost::asio::io_context io;
+    tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+    Ignored observer;
+    const auto connection = std::make_shared<HttpConnection>(io, acceptor.local_endpoint(),
+                                                             HttpConnectionSettings());
+    connection->call(std::string(BodyBytes, 'x'), observer);
+    tcp::socket accepted = acceptor.accept();
+    io.run_for(std::chrono::milliseconds(100));
+    connection->cancel();
+    std::vector<char> buffer(BodyBytes);
+    boost::system::error_code error;
+    while (!error) {
+        accepted.read_some(boost::asio::buffer(buffer), error);
+    }
+    EXPECT_EQ(error, boost::asio::error::connection_reset);
+}
+
+} // namespace
--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -157,9 +157,16 @@
 }
 
 ReservationTicket
-FakeTokenReservations::reserve(const WorkspaceId &, uint64_t tokens, Instant now,
+FakeTokenReservations::reserve(const WorkspaceId &workspace, uint64_t tokens, Instant now,
                                std::function<void(std::optional<Verdict>)> handler)
 {
+    if (isDelayed) {
+        isDelayed = false;
+        delayed = [this, workspace, tokens, now, handler] {
+            reserve(workspace, tokens, now, handler);
+        };
+        return 1;
+    }
     if (tokens > usable) {
         handler(Verdict{Execution::NotRun, Reason::BudgetSpent, "spent", now});
         return 0;
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -4,6 +4,7 @@
 /// One caller's connection and scripted endpoints on loopback, in one event loop. The tests
 /// check what the caller receives and which requests the endpoints receive.
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -110,9 +111,11 @@
 public:
     ReservationTicket reserve(const WorkspaceId &, uint64_t tokens, Instant,
                               std::function<void(std::optional<Verdict>)> handler) override;
-    void cancel(ReservationTicket) override {}
+    void cancel(ReservationTicket) override { delayed = nullptr; }
     void settle(const WorkspaceId &, uint64_t reservedTokens, uint64_t spentTokens) override;
 
+    bool isDelayed = false;        ///< tokens are reserved when the test calls delayed
+    std::function<void()> delayed; ///< the last reservation that waits
     uint64_t usable = 1'000'000;
     uint64_t reserved = 0;
     uint64_t spent = 0;
