--- a/unittests/Decisions/EndpointLimitsTest.cpp
+++ b/unittests/Decisions/EndpointLimitsTest.cpp
@@ -90,6 +90,50 @@
         call(host, 10.0);
     }
 
+    /// Removes the endpoint's entry at all hosts, each within \p spread, and lists the same process
+    /// again after \p away.
+    void delist(Interval away, Interval spread)
+    {
+        for (Node &node : nodes_) {
+            const Instant from = now_ + randomUpTo(spread);
+            at(from, [&node] {
+                node.isListed = false;
+                node.limits->removeEndpoint(Endpoint);
+            });
+            at(from + away, [&node] {
+                node.isListed = true;
+                node.limits->setEndpoint(Endpoint, FirstProcess, 8);
+            });
+        }
+    }
+
+    /// Kills \p count hosts, of which the others learn within \p spread, and starts them again
+    /// after \p away.
+    void replace(int count, Interval away, Interval spread)
+    {
+        std::vector<HostId> left(names_.begin() + count, names_.end());
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            const Instant from = now_ + randomUpTo(spread);
+            at(from, [this, i, left] { nodes_[i].limits->setHosts(left); });
+            at(from + away, [this, i] { nodes_[i].limits->setHosts(names_); });
+        }
+        for (int i = 0; i < count; ++i) {
+            nodes_[index(i)].isListed = false;
+            at(now_ + away, [this, i] {
+                restart(i);
+                nodes_[index(i)].isListed = true;
+            });
+        }
+    }
+
+    /// Lets the first \p count hosts act and read late, by up to \p lag.
+    void slowDown(int count, Interval lag)
+    {
+        for (int i = 0; i < count; ++i) {
+            nodes_[index(i)].lag = lag;
+        }
+    }
+
     /// Lets \p host try to send \p perSecond requests a second, at random times.
     void call(int host, double perSecond)
     {
@@ -139,6 +183,8 @@
     {
         std::unique_ptr<EndpointLimits> limits;
         int process = 0;
+        bool isListed = true; ///< the endpoint, at this host
+        Interval lag{};       ///< by which it acts late at most
     };
 
     struct Event
@@ -161,31 +207,44 @@
     void trySend(int host, bool isRetry = false)
     {
         Node &node = nodes_[index(host)];
+        if (!node.isListed) {
+            return;
+        }
         if (!node.limits->isAvailable(Endpoint, now_)) {
             requestSlot(host);
             return;
         }
         node.limits->onSent(Endpoint, now_);
-        arrivals_.push_back(now_);
+        const Instant arrivesAt = now_ + lagOf(node);
+        at(arrivesAt, [this] { arrivals_.push_back(now_); });
         EndpointNotice notice;
         notice.maxRequestsPerSecond = limit;
         constexpr Interval Work = std::chrono::milliseconds(20);
         const bool retries = rejects && !isRetry;
-        at(now_ + Work, [this, host, notice, retries, sentAt = now_, process = node.process] {
-            Node &answered = nodes_[index(host)];
-            if (answered.process != process) {
-                return;
-            }
-            if (retries) {
-                trySend(host, true);
-            }
-            if (answered.limits->onNotice(Endpoint, notice, sentAt, now_)) {
-                for (std::size_t i = 0; i < nodes_.size(); ++i) {
-                    tell(i, *answered.limits->recordOf(Endpoint));
-                }
-            }
-        });
+        at(arrivesAt + Work + lagOf(node),
+           [this, host, notice, retries, sentAt = now_, process = node.process] {
+               Node &answered = nodes_[index(host)];
+               if (answered.process != process) {
+                   return;
+               }
+               if (retries) {
+                   trySend(host, true);
+               }
+               if (answered.limits->onNotice(Endpoint, notice, sentAt, now_)) {
+                   for (std::size_t i = 0; i < nodes_.size(); ++i) {
+                       tell(i, *answered.limits->recordOf(Endpoint));
+                   }
+               }
+           });
+    }
+
+    Interval randomUpTo(Interval most)
+    {
+        return most == Interval::zero() ? most
+                                        : Interval(static_cast<int64_t>(
+                                                random_() % static_cast<uint64_t>(most.count())));
     }
+    Interval lagOf(const Node &node) { return randomUpTo(node.lag); }
 
     bool isLost() { return std::uniform_real_distribution<double>()(random_) < lossShare; }
 
@@ -198,12 +257,14 @@
             return;
         }
         const auto holderIndex = static_cast<std::size_t>(holder - names_.begin());
-        at(now_ + std::chrono::milliseconds(2), [this, host, holderIndex, request] {
+        const Interval toHolder = std::chrono::milliseconds(2) + lagOf(nodes_[holderIndex]);
+        at(now_ + toHolder, [this, host, holderIndex, request] {
             const SlotResponse response = nodes_[holderIndex].limits->lendSlot(*request, now_);
             if (isLost()) {
                 return;
             }
-            at(now_ + std::chrono::milliseconds(2), [this, host, response] {
+            const Interval back = std::chrono::milliseconds(2) + lagOf(nodes_[index(host)]);
+            at(now_ + back, [this, host, response] {
                 nodes_[index(host)].limits->onSlotResponse(response, now_);
             });
         });
@@ -215,10 +276,11 @@
             return;
         }
         const Interval age = now_ - record.observedAt;
-        at(now_ + std::chrono::milliseconds(2), [this, host, record, age]() mutable {
-            record.observedAt = now_ - age;
-            nodes_[host].limits->onRecord(record, now_);
-        });
+        at(now_ + std::chrono::milliseconds(2) + lagOf(nodes_[host]),
+           [this, host, record, age]() mutable {
+               record.observedAt = now_ - age;
+               nodes_[host].limits->onRecord(record, now_);
+           });
     }
 
     void gossip()
@@ -329,6 +391,13 @@
               allowedInWindow(row.limit));
 }
 
+void returnTwice(LimitedFleet &fleet)
+{
+    fleet.delist(std::chrono::milliseconds(500), std::chrono::milliseconds(50));
+    fleet.run(std::chrono::seconds(1));
+    fleet.delist(std::chrono::milliseconds(500), std::chrono::milliseconds(50));
+}
+
 const FleetEvent FleetEvents[] = {
         {"AJoin", 6, 2.1,
          [](LimitedFleet &fleet) {
@@ -358,6 +427,31 @@
          [](LimitedFleet &fleet) {
              fleet.lossShare = 0.6;
          }},
+        // Entries that expire although their endpoints live on are back with the next heartbeat.
+        {"AnEntryThatReturns", 6, 2.1,
+         [](LimitedFleet &fleet) {
+             fleet.delist(std::chrono::seconds(1), std::chrono::milliseconds(50));
+         }},
+        {"AnEntryThatReturnsInALargeFleet", 61, 2.1,
+         [](LimitedFleet &fleet) {
+             fleet.delist(std::chrono::seconds(1), std::chrono::milliseconds(50));
+         }},
+        {"AnEntryThatReturnsTwice", 6, 2.1, returnTwice},
+        {"AnEntryThatReturnsTwiceInALargeFleet", 61, 2.1, returnTwice},
+        {"HalfOfTheHostsKilled", 61, 4.0,
+         [](LimitedFleet &fleet) {
+             fleet.replace(30, std::chrono::seconds(1), std::chrono::seconds(2));
+         }},
+        {"SlowHosts", 61, 4.0,
+         [](LimitedFleet &fleet) {
+             fleet.slowDown(20, std::chrono::seconds(1));
+         }},
+        {"SlowHostsAndAnEntryThatReturns", 61, 4.0,
+         [](LimitedFleet &fleet) {
+             fleet.slowDown(20, std::chrono::seconds(1));
+             fleet.run(std::chrono::seconds(3));
+             fleet.delist(std::chrono::seconds(1), std::chrono::milliseconds(300));
+         }},
         // The bound is that of the earlier, higher limit.
         {"ALowerLimit", 6, 8.0,
          [](LimitedFleet &fleet) {
