[Proxy] Log what a request waited for when its caller left

request.caller_gone names the request's state and age, so that a close that was read late is told from one that came late: the former stands behind a line loop.held_up of about its age.

--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -875,6 +875,9 @@
     log(Event("request.caller_gone")
                 .with("why", callerCloseReasonName(reason))
                 .with("detail", detail)
+                .with("state", statechart_.state())
+                .with("age_ms",
+                      millis(std::chrono::steady_clock::now() - request_.receivedAt).count())
                 .with("passed_on", possibleExecutions_ > 0)
                 .with("answering", streaming_));
     recordLocalEnd(AttemptOutcome::Cancelled);
