[Proxy] [Edge] Send nothing on for callers that have left

Callers saw nothing; endpoints got requests, and did work, for callers that had left (GONE).

Cause: a caller's close was looked for when its request began, and read in turn with all else afterwards. When tokens, a connection, a relay's handshake or the response that leads to a retry was handled before the close, the request was sent, although the close had been in the kernel for as long as the event loop was held up. In the same way a relay passed on what its host had given up, and the kernel went on sending what was cancelled and not acknowledged.

Now each exchange looks for the close before it is placed and when its connection stands, a relay before it passes a request on, and a connection with unacknowledged bytes is reset when it is closed.

Evidence: CallerGone (five rows), UnsentBytesOfACancelledCallAreDropped and DropsARequestThatWasCancelled failed before and pass unchanged. The moment of sending is the last one at which the host decides anything, so that what is looked up there can't be older than the handler that sends.

--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -50,15 +50,13 @@
     void streamData(std::string_view bytes) override;
     void endStream() override;
     void abort() override;
+    bool checkCallerGone() override;
     std::size_t backlog() const override { return backlog_; }
 
     void read();
     void onRead(const ErrorCode &error, std::size_t bytes);
     void readRequest();
     void beginExchange();
-    /// Checks without reading whether the peer has closed or reset the connection.
-    /// \returns the error, or no error while the connection is open.
-    ErrorCode peekCloseError();
     void onPeerClosed(const ErrorCode &error);
     void refuseRequest(HttpParseError error);
     void onResponseQueued(bool keepAlive);
--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -88,7 +88,8 @@
     /// first if necessary. \pre no call is open.
     void call(std::string request, HttpCallObserver &observer);
     /// Aborts the open call, if any, and closes the connection, upon which a server cancels the
-    /// work. The observer isn't called any more.
+    /// work. What the server hasn't acknowledged yet is dropped: after an orderly close the kernel
+    /// would go on sending it. The observer isn't called any more.
     void cancel();
     /// Stops reading until resumeReading, for backpressure from a slower caller.
     void pauseReading() { readingPaused_ = true; }
--- a/include/sequoiagate/Proxy/ResponseSink.h
+++ b/include/sequoiagate/Proxy/ResponseSink.h
@@ -23,6 +23,9 @@
     virtual void endStream() = 0;
     /// Closes the caller's connection, so that a partial response doesn't look complete.
     virtual void abort() = 0;
+    /// Checks whether the caller has closed or reset its connection, also if that close hasn't been
+    /// read yet. If so, the exchange is notified as of any close and has ended on return.
+    virtual bool checkCallerGone() = 0;
     /// Bytes that are queued and not yet written to the caller's socket.
     virtual std::size_t backlog() const = 0;
 };
--- /dev/null
+++ b/include/sequoiagate/Proxy/SocketState.h
@@ -0,0 +1,23 @@
+#ifndef SEQUOIAGATE_PROXY_SOCKETSTATE_H
+#define SEQUOIAGATE_PROXY_SOCKETSTATE_H
+
+/// What the kernel knows of a connection before its events are handled.
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace sequoiagate {
+
+/// Checks without reading whether the peer has closed or reset the connection. A close behind
+/// bytes that haven't been read isn't noticed.
+/// \returns the error that a read would return, or none while the connection is open
+/// \pre \p socket is open and non-blocking. Not thread safe.
+boost::system::error_code peekCloseError(boost::asio::ip::tcp::socket &socket);
+
+/// Lets a close of \p socket reset the connection if the peer hasn't acknowledged everything that
+/// was sent. After an orderly close the kernel goes on sending it, even after a partition.
+/// Not thread safe.
+void dropUnsentOnClose(boost::asio::ip::tcp::socket &socket);
+
+} // namespace sequoiagate
+
+#endif
--- a/lib/Edge/RelayServer.cpp
+++ b/lib/Edge/RelayServer.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include "sequoiagate/Proxy/HttpReader.h"
+#include "sequoiagate/Proxy/SocketState.h"
 #include "sequoiagate/Service/DeadlineTimer.h"
 
 namespace sequoiagate {
@@ -36,6 +37,7 @@
     {
         error_code ignored;
         peer_.set_option(tcp::no_delay(true), ignored);
+        peer_.non_blocking(true, ignored);
         reader_.emplace(HttpReaderLimits());
         closeAt(std::chrono::steady_clock::now() + HandshakeTimeout);
         readHandshake();
@@ -50,6 +52,7 @@
         timer_.disarm();
         error_code ignored;
         peer_.close(ignored);
+        dropUnsentOnClose(endpoint_);
         endpoint_.close(ignored);
         server_.onClosed(shared_from_this());
     }
@@ -170,6 +173,11 @@
                                                self->onEnd(direction, error);
                                                return;
                                            }
+                                           if (&direction == &self->forth_
+                                               && peekCloseError(self->peer_)) {
+                                               self->onEnd(direction, asio::error::eof);
+                                               return;
+                                           }
                                            self->write(direction, bytes);
                                        });
     }
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "Refusals.h"
+#include "sequoiagate/Proxy/SocketState.h"
 
 namespace sequoiagate {
 
@@ -148,12 +149,16 @@
     }
 }
 
-CallerConnection::ErrorCode CallerConnection::peekCloseError()
+bool CallerConnection::checkCallerGone()
 {
-    char next = 0;
-    ErrorCode error;
-    socket_.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block ? ErrorCode() : error;
+    if (isClosed_) {
+        return true;
+    }
+    const ErrorCode closeError = peekCloseError(socket_);
+    if (closeError) {
+        onPeerClosed(closeError);
+    }
+    return static_cast<bool>(closeError);
 }
 
 void CallerConnection::onPeerClosed(const ErrorCode &error)
@@ -165,10 +170,7 @@
 void CallerConnection::beginExchange()
 {
     timer_.disarm();
-    // The caller may have disconnected while the request was waiting; an endpoint would then
-    // do work whose result nobody receives.
-    if (const ErrorCode closeError = peekCloseError()) {
-        onPeerClosed(closeError);
+    if (checkCallerGone()) {
         return;
     }
     CallerRequest request;
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -301,7 +301,9 @@
 
 void Exchange::placeNow()
 {
-    if (refuseQuarantined()) {
+    // While the event loop is held up, what was awaited may be handled before the caller's close,
+    // and an endpoint would do work whose result nobody receives.
+    if (sink_.checkCallerGone() || refuseQuarantined()) {
         return;
     }
     const Instant now = std::chrono::steady_clock::now();
@@ -456,6 +458,7 @@
     } else {
         context_.placement.onRelayResult(attempt_->relay, RelayResult::Connected, now);
     }
+    sink_.checkCallerGone();
 }
 
 void Exchange::onHead(const ResponseHead &head)
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include "sequoiagate/Proxy/RelayHandshake.h"
+#include "sequoiagate/Proxy/SocketState.h"
 
 namespace sequoiagate {
 
@@ -103,10 +104,13 @@
 void HttpConnection::onEstablished()
 {
     connectTimer_.cancel();
-    connected_ = true;
     if (observer_ != nullptr) {
         observer_->onConnected();
     }
+    if (closed_) {
+        return;
+    }
+    connected_ = true;
     write();
     read();
 }
@@ -315,6 +319,7 @@
     }
     closed_ = true;
     connectTimer_.cancel();
+    dropUnsentOnClose(socket_);
     ErrorCode ignored;
     socket_.close(ignored);
 }
