[Decisions] [Edge] Keep an endpoint's limits while its entry is missing

Endpoints that named a limit got more requests than it allows (LIMIT) when their entries went and returned, as entries do that expire while their endpoints can't reach the store.

Cause: each host dropped the limits of an endpoint with its entry. Since all hosts read the same rows, all of them forgot it within milliseconds, and began anew without a limit although the same process was listed again.

Limits are now kept for two minutes without an entry, by the endpoint's process: one that was started anew begins without.

Whether this is what the users saw isn't known: there is no record.

LimitEndsWithTheEndpointsEntry demanded the fault. LimitOutlivesTheEndpointsEntryForATime replaces it: the limit holds when the process is listed again, for exactly the time, and ends after it.

--- a/include/sequoiagate/Decisions/EndpointLimits.h
+++ b/include/sequoiagate/Decisions/EndpointLimits.h
@@ -71,6 +71,10 @@
 class EndpointLimits
 {
 public:
+    /// How long the limits of an endpoint without an entry are kept. Entries expire while their
+    /// endpoints can't reach the store, at the same moment for all hosts.
+    static constexpr Interval DelistedLifetime = std::chrono::minutes(2);
+
     /// How long the end of a limit is told to other hosts.
     static constexpr Interval EndedRecordLifetime = std::chrono::seconds(10);
 
@@ -89,7 +93,11 @@
     void setHosts(std::vector<HostId> hosts);
     /// Sets the process that listens as \p endpoint; what was known of an earlier one is dropped.
     void setEndpoint(const EndpointId &endpoint, uint64_t startedAtMillis, uint32_t slots);
-    void removeEndpoint(const EndpointId &endpoint);
+    /// Records that \p endpoint isn't listed any more. Its process may live on and be listed again,
+    /// so its limits are kept for DelistedLifetime.
+    void removeEndpoint(const EndpointId &endpoint, Instant now);
+    /// Drops the limits that were kept for long enough. To be called now and then.
+    void dropExpired(Instant now);
 
     /// Records the notice of a response to a request that was sent at \p sentAt.
     /// \returns whether the other hosts should be told at once
@@ -161,6 +169,7 @@
     struct Endpoint
     {
         EndpointLimitRecord record;
+        Instant dropAt = Never; ///< set while it isn't listed
         Instant lastNamedAt{};  ///< a response that named a limit arrived
         uint32_t slotCount = 1; ///< requests that it runs at once
         uint32_t open = 0;      ///< requests of this host there
--- a/lib/Decisions/EndpointLimits.cpp
+++ b/lib/Decisions/EndpointLimits.cpp
@@ -79,6 +79,7 @@
 {
     const auto [found, added] = endpoints_.try_emplace(endpoint);
     EndpointLimitRecord &known = found->second.record;
+    found->second.dropAt = Never;
     if (found->second.slotCount != slots) {
         found->second.slotCount = slots;
         computeShare(found->second);
@@ -97,13 +98,26 @@
     found->second.slotRequest.reset();
 }
 
-void EndpointLimits::removeEndpoint(const EndpointId &endpoint)
+void EndpointLimits::removeEndpoint(const EndpointId &endpoint, Instant now)
 {
     const auto found = endpoints_.find(endpoint);
-    if (found != endpoints_.end()) {
-        limitedCount_ -= hasLimit(found->second.record) ? 1 : 0;
-        endpoints_.erase(found);
+    if (found == endpoints_.end()) {
+        return;
+    }
+    if (hasLimit(found->second.record)) {
+        found->second.dropAt = now + DelistedLifetime;
+        return;
     }
+    endpoints_.erase(found);
+}
+
+void EndpointLimits::dropExpired(Instant now)
+{
+    std::erase_if(endpoints_, [this, now](const auto &entry) {
+        const bool isExpired = now >= entry.second.dropAt;
+        limitedCount_ -= isExpired && hasLimit(entry.second.record) ? 1 : 0;
+        return isExpired;
+    });
 }
 
 void EndpointLimits::apply(Endpoint &endpoint, const EndpointLimitRecord &record)
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -168,13 +168,14 @@
     std::erase_if(entries_, [this, now](const auto &entry) {
         const bool isOver = now >= entry.second.removeAt;
         if (isOver) {
-            limits_.removeEndpoint(entry.first);
+            limits_.removeEndpoint(entry.first, now);
         }
         return isOver;
     });
     if (entries_.size() != before) {
         changed_ = true;
     }
+    limits_.dropExpired(now);
     // Those that are still here belong to callers who left while they waited.
     std::erase_if(waiting_,
                   [now](const auto &entry) { return now >= entry.second.until + MaxSlotWait; });
