--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -284,11 +284,18 @@
     return arrivals_;
 }
 
+std::map<std::string, Instant> EndpointStandin::arrivalsById()
+{
+    const std::lock_guard lock(mutex_);
+    return arrivalsById_;
+}
+
 void EndpointStandin::serve(const httplib::Request &request, httplib::Response &response)
 {
     {
         const std::lock_guard lock(mutex_);
         arrivals_.push_back(std::chrono::steady_clock::now());
+        arrivalsById_[request.get_header_value("Request-Id")] = arrivals_.back();
         if (limit_) {
             response.set_header("Server-Limit", fmt::format("{}", *limit_));
         }
--- a/test/Support/PlatformStandin.h
+++ b/test/Support/PlatformStandin.h
@@ -118,6 +118,8 @@
     void setLimit(std::optional<double> perSecond);
     /// When each request arrived, including those that it didn't run.
     std::vector<Instant> arrivals();
+    /// When the request with each id arrived last.
+    std::map<std::string, Instant> arrivalsById();
 
 private:
     void serve(const httplib::Request &request, httplib::Response &response);
@@ -133,6 +135,7 @@
     bool held_ = false;
     std::optional<double> limit_;
     std::vector<Instant> arrivals_;
+    std::map<std::string, Instant> arrivalsById_;
     HttpStandin http_;
 };
 
