--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -278,6 +278,36 @@
     limit_ = perSecond;
 }
 
+void EndpointStandin::setLeaving(bool leaving)
+{
+    const std::lock_guard lock(mutex_);
+    leaving_ = leaving;
+}
+
+void EndpointStandin::setBackoff(std::optional<std::chrono::milliseconds> backoff)
+{
+    const std::lock_guard lock(mutex_);
+    backoff_ = backoff;
+}
+
+bool EndpointStandin::applyNotices(const httplib::Request &request, httplib::Response &response)
+{
+    const std::lock_guard lock(mutex_);
+    arrivals_.push_back(std::chrono::steady_clock::now());
+    arrivalsById_[request.get_header_value("Request-Id")] = arrivals_.back();
+    if (limit_) {
+        response.set_header("Server-Limit", fmt::format("{}", *limit_));
+    }
+    if (leaving_) {
+        response.set_header("Server-Leaving", "1");
+    }
+    if (backoff_) {
+        const std::chrono::duration<double> seconds = *backoff_;
+        response.set_header("Retry-After", fmt::format("{}", seconds.count()));
+    }
+    return backoff_.has_value();
+}
+
 std::vector<Instant> EndpointStandin::arrivals()
 {
     const std::lock_guard lock(mutex_);
@@ -292,20 +322,18 @@
 
 void EndpointStandin::serve(const httplib::Request &request, httplib::Response &response)
 {
-    {
-        const std::lock_guard lock(mutex_);
-        arrivals_.push_back(std::chrono::steady_clock::now());
-        arrivalsById_[request.get_header_value("Request-Id")] = arrivals_.back();
-        if (limit_) {
-            response.set_header("Server-Limit", fmt::format("{}", *limit_));
-        }
-    }
+    const bool rejects = applyNotices(request, response);
     response.set_header("Request-Id", request.get_header_value("Request-Id"));
     const std::string id = this->id();
     if (request.get_header_value("Expect-Instance") != id) {
         response.status = 421;
         return;
     }
+    if (rejects) {
+        response.status = 503;
+        response.set_header("Not-Executed", "1");
+        return;
+    }
     ++runs_;
     const std::string prompt = request.get_header_value("Prompt-Prefix");
     if (crash_ && prompt.find(crashPart_ + ":") != std::string::npos) {
--- a/test/Support/PlatformStandin.h
+++ b/test/Support/PlatformStandin.h
@@ -116,6 +116,10 @@
     void hold(bool held);
     /// Sets the requests per second that answers name as the endpoint's limit; nullopt: none.
     void setLimit(std::optional<double> perSecond);
+    /// Lets all answers say that the endpoint is leaving.
+    void setLeaving(bool leaving);
+    /// Lets it reject all requests and ask for this time without any; nullopt: it serves.
+    void setBackoff(std::optional<std::chrono::milliseconds> backoff);
     /// When each request arrived, including those that it didn't run.
     std::vector<Instant> arrivals();
     /// When the request with each id arrived last.
@@ -123,6 +127,9 @@
 
 private:
     void serve(const httplib::Request &request, httplib::Response &response);
+    /// Notes the arrival, and adds what the endpoint says of itself. \returns whether it rejects
+    /// the request
+    bool applyNotices(const httplib::Request &request, httplib::Response &response);
 
     std::string id_;
     std::string version_;
@@ -134,6 +141,8 @@
     std::condition_variable released_;
     bool held_ = false;
     std::optional<double> limit_;
+    bool leaving_ = false;
+    std::optional<std::chrono::milliseconds> backoff_;
     std::vector<Instant> arrivals_;
     std::map<std::string, Instant> arrivalsById_;
     HttpStandin http_;
