[Decisions] [Edge] Send nothing new to endpoints that say that they are leaving

Cause: only the entry's state was read.

EndpointWithdrawals keeps what an endpoint's process said, with or without an entry, and EndpointDirectory treats it as draining in all places. A notice belongs to the process that was listed when the request was sent: one of a process before the listed one is ignored, which holds for limits as well now. A relay reads the head of the response that it carries.

No message between hosts is new.

--- a/include/sequoiagate/Decisions/EndpointNotice.h
+++ b/include/sequoiagate/Decisions/EndpointNotice.h
@@ -1,11 +1,15 @@
 #ifndef SEQUOIAGATE_DECISIONS_ENDPOINTNOTICE_H
 #define SEQUOIAGATE_DECISIONS_ENDPOINTNOTICE_H
 
-/// What an endpoint's response says about the load that the endpoint bears.
+/// What an endpoint's response says about the endpoint: the load that it bears, and whether it
+/// wants more.
 
 #include <cstdint>
 #include <optional>
 
+#include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/Time.h"
+
 namespace sequoiagate {
 
 struct EndpointNotice
@@ -16,6 +20,17 @@
     std::optional<uint32_t> maxRejectionsPerSecond;
     /// It rejected this request, for lack of capacity.
     bool rejected = false;
+    /// It is about to end and takes no new requests.
+    bool isLeaving = false;
+};
+
+/// The process of an endpoint that a notice is about, and the request whose response bears it.
+struct NoticeSource
+{
+    EndpointId endpoint;
+    uint64_t startedAtMillis = 0; ///< of the process that was listed when the request was sent
+    RequestId request;
+    Instant sentAt{};
 };
 
 } // namespace sequoiagate
--- /dev/null
+++ b/include/sequoiagate/Decisions/EndpointWithdrawals.h
@@ -0,0 +1,70 @@
+#ifndef SEQUOIAGATE_DECISIONS_ENDPOINTWITHDRAWALS_H
+#define SEQUOIAGATE_DECISIONS_ENDPOINTWITHDRAWALS_H
+
+/// Decides to which endpoints this host sends nothing new because they said so in their responses.
+/// Pure.
+///
+/// Leaving: an endpoint that says so in a response gets no new requests from this host, whatever
+/// its entry says.
+///
+/// What an endpoint says holds for its process and ends with it: one that starts again under its id
+/// is told from the one before by the time of its start. It doesn't end with the endpoint's entry,
+/// which may expire while the process lives on.
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Decisions/EndpointNotice.h"
+
+namespace sequoiagate {
+
+/// Not thread safe.
+class EndpointWithdrawals
+{
+public:
+    /// How long what an endpoint said is kept without an entry. Longer than endpoints take to end.
+    static constexpr Interval DelistedLifetime = std::chrono::minutes(10);
+
+    /// Sets the process that listens as \p endpoint; what an earlier one said is dropped.
+    void setEndpoint(const EndpointId &endpoint, uint64_t startedAtMillis);
+    /// Records that \p endpoint isn't listed any more.
+    void removeEndpoint(const EndpointId &endpoint, Instant now);
+    /// Drops what was kept for long enough. To be called now and then.
+    void dropExpired(Instant now);
+
+    /// Records a response by which the endpoint says that it is leaving. One of an earlier process
+    /// than the listed one is ignored. \returns whether that is new
+    bool onLeaving(const NoticeSource &source, Instant now);
+    bool isLeaving(const EndpointId &endpoint) const;
+    /// What \p endpoint said, in which response and how long ago, for logs; empty if nothing holds.
+    std::string describe(const EndpointId &endpoint, Instant now) const;
+    /// The number of endpoints that said that they are leaving and are listed.
+    std::size_t leavingCount() const;
+
+private:
+    /// What a response said.
+    struct Statement
+    {
+        RequestId request;
+        Instant saidAt{};
+    };
+
+    struct Endpoint
+    {
+        uint64_t startedAtMillis = 0;
+        Instant dropAt = Never; ///< set while it isn't listed
+        std::optional<Statement> leaving;
+    };
+
+    /// What is known of the process that \p source names; nullptr if a later one is listed.
+    Endpoint *findProcess(const NoticeSource &source, Instant now);
+
+    std::map<EndpointId, Endpoint> endpoints_;
+};
+
+} // namespace sequoiagate
+
+#endif
--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -14,6 +14,7 @@
 
 #include <exception>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -38,6 +39,7 @@
 
 class CrashingPartsLink;
 class RelayServer;
+struct RelayTarget;
 class StatusServer;
 class StreamOriginLink;
 
@@ -78,6 +80,8 @@
     void tick();
     void onHostsChanged(const std::vector<Peer> &others);
     void startRelayServer();
+    std::optional<RelayTarget> relayTarget(const EndpointId &endpoint) const;
+    void onRelayedResponse(NoticeSource source, const ResponseHead &head);
     /// Tries a connection during a partition, to find out whether it is over.
     void probeEndpoint(Instant now);
     void gossip(Instant now);
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -3,7 +3,9 @@
 
 /// Tracks the endpoints that the platform lists and selects one for each request.
 ///
-/// - An endpoint that is draining or whose entry is removed gets no new requests from then on.
+/// - An endpoint that is draining or whose entry is removed gets no new requests from then on;
+/// neither
+///   does one that has said in a response that it is leaving.
 /// - Entries expire when their endpoints can't renew them, so after an outage of the store the
 ///   entries of live endpoints are missing until they are written again. An endpoint whose entry
 ///   disappears during an outage or shortly after it therefore stays in use for a grace period.
@@ -25,6 +27,7 @@
 #include "sequoiagate/Decisions/DistributedRetryBudget.h"
 #include "sequoiagate/Decisions/EndpointLimits.h"
 #include "sequoiagate/Decisions/EndpointSelector.h"
+#include "sequoiagate/Decisions/EndpointWithdrawals.h"
 #include "sequoiagate/Decisions/PartitionDetector.h"
 #include "sequoiagate/Decisions/RelaySelector.h"
 #include "sequoiagate/Decisions/VersionHistory.h"
@@ -77,11 +80,21 @@
     /// Sets the other hosts that relay requests.
     void setRelays(std::map<HostId, boost::asio::ip::tcp::endpoint> relays);
     bool isPartitioned() const { return partition_.isPartitioned(); }
+    /// Whether \p endpoint takes no new requests, by its entry or its responses.
+    bool isLeaving(const EndpointEntry &entry) const
+    {
+        return entry.draining || withdrawals_.isLeaving(entry.id);
+    }
     /// The address of \p endpoint if it takes new requests.
     std::optional<boost::asio::ip::tcp::endpoint> addressOf(const EndpointId &endpoint) const;
     /// The endpoint to which a connection should be tried now, to find out whether a partition is
     /// over. To be called several times a second.
     std::optional<std::pair<EndpointId, boost::asio::ip::tcp::endpoint>> probeTarget(Instant now);
+    /// The start of the process that is listed as \p endpoint; 0 if none is.
+    uint64_t startedAtMillis(const EndpointId &endpoint) const;
+    /// Takes over what the endpoint of a relayed request said to this host. Its limits are left to
+    /// the host that sent the request.
+    void onRelayedNotice(const NoticeSource &source, const EndpointNotice &notice, Instant now);
     /// Takes over what another host observed.
     void onPeerLimits(const std::vector<EndpointLimitRecord> &records, Instant now);
     void onPeerRejection(const EndpointLimitRecord &record, Instant now);
@@ -98,6 +111,7 @@
     {
         return limits_.records(now);
     }
+    std::size_t leavingByResponse() const { return withdrawals_.leavingCount(); }
     std::size_t limitedEndpoints() const { return limits_.limitedCount(); }
     /// The number of requests that an endpoint's limit sent elsewhere or refused.
     uint64_t limitedRequests() const { return limitedRequests_; }
@@ -112,8 +126,7 @@
     void onSent(const EndpointId &endpoint, const WorkItem &item, Instant now) override;
     void onFirstToken(const EndpointId &endpoint, const RequestId &request, Instant now) override;
     void onAttemptEnd(const AttemptResult &result, Instant now) override;
-    void onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant sentAt,
-                  Instant now) override;
+    void onNotice(const NoticeSource &source, const EndpointNotice &notice, Instant now) override;
     void onConnected(const EndpointId &endpoint, Instant now) override;
     void onConnectFailed(const EndpointId &endpoint, Instant now) override;
     void onResponse(const EndpointId &endpoint, Instant now) override;
@@ -151,6 +164,7 @@
     std::string describeLimits(const std::vector<EndpointId> &endpoints, Instant now) const;
     void logLimit(const EndpointLimitRecord &record, const char *source) const;
     void logServiceChanges();
+    void onLeavingNotice(const NoticeSource &source, const char *heardFrom, Instant now);
 
     struct ListedEndpoint
     {
@@ -177,6 +191,7 @@
     EventLog &log_;
     EndpointSelector selector_;
     EndpointLimits limits_;
+    EndpointWithdrawals withdrawals_;
     PartitionDetector partition_;
     RelaySelector relaySelector_;
     std::map<HostId, boost::asio::ip::tcp::endpoint> relays_;
--- a/include/sequoiagate/Proxy/Dialect.h
+++ b/include/sequoiagate/Proxy/Dialect.h
@@ -62,6 +62,16 @@
     EndpointNotice notice;
 };
 
+/// The response status of a program that has taken over an endpoint's address.
+inline constexpr int MisdirectedStatus = 421;
+
+/// Whether a response comes from the endpoint that its request was sent to, not from another
+/// program at its address. Thread-safe.
+inline bool isFromEndpoint(const ResponseHead &head, const ResponseMetadata &metadata)
+{
+    return head.status != MisdirectedStatus && (metadata.notExecuted || metadata.hasSignature);
+}
+
 /// Immutable and therefore thread-safe.
 class Dialect
 {
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -56,6 +56,7 @@
     std::optional<RelayRoute> relay;
     std::string limits; ///< the endpoint's limits, and those that excluded others, for logs
     SoftwareVersion version;
+    uint64_t startedAtMillis = 0; ///< identifies the endpoint's process
 };
 
 /// No endpoint may be used yet; the request is to be placed again at this time.
@@ -78,8 +79,8 @@
     virtual void onFirstToken(const EndpointId &endpoint, const RequestId &request,
                               Instant now) = 0;
     virtual void onAttemptEnd(const AttemptResult &result, Instant now) = 0;
-    /// The endpoint's response to a request sent at \p sentAt has arrived, with this notice.
-    virtual void onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant sentAt,
+    /// A response of an endpoint has arrived, with this notice.
+    virtual void onNotice(const NoticeSource &source, const EndpointNotice &notice,
                           Instant now) = 0;
     /// A connection of this host to an endpoint was established, or failed to be.
     virtual void onConnected(const EndpointId &endpoint, Instant now) = 0;
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -201,7 +201,7 @@
                         return drain_.state() == "serving" && !endpoints_.isPartitioned()
                                && tokens_->isListed(process);
                     },
-                    [this](const EndpointId &endpoint) { return endpoints_.addressOf(endpoint); },
+                    [this](const EndpointId &endpoint) { return relayTarget(endpoint); },
                     [this](const EndpointId &endpoint, bool connected) {
                         const Instant now = std::chrono::steady_clock::now();
                         if (connected) {
@@ -209,9 +209,30 @@
                         } else {
                             endpoints_.onConnectFailed(endpoint, now);
                         }
+                    },
+                    [this](const NoticeSource &source, const ResponseHead &head) {
+                        onRelayedResponse(source, head);
                     }});
 }
 
+std::optional<RelayTarget> Edge::relayTarget(const EndpointId &endpoint) const
+{
+    const std::optional<tcp::endpoint> address = endpoints_.addressOf(endpoint);
+    if (!address) {
+        return std::nullopt;
+    }
+    return RelayTarget{*address, endpoints_.startedAtMillis(endpoint)};
+}
+
+void Edge::onRelayedResponse(NoticeSource source, const ResponseHead &head)
+{
+    const ResponseMetadata metadata = adapter_.dialect().decodeResponse(head);
+    if (isFromEndpoint(head, metadata)) {
+        source.request = metadata.requestId;
+        endpoints_.onRelayedNotice(source, metadata.notice, std::chrono::steady_clock::now());
+    }
+}
+
 void Edge::onHostsChanged(const std::vector<Peer> &others)
 {
     std::vector<HostId> hosts = {settings_.host};
@@ -561,6 +582,8 @@
     };
     metrics_.gauge("edge_callers", static_cast<double>(callers_.size()));
     metrics_.gauge("edge_endpoints_usable", static_cast<double>(endpoints_.usable()));
+    metrics_.gauge("edge_endpoints_leaving_by_response",
+                   static_cast<double>(endpoints_.leavingByResponse()));
     metrics_.gauge("edge_endpoints_limited", static_cast<double>(endpoints_.limitedEndpoints()));
     metrics_.gauge("edge_partitioned", endpoints_.isPartitioned() ? 1.0 : 0.0);
     metrics_.gauge("edge_requests_relayed_now",
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -113,6 +113,7 @@
         listed.excludedUntil = Instant();
     }
     limits_.setEndpoint(entry.id, entry.startedAtMillis, entry.slots);
+    withdrawals_.setEndpoint(entry.id, entry.startedAtMillis);
     changed_ = true;
     log_.write(Event(added ? "endpoint.listed" : "endpoint.changed")
                        .with("endpoint", entry.id)
@@ -169,6 +170,7 @@
         const bool isOver = now >= entry.second.removeAt;
         if (isOver) {
             limits_.removeEndpoint(entry.first, now);
+            withdrawals_.removeEndpoint(entry.first, now);
         }
         return isOver;
     });
@@ -176,6 +178,7 @@
         changed_ = true;
     }
     limits_.dropExpired(now);
+    withdrawals_.dropExpired(now);
     // Those that are still here belong to callers who left while they waited.
     std::erase_if(waiting_,
                   [now](const auto &entry) { return now >= entry.second.until + MaxSlotWait; });
@@ -196,7 +199,7 @@
         spec.domain = listed.entry.domain;
         spec.services = {listed.entry.service};
         spec.slots = listed.entry.slots;
-        spec.leaving = listed.entry.draining;
+        spec.leaving = isLeaving(listed.entry);
         specs.push_back(std::move(spec));
     }
     // Sorted by id, so that the choice doesn't depend on the order of the hash table.
@@ -211,7 +214,7 @@
 {
     std::set<ServiceId> served;
     for (const auto &[id, listed] : entries_) {
-        if (!listed.entry.draining) {
+        if (!isLeaving(listed.entry)) {
             served.insert(listed.entry.service);
         }
     }
@@ -240,7 +243,7 @@
 {
     return static_cast<std::size_t>(
             std::count_if(entries_.begin(), entries_.end(),
-                          [](const auto &entry) { return !entry.second.entry.draining; }));
+                          [this](const auto &entry) { return !isLeaving(entry.second.entry); }));
 }
 
 std::vector<ListedVersion> EndpointDirectory::listedVersions() const
@@ -270,10 +273,10 @@
 bool EndpointDirectory::isVersionLeft(const WorkItem &item) const
 {
     return !item.version
-           || std::any_of(entries_.begin(), entries_.end(), [&item](const auto &entry) {
+           || std::any_of(entries_.begin(), entries_.end(), [this, &item](const auto &entry) {
                   const EndpointEntry &listed = entry.second.entry;
                   return listed.service == item.service && listed.version == *item.version
-                         && !listed.draining;
+                         && !isLeaving(listed);
               });
 }
 
@@ -351,9 +354,13 @@
                               describeLimits(limited, now));
     }
     const ListedEndpoint &listed = entries_.at(chosen.endpoint);
-    return PlacementTarget{chosen.endpoint,   listed.address,
-                           chosen.reason,     relayFor(item, chosen.endpoint, now),
-                           std::move(limits), listed.entry.version};
+    return PlacementTarget{chosen.endpoint,
+                           listed.address,
+                           chosen.reason,
+                           relayFor(item, chosen.endpoint, now),
+                           std::move(limits),
+                           listed.entry.version,
+                           listed.entry.startedAtMillis};
 }
 
 PlacementResult EndpointDirectory::awaitSlotOrRefuse(const WorkItem &item,
@@ -402,12 +409,18 @@
 EndpointDirectory::addressOf(const EndpointId &endpoint) const
 {
     const auto found = entries_.find(endpoint);
-    if (found == entries_.end() || found->second.entry.draining) {
+    if (found == entries_.end() || isLeaving(found->second.entry)) {
         return std::nullopt;
     }
     return found->second.address;
 }
 
+uint64_t EndpointDirectory::startedAtMillis(const EndpointId &endpoint) const
+{
+    const auto found = entries_.find(endpoint);
+    return found == entries_.end() ? 0 : found->second.entry.startedAtMillis;
+}
+
 std::optional<std::pair<EndpointId, boost::asio::ip::tcp::endpoint>>
 EndpointDirectory::probeTarget(Instant now)
 {
@@ -588,19 +601,49 @@
     limits_.onEnd(result.endpoint, now);
 }
 
-void EndpointDirectory::onNotice(const EndpointId &endpoint, const EndpointNotice &notice,
-                                 Instant sentAt, Instant now)
+void EndpointDirectory::onNotice(const NoticeSource &source, const EndpointNotice &notice,
+                                 Instant now)
 {
-    if (!limits_.onNotice(endpoint, notice, sentAt, now)) {
+    if (notice.isLeaving) {
+        onLeavingNotice(source, "response", now);
+    }
+    // A response of an earlier process says nothing about the limits of the listed one.
+    const uint64_t listed = startedAtMillis(source.endpoint);
+    if (listed != 0 && listed != source.startedAtMillis) {
         return;
     }
-    const EndpointLimitRecord record = *limits_.recordOf(endpoint);
+    if (!limits_.onNotice(source.endpoint, notice, source.sentAt, now)) {
+        return;
+    }
+    const EndpointLimitRecord record = *limits_.recordOf(source.endpoint);
     logLimit(record, notice.rejected ? "rejected" : "answer");
     if (onLimitObserved) {
         onLimitObserved(record, notice.rejected);
     }
 }
 
+void EndpointDirectory::onRelayedNotice(const NoticeSource &source, const EndpointNotice &notice,
+                                        Instant now)
+{
+    if (notice.isLeaving) {
+        onLeavingNotice(source, "relayed_response", now);
+    }
+}
+
+void EndpointDirectory::onLeavingNotice(const NoticeSource &source, const char *heardFrom,
+                                        Instant now)
+{
+    if (!withdrawals_.onLeaving(source, now)) {
+        return;
+    }
+    log_.write(Event("endpoint.leaving")
+                       .with("endpoint", source.endpoint)
+                       .with("source", heardFrom)
+                       .with("request", source.request));
+    changed_ = true;
+    publish(now);
+}
+
 void EndpointDirectory::onPeerLimits(const std::vector<EndpointLimitRecord> &records, Instant now)
 {
     for (const EndpointLimitRecord &record : records) {
--- a/lib/Edge/RelayServer.cpp
+++ b/lib/Edge/RelayServer.cpp
@@ -99,21 +99,25 @@
         request_ = decodeRelayRequest(reader_->head());
         const bool mayRelay = request_ && server_.handlers_.mayRelayFor(request_->process)
                               && server_.open() <= RelayServer::MaxTunnels;
-        std::optional<tcp::endpoint> address;
+        std::optional<RelayTarget> target;
         if (mayRelay) {
-            address = server_.handlers_.resolve(request_->endpoint);
+            target = server_.handlers_.resolve(request_->endpoint);
         }
-        if (!address) {
+        if (!target) {
             respond(RelayRefused);
             return;
         }
+        source_.endpoint = request_->endpoint;
+        source_.startedAtMillis = target->startedAtMillis;
+        source_.sentAt = std::chrono::steady_clock::now();
         timer_.arm(std::chrono::steady_clock::now() + ConnectTimeout,
                    [self = shared_from_this()] { self->onConnected(asio::error::timed_out); });
-        endpoint_.async_connect(*address, [self = shared_from_this()](const error_code &error) {
-            if (!self->isClosed_ && !self->isDecided_) {
-                self->onConnected(error);
-            }
-        });
+        endpoint_.async_connect(target->address,
+                                [self = shared_from_this()](const error_code &error) {
+                                    if (!self->isClosed_ && !self->isDecided_) {
+                                        self->onConnected(error);
+                                    }
+                                });
     }
 
     void onConnected(const error_code &error)
@@ -173,15 +177,34 @@
                                                self->onEnd(direction, error);
                                                return;
                                            }
-                                           if (&direction == &self->forth_
-                                               && peekCloseError(self->peer_)) {
+                                           const bool isForth = &direction == &self->forth_;
+                                           if (isForth && peekCloseError(self->peer_)) {
                                                self->onEnd(direction, asio::error::eof);
                                                return;
                                            }
+                                           if (!isForth) {
+                                               self->readResponseHead(bytes);
+                                           }
                                            self->write(direction, bytes);
                                        });
     }
 
+    /// The endpoint's connection is this host's, so what it says about new requests holds for this
+    /// host as well.
+    void readResponseHead(std::size_t bytes)
+    {
+        if (!responseHead_) {
+            return;
+        }
+        responseHead_->feed(std::string_view(back_.buffer.data(), bytes));
+        if (responseHead_->hasHead()) {
+            server_.handlers_.onResponse(source_, responseHead_->head());
+        }
+        if (responseHead_->hasHead() || responseHead_->fault() != HttpParseError::None) {
+            responseHead_.reset();
+        }
+    }
+
     void write(Direction &direction, std::size_t bytes)
     {
         asio::async_write(
@@ -216,6 +239,8 @@
     std::optional<RequestReader> reader_;
     std::optional<RelayRequest> request_;
     std::string response_;
+    NoticeSource source_;
+    std::optional<ResponseReader> responseHead_{HttpReaderLimits()}; ///< until it is read
     Direction forth_{peer_, endpoint_};
     Direction back_{endpoint_, peer_};
     bool isDecided_ = false; ///< whether the endpoint can be connected to
--- a/lib/Edge/RelayServer.h
+++ b/lib/Edge/RelayServer.h
@@ -15,7 +15,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "sequoiagate/Decisions/EndpointNotice.h"
 #include "sequoiagate/Edge/AcceptRetry.h"
+#include "sequoiagate/Proxy/HttpMessage.h"
 #include "sequoiagate/Proxy/RelayHandshake.h"
 #include "sequoiagate/Service/EventLog.h"
 #include "sequoiagate/Service/Metrics.h"
@@ -24,6 +26,13 @@
 
 class RelayTunnel;
 
+/// The process that listens as an endpoint.
+struct RelayTarget
+{
+    boost::asio::ip::tcp::endpoint address;
+    uint64_t startedAtMillis = 0;
+};
+
 /// Single-threaded.
 class RelayServer
 {
@@ -33,9 +42,11 @@
         /// Whether requests of this process may be relayed now: it belongs to a listed host, and
         /// this host isn't partitioned or stopping itself.
         std::function<bool(const Incarnation &)> mayRelayFor;
-        /// The address of an endpoint that takes new requests.
-        std::function<std::optional<boost::asio::ip::tcp::endpoint>(const EndpointId &)> resolve;
+        /// The process to connect to for an endpoint that takes new requests.
+        std::function<std::optional<RelayTarget>(const EndpointId &)> resolve;
         std::function<void(const EndpointId &, bool connected)> onConnectResult;
+        /// The head of the endpoint's response has arrived. The source names no request.
+        std::function<void(const NoticeSource &, const ResponseHead &)> onResponse;
     };
 
     /// Bounds memory and descriptors: a tunnel has two connections and two buffers.
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -41,9 +41,6 @@
 /// Maximum number of hosts that fail as relays of a request. Most refuse within a round trip.
 constexpr uint32_t MaxRelayFailures = 4;
 
-/// Another endpoint has taken over the address.
-constexpr int MisdirectedStatus = 421;
-
 Interval scaled(Interval interval, double factor)
 {
     return std::chrono::duration_cast<Interval>(interval * factor);
@@ -351,6 +348,7 @@
     ++possibleExecutions_;
     attempt_.emplace(target.endpoint, now);
     attempt_->version = target.version;
+    attempt_->startedAtMillis = target.startedAtMillis;
     attempt_->connection = connectionTo(target, now);
     attempt_->connection->setUnacknowledgedTimeout(MaxEndpointSilence);
     if (attempt_->connection->isRelayed()) {
@@ -494,7 +492,9 @@
     }
     const bool isOwnResponse = head.status != MisdirectedStatus;
     if (isOwnResponse) {
-        context_.placement.onNotice(attempt_->endpoint, metadata.notice, attempt_->sentAt, now);
+        const NoticeSource source{attempt_->endpoint, attempt_->startedAtMillis, metadata_.id,
+                                  attempt_->sentAt};
+        context_.placement.onNotice(source, metadata.notice, now);
     }
     if (metadata.notExecuted) {
         return;
--- a/test/Edge/LeavingEndpointTest.cpp
+++ b/test/Edge/LeavingEndpointTest.cpp
@@ -22,12 +22,19 @@
 protected:
     LeavingEndpoint() : second_(ip(202), "e-2") { list(second_, "ready"); }
 
-    /// Sends \p requests one after another. \returns how many were served
-    int call(const std::string &name, int requests)
+    /// Sends \p requests one after another, without a count of tokens, which are refused at times
+    /// while the store is silent. \returns how many were served
+    static int call(const std::string &name, int requests)
     {
+        httplib::Client client(ip(1), CallerPort);
         int served = 0;
         for (int i = 0; i < requests; ++i) {
-            served += status(post(1, fmt::format("{}-{}", name, i), 1)) == 200 ? 1 : 0;
+            const httplib::Headers headers = {{"Host", "h.example"},
+                                              {"Request-Id", fmt::format("{}-{}", name, i)},
+                                              {"Authorization", "Token key"},
+                                              {"Deadline-Ms", "20000"}};
+            const httplib::Result result = client.Post("/once/a", headers, "body", "text/plain");
+            served += status(result) == 200 ? 1 : 0;
         }
         return served;
     }
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -21,6 +21,11 @@
     return result;
 }
 
+NoticeSource fromEndpoint(const std::string &id, uint64_t startedAt = 1)
+{
+    return {EndpointId(id), startedAt, RequestId("told"), Instant(std::chrono::hours(2))};
+}
+
 class EndpointDirectoryTest : public testing::Test
 {
 protected:
@@ -234,7 +239,7 @@
     directory_.setHosts({HostId("h")});
     directory_.update(entry("a"), now_);
     directory_.update(entry("b"), now_);
-    directory_.onNotice(EndpointId("a"), requestLimit(2.0), now_, now_);
+    directory_.onNotice(fromEndpoint("a"), requestLimit(2.0), now_);
     directory_.onSent(EndpointId("a"), WorkItem(), now_);
     for (int i = 0; i < 20; ++i) {
         EXPECT_EQ(chosenEndpoint(), "b");
@@ -284,7 +289,7 @@
     directory_.setHosts({HostId("h"), HostId("i")});
     directory_.update(entry("a"), now_);
     directory_.publish(now_);
-    directory_.onNotice(EndpointId("a"), requestLimit(2.0), now_, now_);
+    directory_.onNotice(fromEndpoint("a"), requestLimit(2.0), now_);
     directory_.onSent(EndpointId("a"), WorkItem(), now_);
     WorkItem item;
     item.request = RequestId("r");
@@ -309,7 +314,7 @@
     directory_.setHosts({HostId("h"), HostId("i")});
     directory_.update(entry("a"), now_);
     directory_.publish(now_);
-    directory_.onNotice(EndpointId("a"), requestLimit(2.0), now_, now_);
+    directory_.onNotice(fromEndpoint("a"), requestLimit(2.0), now_);
     directory_.onSent(EndpointId("a"), WorkItem(), now_);
     WorkItem item;
     item.request = RequestId("r");
@@ -326,7 +331,7 @@
     directory_.setHosts({HostId("h")});
     directory_.update(entry("a"), now_);
     directory_.publish(now_);
-    directory_.onNotice(EndpointId("a"), requestLimit(2.0), now_, now_);
+    directory_.onNotice(fromEndpoint("a"), requestLimit(2.0), now_);
     directory_.onSent(EndpointId("a"), WorkItem(), now_);
     for (int i = 0; i < 3; ++i) {
         const Verdict verdict = refusalOf(directory_, 0, now_);
@@ -344,7 +349,7 @@
     directory_.setHosts({HostId("h")});
     directory_.update(entry("a"), now_);
     directory_.publish(now_);
-    directory_.onNotice(EndpointId("a"), requestLimit(2.0), now_, now_);
+    directory_.onNotice(fromEndpoint("a"), requestLimit(2.0), now_);
     directory_.onSent(EndpointId("a"), WorkItem(), now_);
     EXPECT_EQ(refusalOf(directory_, 0, now_).reason, Reason::QueueFull);
     now_ += std::chrono::milliseconds(400);
@@ -352,6 +357,78 @@
     EXPECT_EQ(refusalOf(directory_, 0, now_).reason, Reason::None);
 }
 
+struct LeavingNoticeCase
+{
+    const char *name;
+    uint64_t saidBy; ///< the start of the process whose response says that it is leaving
+    void (*then)(EndpointDirectory &directory, Instant now);
+    bool isUsed; ///< afterwards, when it is listed
+};
+
+class LeavingNotice : public EndpointDirectoryTest,
+                      public testing::WithParamInterface<LeavingNoticeCase>
+{};
+
+const LeavingNoticeCase LeavingNoticeCases[] = {
+        {"EntryStaysReady", 1, [](EndpointDirectory &, Instant) {}, false},
+        {"EntryIsWrittenAgain", 1,
+         [](EndpointDirectory &directory, Instant now) {
+             directory.update(entry("a", true), now);
+             directory.update(entry("a"), now);
+         },
+         false},
+        {"EntryGoesAndReturns", 1,
+         [](EndpointDirectory &directory, Instant now) {
+             directory.remove(EndpointId("a"), RemovalReason::Removed, now);
+             directory.update(entry("a"), now);
+         },
+         false},
+        {"EndpointStartsAnew", 1,
+         [](EndpointDirectory &directory, Instant now) {
+             directory.update(entry("a", false, 2), now);
+         },
+         true},
+        // Guards against taking what the process before said for the new one's.
+        {"OfTheProcessBefore", 0, [](EndpointDirectory &, Instant) {}, true},
+};
+
+// Guards against new work for an endpoint that says in its responses that it is leaving.
+TEST_P(LeavingNotice, EndsWithTheProcessOnly)
+{
+    const LeavingNoticeCase &row = GetParam();
+    directory_.update(entry("a"), now_);
+    EXPECT_EQ(chosenEndpoint(), "a");
+    EndpointNotice leaving;
+    leaving.isLeaving = true;
+    directory_.onNotice(fromEndpoint("a", row.saidBy), leaving, now_);
+    now_ += std::chrono::seconds(1);
+    row.then(directory_, now_);
+    EXPECT_EQ(chosenEndpoint(), row.isUsed ? "a" : "");
+    EXPECT_EQ(directory_.addressOf(EndpointId("a")).has_value(), row.isUsed);
+    EXPECT_EQ(directory_.usable(), row.isUsed ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, LeavingNotice, testing::ValuesIn(LeavingNoticeCases),
+                         [](const auto &row) { return row.param.name; });
+
+TEST_F(EndpointDirectoryTest, RelaysAvoidEndpointsThatSaidThatTheyLeave)
+{
+    directory_.update(entry("a"), now_);
+    EndpointNotice leaving;
+    leaving.isLeaving = true;
+    directory_.onRelayedNotice(fromEndpoint("a"), leaving, now_);
+    EXPECT_EQ(chosenEndpoint(), "");
+    EXPECT_FALSE(directory_.addressOf(EndpointId("a")));
+}
+
+// Guards against a limit that an endpoint's process named before it was started anew.
+TEST_F(EndpointDirectoryTest, LimitOfTheProcessBeforeIsIgnored)
+{
+    directory_.update(entry("a", false, 2), now_);
+    directory_.onNotice(fromEndpoint("a", 1), requestLimit(0.0), now_);
+    EXPECT_EQ(directory_.limitedEndpoints(), 0U);
+}
+
 TEST_F(EndpointDirectoryTest, MalformedAddressRemovesEndpoint)
 {
     directory_.update(entry("a"), now_);
--- a/unittests/Edge/RelayServerTest.cpp
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -21,6 +21,8 @@
 class RelayServerTest : public testing::Test
 {
 protected:
+    static constexpr uint64_t Started = 7; ///< the endpoint's process
+
     RelayServerTest()
         : file_(std::tmpfile()),
           log_({"test", HostId("h"), DomainId("d"), Incarnation("i")}, file_),
@@ -32,12 +34,15 @@
                                           return mayRelay_ && process == Incarnation("listed");
                                       },
                                       [this](const EndpointId &id) {
-                                          return id == EndpointId("e")
-                                                         ? std::optional(endpoint_.local_endpoint())
-                                                         : std::nullopt;
+                                          return id == EndpointId("e") ? std::optional(RelayTarget{
+                                                         endpoint_.local_endpoint(), Started})
+                                                                       : std::nullopt;
                                       },
                                       [this](const EndpointId &, bool connected) {
                                           ++(connected ? connected_ : failed_);
+                                      },
+                                      [this](const NoticeSource &source, const ResponseHead &head) {
+                                          responses_.emplace_back(source, head);
                                       }});
     }
     ~RelayServerTest() override
@@ -109,6 +114,7 @@
     std::unique_ptr<RelayServer> server_;
     tcp::socket peer_;
     tcp::socket accepted_; ///< the endpoint's side of the tunnel
+    std::vector<std::pair<NoticeSource, ResponseHead>> responses_;
     bool mayRelay_ = true;
     int connected_ = 0;
     int failed_ = 0;
@@ -159,6 +165,33 @@
     EXPECT_EQ(failed_, 1);
 }
 
+// Guards against a relay that passes on what an endpoint says and goes on sending to it itself.
+TEST_F(RelayServerTest, ReportsTheHeadOfTheResponse)
+{
+    EXPECT_EQ(handshake("listed", "e"), RelayEstablished);
+    ASSERT_TRUE(waitUntil([this] { return accepted_.is_open(); }));
+    for (const std::string_view part : {"HTTP/1.1 503 Full\r\nServer-Lea", "ving: 1\r\n",
+                                        "Content-Length: 4\r\n\r\nfull", "more"}) {
+        boost::asio::write(accepted_, boost::asio::buffer(part));
+        EXPECT_EQ(received(peer_), part);
+    }
+    ASSERT_EQ(responses_.size(), 1U);
+    const auto &[source, head] = responses_.front();
+    EXPECT_EQ(source.endpoint, EndpointId("e"));
+    EXPECT_EQ(source.startedAtMillis, Started);
+    EXPECT_EQ(head.status, 503);
+    EXPECT_NE(findField(head.fields, "Server-Leaving"), nullptr);
+}
+
+TEST_F(RelayServerTest, CarriesBytesThatAreNoResponse)
+{
+    EXPECT_EQ(handshake("listed", "e"), RelayEstablished);
+    ASSERT_TRUE(waitUntil([this] { return accepted_.is_open(); }));
+    boost::asio::write(accepted_, boost::asio::buffer("no response\r\n\r\n", 15));
+    EXPECT_EQ(received(peer_), "no response\r\n\r\n");
+    EXPECT_TRUE(responses_.empty());
+}
+
 // Guards against a response that was cut off and looks complete to the host that asked.
 TEST_F(RelayServerTest, PassesAResetOn)
 {
--- a/unittests/PlatformAdapter/DialectTest.cpp
+++ b/unittests/PlatformAdapter/DialectTest.cpp
@@ -169,6 +169,38 @@
 INSTANTIATE_TEST_SUITE_P(Rows, DialectNotice, testing::ValuesIn(NoticeCases),
                          [](const auto &row) { return row.param.name; });
 
+struct LeavingCase
+{
+    const char *name;
+    int status;
+    std::vector<HttpField> fields;
+    bool isLeaving;
+};
+
+class DialectLeaving : public testing::TestWithParam<LeavingCase>
+{};
+
+const LeavingCase LeavingCases[] = {
+        {"None", 200, {}, false},
+        {"InASuccess", 200, {{"Server-Leaving", "1"}}, true},
+        {"InARejection", 503, {{"Not-Executed", "1"}, {"server-leaving", " 1 "}}, true},
+        {"InAFailure", 500, {{"Server-Leaving", "1"}}, true},
+        {"Not", 200, {{"Server-Leaving", "0"}}, false},
+        {"Empty", 200, {{"Server-Leaving", ""}}, false},
+};
+
+TEST_P(DialectLeaving, IsDecoded)
+{
+    ResponseHead head;
+    head.status = GetParam().status;
+    head.fields = GetParam().fields;
+    const EndpointNotice notice = platform::PlatformDialect().decodeResponse(head).notice;
+    EXPECT_EQ(notice.isLeaving, GetParam().isLeaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, DialectLeaving, testing::ValuesIn(LeavingCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 TEST(Dialect, RefusalHasRetryAfter)
 {
     const platform::PlatformDialect dialect;
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -72,7 +72,7 @@
     void onSent(const EndpointId &, const WorkItem &, Instant) override { ++sent; }
     void onFirstToken(const EndpointId &, const RequestId &, Instant) override {}
     void onAttemptEnd(const AttemptResult &, Instant) override { ++ended; }
-    void onNotice(const EndpointId &, const EndpointNotice &notice, Instant, Instant) override
+    void onNotice(const NoticeSource &, const EndpointNotice &notice, Instant) override
     {
         notices.push_back(notice);
     }
