[Decisions] [Edge] Keep the backoff that an endpoint asks a host for

Cause: nothing read an endpoint's Retry-After, and a rejection counted neither against the endpoint nor for a pause.

An endpoint that asks for a backoff is excluded until its end. Then one request is tried, and others go elsewhere while it is open. Where all endpoints have asked, requests are refused at once with the first end, and callers return one by one. As a relay a host learns it from the response that it carries.

--- a/include/sequoiagate/Decisions/EndpointNotice.h
+++ b/include/sequoiagate/Decisions/EndpointNotice.h
@@ -22,6 +22,8 @@
     bool rejected = false;
     /// It is about to end and takes no new requests.
     bool isLeaving = false;
+    /// It turned this request away and wants no other from this host for so long.
+    std::optional<Interval> backoff;
 };
 
 /// The process of an endpoint that a notice is about, and the request whose response bears it.
--- a/include/sequoiagate/Decisions/EndpointWithdrawals.h
+++ b/include/sequoiagate/Decisions/EndpointWithdrawals.h
@@ -7,6 +7,12 @@
 /// Leaving: an endpoint that says so in a response gets no new requests from this host, whatever
 /// its entry says.
 ///
+/// Backoff: an endpoint that turns a request away may ask this host to send nothing for some time.
+/// A request that was sent before the end of that time says nothing about it. The first request
+/// after it is a trial: until it is answered, the endpoint is avoided where another one can be
+/// used, since an endpoint that is still overloaded would turn away all requests that waited for
+/// it.
+///
 /// What an endpoint says holds for its process and ends with it: one that starts again under its id
 /// is told from the one before by the time of its start. It doesn't end with the endpoint's entry,
 /// which may expire while the process lives on.
@@ -25,6 +31,11 @@
 class EndpointWithdrawals
 {
 public:
+    /// The longest backoff that is kept, whatever the endpoint asks for.
+    static constexpr Interval MaxBackoff = std::chrono::hours(1);
+    /// Time for the response to a trial; after it there may be another one.
+    static constexpr Interval TrialTimeout = std::chrono::seconds(1);
+
     /// How long what an endpoint said is kept without an entry. Longer than endpoints take to end.
     static constexpr Interval DelistedLifetime = std::chrono::minutes(10);
 
@@ -39,6 +50,23 @@
     /// than the listed one is ignored. \returns whether that is new
     bool onLeaving(const NoticeSource &source, Instant now);
     bool isLeaving(const EndpointId &endpoint) const;
+    /// Records a response that asks for \p duration without requests. A time that ends later than
+    /// an earlier one replaces it. \returns whether the endpoint took requests before
+    bool onBackoff(const NoticeSource &source, Interval duration, Instant now);
+    /// Records a response without such a demand.
+    void onAccepted(const NoticeSource &source);
+    /// Records that a request was sent to \p endpoint.
+    void onSent(const EndpointId &endpoint, Instant now);
+    /// Whether \p endpoint must get no requests now.
+    bool isBackingOff(const EndpointId &endpoint, Instant now) const
+    {
+        return now < backoffEnd(endpoint);
+    }
+    /// The end of the last backoff; in the past if it is over or there was none.
+    Instant backoffEnd(const EndpointId &endpoint) const;
+    /// Whether a trial after a backoff is open.
+    bool isOnTrial(const EndpointId &endpoint, Instant now) const;
+    std::size_t backingOffCount(Instant now) const;
     /// What \p endpoint said, in which response and how long ago, for logs; empty if nothing holds.
     std::string describe(const EndpointId &endpoint, Instant now) const;
     /// The number of endpoints that said that they are leaving and are listed.
@@ -57,8 +85,12 @@
         uint64_t startedAtMillis = 0;
         Instant dropAt = Never; ///< set while it isn't listed
         std::optional<Statement> leaving;
+        std::optional<Statement> backoff; ///< until a trial has been accepted
+        Instant backoffUntil{};
+        Instant trialUntil{}; ///< an open trial counts as lost then
     };
 
+    const Endpoint *find(const EndpointId &endpoint) const;
     /// What is known of the process that \p source names; nullptr if a later one is listed.
     Endpoint *findProcess(const NoticeSource &source, Instant now);
 
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -14,6 +14,9 @@
 /// - An endpoint that limits the requests of all hosts gets this host's share of them. Where all
 ///   endpoints of a service do, requests beyond the share are refused at once, the less urgent ones
 ///   first.
+/// - An endpoint that has asked this host to back off gets nothing until then. Where all endpoints
+/// that
+///   could run a request have, it is refused at once with the end of the first backoff.
 /// - While this host is partitioned from all endpoints, other hosts relay its requests.
 
 #include <functional>
@@ -30,6 +33,7 @@
 #include "sequoiagate/Decisions/EndpointWithdrawals.h"
 #include "sequoiagate/Decisions/PartitionDetector.h"
 #include "sequoiagate/Decisions/RelaySelector.h"
+#include "sequoiagate/Decisions/ReturnSchedule.h"
 #include "sequoiagate/Decisions/VersionHistory.h"
 #include "sequoiagate/Proxy/ProxyContext.h"
 
@@ -111,6 +115,13 @@
     {
         return limits_.records(now);
     }
+    bool isBackingOff(const EndpointId &endpoint, Instant now) const
+    {
+        return withdrawals_.isBackingOff(endpoint, now);
+    }
+    std::size_t backingOff(Instant now) const { return withdrawals_.backingOffCount(now); }
+    /// The number of requests that were refused since all endpoints had asked for a backoff.
+    uint64_t requestsRefusedInBackoff() const { return refusedInBackoff_; }
     std::size_t leavingByResponse() const { return withdrawals_.leavingCount(); }
     std::size_t limitedEndpoints() const { return limits_.limitedCount(); }
     /// The number of requests that an endpoint's limit sent elsewhere or refused.
@@ -127,6 +138,7 @@
     void onFirstToken(const EndpointId &endpoint, const RequestId &request, Instant now) override;
     void onAttemptEnd(const AttemptResult &result, Instant now) override;
     void onNotice(const NoticeSource &source, const EndpointNotice &notice, Instant now) override;
+    std::optional<Instant> backoffEnd(const WorkItem &item, Instant now) override;
     void onConnected(const EndpointId &endpoint, Instant now) override;
     void onConnectFailed(const EndpointId &endpoint, Instant now) override;
     void onResponse(const EndpointId &endpoint, Instant now) override;
@@ -164,6 +176,14 @@
     std::string describeLimits(const std::vector<EndpointId> &endpoints, Instant now) const;
     void logLimit(const EndpointLimitRecord &record, const char *source) const;
     void logServiceChanges();
+    /// Whether \p endpoint could run \p item if it took requests.
+    bool isSuitable(const EndpointEntry &endpoint, const WorkItem &item) const;
+    /// The endpoints that could run \p item, but that have asked this host to send nothing now.
+    std::vector<EndpointId> backingOffNow(const WorkItem &item, Instant now) const;
+    Verdict refuseInBackoff(const WorkItem &item, Instant returnAt, Instant now);
+    void onBackoffNotice(const NoticeSource &source, Interval duration, const char *heardFrom,
+                         Instant now);
+    std::string describeWithdrawals(const std::vector<EndpointId> &endpoints, Instant now) const;
     void onLeavingNotice(const NoticeSource &source, const char *heardFrom, Instant now);
 
     struct ListedEndpoint
@@ -202,6 +222,8 @@
     std::map<ServiceId, Instant> lastPlacedAt_; ///< while limits hold
     std::size_t nextLimited_ = 0;               ///< rotates among limited endpoints
     uint64_t limitedRequests_ = 0;
+    std::map<ServiceId, ReturnSchedule> returns_; ///< of callers refused because of backoffs
+    uint64_t refusedInBackoff_ = 0;
     DistributedRetryBudget retryBudget_;
     std::unordered_map<EndpointId, ListedEndpoint> entries_;
     std::set<ServiceId> servedServices_; ///< services with an endpoint that isn't draining
--- a/lib/Decisions/EndpointWithdrawals.cpp
+++ b/lib/Decisions/EndpointWithdrawals.cpp
@@ -51,10 +51,72 @@
     return true;
 }
 
-bool EndpointWithdrawals::isLeaving(const EndpointId &endpoint) const
+const EndpointWithdrawals::Endpoint *EndpointWithdrawals::find(const EndpointId &endpoint) const
 {
     const auto found = endpoints_.find(endpoint);
-    return found != endpoints_.end() && found->second.leaving;
+    return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+bool EndpointWithdrawals::isLeaving(const EndpointId &id) const
+{
+    const Endpoint *endpoint = find(id);
+    return endpoint != nullptr && endpoint->leaving;
+}
+
+bool EndpointWithdrawals::onBackoff(const NoticeSource &source, Interval duration, Instant now)
+{
+    Endpoint *endpoint = findProcess(source, now);
+    if (endpoint == nullptr) {
+        return false;
+    }
+    const bool tookRequests = now >= endpoint->backoffUntil;
+    const Instant until = now + std::min(duration, MaxBackoff);
+    if (until > endpoint->backoffUntil) {
+        endpoint->backoff = Statement{source.request, now};
+        endpoint->backoffUntil = until;
+    }
+    endpoint->trialUntil = Instant();
+    return tookRequests;
+}
+
+void EndpointWithdrawals::onAccepted(const NoticeSource &source)
+{
+    const auto found = endpoints_.find(source.endpoint);
+    if (found == endpoints_.end() || found->second.startedAtMillis != source.startedAtMillis
+        || source.sentAt < found->second.backoffUntil) {
+        return;
+    }
+    found->second.backoff.reset();
+    found->second.trialUntil = Instant();
+}
+
+void EndpointWithdrawals::onSent(const EndpointId &id, Instant now)
+{
+    const auto found = endpoints_.find(id);
+    if (found != endpoints_.end() && found->second.backoff && now >= found->second.backoffUntil) {
+        found->second.trialUntil = now + TrialTimeout;
+    }
+}
+
+Instant EndpointWithdrawals::backoffEnd(const EndpointId &id) const
+{
+    const Endpoint *endpoint = find(id);
+    return endpoint == nullptr ? Instant() : endpoint->backoffUntil;
+}
+
+bool EndpointWithdrawals::isOnTrial(const EndpointId &id, Instant now) const
+{
+    const Endpoint *endpoint = find(id);
+    return endpoint != nullptr && now < endpoint->trialUntil;
+}
+
+std::size_t EndpointWithdrawals::backingOffCount(Instant now) const
+{
+    const auto isListedAndBackingOff = [now](const auto &entry) {
+        return entry.second.dropAt == Never && now < entry.second.backoffUntil;
+    };
+    return static_cast<std::size_t>(
+            std::count_if(endpoints_.begin(), endpoints_.end(), isListedAndBackingOff));
 }
 
 std::size_t EndpointWithdrawals::leavingCount() const
@@ -68,14 +130,20 @@
 
 std::string EndpointWithdrawals::describe(const EndpointId &endpoint, Instant now) const
 {
-    const auto found = endpoints_.find(endpoint);
-    if (found == endpoints_.end() || !found->second.leaving) {
+    const Endpoint *known = find(endpoint);
+    const bool isBackingOff = known != nullptr && known->backoff && now < known->backoffUntil;
+    if (known == nullptr || (!known->leaving && !isBackingOff)) {
         return {};
     }
-    const Statement &leaving = *found->second.leaving;
-    return fmt::format("{}: leaving, said {} ms ago to {}", endpoint.text(),
-                       std::chrono::duration_cast<Millis>(now - leaving.saidAt).count(),
-                       leaving.request.text());
+    const auto millis = [](Interval interval) {
+        return std::chrono::duration_cast<Millis>(interval).count();
+    };
+    const Statement &statement = known->leaving ? *known->leaving : *known->backoff;
+    const std::string what =
+            known->leaving ? "leaving"
+                           : fmt::format("backoff for {} ms", millis(known->backoffUntil - now));
+    return fmt::format("{}: {}, said {} ms ago to {}", endpoint.text(), what,
+                       millis(now - statement.saidAt), statement.request.text());
 }
 
 } // namespace sequoiagate
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -221,7 +221,8 @@
     if (!address) {
         return std::nullopt;
     }
-    return RelayTarget{*address, endpoints_.startedAtMillis(endpoint)};
+    const bool takesRequests = !endpoints_.isBackingOff(endpoint, std::chrono::steady_clock::now());
+    return RelayTarget{*address, endpoints_.startedAtMillis(endpoint), takesRequests};
 }
 
 void Edge::onRelayedResponse(NoticeSource source, const ResponseHead &head)
@@ -584,6 +585,9 @@
     metrics_.gauge("edge_endpoints_usable", static_cast<double>(endpoints_.usable()));
     metrics_.gauge("edge_endpoints_leaving_by_response",
                    static_cast<double>(endpoints_.leavingByResponse()));
+    metrics_.gauge("edge_endpoints_backing_off", static_cast<double>(endpoints_.backingOff(now)));
+    metrics_.gauge("edge_requests_refused_in_backoff",
+                   static_cast<double>(endpoints_.requestsRefusedInBackoff()));
     metrics_.gauge("edge_endpoints_limited", static_cast<double>(endpoints_.limitedEndpoints()));
     metrics_.gauge("edge_partitioned", endpoints_.isPartitioned() ? 1.0 : 0.0);
     metrics_.gauge("edge_requests_relayed_now",
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -61,6 +61,20 @@
     return "";
 }
 
+/// The descriptions of the first few endpoints and the number of the others, for logs.
+std::string describeFirst(const std::vector<EndpointId> &endpoints,
+                          const std::function<std::string(const EndpointId &)> &describe)
+{
+    constexpr std::size_t MaxDescribed = 3;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(endpoints.size(), MaxDescribed); ++i) {
+        text += (i == 0 ? "" : "; ") + describe(endpoints[i]);
+    }
+    return endpoints.size() > MaxDescribed
+                   ? fmt::format("{}; {} more", text, endpoints.size() - MaxDescribed)
+                   : text;
+}
+
 uint64_t sharedPromptTokens(const std::vector<PromptPart> &prompt)
 {
     uint64_t tokens = 0;
@@ -287,15 +301,60 @@
         return limited;
     }
     for (const auto &[id, listed] : entries_) {
-        const bool isSuitable = listed.entry.service == item.service
-                                && (!item.version || listed.entry.version == *item.version);
-        if (isSuitable && !limits_.isAvailable(id, now)) {
+        const bool mayBeUsed =
+                isSuitable(listed.entry, item) && !withdrawals_.isBackingOff(id, now);
+        if (mayBeUsed && !limits_.isAvailable(id, now)) {
             limited.push_back(id);
         }
     }
     return limited;
 }
 
+bool EndpointDirectory::isSuitable(const EndpointEntry &endpoint, const WorkItem &item) const
+{
+    return endpoint.service == item.service && !isLeaving(endpoint)
+           && (!item.version || endpoint.version == *item.version);
+}
+
+std::vector<EndpointId> EndpointDirectory::backingOffNow(const WorkItem &item, Instant now) const
+{
+    std::vector<EndpointId> backingOff;
+    for (const auto &[id, listed] : entries_) {
+        if (withdrawals_.isBackingOff(id, now) && isSuitable(listed.entry, item)) {
+            backingOff.push_back(id);
+        }
+    }
+    return backingOff;
+}
+
+std::optional<Instant> EndpointDirectory::backoffEnd(const WorkItem &item, Instant now)
+{
+    Instant first = Never;
+    for (const auto &[id, listed] : entries_) {
+        if (!isSuitable(listed.entry, item)) {
+            continue;
+        }
+        const Instant end = withdrawals_.backoffEnd(id);
+        if (end <= now) {
+            return std::nullopt;
+        }
+        first = std::min(first, end);
+    }
+    if (first == Never) {
+        return std::nullopt;
+    }
+    return returns_[item.service].assign(item.priority, first);
+}
+
+Verdict EndpointDirectory::refuseInBackoff(const WorkItem &item, Instant returnAt, Instant now)
+{
+    ++refusedInBackoff_;
+    return {Execution::NotRun, Reason::NoEndpoint,
+            "all endpoints asked for a pause: "
+                    + describeWithdrawals(backingOffNow(item, now), now),
+            returnAt};
+}
+
 SelectionOutcome EndpointDirectory::selectEndpoint(const WorkItem &item,
                                                    const std::vector<EndpointId> &tried,
                                                    const std::vector<EndpointId> &excluded,
@@ -303,7 +362,7 @@
 {
     std::vector<EndpointId> unavailable = excluded;
     for (const auto &[id, listed] : entries_) {
-        if (now < listed.excludedUntil) {
+        if (now < listed.excludedUntil || withdrawals_.isOnTrial(id, now)) {
             unavailable.push_back(id);
         }
     }
@@ -328,15 +387,21 @@
                        "no endpoint of software version " + item.version->text() + " is left",
                        std::nullopt};
     }
+    const std::vector<EndpointId> backingOff = backingOffNow(item, now);
     const std::vector<EndpointId> limited = limitedNow(item, now);
     std::vector<EndpointId> excluded = otherVersions(item);
     excluded.insert(excluded.end(), limited.begin(), limited.end());
+    excluded.insert(excluded.end(), backingOff.begin(), backingOff.end());
     SelectionOutcome outcome = selectEndpoint(work, tried, excluded, now);
     if (!limited.empty()) {
         ++limitedRequests_;
         prefetchSlot(item.service, limited, now);
     }
     if (auto *verdict = std::get_if<Verdict>(&outcome)) {
+        if (const auto returnAt = backoffEnd(item, now)) {
+            waiting_.erase(item.request);
+            return refuseInBackoff(item, *returnAt, now);
+        }
         if (limited.empty()) {
             return std::move(*verdict);
         }
@@ -353,6 +418,9 @@
         limits += fmt::format("{}not available: {}", limits.empty() ? "" : "; ",
                               describeLimits(limited, now));
     }
+    if (!backingOff.empty()) {
+        limits += (limits.empty() ? "" : "; ") + describeWithdrawals(backingOff, now);
+    }
     const ListedEndpoint &listed = entries_.at(chosen.endpoint);
     return PlacementTarget{chosen.endpoint,
                            listed.address,
@@ -573,20 +641,15 @@
 std::string EndpointDirectory::describeLimits(const std::vector<EndpointId> &endpoints,
                                               Instant now) const
 {
-    constexpr std::size_t MaxDescribed = 3;
-    std::string text;
-    for (std::size_t i = 0; i < std::min(endpoints.size(), MaxDescribed); ++i) {
-        text += (i == 0 ? "" : "; ") + limits_.describe(endpoints[i], now);
-    }
-    return endpoints.size() > MaxDescribed
-                   ? fmt::format("{}; {} more", text, endpoints.size() - MaxDescribed)
-                   : text;
+    return describeFirst(endpoints,
+                         [this, now](const EndpointId &id) { return limits_.describe(id, now); });
 }
 
 void EndpointDirectory::onSent(const EndpointId &endpoint, const WorkItem &item, Instant now)
 {
     selector_.onSent(endpoint, item, now);
     limits_.onSent(endpoint, now);
+    withdrawals_.onSent(endpoint, now);
 }
 
 void EndpointDirectory::onFirstToken(const EndpointId &endpoint, const RequestId &request,
@@ -607,6 +670,11 @@
     if (notice.isLeaving) {
         onLeavingNotice(source, "response", now);
     }
+    if (notice.backoff) {
+        onBackoffNotice(source, *notice.backoff, "response", now);
+    } else {
+        withdrawals_.onAccepted(source);
+    }
     // A response of an earlier process says nothing about the limits of the listed one.
     const uint64_t listed = startedAtMillis(source.endpoint);
     if (listed != 0 && listed != source.startedAtMillis) {
@@ -628,6 +696,29 @@
     if (notice.isLeaving) {
         onLeavingNotice(source, "relayed_response", now);
     }
+    if (notice.backoff) {
+        onBackoffNotice(source, *notice.backoff, "relayed_response", now);
+    }
+}
+
+void EndpointDirectory::onBackoffNotice(const NoticeSource &source, Interval duration,
+                                        const char *heardFrom, Instant now)
+{
+    if (withdrawals_.onBackoff(source, duration, now)) {
+        log_.write(Event("endpoint.backoff")
+                           .with("endpoint", source.endpoint)
+                           .with("source", heardFrom)
+                           .with("request", source.request)
+                           .with("ms", std::chrono::duration_cast<Millis>(duration).count()));
+    }
+}
+
+std::string EndpointDirectory::describeWithdrawals(const std::vector<EndpointId> &endpoints,
+                                                   Instant now) const
+{
+    return describeFirst(endpoints, [this, now](const EndpointId &id) {
+        return withdrawals_.describe(id, now);
+    });
 }
 
 void EndpointDirectory::onLeavingNotice(const NoticeSource &source, const char *heardFrom,
--- a/lib/Edge/RelayServer.cpp
+++ b/lib/Edge/RelayServer.cpp
@@ -107,6 +107,11 @@
             respond(RelayRefused);
             return;
         }
+        if (!target->takesRequests) {
+            // Unlike a refusal, this lets the other host choose another endpoint.
+            respond(RelayUnreachableEndpoint);
+            return;
+        }
         source_.endpoint = request_->endpoint;
         source_.startedAtMillis = target->startedAtMillis;
         source_.sentAt = std::chrono::steady_clock::now();
--- a/lib/Edge/RelayServer.h
+++ b/lib/Edge/RelayServer.h
@@ -31,6 +31,7 @@
 {
     boost::asio::ip::tcp::endpoint address;
     uint64_t startedAtMillis = 0;
+    bool takesRequests = true; ///< of this host, now
 };
 
 /// Single-threaded.
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -665,7 +665,9 @@
         retryElsewhere(detail);
         return;
     }
-    refuse({Execution::NotRun, Reason::NoEndpoint, detail, now + RetryDelay});
+    const Instant retryAt =
+            context_.placement.backoffEnd(workItem(), now).value_or(now + RetryDelay);
+    refuse({Execution::NotRun, Reason::NoEndpoint, detail, retryAt});
 }
 
 void Exchange::onFailed(CallFailure failure, const std::string &detail)
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -421,6 +421,151 @@
     EXPECT_FALSE(directory_.addressOf(EndpointId("a")));
 }
 
+EndpointNotice backoffNotice(Interval duration)
+{
+    EndpointNotice notice;
+    notice.rejected = true;
+    notice.backoff = duration;
+    return notice;
+}
+
+struct DirectoryBackoffCase
+{
+    const char *name;
+    std::vector<const char *> listed;
+    std::vector<std::pair<const char *, Millis>> backoffs;
+    std::vector<const char *> draining;
+    const char *chosen; ///< empty: refused
+    Millis returnsAfter;
+};
+
+class DirectoryBackoff : public EndpointDirectoryTest,
+                         public testing::WithParamInterface<DirectoryBackoffCase>
+{};
+
+const DirectoryBackoffCase DirectoryBackoffCases[] = {
+        {"AnotherServes", {"a", "b"}, {{"a", Millis(3000)}}, {}, "b", Millis(0)},
+        {"AllBackOff",
+         {"a", "b"},
+         {{"a", Millis(3000)}, {"b", Millis(1200)}},
+         {},
+         "",
+         Millis(1200)},
+        // Guards against waiting for an endpoint that won't come back.
+        {"TheOtherIsLeaving", {"a", "b"}, {{"a", Millis(3000)}}, {"b"}, "", Millis(3000)},
+        {"TheFirstBackOfIsOfALeavingOne",
+         {"a", "b"},
+         {{"a", Millis(3000)}, {"b", Millis(100)}},
+         {"b"},
+         "",
+         Millis(3000)},
+};
+
+// Guards against sending to an endpoint that asked for a backoff, and against refusing without the
+// time of its end.
+TEST_P(DirectoryBackoff, IsKept)
+{
+    const DirectoryBackoffCase &row = GetParam();
+    for (const char *id : row.listed) {
+        directory_.update(entry(id), now_);
+    }
+    for (const char *id : row.draining) {
+        directory_.update(entry(id, true), now_);
+    }
+    directory_.publish(now_);
+    for (const auto &[id, duration] : row.backoffs) {
+        directory_.onNotice(fromEndpoint(id), backoffNotice(duration), now_);
+    }
+    WorkItem item;
+    item.request = RequestId("r");
+    item.service = ServiceId("s");
+    item.deadline = now_ + std::chrono::seconds(1);
+    const PlacementResult placed = directory_.place(item, {}, {}, now_);
+    if (const auto *verdict = std::get_if<Verdict>(&placed)) {
+        EXPECT_EQ(std::string(), row.chosen);
+        EXPECT_EQ(verdict->execution, Execution::NotRun);
+        EXPECT_EQ(verdict->retryAt, now_ + row.returnsAfter);
+        EXPECT_NE(verdict->detail.find("told"), std::string::npos) << verdict->detail;
+    } else {
+        EXPECT_EQ(std::get<PlacementTarget>(placed).endpoint.text(), row.chosen);
+    }
+    now_ += std::chrono::seconds(3);
+    EXPECT_NE(chosenEndpoint(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, DirectoryBackoff, testing::ValuesIn(DirectoryBackoffCases),
+                         [](const auto &row) { return row.param.name; });
+
+// Guards against a prompt that stays away from its home after a backoff, and against sending the
+// home more than a trial at first.
+TEST_F(EndpointDirectoryTest, PromptsReturnHomeAfterABackoffOneByOne)
+{
+    const std::vector<PromptPart> prompt = {{1, 6000}, {2, 100}};
+    for (const char *id : {"a", "b", "c"}) {
+        directory_.update(entry(id), now_);
+    }
+    directory_.publish(now_);
+    int lastRequest = 0;
+    const auto send = [&] {
+        WorkItem item;
+        item.request = RequestId("r" + std::to_string(++lastRequest));
+        item.service = ServiceId("s");
+        item.deadline = now_ + std::chrono::seconds(1);
+        const auto target = std::get<PlacementTarget>(directory_.place(item, prompt, {}, now_));
+        directory_.onSent(target.endpoint, item, now_);
+        return target.endpoint;
+    };
+    const auto end = [&](const EndpointId &endpoint, int request) {
+        AttemptResult result;
+        result.endpoint = endpoint;
+        result.request = RequestId("r" + std::to_string(request));
+        result.succeeded = true;
+        directory_.onAttemptEnd(result, now_);
+    };
+    const EndpointId home = send();
+    end(home, lastRequest);
+    directory_.onNotice(fromEndpoint(home.text()), backoffNotice(std::chrono::seconds(3)), now_);
+    const EndpointId other = send();
+    EXPECT_NE(other, home);
+    end(other, lastRequest);
+    now_ += std::chrono::seconds(3);
+    const EndpointId trial = send();
+    const int trialRequest = lastRequest;
+    EXPECT_EQ(trial, home);
+    const EndpointId second = send();
+    EXPECT_NE(second, home);
+    end(second, lastRequest);
+    NoticeSource answered = fromEndpoint(home.text());
+    directory_.onNotice(answered, {}, now_);
+    end(home, trialRequest);
+    EXPECT_EQ(send(), home);
+}
+
+// Guards against relaying to, or choosing, an endpoint that asked this host to back off as a relay.
+TEST_F(EndpointDirectoryTest, BackoffOfARelayedRequestHolds)
+{
+    directory_.update(entry("a"), now_);
+    directory_.onRelayedNotice(fromEndpoint("a"), backoffNotice(std::chrono::seconds(3)), now_);
+    EXPECT_TRUE(directory_.isBackingOff(EndpointId("a"), now_));
+    EXPECT_EQ(chosenEndpoint(), "");
+    now_ += std::chrono::seconds(3);
+    EXPECT_EQ(chosenEndpoint(), "a");
+}
+
+// Guards against taking a backoff for a failure of the endpoint, or for the end of its limit.
+TEST_F(EndpointDirectoryTest, BackoffEjectsNobodyAndEndsNoLimit)
+{
+    directory_.update(entry("a"), now_);
+    directory_.setHosts({HostId("h")});
+    directory_.onNotice(fromEndpoint("a"), requestLimit(2.0), now_);
+    EndpointNotice both = requestLimit(2.0);
+    both.backoff = Millis(100);
+    directory_.onNotice(fromEndpoint("a"), both, now_);
+    EXPECT_EQ(directory_.limitedEndpoints(), 1U);
+    now_ += Millis(1000);
+    EXPECT_EQ(chosenEndpoint(), "a");
+}
+
 // Guards against a limit that an endpoint's process named before it was started anew.
 TEST_F(EndpointDirectoryTest, LimitOfTheProcessBeforeIsIgnored)
 {
--- a/unittests/Edge/RelayServerTest.cpp
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -34,8 +34,9 @@
                                           return mayRelay_ && process == Incarnation("listed");
                                       },
                                       [this](const EndpointId &id) {
-                                          return id == EndpointId("e") ? std::optional(RelayTarget{
-                                                         endpoint_.local_endpoint(), Started})
+                                          return id == EndpointId("e") ? std::optional(
+                                                         RelayTarget{endpoint_.local_endpoint(),
+                                                                     Started, takesRequests_})
                                                                        : std::nullopt;
                                       },
                                       [this](const EndpointId &, bool connected) {
@@ -116,6 +117,7 @@
     tcp::socket accepted_; ///< the endpoint's side of the tunnel
     std::vector<std::pair<NoticeSource, ResponseHead>> responses_;
     bool mayRelay_ = true;
+    bool takesRequests_ = true; ///< the endpoint
     int connected_ = 0;
     int failed_ = 0;
 };
@@ -154,6 +156,15 @@
     EXPECT_EQ(handshake("listed", "e"), RelayRefused);
 }
 
+// Guards against relaying to an endpoint that wants nothing from this host, and against being
+// avoided for it as a relay to the others.
+TEST_F(RelayServerTest, SendsNothingToAnEndpointThatTakesNoRequests)
+{
+    takesRequests_ = false;
+    EXPECT_EQ(handshake("listed", "e"), RelayUnreachableEndpoint);
+    EXPECT_EQ(connected_ + failed_, 0);
+}
+
 TEST_F(RelayServerTest, ReportsAnEndpointThatCannotBeReached)
 {
     const tcp::endpoint gone = endpoint_.local_endpoint();
--- a/unittests/PlatformAdapter/DialectTest.cpp
+++ b/unittests/PlatformAdapter/DialectTest.cpp
@@ -201,6 +201,46 @@
 INSTANTIATE_TEST_SUITE_P(Rows, DialectLeaving, testing::ValuesIn(LeavingCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct BackoffCase
+{
+    const char *name;
+    int status;
+    std::vector<HttpField> fields;
+    std::optional<Interval> backoff;
+};
+
+class DialectBackoff : public testing::TestWithParam<BackoffCase>
+{};
+
+const BackoffCase BackoffCases[] = {
+        {"None", 503, {{"Not-Executed", "1"}}, std::nullopt},
+        {"Seconds", 503, {{"Not-Executed", "1"}, {"Retry-After", "3"}}, std::chrono::seconds(3)},
+        {"Fraction", 503, {{"retry-after", " 0.25 "}}, Millis(250)},
+        {"Hours", 503, {{"Retry-After", "7200"}}, std::chrono::hours(2)},
+        {"MoreThanADay", 503, {{"Retry-After", "1e12"}}, std::chrono::hours(24)},
+        // Guards against a value that would stop all requests, or that only other statuses may
+        // bear.
+        {"Zero", 503, {{"Retry-After", "0"}}, std::nullopt},
+        {"Negative", 503, {{"Retry-After", "-3"}}, std::nullopt},
+        {"NoNumber", 503, {{"Retry-After", "soon"}}, std::nullopt},
+        {"NotFinite", 503, {{"Retry-After", "inf"}}, std::nullopt},
+        {"Date", 503, {{"Retry-After", "Fri, 04 Dec 2026 07:28:00 GMT"}}, std::nullopt},
+        {"OtherRejection", 429, {{"Not-Executed", "1"}, {"Retry-After", "3"}}, std::nullopt},
+        {"Success", 200, {{"Retry-After", "3"}}, std::nullopt},
+};
+
+TEST_P(DialectBackoff, IsDecoded)
+{
+    ResponseHead head;
+    head.status = GetParam().status;
+    head.fields = GetParam().fields;
+    const EndpointNotice notice = platform::PlatformDialect().decodeResponse(head).notice;
+    EXPECT_EQ(notice.backoff, GetParam().backoff);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, DialectBackoff, testing::ValuesIn(BackoffCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 TEST(Dialect, RefusalHasRetryAfter)
 {
     const platform::PlatformDialect dialect;
--- a/unittests/Proxy/ExchangeTest.cpp
+++ b/unittests/Proxy/ExchangeTest.cpp
@@ -699,4 +699,16 @@
     EXPECT_TRUE(harness.waitForClose());
 }
 
+// Guards against telling a caller to return at once while all endpoints want no requests.
+TEST(ExchangeBackoff, TurnedAwayCallerReturnsWhenTheFirstBackoffEnds)
+{
+    ProxyTestHarness harness({{{status(503, "Not-Executed: 1\r\nRetry-After: 3\r\n")}}});
+    harness.placement.backoff = Millis(2500);
+    harness.placement.retriesLeft = 0;
+    harness.send(ProxyTestHarness::request("/once/a", "r"));
+    EXPECT_TRUE(harness.waitFor("Retry-After: 2.")) << harness.received();
+    ASSERT_EQ(harness.placement.notices.size(), 1U);
+    EXPECT_EQ(harness.placement.notices[0].backoff, std::chrono::seconds(3));
+}
+
 } // namespace
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -76,6 +76,10 @@
     {
         notices.push_back(notice);
     }
+    std::optional<Instant> backoffEnd(const WorkItem &, Instant now) override
+    {
+        return backoff ? std::optional(now + *backoff) : std::nullopt;
+    }
     void onStaleEndpoint(const EndpointId &endpoint, Instant) override
     {
         staleEndpoints.push_back(endpoint);
@@ -99,6 +103,7 @@
     std::vector<EndpointId> staleEndpoints;
     std::vector<EndpointNotice> notices;
     std::vector<HostId> failedRelays;
+    std::optional<Interval> backoff; ///< of all endpoints
     int connected = 0;
     int retriesLeft = 10;
     int sent = 0;
