--- a/include/sequoiagate/Decisions/EndpointWithdrawals.h
+++ b/include/sequoiagate/Decisions/EndpointWithdrawals.h
@@ -60,7 +60,7 @@
     /// Whether \p endpoint must get no requests now.
     bool isBackingOff(const EndpointId &endpoint, Instant now) const
     {
-        return now < backoffEnd(endpoint);
+        return now < quietFrom_ && now < backoffEnd(endpoint);
     }
     /// The end of the last backoff; in the past if it is over or there was none.
     Instant backoffEnd(const EndpointId &endpoint) const;
@@ -95,6 +95,7 @@
     Endpoint *findProcess(const NoticeSource &source, Instant now);
 
     std::map<EndpointId, Endpoint> endpoints_;
+    Instant quietFrom_{}; ///< no backoff or trial ends later, so that none needs to be looked up
 };
 
 } // namespace sequoiagate
--- a/lib/Decisions/EndpointWithdrawals.cpp
+++ b/lib/Decisions/EndpointWithdrawals.cpp
@@ -74,6 +74,7 @@
     if (until > endpoint->backoffUntil) {
         endpoint->backoff = Statement{source.request, now};
         endpoint->backoffUntil = until;
+        quietFrom_ = std::max(quietFrom_, until);
     }
     endpoint->trialUntil = Instant();
     return tookRequests;
@@ -95,6 +96,7 @@
     const auto found = endpoints_.find(id);
     if (found != endpoints_.end() && found->second.backoff && now >= found->second.backoffUntil) {
         found->second.trialUntil = now + TrialTimeout;
+        quietFrom_ = std::max(quietFrom_, found->second.trialUntil);
     }
 }
 
@@ -106,7 +108,7 @@
 
 bool EndpointWithdrawals::isOnTrial(const EndpointId &id, Instant now) const
 {
-    const Endpoint *endpoint = find(id);
+    const Endpoint *endpoint = now < quietFrom_ ? find(id) : nullptr;
     return endpoint != nullptr && now < endpoint->trialUntil;
 }
 
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -61,20 +61,6 @@
     return "";
 }
 
-/// The descriptions of the first few endpoints and the number of the others, for logs.
-std::string describeFirst(const std::vector<EndpointId> &endpoints,
-                          const std::function<std::string(const EndpointId &)> &describe)
-{
-    constexpr std::size_t MaxDescribed = 3;
-    std::string text;
-    for (std::size_t i = 0; i < std::min(endpoints.size(), MaxDescribed); ++i) {
-        text += (i == 0 ? "" : "; ") + describe(endpoints[i]);
-    }
-    return endpoints.size() > MaxDescribed
-                   ? fmt::format("{}; {} more", text, endpoints.size() - MaxDescribed)
-                   : text;
-}
-
 uint64_t sharedPromptTokens(const std::vector<PromptPart> &prompt)
 {
     uint64_t tokens = 0;
@@ -294,67 +280,6 @@
               });
 }
 
-std::vector<EndpointId> EndpointDirectory::limitedNow(const WorkItem &item, Instant now) const
-{
-    std::vector<EndpointId> limited;
-    if (limits_.isEmpty()) {
-        return limited;
-    }
-    for (const auto &[id, listed] : entries_) {
-        const bool mayBeUsed =
-                isSuitable(listed.entry, item) && !withdrawals_.isBackingOff(id, now);
-        if (mayBeUsed && !limits_.isAvailable(id, now)) {
-            limited.push_back(id);
-        }
-    }
-    return limited;
-}
-
-bool EndpointDirectory::isSuitable(const EndpointEntry &endpoint, const WorkItem &item) const
-{
-    return endpoint.service == item.service && !isLeaving(endpoint)
-           && (!item.version || endpoint.version == *item.version);
-}
-
-std::vector<EndpointId> EndpointDirectory::backingOffNow(const WorkItem &item, Instant now) const
-{
-    std::vector<EndpointId> backingOff;
-    for (const auto &[id, listed] : entries_) {
-        if (withdrawals_.isBackingOff(id, now) && isSuitable(listed.entry, item)) {
-            backingOff.push_back(id);
-        }
-    }
-    return backingOff;
-}
-
-std::optional<Instant> EndpointDirectory::backoffEnd(const WorkItem &item, Instant now)
-{
-    Instant first = Never;
-    for (const auto &[id, listed] : entries_) {
-        if (!isSuitable(listed.entry, item)) {
-            continue;
-        }
-        const Instant end = withdrawals_.backoffEnd(id);
-        if (end <= now) {
-            return std::nullopt;
-        }
-        first = std::min(first, end);
-    }
-    if (first == Never) {
-        return std::nullopt;
-    }
-    return returns_[item.service].assign(item.priority, first);
-}
-
-Verdict EndpointDirectory::refuseInBackoff(const WorkItem &item, Instant returnAt, Instant now)
-{
-    ++refusedInBackoff_;
-    return {Execution::NotRun, Reason::NoEndpoint,
-            "all endpoints asked for a pause: "
-                    + describeWithdrawals(backingOffNow(item, now), now),
-            returnAt};
-}
-
 SelectionOutcome EndpointDirectory::selectEndpoint(const WorkItem &item,
                                                    const std::vector<EndpointId> &tried,
                                                    const std::vector<EndpointId> &excluded,
@@ -638,13 +563,6 @@
             "endpoints limit their requests: " + describeLimits(limited, now), returnAt};
 }
 
-std::string EndpointDirectory::describeLimits(const std::vector<EndpointId> &endpoints,
-                                              Instant now) const
-{
-    return describeFirst(endpoints,
-                         [this, now](const EndpointId &id) { return limits_.describe(id, now); });
-}
-
 void EndpointDirectory::onSent(const EndpointId &endpoint, const WorkItem &item, Instant now)
 {
     selector_.onSent(endpoint, item, now);
@@ -664,105 +582,6 @@
     limits_.onEnd(result.endpoint, now);
 }
 
-void EndpointDirectory::onNotice(const NoticeSource &source, const EndpointNotice &notice,
-                                 Instant now)
-{
-    if (notice.isLeaving) {
-        onLeavingNotice(source, "response", now);
-    }
-    if (notice.backoff) {
-        onBackoffNotice(source, *notice.backoff, "response", now);
-    } else {
-        withdrawals_.onAccepted(source);
-    }
-    // A response of an earlier process says nothing about the limits of the listed one.
-    const uint64_t listed = startedAtMillis(source.endpoint);
-    if (listed != 0 && listed != source.startedAtMillis) {
-        return;
-    }
-    if (!limits_.onNotice(source.endpoint, notice, source.sentAt, now)) {
-        return;
-    }
-    const EndpointLimitRecord record = *limits_.recordOf(source.endpoint);
-    logLimit(record, notice.rejected ? "rejected" : "answer");
-    if (onLimitObserved) {
-        onLimitObserved(record, notice.rejected);
-    }
-}
-
-void EndpointDirectory::onRelayedNotice(const NoticeSource &source, const EndpointNotice &notice,
-                                        Instant now)
-{
-    if (notice.isLeaving) {
-        onLeavingNotice(source, "relayed_response", now);
-    }
-    if (notice.backoff) {
-        onBackoffNotice(source, *notice.backoff, "relayed_response", now);
-    }
-}
-
-void EndpointDirectory::onBackoffNotice(const NoticeSource &source, Interval duration,
-                                        const char *heardFrom, Instant now)
-{
-    if (withdrawals_.onBackoff(source, duration, now)) {
-        log_.write(Event("endpoint.backoff")
-                           .with("endpoint", source.endpoint)
-                           .with("source", heardFrom)
-                           .with("request", source.request)
-                           .with("ms", std::chrono::duration_cast<Millis>(duration).count()));
-    }
-}
-
-std::string EndpointDirectory::describeWithdrawals(const std::vector<EndpointId> &endpoints,
-                                                   Instant now) const
-{
-    return describeFirst(endpoints, [this, now](const EndpointId &id) {
-        return withdrawals_.describe(id, now);
-    });
-}
-
-void EndpointDirectory::onLeavingNotice(const NoticeSource &source, const char *heardFrom,
-                                        Instant now)
-{
-    if (!withdrawals_.onLeaving(source, now)) {
-        return;
-    }
-    log_.write(Event("endpoint.leaving")
-                       .with("endpoint", source.endpoint)
-                       .with("source", heardFrom)
-                       .with("request", source.request));
-    changed_ = true;
-    publish(now);
-}
-
-void EndpointDirectory::onPeerLimits(const std::vector<EndpointLimitRecord> &records, Instant now)
-{
-    for (const EndpointLimitRecord &record : records) {
-        if (limits_.onRecord(record, now)) {
-            logLimit(record, "peer");
-        }
-    }
-}
-
-void EndpointDirectory::onPeerRejection(const EndpointLimitRecord &record, Instant now)
-{
-    limits_.onRecord(record, now);
-    limits_.onPeerRejection(record.endpoint, record.startedAtMillis, now);
-}
-
-void EndpointDirectory::logLimit(const EndpointLimitRecord &record, const char *source) const
-{
-    constexpr double None = -1.0;
-    log_.write(
-            Event("endpoint.notice")
-                    .with("endpoint", record.endpoint)
-                    .with("source", source)
-                    .with("max_requests_per_s", record.maxRequestsPerSecond.value_or(None))
-                    .with("max_rejections_per_s",
-                          record.maxRejectionsPerSecond ? *record.maxRejectionsPerSecond : None)
-                    .with("share_per_s", limits_.sharePerSecond(record.endpoint).value_or(None)));
-}
-
 void EndpointDirectory::onStaleEndpoint(const EndpointId &endpoint, Instant now)
 {
     const auto found = entries_.find(endpoint);
