[Soak] Endpoints that ask for backoffs and leave by their answers; requests of callers that left

In each eighth seed (remainder 2). The checks name what excuses: a host that was killed, paused or lost its links, and answers that didn't arrive; a silent store doesn't.

--- a/test/Soak/Checks.cpp
+++ b/test/Soak/Checks.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "NoticeChecks.h"
+
 namespace sequoiagate::soak {
 
 namespace {
@@ -52,13 +54,6 @@
            && attempt.sentAt <= disturbance.until + Aftermath;
 }
 
-bool undisturbed(const Record &record, const Attempt &attempt)
-{
-    return std::none_of(
-            record.unplanned.begin(), record.unplanned.end(),
-            [&attempt](const Disturbance &disturbance) { return reaches(disturbance, attempt); });
-}
-
 bool closedFromOutside(const Record &record, const Attempt &attempt)
 {
     return std::any_of(record.unplanned.begin(), record.unplanned.end(),
@@ -348,6 +343,13 @@
 
 } // namespace
 
+bool undisturbed(const Record &record, const Attempt &attempt)
+{
+    return std::none_of(
+            record.unplanned.begin(), record.unplanned.end(),
+            [&attempt](const Disturbance &disturbance) { return reaches(disturbance, attempt); });
+}
+
 std::vector<std::string> brokenPromises(const Record &record)
 {
     const View view(record);
@@ -355,6 +357,9 @@
     for (const Check check : AllChecks) {
         check(view, findings);
     }
+    checkBackoffs(record, findings);
+    checkLeavingByAnswer(record, findings);
+    checkCallersThatLeft(record, findings);
     return findings;
 }
 
--- a/test/Soak/Checks.h
+++ b/test/Soak/Checks.h
@@ -14,6 +14,9 @@
 /// Thread safe for different records.
 std::vector<std::string> brokenPromises(const Record &record);
 
+/// Whether no failure that was played reaches \p attempt.
+bool undisturbed(const Record &record, const Attempt &attempt);
+
 } // namespace sequoiagate::soak
 
 #endif
--- a/test/Soak/ChecksTest.cpp
+++ b/test/Soak/ChecksTest.cpp
@@ -50,6 +50,34 @@
     record.exact = true;
 }
 
+/// Adds requests of the process of "a" that reach an endpoint each 0.4 s, the first of which asks
+/// for \p backoff.
+void addArrivals(Record &record, int count, Interval backoff, bool saidLeaving)
+{
+    for (int i = 0; i < count; ++i) {
+        Attempt sent = attempt("n" + std::to_string(i), "read");
+        sent.sentAt = at(20) + i * std::chrono::milliseconds(400);
+        sent.endedAt = sent.sentAt + std::chrono::milliseconds(5);
+        record.add(sent);
+        record.add(Run{sent.id, "w", "e3", 0, false, sent.sentAt});
+        record.add(Arrival{sent.id, "e3", sent.sentAt, i == 0 ? backoff : Interval::zero(),
+                           i == 0 && saidLeaving});
+    }
+}
+
+/// Adds requests that ran \p delay after their callers had left.
+void addLate(Record &record, int count, Interval delay)
+{
+    for (int i = 0; i < count; ++i) {
+        Attempt left = attempt("l" + std::to_string(i), "read");
+        left.status = 0;
+        left.whole = false;
+        left.leftByCaller = true;
+        record.add(left);
+        record.add(Run{left.id, "w", "e3", 0, false, left.endedAt + delay});
+    }
+}
+
 struct BadRecord
 {
     const char *name;
@@ -58,6 +86,18 @@
 };
 
 const BadRecord BadRecords[] = {
+        {"RequestsInABackoff", "a backoff holds",
+         [](Record &r) {
+             addArrivals(r, 6, std::chrono::seconds(2), false);
+         }},
+        {"RequestsAfterItSaidThatItLeaves", "a leaving endpoint gets no new work",
+         [](Record &r) {
+             addArrivals(r, 8, Interval::zero(), true);
+         }},
+        {"RequestsOfCallersThatLeft", "nothing is sent on for callers that left",
+         [](Record &r) {
+             addLate(r, 4, std::chrono::milliseconds(600));
+         }},
         {"ForeignBody", "own whole answer",
          [](Record &r) {
              r.attempts[0].wrong = "b's body";
@@ -283,6 +323,23 @@
              r.published.push_back({8, "", at(8), {{ProcessOf{1, 0}, at(9)}}});
              r.published.push_back({9, "", at(10), {{ProcessOf{1, 0}, at(11)}}});
          }},
+        {"FewRequestsInABackoff",
+         [](Record &r) {
+             addArrivals(r, 4, std::chrono::seconds(2), false);
+         }},
+        {"HostWasPausedInABackoff",
+         [](Record &r) {
+             addArrivals(r, 6, std::chrono::seconds(2), false);
+             r.unplanned.push_back({"pause", 1, at(20), at(21)});
+         }},
+        {"RequestsSoonAfterItSaidThatItLeaves",
+         [](Record &r) {
+             addArrivals(r, 5, Interval::zero(), true);
+         }},
+        {"CallersLeftWhileRequestsWereOnTheirWay",
+         [](Record &r) {
+             addLate(r, 4, std::chrono::milliseconds(400));
+         }},
         {"AnotherProcessKnew", [](Record &r) {
              r.published.push_back({0, "e1", at(8), {{ProcessOf{1, 1}, at(9)}}});
          }}};
--- a/test/Soak/Endpoint.cpp
+++ b/test/Soak/Endpoint.cpp
@@ -29,6 +29,9 @@
 constexpr std::chrono::seconds LimitSettling(3);
 constexpr std::chrono::seconds LimitWindow(4);
 
+/// What an endpoint asks a host for.
+constexpr std::chrono::seconds Backoff(2);
+
 /// Counts a request that runs.
 class Occupied
 {
@@ -96,6 +99,22 @@
     const std::lock_guard lock(mutex_);
     id_ = id;
     version_ = version;
+    saysLeaving_ = false;
+}
+
+bool Endpoint::applyNotices(const std::string &request, httplib::Response &response)
+{
+    const bool asksForBackoff = asksForBackoff_;
+    const bool saysLeaving = saysLeaving_;
+    if (asksForBackoff) {
+        response.set_header("Retry-After", std::to_string(Backoff.count()));
+    }
+    if (saysLeaving) {
+        response.set_header("Server-Leaving", "1");
+    }
+    record_.add(Arrival{request, id(), std::chrono::steady_clock::now(),
+                        asksForBackoff ? Backoff : Interval::zero(), saysLeaving});
+    return asksForBackoff;
 }
 
 void Endpoint::limitRequests(bool limits)
@@ -183,7 +202,8 @@
         response.status = 421;
         return;
     }
-    if (applyLimits(response) || spoilt == Refused) {
+    const bool backsOff = applyNotices(id, response);
+    if (applyLimits(response) || backsOff || spoilt == Refused) {
         response.status = 503;
         response.set_header("Not-Executed", "1");
         return;
--- a/test/Soak/Endpoint.h
+++ b/test/Soak/Endpoint.h
@@ -46,7 +46,14 @@
     /// notes when there are more.
     void limitRejections(bool limits);
 
+    /// Rejects all requests and asks each host for some time without any.
+    void askForBackoff(bool asks) { asksForBackoff_ = asks; }
+    /// Says in all answers that it is leaving, until it is started anew.
+    void sayLeaving() { saysLeaving_ = true; }
+
 private:
+    /// Adds what the endpoint says of itself. \returns whether it rejects the request
+    bool applyNotices(const std::string &request, httplib::Response &response);
     /// Counts a request against the limits. \returns whether it is rejected
     bool applyLimits(httplib::Response &response);
     void noteExcess(const std::vector<Instant> &times, std::chrono::seconds window, double allowed,
@@ -64,6 +71,8 @@
     std::string id_;
     std::string version_;
     std::atomic<bool> spoils_{false};
+    std::atomic<bool> asksForBackoff_{false};
+    std::atomic<bool> saysLeaving_{false};
     std::atomic<int> open_{0};
     Instant requestsLimitedAt_ = Never;
     Instant rejectionsLimitedAt_ = Never;
--- a/test/Soak/Record.h
+++ b/test/Soak/Record.h
@@ -65,6 +65,16 @@
     Instant at{};
 };
 
+/// A request as it reached an endpoint, run or not, while endpoints say what they want.
+struct Arrival
+{
+    std::string request;
+    std::string endpoint;
+    Instant at{};
+    Interval backoff{};       ///< that its answer asked for
+    bool saidLeaving = false; ///< its answer did
+};
+
 /// Something done to one host, or to all of them.
 struct Disturbance
 {
@@ -111,6 +121,7 @@
 {
     std::vector<Attempt> attempts;
     std::vector<Run> runs;
+    std::vector<Arrival> arrivals;
     std::set<std::string> received; ///< requests that reached an endpoint, also if not run
     std::vector<Disturbance> unplanned;
     std::vector<PlayedStep> played;
@@ -134,6 +145,11 @@
         const std::lock_guard lock(mutex);
         runs.push_back(std::move(run));
     }
+    void add(Arrival arrival)
+    {
+        const std::lock_guard lock(mutex);
+        arrivals.push_back(std::move(arrival));
+    }
     void addReceived(const std::string &id)
     {
         const std::lock_guard lock(mutex);
--- a/test/Soak/Schedule.cpp
+++ b/test/Soak/Schedule.cpp
@@ -97,6 +97,13 @@
         "endpoint silent for a second", Target::Endpoint,    Reach::Nobody, 800, 1300,
         &World::silenceEndpoint,        &World::healEndpoint};
 
+constexpr Kind Notices[] = {
+        {"backoffs asked for", Target::Endpoint, Reach::Nobody, 2500, 5000, &World::beginBackoffs,
+         &World::endBackoffs},
+        {"leaves by its answers", Target::Endpoint, Reach::Nobody, 3000, 5000, &World::sayLeaving,
+         &World::endLeaving},
+};
+
 constexpr Kind EndpointCrash = {
         Disturbance::EndpointCrash, Target::Endpoint,       Reach::AllHosts, 700, 2000,
         &World::crashEndpoint,      &World::restoreEndpoint};
@@ -190,6 +197,19 @@
     }
 }
 
+void addNotices(std::vector<Step> &steps, const SoakPlan &plan, const WorldShape &shape)
+{
+    // Apart from the other steps, which stay as they are.
+    std::mt19937_64 random(plan.seed ^ 0x85ebca6bU);
+    for (int i = 0; i < plan.notices; ++i) {
+        for (const Kind &kind : Notices) {
+            const std::chrono::milliseconds at(
+                    between(random, 0, static_cast<int>(plan.length.count()) / 2));
+            add(steps, kind, between(random, 0, shape.endpoints - 1), at, duration(random, kind));
+        }
+    }
+}
+
 void addCrashes(std::vector<Step> &steps, const SoakPlan &plan, const WorldShape &shape)
 {
     // Apart from the other steps, which stay as they are.
@@ -216,6 +236,7 @@
     }
     addDarkTimes(steps, plan, shape);
     addConditions(steps, plan, shape);
+    addNotices(steps, plan, shape);
     addCrashes(steps, plan, shape);
     std::stable_sort(steps.begin(), steps.end(),
                      [](const Step &a, const Step &b) { return a.at < b.at; });
--- a/test/Soak/Schedule.h
+++ b/test/Soak/Schedule.h
@@ -23,6 +23,7 @@
     /// Hosts are partitioned from all endpoints, and endpoints name limits or are silent for about
     /// a second, this often each.
     int conditions = 0;
+    int notices = 0; ///< endpoints ask for backoffs, and say that they are leaving, this often each
     int crashes = 0; ///< of endpoints, for reasons of their own
 };
 
--- a/test/Soak/SoakTest.cpp
+++ b/test/Soak/SoakTest.cpp
@@ -38,6 +38,11 @@
 constexpr uint64_t CrashesEach = 8;
 constexpr uint64_t CrashesRemainder = 5;
 
+/// In the seeds of this remainder of so many, endpoints ask for backoffs and say that they are
+/// leaving.
+constexpr uint64_t NoticesEach = 8;
+constexpr uint64_t NoticesRemainder = 2;
+
 int numberFrom(const char *variable, int otherwise)
 {
     const char *const text = std::getenv(variable);
@@ -98,6 +103,10 @@
         plan.length += std::chrono::seconds(4);
         shape.ownLinks = true;
     }
+    if (plan.seed % NoticesEach == NoticesRemainder) {
+        plan.notices = std::max(2, seconds / 4);
+        plan.length += std::chrono::seconds(4);
+    }
     if (plan.seed % CrashesEach == CrashesRemainder) {
         plan.crashes = seconds / 4;
         plan.length += std::chrono::seconds(6);
@@ -135,6 +144,10 @@
             ++outcomes[attempt.reason == "prompt_quarantined" ? "crashing, refused" : "crashing"];
         }
     }
+    for (const Arrival &arrival : record.arrivals) {
+        outcomes["backoffs asked for"] += arrival.backoff > Interval::zero() ? 1 : 0;
+        outcomes["told of leaving"] += arrival.saidLeaving ? 1 : 0;
+    }
     outcomes["crashes by a part"] = static_cast<int>(record.partCrashes.size());
     for (const auto &[outcome, count] : outcomes) {
         RecordProperty(outcome, count);
--- a/test/Soak/World.cpp
+++ b/test/Soak/World.cpp
@@ -314,6 +314,16 @@
     }
 }
 
+void World::sayLeaving(int endpoint)
+{
+    const std::lock_guard lock(endpointsMutex_);
+    EndpointPlace &place = endpoints_[at(endpoint)];
+    if (!place.leaving) {
+        place.leaving = true;
+        place.server->sayLeaving();
+    }
+}
+
 void World::endLeaving(int endpoint)
 {
     const std::lock_guard lock(endpointsMutex_);
@@ -557,6 +567,7 @@
         spoilNoAnswers(i);
         unlimitRequests(i);
         unlimitRejections(i);
+        endBackoffs(i);
         endLeaving(i);
     }
     for (int i = 0; i < shape_.hosts; ++i) {
--- a/test/Soak/World.h
+++ b/test/Soak/World.h
@@ -110,6 +110,11 @@
         endpoints_[at(endpoint)].server->limitRejections(false);
     }
 
+    void beginBackoffs(int endpoint) { endpoints_[at(endpoint)].server->askForBackoff(true); }
+    void endBackoffs(int endpoint) { endpoints_[at(endpoint)].server->askForBackoff(false); }
+    /// Lets \p endpoint say in its answers alone that it is leaving; endLeaving starts it anew.
+    void sayLeaving(int endpoint);
+
     /// Ends every failure, waits until each host serves again, spends what is left of the small
     /// budget, stops all as planned, and notes what the store holds. \pre no callers run
     void finish();
