--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -3,9 +3,8 @@
 
 /// Tracks the endpoints that the platform lists and selects one for each request.
 ///
-/// - An endpoint that is draining or whose entry is removed gets no new requests from then on;
-/// neither
-///   does one that has said in a response that it is leaving.
+/// - An endpoint that is draining, whose entry is removed or that has said in a response that it is
+///   leaving gets no new requests from then on.
 /// - Entries expire when their endpoints can't renew them, so after an outage of the store the
 ///   entries of live endpoints are missing until they are written again. An endpoint whose entry
 ///   disappears during an outage or shortly after it therefore stays in use for a grace period.
@@ -14,9 +13,8 @@
 /// - An endpoint that limits the requests of all hosts gets this host's share of them. Where all
 ///   endpoints of a service do, requests beyond the share are refused at once, the less urgent ones
 ///   first.
-/// - An endpoint that has asked this host to back off gets nothing until then. Where all endpoints
-/// that
-///   could run a request have, it is refused at once with the end of the first backoff.
+/// - An endpoint that has asked this host to back off gets nothing until then. Where all that could
+///   run a request have asked, it is refused at once with the end of the first backoff.
 /// - While this host is partitioned from all endpoints, other hosts relay its requests.
 
 #include <functional>
@@ -84,7 +82,7 @@
     /// Sets the other hosts that relay requests.
     void setRelays(std::map<HostId, boost::asio::ip::tcp::endpoint> relays);
     bool isPartitioned() const { return partition_.isPartitioned(); }
-    /// Whether \p endpoint takes no new requests, by its entry or its responses.
+    /// Whether the endpoint of \p entry takes no new requests, by that entry or by its responses.
     bool isLeaving(const EndpointEntry &entry) const
     {
         return entry.draining || withdrawals_.isLeaving(entry.id);
@@ -138,7 +136,7 @@
     void onFirstToken(const EndpointId &endpoint, const RequestId &request, Instant now) override;
     void onAttemptEnd(const AttemptResult &result, Instant now) override;
     void onNotice(const NoticeSource &source, const EndpointNotice &notice, Instant now) override;
-    std::optional<Instant> backoffEnd(const WorkItem &item, Instant now) override;
+    std::optional<Instant> returnAfterBackoff(const WorkItem &item, Instant now) override;
     void onConnected(const EndpointId &endpoint, Instant now) override;
     void onConnectFailed(const EndpointId &endpoint, Instant now) override;
     void onResponse(const EndpointId &endpoint, Instant now) override;
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -82,9 +82,9 @@
     /// A response of an endpoint has arrived, with this notice.
     virtual void onNotice(const NoticeSource &source, const EndpointNotice &notice,
                           Instant now) = 0;
-    /// When the first endpoint that could run \p item takes requests again; nullopt if one does
-    /// now.
-    virtual std::optional<Instant> backoffEnd(const WorkItem &item, Instant now) = 0;
+    /// When the caller of \p item, which is refused, should return if all endpoints that could run
+    /// it have asked for a backoff; nullopt if one of them takes requests.
+    virtual std::optional<Instant> returnAfterBackoff(const WorkItem &item, Instant now) = 0;
     /// A connection of this host to an endpoint was established, or failed to be.
     virtual void onConnected(const EndpointId &endpoint, Instant now) = 0;
     virtual void onConnectFailed(const EndpointId &endpoint, Instant now) = 0;
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -323,7 +323,7 @@
         prefetchSlot(item.service, limited, now);
     }
     if (auto *verdict = std::get_if<Verdict>(&outcome)) {
-        if (const auto returnAt = backoffEnd(item, now)) {
+        if (const auto returnAt = returnAfterBackoff(item, now)) {
             waiting_.erase(item.request);
             return refuseInBackoff(item, *returnAt, now);
         }
--- a/lib/Edge/EndpointDirectoryNotices.cpp
+++ b/lib/Edge/EndpointDirectoryNotices.cpp
@@ -1,9 +1,9 @@
+#include "sequoiagate/Edge/EndpointDirectory.h"
+
 #include <algorithm>
 
 #include <fmt/format.h>
 
-#include "sequoiagate/Edge/EndpointDirectory.h"
-
 namespace sequoiagate {
 
 namespace {
@@ -41,7 +41,7 @@
     return backingOff;
 }
 
-std::optional<Instant> EndpointDirectory::backoffEnd(const WorkItem &item, Instant now)
+std::optional<Instant> EndpointDirectory::returnAfterBackoff(const WorkItem &item, Instant now)
 {
     Instant first = Never;
     for (const auto &[id, listed] : entries_) {
