--- a/test/Edge/EdgeProcess.h
+++ b/test/Edge/EdgeProcess.h
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <thread>
@@ -51,6 +52,21 @@
             .dump();
 }
 
+/// The largest number of \p arrivals, in order, in a span of \p window that begins at \p from or
+/// later.
+inline std::size_t mostInWindow(const std::vector<Instant> &arrivals, Instant from, Interval window)
+{
+    std::size_t most = 0;
+    auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
+    for (auto last = first; last != arrivals.end(); ++last) {
+        while (*last - *first > window) {
+            ++first;
+        }
+        most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+    }
+    return most;
+}
+
 class EdgeProcess : public testing::Test
 {
 protected:
--- a/test/Edge/EndpointLimitTest.cpp
+++ b/test/Edge/EndpointLimitTest.cpp
@@ -19,20 +19,6 @@
 constexpr double Tolerance = 1.5;
 constexpr double ExtraRequests = 5.0;
 
-/// The largest number of \p arrivals, in order, in a window that begins at \p from or later.
-std::size_t mostInWindow(const std::vector<Instant> &arrivals, Instant from)
-{
-    std::size_t most = 0;
-    auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
-    for (auto last = first; last != arrivals.end(); ++last) {
-        while (*last - *first > Window) {
-            ++first;
-        }
-        most = std::max(most, static_cast<std::size_t>(last - first) + 1);
-    }
-    return most;
-}
-
 struct EndpointLimitCase
 {
     const char *name;
@@ -96,7 +82,7 @@
     }
     const double allowed =
             row.limit * Tolerance * static_cast<double>(Window.count()) + ExtraRequests;
-    const std::size_t most = mostInWindow(endpoint_.arrivals(), named + Settling);
+    const std::size_t most = mostInWindow(endpoint_.arrivals(), named + Settling, Window);
     EXPECT_LE(static_cast<double>(most), allowed);
     EXPECT_GT(most, 0U) << "the endpoint takes part";
     EXPECT_EQ(served_, sent_) << "the other endpoint could serve all";
--- a/test/Edge/LargeFleetTest.cpp
+++ b/test/Edge/LargeFleetTest.cpp
@@ -33,19 +33,6 @@
 constexpr std::chrono::seconds LimitSettling(4);
 constexpr std::chrono::seconds LimitWindow(4);
 
-std::size_t mostInWindow(const std::vector<Instant> &arrivals, Instant from)
-{
-    std::size_t most = 0;
-    auto first = std::lower_bound(arrivals.begin(), arrivals.end(), from);
-    for (auto last = first; last != arrivals.end(); ++last) {
-        while (*last - *first > LimitWindow) {
-            ++first;
-        }
-        most = std::max(most, static_cast<std::size_t>(last - first) + 1);
-    }
-    return most;
-}
-
 struct LargeFleetCase
 {
     const char *name;
@@ -185,7 +172,8 @@
     }
     std::this_thread::sleep_for(2 * PauseTime);
     const int late = lateArrivals();
-    const std::size_t most = mostInWindow(endpoints_[0]->arrivals(), named + LimitSettling);
+    const std::size_t most =
+            mostInWindow(endpoints_[0]->arrivals(), named + LimitSettling, LimitWindow);
     RecordProperty("sent", sent_);
     RecordProperty("left", static_cast<int>(leftAt_.size()));
     RecordProperty("late", late);
--- a/unittests/Proxy/CallerGoneTest.cpp
+++ b/unittests/Proxy/CallerGoneTest.cpp
@@ -38,6 +38,17 @@
             [&] { return harness.endpoints[index]->received().size() == requests; });
 }
 
+/// Sends a request that both endpoints respond to, then one that the first has responded to.
+bool beginWithOpenConnections(ProxyTestHarness &harness)
+{
+    harness.send(ProxyTestHarness::request("/get/a", "r1"));
+    if (!harness.waitFor("good")) {
+        return false;
+    }
+    harness.send(ProxyTestHarness::request("/get/a", "r2"));
+    return runUntilReplied(harness, 0, 2);
+}
+
 struct CallerGoneCase
 {
     const char *name;
@@ -68,27 +79,10 @@
              return runUntilReplied(harness, 0, 1);
          },
          nullptr},
-        {"Rejection",
-         {{{Full}, {Full}}, {{Good}, {Good}}},
-         [](ProxyTestHarness &harness) {
-             harness.send(ProxyTestHarness::request("/get/a", "r1"));
-             if (!harness.waitFor("good")) {
-                 return false;
-             }
-             harness.send(ProxyTestHarness::request("/get/a", "r2"));
-             return runUntilReplied(harness, 0, 2);
-         },
-         nullptr},
+        {"Rejection", {{{Full}, {Full}}, {{Good}, {Good}}}, beginWithOpenConnections, nullptr},
         {"FailureOfTheEndpoint",
          {{{Failed}, {Failed}}, {{Good}, {Good}}},
-         [](ProxyTestHarness &harness) {
-             harness.send(ProxyTestHarness::request("/get/a", "r1"));
-             if (!harness.waitFor("good")) {
-                 return false;
-             }
-             harness.send(ProxyTestHarness::request("/get/a", "r2"));
-             return runUntilReplied(harness, 0, 2);
-         },
+         beginWithOpenConnections,
          nullptr},
         {"Tokens",
          {{{Good}, {Good}}},
