[Decisions] [Edge] Why an endpoint gets no request now stands in one table

The reasons stood in several lists that EndpointDirectory joined for each request: attempted, other versions, limited, backing off, on trial, unreachable, leaving. EndpointEligibility is a table with a row for each: its name, whether it excludes an endpoint in every case or only while another one can be used, and when it ends. The first row that holds is the endpoint's reason, so that the precedence is read in one place, and a refusal takes its time to come back from the ends.

--- /dev/null
+++ b/include/sequoiagate/Decisions/EndpointEligibility.h
@@ -0,0 +1,132 @@
+#ifndef SEQUOIAGATE_DECISIONS_ENDPOINTELIGIBILITY_H
+#define SEQUOIAGATE_DECISIONS_ENDPOINTELIGIBILITY_H
+
+/// Decides which endpoints of a service may get a request, and why the others may not. Pure.
+///
+/// Each reason is one row of a table: its name, whether it excludes an endpoint in every case or
+/// only while another one can be used, and when it ends. The rows are checked in order, and the
+/// first one that holds is the endpoint's reason.
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Decisions/EndpointLimits.h"
+#include "sequoiagate/Decisions/EndpointWithdrawals.h"
+#include "sequoiagate/Decisions/WorkItem.h"
+
+namespace sequoiagate {
+
+/// Why an endpoint may not get a request now, in order of precedence.
+enum class Exclusion {
+    OtherVersion, ///< another software version must run the request
+    Leaving,      ///< by its entry or its responses
+    BackingOff,   ///< it asked this host to send nothing
+    Limited,      ///< this host's share of its limits is used up
+    Unreachable,  ///< a connection failed a moment ago
+    OnTrial,      ///< the first request after a backoff isn't answered yet
+};
+inline constexpr std::size_t ExclusionCount = 6;
+
+/// How strictly a reason excludes an endpoint.
+enum class Strictness {
+    Always,
+    WhileOthersCanBeUsed,
+};
+
+/// What is known of a listed endpoint. The references must outlive the object.
+struct EndpointState
+{
+    const EndpointId &id;
+    const SoftwareVersion &version;
+    bool isLeaving = false;
+    Instant unreachableUntil{};
+};
+
+/// The endpoints of a service that may not get a request, by reason.
+class ExcludedEndpoints
+{
+public:
+    /// Records an endpoint of the service. \param reason nullopt if the endpoint may get the
+    /// request \param end when the reason ends; Never if that isn't known
+    void add(const EndpointId &endpoint, std::optional<Exclusion> reason, Instant end);
+
+    const std::vector<EndpointId> &of(Exclusion reason) const
+    {
+        return byReason_[static_cast<std::size_t>(reason)];
+    }
+    /// All endpoints that a reason of \p strictness excludes.
+    std::vector<EndpointId> of(Strictness strictness) const;
+    /// The number of endpoints that may get the request now or later.
+    std::size_t suitable() const { return suitable_; }
+    /// Whether there are suitable endpoints, all of which \p reason excludes.
+    bool areAll(Exclusion reason) const { return suitable_ > 0 && of(reason).size() == suitable_; }
+    /// The earliest end of \p reason; Never if it isn't known or excludes no endpoint.
+    Instant firstEnd(Exclusion reason) const
+    {
+        return firstEnds_[static_cast<std::size_t>(reason)];
+    }
+
+private:
+    static constexpr std::array<Instant, ExclusionCount> noEnds()
+    {
+        std::array<Instant, ExclusionCount> ends{};
+        ends.fill(Never);
+        return ends;
+    }
+
+    std::array<std::vector<EndpointId>, ExclusionCount> byReason_;
+    std::array<Instant, ExclusionCount> firstEnds_ = noEnds();
+    std::size_t suitable_ = 0;
+};
+
+/// Not thread safe.
+class EndpointEligibility
+{
+public:
+    /// \pre the arguments outlive this object
+    EndpointEligibility(const EndpointLimits &limits, const EndpointWithdrawals &withdrawals)
+        : limits_(limits), withdrawals_(withdrawals)
+    {}
+
+    /// Checks an endpoint of \p item's service and adds it to \p excluded.
+    void check(const EndpointState &endpoint, const WorkItem &item, Instant now,
+               ExcludedEndpoints &excluded) const;
+
+    /// The name of \p reason in logs.
+    static const char *nameOf(Exclusion reason);
+    static Strictness strictnessOf(Exclusion reason);
+
+private:
+    /// When a reason ends; not after \p now if it doesn't hold, Never if its end isn't known.
+    using EndOf = Instant (EndpointEligibility::*)(const EndpointState &endpoint,
+                                                   const WorkItem &item, Instant now) const;
+
+    struct Rule
+    {
+        Exclusion reason;
+        const char *name;
+        Strictness strictness;
+        EndOf endOf;
+    };
+
+    static const std::array<Rule, ExclusionCount> Rules;
+
+    Instant otherVersionEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
+    Instant leavingEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
+    Instant backoffEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
+    Instant limitEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
+    Instant unreachableEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
+    Instant trialEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
+
+    const EndpointLimits &limits_;
+    const EndpointWithdrawals &withdrawals_;
+};
+
+} // namespace sequoiagate
+
+#endif
--- a/include/sequoiagate/Decisions/EndpointWithdrawals.h
+++ b/include/sequoiagate/Decisions/EndpointWithdrawals.h
@@ -66,6 +66,8 @@
     Instant backoffEnd(const EndpointId &endpoint) const;
     /// Whether a trial after a backoff is open.
     bool isOnTrial(const EndpointId &endpoint, Instant now) const;
+    /// When an open trial counts as lost; in the past if there is none.
+    Instant trialEnd(const EndpointId &endpoint) const;
     std::size_t backingOffCount(Instant now) const;
     /// What \p endpoint said, in which response and how long ago, for logs; empty if nothing holds.
     std::string describe(const EndpointId &endpoint, Instant now) const;
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -26,6 +26,7 @@
 
 #include "sequoiagate/Config/ServingConfig.h"
 #include "sequoiagate/Decisions/DistributedRetryBudget.h"
+#include "sequoiagate/Decisions/EndpointEligibility.h"
 #include "sequoiagate/Decisions/EndpointLimits.h"
 #include "sequoiagate/Decisions/EndpointSelector.h"
 #include "sequoiagate/Decisions/EndpointWithdrawals.h"
@@ -146,17 +147,15 @@
     void onRequest(const ServiceId &service, Instant now) override;
 
 private:
-    /// \param excluded endpoints that can't be selected even if no other one is left
+    /// The endpoints of \p item's service that may not get it now.
+    ExcludedEndpoints excludedFor(const WorkItem &item, Instant now) const;
     SelectionOutcome selectEndpoint(const WorkItem &item, const std::vector<EndpointId> &tried,
-                                    const std::vector<EndpointId> &excluded, Instant now);
+                                    const ExcludedEndpoints &excluded, Instant now);
+    /// What becomes of a request for which no endpoint could be selected, with \p verdict.
+    PlacementResult delayOrRefuse(const WorkItem &item, const std::vector<EndpointId> &tried,
+                                  const ExcludedEndpoints &excluded, Verdict verdict, Instant now);
     PlacementResult awaitSlotOrRefuse(const WorkItem &item, const std::vector<EndpointId> &tried,
                                       const std::vector<EndpointId> &limited, Instant now);
-    /// The endpoints that could run \p item, but that this host may not send to now because of
-    /// their limits.
-    std::vector<EndpointId> limitedNow(const WorkItem &item, Instant now) const;
-    /// The endpoints of other software versions than the one that has to run \p item.
-    std::vector<EndpointId> otherVersions(const WorkItem &item) const;
-    bool isVersionLeft(const WorkItem &item) const;
     /// Books or requests slots of \p limited endpoints for a request that no other one can serve.
     /// \returns when to place it again; nullopt if there is no slot within its wait
     std::optional<PlacementDelay> awaitSlot(const WorkItem &item,
@@ -174,11 +173,14 @@
     std::string describeLimits(const std::vector<EndpointId> &endpoints, Instant now) const;
     void logLimit(const EndpointLimitRecord &record, const char *source) const;
     void logServiceChanges();
-    /// Whether \p endpoint could run \p item if it took requests.
-    bool isSuitable(const EndpointEntry &endpoint, const WorkItem &item) const;
-    /// The endpoints that could run \p item, but that have asked this host to send nothing now.
-    std::vector<EndpointId> backingOffNow(const WorkItem &item, Instant now) const;
-    Verdict refuseInBackoff(const WorkItem &item, Instant returnAt, Instant now);
+    /// When the caller of \p item should return if all endpoints that could run it back off.
+    std::optional<Instant> returnAfterBackoff(const WorkItem &item,
+                                              const ExcludedEndpoints &excluded);
+    Verdict refuseInBackoff(const std::vector<EndpointId> &backingOff, Instant returnAt,
+                            Instant now);
+    /// The limits of \p chosen and those that excluded others, for logs.
+    std::string describeLimitsOf(const EndpointId &chosen, const ExcludedEndpoints &excluded,
+                                 Instant now) const;
     void onBackoffNotice(const NoticeSource &source, Interval duration, const char *heardFrom,
                          Instant now);
     std::string describeWithdrawals(const std::vector<EndpointId> &endpoints, Instant now) const;
@@ -210,6 +212,7 @@
     EndpointSelector selector_;
     EndpointLimits limits_;
     EndpointWithdrawals withdrawals_;
+    EndpointEligibility eligibility_;
     PartitionDetector partition_;
     RelaySelector relaySelector_;
     std::map<HostId, boost::asio::ip::tcp::endpoint> relays_;
--- /dev/null
+++ b/lib/Decisions/EndpointEligibility.cpp
@@ -0,0 +1,119 @@
+#include "sequoiagate/Decisions/EndpointEligibility.h"
+
+#include <algorithm>
+
+namespace sequoiagate {
+
+namespace {
+
+/// The end of a reason that doesn't hold.
+constexpr Instant NotExcluded{};
+
+Instant endIf(bool holds, Instant end)
+{
+    return holds ? end : NotExcluded;
+}
+
+/// Whether an endpoint with this reason can't run the request later either.
+bool isUnsuitable(Exclusion reason)
+{
+    return reason == Exclusion::OtherVersion || reason == Exclusion::Leaving;
+}
+
+} // namespace
+
+const std::array<EndpointEligibility::Rule, ExclusionCount> EndpointEligibility::Rules = {
+        {{Exclusion::OtherVersion, "other_version", Strictness::Always,
+          &EndpointEligibility::otherVersionEnd},
+         {Exclusion::Leaving, "leaving", Strictness::Always, &EndpointEligibility::leavingEnd},
+         {Exclusion::BackingOff, "backing_off", Strictness::Always,
+          &EndpointEligibility::backoffEnd},
+         {Exclusion::Limited, "limited", Strictness::Always, &EndpointEligibility::limitEnd},
+         {Exclusion::Unreachable, "unreachable", Strictness::WhileOthersCanBeUsed,
+          &EndpointEligibility::unreachableEnd},
+         {Exclusion::OnTrial, "on_trial", Strictness::WhileOthersCanBeUsed,
+          &EndpointEligibility::trialEnd}}};
+
+void ExcludedEndpoints::add(const EndpointId &endpoint, std::optional<Exclusion> reason,
+                            Instant end)
+{
+    suitable_ += reason && isUnsuitable(*reason) ? 0 : 1;
+    if (!reason) {
+        return;
+    }
+    const auto index = static_cast<std::size_t>(*reason);
+    byReason_[index].push_back(endpoint);
+    firstEnds_[index] = std::min(firstEnds_[index], end);
+}
+
+std::vector<EndpointId> ExcludedEndpoints::of(Strictness strictness) const
+{
+    std::vector<EndpointId> endpoints;
+    for (std::size_t i = 0; i < ExclusionCount; ++i) {
+        if (EndpointEligibility::strictnessOf(static_cast<Exclusion>(i)) == strictness) {
+            endpoints.insert(endpoints.end(), byReason_[i].begin(), byReason_[i].end());
+        }
+    }
+    return endpoints;
+}
+
+const char *EndpointEligibility::nameOf(Exclusion reason)
+{
+    return Rules[static_cast<std::size_t>(reason)].name;
+}
+
+Strictness EndpointEligibility::strictnessOf(Exclusion reason)
+{
+    return Rules[static_cast<std::size_t>(reason)].strictness;
+}
+
+void EndpointEligibility::check(const EndpointState &endpoint, const WorkItem &item, Instant now,
+                                ExcludedEndpoints &excluded) const
+{
+    for (const Rule &rule : Rules) {
+        const Instant end = (this->*rule.endOf)(endpoint, item, now);
+        if (end > now) {
+            excluded.add(endpoint.id, rule.reason, end);
+            return;
+        }
+    }
+    excluded.add(endpoint.id, std::nullopt, now);
+}
+
+Instant EndpointEligibility::otherVersionEnd(const EndpointState &endpoint, const WorkItem &item,
+                                             Instant) const
+{
+    return endIf(item.version && endpoint.version != *item.version, Never);
+}
+
+Instant EndpointEligibility::leavingEnd(const EndpointState &endpoint, const WorkItem &,
+                                        Instant) const
+{
+    return endIf(endpoint.isLeaving, Never);
+}
+
+Instant EndpointEligibility::backoffEnd(const EndpointState &endpoint, const WorkItem &,
+                                        Instant now) const
+{
+    return endIf(withdrawals_.isBackingOff(endpoint.id, now), withdrawals_.backoffEnd(endpoint.id));
+}
+
+Instant EndpointEligibility::limitEnd(const EndpointState &endpoint, const WorkItem &,
+                                      Instant now) const
+{
+    return limits_.isEmpty() ? NotExcluded : limits_.availableAt(endpoint.id, now);
+}
+
+Instant EndpointEligibility::unreachableEnd(const EndpointState &endpoint, const WorkItem &,
+                                            Instant) const
+{
+    return endpoint.unreachableUntil;
+}
+
+Instant EndpointEligibility::trialEnd(const EndpointState &endpoint, const WorkItem &,
+                                      Instant now) const
+{
+    return endIf(withdrawals_.isOnTrial(endpoint.id, now), withdrawals_.trialEnd(endpoint.id));
+}
+
+} // namespace sequoiagate
--- a/lib/Decisions/EndpointWithdrawals.cpp
+++ b/lib/Decisions/EndpointWithdrawals.cpp
@@ -112,6 +112,12 @@
     return endpoint != nullptr && now < endpoint->trialUntil;
 }
 
+Instant EndpointWithdrawals::trialEnd(const EndpointId &id) const
+{
+    const Endpoint *endpoint = find(id);
+    return endpoint == nullptr ? Instant() : endpoint->trialUntil;
+}
+
 std::size_t EndpointWithdrawals::backingOffCount(Instant now) const
 {
     const auto isListedAndBackingOff = [now](const auto &entry) {
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -84,7 +84,8 @@
 EndpointDirectory::EndpointDirectory(const HostId &host, const DomainId &self,
                                      DistributedRetryBudgetSettings retries, EventLog &log)
     : log_(log), selector_(self, selectorSettings()), limits_(host),
-      relaySelector_(stableHash(host.text())), retryBudget_(retries)
+      eligibility_(limits_, withdrawals_), relaySelector_(stableHash(host.text())),
+      retryBudget_(retries)
 {}
 
 void EndpointDirectory::update(const EndpointEntry &entry, Instant now)
@@ -256,46 +257,32 @@
     return versions;
 }
 
-std::vector<EndpointId> EndpointDirectory::otherVersions(const WorkItem &item) const
+ExcludedEndpoints EndpointDirectory::excludedFor(const WorkItem &item, Instant now) const
 {
-    std::vector<EndpointId> others;
-    if (!item.version) {
-        return others;
-    }
+    ExcludedEndpoints excluded;
     for (const auto &[id, listed] : entries_) {
-        if (listed.entry.service == item.service && listed.entry.version != *item.version) {
-            others.push_back(id);
+        if (listed.entry.service == item.service) {
+            eligibility_.check(
+                    {id, listed.entry.version, isLeaving(listed.entry), listed.excludedUntil}, item,
+                    now, excluded);
         }
     }
-    return others;
-}
-
-bool EndpointDirectory::isVersionLeft(const WorkItem &item) const
-{
-    return !item.version
-           || std::any_of(entries_.begin(), entries_.end(), [this, &item](const auto &entry) {
-                  const EndpointEntry &listed = entry.second.entry;
-                  return listed.service == item.service && listed.version == *item.version
-                         && !isLeaving(listed);
-              });
+    return excluded;
 }
 
 SelectionOutcome EndpointDirectory::selectEndpoint(const WorkItem &item,
                                                    const std::vector<EndpointId> &tried,
-                                                   const std::vector<EndpointId> &excluded,
-                                                   Instant now)
+                                                   const ExcludedEndpoints &excluded, Instant now)
 {
-    std::vector<EndpointId> unavailable = excluded;
-    for (const auto &[id, listed] : entries_) {
-        if (now < listed.excludedUntil || withdrawals_.isOnTrial(id, now)) {
-            unavailable.push_back(id);
-        }
-    }
+    const std::vector<EndpointId> always = excluded.of(Strictness::Always);
+    const std::vector<EndpointId> avoided = excluded.of(Strictness::WhileOthersCanBeUsed);
+    std::vector<EndpointId> unavailable = always;
+    unavailable.insert(unavailable.end(), avoided.begin(), avoided.end());
     SelectionOutcome outcome = selector_.select(item, tried, unavailable, now);
-    if (std::holds_alternative<Verdict>(outcome) && unavailable.size() > excluded.size()) {
+    if (std::holds_alternative<Verdict>(outcome) && !avoided.empty()) {
         // No other endpoint can be used: one that was unreachable a moment ago is better than
         // none.
-        outcome = selector_.select(item, tried, excluded, now);
+        outcome = selector_.select(item, tried, always, now);
     }
     return outcome;
 }
@@ -307,30 +294,20 @@
     WorkItem work = item;
     work.prefixHash = sharedPromptHash(prompt);
     work.cacheablePrefixTokens = sharedPromptTokens(prompt);
-    if (!isVersionLeft(item)) {
+    const ExcludedEndpoints excluded = excludedFor(item, now);
+    if (item.version && excluded.suitable() == 0) {
         return Verdict{Execution::NotRun, Reason::StreamNotResumable,
                        "no endpoint of software version " + item.version->text() + " is left",
                        std::nullopt};
     }
-    const std::vector<EndpointId> backingOff = backingOffNow(item, now);
-    const std::vector<EndpointId> limited = limitedNow(item, now);
-    std::vector<EndpointId> excluded = otherVersions(item);
-    excluded.insert(excluded.end(), limited.begin(), limited.end());
-    excluded.insert(excluded.end(), backingOff.begin(), backingOff.end());
     SelectionOutcome outcome = selectEndpoint(work, tried, excluded, now);
-    if (!limited.empty()) {
+    if (const std::vector<EndpointId> &limited = excluded.of(Exclusion::Limited);
+        !limited.empty()) {
         ++limitedRequests_;
         prefetchSlot(item.service, limited, now);
     }
     if (auto *verdict = std::get_if<Verdict>(&outcome)) {
-        if (const auto returnAt = returnAfterBackoff(item, now)) {
-            waiting_.erase(item.request);
-            return refuseInBackoff(item, *returnAt, now);
-        }
-        if (limited.empty()) {
-            return std::move(*verdict);
-        }
-        return awaitSlotOrRefuse(item, tried, limited, now);
+        return delayOrRefuse(item, tried, excluded, std::move(*verdict), now);
     }
     const SelectedEndpoint &chosen = std::get<SelectedEndpoint>(outcome);
     waiting_.erase(item.request);
@@ -338,24 +315,32 @@
     if (isShared && yieldsToMoreUrgent(item, now)) {
         return refuseByLimits(item, {chosen.endpoint}, now);
     }
-    std::string limits = limits_.describe(chosen.endpoint, now);
-    if (!limited.empty()) {
-        limits += fmt::format("{}not available: {}", limits.empty() ? "" : "; ",
-                              describeLimits(limited, now));
-    }
-    if (!backingOff.empty()) {
-        limits += (limits.empty() ? "" : "; ") + describeWithdrawals(backingOff, now);
-    }
     const ListedEndpoint &listed = entries_.at(chosen.endpoint);
     return PlacementTarget{chosen.endpoint,
                            listed.address,
                            chosen.reason,
                            relayFor(item, chosen.endpoint, now),
-                           std::move(limits),
+                           describeLimitsOf(chosen.endpoint, excluded, now),
                            listed.entry.version,
                            listed.entry.startedAtMillis};
 }
 
+PlacementResult EndpointDirectory::delayOrRefuse(const WorkItem &item,
+                                                 const std::vector<EndpointId> &tried,
+                                                 const ExcludedEndpoints &excluded, Verdict verdict,
+                                                 Instant now)
+{
+    if (const auto returnAt = returnAfterBackoff(item, excluded)) {
+        waiting_.erase(item.request);
+        return refuseInBackoff(excluded.of(Exclusion::BackingOff), *returnAt, now);
+    }
+    const std::vector<EndpointId> &limited = excluded.of(Exclusion::Limited);
+    if (limited.empty()) {
+        return verdict;
+    }
+    return awaitSlotOrRefuse(item, tried, limited, now);
+}
+
 PlacementResult EndpointDirectory::awaitSlotOrRefuse(const WorkItem &item,
                                                      const std::vector<EndpointId> &tried,
                                                      const std::vector<EndpointId> &limited,
--- a/lib/Edge/EndpointDirectoryNotices.cpp
+++ b/lib/Edge/EndpointDirectoryNotices.cpp
@@ -24,49 +24,45 @@
 
 } // namespace
 
-bool EndpointDirectory::isSuitable(const EndpointEntry &endpoint, const WorkItem &item) const
-{
-    return endpoint.service == item.service && !isLeaving(endpoint)
-           && (!item.version || endpoint.version == *item.version);
-}
-
-std::vector<EndpointId> EndpointDirectory::backingOffNow(const WorkItem &item, Instant now) const
+std::optional<Instant> EndpointDirectory::returnAfterBackoff(const WorkItem &item, Instant now)
 {
-    std::vector<EndpointId> backingOff;
-    for (const auto &[id, listed] : entries_) {
-        if (withdrawals_.isBackingOff(id, now) && isSuitable(listed.entry, item)) {
-            backingOff.push_back(id);
-        }
-    }
-    return backingOff;
+    return returnAfterBackoff(item, excludedFor(item, now));
 }
 
-std::optional<Instant> EndpointDirectory::returnAfterBackoff(const WorkItem &item, Instant now)
+std::optional<Instant> EndpointDirectory::returnAfterBackoff(const WorkItem &item,
+                                                             const ExcludedEndpoints &excluded)
 {
-    Instant first = Never;
-    for (const auto &[id, listed] : entries_) {
-        if (!isSuitable(listed.entry, item)) {
-            continue;
-        }
-        const Instant end = withdrawals_.backoffEnd(id);
-        if (end <= now) {
-            return std::nullopt;
-        }
-        first = std::min(first, end);
-    }
-    if (first == Never) {
+    if (!excluded.areAll(Exclusion::BackingOff)) {
         return std::nullopt;
     }
-    return returns_[item.service].assign(item.priority, first);
+    return returns_[item.service].assign(item.priority, excluded.firstEnd(Exclusion::BackingOff));
 }
 
-Verdict EndpointDirectory::refuseInBackoff(const WorkItem &item, Instant returnAt, Instant now)
+Verdict EndpointDirectory::refuseInBackoff(const std::vector<EndpointId> &backingOff,
+                                           Instant returnAt, Instant now)
 {
     ++refusedInBackoff_;
     return {Execution::NotRun, Reason::NoEndpoint,
-            "all endpoints asked for a pause: "
-                    + describeWithdrawals(backingOffNow(item, now), now),
-            returnAt};
+            "all endpoints asked for a pause: " + describeWithdrawals(backingOff, now), returnAt};
+}
+
+std::string EndpointDirectory::describeLimitsOf(const EndpointId &chosen,
+                                                const ExcludedEndpoints &excluded,
+                                                Instant now) const
+{
+    std::string text = limits_.describe(chosen, now);
+    const auto append = [&text](const std::string &part) {
+        text += (text.empty() ? "" : "; ") + part;
+    };
+    if (const std::vector<EndpointId> &limited = excluded.of(Exclusion::Limited);
+        !limited.empty()) {
+        append("not available: " + describeLimits(limited, now));
+    }
+    if (const std::vector<EndpointId> &backingOff = excluded.of(Exclusion::BackingOff);
+        !backingOff.empty()) {
+        append(describeWithdrawals(backingOff, now));
+    }
+    return text;
 }
 
 void EndpointDirectory::onNotice(const NoticeSource &source, const EndpointNotice &notice,
@@ -175,20 +171,4 @@
                          [this, now](const EndpointId &id) { return limits_.describe(id, now); });
 }
 
-std::vector<EndpointId> EndpointDirectory::limitedNow(const WorkItem &item, Instant now) const
-{
-    std::vector<EndpointId> limited;
-    if (limits_.isEmpty()) {
-        return limited;
-    }
-    for (const auto &[id, listed] : entries_) {
-        const bool mayBeUsed =
-                isSuitable(listed.entry, item) && !withdrawals_.isBackingOff(id, now);
-        if (mayBeUsed && !limits_.isAvailable(id, now)) {
-            limited.push_back(id);
-        }
-    }
-    return limited;
-}
-
 } // namespace sequoiagate
