--- a/test/Edge/EdgeProcess.h
+++ b/test/Edge/EdgeProcess.h
@@ -76,12 +76,13 @@
         list(endpoint_, "ready");
     }
 
-    void list(const EndpointStandin &endpoint, const std::string &state)
+    void list(const EndpointStandin &endpoint, const std::string &state,
+              const std::string &domain = "d1")
     {
         store_.put("keyed.servers", endpoint.id(),
                    nlohmann::json({{"backend", "s"},
                                    {"address", endpoint.address()},
-                                   {"zone", "d1"},
+                                   {"zone", domain},
                                    {"slots", 8},
                                    {"state", state},
                                    {"born", 1}})
