[Decisions] [Edge] Check endpoints for a request without looking up what doesn't hold

The directory keeps what it published of an endpoint's leaving, and the ends of backoffs and trials are looked up only while one holds.

--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -192,6 +192,7 @@
         boost::asio::ip::tcp::endpoint address;
         Instant removeAt = Never; ///< end of the grace period after its entry disappeared
         Instant excludedUntil{};  ///< not chosen before then, since it was unreachable
+        bool isLeaving = false;   ///< as published
     };
 
     /// A request that waits for a slot of an endpoint's limit.
--- a/lib/Decisions/EndpointEligibility.cpp
+++ b/lib/Decisions/EndpointEligibility.cpp
@@ -9,9 +9,10 @@
 /// The end of a reason that doesn't hold.
 constexpr Instant NotExcluded{};
 
-Instant endIf(bool holds, Instant end)
+/// The end of a reason that ends at no known time.
+Instant neverIf(bool holds)
 {
-    return holds ? end : NotExcluded;
+    return holds ? Never : NotExcluded;
 }
 
 /// Whether an endpoint with this reason can't run the request later either.
@@ -83,19 +84,20 @@
 Instant EndpointEligibility::otherVersionEnd(const EndpointState &endpoint, const WorkItem &item,
                                              Instant) const
 {
-    return endIf(item.version && endpoint.version != *item.version, Never);
+    return neverIf(item.version && endpoint.version != *item.version);
 }
 
 Instant EndpointEligibility::leavingEnd(const EndpointState &endpoint, const WorkItem &,
                                         Instant) const
 {
-    return endIf(endpoint.isLeaving, Never);
+    return neverIf(endpoint.isLeaving);
 }
 
 Instant EndpointEligibility::backoffEnd(const EndpointState &endpoint, const WorkItem &,
                                         Instant now) const
 {
-    return endIf(withdrawals_.isBackingOff(endpoint.id, now), withdrawals_.backoffEnd(endpoint.id));
+    return withdrawals_.isBackingOff(endpoint.id, now) ? withdrawals_.backoffEnd(endpoint.id)
+                                                       : NotExcluded;
 }
 
 Instant EndpointEligibility::limitEnd(const EndpointState &endpoint, const WorkItem &,
@@ -113,7 +115,8 @@
 Instant EndpointEligibility::trialEnd(const EndpointState &endpoint, const WorkItem &,
                                       Instant now) const
 {
-    return endIf(withdrawals_.isOnTrial(endpoint.id, now), withdrawals_.trialEnd(endpoint.id));
+    return withdrawals_.isOnTrial(endpoint.id, now) ? withdrawals_.trialEnd(endpoint.id)
+                                                    : NotExcluded;
 }
 
 } // namespace sequoiagate
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -194,13 +194,14 @@
     changed_ = false;
     std::vector<EndpointSpec> specs;
     specs.reserve(entries_.size());
-    for (const auto &[id, listed] : entries_) {
+    for (auto &[id, listed] : entries_) {
+        listed.isLeaving = isLeaving(listed.entry);
         EndpointSpec spec;
         spec.id = id;
         spec.domain = listed.entry.domain;
         spec.services = {listed.entry.service};
         spec.slots = listed.entry.slots;
-        spec.leaving = isLeaving(listed.entry);
+        spec.leaving = listed.isLeaving;
         specs.push_back(std::move(spec));
     }
     // Sorted by id, so that the choice doesn't depend on the order of the hash table.
@@ -262,9 +263,8 @@
     ExcludedEndpoints excluded;
     for (const auto &[id, listed] : entries_) {
         if (listed.entry.service == item.service) {
-            eligibility_.check(
-                    {id, listed.entry.version, isLeaving(listed.entry), listed.excludedUntil}, item,
-                    now, excluded);
+            eligibility_.check({id, listed.entry.version, listed.isLeaving, listed.excludedUntil},
+                               item, now, excluded);
         }
     }
     return excluded;
