[Decisions] [Edge] Send nothing to endpoints of evacuated failure domains

What callers and operators saw: an operator's evacuation of a failure domain had no effect.

Cause: nothing read the record. It stands in the configuration's topic, whose follower already reads the newest row of each key at the start and after the history was dropped, and each row as it is written; the rows other than the configuration's were skipped.

The key alone counts, so a record of another form asks for the evacuation too. One row in the table of EndpointEligibility excludes the domain's endpoints in every case: first attempts, retries, resumptions. A relay refuses them for hosts that haven't read the record, and no partition probe goes there. The rows are applied before the configuration, without which a starting host sends nothing. Where every endpoint that could run a request is evacuated or backs off, it is refused at once, not run, with a time to come back: the end of the first backoff, or two seconds where no end is known.

Weighed: letting the domain's load move slowly within the five seconds that are allowed. At once is simpler and needs no estimate of how late the last host reads the record.

--- a/include/sequoiagate/Decisions/EndpointEligibility.h
+++ b/include/sequoiagate/Decisions/EndpointEligibility.h
@@ -9,12 +9,14 @@
 
 #include <array>
 #include <cstddef>
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Decisions/DomainEvacuations.h"
 #include "sequoiagate/Decisions/EndpointLimits.h"
 #include "sequoiagate/Decisions/EndpointWithdrawals.h"
 #include "sequoiagate/Decisions/WorkItem.h"
@@ -25,12 +27,13 @@
 enum class Exclusion {
     OtherVersion, ///< another software version must run the request
     Leaving,      ///< by its entry or its responses
+    Evacuated,    ///< its failure domain is
     BackingOff,   ///< it asked this host to send nothing
     Limited,      ///< this host's share of its limits is used up
     Unreachable,  ///< a connection failed a moment ago
     OnTrial,      ///< the first request after a backoff isn't answered yet
 };
-inline constexpr std::size_t ExclusionCount = 6;
+inline constexpr std::size_t ExclusionCount = 7;
 
 /// How strictly a reason excludes an endpoint.
 enum class Strictness {
@@ -43,6 +46,7 @@
 {
     const EndpointId &id;
     const SoftwareVersion &version;
+    const DomainId &domain;
     bool isLeaving = false;
     Instant unreachableUntil{};
 };
@@ -64,7 +68,9 @@
     /// The number of endpoints that may get the request now or later.
     std::size_t suitable() const { return suitable_; }
     /// Whether there are suitable endpoints, all of which \p reason excludes.
-    bool areAll(Exclusion reason) const { return suitable_ > 0 && of(reason).size() == suitable_; }
+    bool areAll(Exclusion reason) const { return areAll({reason}); }
+    /// The same for the reasons together.
+    bool areAll(std::initializer_list<Exclusion> reasons) const;
     /// The earliest end of \p reason; Never if it isn't known or excludes no endpoint.
     Instant firstEnd(Exclusion reason) const
     {
@@ -89,8 +95,9 @@
 {
 public:
     /// \pre the arguments outlive this object
-    EndpointEligibility(const EndpointLimits &limits, const EndpointWithdrawals &withdrawals)
-        : limits_(limits), withdrawals_(withdrawals)
+    EndpointEligibility(const EndpointLimits &limits, const EndpointWithdrawals &withdrawals,
+                        const DomainEvacuations &evacuations)
+        : limits_(limits), withdrawals_(withdrawals), evacuations_(evacuations)
     {}
 
     /// Checks an endpoint of \p item's service and adds it to \p excluded.
@@ -118,6 +125,7 @@
 
     Instant otherVersionEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant leavingEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
+    Instant evacuationEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant backoffEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant limitEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant unreachableEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
@@ -125,6 +133,7 @@
 
     const EndpointLimits &limits_;
     const EndpointWithdrawals &withdrawals_;
+    const DomainEvacuations &evacuations_;
 };
 
 } // namespace sequoiagate
--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -63,7 +63,7 @@
     /// \returns false if an exception escaped a handler
     bool runUntilFailure();
     void accept();
-    void onConfigRows(const std::vector<StoreRow> &rows);
+    void onConfigRows(const std::vector<StoreRow> &rows, bool whole);
     void applyConfig(const StoreRow &row);
     void onEndpointRows(const std::vector<StoreRow> &rows, bool whole);
     void onEndpointsRead();
--- a/include/sequoiagate/Edge/EdgeAdapter.h
+++ b/include/sequoiagate/Edge/EdgeAdapter.h
@@ -5,6 +5,7 @@
 /// of the rows in that store. Adapters only translate; they make no decisions.
 
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -48,6 +49,9 @@
                                              const boost::asio::ip::tcp::endpoint &address) = 0;
     /// \throws DecodeError
     virtual ServingConfigPtr decodeConfig(const std::string &value) const = 0;
+    /// The failure domain that is evacuated while a row of the configuration's topic with this
+    /// key stands, whatever its value is; nullopt for other keys.
+    virtual std::optional<DomainId> decodeEvacuationKey(const std::string &key) const = 0;
     /// \throws DecodeError
     virtual EndpointEntry decodeEndpoint(const std::string &id, const std::string &value) const = 0;
 };
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -15,6 +15,7 @@
 ///   first.
 /// - An endpoint that has asked this host to back off gets nothing until then. Where all that could
 ///   run a request have asked, it is refused at once with the end of the first backoff.
+/// - The endpoints of an evacuated failure domain get nothing until it is taken back.
 /// - While this host is partitioned from all endpoints, other hosts relay its requests.
 
 #include <functional>
@@ -26,6 +27,7 @@
 
 #include "sequoiagate/Config/ServingConfig.h"
 #include "sequoiagate/Decisions/DistributedRetryBudget.h"
+#include "sequoiagate/Decisions/DomainEvacuations.h"
 #include "sequoiagate/Decisions/EndpointEligibility.h"
 #include "sequoiagate/Decisions/EndpointLimits.h"
 #include "sequoiagate/Decisions/EndpointSelector.h"
@@ -114,6 +116,15 @@
     {
         return limits_.records(now);
     }
+    /// Records that an operator evacuates \p domain, by row \p offset of the store.
+    void beginEvacuation(const DomainId &domain, uint64_t offset, Instant now);
+    /// Records that the operator takes \p domain back.
+    void endEvacuation(const DomainId &domain, Instant now);
+    std::vector<DomainId> evacuatedDomains() const { return evacuations_.domains(); }
+    /// The number of requests that were refused since no other endpoint could run them.
+    uint64_t requestsRefusedByEvacuation() const { return refusedByEvacuation_; }
+    /// Whether a request of another host may be passed on to \p endpoint now.
+    bool mayRelayTo(const EndpointId &endpoint, Instant now) const;
     bool isBackingOff(const EndpointId &endpoint, Instant now) const
     {
         return withdrawals_.isBackingOff(endpoint, now);
@@ -137,7 +148,7 @@
     void onFirstToken(const EndpointId &endpoint, const RequestId &request, Instant now) override;
     void onAttemptEnd(const AttemptResult &result, Instant now) override;
     void onNotice(const NoticeSource &source, const EndpointNotice &notice, Instant now) override;
-    std::optional<Instant> returnAfterBackoff(const WorkItem &item, Instant now) override;
+    std::optional<Instant> returnTime(const WorkItem &item, Instant now) override;
     void onConnected(const EndpointId &endpoint, Instant now) override;
     void onConnectFailed(const EndpointId &endpoint, Instant now) override;
     void onResponse(const EndpointId &endpoint, Instant now) override;
@@ -173,11 +184,10 @@
     std::string describeLimits(const std::vector<EndpointId> &endpoints, Instant now) const;
     void logLimit(const EndpointLimitRecord &record, const char *source) const;
     void logServiceChanges();
-    /// When the caller of \p item should return if all endpoints that could run it back off.
-    std::optional<Instant> returnAfterBackoff(const WorkItem &item,
-                                              const ExcludedEndpoints &excluded);
-    Verdict refuseInBackoff(const std::vector<EndpointId> &backingOff, Instant returnAt,
-                            Instant now);
+    /// When the caller of \p item should return if no endpoint that could run it takes requests.
+    std::optional<Instant> returnTime(const WorkItem &item, const ExcludedEndpoints &excluded,
+                                      Instant now);
+    Verdict refuseWithoutTakers(const ExcludedEndpoints &excluded, Instant returnAt, Instant now);
     /// The limits of \p chosen and those that excluded others, for logs.
     std::string describeLimitsOf(const EndpointId &chosen, const ExcludedEndpoints &excluded,
                                  Instant now) const;
@@ -213,6 +223,7 @@
     EndpointSelector selector_;
     EndpointLimits limits_;
     EndpointWithdrawals withdrawals_;
+    DomainEvacuations evacuations_;
     EndpointEligibility eligibility_;
     PartitionDetector partition_;
     RelaySelector relaySelector_;
@@ -224,8 +235,9 @@
     std::map<ServiceId, Instant> lastPlacedAt_; ///< while limits hold
     std::size_t nextLimited_ = 0;               ///< rotates among limited endpoints
     uint64_t limitedRequests_ = 0;
-    std::map<ServiceId, ReturnSchedule> returns_; ///< of callers refused because of backoffs
+    std::map<ServiceId, ReturnSchedule> returns_; ///< of callers refused without an endpoint
     uint64_t refusedInBackoff_ = 0;
+    uint64_t refusedByEvacuation_ = 0;
     DistributedRetryBudget retryBudget_;
     std::unordered_map<EndpointId, ListedEndpoint> entries_;
     std::set<ServiceId> servedServices_; ///< services with an endpoint that isn't draining
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -83,8 +83,8 @@
     virtual void onNotice(const NoticeSource &source, const EndpointNotice &notice,
                           Instant now) = 0;
     /// When the caller of \p item, which is refused, should return if all endpoints that could run
-    /// it have asked for a backoff; nullopt if one of them takes requests.
-    virtual std::optional<Instant> returnAfterBackoff(const WorkItem &item, Instant now) = 0;
+    /// it are evacuated or have asked for a backoff; nullopt if one of them takes requests.
+    virtual std::optional<Instant> returnTime(const WorkItem &item, Instant now) = 0;
     /// A connection of this host to an endpoint was established, or failed to be.
     virtual void onConnected(const EndpointId &endpoint, Instant now) = 0;
     virtual void onConnectFailed(const EndpointId &endpoint, Instant now) = 0;
--- a/lib/Decisions/EndpointEligibility.cpp
+++ b/lib/Decisions/EndpointEligibility.cpp
@@ -27,6 +27,8 @@
         {{Exclusion::OtherVersion, "other_version", Strictness::Always,
           &EndpointEligibility::otherVersionEnd},
          {Exclusion::Leaving, "leaving", Strictness::Always, &EndpointEligibility::leavingEnd},
+         {Exclusion::Evacuated, "evacuated", Strictness::Always,
+          &EndpointEligibility::evacuationEnd},
          {Exclusion::BackingOff, "backing_off", Strictness::Always,
           &EndpointEligibility::backoffEnd},
          {Exclusion::Limited, "limited", Strictness::Always, &EndpointEligibility::limitEnd},
@@ -47,6 +49,15 @@
     firstEnds_[index] = std::min(firstEnds_[index], end);
 }
 
+bool ExcludedEndpoints::areAll(std::initializer_list<Exclusion> reasons) const
+{
+    std::size_t excluded = 0;
+    for (const Exclusion reason : reasons) {
+        excluded += of(reason).size();
+    }
+    return suitable_ > 0 && excluded == suitable_;
+}
+
 std::vector<EndpointId> ExcludedEndpoints::of(Strictness strictness) const
 {
     std::vector<EndpointId> endpoints;
@@ -93,6 +104,12 @@
     return neverIf(endpoint.isLeaving);
 }
 
+Instant EndpointEligibility::evacuationEnd(const EndpointState &endpoint, const WorkItem &,
+                                           Instant) const
+{
+    return neverIf(evacuations_.isEvacuated(endpoint.domain));
+}
+
 Instant EndpointEligibility::backoffEnd(const EndpointState &endpoint, const WorkItem &,
                                         Instant now) const
 {
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -6,6 +6,7 @@
 #include "Addresses.h"
 #include "ConnectProbe.h"
 #include "CrashingPartsLink.h"
+#include "EvacuationRows.h"
 #include "RelayServer.h"
 #include "StatusServer.h"
 #include "StreamOriginLink.h"
@@ -152,12 +153,13 @@
                          }});
     configFollower_ = std::make_unique<TopicFollower>(
             io_, *store_, FollowerSettings{adapter_.topics().config},
-            TopicFollower::Handlers{
-                    [this](const std::vector<StoreRow> &rows, bool) { onConfigRows(rows); },
-                    [](uint64_t) {},
-                    [this](bool reachable, StoreOutcome outcome) {
-                        onReachabilityChanged("config", reachable, outcome);
-                    }});
+            TopicFollower::Handlers{[this](const std::vector<StoreRow> &rows, bool whole) {
+                                        onConfigRows(rows, whole);
+                                    },
+                                    [](uint64_t) {},
+                                    [this](bool reachable, StoreOutcome outcome) {
+                                        onReachabilityChanged("config", reachable, outcome);
+                                    }});
     FollowerSettings endpointSettings;
     endpointSettings.topic = adapter_.topics().endpoints;
     endpointSettings.pace = MinEndpointReadInterval;
@@ -221,7 +223,7 @@
     if (!address) {
         return std::nullopt;
     }
-    const bool takesRequests = !endpoints_.isBackingOff(endpoint, std::chrono::steady_clock::now());
+    const bool takesRequests = endpoints_.mayRelayTo(endpoint, std::chrono::steady_clock::now());
     return RelayTarget{*address, endpoints_.startedAtMillis(endpoint), takesRequests};
 }
 
@@ -319,8 +321,10 @@
     });
 }
 
-void Edge::onConfigRows(const std::vector<StoreRow> &rows)
+void Edge::onConfigRows(const std::vector<StoreRow> &rows, bool whole)
 {
+    // Before the configuration, without which no request is sent.
+    applyEvacuationRows(rows, whole, adapter_, endpoints_, std::chrono::steady_clock::now());
     for (const StoreRow &row : rows) {
         if (row.key == adapter_.topics().configKey) {
             applyConfig(row);
@@ -588,6 +592,10 @@
     metrics_.gauge("edge_endpoints_backing_off", static_cast<double>(endpoints_.backingOff(now)));
     metrics_.gauge("edge_requests_refused_in_backoff",
                    static_cast<double>(endpoints_.requestsRefusedInBackoff()));
+    metrics_.gauge("edge_domains_evacuated",
+                   static_cast<double>(endpoints_.evacuatedDomains().size()));
+    metrics_.gauge("edge_requests_refused_by_evacuation",
+                   static_cast<double>(endpoints_.requestsRefusedByEvacuation()));
     metrics_.gauge("edge_endpoints_limited", static_cast<double>(endpoints_.limitedEndpoints()));
     metrics_.gauge("edge_partitioned", endpoints_.isPartitioned() ? 1.0 : 0.0);
     metrics_.gauge("edge_requests_relayed_now",
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -84,7 +84,7 @@
 EndpointDirectory::EndpointDirectory(const HostId &host, const DomainId &self,
                                      DistributedRetryBudgetSettings retries, EventLog &log)
     : log_(log), selector_(self, selectorSettings()), limits_(host),
-      eligibility_(limits_, withdrawals_), relaySelector_(stableHash(host.text())),
+      eligibility_(limits_, withdrawals_, evacuations_), relaySelector_(stableHash(host.text())),
       retryBudget_(retries)
 {}
 
@@ -263,7 +263,8 @@
     ExcludedEndpoints excluded;
     for (const auto &[id, listed] : entries_) {
         if (listed.entry.service == item.service) {
-            eligibility_.check({id, listed.entry.version, listed.isLeaving, listed.excludedUntil},
+            eligibility_.check({id, listed.entry.version, listed.entry.domain, listed.isLeaving,
+                                listed.excludedUntil},
                                item, now, excluded);
         }
     }
@@ -330,9 +331,9 @@
                                                  const ExcludedEndpoints &excluded, Verdict verdict,
                                                  Instant now)
 {
-    if (const auto returnAt = returnAfterBackoff(item, excluded)) {
+    if (const auto returnAt = returnTime(item, excluded, now)) {
         waiting_.erase(item.request);
-        return refuseInBackoff(excluded.of(Exclusion::BackingOff), *returnAt, now);
+        return refuseWithoutTakers(excluded, *returnAt, now);
     }
     const std::vector<EndpointId> &limited = excluded.of(Exclusion::Limited);
     if (limited.empty()) {
@@ -399,6 +400,14 @@
     return found == entries_.end() ? 0 : found->second.entry.startedAtMillis;
 }
 
+bool EndpointDirectory::mayRelayTo(const EndpointId &endpoint, Instant now) const
+{
+    const auto found = entries_.find(endpoint);
+    const bool isEvacuated =
+            found != entries_.end() && evacuations_.isEvacuated(found->second.entry.domain);
+    return !isEvacuated && !withdrawals_.isBackingOff(endpoint, now);
+}
+
 std::optional<std::pair<EndpointId, boost::asio::ip::tcp::endpoint>>
 EndpointDirectory::probeTarget(Instant now)
 {
@@ -406,9 +415,14 @@
         return std::nullopt;
     }
     nextProbeAt_ = now + PartitionProbeInterval;
-    auto probed = entries_.begin();
-    std::advance(probed, static_cast<std::ptrdiff_t>(nextProbed_++ % entries_.size()));
-    return std::pair(probed->first, probed->second.address);
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        auto probed = entries_.begin();
+        std::advance(probed, static_cast<std::ptrdiff_t>(nextProbed_++ % entries_.size()));
+        if (!evacuations_.isEvacuated(probed->second.entry.domain)) {
+            return std::pair(probed->first, probed->second.address);
+        }
+    }
+    return std::nullopt;
 }
 
 void EndpointDirectory::onConnected(const EndpointId &endpoint, Instant now)
--- a/lib/Edge/EndpointDirectoryNotices.cpp
+++ b/lib/Edge/EndpointDirectoryNotices.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// When callers return that no endpoint can serve because of evacuations, whose ends aren't known.
+constexpr Interval EvacuationRetryDelay = std::chrono::seconds(2);
+
 /// The descriptions of the first few endpoints and the number of the others, for logs.
 std::string describeFirst(const std::vector<EndpointId> &endpoints,
                           const std::function<std::string(const EndpointId &)> &describe)
@@ -24,26 +27,60 @@
 
 } // namespace
 
-std::optional<Instant> EndpointDirectory::returnAfterBackoff(const WorkItem &item, Instant now)
+void EndpointDirectory::beginEvacuation(const DomainId &domain, uint64_t offset, Instant now)
 {
-    return returnAfterBackoff(item, excludedFor(item, now));
+    if (!evacuations_.begin(domain, offset, now)) {
+        return;
+    }
+    const auto endpoints =
+            std::count_if(entries_.begin(), entries_.end(), [&domain](const auto &entry) {
+                return entry.second.entry.domain == domain;
+            });
+    log_.write(Event("domain.evacuated")
+                       .with("evacuated", domain)
+                       .with("offset", offset)
+                       .with("endpoints", endpoints)
+                       .essential());
+}
+
+void EndpointDirectory::endEvacuation(const DomainId &domain, Instant)
+{
+    if (evacuations_.end(domain)) {
+        log_.write(Event("domain.taken_back").with("evacuated", domain).essential());
+    }
 }
 
-std::optional<Instant> EndpointDirectory::returnAfterBackoff(const WorkItem &item,
-                                                             const ExcludedEndpoints &excluded)
+std::optional<Instant> EndpointDirectory::returnTime(const WorkItem &item, Instant now)
 {
-    if (!excluded.areAll(Exclusion::BackingOff)) {
+    return returnTime(item, excludedFor(item, now), now);
+}
+
+std::optional<Instant> EndpointDirectory::returnTime(const WorkItem &item,
+                                                     const ExcludedEndpoints &excluded, Instant now)
+{
+    if (!excluded.areAll({Exclusion::Evacuated, Exclusion::BackingOff})) {
         return std::nullopt;
     }
-    return returns_[item.service].assign(item.priority, excluded.firstEnd(Exclusion::BackingOff));
+    Instant earliest = excluded.firstEnd(Exclusion::BackingOff);
+    if (earliest == Never) {
+        earliest = now + EvacuationRetryDelay;
+    }
+    return returns_[item.service].assign(item.priority, earliest);
 }
 
-Verdict EndpointDirectory::refuseInBackoff(const std::vector<EndpointId> &backingOff,
-                                           Instant returnAt, Instant now)
+Verdict EndpointDirectory::refuseWithoutTakers(const ExcludedEndpoints &excluded, Instant returnAt,
+                                               Instant now)
 {
-    ++refusedInBackoff_;
-    return {Execution::NotRun, Reason::NoEndpoint,
-            "all endpoints asked for a pause: " + describeWithdrawals(backingOff, now), returnAt};
+    const std::vector<EndpointId> &backingOff = excluded.of(Exclusion::BackingOff);
+    const bool isEvacuated = !excluded.of(Exclusion::Evacuated).empty();
+    refusedInBackoff_ += backingOff.empty() ? 0 : 1;
+    refusedByEvacuation_ += isEvacuated ? 1 : 0;
+    std::string detail = "no endpoint takes requests: ";
+    detail += describeWithdrawals(backingOff, now);
+    if (isEvacuated) {
+        detail += (backingOff.empty() ? "" : "; ") + evacuations_.describe(now);
+    }
+    return {Execution::NotRun, Reason::NoEndpoint, detail, returnAt};
 }
 
 std::string EndpointDirectory::describeLimitsOf(const EndpointId &chosen,
@@ -62,6 +99,9 @@
         !backingOff.empty()) {
         append(describeWithdrawals(backingOff, now));
     }
+    if (!excluded.of(Exclusion::Evacuated).empty()) {
+        append(evacuations_.describe(now));
+    }
     return text;
 }
 
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -666,7 +666,7 @@
         return;
     }
     const Instant retryAt =
-            context_.placement.returnAfterBackoff(workItem(), now).value_or(now + RetryDelay);
+            context_.placement.returnTime(workItem(), now).value_or(now + RetryDelay);
     refuse({Execution::NotRun, Reason::NoEndpoint, detail, retryAt});
 }
 
--- a/unittests/Decisions/EndpointEligibilityTest.cpp
+++ b/unittests/Decisions/EndpointEligibilityTest.cpp
@@ -21,6 +21,7 @@
     const char *name;
     bool hasOtherVersion;
     bool isLeaving;
+    bool isEvacuated;
     bool isBackingOff;
     bool isLimited;
     bool isUnreachable;
@@ -61,29 +62,37 @@
         WorkItem item;
         item.version = SoftwareVersion("v1");
         const SoftwareVersion version(row.hasOtherVersion ? "v2" : "v1");
-        EndpointState state{Endpoint, version, row.isLeaving, Instant()};
+        const DomainId domain("d");
+        if (row.isEvacuated) {
+            evacuations_.begin(domain, 1, now_);
+        }
+        EndpointState state{Endpoint, version, domain, row.isLeaving, Instant()};
         state.unreachableUntil = row.isUnreachable ? now_ + Unreachable : now_;
         ExcludedEndpoints excluded;
-        EndpointEligibility(limits_, withdrawals_).check(state, item, now_, excluded);
+        EndpointEligibility(limits_, withdrawals_, evacuations_).check(state, item, now_, excluded);
         return excluded;
     }
 
     Instant now_{std::chrono::hours(1)};
     EndpointLimits limits_{HostId("h")};
     EndpointWithdrawals withdrawals_;
+    DomainEvacuations evacuations_;
 };
 
 constexpr Strictness Always = Strictness::Always;
 constexpr Strictness Avoided = Strictness::WhileOthersCanBeUsed;
 
 const EligibilityCase EligibilityCases[] = {
-        {"MayBeUsed", false, false, false, false, false, false, std::nullopt, Always},
-        {"OtherVersion", true, true, true, true, true, false, Exclusion::OtherVersion, Always},
-        {"Leaving", false, true, true, true, true, false, Exclusion::Leaving, Always},
-        {"BackingOff", false, false, true, true, true, false, Exclusion::BackingOff, Always},
-        {"Limited", false, false, false, true, true, true, Exclusion::Limited, Always},
-        {"Unreachable", false, false, false, false, true, true, Exclusion::Unreachable, Avoided},
-        {"OnTrial", false, false, false, false, false, true, Exclusion::OnTrial, Avoided},
+        {"MayBeUsed", false, false, false, false, false, false, false, std::nullopt, Always},
+        {"OtherVersion", true, true, true, true, true, true, false, Exclusion::OtherVersion,
+         Always},
+        {"Leaving", false, true, true, true, true, true, false, Exclusion::Leaving, Always},
+        {"Evacuated", false, false, true, true, true, true, false, Exclusion::Evacuated, Always},
+        {"BackingOff", false, false, false, true, true, true, false, Exclusion::BackingOff, Always},
+        {"Limited", false, false, false, false, true, true, true, Exclusion::Limited, Always},
+        {"Unreachable", false, false, false, false, false, true, true, Exclusion::Unreachable,
+         Avoided},
+        {"OnTrial", false, false, false, false, false, false, true, Exclusion::OnTrial, Avoided},
 };
 
 TEST_P(EndpointEligibilityTest, FirstReasonThatHoldsCounts)
@@ -121,6 +130,15 @@
     EXPECT_FALSE(ExcludedEndpoints().areAll(Exclusion::BackingOff));
 }
 
+TEST(ExcludedEndpoints, SeveralReasonsMayCoverAll)
+{
+    ExcludedEndpoints excluded;
+    excluded.add(EndpointId("a"), Exclusion::BackingOff, Never);
+    excluded.add(EndpointId("b"), Exclusion::Evacuated, Never);
+    EXPECT_FALSE(excluded.areAll(Exclusion::Evacuated));
+    EXPECT_TRUE(excluded.areAll({Exclusion::Evacuated, Exclusion::BackingOff}));
+}
+
 TEST(EndpointEligibility, EachReasonHasItsRow)
 {
     std::set<std::string> names;
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -574,6 +574,105 @@
     EXPECT_EQ(directory_.limitedEndpoints(), 0U);
 }
 
+struct DirectoryEvacuationCase
+{
+    const char *name;
+    std::vector<std::pair<const char *, const char *>> endpoints; ///< ids and domains
+    std::vector<const char *> evacuated;
+    std::vector<const char *> backingOff;
+    std::vector<const char *> tried;
+    const char *chosen; ///< empty: refused
+};
+
+class DirectoryEvacuation : public EndpointDirectoryTest,
+                            public testing::WithParamInterface<DirectoryEvacuationCase>
+{};
+
+const DirectoryEvacuationCase DirectoryEvacuationCases[] = {
+        {"AnotherDomainServes", {{"a", "x"}, {"b", "y"}}, {"x"}, {}, {}, "b"},
+        {"UnknownDomain", {{"a", "x"}}, {"z"}, {}, {}, "a"},
+        {"RetryGoesElsewhere", {{"a", "x"}, {"b", "y"}, {"c", "z"}}, {"x"}, {}, {"b"}, "c"},
+        {"AllTried", {{"a", "x"}, {"b", "y"}}, {"x"}, {}, {"b"}, ""},
+        {"OneOfThreeIsLeft", {{"a", "x"}, {"b", "y"}, {"c", "z"}}, {"x", "y"}, {}, {}, "c"},
+        {"All", {{"a", "x"}, {"b", "y"}}, {"x", "y"}, {}, {}, ""},
+        {"TheOthersBackOff", {{"a", "x"}, {"b", "y"}}, {"x"}, {"b"}, {}, ""},
+};
+
+// Guards against requests for evacuated endpoints, first ones and retries, and against refusing
+// without a time to return.
+TEST_P(DirectoryEvacuation, LeavesEndpointsWithoutRequests)
+{
+    const DirectoryEvacuationCase &row = GetParam();
+    for (const auto &[id, domain] : row.endpoints) {
+        EndpointEntry listed = entry(id);
+        listed.domain = DomainId(domain);
+        directory_.update(listed, now_);
+    }
+    directory_.publish(now_);
+    std::vector<EndpointId> tried;
+    for (const char *id : row.tried) {
+        tried.emplace_back(id);
+    }
+    for (const char *domain : row.evacuated) {
+        directory_.beginEvacuation(DomainId(domain), 7, now_);
+    }
+    for (const char *id : row.backingOff) {
+        directory_.onNotice(fromEndpoint(id), backoffNotice(std::chrono::seconds(3)), now_);
+    }
+    WorkItem item;
+    item.request = RequestId("r");
+    item.service = ServiceId("s");
+    item.deadline = now_ + std::chrono::seconds(1);
+    const PlacementResult placed = directory_.place(item, {}, tried, now_);
+    if (const auto *verdict = std::get_if<Verdict>(&placed)) {
+        EXPECT_EQ(std::string(), row.chosen);
+        EXPECT_EQ(verdict->execution, Execution::NotRun);
+        ASSERT_TRUE(verdict->retryAt);
+        EXPECT_GT(*verdict->retryAt, now_);
+    } else {
+        EXPECT_EQ(std::get<PlacementTarget>(placed).endpoint.text(), row.chosen);
+    }
+    for (const char *domain : row.evacuated) {
+        directory_.endEvacuation(DomainId(domain), now_);
+    }
+    now_ += std::chrono::seconds(3);
+    EXPECT_NE(chosenEndpoint(tried), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, DirectoryEvacuation, testing::ValuesIn(DirectoryEvacuationCases),
+                         [](const auto &row) { return row.param.name; });
+
+// Guards against prompts that stay away from their homes after an evacuation, and against a relay
+// to evacuated endpoints.
+TEST_F(EndpointDirectoryTest, EvacuationHoldsForRelaysAndEndsForPrompts)
+{
+    const std::vector<PromptPart> prompt = {{1, 6000}, {2, 100}};
+    for (const char *id : {"a", "b", "c"}) {
+        EndpointEntry listed = entry(id);
+        listed.domain = DomainId(std::string("d-") + id);
+        directory_.update(listed, now_);
+    }
+    directory_.publish(now_);
+    const auto home = [&] {
+        WorkItem item;
+        item.request = RequestId("r");
+        item.service = ServiceId("s");
+        item.deadline = now_ + std::chrono::seconds(1);
+        const PlacementResult placed = directory_.place(item, prompt, {}, now_);
+        return std::get<PlacementTarget>(placed).endpoint;
+    };
+    const EndpointId first = home();
+    const DomainId domain("d-" + first.text());
+    EXPECT_TRUE(directory_.mayRelayTo(first, now_));
+    directory_.beginEvacuation(domain, 7, now_);
+    EXPECT_NE(home(), first);
+    EXPECT_FALSE(directory_.mayRelayTo(first, now_));
+    EXPECT_EQ(directory_.evacuatedDomains(), std::vector<DomainId>{domain});
+    directory_.endEvacuation(domain, now_);
+    EXPECT_EQ(home(), first);
+    EXPECT_TRUE(directory_.mayRelayTo(first, now_));
+}
+
 TEST_F(EndpointDirectoryTest, MalformedAddressRemovesEndpoint)
 {
     directory_.update(entry("a"), now_);
--- a/unittests/PlatformAdapter/RowsTest.cpp
+++ b/unittests/PlatformAdapter/RowsTest.cpp
@@ -47,6 +47,34 @@
     EXPECT_EQ(config->limits.maxBodyBytes, 200U);
 }
 
+struct EvacuationKeyCase
+{
+    const char *name;
+    const char *key;
+    std::optional<const char *> domain;
+};
+
+class EvacuationKey : public testing::TestWithParam<EvacuationKeyCase>
+{};
+
+TEST_P(EvacuationKey, NamesTheDomain)
+{
+    const std::optional<DomainId> domain = platform::decodeEvacuationKey(GetParam().key);
+    ASSERT_EQ(domain.has_value(), GetParam().domain.has_value());
+    if (domain) {
+        EXPECT_EQ(domain->text(), *GetParam().domain);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, EvacuationKey,
+                         testing::Values(EvacuationKeyCase{"Domain", "evacuate/d-a", "d-a"},
+                                         EvacuationKeyCase{"DomainWithSlash", "evacuate/a/b",
+                                                           "a/b"},
+                                         EvacuationKeyCase{"NoDomain", "evacuate/", std::nullopt},
+                                         EvacuationKeyCase{"Configuration", "config", std::nullopt},
+                                         EvacuationKeyCase{"Other", "evacuated/a", std::nullopt}),
+                         [](const auto &row) { return row.param.name; });
+
 // Guards against a 401 for all callers of a deployment without workspaces, which have no API
 // keys.
 TEST(ConfigRow, WithoutWorkspacesRequiresNoApiKey)
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -76,7 +76,7 @@
     {
         notices.push_back(notice);
     }
-    std::optional<Instant> returnAfterBackoff(const WorkItem &, Instant now) override
+    std::optional<Instant> returnTime(const WorkItem &, Instant now) override
     {
         return backoff ? std::optional(now + *backoff) : std::nullopt;
     }
