[Decisions] [Edge] Send cold endpoints no more than they bear, from all hosts together

What would happen: an endpoint that has just started bears eight requests a second and crashes well above that; a fleet in which each host sends what it likes crashes it again (23 in a second seen when all engines of a service came back under a burst and a hot prefix; 17 are allowed). Six real hosts with 50 requests a second each sent one far more than the 11 that its configuration allowed.

Cause: nothing read the service's cold time and rate or the entry's remaining time, and nothing else bounds what a fleet sends one endpoint.

Change: ColdEndpoints decides which endpoints are cold and until when: by their entries; for the whole time when a process is new and its entry states none, after an evacuation, and from the first connection after a failed one, since while the store is silent no entry tells of a new start. EndpointLimits takes a known limit, which holds for a time and which no response names, shares it out over a few holders like one that an endpoint names, and allows no burst. A request for a slot of another host's share tells that host of the limit (version 2 of the message; version 1 is still read, and earlier versions skip the field).

--- a/include/sequoiagate/Config/ServingConfig.h
+++ b/include/sequoiagate/Config/ServingConfig.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -57,6 +58,10 @@
     uint32_t maxConnections = 0; ///< that one endpoint accepts from all callers together
     uint32_t tokensPerEvent = 1; ///< 0 for a plain service
     bool isModelEngine = false;
+    /// How long an endpoint is cold after its start, and the requests per second that it then bears
+    /// from all hosts together; 0: it is never cold.
+    Interval coldDuration{};
+    double coldRequestsPerSecond = 0.0;
 };
 
 struct WorkspaceSpec
@@ -119,6 +124,8 @@
     uint32_t slots = 1;
     bool draining = false;
     uint64_t startedAtMillis = 0; ///< Unix time of its start; a new value means a new process
+    /// How long it is still cold, as of the entry; nullopt if the entry doesn't say.
+    std::optional<Interval> coldLeft;
 };
 
 } // namespace sequoiagate
--- a/include/sequoiagate/Decisions/EndpointLimits.h
+++ b/include/sequoiagate/Decisions/EndpointLimits.h
@@ -20,6 +20,10 @@
 /// multiplicative decrease), and all hosts pause until fewer than half of the bearable rejections
 /// fall into the last second.
 ///
+/// Known limit: a request limit that holds for a time and that no response names, since it is known
+/// in advance, as of endpoints that have just started. It is shared out in the same way, without
+/// any burst, because nothing was counted before it began.
+///
 /// A host that lacks a share, or needs more than it has, requests single slots of the holders. A
 /// slot is a time at which one request may be sent; it expires soon, so that few are outstanding.
 /// Requests for slots queue in the same bucket as the holder's own requests, and none waits for
@@ -51,6 +55,13 @@
     Instant observedAt{}; ///< by this host's clock
 };
 
+/// A request limit that holds for a time, whatever the endpoint names.
+struct KnownLimit
+{
+    double requestsPerSecond = 0.0;
+    Instant until{}; ///< by this host's clock
+};
+
 /// A request for one slot of another host's share.
 struct SlotRequest
 {
@@ -58,6 +69,7 @@
     uint64_t id = 0;     ///< unique at the requesting host
     Interval maxDelay{}; ///< how long the slot's use may have to wait
     EndpointLimitRecord record;
+    std::optional<KnownLimit> known; ///< of the endpoint, if one holds
 };
 
 struct SlotResponse
@@ -96,9 +108,13 @@
     /// Records that \p endpoint isn't listed any more. Its process may live on and be listed again,
     /// so its limits are kept for DelistedLifetime.
     void removeEndpoint(const EndpointId &endpoint, Instant now);
-    /// Drops the limits that were kept for long enough. To be called now and then.
+    /// Drops the limits that were kept for long enough, and ends known ones. To be called several
+    /// times a second.
     void dropExpired(Instant now);
 
+    /// Sets a limit that holds for \p endpoint until its time, or changes its end.
+    void setKnownLimit(const EndpointId &endpoint, const KnownLimit &limit, Instant now);
+    bool hasKnownLimit(const EndpointId &endpoint) const;
     /// Records the notice of a response to a request that was sent at \p sentAt.
     /// \returns whether the other hosts should be told at once
     bool onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant sentAt,
@@ -169,10 +185,12 @@
     struct Endpoint
     {
         EndpointLimitRecord record;
-        Instant dropAt = Never; ///< set while it isn't listed
-        Instant lastNamedAt{};  ///< a response that named a limit arrived
-        uint32_t slotCount = 1; ///< requests that it runs at once
-        uint32_t open = 0;      ///< requests of this host there
+        std::optional<KnownLimit> known;
+        std::optional<double> rate; ///< the lowest request limit that holds
+        Instant dropAt = Never;     ///< set while it isn't listed
+        Instant lastNamedAt{};      ///< a response that named a limit arrived
+        uint32_t slotCount = 1;     ///< requests that it runs at once
+        uint32_t open = 0;          ///< requests of this host there
         Instant openChangedAt{};
         double openSeconds = 0.0; ///< of requests of this host, recent ones counting most
         double ends = 0.0;        ///< requests of this host that ended, weighted alike
@@ -182,7 +200,7 @@
         std::deque<Instant> rejections; ///< of all hosts' requests, in the last second
         bool isHolder = false;          ///< of a share of the limits
         std::size_t holders = 1;        ///< of all hosts
-        double share = 0.0;             ///< of the request limit, per second
+        double share = 0.0;             ///< of the rate, per second
         std::vector<Instant> lentUntil; ///< when requests of lent slots have probably ended
         std::vector<Holder> otherHolders;
         std::vector<Slot> slots; ///< that this host may use
@@ -190,9 +208,16 @@
         Instant nextSendAt{}; ///< by that share
     };
 
+    static bool isLimited(const Endpoint &endpoint)
+    {
+        return endpoint.rate || endpoint.record.maxRejectionsPerSecond;
+    }
     void apply(Endpoint &endpoint, const EndpointLimitRecord &record);
-    /// The hosts that share the limits of an endpoint with so many slots.
-    std::vector<HostId> holdersOf(const EndpointLimitRecord &record, uint32_t slots) const;
+    void applyKnown(Endpoint &endpoint, const std::optional<KnownLimit> &known);
+    /// Recomputes what depends on the limits. \param wasLimited before they changed
+    void onLimitsChanged(Endpoint &endpoint, bool wasLimited);
+    /// The hosts that share the limits of an endpoint.
+    std::vector<HostId> holdersOf(const Endpoint &endpoint) const;
     void computeShare(Endpoint &endpoint) const;
     static void addRejection(Endpoint &endpoint, Instant now);
     static void recordOpen(Endpoint &endpoint, Instant now);
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -15,6 +15,7 @@
 ///   first.
 /// - An endpoint that has asked this host to back off gets nothing until then. Where all that could
 ///   run a request have asked, it is refused at once with the end of the first backoff.
+/// - A cold endpoint gets this host's share of what it bears while it is cold.
 /// - The endpoints of an evacuated failure domain get nothing until it is taken back.
 /// - While this host is partitioned from all endpoints, other hosts relay its requests.
 
@@ -26,6 +27,7 @@
 #include <vector>
 
 #include "sequoiagate/Config/ServingConfig.h"
+#include "sequoiagate/Decisions/ColdEndpoints.h"
 #include "sequoiagate/Decisions/DistributedRetryBudget.h"
 #include "sequoiagate/Decisions/DomainEvacuations.h"
 #include "sequoiagate/Decisions/EndpointEligibility.h"
@@ -75,6 +77,8 @@
     void remove(const EndpointId &id, RemovalReason reason, Instant now);
     /// Removes the endpoints that aren't in \p present, the ids in a snapshot of all entries.
     void keepOnly(const std::vector<EndpointId> &present, Instant now);
+    /// Sets the services of the configuration in force.
+    void setServices(const std::vector<ServiceSpec> &services, Instant now);
     void setStoreReachable(bool reachable, Instant now);
     /// Removes entries whose grace period is over. To be called several times a second.
     void tick(Instant now);
@@ -103,10 +107,7 @@
     /// Takes over what another host observed.
     void onPeerLimits(const std::vector<EndpointLimitRecord> &records, Instant now);
     void onPeerRejection(const EndpointLimitRecord &record, Instant now);
-    SlotResponse lendSlot(const SlotRequest &request, Instant now)
-    {
-        return limits_.lendSlot(request, now);
-    }
+    SlotResponse lendSlot(const SlotRequest &request, Instant now);
     void onSlotResponse(const SlotResponse &response, Instant now)
     {
         limits_.onSlotResponse(response, now);
@@ -133,6 +134,7 @@
     /// The number of requests that were refused since all endpoints had asked for a backoff.
     uint64_t requestsRefusedInBackoff() const { return refusedInBackoff_; }
     std::size_t leavingByResponse() const { return withdrawals_.leavingCount(); }
+    std::size_t coldEndpoints(Instant now) const { return cold_.coldCount(now); }
     std::size_t limitedEndpoints() const { return limits_.limitedCount(); }
     /// The number of requests that an endpoint's limit sent elsewhere or refused.
     uint64_t limitedRequests() const { return limitedRequests_; }
@@ -194,6 +196,8 @@
     void onBackoffNotice(const NoticeSource &source, Interval duration, const char *heardFrom,
                          Instant now);
     std::string describeWithdrawals(const std::vector<EndpointId> &endpoints, Instant now) const;
+    /// Makes the limit of \p endpoint follow how cold it is.
+    void limitWhileCold(const EndpointId &endpoint, Instant now);
     void onLeavingNotice(const NoticeSource &source, const char *heardFrom, Instant now);
 
     struct ListedEndpoint
@@ -222,6 +226,7 @@
     EventLog &log_;
     EndpointSelector selector_;
     EndpointLimits limits_;
+    ColdEndpoints cold_;
     EndpointWithdrawals withdrawals_;
     DomainEvacuations evacuations_;
     EndpointEligibility eligibility_;
--- a/lib/Decisions/EndpointLimits.cpp
+++ b/lib/Decisions/EndpointLimits.cpp
@@ -104,37 +104,84 @@
     if (found == endpoints_.end()) {
         return;
     }
-    if (hasLimit(found->second.record)) {
+    if (isLimited(found->second)) {
         found->second.dropAt = now + DelistedLifetime;
         return;
     }
     endpoints_.erase(found);
 }
 
+void EndpointLimits::setKnownLimit(const EndpointId &id, const KnownLimit &limit, Instant now)
+{
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end()) {
+        return;
+    }
+    Endpoint &endpoint = found->second;
+    const bool isSame =
+            endpoint.known && endpoint.known->requestsPerSecond == limit.requestsPerSecond;
+    if (limit.until <= now) {
+        applyKnown(endpoint, std::nullopt);
+    } else if (isSame) {
+        endpoint.known->until = limit.until;
+    } else {
+        applyKnown(endpoint, limit);
+    }
+}
+
+bool EndpointLimits::hasKnownLimit(const EndpointId &id) const
+{
+    const Endpoint *endpoint = find(id);
+    return endpoint != nullptr && endpoint->known;
+}
+
 void EndpointLimits::dropExpired(Instant now)
 {
+    for (auto &[id, endpoint] : endpoints_) {
+        if (endpoint.known && now >= endpoint.known->until) {
+            applyKnown(endpoint, std::nullopt);
+        }
+    }
     std::erase_if(endpoints_, [this, now](const auto &entry) {
         const bool isExpired = now >= entry.second.dropAt;
-        limitedCount_ -= isExpired && hasLimit(entry.second.record) ? 1 : 0;
+        limitedCount_ -= isExpired && isLimited(entry.second) ? 1 : 0;
         return isExpired;
     });
 }
 
 void EndpointLimits::apply(Endpoint &endpoint, const EndpointLimitRecord &record)
 {
-    limitedCount_ -= hasLimit(endpoint.record) ? 1 : 0;
-    limitedCount_ += hasLimit(record) ? 1 : 0;
+    const bool wasLimited = isLimited(endpoint);
     endpoint.record = record;
+    onLimitsChanged(endpoint, wasLimited);
+}
+
+void EndpointLimits::applyKnown(Endpoint &endpoint, const std::optional<KnownLimit> &known)
+{
+    const bool wasLimited = isLimited(endpoint);
+    endpoint.known = known;
+    onLimitsChanged(endpoint, wasLimited);
+}
+
+void EndpointLimits::onLimitsChanged(Endpoint &endpoint, bool wasLimited)
+{
+    endpoint.rate = endpoint.record.maxRequestsPerSecond;
+    if (endpoint.known) {
+        endpoint.rate = std::min(endpoint.rate.value_or(endpoint.known->requestsPerSecond),
+                                 endpoint.known->requestsPerSecond);
+    }
+    limitedCount_ -= wasLimited ? 1 : 0;
+    limitedCount_ += isLimited(endpoint) ? 1 : 0;
     computeShare(endpoint);
 }
 
-std::vector<HostId> EndpointLimits::holdersOf(const EndpointLimitRecord &record,
-                                              uint32_t slots) const
+std::vector<HostId> EndpointLimits::holdersOf(const Endpoint &endpoint) const
 {
-    const std::optional<double> &limit = record.maxRequestsPerSecond;
+    const EndpointLimitRecord &record = endpoint.record;
+    const std::optional<double> &limit = endpoint.rate;
     std::size_t count = limit ? holderCount(*limit, hosts_.size()) : hosts_.size();
     if (record.maxRejectionsPerSecond) {
-        count = std::clamp<std::size_t>(slots, 1, count);
+        count = std::clamp<std::size_t>(endpoint.slotCount, 1, count);
     }
     std::vector<std::pair<uint64_t, HostId>> ranked;
     ranked.reserve(hosts_.size());
@@ -152,7 +199,7 @@
 
 void EndpointLimits::computeShare(Endpoint &endpoint) const
 {
-    if (!hasLimit(endpoint.record)) {
+    if (!isLimited(endpoint)) {
         endpoint.isHolder = true;
         return;
     }
@@ -161,8 +208,8 @@
         endpoint.isHolder = false;
         return;
     }
-    const std::vector<HostId> holders = holdersOf(endpoint.record, endpoint.slotCount);
-    const double limit = endpoint.record.maxRequestsPerSecond.value_or(0.0);
+    const std::vector<HostId> holders = holdersOf(endpoint);
+    const double limit = endpoint.rate.value_or(0.0);
     endpoint.holders = holders.size();
     endpoint.share = std::max(limit, MinRequestsPerSecond) / static_cast<double>(holders.size());
     endpoint.isHolder = false;
@@ -297,7 +344,7 @@
     Endpoint &endpoint = found->second;
     recordOpen(endpoint, now);
     ++endpoint.open;
-    if (!hasLimit(endpoint.record)) {
+    if (!isLimited(endpoint)) {
         return;
     }
     expire(endpoint, now);
@@ -322,17 +369,18 @@
 
 Interval EndpointLimits::slotLifetime(const Endpoint &endpoint)
 {
-    return endpoint.record.maxRequestsPerSecond ? SlotLifetime : WindowSlotLifetime;
+    return endpoint.rate ? SlotLifetime : WindowSlotLifetime;
 }
 
 void EndpointLimits::advance(Endpoint &endpoint, Instant now)
 {
     endpoint.lastSentAt = now;
-    if (!endpoint.record.maxRequestsPerSecond) {
+    if (!endpoint.rate) {
         return;
     }
     const auto interval = std::chrono::duration<double>(1.0 / endpoint.share);
-    endpoint.nextSendAt = std::max(endpoint.nextSendAt, now - asInterval(BurstShare * interval))
+    const double burst = endpoint.known ? 0.0 : BurstShare;
+    endpoint.nextSendAt = std::max(endpoint.nextSendAt, now - asInterval(burst * interval))
                           + asInterval(interval);
 }
 
@@ -351,8 +399,7 @@
 bool EndpointLimits::bookOwnSlot(const EndpointId &id, Interval maxDelay, Instant now)
 {
     const auto found = endpoints_.find(id);
-    if (found == endpoints_.end() || !found->second.record.maxRequestsPerSecond
-        || !found->second.isHolder) {
+    if (found == endpoints_.end() || !found->second.rate || !found->second.isHolder) {
         return false;
     }
     Endpoint &endpoint = found->second;
@@ -370,13 +417,13 @@
                                                        Instant now)
 {
     const auto found = endpoints_.find(id);
-    if (found == endpoints_.end() || !hasLimit(found->second.record)) {
+    if (found == endpoints_.end() || !isLimited(found->second)) {
         return std::nullopt;
     }
     Endpoint &endpoint = found->second;
     expire(endpoint, now);
     // A holder's part of a window bounds what it has open, whoever's part that was.
-    const bool hasOwnPart = endpoint.isHolder && !endpoint.record.maxRequestsPerSecond;
+    const bool hasOwnPart = endpoint.isHolder && !endpoint.rate;
     if (endpoint.slotRequest || hasOwnPart) {
         return std::nullopt;
     }
@@ -389,7 +436,7 @@
     }
     const auto index = static_cast<std::size_t>(holder - endpoint.otherHolders.begin());
     endpoint.slotRequest = {++lastSlotRequest_, index, now + SlotResponseTimeout};
-    return SlotRequest{holder->host, lastSlotRequest_, maxDelay, endpoint.record};
+    return SlotRequest{holder->host, lastSlotRequest_, maxDelay, endpoint.record, endpoint.known};
 }
 
 SlotResponse EndpointLimits::lendSlot(const SlotRequest &request, Instant now)
@@ -397,14 +444,18 @@
     onRecord(request.record, now);
     SlotResponse response{request.id, std::nullopt, UnresponsiveHolderPause};
     const auto found = endpoints_.find(request.record.endpoint);
-    if (found == endpoints_.end() || !hasLimit(found->second.record) || !found->second.isHolder) {
+    if (found == endpoints_.end()) {
         return response;
     }
     Endpoint &endpoint = found->second;
+
+    if (!isLimited(endpoint) || !endpoint.isHolder) {
+        return response;
+    }
     expire(endpoint, now);
     // A slot for a request that may come isn't taken from a holder that is about to use it.
     const bool isForLater = request.maxDelay == Interval::zero();
-    const bool hasRate = endpoint.record.maxRequestsPerSecond.has_value();
+    const bool hasRate = endpoint.rate.has_value();
     const std::chrono::duration<double> idle(isForLater && hasRate ? IdleShare / endpoint.share
                                                                    : 0.0);
     const Instant at =
@@ -496,15 +547,14 @@
     if (!endpoint.isHolder) {
         return Never;
     }
-    const Instant byRate =
-            endpoint.record.maxRequestsPerSecond ? std::max(now, endpoint.nextSendAt) : now;
+    const Instant byRate = endpoint.rate ? std::max(now, endpoint.nextSendAt) : now;
     return std::max(byRate, availableByWindow(endpoint, now));
 }
 
 Instant EndpointLimits::availableAt(const EndpointId &id, Instant now) const
 {
     const Endpoint *endpoint = find(id);
-    if (endpoint == nullptr || !hasLimit(endpoint->record)) {
+    if (endpoint == nullptr || !isLimited(*endpoint)) {
         return now;
     }
     Instant at = availableByOwnShare(*endpoint, now);
@@ -519,7 +569,7 @@
 std::optional<double> EndpointLimits::sharePerSecond(const EndpointId &id) const
 {
     const Endpoint *endpoint = find(id);
-    if (endpoint == nullptr || !endpoint->record.maxRequestsPerSecond) {
+    if (endpoint == nullptr || !endpoint->rate) {
         return std::nullopt;
     }
     return endpoint->isHolder ? endpoint->share : 0.0;
@@ -528,12 +578,23 @@
 std::string EndpointLimits::describe(const EndpointId &id, Instant now) const
 {
     const Endpoint *endpoint = find(id);
-    if (endpoint == nullptr || !hasLimit(endpoint->record)) {
+    if (endpoint == nullptr || !isLimited(*endpoint)) {
         return {};
     }
     const EndpointLimitRecord &record = endpoint->record;
-    const auto age = std::chrono::duration_cast<Millis>(now - record.observedAt).count();
+    const auto millis = [](Interval interval) {
+        return std::chrono::duration_cast<Millis>(interval).count();
+    };
     std::string text = fmt::format("{}:", id.text());
+    if (endpoint->known) {
+        text += fmt::format(" {:g} requests/s for {} ms, share {:.3g}{}",
+                            endpoint->known->requestsPerSecond,
+                            millis(endpoint->known->until - now), sharePerSecond(id).value_or(0.0),
+                            hasLimit(record) ? "," : "");
+    }
+    if (!hasLimit(record)) {
+        return text;
+    }
     if (record.maxRequestsPerSecond) {
         text += fmt::format(" {:g} requests/s, share {:.3g},", *record.maxRequestsPerSecond,
                             sharePerSecond(id).value_or(0.0));
@@ -543,7 +604,7 @@
                             *record.maxRejectionsPerSecond, endpoint->rejections.size(),
                             windowAt(*endpoint, now), endpoint->open);
     }
-    return text + fmt::format(" observed {} ms ago", age);
+    return text + fmt::format(" observed {} ms ago", millis(now - record.observedAt));
 }
 
 std::vector<EndpointLimitRecord> EndpointLimits::records(Instant now) const
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -349,6 +349,7 @@
         log_.write(Event("config.malformed").with("offset", row.offset).with("why", error.what()));
         return;
     }
+    endpoints_.setServices(config_->services, std::chrono::steady_clock::now());
     tokens_->setBudgets(budgetsOf(*config_), std::chrono::steady_clock::now());
     log_.write(Event(events::ConfigInForce)
                        .with("version", config_->version)
@@ -596,6 +597,7 @@
                    static_cast<double>(endpoints_.evacuatedDomains().size()));
     metrics_.gauge("edge_requests_refused_by_evacuation",
                    static_cast<double>(endpoints_.requestsRefusedByEvacuation()));
+    metrics_.gauge("edge_endpoints_cold", static_cast<double>(endpoints_.coldEndpoints(now)));
     metrics_.gauge("edge_endpoints_limited", static_cast<double>(endpoints_.limitedEndpoints()));
     metrics_.gauge("edge_partitioned", endpoints_.isPartitioned() ? 1.0 : 0.0);
     metrics_.gauge("edge_requests_relayed_now",
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -96,6 +96,7 @@
         remove(entry.id, RemovalReason::Malformed, now);
         return;
     }
+    cold_.onEntry({entry.id, entry.service, entry.startedAtMillis, entry.coldLeft}, now);
     const auto [found, added] = entries_.try_emplace(entry.id);
     ListedEndpoint &listed = found->second;
     const EndpointEntry &known = listed.entry;
@@ -105,6 +106,7 @@
                              && known.slots == entry.slots && known.draining == entry.draining
                              && known.version == entry.version && listed.removeAt == Never;
     if (isUnchanged) {
+        limitWhileCold(entry.id, now);
         return;
     }
     listed.entry = entry;
@@ -114,6 +116,7 @@
         listed.excludedUntil = Instant();
     }
     limits_.setEndpoint(entry.id, entry.startedAtMillis, entry.slots);
+    limitWhileCold(entry.id, now);
     withdrawals_.setEndpoint(entry.id, entry.startedAtMillis);
     changed_ = true;
     log_.write(Event(added ? "endpoint.listed" : "endpoint.changed")
@@ -171,6 +174,7 @@
         const bool isOver = now >= entry.second.removeAt;
         if (isOver) {
             limits_.removeEndpoint(entry.first, now);
+            cold_.removeEndpoint(entry.first);
             withdrawals_.removeEndpoint(entry.first, now);
         }
         return isOver;
@@ -429,6 +433,8 @@
 {
     const Instant since = partition_.partitionedSince();
     partition_.onConnected(now);
+    cold_.onConnected(endpoint, now);
+    limitWhileCold(endpoint, now);
     if (since != Never) {
         log_.write(
                 Event("path.restored")
@@ -442,6 +448,9 @@
 {
     const bool wasPartitioned = partition_.isPartitioned();
     partition_.onConnectFailed(endpoint, now);
+    // Also in a partition: endpoints that all start again at once look the same.
+    cold_.onConnectFailed(endpoint, now);
+    limitWhileCold(endpoint, now);
     if (!partition_.isPartitioned()) {
         onStaleEndpoint(endpoint, now);
         return;
--- a/lib/Edge/EndpointDirectoryNotices.cpp
+++ b/lib/Edge/EndpointDirectoryNotices.cpp
@@ -43,10 +43,49 @@
                        .essential());
 }
 
-void EndpointDirectory::endEvacuation(const DomainId &domain, Instant)
+void EndpointDirectory::endEvacuation(const DomainId &domain, Instant now)
 {
-    if (evacuations_.end(domain)) {
-        log_.write(Event("domain.taken_back").with("evacuated", domain).essential());
+    if (!evacuations_.end(domain)) {
+        return;
+    }
+    log_.write(Event("domain.taken_back").with("evacuated", domain).essential());
+    for (const auto &[id, listed] : entries_) {
+        if (listed.entry.domain == domain) {
+            cold_.onTakenBack(id, now);
+            limitWhileCold(id, now);
+        }
+    }
+}
+
+void EndpointDirectory::setServices(const std::vector<ServiceSpec> &services, Instant now)
+{
+    std::map<ServiceId, ColdService> cold;
+    for (const ServiceSpec &service : services) {
+        if (service.coldRequestsPerSecond > 0.0) {
+            cold[service.name] = {service.coldDuration, service.coldRequestsPerSecond};
+        }
+    }
+    cold_.setServices(std::move(cold), now);
+    for (const auto &[id, listed] : entries_) {
+        limitWhileCold(id, now);
+    }
+}
+
+SlotResponse EndpointDirectory::lendSlot(const SlotRequest &request, Instant now)
+{
+    const EndpointId &endpoint = request.record.endpoint;
+    if (request.known) {
+        cold_.onTold(endpoint, request.record.startedAtMillis, request.known->until, now);
+        limitWhileCold(endpoint, now);
+    }
+    return limits_.lendSlot(request, now);
+}
+
+void EndpointDirectory::limitWhileCold(const EndpointId &endpoint, Instant now)
+{
+    const Instant until = cold_.coldUntil(endpoint);
+    if (until > now || limits_.hasKnownLimit(endpoint)) {
+        limits_.setKnownLimit(endpoint, {cold_.requestsPerSecond(endpoint), until}, now);
     }
 }
 
@@ -91,6 +130,9 @@
     const auto append = [&text](const std::string &part) {
         text += (text.empty() ? "" : "; ") + part;
     };
+    if (const std::string cold = cold_.describe(chosen, now); !cold.empty()) {
+        append(cold);
+    }
     if (const std::vector<EndpointId> &limited = excluded.of(Exclusion::Limited);
         !limited.empty()) {
         append("not available: " + describeLimits(limited, now));
--- a/lib/Edge/EndpointLimitMessage.cpp
+++ b/lib/Edge/EndpointLimitMessage.cpp
@@ -9,6 +9,9 @@
 /// Records per datagram; some 60 bytes each, so that it isn't fragmented.
 constexpr std::size_t MaxRecords = 20;
 
+/// The longest time for which a peer's known limit is taken over.
+constexpr Millis MaxKnownLimitTime = std::chrono::minutes(1);
+
 template <typename Number>
 nlohmann::json optionalNumber(const std::optional<Number> &number)
 {
@@ -74,12 +77,16 @@
 std::string encodeSlotRequest(const SlotRequest &request, Instant now)
 {
     const auto maxDelay = std::chrono::duration_cast<Millis>(request.maxDelay);
-    return nlohmann::json({{"kind", SlotRequestMessageKind},
-                           {"version", 1},
-                           {"id", request.id},
-                           {"max_delay_ms", maxDelay.count()},
-                           {"record", encodeRecord(request.record, now)}})
-            .dump();
+    nlohmann::json message = {{"kind", SlotRequestMessageKind},
+                              {"version", 2},
+                              {"id", request.id},
+                              {"max_delay_ms", maxDelay.count()},
+                              {"record", encodeRecord(request.record, now)}};
+    if (request.known) {
+        const auto left = std::chrono::duration_cast<Millis>(request.known->until - now);
+        message["known"] = {request.known->requestsPerSecond, left.count()};
+    }
+    return message.dump();
 }
 
 SlotRequest decodeSlotRequest(const nlohmann::json &message, Instant now)
@@ -88,6 +95,13 @@
     request.id = message.at("id").get<uint64_t>();
     request.maxDelay = Millis(message.at("max_delay_ms").get<int64_t>());
     request.record = decodeRecord(message.at("record"), now);
+    // Version 1 has no known limits.
+    const auto known = message.find("known");
+    if (known != message.end()) {
+        const Millis left(known->at(1).get<int64_t>());
+        request.known = KnownLimit{known->at(0).get<double>(),
+                                   now + std::clamp(left, Millis(0), MaxKnownLimitTime)};
+    }
     return request;
 }
 
--- a/unittests/Decisions/EndpointLimitsTest.cpp
+++ b/unittests/Decisions/EndpointLimitsTest.cpp
@@ -870,6 +870,64 @@
 }
 
 // Guards against asking a holder that has ended again and again.
+struct KnownLimitCase
+{
+    const char *name;
+    std::optional<double> named; ///< by a response
+    double known;
+    Interval spacing; ///< between two requests of a fleet of one host
+};
+
+class KnownLimits : public testing::TestWithParam<KnownLimitCase>
+{};
+
+// Guards against a burst of requests for an endpoint whose limit is known in advance, and against
+// a limit that holds on after its time.
+TEST_P(KnownLimits, HoldUntilTheirTime)
+{
+    const KnownLimitCase &row = GetParam();
+    Instant now{std::chrono::hours(1)};
+    EndpointLimits limits(HostId("h"));
+    limits.setHosts({HostId("h")});
+    limits.setEndpoint(Endpoint, FirstProcess, 8);
+    if (row.named) {
+        limits.onNotice(Endpoint, requestLimit(*row.named), now, now);
+    }
+    limits.setKnownLimit(Endpoint, {row.known, now + std::chrono::seconds(3)}, now);
+    EXPECT_TRUE(limits.hasKnownLimit(Endpoint));
+    EXPECT_EQ(limits.limitedCount(), 1U);
+    EXPECT_EQ(limits.records(now).size(), row.named ? 1U : 0U) << "other hosts know it themselves";
+    EXPECT_TRUE(limits.isAvailable(Endpoint, now));
+    limits.onSent(Endpoint, now);
+    EXPECT_EQ(limits.availableAt(Endpoint, now), now + row.spacing);
+    now += std::chrono::seconds(3);
+    limits.dropExpired(now);
+    EXPECT_FALSE(limits.hasKnownLimit(Endpoint));
+    EXPECT_EQ(limits.limitedCount(), row.named ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, KnownLimits,
+        testing::Values(KnownLimitCase{"Alone", std::nullopt, 2.0, Millis(500)},
+                        KnownLimitCase{"LowerThanTheNamedOne", 10.0, 2.0, Millis(500)},
+                        KnownLimitCase{"HigherThanTheNamedOne", 2.0, 10.0, Millis(500)}),
+        [](const auto &row) { return row.param.name; });
+
+TEST_F(EndpointLimitsOfOne, KnownLimitMayEndEarlierOrLater)
+{
+    EndpointLimits limits(HostId("h"));
+    limits.setEndpoint(Endpoint, FirstProcess, 8);
+    limits.setKnownLimit(Endpoint, {2.0, now_ + Millis(500)}, now_);
+    limits.setKnownLimit(Endpoint, {2.0, now_ + Millis(900)}, now_);
+    limits.dropExpired(now_ + Millis(600));
+    EXPECT_TRUE(limits.hasKnownLimit(Endpoint));
+    limits.setKnownLimit(Endpoint, {2.0, now_}, now_);
+    EXPECT_FALSE(limits.hasKnownLimit(Endpoint));
+    EXPECT_TRUE(limits.isEmpty());
+    limits.setKnownLimit(EndpointId("other"), {2.0, now_ + Millis(500)}, now_);
+    EXPECT_TRUE(limits.isEmpty());
+}
+
 TEST_F(EndpointLimitsOfOne, UnresponsiveHolderIsNotAskedForAWhile)
 {
     limits_.setHosts({HostId("h"), HostId("i"), HostId("j")});
--- a/unittests/Edge/EndpointLimitMessageTest.cpp
+++ b/unittests/Edge/EndpointLimitMessageTest.cpp
@@ -102,4 +102,57 @@
     EXPECT_EQ(none.retryAfter, std::chrono::milliseconds(700));
 }
 
+struct KnownLimitMessageCase
+{
+    const char *name;
+    const char *known;          ///< field of the message; nullptr: of an earlier version
+    std::optional<Millis> left; ///< as decoded
+};
+
+class KnownLimitMessage : public testing::TestWithParam<KnownLimitMessageCase>
+{};
+
+// Guards against requests for slots of earlier versions that can't be read, and against times that
+// are out of range.
+TEST_P(KnownLimitMessage, IsDecoded)
+{
+    const KnownLimitMessageCase &row = GetParam();
+    nlohmann::json message =
+            nlohmann::json::parse(R"({"kind":"ask_slot","version":1,"id":3,"max_delay_ms":0,)"
+                                  R"("record":["e",7,null,null,10]})");
+    if (row.known != nullptr) {
+        message["version"] = 2;
+        message["known"] = nlohmann::json::parse(row.known);
+    }
+    const SlotRequest request = decodeSlotRequest(message, Now);
+    ASSERT_EQ(request.known.has_value(), row.left.has_value());
+    if (request.known) {
+        EXPECT_EQ(request.known->requestsPerSecond, 8.0);
+        EXPECT_EQ(request.known->until, Now + *row.left);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, KnownLimitMessage,
+        testing::Values(KnownLimitMessageCase{"EarlierVersion", nullptr, std::nullopt},
+                        KnownLimitMessageCase{"Known", "[8.0,1200]", Millis(1200)},
+                        KnownLimitMessageCase{"Over", "[8.0,-30]", Millis(0)},
+                        KnownLimitMessageCase{"TooLong", "[8.0,9223372036854775807]",
+                                              Millis(60'000)}),
+        [](const auto &row) { return row.param.name; });
+
+TEST(SlotRequestMessage, KeepsTheKnownLimit)
+{
+    SlotRequest request{HostId("h"), 3, Millis(20), record("e"), std::nullopt};
+    request.known = KnownLimit{8.0, Now + Millis(900)};
+    const SlotRequest decoded =
+            decodeSlotRequest(nlohmann::json::parse(encodeSlotRequest(request, Now)), Now);
+    ASSERT_TRUE(decoded.known);
+    EXPECT_EQ(decoded.known->requestsPerSecond, 8.0);
+    EXPECT_EQ(decoded.known->until, Now + Millis(900));
+    request.known.reset();
+    EXPECT_FALSE(
+            decodeSlotRequest(nlohmann::json::parse(encodeSlotRequest(request, Now)), Now).known);
+}
+
 } // namespace
--- a/unittests/PlatformAdapter/RowsTest.cpp
+++ b/unittests/PlatformAdapter/RowsTest.cpp
@@ -47,6 +47,75 @@
     EXPECT_EQ(config->limits.maxBodyBytes, 200U);
 }
 
+struct ColdTimeCase
+{
+    const char *name;
+    const char *left; ///< field of an endpoint's row; empty: it isn't there
+    std::optional<Interval> decoded;
+};
+
+class ColdTime : public testing::TestWithParam<ColdTimeCase>
+{};
+
+// Guards against an endpoint that is lost for an invalid statement of how long it is cold.
+TEST_P(ColdTime, IsDecodedOrLeftOut)
+{
+    const ColdTimeCase &row = GetParam();
+    std::string entry = R"({"backend":"s","address":"10.0.0.1:80","zone":"z","slots":8,)"
+                        R"("state":"ready")";
+    entry += std::string(row.left).empty() ? "}"
+                                           : ",\"cold-left-ms\":" + std::string(row.left) + "}";
+    EXPECT_EQ(platform::decodeEndpoint("e", entry).coldLeft, row.decoded);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, ColdTime,
+        testing::Values(ColdTimeCase{"Stated", "1500", std::chrono::milliseconds(1500)},
+                        ColdTimeCase{"Fraction", "0.5", std::chrono::microseconds(500)},
+                        ColdTimeCase{"Warm", "0", Interval::zero()},
+                        ColdTimeCase{"Missing", "", std::nullopt},
+                        ColdTimeCase{"Null", "null", std::nullopt},
+                        ColdTimeCase{"Negative", "-1", std::nullopt},
+                        ColdTimeCase{"Huge", "1e300", std::chrono::minutes(10)},
+                        ColdTimeCase{"OtherType", "\"1500\"", std::nullopt}),
+        [](const auto &row) { return row.param.name; });
+
+struct ColdServiceCase
+{
+    const char *name;
+    const char *fields;
+    Interval duration;
+    double perSecond;
+};
+
+class ColdServiceRow : public testing::TestWithParam<ColdServiceCase>
+{};
+
+TEST_P(ColdServiceRow, IsDecodedOrNeverCold)
+{
+    const ColdServiceCase &row = GetParam();
+    const ServingConfigPtr config = platform::decodeConfig(
+            std::string(R"({"version":7,"routes":[],"backends":[{"name":"s")") + row.fields
+            + "}]}");
+    const ServiceSpec *service = config->findService(ServiceId("s"));
+    ASSERT_NE(service, nullptr);
+    EXPECT_EQ(service->coldDuration, row.duration);
+    EXPECT_EQ(service->coldRequestsPerSecond, row.perSecond);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, ColdServiceRow,
+        testing::Values(ColdServiceCase{"None", "", Interval::zero(), 0.0},
+                        ColdServiceCase{"Both", R"(,"cold-s":3.0,"cold-per-s":8.0)",
+                                        std::chrono::seconds(3), 8.0},
+                        ColdServiceCase{"Negative", R"(,"cold-s":-3,"cold-per-s":-8)",
+                                        Interval::zero(), 0.0},
+                        ColdServiceCase{"Huge", R"(,"cold-s":1e300,"cold-per-s":8)",
+                                        std::chrono::minutes(10), 8.0},
+                        ColdServiceCase{"OtherType", R"(,"cold-s":"3","cold-per-s":[8])",
+                                        Interval::zero(), 0.0}),
+        [](const auto &row) { return row.param.name; });
+
 struct EvacuationKeyCase
 {
     const char *name;
