[Base] [Decisions] [Edge] Keep requests in the regions that their route and workspace allow

What would happen: a request whose route or workspace names allowed regions is sent to endpoints anywhere, and its body through hosts anywhere.

Cause: nothing read the regions, and hosts didn't know in which region a failure domain lies.

Change: RegionRestriction is what a route or a workspace allows; both bind where both name regions. The setting `regions` gives each failure domain's region. One row in EndpointEligibility's table excludes endpoints elsewhere, in every case: first attempts, retries, resumptions. A partitioned host passes such a request on to relays in allowed regions alone, also where its own region isn't one: it only holds the caller's connection. A domain whose region isn't known lies in none. Where no endpoint lies in an allowed region the request is refused at once, not run, with a time to come back. A list of regions that can't be read allows none, and the rest of the configuration takes force; an empty list restricts nothing. Such fields are logged once a version (config.invalid_field).

--- a/include/sequoiagate/Base/Ids.h
+++ b/include/sequoiagate/Base/Ids.h
@@ -38,6 +38,7 @@
 
 using HostId = Id<struct HostTag>;
 using DomainId = Id<struct DomainTag>;
+using RegionId = Id<struct RegionTag>; ///< a group of failure domains
 using WorkspaceId = Id<struct WorkspaceTag>;
 using EndpointId = Id<struct EndpointTag>;
 using RequestId = Id<struct RequestTag>;
--- a/include/sequoiagate/Config/ServingConfig.h
+++ b/include/sequoiagate/Config/ServingConfig.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/RegionRestriction.h"
 #include "sequoiagate/Base/Time.h"
 
 namespace sequoiagate {
@@ -48,6 +49,7 @@
     /// Callers describe the parts of their prompts, for placement by prompt prefix. Placement
     /// doesn't read this flag: it uses the parts of every request that has them.
     bool promptAffinity = false;
+    RegionRestriction regions; ///< of endpoints, and of hosts to which the body is sent
 };
 
 /// The properties that all endpoints of a service share.
@@ -71,7 +73,8 @@
     uint32_t priority = 5; ///< takes precedence over the route's; 0 is the highest
     bool overridesPriority = false;
     uint64_t prepaidTokens = 0;
-    bool isPrepaid = false; ///< false: spending is unlimited
+    bool isPrepaid = false;    ///< false: spending is unlimited
+    RegionRestriction regions; ///< in addition to the route's
 };
 
 /// Limits on what a caller may send, how long that may take and how long it may stay idle.
@@ -92,6 +95,7 @@
     std::vector<Route> routes;
     std::vector<ServiceSpec> services;
     std::vector<WorkspaceSpec> workspaces;
+    std::vector<std::string> warnings; ///< about invalid fields that were read in the safe way
 
     /// Builds the lookup tables. Call it once, after all fields are set.
     void buildIndexes();
--- a/include/sequoiagate/Decisions/EndpointEligibility.h
+++ b/include/sequoiagate/Decisions/EndpointEligibility.h
@@ -27,13 +27,14 @@
 enum class Exclusion {
     OtherVersion, ///< another software version must run the request
     Leaving,      ///< by its entry or its responses
+    OtherRegion,  ///< the request's body may not be sent to its region
     Evacuated,    ///< its failure domain is
     BackingOff,   ///< it asked this host to send nothing
     Limited,      ///< this host's share of its limits is used up
     Unreachable,  ///< a connection failed a moment ago
     OnTrial,      ///< the first request after a backoff isn't answered yet
 };
-inline constexpr std::size_t ExclusionCount = 7;
+inline constexpr std::size_t ExclusionCount = 8;
 
 /// How strictly a reason excludes an endpoint.
 enum class Strictness {
@@ -47,6 +48,7 @@
     const EndpointId &id;
     const SoftwareVersion &version;
     const DomainId &domain;
+    const RegionId &region; ///< empty if it isn't known
     bool isLeaving = false;
     Instant unreachableUntil{};
 };
@@ -125,6 +127,7 @@
 
     Instant otherVersionEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant leavingEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
+    Instant otherRegionEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant evacuationEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant backoffEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant limitEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
--- a/include/sequoiagate/Decisions/RelaySelector.h
+++ b/include/sequoiagate/Decisions/RelaySelector.h
@@ -8,6 +8,7 @@
 /// hits several hosts of a failure domain. If several in a row can't be reached, this host is cut
 /// off from them as well, and none is selected for a while: each try would keep a caller waiting.
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -32,8 +33,14 @@
 
     /// Sets the other hosts, without those that can't relay.
     void setHosts(std::vector<HostId> hosts);
-    /// \returns std::nullopt if no host is likely to relay
-    std::optional<HostId> select(Instant now);
+    /// Whether a host may get the body of the request.
+    using Filter = std::function<bool(const HostId &)>;
+    /// \returns std::nullopt if no host that \p mayRelay is likely to relay
+    std::optional<HostId> select(const Filter &mayRelay, Instant now);
+    std::optional<HostId> select(Instant now)
+    {
+        return select([](const HostId &) { return true; }, now);
+    }
     /// \p host was reached, and refused.
     void onRefused(const HostId &host, Instant now);
     void onConnected() { unreachableInARow_ = 0; }
--- a/include/sequoiagate/Decisions/WorkItem.h
+++ b/include/sequoiagate/Decisions/WorkItem.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/RegionRestriction.h"
 #include "sequoiagate/Base/Time.h"
 
 namespace sequoiagate {
@@ -29,6 +30,7 @@
     uint64_t prefixHash = 0;            ///< stable hash of the prompt's first block; 0: none
     bool idempotent = true;
     std::optional<SoftwareVersion> version; ///< only endpoints of this version may run it
+    RegionRestriction regions;              ///< of endpoints and hosts that get its body
     bool connectFailed = false;             ///< a connection for it couldn't be established
     double weight = 1.0;                    ///< of its workspace, for fair queueing
     Instant arrivedAt;
--- a/include/sequoiagate/Edge/EdgeSettings.h
+++ b/include/sequoiagate/Edge/EdgeSettings.h
@@ -3,6 +3,7 @@
 
 /// The settings of sequoia-edge. docs/Settings.md documents their units and defaults.
 
+#include <map>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -26,7 +27,8 @@
     std::string advertiseRelay; ///< the address that other hosts connect to; listenRelay if empty
     std::string listenMetrics;  ///< not served if empty
     std::string store;
-    Interval stopGrace{};            ///< from the stop signal to the forced exit
+    std::map<DomainId, RegionId> regions; ///< of all failure domains
+    Interval stopGrace{};                 ///< from the stop signal to the forced exit
     Interval readyGrace{};           ///< new callers are accepted this long after the stop signal
     uint64_t linkBytesPerSecond = 0; ///< link capacity in each direction; 0 if unknown
     DistributedRetryBudgetSettings retries;
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -16,6 +16,8 @@
 /// - An endpoint that has asked this host to back off gets nothing until then. Where all that could
 ///   run a request have asked, it is refused at once with the end of the first backoff.
 /// - A cold endpoint gets this host's share of what it bears while it is cold.
+/// - A request that is restricted to regions is sent to endpoints there alone, and relayed by hosts
+///   there alone. A failure domain whose region isn't known lies in none.
 /// - The endpoints of an evacuated failure domain get nothing until it is taken back.
 /// - While this host is partitioned from all endpoints, other hosts relay its requests.
 
@@ -49,6 +51,13 @@
     Malformed, ///< its entry can't be decoded
 };
 
+/// Another host, as a relay.
+struct RelayHost
+{
+    boost::asio::ip::tcp::endpoint address;
+    DomainId domain;
+};
+
 /// Single-threaded.
 class EndpointDirectory : public Placement
 {
@@ -87,7 +96,9 @@
     /// Sets the hosts that share retry budgets and endpoints' limits, including this one.
     void setHosts(const std::vector<HostId> &hosts);
     /// Sets the other hosts that relay requests.
-    void setRelays(std::map<HostId, boost::asio::ip::tcp::endpoint> relays);
+    void setRelays(std::map<HostId, RelayHost> relays);
+    /// Sets the region of each failure domain. To be called before endpoints are added.
+    void setRegions(std::map<DomainId, RegionId> regions) { regions_ = std::move(regions); }
     bool isPartitioned() const { return partition_.isPartitioned(); }
     /// Whether the endpoint of \p entry takes no new requests, by that entry or by its responses.
     bool isLeaving(const EndpointEntry &entry) const
@@ -122,6 +133,8 @@
     /// Records that the operator takes \p domain back.
     void endEvacuation(const DomainId &domain, Instant now);
     std::vector<DomainId> evacuatedDomains() const { return evacuations_.domains(); }
+    /// The number of requests that were refused since no endpoint lies in their regions.
+    uint64_t requestsRefusedByRegion() const { return refusedByRegion_; }
     /// The number of requests that were refused since no other endpoint could run them.
     uint64_t requestsRefusedByEvacuation() const { return refusedByEvacuation_; }
     /// Whether a request of another host may be passed on to \p endpoint now.
@@ -178,6 +191,8 @@
     /// before the slot expires.
     void prefetchSlot(const ServiceId &service, const std::vector<EndpointId> &limited,
                       Instant now);
+    /// The region of \p domain; empty if it isn't known.
+    RegionId regionOf(const DomainId &domain) const;
     std::optional<RelayRoute> relayFor(const WorkItem &item, const EndpointId &endpoint,
                                        Instant now);
     bool yieldsToMoreUrgent(const WorkItem &item, Instant now) const;
@@ -189,6 +204,7 @@
     /// When the caller of \p item should return if no endpoint that could run it takes requests.
     std::optional<Instant> returnTime(const WorkItem &item, const ExcludedEndpoints &excluded,
                                       Instant now);
+    Verdict refuseByRegion(const WorkItem &item, Instant now);
     Verdict refuseWithoutTakers(const ExcludedEndpoints &excluded, Instant returnAt, Instant now);
     /// The limits of \p chosen and those that excluded others, for logs.
     std::string describeLimitsOf(const EndpointId &chosen, const ExcludedEndpoints &excluded,
@@ -204,6 +220,7 @@
     {
         EndpointEntry entry;
         boost::asio::ip::tcp::endpoint address;
+        RegionId region;
         Instant removeAt = Never; ///< end of the grace period after its entry disappeared
         Instant excludedUntil{};  ///< not chosen before then, since it was unreachable
         bool isLeaving = false;   ///< as published
@@ -232,7 +249,8 @@
     EndpointEligibility eligibility_;
     PartitionDetector partition_;
     RelaySelector relaySelector_;
-    std::map<HostId, boost::asio::ip::tcp::endpoint> relays_;
+    std::map<HostId, RelayHost> relays_;
+    std::map<DomainId, RegionId> regions_;
     Instant nextProbeAt_{};
     std::size_t nextProbed_ = 0;
     std::map<ServiceId, Scarcity> scarcities_;
@@ -243,6 +261,7 @@
     std::map<ServiceId, ReturnSchedule> returns_; ///< of callers refused without an endpoint
     uint64_t refusedInBackoff_ = 0;
     uint64_t refusedByEvacuation_ = 0;
+    uint64_t refusedByRegion_ = 0;
     DistributedRetryBudget retryBudget_;
     std::unordered_map<EndpointId, ListedEndpoint> entries_;
     std::set<ServiceId> servedServices_; ///< services with an endpoint that isn't draining
--- a/lib/Decisions/EndpointEligibility.cpp
+++ b/lib/Decisions/EndpointEligibility.cpp
@@ -18,7 +18,8 @@
 /// Whether an endpoint with this reason can't run the request later either.
 bool isUnsuitable(Exclusion reason)
 {
-    return reason == Exclusion::OtherVersion || reason == Exclusion::Leaving;
+    return reason == Exclusion::OtherVersion || reason == Exclusion::Leaving
+           || reason == Exclusion::OtherRegion;
 }
 
 } // namespace
@@ -27,6 +28,8 @@
         {{Exclusion::OtherVersion, "other_version", Strictness::Always,
           &EndpointEligibility::otherVersionEnd},
          {Exclusion::Leaving, "leaving", Strictness::Always, &EndpointEligibility::leavingEnd},
+         {Exclusion::OtherRegion, "other_region", Strictness::Always,
+          &EndpointEligibility::otherRegionEnd},
          {Exclusion::Evacuated, "evacuated", Strictness::Always,
           &EndpointEligibility::evacuationEnd},
          {Exclusion::BackingOff, "backing_off", Strictness::Always,
@@ -104,6 +107,12 @@
     return neverIf(endpoint.isLeaving);
 }
 
+Instant EndpointEligibility::otherRegionEnd(const EndpointState &endpoint, const WorkItem &item,
+                                            Instant) const
+{
+    return neverIf(!item.regions.allows(endpoint.region));
+}
+
 Instant EndpointEligibility::evacuationEnd(const EndpointState &endpoint, const WorkItem &,
                                            Instant) const
 {
--- a/lib/Decisions/RelaySelector.cpp
+++ b/lib/Decisions/RelaySelector.cpp
@@ -12,7 +12,7 @@
     });
 }
 
-std::optional<HostId> RelaySelector::select(Instant now)
+std::optional<HostId> RelaySelector::select(const Filter &mayRelay, Instant now)
 {
     if (now < isolatedUntil_) {
         return std::nullopt;
@@ -20,7 +20,8 @@
     std::vector<const HostId *> usable;
     for (const HostId &host : hosts_) {
         const auto paused = pausedUntil_.find(host);
-        if (paused == pausedUntil_.end() || now >= paused->second) {
+        const bool isPaused = paused != pausedUntil_.end() && now < paused->second;
+        if (!isPaused && mayRelay(host)) {
             usable.push_back(&host);
         }
     }
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -110,6 +110,7 @@
       pool_(io_, {}), endpoints_(settings_.host, settings_.domain, settings_.retries, log),
       link_(LinkLoadSettings{settings_.linkBytesPerSecond})
 {
+    endpoints_.setRegions(settings_.regions);
     const tcp::endpoint listen = tcpSetting("listen", settings_.listenCallers);
     acceptor_.open(tcp::v4());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
@@ -239,11 +240,11 @@
 void Edge::onHostsChanged(const std::vector<Peer> &others)
 {
     std::vector<HostId> hosts = {settings_.host};
-    std::map<HostId, tcp::endpoint> relays;
+    std::map<HostId, RelayHost> relays;
     for (const Peer &peer : others) {
         hosts.push_back(peer.host);
         if (peer.relayAddress) {
-            relays[peer.host] = *peer.relayAddress;
+            relays[peer.host] = {*peer.relayAddress, peer.domain};
         }
     }
     endpoints_.setHosts(hosts);
@@ -349,6 +350,11 @@
         log_.write(Event("config.malformed").with("offset", row.offset).with("why", error.what()));
         return;
     }
+    for (const std::string &warning : config_->warnings) {
+        log_.write(Event("config.invalid_field")
+                           .with("version", config_->version)
+                           .with("why", warning));
+    }
     endpoints_.setServices(config_->services, std::chrono::steady_clock::now());
     tokens_->setBudgets(budgetsOf(*config_), std::chrono::steady_clock::now());
     log_.write(Event(events::ConfigInForce)
@@ -597,6 +603,8 @@
                    static_cast<double>(endpoints_.evacuatedDomains().size()));
     metrics_.gauge("edge_requests_refused_by_evacuation",
                    static_cast<double>(endpoints_.requestsRefusedByEvacuation()));
+    metrics_.gauge("edge_requests_refused_by_region",
+                   static_cast<double>(endpoints_.requestsRefusedByRegion()));
     metrics_.gauge("edge_endpoints_cold", static_cast<double>(endpoints_.coldEndpoints(now)));
     metrics_.gauge("edge_endpoints_limited", static_cast<double>(endpoints_.limitedEndpoints()));
     metrics_.gauge("edge_partitioned", endpoints_.isPartitioned() ? 1.0 : 0.0);
--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -17,6 +17,9 @@
     edge.advertiseRelay = settings.at("announce_relay").get<std::string>();
     edge.listenMetrics = settings.at("listen_metrics").get<std::string>();
     edge.store = settings.at("store").get<std::string>();
+    for (const auto &[domain, region] : settings.at("regions").items()) {
+        edge.regions[DomainId(domain)] = RegionId(region.get<std::string>());
+    }
     edge.stopGrace = millisOf(settings, "stop_grace_ms");
     edge.readyGrace = millisOf(settings, "ready_grace_ms");
     constexpr double BytesPerMegabit = 1e6 / 8;
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -111,6 +111,7 @@
     }
     listed.entry = entry;
     listed.address = *address;
+    listed.region = regionOf(entry.domain);
     listed.removeAt = Never;
     if (restarted) {
         listed.excludedUntil = Instant();
@@ -267,8 +268,8 @@
     ExcludedEndpoints excluded;
     for (const auto &[id, listed] : entries_) {
         if (listed.entry.service == item.service) {
-            eligibility_.check({id, listed.entry.version, listed.entry.domain, listed.isLeaving,
-                                listed.excludedUntil},
+            eligibility_.check({id, listed.entry.version, listed.entry.domain, listed.region,
+                                listed.isLeaving, listed.excludedUntil},
                                item, now, excluded);
         }
     }
@@ -300,6 +301,9 @@
     work.prefixHash = sharedPromptHash(prompt);
     work.cacheablePrefixTokens = sharedPromptTokens(prompt);
     const ExcludedEndpoints excluded = excludedFor(item, now);
+    if (excluded.suitable() == 0 && !excluded.of(Exclusion::OtherRegion).empty()) {
+        return refuseByRegion(item, now);
+    }
     if (item.version && excluded.suitable() == 0) {
         return Verdict{Execution::NotRun, Reason::StreamNotResumable,
                        "no endpoint of software version " + item.version->text() + " is left",
@@ -370,19 +374,29 @@
     if (!isPartitioned && !(item.connectFailed && partition_.isSuspect(now))) {
         return std::nullopt;
     }
-    const std::optional<HostId> host = relaySelector_.select(now);
+    const auto isAllowed = [this, &item](const HostId &host) {
+        return !item.regions.isRestricted()
+               || item.regions.allows(regionOf(relays_.at(host).domain));
+    };
+    const std::optional<HostId> host = relaySelector_.select(isAllowed, now);
     if (!host) {
         return std::nullopt;
     }
     const bool isOpenSound = !isPartitioned || partition_.hasRespondedSince(endpoint);
-    return RelayRoute{*host, relays_.at(*host), isOpenSound};
+    return RelayRoute{*host, relays_.at(*host).address, isOpenSound};
+}
+
+RegionId EndpointDirectory::regionOf(const DomainId &domain) const
+{
+    const auto found = regions_.find(domain);
+    return found == regions_.end() ? RegionId() : found->second;
 }
 
-void EndpointDirectory::setRelays(std::map<HostId, boost::asio::ip::tcp::endpoint> relays)
+void EndpointDirectory::setRelays(std::map<HostId, RelayHost> relays)
 {
     relays_ = std::move(relays);
     std::vector<HostId> hosts;
-    for (const auto &[host, address] : relays_) {
+    for (const auto &[host, relay] : relays_) {
         hosts.push_back(host);
     }
     relaySelector_.setHosts(std::move(hosts));
--- a/lib/Edge/EndpointDirectoryNotices.cpp
+++ b/lib/Edge/EndpointDirectoryNotices.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// When callers return that no endpoint can serve because of evacuations, whose ends aren't known.
-constexpr Interval EvacuationRetryDelay = std::chrono::seconds(2);
+/// When callers return whom no endpoint can serve, for a reason whose end isn't known.
+constexpr Interval UnknownEndRetryDelay = std::chrono::seconds(2);
 
 /// The descriptions of the first few endpoints and the number of the others, for logs.
 std::string describeFirst(const std::vector<EndpointId> &endpoints,
@@ -102,11 +102,19 @@
     }
     Instant earliest = excluded.firstEnd(Exclusion::BackingOff);
     if (earliest == Never) {
-        earliest = now + EvacuationRetryDelay;
+        earliest = now + UnknownEndRetryDelay;
     }
     return returns_[item.service].assign(item.priority, earliest);
 }
 
+Verdict EndpointDirectory::refuseByRegion(const WorkItem &item, Instant now)
+{
+    ++refusedByRegion_;
+    return {Execution::NotRun, Reason::NoEndpoint,
+            "no endpoint lies in an allowed region: " + item.regions.describe(),
+            now + UnknownEndRetryDelay};
+}
+
 Verdict EndpointDirectory::refuseWithoutTakers(const ExcludedEndpoints &excluded, Instant returnAt,
                                                Instant now)
 {
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -284,6 +284,8 @@
     item.outputCeiling = metadata_.maxOutputTokens;
     item.idempotent = route_->kind == RouteKind::Idempotent || route_->resumable;
     item.version = continuity_.version();
+    item.regions = workspace_ == nullptr ? route_->regions
+                                         : route_->regions.combinedWith(workspace_->regions);
     item.connectFailed = connectFailures_ > 0;
     item.arrivedAt = request_.receivedAt;
     item.deadline = deadline_;
--- a/test/Edge/PartitionTest.cpp
+++ b/test/Edge/PartitionTest.cpp
@@ -15,9 +15,6 @@
 
 namespace {
 
-/// From when on callers of a host that was cut off are to be served.
-constexpr std::chrono::seconds Settling(3);
-
 struct PartitionCase
 {
     const char *name;
--- a/test/Edge/PartitionedFleet.h
+++ b/test/Edge/PartitionedFleet.h
@@ -11,6 +11,9 @@
 
 namespace sequoiagate {
 
+/// From when on callers of a host that was cut off are to be served.
+inline constexpr std::chrono::seconds Settling(3);
+
 /// A fleet of which each host reaches the endpoints and the store by relays of its own.
 class PartitionedFleet : public EdgeProcess
 {
@@ -57,6 +60,7 @@
         nlohmann::json values = settings(host);
         values["store"] = links_.at(host).store->address();
         values["domain"] = fmt::format("d{}", host % 2);
+        values.update(extraSettings_);
         return values;
     }
 
@@ -127,6 +131,7 @@
         std::set<std::string> hiddenKeys; ///< of rows that the host doesn't get; set at its start
     };
 
+    nlohmann::json extraSettings_ = nlohmann::json::object(); ///< of all hosts
     soak::RelayLoop loop_;
     EndpointStandin second_;
     EndpointStandin third_;
--- a/unittests/Decisions/EndpointEligibilityTest.cpp
+++ b/unittests/Decisions/EndpointEligibilityTest.cpp
@@ -21,6 +21,7 @@
     const char *name;
     bool hasOtherVersion;
     bool isLeaving;
+    bool isElsewhere; ///< in a region that isn't allowed
     bool isEvacuated;
     bool isBackingOff;
     bool isLimited;
@@ -66,7 +67,9 @@
         if (row.isEvacuated) {
             evacuations_.begin(domain, 1, now_);
         }
-        EndpointState state{Endpoint, version, domain, row.isLeaving, Instant()};
+        item.regions = RegionRestriction({RegionId("here")});
+        const RegionId region(row.isElsewhere ? "elsewhere" : "here");
+        EndpointState state{Endpoint, version, domain, region, row.isLeaving, Instant()};
         state.unreachableUntil = row.isUnreachable ? now_ + Unreachable : now_;
         ExcludedEndpoints excluded;
         EndpointEligibility(limits_, withdrawals_, evacuations_).check(state, item, now_, excluded);
@@ -83,16 +86,22 @@
 constexpr Strictness Avoided = Strictness::WhileOthersCanBeUsed;
 
 const EligibilityCase EligibilityCases[] = {
-        {"MayBeUsed", false, false, false, false, false, false, false, std::nullopt, Always},
-        {"OtherVersion", true, true, true, true, true, true, false, Exclusion::OtherVersion,
+        {"MayBeUsed", false, false, false, false, false, false, false, false, std::nullopt, Always},
+        {"OtherVersion", true, true, true, true, true, true, true, false, Exclusion::OtherVersion,
          Always},
-        {"Leaving", false, true, true, true, true, true, false, Exclusion::Leaving, Always},
-        {"Evacuated", false, false, true, true, true, true, false, Exclusion::Evacuated, Always},
-        {"BackingOff", false, false, false, true, true, true, false, Exclusion::BackingOff, Always},
-        {"Limited", false, false, false, false, true, true, true, Exclusion::Limited, Always},
-        {"Unreachable", false, false, false, false, false, true, true, Exclusion::Unreachable,
+        {"Leaving", false, true, true, true, true, true, true, false, Exclusion::Leaving, Always},
+        {"OtherRegion", false, false, true, true, true, true, true, false, Exclusion::OtherRegion,
+         Always},
+        {"Evacuated", false, false, false, true, true, true, true, false, Exclusion::Evacuated,
+         Always},
+        {"BackingOff", false, false, false, false, true, true, true, false, Exclusion::BackingOff,
+         Always},
+        {"Limited", false, false, false, false, false, true, true, true, Exclusion::Limited,
+         Always},
+        {"Unreachable", false, false, false, false, false, false, true, true,
+         Exclusion::Unreachable, Avoided},
+        {"OnTrial", false, false, false, false, false, false, false, true, Exclusion::OnTrial,
          Avoided},
-        {"OnTrial", false, false, false, false, false, false, true, Exclusion::OnTrial, Avoided},
 };
 
 TEST_P(EndpointEligibilityTest, FirstReasonThatHoldsCounts)
@@ -107,8 +116,9 @@
     const std::size_t count = row.reason ? 1 : 0;
     EXPECT_EQ(excluded.of(row.strictness).size(), count);
     EXPECT_EQ(excluded.of(row.strictness == Always ? Avoided : Always).size(), 0U);
-    const bool canRunLater =
-            row.reason != Exclusion::OtherVersion && row.reason != Exclusion::Leaving;
+    const bool canRunLater = row.reason != Exclusion::OtherVersion
+                             && row.reason != Exclusion::Leaving
+                             && row.reason != Exclusion::OtherRegion;
     EXPECT_EQ(excluded.suitable(), canRunLater ? 1U : 0U);
 }
 
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -1,5 +1,7 @@
 /// Which endpoints are used as entries are added, changed, expire and are removed.
 
+#include <set>
+
 #include <gtest/gtest.h>
 
 #include "sequoiagate/Edge/EndpointDirectory.h"
@@ -673,6 +675,108 @@
     EXPECT_TRUE(directory_.mayRelayTo(first, now_));
 }
 
+struct DirectoryRegionCase
+{
+    const char *name;
+    std::vector<std::pair<const char *, const char *>> endpoints; ///< ids and domains
+    std::vector<RegionId> allowed;
+    std::vector<const char *> evacuated;
+    const char *chosen; ///< empty: refused
+};
+
+class DirectoryRegions : public EndpointDirectoryTest,
+                         public testing::WithParamInterface<DirectoryRegionCase>
+{};
+
+const DirectoryRegionCase DirectoryRegionCases[] = {
+        {"InTheRegion", {{"a", "x1"}, {"b", "y1"}}, {RegionId("y")}, {}, "b"},
+        {"InOneOfTwoRegions", {{"a", "x1"}, {"b", "z1"}}, {RegionId("y"), RegionId("x")}, {}, "a"},
+        {"InNone", {{"a", "x1"}, {"b", "y1"}}, {RegionId("q")}, {}, ""},
+        {"NoRegionIsAllowed", {{"a", "x1"}}, {}, {}, ""},
+        // Guards against taking a domain whose region isn't known for one that is allowed.
+        {"RegionIsNotKnown", {{"a", "w1"}}, {RegionId("w")}, {}, ""},
+        {"DomainIsEvacuated", {{"a", "x1"}, {"b", "y1"}}, {RegionId("x")}, {"x1"}, ""},
+        {"OtherDomainOfTheRegion",
+         {{"a", "x1"}, {"b", "y1"}, {"c", "x2"}},
+         {RegionId("x")},
+         {"x1"},
+         "c"},
+};
+
+// Guards against sending a request out of the regions that its route or workspace allows.
+TEST_P(DirectoryRegions, AreKept)
+{
+    const DirectoryRegionCase &row = GetParam();
+    directory_.setRegions({{DomainId("x1"), RegionId("x")},
+                           {DomainId("x2"), RegionId("x")},
+                           {DomainId("y1"), RegionId("y")},
+                           {DomainId("z1"), RegionId("z")}});
+    for (const auto &[id, domain] : row.endpoints) {
+        EndpointEntry listed = entry(id);
+        listed.domain = DomainId(domain);
+        directory_.update(listed, now_);
+    }
+    directory_.publish(now_);
+    for (const char *domain : row.evacuated) {
+        directory_.beginEvacuation(DomainId(domain), 7, now_);
+    }
+    WorkItem item;
+    item.request = RequestId("r");
+    item.service = ServiceId("s");
+    item.regions = RegionRestriction(row.allowed);
+    item.deadline = now_ + std::chrono::seconds(1);
+    for (int i = 0; i < 10; ++i) {
+        const PlacementResult placed = directory_.place(item, {}, {}, now_);
+        if (const auto *verdict = std::get_if<Verdict>(&placed)) {
+            EXPECT_EQ(std::string(), row.chosen);
+            EXPECT_EQ(verdict->execution, Execution::NotRun);
+            EXPECT_EQ(verdict->reason, Reason::NoEndpoint);
+            EXPECT_TRUE(verdict->retryAt);
+        } else {
+            EXPECT_EQ(std::get<PlacementTarget>(placed).endpoint.text(), row.chosen);
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, DirectoryRegions, testing::ValuesIn(DirectoryRegionCases),
+                         [](const auto &row) { return row.param.name; });
+
+// Guards against sending the body of a request to a host in a region that isn't allowed.
+TEST_F(EndpointDirectoryTest, RelaysLieInAllowedRegions)
+{
+    directory_.setRegions({{DomainId("x1"), RegionId("x")}, {DomainId("y1"), RegionId("y")}});
+    const auto address = boost::asio::ip::tcp::endpoint();
+    directory_.setRelays({{HostId("in-x"), {address, DomainId("x1")}},
+                          {HostId("in-y"), {address, DomainId("y1")}},
+                          {HostId("unknown"), {address, DomainId("w1")}}});
+    for (const char *id : {"a", "b", "c", "d"}) {
+        EndpointEntry listed = entry(id);
+        listed.domain = DomainId("x1");
+        directory_.update(listed, now_);
+    }
+    directory_.publish(now_);
+    while (!directory_.isPartitioned()) {
+        for (const char *id : {"a", "b", "c", "d"}) {
+            directory_.onConnectFailed(EndpointId(id), now_);
+        }
+        now_ += std::chrono::milliseconds(100);
+    }
+    WorkItem item;
+    item.request = RequestId("r");
+    item.service = ServiceId("s");
+    item.deadline = now_ + std::chrono::seconds(1);
+    std::set<HostId> relays;
+    for (int i = 0; i < 40; ++i) {
+        item.regions = RegionRestriction({RegionId("x")});
+        const auto target = std::get<PlacementTarget>(directory_.place(item, {}, {}, now_));
+        ASSERT_TRUE(target.relay);
+        EXPECT_EQ(target.relay->host, HostId("in-x"));
+        item.regions = RegionRestriction();
+        relays.insert(std::get<PlacementTarget>(directory_.place(item, {}, {}, now_)).relay->host);
+    }
+    EXPECT_EQ(relays.size(), 3U);
+}
+
 TEST_F(EndpointDirectoryTest, MalformedAddressRemovesEndpoint)
 {
     directory_.update(entry("a"), now_);
--- a/unittests/PlatformAdapter/RowsTest.cpp
+++ b/unittests/PlatformAdapter/RowsTest.cpp
@@ -116,6 +116,46 @@
                                         Interval::zero(), 0.0}),
         [](const auto &row) { return row.param.name; });
 
+struct RegionsCase
+{
+    const char *name;
+    const char *value; ///< of the field; empty: it isn't there
+    RegionRestriction decoded;
+    std::size_t warnings;
+};
+
+class AllowedRegions : public testing::TestWithParam<RegionsCase>
+{};
+
+// Guards against a configuration that is lost for an invalid list of regions, and against reading
+// such a list as if any region were allowed.
+TEST_P(AllowedRegions, AreDecodedForRoutesAndWorkspaces)
+{
+    const RegionsCase &row = GetParam();
+    const std::string value(row.value);
+    const std::string field = value.empty() ? "" : ",\"allowed-regions\":" + value;
+    const ServingConfigPtr config = platform::decodeConfig(
+            R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/","backend":"s",)"
+            R"("type":"idempotent")"
+            + field + R"(}],"tenants":[{"name":"w","api-keys":["k"])" + field + "}]}");
+    EXPECT_EQ(config->routes.at(0).regions, row.decoded);
+    EXPECT_EQ(config->workspaces.at(0).regions, row.decoded);
+    EXPECT_EQ(config->warnings.size(), row.warnings);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, AllowedRegions,
+        testing::Values(RegionsCase{"Missing", "", RegionRestriction(), 0},
+                        RegionsCase{"Null", "null", RegionRestriction(), 0},
+                        RegionsCase{"Empty", "[]", RegionRestriction(), 0},
+                        RegionsCase{"Two", R"(["a","b"])",
+                                    RegionRestriction({RegionId("a"), RegionId("b")}), 0},
+                        RegionsCase{"OtherType", R"("a")",
+                                    RegionRestriction(std::vector<RegionId>()), 2},
+                        RegionsCase{"OtherTypeInTheList", R"(["a",7])",
+                                    RegionRestriction(std::vector<RegionId>()), 2}),
+        [](const auto &row) { return row.param.name; });
+
 struct EvacuationKeyCase
 {
     const char *name;
