--- a/lib/Edge/EndpointDirectoryNotices.cpp
+++ b/lib/Edge/EndpointDirectoryNotices.cpp
@@ -39,6 +39,7 @@
     log_.write(Event("domain.evacuated")
                        .with("evacuated", domain)
                        .with("offset", offset)
+                       .with("region", regionOf(domain))
                        .with("endpoints", endpoints)
                        .essential());
 }
@@ -84,9 +85,15 @@
 void EndpointDirectory::limitWhileCold(const EndpointId &endpoint, Instant now)
 {
     const Instant until = cold_.coldUntil(endpoint);
-    if (until > now || limits_.hasKnownLimit(endpoint)) {
+    const bool wasLimited = limits_.hasKnownLimit(endpoint);
+    if (until > now || wasLimited) {
         limits_.setKnownLimit(endpoint, {cold_.requestsPerSecond(endpoint), until}, now);
     }
+    if (until > now && !wasLimited) {
+        log_.write(Event("endpoint.cold")
+                           .with("endpoint", endpoint)
+                           .with("detail", cold_.describe(endpoint, now)));
+    }
 }
 
 std::optional<Instant> EndpointDirectory::returnTime(const WorkItem &item, Instant now)
--- a/test/Soak/Checks.cpp
+++ b/test/Soak/Checks.cpp
@@ -359,6 +359,7 @@
     }
     checkBackoffs(record, findings);
     checkLeavingByAnswer(record, findings);
+    checkEvacuations(record, findings);
     checkCallersThatLeft(record, findings);
     return findings;
 }
--- a/test/Soak/ChecksTest.cpp
+++ b/test/Soak/ChecksTest.cpp
@@ -181,6 +181,12 @@
                  r.add(next);
              }
          }},
+        {"EvacuatedEndpointGotWork", "an evacuated endpoint",
+         [](Record &r) {
+             r.domains["e1"] = "d1";
+             r.runs[0].at = at(10);
+             r.evacuations.push_back({"d1", at(12), {{ProcessOf{1, 0}, at(9)}}});
+         }},
         {"LeavingEndpointGotWork", "a leaving endpoint",
          [](Record &r) {
              r.published.push_back({0, "e1", at(8), {{ProcessOf{1, 0}, at(9)}}});
--- a/test/Soak/Endpoint.cpp
+++ b/test/Soak/Endpoint.cpp
@@ -100,6 +100,24 @@
     id_ = id;
     version_ = version;
     saysLeaving_ = false;
+    coldArrivals_.clear();
+    if (isColdAfterStart_) {
+        coldUntil_ = std::chrono::steady_clock::now() + ColdTime;
+    }
+}
+
+void Endpoint::countWhileCold()
+{
+    const std::lock_guard lock(mutex_);
+    const Instant now = std::chrono::steady_clock::now();
+    if (now >= coldUntil_) {
+        return;
+    }
+    constexpr double Tolerance = 1.5;
+    constexpr double Extra = 5.0;
+    coldArrivals_.push_back(now);
+    noteExcess(coldArrivals_, std::chrono::seconds(1), Tolerance * ColdPerSecond + Extra,
+               "requests in 1 s while it was cold");
 }
 
 bool Endpoint::applyNotices(const std::string &request, httplib::Response &response)
@@ -202,6 +220,7 @@
         response.status = 421;
         return;
     }
+    countWhileCold();
     const bool backsOff = applyNotices(id, response);
     if (applyLimits(response) || backsOff || spoilt == Refused) {
         response.status = 503;
--- a/test/Soak/Endpoint.h
+++ b/test/Soak/Endpoint.h
@@ -18,6 +18,9 @@
 std::string plainBody(const std::string &request);
 /// The part of prompts that crashes endpoints, as prompts name it.
 constexpr const char *CrashingPart = "bad";
+/// How long an endpoint is cold, and the requests per second that it then bears.
+constexpr std::chrono::seconds ColdTime(2);
+constexpr double ColdPerSecond = 6.0;
 /// Events of the answer to a streamed request, and the data of each.
 uint64_t streamLength(const std::string &request);
 std::string eventData(const std::string &request, uint64_t event);
@@ -42,6 +45,9 @@
     void setSpoils(bool spoils) { spoils_ = spoils; }
     /// Names a limit of requests per second from now on, and notes requests beyond it.
     void limitRequests(bool limits);
+    /// Lets it be cold for ColdTime after each start under another id, and note what it gets then
+    /// beyond what it bears. Set before any request arrives.
+    void setColdAfterStart(bool isCold) { isColdAfterStart_ = isCold; }
     /// Rejects requests beyond a few at a time from now on, names the rejections that it bears, and
     /// notes when there are more.
     void limitRejections(bool limits);
@@ -54,6 +60,8 @@
 private:
     /// Adds what the endpoint says of itself. \returns whether it rejects the request
     bool applyNotices(const std::string &request, httplib::Response &response);
+    /// Counts a request against what a cold endpoint bears.
+    void countWhileCold();
     /// Counts a request against the limits. \returns whether it is rejected
     bool applyLimits(httplib::Response &response);
     void noteExcess(const std::vector<Instant> &times, std::chrono::seconds window, double allowed,
@@ -76,6 +84,9 @@
     std::atomic<int> open_{0};
     Instant requestsLimitedAt_ = Never;
     Instant rejectionsLimitedAt_ = Never;
+    bool isColdAfterStart_ = false;
+    Instant coldUntil_{};
+    std::vector<Instant> coldArrivals_;
     std::vector<Instant> arrivals_;   ///< while requests are limited
     std::vector<Instant> rejections_; ///< while rejections are
     HttpStandin http_;
--- a/test/Soak/NoticeChecks.cpp
+++ b/test/Soak/NoticeChecks.cpp
@@ -121,6 +121,31 @@
     }
 }
 
+void checkEvacuations(const Record &record, std::vector<std::string> &findings)
+{
+    std::map<std::string, const Attempt *> attempts;
+    for (const Attempt &attempt : record.attempts) {
+        attempts[attempt.id] = &attempt;
+    }
+    for (const Run &run : record.runs) {
+        const auto attempt = attempts.find(run.id);
+        const auto domain = record.domains.find(run.endpoint);
+        if (attempt == attempts.end() || domain == record.domains.end()) {
+            continue;
+        }
+        for (const Evacuation &evacuation : record.evacuations) {
+            const auto acted = evacuation.actedOn.find(attempt->second->sentTo);
+            if (evacuation.domain == domain->second && acted != evacuation.actedOn.end()
+                && attempt->second->sentAt > acted->second && run.at < evacuation.until) {
+                findings.push_back(fmt::format("an evacuated endpoint gets no new work: {} of {} "
+                                               "ran {}, which host {} got after it knew",
+                                               run.endpoint, domain->second, run.id,
+                                               attempt->second->sentTo.host));
+            }
+        }
+    }
+}
+
 void checkCallersThatLeft(const Record &record, std::vector<std::string> &findings)
 {
     std::map<std::string, const Attempt *> left;
--- a/test/Soak/Record.h
+++ b/test/Soak/Record.h
@@ -109,6 +109,14 @@
     std::map<ProcessOf, Instant> actedOn;
 };
 
+/// A failure domain from which an operator keeps requests away.
+struct Evacuation
+{
+    std::string domain;
+    Instant until = Never; ///< when it was taken back
+    std::map<ProcessOf, Instant> actedOn;
+};
+
 struct StopOf
 {
     ProcessOf process;
@@ -126,6 +134,8 @@
     std::vector<Disturbance> unplanned;
     std::vector<PlayedStep> played;
     std::vector<Published> published;
+    std::vector<Evacuation> evacuations;
+    std::map<std::string, std::string> domains; ///< of endpoints
     std::vector<StopOf> stops;
     std::map<std::string, uint64_t> prepaid;  ///< the most that was in force, by workspace
     std::map<std::string, uint64_t> allotted; ///< by the store's rows after all had stopped
--- a/test/Soak/Schedule.cpp
+++ b/test/Soak/Schedule.cpp
@@ -108,6 +108,9 @@
         Disturbance::EndpointCrash, Target::Endpoint,       Reach::AllHosts, 700, 2000,
         &World::crashEndpoint,      &World::restoreEndpoint};
 
+constexpr Kind DomainEvacuation = {"domain evacuated", Target::Endpoint, Reach::Nobody, 1500, 4000,
+                                   &World::evacuate,   &World::takeBack};
+
 /// Played apart, at moments of their own.
 constexpr Kind PowerLost = {"power lost", Target::Host,      Reach::ItsHost,  100,
                             3000,         &World::losePower, &World::restart, true};
@@ -222,6 +225,18 @@
     }
 }
 
+void addEvacuations(std::vector<Step> &steps, const SoakPlan &plan, const WorldShape &shape)
+{
+    // Apart from the other steps, which stay as they are.
+    std::mt19937_64 random(plan.seed ^ 0xc2b2ae35U);
+    for (int i = 0; i < plan.evacuations; ++i) {
+        const std::chrono::milliseconds at(
+                between(random, 0, static_cast<int>(plan.length.count()) / 2));
+        add(steps, DomainEvacuation, between(random, 0, shape.endpoints - 1), at,
+            duration(random, DomainEvacuation));
+    }
+}
+
 std::vector<Step> steps(const SoakPlan &plan, const WorldShape &shape)
 {
     std::mt19937_64 random(plan.seed);
@@ -238,6 +253,7 @@
     addConditions(steps, plan, shape);
     addNotices(steps, plan, shape);
     addCrashes(steps, plan, shape);
+    addEvacuations(steps, plan, shape);
     std::stable_sort(steps.begin(), steps.end(),
                      [](const Step &a, const Step &b) { return a.at < b.at; });
     return steps;
--- a/test/Soak/Schedule.h
+++ b/test/Soak/Schedule.h
@@ -25,6 +25,7 @@
     int conditions = 0;
     int notices = 0; ///< endpoints ask for backoffs, and say that they are leaving, this often each
     int crashes = 0; ///< of endpoints, for reasons of their own
+    int evacuations = 0; ///< of failure domains, which may overlap
 };
 
 /// Plays \p plan on \p world while callers call, and notes in \p record what was done.
--- a/test/Soak/SoakTest.cpp
+++ b/test/Soak/SoakTest.cpp
@@ -43,6 +43,11 @@
 constexpr uint64_t NoticesEach = 8;
 constexpr uint64_t NoticesRemainder = 2;
 
+/// In the seeds of this remainder of so many, failure domains are evacuated, and endpoints are cold
+/// after their starts.
+constexpr uint64_t EvacuationsEach = 11;
+constexpr uint64_t EvacuationsRemainder = 1;
+
 int numberFrom(const char *variable, int otherwise)
 {
     const char *const text = std::getenv(variable);
@@ -54,7 +59,7 @@
 {
     const char *const text = std::getenv("SEQUOIAGATE_SOAK_SEEDS");
     if (text == nullptr) {
-        return {4, 5, 6, 7, 9, 10, 15, 17, 1020};
+        return {4, 5, 6, 7, 9, 10, 12, 15, 17, 34, 1020};
     }
     const std::string range(text);
     const uint64_t first = std::stoull(range);
@@ -112,6 +117,11 @@
         plan.length += std::chrono::seconds(6);
         shape.hasCrashingPart = true;
     }
+    if (plan.seed % EvacuationsEach == EvacuationsRemainder) {
+        plan.evacuations = std::max(2, seconds / 4);
+        plan.length += std::chrono::seconds(4);
+        shape.hasColdStarts = true;
+    }
     shape.hosts = numberFrom("SEQUOIAGATE_SOAK_HOSTS", shape.hosts);
     if (plan.seed % IdleEach == IdleRemainder) {
         shape.idleLimit = IdleLimit;
--- a/test/Soak/World.cpp
+++ b/test/Soak/World.cpp
@@ -55,7 +55,17 @@
             {"gap-target-ms", 400}};
 }
 
-nlohmann::json configuration(uint64_t version, uint64_t smallBudget, uint64_t largeBudget,
+nlohmann::json backend(const std::string &name, bool hasColdStarts)
+{
+    nlohmann::json row = {{"name", name}, {"max-conns", 400}};
+    if (hasColdStarts) {
+        row["cold-s"] = ColdTime.count();
+        row["cold-per-s"] = ColdPerSecond;
+    }
+    return row;
+}
+
+nlohmann::json configuration(uint64_t version, const WorldShape &shape, uint64_t smallBudget,
                              const nlohmann::json &limits)
 {
     nlohmann::json routes = {
@@ -67,15 +77,15 @@
         routes.push_back(route(fmt::format("/v{}/", probe), "idempotent", "plain"));
         keys.push_back(fmt::format("key-{}", probe));
     }
+    nlohmann::json engines = backend("engines", shape.hasColdStarts);
+    engines["engine"] = {{"stride", TokensPerEvent}};
     return {{"version", version},
             {"routes", routes},
-            {"backends",
-             {{{"name", "plain"}, {"max-conns", 400}},
-              {{"name", "engines"}, {"max-conns", 400}, {"engine", {{"stride", TokensPerEvent}}}}}},
+            {"backends", {backend("plain", shape.hasColdStarts), engines}},
             {"limits", limits},
             {"tenants",
              {{{"name", "small"}, {"api-keys", {"key-small"}}, {"prepaid", smallBudget}},
-              {{"name", "large"}, {"api-keys", keys}, {"prepaid", largeBudget}}}}};
+              {{"name", "large"}, {"api-keys", keys}, {"prepaid", shape.largeBudget}}}}};
 }
 
 } // namespace
@@ -93,6 +103,7 @@
         place.server = std::make_unique<Endpoint>(ip(FirstEndpointHost + i), endpointId(i, 0),
                                                   softwareVersion(i, 0), record_, Workers);
         place.relay = std::make_unique<TcpRelay>(loop_, ip(RelayHost), place.server->address());
+        place.server->setColdAfterStart(shape_.hasColdStarts);
         if (shape_.hasCrashingPart) {
             place.server->onCrash = [this, i] {
                 crashByPart(i);
@@ -272,8 +283,7 @@
 void World::configure()
 {
     const uint64_t version = version_ + 1;
-    const std::string row =
-            configuration(version, smallBudget_, shape_.largeBudget, limits()).dump();
+    const std::string row = configuration(version, shape_, smallBudget_, limits()).dump();
     publish({version, {}, {}, {}}, ConfigTopic, "config", row);
     version_ = version;
 }
@@ -289,14 +299,18 @@
 void World::list(int endpoint, const std::string &state)
 {
     EndpointPlace &place = endpoints_[at(endpoint)];
+    const bool isColdStart = shape_.hasColdStarts && place.starts > 0;
+    const std::chrono::milliseconds coldLeft(isColdStart ? ColdTime : std::chrono::seconds(0));
     const nlohmann::json row = {{"backend", endpoint < PlainEndpoints ? "plain" : "engines"},
                                 {"address", place.relay->address()},
-                                {"zone", fmt::format("d{}", endpoint % 2)},
+                                {"zone", domainOf(endpoint)},
+                                {"cold-left-ms", coldLeft.count()},
                                 {"slots", 16},
                                 {"state", state},
                                 {"version", place.server->version()},
                                 {"born", 1 + place.starts}};
     const std::string id = place.server->id();
+    record_.domains[id] = domainOf(endpoint);
     if (state == "draining") {
         publish({0, id, {}, {}}, EndpointTopic, id, row.dump());
         return;
@@ -304,6 +318,30 @@
     store_.put(EndpointTopic, id, row.dump());
 }
 
+std::string World::domainOf(int endpoint)
+{
+    return fmt::format("d{}", endpoint % 2);
+}
+
+void World::evacuate(int endpoint)
+{
+    const std::string domain = domainOf(endpoint);
+    record_.evacuations.push_back({domain, Never, {}});
+    evacuationOffsets_.push_back(store_.put(ConfigTopic, "evacuate/" + domain, "{}"));
+}
+
+void World::takeBack(int endpoint)
+{
+    const std::string domain = domainOf(endpoint);
+    const Instant now = std::chrono::steady_clock::now();
+    for (Evacuation &evacuation : record_.evacuations) {
+        if (evacuation.domain == domain) {
+            evacuation.until = std::min(evacuation.until, now);
+        }
+    }
+    store_.put(ConfigTopic, "evacuate/" + domain, "");
+}
+
 void World::beginLeaving(int endpoint)
 {
     const std::lock_guard lock(endpointsMutex_);
@@ -608,19 +646,28 @@
     }
 }
 
-void World::noteActedOn()
+std::map<ProcessOf, Instant> World::actedOn(const std::string &topic, uint64_t offset)
 {
-    for (std::size_t i = 0; i < places_.size(); ++i) {
-        for (int host = 0; host < shape_.hosts; ++host) {
-            for (int incarnation = 0; incarnation <= hosts_[at(host)].incarnation; ++incarnation) {
-                const ProcessOf process{host, incarnation};
-                const auto &[topic, offset] = places_[i];
-                if (const auto when = store_.readPast(sourceOf(process), topic, offset)) {
-                    record_.published[i].actedOn[process] = *when;
-                }
+    std::map<ProcessOf, Instant> acted;
+    for (int host = 0; host < shape_.hosts; ++host) {
+        for (int incarnation = 0; incarnation <= hosts_[at(host)].incarnation; ++incarnation) {
+            const ProcessOf process{host, incarnation};
+            if (const auto when = store_.readPast(sourceOf(process), topic, offset)) {
+                acted[process] = *when;
             }
         }
     }
+    return acted;
+}
+
+void World::noteActedOn()
+{
+    for (std::size_t i = 0; i < places_.size(); ++i) {
+        record_.published[i].actedOn = actedOn(places_[i].first, places_[i].second);
+    }
+    for (std::size_t i = 0; i < evacuationOffsets_.size(); ++i) {
+        record_.evacuations[i].actedOn = actedOn(ConfigTopic, evacuationOffsets_[i]);
+    }
 }
 
 } // namespace sequoiagate::soak
--- a/test/Soak/World.h
+++ b/test/Soak/World.h
@@ -33,6 +33,7 @@
     std::chrono::milliseconds idleLimit{}; ///< of callers' connections; zero: the default
     bool ownLinks = false;                 ///< each host reaches the endpoints by links of its own
     bool hasCrashingPart = false;          ///< of prompts; it crashes endpoints
+    bool hasColdStarts = false;            ///< endpoints are cold for a while after their starts
 };
 
 /// Used by the thread that plays the faults.
@@ -53,6 +54,9 @@
     void newConfiguration(int);
     void beginLeaving(int endpoint);
     void endLeaving(int endpoint);
+    /// Evacuates the failure domain of \p endpoint, and takes it back.
+    void evacuate(int endpoint);
+    void takeBack(int endpoint);
 
     // ---- failures of hosts ----
     void kill(int host);
@@ -156,12 +160,15 @@
     void crashByPart(int endpoint);
     /// Lists \p endpoint under a new id. \pre endpointsMutex_ is held
     void listAnew(int endpoint);
+    static std::string domainOf(int endpoint);
     nlohmann::json limits() const;
     void configure();
     void publish(Published published, const std::string &topic, const std::string &key,
                  const std::string &value);
     bool serves(Caller &caller, int host);
     void spendRest(Caller &caller);
+    /// When each process had read past a row and acted on it.
+    std::map<ProcessOf, Instant> actedOn(const std::string &topic, uint64_t offset);
     void noteActedOn();
 
     WorldShape shape_;
@@ -177,6 +184,7 @@
     uint64_t smallBudget_;
     /// Of record_.published, in the same order: where each stands in the store.
     std::vector<std::pair<std::string, uint64_t>> places_;
+    std::vector<uint64_t> evacuationOffsets_; ///< of the rows of Record::evacuations
     FleetView view_;
     std::mt19937_64 random_;
     Instant powerLostAt_{};
