[Edge] The directory's exclusions in a source of their own

Which endpoints may not get a request, the refusals that follow, evacuations and cold limits move out of EndpointDirectory.cpp and EndpointDirectoryNotices.cpp as they are.

--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -263,19 +263,6 @@
     return versions;
 }
 
-ExcludedEndpoints EndpointDirectory::excludedFor(const WorkItem &item, Instant now) const
-{
-    ExcludedEndpoints excluded;
-    for (const auto &[id, listed] : entries_) {
-        if (listed.entry.service == item.service) {
-            eligibility_.check({id, listed.entry.version, listed.entry.domain, listed.region,
-                                listed.isLeaving, listed.excludedUntil},
-                               item, now, excluded);
-        }
-    }
-    return excluded;
-}
-
 SelectionOutcome EndpointDirectory::selectEndpoint(const WorkItem &item,
                                                    const std::vector<EndpointId> &tried,
                                                    const ExcludedEndpoints &excluded, Instant now)
@@ -386,12 +373,6 @@
     return RelayRoute{*host, relays_.at(*host).address, isOpenSound};
 }
 
-RegionId EndpointDirectory::regionOf(const DomainId &domain) const
-{
-    const auto found = regions_.find(domain);
-    return found == regions_.end() ? RegionId() : found->second;
-}
-
 void EndpointDirectory::setRelays(std::map<HostId, RelayHost> relays)
 {
     relays_ = std::move(relays);
@@ -418,14 +399,6 @@
     return found == entries_.end() ? 0 : found->second.entry.startedAtMillis;
 }
 
-bool EndpointDirectory::mayRelayTo(const EndpointId &endpoint, Instant now) const
-{
-    const auto found = entries_.find(endpoint);
-    const bool isEvacuated =
-            found != entries_.end() && evacuations_.isEvacuated(found->second.entry.domain);
-    return !isEvacuated && !withdrawals_.isBackingOff(endpoint, now);
-}
-
 std::optional<std::pair<EndpointId, boost::asio::ip::tcp::endpoint>>
 EndpointDirectory::probeTarget(Instant now)
 {
