--- a/include/sequoiagate/Decisions/EndpointEligibility.h
+++ b/include/sequoiagate/Decisions/EndpointEligibility.h
@@ -95,16 +95,39 @@
 /// Not thread safe.
 class EndpointEligibility
 {
+    struct Rule;
+
 public:
+    /// The checks of all endpoints for one request, without those that can't exclude any endpoint
+    /// now. To be used at once.
+    class Checks
+    {
+    public:
+        /// Checks an endpoint of the request's service and adds it to \p excluded.
+        void check(const EndpointState &endpoint, ExcludedEndpoints &excluded) const;
+
+    private:
+        friend class EndpointEligibility;
+
+        Checks(const EndpointEligibility &eligibility, const WorkItem &item, Instant now)
+            : eligibility_(eligibility), item_(item), now_(now)
+        {}
+
+        const EndpointEligibility &eligibility_;
+        const WorkItem &item_;
+        Instant now_;
+        std::array<const Rule *, ExclusionCount> rules_{};
+        std::size_t ruleCount_ = 0;
+    };
+
     /// \pre the arguments outlive this object
     EndpointEligibility(const EndpointLimits &limits, const EndpointWithdrawals &withdrawals,
                         const DomainEvacuations &evacuations)
         : limits_(limits), withdrawals_(withdrawals), evacuations_(evacuations)
     {}
 
-    /// Checks an endpoint of \p item's service and adds it to \p excluded.
-    void check(const EndpointState &endpoint, const WorkItem &item, Instant now,
-               ExcludedEndpoints &excluded) const;
+    /// \pre \p item outlives the result
+    Checks checksFor(const WorkItem &item, Instant now) const;
 
     /// The name of \p reason in logs.
     static const char *nameOf(Exclusion reason);
@@ -115,16 +138,27 @@
     using EndOf = Instant (EndpointEligibility::*)(const EndpointState &endpoint,
                                                    const WorkItem &item, Instant now) const;
 
+    /// Whether a reason may hold for any endpoint.
+    using MayHold = bool (EndpointEligibility::*)(const WorkItem &item, Instant now) const;
+
     struct Rule
     {
         Exclusion reason;
         const char *name;
         Strictness strictness;
         EndOf endOf;
+        MayHold mayHold;
     };
 
     static const std::array<Rule, ExclusionCount> Rules;
 
+    bool always(const WorkItem &, Instant) const { return true; }
+    bool hasVersion(const WorkItem &item, Instant) const { return item.version.has_value(); }
+    bool hasRegions(const WorkItem &item, Instant) const { return item.regions.isRestricted(); }
+    bool hasEvacuations(const WorkItem &, Instant) const { return evacuations_.count() > 0; }
+    bool hasLimits(const WorkItem &, Instant) const { return !limits_.isEmpty(); }
+    bool hasWithdrawals(const WorkItem &, Instant now) const { return !withdrawals_.isQuiet(now); }
+
     Instant otherVersionEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant leavingEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant otherRegionEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
--- a/include/sequoiagate/Decisions/EndpointWithdrawals.h
+++ b/include/sequoiagate/Decisions/EndpointWithdrawals.h
@@ -62,6 +62,8 @@
     {
         return now < quietFrom_ && now < backoffEnd(endpoint);
     }
+    /// Whether no endpoint is backing off or on trial.
+    bool isQuiet(Instant now) const { return now >= quietFrom_; }
     /// The end of the last backoff; in the past if it is over or there was none.
     Instant backoffEnd(const EndpointId &endpoint) const;
     /// Whether a trial after a backoff is open.
--- a/lib/Decisions/EndpointEligibility.cpp
+++ b/lib/Decisions/EndpointEligibility.cpp
@@ -26,19 +26,21 @@
 
 const std::array<EndpointEligibility::Rule, ExclusionCount> EndpointEligibility::Rules = {
         {{Exclusion::OtherVersion, "other_version", Strictness::Always,
-          &EndpointEligibility::otherVersionEnd},
-         {Exclusion::Leaving, "leaving", Strictness::Always, &EndpointEligibility::leavingEnd},
+          &EndpointEligibility::otherVersionEnd, &EndpointEligibility::hasVersion},
+         {Exclusion::Leaving, "leaving", Strictness::Always, &EndpointEligibility::leavingEnd,
+          &EndpointEligibility::always},
          {Exclusion::OtherRegion, "other_region", Strictness::Always,
-          &EndpointEligibility::otherRegionEnd},
+          &EndpointEligibility::otherRegionEnd, &EndpointEligibility::hasRegions},
          {Exclusion::Evacuated, "evacuated", Strictness::Always,
-          &EndpointEligibility::evacuationEnd},
+          &EndpointEligibility::evacuationEnd, &EndpointEligibility::hasEvacuations},
          {Exclusion::BackingOff, "backing_off", Strictness::Always,
-          &EndpointEligibility::backoffEnd},
-         {Exclusion::Limited, "limited", Strictness::Always, &EndpointEligibility::limitEnd},
+          &EndpointEligibility::backoffEnd, &EndpointEligibility::hasWithdrawals},
+         {Exclusion::Limited, "limited", Strictness::Always, &EndpointEligibility::limitEnd,
+          &EndpointEligibility::hasLimits},
          {Exclusion::Unreachable, "unreachable", Strictness::WhileOthersCanBeUsed,
-          &EndpointEligibility::unreachableEnd},
+          &EndpointEligibility::unreachableEnd, &EndpointEligibility::always},
          {Exclusion::OnTrial, "on_trial", Strictness::WhileOthersCanBeUsed,
-          &EndpointEligibility::trialEnd}}};
+          &EndpointEligibility::trialEnd, &EndpointEligibility::hasWithdrawals}}};
 
 void ExcludedEndpoints::add(const EndpointId &endpoint, std::optional<Exclusion> reason,
                             Instant end)
@@ -82,17 +84,29 @@
     return Rules[static_cast<std::size_t>(reason)].strictness;
 }
 
-void EndpointEligibility::check(const EndpointState &endpoint, const WorkItem &item, Instant now,
-                                ExcludedEndpoints &excluded) const
+EndpointEligibility::Checks EndpointEligibility::checksFor(const WorkItem &item, Instant now) const
 {
+    Checks checks(*this, item, now);
     for (const Rule &rule : Rules) {
-        const Instant end = (this->*rule.endOf)(endpoint, item, now);
-        if (end > now) {
+        if ((this->*rule.mayHold)(item, now)) {
+            checks.rules_[checks.ruleCount_++] = &rule;
+        }
+    }
+    return checks;
+}
+
+void EndpointEligibility::Checks::check(const EndpointState &endpoint,
+                                        ExcludedEndpoints &excluded) const
+{
+    for (std::size_t i = 0; i < ruleCount_; ++i) {
+        const Rule &rule = *rules_[i];
+        const Instant end = (eligibility_.*rule.endOf)(endpoint, item_, now_);
+        if (end > now_) {
             excluded.add(endpoint.id, rule.reason, end);
             return;
         }
     }
-    excluded.add(endpoint.id, std::nullopt, now);
+    excluded.add(endpoint.id, std::nullopt, now_);
 }
 
 Instant EndpointEligibility::otherVersionEnd(const EndpointState &endpoint, const WorkItem &item,
--- a/lib/Edge/EndpointDirectoryExclusions.cpp
+++ b/lib/Edge/EndpointDirectoryExclusions.cpp
@@ -14,11 +14,12 @@
 ExcludedEndpoints EndpointDirectory::excludedFor(const WorkItem &item, Instant now) const
 {
     ExcludedEndpoints excluded;
+    const EndpointEligibility::Checks checks = eligibility_.checksFor(item, now);
     for (const auto &[id, listed] : entries_) {
         if (listed.entry.service == item.service) {
-            eligibility_.check({id, listed.entry.version, listed.entry.domain, listed.region,
-                                listed.isLeaving, listed.excludedUntil},
-                               item, now, excluded);
+            checks.check({id, listed.entry.version, listed.entry.domain, listed.region,
+                          listed.isLeaving, listed.excludedUntil},
+                         excluded);
         }
     }
     return excluded;
--- a/unittests/Decisions/EndpointEligibilityTest.cpp
+++ b/unittests/Decisions/EndpointEligibilityTest.cpp
@@ -72,7 +72,8 @@
         EndpointState state{Endpoint, version, domain, region, row.isLeaving, Instant()};
         state.unreachableUntil = row.isUnreachable ? now_ + Unreachable : now_;
         ExcludedEndpoints excluded;
-        EndpointEligibility(limits_, withdrawals_, evacuations_).check(state, item, now_, excluded);
+        const EndpointEligibility eligibility(limits_, withdrawals_, evacuations_);
+        eligibility.checksFor(item, now_).check(state, excluded);
         return excluded;
     }
 
