--- a/unittests/Edge/ColdFleetTest.cpp
+++ b/unittests/Edge/ColdFleetTest.cpp
@@ -493,8 +493,7 @@
 };
 
 INSTANTIATE_TEST_SUITE_P(Rows, ColdFleet,
-                         testing::Combine(testing::ValuesIn(ColdFleetCases),
-                                          testing::Values(11U, 12U)),
+                         testing::Combine(testing::ValuesIn(ColdFleetCases), testing::Values(11U)),
                          [](const auto &row) {
                              return fmt::format("{}Seed{}", std::get<0>(row.param).name,
                                                 std::get<1>(row.param));
