[Proxy] [Edge] Log how much of a request was unacknowledged when its caller left

request.caller_gone says what a request waited for and for how long. It didn't say how much of the request its endpoint hadn't acknowledged, which tells bytes that wait in the kernel and the link from a request that arrived, and a host whose kernel can't say (-1) from one that has none.

--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -99,6 +99,8 @@
     void setUnacknowledgedTimeout(std::chrono::milliseconds timeout);
 
     const boost::asio::ip::tcp::endpoint &address() const { return address_; }
+    /// Bytes of the request that the peer hasn't acknowledged; nullopt if that isn't known.
+    std::optional<std::size_t> unacknowledgedBytes();
     bool isRelayed() const { return path_.has_value(); }
     bool usable() const { return connected_ && !closed_; }
     /// Whether it was ever established, closed or not. Before that no byte of a call was sent.
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -879,6 +879,9 @@
     if (ended() || !self_) {
         return;
     }
+    constexpr int64_t Unknown = -1;
+    const auto unacknowledged =
+            attempt_ ? attempt_->connection->unacknowledgedBytes() : std::nullopt;
     log(Event("request.caller_gone")
                 .with("why", callerCloseReasonName(reason))
                 .with("detail", detail)
@@ -886,6 +889,8 @@
                 .with("age_ms",
                       millis(std::chrono::steady_clock::now() - request_.receivedAt).count())
                 .with("passed_on", possibleExecutions_ > 0)
+                .with("unacknowledged_bytes",
+                      unacknowledged ? static_cast<int64_t>(*unacknowledged) : Unknown)
                 .with("answering", streaming_));
     recordLocalEnd(AttemptOutcome::Cancelled);
     cancelAttempt(true);
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -312,6 +312,11 @@
     close();
 }
 
+std::optional<std::size_t> HttpConnection::unacknowledgedBytes()
+{
+    return socket_.is_open() ? sequoiagate::unacknowledgedBytes(socket_) : std::nullopt;
+}
+
 void HttpConnection::close()
 {
     if (closed_) {
--- a/lib/Proxy/SocketState.cpp
+++ b/lib/Proxy/SocketState.cpp
@@ -20,10 +20,18 @@
     return error == asio::error::would_block ? error_code() : error;
 }
 
+std::optional<std::size_t> unacknowledgedBytes(tcp::socket &socket)
+{
+    int bytes = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(bytes);
+}
+
 void dropUnsentOnClose(tcp::socket &socket)
 {
-    int unacknowledged = 0;
-    if (::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0) {
+    if (unacknowledgedBytes(socket).value_or(0) > 0) {
         error_code ignored;
         socket.set_option(asio::socket_base::linger(true, 0), ignored);
     }
