--- a/unittests/Edge/RelayServerTest.cpp
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -67,12 +67,12 @@
     }
 
     /// Sends a handshake. \returns the status of the response
-    int handshake(const std::string &process, const std::string &endpoint)
+    int handshake(const std::string &process, const std::string &endpoint,
+                  Millis timeout = Millis(5000))
     {
         peer_.connect(relayAddress_);
-        boost::asio::write(peer_,
-                           boost::asio::buffer(encodeRelayRequest(
-                                   {EndpointId(endpoint), Incarnation(process), Millis(5000)})));
+        boost::asio::write(peer_, boost::asio::buffer(encodeRelayRequest(
+                                          {EndpointId(endpoint), Incarnation(process), timeout})));
         endpoint_.async_accept([this](const error_code &error, tcp::socket socket) {
             if (!error) {
                 accepted_ = std::move(socket);
@@ -243,4 +243,26 @@
     EXPECT_EQ(server_->open(), 0U);
 }
 
+// Guards against delivering the rest of a request that its host has given up, once its endpoint
+// reads again.
+TEST_F(RelayServerTest, ClosesAtOnceWithItsHostWhileTheEndpointDoesNotRead)
+{
+    constexpr Millis Timeout = std::chrono::minutes(1);
+    EXPECT_EQ(handshake("listed", "e", Timeout), RelayEstablished);
+    ASSERT_TRUE(waitUntil([this] { return accepted_.is_open(); }));
+    const std::string bytes(64 * 1024, 'x');
+    peer_.non_blocking(true);
+    // Until the relay waits for the endpoint, and the host's own socket is full.
+    for (int pauses = 0; pauses < 10;) {
+        error_code error;
+        peer_.write_some(boost::asio::buffer(bytes), error);
+        pauses = error ? pauses + 1 : 0;
+        io_.restart();
+        io_.run_for(std::chrono::milliseconds(error ? 10 : 0));
+    }
+    peer_.set_option(boost::asio::socket_base::linger(true, 0));
+    peer_.close();
+    EXPECT_TRUE(waitUntil([this] { return server_->open() == 0; }));
+}
+
 } // namespace
--- a/unittests/Proxy/CallerGoneTest.cpp
+++ b/unittests/Proxy/CallerGoneTest.cpp
@@ -3,8 +3,10 @@
 
 #include <array>
 #include <functional>
+#include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "ProxyTestHarness.h"
@@ -100,13 +102,14 @@
          }},
 };
 
-// Guards against sending a request on after its caller has left.
-TEST_P(CallerGone, RequestIsNotSentOn)
+/// Lets the caller of \p row send \p bytes behind its request and leave, and checks that the
+/// request isn't sent on.
+void leaveBehind(const CallerGoneCase &row, const std::string &bytes)
 {
-    const CallerGoneCase &row = GetParam();
     ProxyTestHarness harness(row.scripts);
     ASSERT_TRUE(row.begin(harness));
     const std::size_t before = requestsReceived(harness);
+    harness.send(bytes);
     harness.closeCaller();
     if (row.complete) {
         row.complete(harness);
@@ -122,6 +125,69 @@
     EXPECT_EQ(harness.placement.sent, harness.placement.ended);
 }
 
+// Guards against sending a request on after its caller has left.
+TEST_P(CallerGone, RequestIsNotSentOn)
+{
+    leaveBehind(GetParam(), "");
+}
+
+// Guards against a close that isn't noticed because it follows bytes that haven't been read.
+TEST_P(CallerGone, RequestIsNotSentOnBehindALineBreak)
+{
+    leaveBehind(GetParam(), "\r\n");
+}
+
+TEST_P(CallerGone, RequestIsNotSentOnBehindTheNextRequest)
+{
+    leaveBehind(GetParam(), ProxyTestHarness::request("/get/a", "next"));
+}
+
+// Guards against sending the rest of a request, whose first part filled the socket, after its
+// caller has left.
+TEST(PartlySentRequest, IsNotSentOnOnceItsCallerHasLeft)
+{
+    using boost::asio::ip::tcp;
+    constexpr std::size_t BodyBytes = 16 * 1024 * 1024;
+    ProxyTestHarness harness(std::vector<std::vector<Reply>>(1));
+    harness.config->limits.maxBodyBytes = BodyBytes;
+    boost::asio::io_context endpointIo;
+    tcp::acceptor acceptor(endpointIo, {boost::asio::ip::address_v4::loopback(), 0});
+    harness.placement.endpoints[0].address = acceptor.local_endpoint();
+    const std::string request = fmt::format("POST /get/a HTTP/1.1\r\nHost: h.example\r\n"
+                                            "Request-Id: r\r\nDeadline-Ms: 4000\r\n"
+                                            "Authorization: Token key\r\nToken-Count: 1,1\r\n"
+                                            "Content-Length: {}\r\n\r\n",
+                                            BodyBytes)
+                                + std::string(BodyBytes, 'x');
+    std::thread caller([&harness, &request] { harness.send(request); });
+    const bool isSent =
+            harness.waitUntil([&harness] { return harness.countLogLines("request.sent") == 1; });
+    caller.join();
+    ASSERT_TRUE(isSent);
+    tcp::socket accepted = acceptor.accept();
+    harness.io.run_for(std::chrono::milliseconds(200));
+    std::vector<char> buffer(BodyBytes);
+    accepted.non_blocking(true);
+    const auto drain = [&accepted, &buffer] {
+        std::size_t total = 0;
+        boost::system::error_code error;
+        for (int pauses = 0; pauses < 4 && error != boost::asio::error::eof;) {
+            const std::size_t bytes = accepted.read_some(boost::asio::buffer(buffer), error);
+            total += bytes;
+            if (bytes == 0) {
+                ++pauses;
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            }
+        }
+        return total;
+    };
+    EXPECT_GT(drain(), 0U);
+    harness.closeCaller();
+    EXPECT_TRUE(
+            harness.waitUntil([&] { return harness.countLogLines("request.caller_gone") == 1; }));
+    EXPECT_EQ(drain(), 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(WhileAwaiting, CallerGone, testing::ValuesIn(CallerGoneCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
