--- a/unittests/Decisions/EndpointLimitsTest.cpp
+++ b/unittests/Decisions/EndpointLimitsTest.cpp
@@ -126,6 +126,50 @@
         }
     }
 
+    /// Lets all hosts read a row of an earlier start of the endpoint, each within \p spread, and
+    /// the row of its present process again after \p away.
+    void rereadEarlierRow(Interval away, Interval spread)
+    {
+        for (Node &node : nodes_) {
+            const Instant from = now_ + randomUpTo(spread);
+            at(from, [&node] {
+                node.listedProcess = FirstProcess - 1;
+                node.limits->setEndpoint(Endpoint, node.listedProcess, 8);
+            });
+            at(from + away, [&node] {
+                node.listedProcess = FirstProcess;
+                node.limits->setEndpoint(Endpoint, node.listedProcess, 8);
+            });
+        }
+    }
+
+    /// Replaces \p count hosts one after another by new ones. The first \p stale hosts learn of it
+    /// at the end, the others within half a second each.
+    void replaceInSeries(int stale, int count, Interval gap)
+    {
+        std::vector<HostId> listed = names_;
+        const Instant end = now_ + count * gap;
+        for (int i = 0; i < count; ++i) {
+            const Instant from = now_ + i * gap;
+            const std::size_t leaving = index(stale + i);
+            at(from, [this, leaving] { nodes_[leaving].isListed = false; });
+            names_.emplace_back(fmt::format("new-{}", names_.size()));
+            nodes_.emplace_back();
+            const int joined = static_cast<int>(nodes_.size()) - 1;
+            restart(joined);
+            listed[leaving] = names_.back();
+            at(from, [this, joined, listed] {
+                nodes_[index(joined)].limits->setHosts(listed);
+                call(joined, 2.0);
+            });
+            for (std::size_t node = 0; node < index(joined); ++node) {
+                const bool isStale = node < index(stale);
+                at((isStale ? end : from) + randomUpTo(std::chrono::milliseconds(500)),
+                   [this, node, listed] { nodes_[node].limits->setHosts(listed); });
+            }
+        }
+    }
+
     /// Lets the first \p count hosts act and read late, by up to \p lag.
     void slowDown(int count, Interval lag)
     {
@@ -183,8 +227,9 @@
     {
         std::unique_ptr<EndpointLimits> limits;
         int process = 0;
-        bool isListed = true; ///< the endpoint, at this host
-        Interval lag{};       ///< by which it acts late at most
+        bool isListed = true;                  ///< the endpoint, at this host
+        uint64_t listedProcess = FirstProcess; ///< of the endpoint
+        Interval lag{};                        ///< by which it acts late at most
     };
 
     struct Event
@@ -221,21 +266,21 @@
         notice.maxRequestsPerSecond = limit;
         constexpr Interval Work = std::chrono::milliseconds(20);
         const bool retries = rejects && !isRetry;
-        at(arrivesAt + Work + lagOf(node),
-           [this, host, notice, retries, sentAt = now_, process = node.process] {
-               Node &answered = nodes_[index(host)];
-               if (answered.process != process) {
-                   return;
-               }
-               if (retries) {
-                   trySend(host, true);
-               }
-               if (answered.limits->onNotice(Endpoint, notice, sentAt, now_)) {
-                   for (std::size_t i = 0; i < nodes_.size(); ++i) {
-                       tell(i, *answered.limits->recordOf(Endpoint));
-                   }
-               }
-           });
+        at(arrivesAt + Work + lagOf(node), [this, host, notice, retries, sentAt = now_,
+                                            process = node.process, listed = node.listedProcess] {
+            Node &answered = nodes_[index(host)];
+            if (answered.process != process || answered.listedProcess != listed) {
+                return;
+            }
+            if (retries) {
+                trySend(host, true);
+            }
+            if (answered.limits->onNotice(Endpoint, notice, sentAt, now_)) {
+                for (std::size_t i = 0; i < nodes_.size(); ++i) {
+                    tell(i, *answered.limits->recordOf(Endpoint));
+                }
+            }
+        });
     }
 
     Interval randomUpTo(Interval most)
@@ -452,6 +497,27 @@
              fleet.run(std::chrono::seconds(3));
              fleet.delist(std::chrono::seconds(1), std::chrono::milliseconds(300));
          }},
+        {"AnEarlierRowThatIsReadAgain", 61, 2.1,
+         [](LimitedFleet &fleet) {
+             fleet.rereadEarlierRow(Interval::zero(), std::chrono::milliseconds(300));
+         }},
+        {"EarlierRowsThatAreReadByTurns", 61, 2.1,
+         [](LimitedFleet &fleet) {
+             for (int i = 0; i < 3; ++i) {
+                 fleet.rereadEarlierRow(std::chrono::milliseconds(400),
+                                        std::chrono::milliseconds(300));
+                 fleet.run(std::chrono::seconds(1));
+             }
+         }},
+        {"AThirdWithTheOldListWhileOthersAreReplaced", 61, 2.1,
+         [](LimitedFleet &fleet) {
+             fleet.replaceInSeries(20, 18, std::chrono::milliseconds(500));
+         }},
+        {"OldListsAndSlowHostsWhileOthersAreReplaced", 61, 2.1,
+         [](LimitedFleet &fleet) {
+             fleet.slowDown(20, std::chrono::seconds(1));
+             fleet.replaceInSeries(20, 36, std::chrono::milliseconds(250));
+         }},
         // The bound is that of the earlier, higher limit.
         {"ALowerLimit", 6, 8.0,
          [](LimitedFleet &fleet) {
@@ -477,6 +543,23 @@
     EXPECT_LE(static_cast<double>(fleet.mostInWindow(named + Settling)), allowedInWindow(2.0));
 }
 
+// Guards against a host that reads late and tells the others an earlier limit as the newest.
+TEST(FleetLimit, LowerLimitHoldsBeforeHostsThatReadLate)
+{
+    LimitedFleet fleet(61);
+    for (int host = 0; host < 61; ++host) {
+        fleet.call(host, 2.0);
+    }
+    fleet.limit = 20.0;
+    fleet.run(std::chrono::seconds(8));
+    fleet.slowDown(20, std::chrono::milliseconds(1500));
+    fleet.run(std::chrono::seconds(4));
+    fleet.limit = 2.0;
+    const Instant named = fleet.now();
+    fleet.run(std::chrono::seconds(15));
+    EXPECT_LE(static_cast<double>(fleet.mostInWindow(named + Settling)), allowedInWindow(2.0));
+}
+
 struct EndCase
 {
     const char *name;
--- a/unittests/Decisions/EndpointWithdrawalsTest.cpp
+++ b/unittests/Decisions/EndpointWithdrawalsTest.cpp
@@ -50,6 +50,20 @@
     EXPECT_FALSE(withdrawals_.isLeaving(Endpoint));
 }
 
+// Guards against forgetting what a process said when a row of an earlier start is read after its
+// own.
+TEST_F(EndpointWithdrawalsTest, StatementsOutliveAnEarlierRowThatIsReadAgain)
+{
+    withdrawals_.onLeaving(source(), now_);
+    withdrawals_.onBackoff(source(), std::chrono::seconds(9), now_);
+    withdrawals_.setEndpoint(Endpoint, FirstProcess - 1);
+    EXPECT_FALSE(withdrawals_.isLeaving(Endpoint));
+    EXPECT_FALSE(withdrawals_.isBackingOff(Endpoint, now_));
+    withdrawals_.setEndpoint(Endpoint, FirstProcess);
+    EXPECT_TRUE(withdrawals_.isLeaving(Endpoint));
+    EXPECT_TRUE(withdrawals_.isBackingOff(Endpoint, now_));
+}
+
 TEST_F(EndpointWithdrawalsTest, LeavingEndsWithTheProcess)
 {
     withdrawals_.onLeaving(source(), now_);
