[Proxy] Notice a close behind bytes that haven't been read

Callers saw: endpoints worked for callers that had left, where these had sent anything behind their request, such as a line break or the next request. Cause: before a request is sent on, its caller's close is looked for by peeking at one byte. Any byte before the close hid it until the event loop had read on, which may be after the request was sent. Evidence: CallerGone's five waits, with a line break and with a request before the close: all ten were sent on; the close was in the kernel each time. Relays look at their hosts by the same check. Now the kernel is asked for the close itself (POLLRDHUP) where a byte is there.

--- a/include/sequoiagate/Proxy/SocketState.h
+++ b/include/sequoiagate/Proxy/SocketState.h
@@ -10,9 +10,9 @@
 
 namespace sequoiagate {
 
-/// Checks without reading whether the peer has closed or reset the connection. A close behind
-/// bytes that haven't been read isn't noticed.
-/// \returns the error that a read would return, or none while the connection is open
+/// Checks without reading whether the peer has closed or reset the connection, also behind bytes
+/// that haven't been read.
+/// \returns the error that a read would return at the end, or none while the connection is open
 /// \pre \p socket is open and non-blocking. Not thread safe.
 boost::system::error_code peekCloseError(boost::asio::ip::tcp::socket &socket);
 
--- a/lib/Proxy/SocketState.cpp
+++ b/lib/Proxy/SocketState.cpp
@@ -1,6 +1,7 @@
 #include "sequoiagate/Proxy/SocketState.h"
 
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 #include <boost/asio/buffer.hpp>
@@ -17,7 +18,14 @@
     char next = 0;
     error_code error;
     socket.receive(asio::buffer(&next, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block ? error_code() : error;
+    if (error) {
+        return error == asio::error::would_block ? error_code() : error;
+    }
+    // The close may follow bytes that haven't been read.
+    pollfd state{socket.native_handle(), POLLRDHUP, 0};
+    constexpr int Closed = POLLRDHUP | POLLHUP | POLLERR;
+    const bool isClosed = ::poll(&state, 1, 0) == 1 && (state.revents & Closed) != 0;
+    return isClosed ? asio::error::eof : error_code();
 }
 
 std::optional<std::size_t> unacknowledgedBytes(tcp::socket &socket)
