[Proxy] Look for the caller's close before each part of a request is written

Callers saw: endpoints got requests whole after their callers had left. Cause: the close is looked for before a request's first byte. What the socket doesn't take at once was written by an asynchronous write, which sends as soon as there is room, in the same round of the event loop that reads the close or in an earlier one. Links of 10 Mbit/s with small windows and requests of up to 55 KB make that common, a loop that is held up makes it late. Evidence: PartlySentRequest: 131,072 bytes were sent after the close was in the kernel. Now the connection waits for room without writing, and the exchange looks for the close before each further part.

--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -102,6 +102,7 @@
 
     // ---- response ----
     void onConnected() override;
+    void onWritable() override;
     void onHead(const ResponseHead &head) override;
     void onBody(std::string_view bytes) override;
     void onDone() override;
--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -50,7 +50,9 @@
     virtual ~HttpCallObserver() = default;
     /// A connection was established for this call.
     virtual void onConnected() {}
-    virtual void onSent() {}
+    /// The connection can take more of a request of which it took only a part. Called before each
+    /// further part is written.
+    virtual void onWritable() {}
     virtual void onHead(const ResponseHead &head) = 0;
     virtual void onBody(std::string_view bytes) = 0;
     /// The response is complete.
@@ -123,6 +125,8 @@
     void onHandshakeDone();
     CallFailure connectFailure() const;
     void write();
+    void writeMore();
+    void awaitWritable();
     void read();
     void onRead(const ErrorCode &error, std::size_t bytes);
     void deliver(std::string_view bytes);
@@ -138,6 +142,7 @@
     boost::asio::steady_timer connectTimer_;
     std::array<char, 8192> readBuffer_;
     std::string request_;
+    std::string_view unwritten_; ///< rest of request_
     std::optional<ResponseReader> reader_;
     HttpCallObserver *observer_ = nullptr;
     Instant idleSince_{};
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -461,6 +461,11 @@
     sink_.checkCallerGone();
 }
 
+void Exchange::onWritable()
+{
+    sink_.checkCallerGone();
+}
+
 void Exchange::onHead(const ResponseHead &head)
 {
     attempt_->head = head;
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -47,6 +47,7 @@
         return;
     }
     socket_.set_option(tcp::no_delay(true), error);
+    socket_.non_blocking(true, error);
     applyUnacknowledgedTimeout();
     armConnectTimer(path_ ? settings_.relayConnectTimeout : settings_.connectTimeout);
     socket_.async_connect(path_ ? path_->relay : address_,
@@ -165,19 +166,39 @@
 
 void HttpConnection::write()
 {
-    writing_ = true;
-    asio::async_write(socket_, asio::buffer(request_),
-                      [self = shared_from_this()](const ErrorCode &error, std::size_t) {
-                          self->writing_ = false;
-                          if (self->closed_ || error) {
-                              // A server may respond and close before it has read the whole
-                              // body; its response can still be read.
-                              return;
-                          }
-                          if (self->observer_ != nullptr) {
-                              self->observer_->onSent();
-                          }
-                      });
+    unwritten_ = request_;
+    writeMore();
+}
+
+void HttpConnection::writeMore()
+{
+    ErrorCode error;
+    while (!unwritten_.empty() && !error) {
+        unwritten_.remove_prefix(socket_.write_some(asio::buffer(unwritten_), error));
+    }
+    writing_ = error == asio::error::would_block;
+    if (writing_) {
+        awaitWritable();
+    }
+    // After another error the response can still be read: a server may respond and close before it
+    // has read the whole body.
+}
+
+void HttpConnection::awaitWritable()
+{
+    // An asynchronous write would send the rest before the observer can cancel the call.
+    socket_.async_wait(tcp::socket::wait_write,
+                       [self = shared_from_this()](const ErrorCode &error) {
+                           if (self->closed_ || error) {
+                               return;
+                           }
+                           if (self->observer_ != nullptr) {
+                               self->observer_->onWritable();
+                           }
+                           if (!self->closed_) {
+                               self->writeMore();
+                           }
+                       });
 }
 
 void HttpConnection::resumeReading()
