[Edge] Relays notice that their host has closed while the endpoint doesn't read

Callers saw: an endpoint got the rest of a relayed request once it read again, or its link had room, although the caller had left. Cause: while a tunnel waits to write to the endpoint it doesn't read from its host, so that it didn't learn of the host's close before the write ended or a second after the deadline. Its kernel went on sending what it held. Evidence: ClosesAtOnceWithItsHostWhileTheEndpointDoesNotRead: the tunnel stayed open. Now a tunnel that waits looks for the close ten times a second, and before each further part.

--- a/lib/Edge/RelayServer.cpp
+++ b/lib/Edge/RelayServer.cpp
@@ -21,6 +21,9 @@
 constexpr Interval HandshakeTimeout = std::chrono::seconds(1);
 constexpr Interval ConnectTimeout = std::chrono::milliseconds(400);
 
+/// How often a host is looked at whose bytes the endpoint doesn't take: it isn't read meanwhile.
+constexpr Interval CloseCheckInterval = std::chrono::milliseconds(100);
+
 /// After a request's deadline its host has closed the connection, unless it can't any more.
 constexpr Interval DeadlineMargin = std::chrono::seconds(1);
 
@@ -30,7 +33,8 @@
 {
 public:
     RelayTunnel(RelayServer &server, tcp::socket peer)
-        : server_(server), peer_(std::move(peer)), endpoint_(server.io_), timer_(server.io_)
+        : server_(server), peer_(std::move(peer)), endpoint_(server.io_), timer_(server.io_),
+          closeCheck_(server.io_)
     {}
 
     void start()
@@ -50,6 +54,7 @@
         }
         isClosed_ = true;
         timer_.disarm();
+        closeCheck_.disarm();
         error_code ignored;
         peer_.close(ignored);
         dropUnsentOnClose(endpoint_);
@@ -64,6 +69,7 @@
         tcp::socket &from;
         tcp::socket &to;
         std::array<char, 16 * 1024> buffer{};
+        std::string_view unwritten{}; ///< part of the buffer
     };
 
     void closeAt(Instant deadline)
@@ -135,6 +141,7 @@
         }
         error_code ignored;
         endpoint_.set_option(tcp::no_delay(true), ignored);
+        endpoint_.non_blocking(true, ignored);
         respond(RelayEstablished);
     }
 
@@ -183,8 +190,7 @@
                                                return;
                                            }
                                            const bool isForth = &direction == &self->forth_;
-                                           if (isForth && peekCloseError(self->peer_)) {
-                                               self->onEnd(direction, asio::error::eof);
+                                           if (isForth && self->endIfHostClosed()) {
                                                return;
                                            }
                                            if (!isForth) {
@@ -212,18 +218,61 @@
 
     void write(Direction &direction, std::size_t bytes)
     {
-        asio::async_write(
-                direction.to, asio::buffer(direction.buffer.data(), bytes),
-                [self = shared_from_this(), &direction](const error_code &error, std::size_t) {
-                    if (self->isClosed_) {
-                        return;
-                    }
-                    if (error) {
-                        self->onEnd(direction, error);
-                        return;
-                    }
-                    self->pump(direction);
-                });
+        direction.unwritten = std::string_view(direction.buffer.data(), bytes);
+        writeMore(direction);
+    }
+
+    void writeMore(Direction &direction)
+    {
+        error_code error;
+        while (!direction.unwritten.empty() && !error) {
+            direction.unwritten.remove_prefix(
+                    direction.to.write_some(asio::buffer(direction.unwritten), error));
+        }
+        if (error == asio::error::would_block) {
+            awaitWritable(direction);
+        } else if (error) {
+            onEnd(direction, error);
+        } else {
+            pump(direction);
+        }
+    }
+
+    void awaitWritable(Direction &direction)
+    {
+        direction.to.async_wait(tcp::socket::wait_write, [self = shared_from_this(),
+                                                          &direction](const error_code &error) {
+            if (self->isClosed_) {
+                return;
+            }
+            if (error) {
+                self->onEnd(direction, error);
+            } else if (&direction == &self->back_ || !self->endIfHostClosed()) {
+                self->writeMore(direction);
+            }
+        });
+        if (&direction == &forth_) {
+            checkHostLater();
+        }
+    }
+
+    void checkHostLater()
+    {
+        closeCheck_.arm(std::chrono::steady_clock::now() + CloseCheckInterval,
+                        [self = shared_from_this()] {
+                            if (!self->forth_.unwritten.empty() && !self->endIfHostClosed()) {
+                                self->checkHostLater();
+                            }
+                        });
+    }
+
+    bool endIfHostClosed()
+    {
+        const bool isClosed = static_cast<bool>(peekCloseError(peer_));
+        if (isClosed) {
+            onEnd(forth_, asio::error::eof);
+        }
+        return isClosed;
     }
 
     void onEnd(const Direction &direction, const error_code &error)
@@ -241,6 +290,7 @@
     tcp::socket peer_;
     tcp::socket endpoint_;
     DeadlineTimer timer_;
+    DeadlineTimer closeCheck_;
     std::optional<RequestReader> reader_;
     std::optional<RelayRequest> request_;
     std::string response_;
