[Decisions] Keep an endpoint's limit while a row of another start of it is read

Callers saw: an endpoint got more requests than its limit. Cause: a limit is dropped when a row names another start of the endpoint, also an earlier one. The store may carry out a write seconds after its writer has given up on it, so that a row of the process before follows one of the present process, which writes again a heartbeat later. All hosts read both and drop the limit twice, and what peers tell of the present process meanwhile is ignored. Now limits are kept by process: those of a process that isn't listed here, since another row was read or since its own hasn't been, hold again once it is.

--- a/include/sequoiagate/Decisions/EndpointLimits.h
+++ b/include/sequoiagate/Decisions/EndpointLimits.h
@@ -41,20 +41,12 @@
 
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Decisions/EndpointLimitRecord.h"
 #include "sequoiagate/Decisions/EndpointNotice.h"
+#include "sequoiagate/Decisions/UnlistedLimits.h"
 
 namespace sequoiagate {
 
-/// The limits of an endpoint as last observed by any host.
-struct EndpointLimitRecord
-{
-    EndpointId endpoint;
-    uint64_t startedAtMillis = 0; ///< identifies the endpoint's process
-    std::optional<double> maxRequestsPerSecond;
-    std::optional<uint32_t> maxRejectionsPerSecond;
-    Instant observedAt{}; ///< by this host's clock
-};
-
 /// A request limit that holds for a time, whatever the endpoint names.
 struct KnownLimit
 {
@@ -103,7 +95,8 @@
 
     /// Sets all hosts of the fleet, including this one.
     void setHosts(std::vector<HostId> hosts);
-    /// Sets the process that listens as \p endpoint; what was known of an earlier one is dropped.
+    /// Sets the process that listens as \p endpoint. The limits of the one before are kept for a
+    /// time in case that its row is read again.
     void setEndpoint(const EndpointId &endpoint, uint64_t startedAtMillis, uint32_t slots);
     /// Records that \p endpoint isn't listed any more. Its process may live on and be listed again,
     /// so its limits are kept for DelistedLifetime.
@@ -119,8 +112,8 @@
     /// \returns whether the other hosts should be told at once
     bool onNotice(const EndpointId &endpoint, const EndpointNotice &notice, Instant sentAt,
                   Instant now);
-    /// Records what another host observed. Older observations and endpoints that aren't listed
-    /// here, or run as another process, are ignored.
+    /// Records what another host observed. Older observations are ignored; those of processes that
+    /// aren't listed here are kept until they are.
     /// \returns whether the limits changed
     bool onRecord(const EndpointLimitRecord &record, Instant now);
     /// Records that \p endpoint rejected a request of another host.
@@ -236,6 +229,7 @@
     HostId self_;
     std::vector<HostId> hosts_;
     std::map<EndpointId, Endpoint> endpoints_;
+    UnlistedLimits unlisted_;
     std::size_t limitedCount_ = 0;
     uint64_t lastSlotRequest_ = 0;
 };
--- a/lib/Decisions/EndpointLimits.cpp
+++ b/lib/Decisions/EndpointLimits.cpp
@@ -37,11 +37,6 @@
 /// Relative change of a limit that other hosts are told at once; they learn others in time.
 constexpr double NoticeableChange = 0.1;
 
-bool hasLimit(const EndpointLimitRecord &record)
-{
-    return record.maxRequestsPerSecond || record.maxRejectionsPerSecond;
-}
-
 bool differsNoticeably(const std::optional<double> &before, const std::optional<double> &after)
 {
     if (!before || !after) {
@@ -87,11 +82,14 @@
     if (!added && known.startedAtMillis == startedAtMillis) {
         return;
     }
+    if (known.hasLimit()) {
+        unlisted_.keep(known);
+    }
     EndpointLimitRecord unlimited;
     unlimited.endpoint = endpoint;
     unlimited.startedAtMillis = startedAtMillis;
-    apply(found->second, unlimited);
-    found->second.lastNamedAt = Instant();
+    apply(found->second, unlisted_.take(endpoint, startedAtMillis).value_or(unlimited));
+    found->second.lastNamedAt = known.observedAt;
     found->second.rejections.clear();
     found->second.windowChangedAt = Instant();
     found->second.slots.clear();
@@ -142,6 +140,7 @@
             applyKnown(endpoint, std::nullopt);
         }
     }
+    unlisted_.dropExpired(now);
     std::erase_if(endpoints_, [this, now](const auto &entry) {
         const bool isExpired = now >= entry.second.dropAt;
         limitedCount_ -= isExpired && isLimited(entry.second) ? 1 : 0;
@@ -243,7 +242,7 @@
     const bool names = notice.maxRequestsPerSecond || notice.maxRejectionsPerSecond;
     // A response that left before the limit was named may arrive after one that names it.
     const bool mayBeOlder = !names && sentAt <= endpoint.lastNamedAt;
-    if (mayBeOlder || (!names && !hasLimit(known))) {
+    if (mayBeOlder || (!names && !known.hasLimit())) {
         return false;
     }
     EndpointLimitRecord record = known;
@@ -265,17 +264,20 @@
 bool EndpointLimits::onRecord(const EndpointLimitRecord &record, Instant now)
 {
     const auto found = endpoints_.find(record.endpoint);
-    if (found == endpoints_.end()) {
+    const bool isListed = found != endpoints_.end()
+                          && found->second.record.startedAtMillis == record.startedAtMillis;
+    if (!isListed) {
+        unlisted_.keep(record);
         return false;
     }
     Endpoint &endpoint = found->second;
     const EndpointLimitRecord known = endpoint.record;
-    if (known.startedAtMillis != record.startedAtMillis || record.observedAt <= known.observedAt) {
+    if (record.observedAt <= known.observedAt) {
         return false;
     }
     apply(endpoint, record);
     endpoint.record.observedAt = std::min(record.observedAt, now);
-    if (hasLimit(record)) {
+    if (record.hasLimit()) {
         endpoint.lastNamedAt = std::max(endpoint.lastNamedAt, endpoint.record.observedAt);
     }
     return known.maxRejectionsPerSecond != record.maxRejectionsPerSecond
@@ -590,9 +592,9 @@
         text += fmt::format(" {:g} requests/s for {} ms, share {:.3g}{}",
                             endpoint->known->requestsPerSecond,
                             millis(endpoint->known->until - now), sharePerSecond(id).value_or(0.0),
-                            hasLimit(record) ? "," : "");
+                            record.hasLimit() ? "," : "");
     }
-    if (!hasLimit(record)) {
+    if (!record.hasLimit()) {
         return text;
     }
     if (record.maxRequestsPerSecond) {
@@ -613,7 +615,7 @@
     for (const auto &[id, endpoint] : endpoints_) {
         const EndpointLimitRecord &record = endpoint.record;
         const bool wasObserved = record.observedAt != Instant();
-        if (hasLimit(record) || (wasObserved && now < record.observedAt + EndedRecordLifetime)) {
+        if (record.hasLimit() || (wasObserved && now < record.observedAt + EndedRecordLifetime)) {
             records.push_back(record);
         }
     }
