[Decisions] Keep what an endpoint said of leaving and backoffs while another start's row is read

Callers saw: refusals by endpoints that had asked for a backoff, and work at endpoints that had said that they leave, after a row of an earlier start was read. Evidence: StatementsOutliveAnEarlierRowThatIsReadAgain failed before. What the last process said is kept for as long as without a row.

--- a/include/sequoiagate/Decisions/EndpointWithdrawals.h
+++ b/include/sequoiagate/Decisions/EndpointWithdrawals.h
@@ -39,7 +39,8 @@
     /// How long what an endpoint said is kept without an entry. Longer than endpoints take to end.
     static constexpr Interval DelistedLifetime = std::chrono::minutes(10);
 
-    /// Sets the process that listens as \p endpoint; what an earlier one said is dropped.
+    /// Sets the process that listens as \p endpoint. What the one before said is kept for a time in
+    /// case that its row is read again.
     void setEndpoint(const EndpointId &endpoint, uint64_t startedAtMillis);
     /// Records that \p endpoint isn't listed any more.
     void removeEndpoint(const EndpointId &endpoint, Instant now);
@@ -94,11 +95,14 @@
         Instant trialUntil{}; ///< an open trial counts as lost then
     };
 
+    /// Puts the process that started at \p startedAtMillis in the place of \p known.
+    void replace(Endpoint &known, const EndpointId &endpoint, uint64_t startedAtMillis);
     const Endpoint *find(const EndpointId &endpoint) const;
     /// What is known of the process that \p source names; nullptr if a later one is listed.
     Endpoint *findProcess(const NoticeSource &source, Instant now);
 
     std::map<EndpointId, Endpoint> endpoints_;
+    std::map<EndpointId, Endpoint> replaced_; ///< the last process that said something, before
     Instant quietFrom_{}; ///< no backoff or trial ends later, so that none needs to be looked up
 };
 
--- a/lib/Decisions/EndpointWithdrawals.cpp
+++ b/lib/Decisions/EndpointWithdrawals.cpp
@@ -10,12 +10,28 @@
 {
     Endpoint &known = endpoints_[endpoint];
     if (known.startedAtMillis != startedAtMillis) {
-        known = Endpoint{};
-        known.startedAtMillis = startedAtMillis;
+        replace(known, endpoint, startedAtMillis);
     }
     known.dropAt = Never;
 }
 
+void EndpointWithdrawals::replace(Endpoint &known, const EndpointId &endpoint,
+                                  uint64_t startedAtMillis)
+{
+    Endpoint next;
+    next.startedAtMillis = startedAtMillis;
+    const auto earlier = replaced_.find(endpoint);
+    if (earlier != replaced_.end() && earlier->second.startedAtMillis == startedAtMillis) {
+        next = std::move(earlier->second);
+        replaced_.erase(earlier);
+    }
+    if (known.leaving || known.backoff) {
+        known.dropAt = Never;
+        replaced_[endpoint] = std::move(known);
+    }
+    known = std::move(next);
+}
+
 void EndpointWithdrawals::removeEndpoint(const EndpointId &endpoint, Instant now)
 {
     const auto found = endpoints_.find(endpoint);
@@ -26,7 +42,14 @@
 
 void EndpointWithdrawals::dropExpired(Instant now)
 {
-    std::erase_if(endpoints_, [now](const auto &entry) { return now >= entry.second.dropAt; });
+    const auto isExpired = [now](const auto &entry) {
+        return now >= entry.second.dropAt;
+    };
+    std::erase_if(endpoints_, isExpired);
+    for (auto &[id, endpoint] : replaced_) {
+        endpoint.dropAt = std::min(endpoint.dropAt, now + DelistedLifetime);
+    }
+    std::erase_if(replaced_, isExpired);
 }
 
 EndpointWithdrawals::Endpoint *EndpointWithdrawals::findProcess(const NoticeSource &source,
