[Edge] Ignore an entry that is older than the one known of the same process

Evidence: EndpointRowOrder, OlderRowAfterANewerOne failed before. Entries are numbered by their process; an older one of the same process is ignored and logged as endpoint.older_entry. An entry of another process, or without a number, counts as before.

--- a/include/sequoiagate/Config/ServingConfig.h
+++ b/include/sequoiagate/Config/ServingConfig.h
@@ -128,6 +128,8 @@
     uint32_t slots = 1;
     bool draining = false;
     uint64_t startedAtMillis = 0; ///< Unix time of its start; a new value means a new process
+    /// Number of the entry among those of its process; 0 if the entry doesn't say.
+    uint64_t sequence = 0;
     /// How long it is still cold, as of the entry; nullopt if the entry doesn't say.
     std::optional<Interval> coldLeft;
 };
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -61,6 +61,14 @@
     return "";
 }
 
+/// Whether the store carried out the write of \p entry after that of the later entry \p known.
+bool isOlder(const EndpointEntry &entry, const EndpointEntry &known)
+{
+    const bool areNumbered = entry.startedAtMillis != 0 && entry.sequence != 0;
+    return areNumbered && entry.startedAtMillis == known.startedAtMillis
+           && entry.sequence < known.sequence;
+}
+
 uint64_t sharedPromptTokens(const std::vector<PromptPart> &prompt)
 {
     uint64_t tokens = 0;
@@ -96,16 +104,25 @@
         remove(entry.id, RemovalReason::Malformed, now);
         return;
     }
-    cold_.onEntry({entry.id, entry.service, entry.startedAtMillis, entry.coldLeft}, now);
     const auto [found, added] = entries_.try_emplace(entry.id);
     ListedEndpoint &listed = found->second;
     const EndpointEntry &known = listed.entry;
+    if (!added && isOlder(entry, known)) {
+        log_.write(Event("endpoint.older_entry")
+                           .with("endpoint", entry.id)
+                           .with("sequence", entry.sequence)
+                           .with("known", known.sequence)
+                           .with("draining", entry.draining));
+        return;
+    }
+    cold_.onEntry({entry.id, entry.service, entry.startedAtMillis, entry.coldLeft}, now);
     const bool restarted = !added && known.startedAtMillis != entry.startedAtMillis;
     const bool isUnchanged = !added && !restarted && known.address == entry.address
                              && known.service == entry.service && known.domain == entry.domain
                              && known.slots == entry.slots && known.draining == entry.draining
                              && known.version == entry.version && listed.removeAt == Never;
     if (isUnchanged) {
+        listed.entry.sequence = entry.sequence;
         limitWhileCold(entry.id, now);
         return;
     }
