[Proxy] Bound every part of a message that is read

Callers saw: 504 at their deadline where an endpoint's answer never ended inside a chunk line or its trailers, and delays at a host that was busy with such bytes; one caller without a key could cause them. Cause: heads and bodies have limits, and what stands between them had none. What is left of an unfinished line was joined with each read and parsed anew, so that the work grew with the square of the bytes. Empty lines before a request were dropped without counting, and a refused caller was read for half a second, however much it sent. Now an unfinished line or trailer section is refused beyond 4 KB, all framing together beyond 16 KB and 16 bytes a chunk, empty lines beyond 64 bytes. A refused caller is read on for 256 KB and then left in its socket until the connection is closed. The log names the part.

--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -81,7 +81,8 @@
     std::shared_ptr<Exchange> exchange_;
     std::deque<std::string> outgoing_;
     std::size_t backlog_ = 0;
-    bool isNew_ = true; ///< awaitNextRequest hasn't been called yet
+    std::size_t lingerBytes_ = 0; ///< received while lingering
+    bool isNew_ = true;           ///< awaitNextRequest hasn't been called yet
     bool reading_ = false;
     bool writing_ = false;
     bool keepAlive_ = true;
--- a/include/sequoiagate/Proxy/HttpReader.h
+++ b/include/sequoiagate/Proxy/HttpReader.h
@@ -4,6 +4,7 @@
 /// Incremental reader for one HTTP/1.1 message, based on Boost.Beast's parser. The body is
 /// returned decoded, in pieces.
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -23,15 +24,31 @@
     std::uint64_t bodyBytes = 8 * 1024 * 1024;
 };
 
+/// The longest line of the chunked coding, with its extensions, and the longest trailer section.
+/// The parser starts anew on these with each read until they are complete.
+inline constexpr std::size_t MaxChunkLineBytes = 4 * 1024;
+
+/// What a message may contain besides its head and the data of its body: so many bytes, and some
+/// for each chunk.
+inline constexpr std::size_t MaxFramingBytes = 16 * 1024;
+inline constexpr std::size_t FramingBytesPerChunk = 16;
+
+/// Empty lines that may precede a request, in bytes.
+inline constexpr std::size_t MaxEmptyLineBytes = 64;
+
 /// Why a message couldn't be parsed.
 enum class HttpParseError {
     None,
     Malformed,
     HeaderTooLarge,
     BodyTooLarge,
-    Truncated, ///< the connection ended inside the message
+    FramingTooLarge, ///< chunk lines, trailers or the empty lines before a request
+    Truncated,       ///< the connection ended inside the message
 };
 
+/// What \p error means, for logs.
+const char *describeParseError(HttpParseError error);
+
 /// Not thread-safe. Each object reads one message.
 template <bool IsRequest>
 class HttpReader : private boost::beast::http::basic_parser<IsRequest>
@@ -50,6 +67,8 @@
 
     /// Whether a part of the message has been received.
     bool begun() const { return begun_; }
+    /// Whether nothing has been received, not even an empty line.
+    bool isFresh() const { return !begun_ && emptyLineBytes_ == 0; }
     bool hasHead() const { return hasHead_; }
     bool done() const { return done_; }
     HttpParseError fault() const { return fault_; }
@@ -64,6 +83,8 @@
 private:
     static std::size_t leadingEmptyLines(std::string_view bytes);
     std::size_t parse(std::string_view bytes);
+    /// Whether the message contains too much that is neither its head nor data of its body.
+    bool isFramingTooLarge() const;
     using Base = boost::beast::http::basic_parser<IsRequest>;
     using ErrorCode = boost::beast::error_code;
     using Text = boost::beast::string_view;
@@ -83,7 +104,12 @@
 
     Head head_;
     std::string body_;
-    std::string leftover_; ///< incomplete head or chunk line
+    std::string leftover_; ///< incomplete head, chunk line or trailers
+    std::uint64_t parsedBytes_ = 0;
+    std::uint64_t bodyBytes_ = 0;
+    std::uint64_t chunks_ = 0;
+    std::size_t emptyLineBytes_ = 0; ///< before the message
+    std::uint32_t headerLimit_;
     bool begun_ = false;
     bool hasHead_ = false;
     bool done_ = false;
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -33,6 +33,10 @@
 /// that it hasn't read yet. The peer gets this long to close first.
 constexpr Interval LingerTime = std::chrono::milliseconds(500);
 
+/// Bytes that are read and dropped within that time. Those of a caller that sends more stay in the
+/// socket, where they cost nothing.
+constexpr std::size_t MaxLingerBytes = 256 * 1024;
+
 CallerLimits limitsOf(const ProxyContext &context)
 {
     const ServingConfigPtr config = context.config();
@@ -103,7 +107,10 @@
         return;
     }
     if (lingering_) {
-        read();
+        lingerBytes_ += bytes;
+        if (lingerBytes_ < MaxLingerBytes) {
+            read();
+        }
         return;
     }
     unparsed_.append(readBuffer_.data(), bytes);
@@ -121,9 +128,11 @@
         return;
     }
     const bool hadStarted = reader_->begun();
-    if (!hadStarted) {
+    if (reader_->isFresh()) {
         // Uses the current limits, not those of the time when the connection became idle.
         reader_.emplace(makeRequestReader(context_));
+    }
+    if (!hadStarted) {
         requestStartedAt_ = std::chrono::steady_clock::now();
     }
     const bool hadHead = reader_->hasHead();
@@ -201,7 +210,9 @@
     if (!isPermanent) {
         retryAfter = RetryElsewhereDelay;
     }
-    context_.log.write(Event("caller.malformed").with("status", status));
+    context_.log.write(Event("caller.malformed")
+                               .with("status", status)
+                               .with("why", describeParseError(error)));
     context_.metrics.count("proxy_malformed_total");
     ResponseHead head = context_.dialect.encodeRefusal(status, RequestId(), retryAfter);
     head.keepAlive = false;
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -263,7 +263,8 @@
         return;
     }
     if (reader_->fault() != HttpParseError::None) {
-        failCall(CallFailure::MaybeSent, "not an HTTP answer");
+        failCall(CallFailure::MaybeSent,
+                 std::string("unusable answer: ") + describeParseError(reader_->fault()));
         return;
     }
     if (!reader_->done()) {
--- a/lib/Proxy/HttpReader.cpp
+++ b/lib/Proxy/HttpReader.cpp
@@ -9,8 +9,37 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+struct ParseErrorText
+{
+    HttpParseError error;
+    const char *text;
+};
+
+constexpr ParseErrorText ParseErrorTexts[] = {
+        {HttpParseError::None, "no error"},
+        {HttpParseError::Malformed, "not an HTTP message"},
+        {HttpParseError::HeaderTooLarge, "the head is too large"},
+        {HttpParseError::BodyTooLarge, "the body is too large"},
+        {HttpParseError::FramingTooLarge, "the chunk lines, trailers or empty lines are too large"},
+        {HttpParseError::Truncated, "the connection ended inside the message"},
+};
+
+} // namespace
+
+const char *describeParseError(HttpParseError error)
+{
+    for (const ParseErrorText &row : ParseErrorTexts) {
+        if (row.error == error) {
+            return row.text;
+        }
+    }
+    return "";
+}
+
 template <bool IsRequest>
-HttpReader<IsRequest>::HttpReader(HttpReaderLimits limits)
+HttpReader<IsRequest>::HttpReader(HttpReaderLimits limits) : headerLimit_(limits.headerBytes)
 {
     this->eager(true);
     this->header_limit(limits.headerBytes);
@@ -25,6 +54,11 @@
     }
     const std::size_t empty = begun_ ? 0 : leadingEmptyLines(bytes);
     bytes.remove_prefix(empty);
+    emptyLineBytes_ += empty;
+    if (emptyLineBytes_ > MaxEmptyLineBytes) {
+        fault_ = HttpParseError::FramingTooLarge;
+        return empty;
+    }
     if (bytes.empty()) {
         return empty;
     }
@@ -58,13 +92,21 @@
     while (used < input.size() && !done_) {
         ErrorCode error;
         const std::string_view rest = input.substr(used);
-        used += this->put(boost::asio::buffer(rest.data(), rest.size()), error);
-        if (error == http::error::need_more) {
-            leftover_ = input.substr(used);
+        const std::size_t parsed = this->put(boost::asio::buffer(rest.data(), rest.size()), error);
+        used += parsed;
+        parsedBytes_ += parsed;
+        const bool needsMore = error == http::error::need_more;
+        if (error && !needsMore) {
+            refuse(error);
             return bytes.size();
         }
-        if (error) {
-            refuse(error);
+        const bool isLineTooLong = needsMore && hasHead_ && input.size() - used > MaxChunkLineBytes;
+        if (isLineTooLong || isFramingTooLarge()) {
+            fault_ = HttpParseError::FramingTooLarge;
+            return bytes.size();
+        }
+        if (needsMore) {
+            leftover_ = input.substr(used);
             return bytes.size();
         }
         done_ = this->is_done();
@@ -72,6 +114,15 @@
     return used - before;
 }
 
+template <bool IsRequest>
+bool HttpReader<IsRequest>::isFramingTooLarge() const
+{
+    // The head, which has a limit of its own, may have been parsed together with what follows.
+    const std::uint64_t allowed =
+            headerLimit_ + MaxFramingBytes + FramingBytesPerChunk * chunks_ + bodyBytes_;
+    return parsedBytes_ > allowed;
+}
+
 template <bool IsRequest>
 void HttpReader<IsRequest>::feedEnd()
 {
@@ -163,17 +214,21 @@
 template <bool IsRequest>
 std::size_t HttpReader<IsRequest>::on_body_impl(Text body, ErrorCode &)
 {
+    bodyBytes_ += body.size();
     body_.append(body.data(), body.size());
     return body.size();
 }
 
 template <bool IsRequest>
 void HttpReader<IsRequest>::on_chunk_header_impl(std::uint64_t, Text, ErrorCode &)
-{}
+{
+    ++chunks_;
+}
 
 template <bool IsRequest>
 std::size_t HttpReader<IsRequest>::on_chunk_body_impl(std::uint64_t, Text body, ErrorCode &)
 {
+    bodyBytes_ += body.size();
     body_.append(body.data(), body.size());
     return body.size();
 }
