--- a/include/sequoiagate/Proxy/RelayHandshake.h
+++ b/include/sequoiagate/Proxy/RelayHandshake.h
@@ -13,6 +13,7 @@
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
 #include "sequoiagate/Proxy/HttpMessage.h"
+#include "sequoiagate/Proxy/HttpReader.h"
 
 namespace sequoiagate {
 
@@ -28,6 +29,9 @@
 inline constexpr int RelayUnreachableEndpoint = 502; ///< the relay can't connect to the endpoint
 inline constexpr int RelayRefused = 503;             ///< the relay doesn't serve the request
 
+/// Neither the handshake nor its response has a body.
+inline constexpr HttpReaderLimits RelayHandshakeLimits{4 * 1024, 0};
+
 /// Thread safe, as is decodeRelayRequest.
 std::string encodeRelayRequest(const RelayRequest &request);
 /// \returns std::nullopt if \p head isn't such a request
--- a/lib/Edge/RelayServer.cpp
+++ b/lib/Edge/RelayServer.cpp
@@ -42,7 +42,7 @@
         error_code ignored;
         peer_.set_option(tcp::no_delay(true), ignored);
         peer_.non_blocking(true, ignored);
-        reader_.emplace(HttpReaderLimits());
+        reader_.emplace(RelayHandshakeLimits);
         closeAt(std::chrono::steady_clock::now() + HandshakeTimeout);
         readHandshake();
     }
@@ -91,6 +91,9 @@
                     }
                     self->reader_->feed(std::string_view(self->forth_.buffer.data(), bytes));
                     if (self->reader_->fault() != HttpParseError::None) {
+                        self->server_.log_.write(
+                                Event("relay.malformed")
+                                        .with("why", describeParseError(self->reader_->fault())));
                         self->close();
                     } else if (self->reader_->done()) {
                         self->connect();
--- a/lib/Edge/StatusServer.cpp
+++ b/lib/Edge/StatusServer.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// Bounds on requests for a page, which have no body.
+constexpr HttpReaderLimits RequestLimits{8 * 1024, 0};
+
 /// Monitoring clients send a request every few seconds.
 constexpr Interval IdleTimeout = std::chrono::seconds(10);
 
@@ -30,7 +33,7 @@
 
     void start()
     {
-        reader_.emplace(HttpReaderLimits());
+        reader_.emplace(RequestLimits);
         timer_.arm(std::chrono::steady_clock::now() + IdleTimeout, [self = shared_from_this()] {
             error_code ignored;
             self->socket_.close(ignored);
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -26,7 +26,7 @@
     observer_ = &observer;
     headDelivered_ = false;
     reusableUntil_ = Never;
-    reader_.emplace(settings_.limits);
+    reader_.emplace(path_ ? RelayHandshakeLimits : settings_.limits);
     if (connected_) {
         write();
         return;
@@ -130,25 +130,27 @@
 
 void HttpConnection::readHandshake()
 {
-    socket_.async_read_some(asio::buffer(readBuffer_),
-                            [self = shared_from_this()](const ErrorCode &error, std::size_t bytes) {
-                                if (self->closed_) {
-                                    return;
-                                }
-                                if (error) {
-                                    self->failCall(CallFailure::RelayUnreachable, error.message());
-                                    return;
-                                }
-                                self->reader_->feed(
-                                        std::string_view(self->readBuffer_.data(), bytes));
-                                if (self->reader_->done()) {
-                                    self->onHandshakeDone();
-                                } else if (self->reader_->fault() != HttpParseError::None) {
-                                    self->failCall(CallFailure::RelayUnreachable, "not a relay");
-                                } else {
-                                    self->readHandshake();
-                                }
-                            });
+    socket_.async_read_some(
+            asio::buffer(readBuffer_),
+            [self = shared_from_this()](const ErrorCode &error, std::size_t bytes) {
+                if (self->closed_) {
+                    return;
+                }
+                if (error) {
+                    self->failCall(CallFailure::RelayUnreachable, error.message());
+                    return;
+                }
+                self->reader_->feed(std::string_view(self->readBuffer_.data(), bytes));
+                if (self->reader_->done()) {
+                    self->onHandshakeDone();
+                } else if (self->reader_->fault() != HttpParseError::None) {
+                    self->failCall(CallFailure::RelayUnreachable,
+                                   std::string("not a relay: ")
+                                           + describeParseError(self->reader_->fault()));
+                } else {
+                    self->readHandshake();
+                }
+            });
 }
 
 void HttpConnection::onHandshakeDone()
