[Proxy] Notice callers that leave while more is buffered behind their request than is read

Callers saw: an endpoint worked on for a caller that had left. Cause: beyond 256 KB behind an open request the connection isn't read, so that a close wasn't noticed until the request had ended. The close is looked for ten times a second meanwhile.

--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -54,6 +54,8 @@
     std::size_t backlog() const override { return backlog_; }
 
     void read();
+    /// Notices a close while the connection isn't read, until the request has ended.
+    void checkCloseLater();
     void onRead(const ErrorCode &error, std::size_t bytes);
     void readRequest();
     void beginExchange();
@@ -73,6 +75,7 @@
     boost::asio::ip::tcp::socket socket_;
     ClosedHandler closed_;
     DeadlineTimer timer_;
+    DeadlineTimer closeCheck_;
     std::array<char, 8192> readBuffer_;
     std::string unparsed_; ///< received bytes that aren't parsed yet
     std::optional<RequestReader> reader_;
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -16,8 +16,9 @@
 namespace {
 
 /// Maximum bytes of pipelined requests that are buffered while one is served. Beyond it the
-/// connection isn't read, and a disconnect isn't noticed until the request has ended.
+/// connection isn't read; whether the caller has left is then checked at this interval.
 constexpr std::size_t MaxPipelinedBytes = 256 * 1024;
+constexpr Interval CloseCheckInterval = std::chrono::milliseconds(100);
 
 /// Approximate size of a request's head, for accounting the link's load.
 constexpr uint64_t HeadBytes = 500;
@@ -72,7 +73,8 @@
 } // namespace
 
 CallerConnection::CallerConnection(ProxyContext &context, tcp::socket socket, ClosedHandler closed)
-    : context_(context), socket_(std::move(socket)), closed_(std::move(closed)), timer_(context.io)
+    : context_(context), socket_(std::move(socket)), closed_(std::move(closed)), timer_(context.io),
+      closeCheck_(context.io)
 {}
 
 void CallerConnection::start()
@@ -86,7 +88,11 @@
 
 void CallerConnection::read()
 {
-    if (reading_ || isClosed_ || unparsed_.size() > MaxPipelinedBytes) {
+    if (reading_ || isClosed_) {
+        return;
+    }
+    if (unparsed_.size() > MaxPipelinedBytes) {
+        checkCloseLater();
         return;
     }
     reading_ = true;
@@ -97,6 +103,16 @@
                             });
 }
 
+void CallerConnection::checkCloseLater()
+{
+    closeCheck_.arm(std::chrono::steady_clock::now() + CloseCheckInterval,
+                    [self = shared_from_this()] {
+                        if (self->exchange_ && !self->checkCallerGone()) {
+                            self->checkCloseLater();
+                        }
+                    });
+}
+
 void CallerConnection::onRead(const ErrorCode &error, std::size_t bytes)
 {
     if (isClosed_) {
@@ -420,6 +436,7 @@
     }
     isClosed_ = true;
     timer_.disarm();
+    closeCheck_.disarm();
     ErrorCode ignored;
     socket_.close(ignored);
     const auto self = shared_from_this();
--- a/unittests/Proxy/CallerGoneTest.cpp
+++ b/unittests/Proxy/CallerGoneTest.cpp
@@ -188,6 +188,20 @@
     EXPECT_EQ(drain(), 0U);
 }
 
+// Guards against work for a caller that left after it had sent more than is buffered behind its
+// request.
+TEST(PipeliningCaller, IsNoticedWhenItLeaves)
+{
+    ProxyTestHarness harness({{{"", AfterReply::Hang}}});
+    harness.send(ProxyTestHarness::request("/get/a", "r"));
+    ASSERT_TRUE(runUntilReplied(harness, 0, 1));
+    harness.send(std::string(300 * 1024, 'x'));
+    harness.io.run_for(std::chrono::milliseconds(50));
+    harness.closeCaller();
+    EXPECT_TRUE(
+            harness.waitUntil([&] { return harness.countLogLines("request.caller_gone") == 1; }));
+}
+
 INSTANTIATE_TEST_SUITE_P(WhileAwaiting, CallerGone, testing::ValuesIn(CallerGoneCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
