--- a/unittests/Edge/RelayServerTest.cpp
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -265,4 +265,41 @@
     EXPECT_TRUE(waitUntil([this] { return server_->open() == 0; }));
 }
 
+struct EndlessHandshake
+{
+    const char *name;
+    std::string begin;
+};
+
+class EndlessHandshakes : public RelayServerTest,
+                          public testing::WithParamInterface<EndlessHandshake>
+{};
+
+const EndlessHandshake HandshakeCases[] = {
+        {"Head", "POST /relay/v1/e HTTP/1.1\r\nA: "},
+        {"Body", "POST /relay/v1/e HTTP/1.1\r\nContent-Length: 999999\r\n\r\n"},
+        {"Chunk", "POST /relay/v1/e HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n"},
+        {"ChunkExtension", "POST /relay/v1/e HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;"},
+};
+
+// Guards against a handshake that is read without end, or until its time is over.
+TEST_P(EndlessHandshakes, AreClosedAtOnce)
+{
+    peer_.connect(relayAddress_);
+    boost::asio::write(peer_, boost::asio::buffer(GetParam().begin + std::string(64 * 1024, 'x')));
+    EXPECT_TRUE(endOf(peer_));
+    std::rewind(file_);
+    std::array<char, 1024> line{};
+    bool isLogged = false;
+    while (std::fgets(line.data(), static_cast<int>(line.size()), file_) != nullptr) {
+        isLogged =
+                isLogged
+                || std::string_view(line.data()).find("relay.malformed") != std::string_view::npos;
+    }
+    EXPECT_TRUE(isLogged);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, EndlessHandshakes, testing::ValuesIn(HandshakeCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
--- a/unittests/Edge/StatusServerTest.cpp
+++ b/unittests/Edge/StatusServerTest.cpp
@@ -76,4 +76,51 @@
     EXPECT_EQ(std::string(response.data(), response.size()), "HTTP/1.1 200");
 }
 
+struct EndlessRequest
+{
+    const char *name;
+    std::string bytes;
+};
+
+class EndlessStatusRequest : public testing::TestWithParam<EndlessRequest>
+{};
+
+const std::string Start = "GET / HTTP/1.1\r\nHost: h\r\n";
+
+const EndlessRequest EndlessRequests[] = {
+        {"Head", Start + "A: " + std::string(64 * 1024, 'x')},
+        {"Body", Start + "Content-Length: 999999\r\n\r\n" + std::string(64 * 1024, 'x')},
+        {"Chunk",
+         Start + "Transfer-Encoding: chunked\r\n\r\nffff\r\n" + std::string(64 * 1024, 'x')},
+        {"ChunkExtension",
+         Start + "Transfer-Encoding: chunked\r\n\r\n1;" + std::string(64 * 1024, 'x')},
+        {"EmptyLines", std::string(64 * 1024, '\n')},
+};
+
+// Guards against a request for a page that is read without end.
+TEST_P(EndlessStatusRequest, IsClosed)
+{
+    boost::asio::io_context io;
+    const tcp::endpoint listen = ownEndpoint();
+    StatusServer server(io, listen, [] { return StatusPage{200, "text/plain", "ready\n"}; });
+    tcp::socket client(io);
+    client.connect(listen);
+    boost::asio::write(client, boost::asio::buffer(GetParam().bytes));
+    std::array<char, 12> response{};
+    bool isClosed = false;
+    client.async_read_some(
+            boost::asio::buffer(response),
+            [&](const boost::system::error_code &error, std::size_t) { isClosed = !!error; });
+    // Only ends a test that has failed already.
+    constexpr int MaxRounds = 60;
+    for (int round = 0; round < MaxRounds && !isClosed; ++round) {
+        io.restart();
+        io.run_one_for(std::chrono::milliseconds(50));
+    }
+    EXPECT_TRUE(isClosed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, EndlessStatusRequest, testing::ValuesIn(EndlessRequests),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
