[Proxy] Trailers are no fields of the head

Fields that a caller sent behind a chunked body were sent on as if they stood in its head (RFC 9110, 6.5.1 forbids it), past the limit of the head. TrailersAreNotFieldsOfTheHead failed before (three fields in place of two). They are dropped now.

--- a/lib/Proxy/HttpReader.cpp
+++ b/lib/Proxy/HttpReader.cpp
@@ -179,6 +179,9 @@
 template <bool IsRequest>
 void HttpReader<IsRequest>::on_field_impl(http::field, Text name, Text value, ErrorCode &)
 {
+    if (hasHead_) {
+        return; // a trailer
+    }
     head_.fields.push_back(
             {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
 }
--- a/unittests/Proxy/HttpReaderTest.cpp
+++ b/unittests/Proxy/HttpReaderTest.cpp
@@ -143,6 +143,16 @@
 INSTANTIATE_TEST_SUITE_P(Rows, HttpResponseClosed, testing::ValuesIn(ClosedCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against a field that is sent behind the body and taken for one of the head.
+TEST(HttpReader, TrailersAreNotFieldsOfTheHead)
+{
+    RequestReader reader(smallLimits());
+    reader.feed("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "1\r\nx\r\n0\r\nAuthorization: Token key\r\n\r\n");
+    ASSERT_TRUE(reader.done());
+    EXPECT_EQ(reader.head().fields.size(), 2U);
+}
+
 TEST(HttpMessage, HopByHopFieldsAreRecognized)
 {
     const HttpFields fields = {{"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}};
