--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -694,6 +694,7 @@
     }
     log(Event("request.connection_lost")
                 .with("endpoint", attempt_->endpoint)
+                .with("detail", detail)
                 .with("events", forwardedEvents_)
                 .with("shared_parts", describeShared(metadata_.prompt)));
     reportLoss(now);
