--- a/unittests/Proxy/HttpReaderTest.cpp
+++ b/unittests/Proxy/HttpReaderTest.cpp
@@ -1,5 +1,9 @@
 /// Which messages are accepted and rejected, independent of how the bytes are chunked.
 
+#include <fstream>
+#include <iterator>
+
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "sequoiagate/Proxy/HttpReader.h"
@@ -153,6 +157,30 @@
     EXPECT_EQ(reader.head().fields.size(), 2U);
 }
 
+struct BoundCase
+{
+    const char *name;
+    std::size_t bytes;
+};
+
+class MessageBounds : public testing::TestWithParam<BoundCase>
+{};
+
+TEST_P(MessageBounds, StandOnTheSettingsPage)
+{
+    std::ifstream file(SEQUOIAGATE_SOURCE_DIR "/docs/Settings.md");
+    const std::string page(std::istreambuf_iterator<char>(file), {});
+    const std::string row = fmt::format("| `{}` | {} |", GetParam().name, GetParam().bytes);
+    EXPECT_NE(page.find(row), std::string::npos) << row;
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, MessageBounds,
+                         testing::Values(BoundCase{"MaxChunkLineBytes", MaxChunkLineBytes},
+                                         BoundCase{"MaxFramingBytes", MaxFramingBytes},
+                                         BoundCase{"FramingBytesPerChunk", FramingBytesPerChunk},
+                                         BoundCase{"MaxEmptyLineBytes", MaxEmptyLineBytes}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 TEST(HttpMessage, HopByHopFieldsAreRecognized)
 {
     const HttpFields fields = {{"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}};
--- a/unittests/Service/SettingsPageTest.cpp
+++ b/unittests/Service/SettingsPageTest.cpp
@@ -23,7 +23,20 @@
         "one line that names the key, the value and what is allowed. A key without a default\n"
         "must be given, except where its row says what leaving it out means.\n\n"
         "This page is written from share/schemas by `utils/settings-page`; a unit test holds\n"
-        "the two together.\n";
+        "the two together.\n\n"
+        "## Bounds that aren't settings\n\n"
+        "Of what one message may contain, from callers, endpoints, the store and other hosts\n"
+        "(include/sequoiagate/Proxy/HttpReader.h). Heads and bodies of callers are bounded by the\n"
+        "configuration, all others by `HttpReaderLimits`.\n\n"
+        "| constant | bytes | of what |\n|---|---|---|\n"
+        "| `MaxChunkLineBytes` | 4096 | a line of the chunked coding, or the trailers |\n"
+        "| `MaxFramingBytes` | 16384 | all such lines of a message |\n"
+        "| `FramingBytesPerChunk` | 16 | added to that for each chunk |\n"
+        "| `MaxEmptyLineBytes` | 64 | empty lines before a request |\n\n"
+        "A request beyond them is answered with 400 and its connection closed; an answer beyond "
+        "them is its\n"
+        "endpoint's failure. After a refusal 256 KB at most are read on from a caller, for 0.5 s.\n"
+        "Handshakes of relays (4 KB) and requests for status pages (8 KB) have no body.\n";
 
 struct Suffix
 {
