--- a/test/Edge/EndlessBytesTest.cpp
+++ b/test/Edge/EndlessBytesTest.cpp
@@ -131,7 +131,7 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(5));
                 continue;
             }
-            connections.emplace_back([this, accepted = std::move(socket)]() mutable {
+            connections.emplace_back([accepted = std::move(socket)]() mutable {
                 std::array<char, 4096> request{};
                 boost::system::error_code ignored;
                 accepted.non_blocking(false);
--- a/unittests/Proxy/EndlessMessageTest.cpp
+++ b/unittests/Proxy/EndlessMessageTest.cpp
@@ -67,8 +67,8 @@
     const std::string text = repeated(repeat, 1024 * 1024);
     std::size_t used = 0;
     while (used < text.size() && reader.fault() == HttpParseError::None && !reader.done()) {
-        used += std::max<std::size_t>(
-                reader.feed(std::string_view(text).substr(used, std::min(step, text.size()))), 1);
+        const std::string_view piece(text.data() + used, std::min(step, text.size() - used));
+        used += std::max<std::size_t>(reader.feed(piece), 1);
         reader.takeBody();
     }
     EXPECT_NE(reader.fault(), HttpParseError::None);
