[Proxy] Read on behind an open request, so that a close behind more than the sockets hold is noticed

Callers saw: an endpoint worked on, until its deadline, for a caller that had sent more than 256 KB behind its request and left. The kernel learns of a close only once it has taken all bytes before it, and it takes no more while nothing is read. Fix: what follows beyond 256 KB is read and dropped, 1 MB in 100 ms at most, so that the close is reached. Since requests are dropped the connection ends with the response, which says so. What was kept is freed at once. Lingering reads again, so that such a caller's answer isn't reset away.

--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -4,7 +4,7 @@
 /// A caller's connection: reads requests one after another and writes the responses.
 ///
 /// It keeps reading while a request is being served, so that a disconnect is noticed at once
-/// and the endpoint's work can be cancelled. Pipelined requests are buffered.
+/// and the endpoint's work can be cancelled. Pipelined requests are buffered, up to a limit.
 
 #include <array>
 #include <deque>
@@ -54,8 +54,9 @@
     std::size_t backlog() const override { return backlog_; }
 
     void read();
-    /// Notices a close while the connection isn't read, until the request has ended.
-    void checkCloseLater();
+    /// Reads and drops what follows the open request, at a limited rate, until the response is
+    /// written. The connection ends with it.
+    void dropPipelined();
     void onRead(const ErrorCode &error, std::size_t bytes);
     void readRequest();
     void beginExchange();
@@ -75,7 +76,7 @@
     boost::asio::ip::tcp::socket socket_;
     ClosedHandler closed_;
     DeadlineTimer timer_;
-    DeadlineTimer closeCheck_;
+    DeadlineTimer dropTimer_;
     std::array<char, 8192> readBuffer_;
     std::string unparsed_; ///< received bytes that aren't parsed yet
     std::optional<RequestReader> reader_;
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -15,10 +15,14 @@
 
 namespace {
 
-/// Maximum bytes of pipelined requests that are buffered while one is served. Beyond it the
-/// connection isn't read; whether the caller has left is then checked at this interval.
+/// Maximum bytes of pipelined requests that are buffered while one is served. Beyond it they are
+/// read and dropped, and the connection ends with the response: a close behind bytes that stay in
+/// the peer's socket can't be noticed.
 constexpr std::size_t MaxPipelinedBytes = 256 * 1024;
-constexpr Interval CloseCheckInterval = std::chrono::milliseconds(100);
+
+/// Maximum bytes that are dropped in one interval.
+constexpr std::size_t MaxDroppedBytes = 1024 * 1024;
+constexpr Interval DropInterval = std::chrono::milliseconds(100);
 
 /// Approximate size of a request's head, for accounting the link's load.
 constexpr uint64_t HeadBytes = 500;
@@ -74,7 +78,7 @@
 
 CallerConnection::CallerConnection(ProxyContext &context, tcp::socket socket, ClosedHandler closed)
     : context_(context), socket_(std::move(socket)), closed_(std::move(closed)), timer_(context.io),
-      closeCheck_(context.io)
+      dropTimer_(context.io)
 {}
 
 void CallerConnection::start()
@@ -92,7 +96,9 @@
         return;
     }
     if (unparsed_.size() > MaxPipelinedBytes) {
-        checkCloseLater();
+        if (exchange_) {
+            dropPipelined();
+        }
         return;
     }
     reading_ = true;
@@ -103,14 +109,27 @@
                             });
 }
 
-void CallerConnection::checkCloseLater()
+void CallerConnection::dropPipelined()
 {
-    closeCheck_.arm(std::chrono::steady_clock::now() + CloseCheckInterval,
-                    [self = shared_from_this()] {
-                        if (self->exchange_ && !self->checkCallerGone()) {
-                            self->checkCloseLater();
-                        }
-                    });
+    if (!unparsed_.empty()) {
+        context_.log.write(Event("caller.pipeline_dropped"));
+    }
+    keepAlive_ = false;
+    unparsed_.clear();
+    unparsed_.shrink_to_fit();
+    ErrorCode error;
+    for (std::size_t dropped = 0; dropped < MaxDroppedBytes && !error;) {
+        dropped += socket_.read_some(asio::buffer(readBuffer_), error);
+    }
+    if (error && error != asio::error::would_block) {
+        onPeerClosed(error);
+        return;
+    }
+    dropTimer_.arm(std::chrono::steady_clock::now() + DropInterval, [self = shared_from_this()] {
+        if (!self->lingering_) {
+            self->dropPipelined();
+        }
+    });
 }
 
 void CallerConnection::onRead(const ErrorCode &error, std::size_t bytes)
@@ -399,6 +418,8 @@
             socket_.shutdown(tcp::socket::shutdown_send, ignored);
             lingering_ = true;
             armTimer(LingerTime);
+            unparsed_.clear();
+            read();
         }
         return;
     }
@@ -436,7 +457,7 @@
     }
     isClosed_ = true;
     timer_.disarm();
-    closeCheck_.disarm();
+    dropTimer_.disarm();
     ErrorCode ignored;
     socket_.close(ignored);
     const auto self = shared_from_this();
--- a/unittests/Proxy/CallerGoneTest.cpp
+++ b/unittests/Proxy/CallerGoneTest.cpp
@@ -188,20 +188,67 @@
     EXPECT_EQ(drain(), 0U);
 }
 
+struct PipeliningCase
+{
+    const char *name;
+    std::size_t bytes; ///< behind the open request
+};
+
+class PipeliningCaller : public testing::TestWithParam<PipeliningCase>
+{};
+
+const PipeliningCase PipeliningCases[] = {
+        {"MoreThanIsBuffered", 300 * 1024},
+        {"MoreThanTheSocketsHold", 8 * 1024 * 1024},
+};
+
 // Guards against work for a caller that left after it had sent more than is buffered behind its
-// request.
-TEST(PipeliningCaller, IsNoticedWhenItLeaves)
+// request: a close behind bytes that the kernel doesn't take can't be noticed.
+TEST_P(PipeliningCaller, IsNoticedWhenItLeaves)
 {
     ProxyTestHarness harness({{{"", AfterReply::Hang}}});
     harness.send(ProxyTestHarness::request("/get/a", "r"));
     ASSERT_TRUE(runUntilReplied(harness, 0, 1));
-    harness.send(std::string(300 * 1024, 'x'));
-    harness.io.run_for(std::chrono::milliseconds(50));
+    harness.sendWhileTaken(GetParam().bytes);
     harness.closeCaller();
     EXPECT_TRUE(
             harness.waitUntil([&] { return harness.countLogLines("request.caller_gone") == 1; }));
 }
 
+// Guards against an answer that is lost because its caller sent more behind the request than is
+// buffered, and against requests of which only a part was kept.
+TEST_P(PipeliningCaller, GetsItsAnswerAndIsToldThatTheRestIsDropped)
+{
+    ProxyTestHarness harness({{{Good}, {Good}}});
+    harness.tokenReservations.isDelayed = true;
+    harness.send(ProxyTestHarness::request("/get/a", "r"));
+    ASSERT_TRUE(harness.waitUntil([&] { return harness.tokenReservations.delayed != nullptr; }));
+    EXPECT_EQ(harness.sendWhileTaken(GetParam().bytes), GetParam().bytes);
+    harness.tokenReservations.delayed();
+    EXPECT_TRUE(harness.waitForClose());
+    EXPECT_FALSE(harness.wasReset());
+    EXPECT_NE(harness.received().find("Connection: close"), std::string::npos);
+    EXPECT_NE(harness.received().find("good"), std::string::npos);
+    EXPECT_EQ(requestsReceived(harness), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, PipeliningCaller, testing::ValuesIn(PipeliningCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+// Guards against reading without a limit what a caller sends behind an open request.
+TEST(EndlessPipeline, IsReadAtALimitedRate)
+{
+    constexpr std::size_t MaxBytesPerSecond = 10 * 1024 * 1024;
+    constexpr std::size_t SocketBytes = 8 * 1024 * 1024;
+    ProxyTestHarness harness({{{"", AfterReply::Hang}}});
+    harness.send(ProxyTestHarness::request("/get/a", "r"));
+    ASSERT_TRUE(runUntilReplied(harness, 0, 1));
+    const Instant begin = std::chrono::steady_clock::now();
+    const std::size_t sent = harness.sendWhileTaken(4 * SocketBytes);
+    const std::chrono::duration<double> time = std::chrono::steady_clock::now() - begin;
+    EXPECT_LE(static_cast<double>(sent), MaxBytesPerSecond * time.count() + SocketBytes);
+}
+
 INSTANTIATE_TEST_SUITE_P(WhileAwaiting, CallerGone, testing::ValuesIn(CallerGoneCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -276,6 +276,27 @@
     boost::asio::write(caller_, boost::asio::buffer(bytes));
 }
 
+std::size_t ProxyTestHarness::sendWhileTaken(std::size_t limit)
+{
+    constexpr Interval MaxPause = std::chrono::milliseconds(200);
+    const std::string piece(64 * 1024, 'x');
+    caller_.non_blocking(true);
+    std::size_t sent = 0;
+    Instant pausesUntil = std::chrono::steady_clock::now() + MaxPause;
+    while (sent < limit && std::chrono::steady_clock::now() < pausesUntil) {
+        error_code error;
+        const std::size_t bytes = caller_.write_some(
+                boost::asio::buffer(piece.data(), std::min(piece.size(), limit - sent)), error);
+        sent += bytes;
+        if (bytes > 0) {
+            pausesUntil = std::chrono::steady_clock::now() + MaxPause;
+        }
+        io.restart();
+        io.run_one_for(std::chrono::milliseconds(1));
+    }
+    return sent;
+}
+
 void ProxyTestHarness::readAsCaller()
 {
     caller_.async_read_some(boost::asio::buffer(buffer_),
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -189,6 +189,8 @@
 
     /// Writes \p bytes as the caller.
     void send(const std::string &bytes);
+    /// Sends up to \p limit bytes, until the proxy takes none for 200 ms. \returns those sent.
+    std::size_t sendWhileTaken(std::size_t limit);
     /// Runs until the caller has received \p text, its connection is closed or a timeout
     /// passes. \returns whether the text was received.
     bool waitFor(const std::string &text);
--- a/unittests/Service/SettingsPageTest.cpp
+++ b/unittests/Service/SettingsPageTest.cpp
@@ -36,6 +36,8 @@
         "A request beyond them is answered with 400 and its connection closed; an answer beyond "
         "them is its\n"
         "endpoint's failure. After a refusal 256 KB at most are read on from a caller, for 0.5 s.\n"
+        "Behind an open request 256 KB are kept; beyond that all is dropped, 10 MB/s at most are\n"
+        "read, and the connection ends with the response.\n"
         "Handshakes of relays (4 KB) and requests for status pages (8 KB) have no body.\n";
 
 struct Suffix
