[Test] Rows of crashing parts that fail: kept ids, a restart of all hosts, relays, listeners, cuts

SEQUOIAGATE_FLEET_SEEDS=FIRST:COUNT plays other seeds. The rows that were there before are unchanged and draw the same random numbers.

--- a/unittests/Decisions/CrashingPartsTest.cpp
+++ b/unittests/Decisions/CrashingPartsTest.cpp
@@ -1,32 +1,21 @@
 /// Whether fleets of several sizes find the part of prompts that crashes endpoints, before it
 /// crashes many, and don't blame any other one.
 
-#include <map>
-#include <memory>
-#include <random>
 #include <set>
 #include <tuple>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include "sequoiagate/Base/Rendezvous.h"
+#include "SimulatedFleet.h"
 #include "sequoiagate/Decisions/CrashingParts.h"
 
 using namespace sequoiagate;
+using namespace sequoiagate::crashing;
 
 namespace {
 
-const ServiceId S("s");
-const Instant Start{std::chrono::hours(1)};
-constexpr uint64_t BadPart = 0xBAD;
-constexpr uint64_t SecondBadPart = 0xBAD2;
-constexpr int Domains = 3;
-constexpr Interval Step = std::chrono::milliseconds(5);
-constexpr Interval UntilWritten = std::chrono::milliseconds(400);
-constexpr Interval UntilCrash = std::chrono::milliseconds(60);
-constexpr Interval StableTime = std::chrono::seconds(3); ///< the rules' stable-ms
-constexpr Interval RestartDelay = std::chrono::seconds(3);
+const ServiceId &S = Service;
 
 template <typename Case>
 std::string nameOf(const std::tuple<Case, uint64_t> &row)
@@ -34,280 +23,6 @@
     return fmt::format("{}Seed{}", std::get<0>(row).name, std::get<1>(row));
 }
 
-Interval millis(int count)
-{
-    return std::chrono::milliseconds(count);
-}
-
-struct FleetShape
-{
-    int hosts = 6;
-    int endpoints = 9;
-    int soundPerSecond = 100;
-    double loss = 0.0; ///< share of the datagrams that are lost
-    Interval untilCrash = UntilCrash;
-};
-
-/// First attempts of sound requests.
-struct SoundRequests
-{
-    int sent = 0;
-    int served = 0;
-};
-
-/// Hosts, endpoints and callers in simulated time.
-class SimulatedFleet
-{
-public:
-    explicit SimulatedFleet(FleetShape shape, uint64_t seed = 1) : shape_(shape), random_(seed)
-    {
-        for (int i = 0; i < shape.hosts; ++i) {
-            places_.push_back(
-                    {HostId(fmt::format("h{}", i)), DomainId(fmt::format("d{}", i % Domains))});
-        }
-        for (int i = 0; i < shape.hosts; ++i) {
-            startHost(i);
-        }
-        endpoints_.resize(static_cast<std::size_t>(shape.endpoints));
-    }
-
-    void startHost(int number)
-    {
-        const HostPlace &self = places_.at(static_cast<std::size_t>(number));
-        auto host = std::make_unique<CrashingParts>(CrashingPartsSettings{self.host, self.domain});
-        host->sendReport = [this](const HostId &to, const CrashReport &report) {
-            deliver(to, [this, to, report] { at(to).onReport(report, now_); });
-        };
-        host->broadcastInquiry = [this, from = self.host](const PartInquiry &inquiry) {
-            for (const HostPlace &place : places_) {
-                deliver(place.host, [this, from, to = place.host, inquiry] {
-                    const auto response = at(to).onInquiry(inquiry);
-                    if (response && to != from) {
-                        deliver(from, [this, from, response] {
-                            at(from).onInquiryResponse(*response, now_);
-                        });
-                    }
-                });
-            }
-        };
-        host->broadcastQuarantine = [this](const Quarantine &quarantine) {
-            for (const HostPlace &place : places_) {
-                deliver(place.host, [this, to = place.host, quarantine] {
-                    at(to).onQuarantine(quarantine, now_);
-                });
-            }
-        };
-        std::vector<HostPlace> others;
-        for (const HostPlace &place : places_) {
-            if (place.host != self.host) {
-                others.push_back(place);
-            }
-        }
-        host->setHosts(others);
-        hosts_[self.host] = std::move(host);
-    }
-
-    /// Sends a prompt by any host to any endpoint that is up.
-    void send(const std::vector<uint64_t> &parts, bool isRepeat = false)
-    {
-        const HostId &host = places_[random_() % places_.size()].host;
-        const bool isSoundFirst = !isRepeat && badPart(parts) == 0;
-        sound_.sent += isSoundFirst ? 1 : 0;
-        if (at(host).find(S, parts, now_) != nullptr) {
-            ++refused;
-            return;
-        }
-        std::vector<std::size_t> up;
-        for (std::size_t i = 0; i < endpoints_.size(); ++i) {
-            if (now_ >= endpoints_[i].downUntil) {
-                up.push_back(i);
-            }
-        }
-        if (up.empty()) {
-            return;
-        }
-        const std::size_t endpoint = up[random_() % up.size()];
-        endpoints_[endpoint].open.push_back({host, parts, now_, isRepeat});
-        if (badPart(parts) != 0) {
-            const uint64_t bad = badPart(parts);
-            badArrivals[bad].push_back(now_);
-            queue_.emplace(now_ + shape_.untilCrash,
-                           [this, endpoint, bad, starts = endpoints_[endpoint].starts] {
-                               if (endpoints_[endpoint].starts == starts) {
-                                   crash(endpoint);
-                                   badCrashes[bad].push_back(now_);
-                               }
-                           });
-        }
-    }
-
-    void crash(std::size_t number)
-    {
-        Endpoint &endpoint = endpoints_[number];
-        if (now_ < endpoint.downUntil) {
-            return;
-        }
-        const EndpointId id(fmt::format("e{}-{}", number, endpoint.starts++));
-        endpoint.downUntil = now_ + RestartDelay;
-        for (const Request &request : std::exchange(endpoint.open, {})) {
-            if (now_ < request.sentAt + UntilWritten
-                && at(request.host).onConnectionLost(S, id, request.parts, request.sentAt, now_)) {
-                queue_.emplace(now_ + millis(2), [this, host = request.host, id] {
-                    at(host).onEndpointProbed(id, true, now_);
-                });
-            }
-            if (!request.isRepeat) {
-                queue_.emplace(now_ + millis(50),
-                               [this, parts = request.parts] { send(parts, true); });
-            }
-        }
-    }
-
-    void crashShare(int percent)
-    {
-        for (std::size_t i = 0; i < endpoints_.size(); ++i) {
-            if (static_cast<int>(random_() % 100) < percent) {
-                crash(i);
-            }
-        }
-    }
-
-    std::size_t randomEndpoint() { return random_() % endpoints_.size(); }
-    uint64_t random(uint64_t below) { return random_() % below; }
-    Instant now() const { return now_; }
-    std::size_t sent() const { return sent_; }
-    /// Those since the last call.
-    SoundRequests takeSoundRequests() { return std::exchange(sound_, {}); }
-
-    /// Lets time pass, with sound callers.
-    void run(Interval time)
-    {
-        const Instant end = now_ + time;
-        while (now_ < end) {
-            now_ += Step;
-            while (!queue_.empty() && queue_.begin()->first <= now_) {
-                const std::function<void()> handle = std::move(queue_.begin()->second);
-                queue_.erase(queue_.begin());
-                handle();
-            }
-            soundDue_ += shape_.soundPerSecond * std::chrono::duration<double>(Step).count();
-            for (; soundDue_ >= 1.0; soundDue_ -= 1.0) {
-                send({1 + random_() % 4, 1000 + random_() % 190});
-            }
-            complete();
-            for (const auto &[id, host] : hosts_) {
-                if (now_ >= host->nextDeadline()) {
-                    host->tick(now_);
-                }
-            }
-            gossip();
-        }
-    }
-
-    /// The parts that some host has quarantined.
-    std::set<PartKey> quarantined()
-    {
-        std::set<PartKey> parts;
-        for (const auto &[id, host] : hosts_) {
-            for (const Quarantine &quarantine : host->quarantines(now_)) {
-                parts.insert(quarantine.part);
-            }
-        }
-        return parts;
-    }
-
-    bool knowsAll(int host, const std::vector<uint64_t> &parts)
-    {
-        return at(places_.at(static_cast<std::size_t>(host)).host).find(S, parts, now_) != nullptr;
-    }
-
-    int refused = 0;
-    std::map<uint64_t, std::vector<Instant>> badArrivals; ///< by part
-    std::map<uint64_t, std::vector<Instant>> badCrashes;
-
-private:
-    struct Request
-    {
-        HostId host;
-        std::vector<uint64_t> parts;
-        Instant sentAt{};
-        bool isRepeat = false;
-    };
-
-    struct Endpoint
-    {
-        int starts = 0;
-        Instant downUntil{};
-        std::vector<Request> open;
-    };
-
-    /// The part that crashes endpoints; 0: none does.
-    static uint64_t badPart(const std::vector<uint64_t> &parts)
-    {
-        const auto found = std::find_if(parts.begin(), parts.end(), [](uint64_t part) {
-            return part == BadPart || part == SecondBadPart;
-        });
-        return found == parts.end() ? 0 : *found;
-    }
-
-    CrashingParts &at(const HostId &host) { return *hosts_.at(host); }
-
-    void deliver(const HostId &, std::function<void()> arrive)
-    {
-        ++sent_;
-        if (std::uniform_real_distribution<>(0.0, 1.0)(random_) < shape_.loss) {
-            return;
-        }
-        const std::chrono::microseconds delay(500 + random_() % 3000);
-        queue_.emplace(now_ + delay, std::move(arrive));
-    }
-
-    void complete()
-    {
-        for (Endpoint &endpoint : endpoints_) {
-            std::erase_if(endpoint.open, [this](const Request &request) {
-                if (now_ < request.sentAt + UntilWritten) {
-                    return false;
-                }
-                at(request.host).onAnswerWritten(S, request.parts, now_);
-                sound_.served += !request.isRepeat && badPart(request.parts) == 0 ? 1 : 0;
-                return true;
-            });
-        }
-    }
-
-    void gossip()
-    {
-        if (now_ < nextGossipAt_) {
-            return;
-        }
-        nextGossipAt_ = now_ + millis(500);
-        for (const auto &[id, host] : hosts_) {
-            for (const Quarantine &quarantine : host->quarantines(now_)) {
-                for (int i = 0; i < 3; ++i) {
-                    const HostId &to = places_[random_() % places_.size()].host;
-                    deliver(to, [this, to, quarantine] { at(to).onQuarantine(quarantine, now_); });
-                }
-            }
-        }
-    }
-
-    FleetShape shape_;
-    std::mt19937_64 random_;
-    Instant now_ = Start;
-    Instant nextGossipAt_{};
-    double soundDue_ = 0.0;
-    std::vector<HostPlace> places_;
-    std::map<HostId, std::unique_ptr<CrashingParts>> hosts_;
-    std::vector<Endpoint> endpoints_;
-    std::multimap<Instant, std::function<void()>> queue_;
-    std::size_t sent_ = 0;
-    SoundRequests sound_;
-};
-
-constexpr FleetShape Small{6, 9, 100, 0.0};
-constexpr FleetShape Large{195, 116, 1500, 0.0};
-
 struct BadPartCase
 {
     const char *name;
@@ -351,6 +66,23 @@
          {BadPart}},
         SlowToBeginWithFewCallers,
         {"AmongOrdinaryCrashes", Small, {{1, BadPart}}, 700, {BadPart}, true},
+        // Guards against counting the crashes of endpoints that start again under their ids as one.
+        {"FourEndpointsKeepTheirIds",
+         {.endpoints = 4, .keepsIds = true},
+         {{1, BadPart}},
+         700,
+         {BadPart}},
+        {"TwoEndpointsKeepTheirIds",
+         {.endpoints = 2, .keepsIds = true},
+         {{1, BadPart}},
+         1500,
+         {BadPart}},
+        // Guards against crashes that tell nothing since other hosts relay the requests.
+        {"HalfAreRelayed", {.relayed = 0.5}, {{1, BadPart}}, 700, {BadPart}},
+        {"MostAreRelayed", {.relayed = 0.9}, {{1, BadPart}}, 700, {BadPart}},
+        // Guards against taking what listens at the address of a crashed endpoint for the endpoint.
+        {"HalfOfTheAddressesListen", {.listening = 0.5}, {{1, BadPart}}, 700, {BadPart}},
+        {"MostAddressesListen", {.listening = 0.9}, {{1, BadPart}}, 700, {BadPart}},
 };
 
 /// When a fleet is to know a part: at its fifth crash, or at the last if there are fewer.
@@ -421,7 +153,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Rows, BadParts,
                          testing::Combine(testing::ValuesIn(BadPartCases),
-                                          testing::Range<uint64_t>(1, 5)),
+                                          testing::ValuesIn(fleetSeeds())),
                          [](const auto &row) { return nameOf(row.param); });
 
 struct OrdinaryCase
@@ -468,6 +200,21 @@
         {"MostOfTheTime", Small, 400, 200, crashInTurn},
         {"MostOfTheTimeAtRandom", Small, 400, 200, crashOne},
         {"MostOfTheTimeWithFewCallers", {6, 9, 8, 0.0}, 400, 200, crashInTurn},
+        {"OneByOneUnderKeptIds", {.keepsIds = true}, 1000, 100, crashOne},
+        {"AThirdAtOnceUnderKeptIds", {.keepsIds = true}, 4000, 60, crashAThird},
+        {"AllAtOnceUnderKeptIds", {.keepsIds = true}, 5000, 25, crashAll},
+        {"MostOfTheTimeUnderKeptIds", {.keepsIds = true}, 400, 200, crashInTurn},
+        {"MostOfTheTimeAtRandomUnderKeptIds", {.keepsIds = true}, 400, 200, crashOne},
+        {"MostOfTheTimeWithFewCallersUnderKeptIds",
+         {.soundPerSecond = 8, .keepsIds = true},
+         400,
+         200,
+         crashInTurn},
+        {"FewEndpointsOneByOneUnderKeptIds",
+         {.endpoints = 4, .keepsIds = true},
+         1500,
+         60,
+         crashOne},
 };
 
 // Guards against refusing prompts because endpoints crashed for another reason.
@@ -486,7 +233,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Rows, OrdinaryCrashes,
                          testing::Combine(testing::ValuesIn(OrdinaryCases),
-                                          testing::Range<uint64_t>(1, 5)),
+                                          testing::ValuesIn(fleetSeeds())),
                          [](const auto &row) { return nameOf(row.param); });
 
 // Guards against a part that is never found because most requests are lost with it.
@@ -518,6 +265,45 @@
 INSTANTIATE_TEST_SUITE_P(Rows, JoiningHosts, testing::Values(Small, Large),
                          [](const auto &row) { return fmt::format("Hosts{}", row.param.hosts); });
 
+struct AllStartAgainCase
+{
+    const char *name;
+    FleetShape shape;
+    int everyMs;
+};
+
+class AllHostsStartAgain : public testing::TestWithParam<std::tuple<AllStartAgainCase, uint64_t>>
+{};
+
+// Guards against forgetting a part when all hosts lose their memory at the same moment.
+TEST_P(AllHostsStartAgain, StillRefuseThePart)
+{
+    const auto &[row, seed] = GetParam();
+    SimulatedFleet fleet(row.shape, seed);
+    fleet.run(std::chrono::seconds(3));
+    const auto play = [&fleet, everyMs = row.everyMs](Interval time) {
+        for (const Instant end = fleet.now() + time; fleet.now() < end;) {
+            fleet.send({1, BadPart});
+            fleet.run(millis(everyMs));
+        }
+    };
+    play(std::chrono::seconds(11));
+    ASSERT_TRUE(fleet.knowsAll(0, {1, BadPart}));
+    ASSERT_GE(fleet.badCrashes[BadPart].size(), 1U);
+    const std::size_t arrivals = fleet.badArrivals[BadPart].size();
+    fleet.startAllHosts();
+    play(std::chrono::seconds(14));
+    EXPECT_LE(fleet.badArrivals[BadPart].size() - arrivals, 3U);
+    EXPECT_TRUE(fleet.knowsAll(0, {1, BadPart}));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, AllHostsStartAgain,
+        testing::Combine(testing::Values(AllStartAgainCase{"SmallFleet", Small, 700},
+                                         AllStartAgainCase{"SixtyHosts", {60, 60, 500}, 100}),
+                         testing::ValuesIn(fleetSeeds())),
+        [](const auto &row) { return nameOf(row.param); });
+
 /// One host, which reports to nobody.
 class LoneHost : public testing::Test
 {
--- /dev/null
+++ b/unittests/Decisions/SimulatedFleet.cpp
@@ -0,0 +1,346 @@
+#include "SimulatedFleet.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <numeric>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace sequoiagate::crashing {
+
+namespace {
+
+constexpr Interval Step = std::chrono::milliseconds(5);
+constexpr Interval UntilWritten = std::chrono::milliseconds(400);
+constexpr Interval RestartDelay = std::chrono::seconds(3);
+constexpr Interval UntilProbed = std::chrono::milliseconds(2);
+constexpr Interval UntilRepeated = std::chrono::milliseconds(50);
+/// How long a host leaves out an endpoint that it doesn't reach.
+constexpr Interval AvoidedTime = std::chrono::seconds(1);
+
+/// The part that crashes endpoints; 0: none does.
+uint64_t badPart(const std::vector<uint64_t> &parts)
+{
+    const auto found = std::find_if(parts.begin(), parts.end(), [](uint64_t part) {
+        return part == BadPart || part == SecondBadPart;
+    });
+    return found == parts.end() ? 0 : *found;
+}
+
+} // namespace
+
+std::vector<uint64_t> fleetSeeds()
+{
+    constexpr std::size_t FewSeeds = 4;
+    uint64_t first = 1;
+    std::size_t count = FewSeeds;
+    if (const char *const text = std::getenv("SEQUOIAGATE_FLEET_SEEDS")) {
+        const std::string range(text);
+        const std::size_t colon = range.find(':');
+        first = std::stoull(range);
+        count = colon == std::string::npos ? 1 : std::stoull(range.substr(colon + 1));
+    }
+    std::vector<uint64_t> seeds(count);
+    std::iota(seeds.begin(), seeds.end(), first);
+    return seeds;
+}
+
+SimulatedFleet::SimulatedFleet(FleetShape shape, uint64_t seed) : shape_(shape), random_(seed)
+{
+    for (int i = 0; i < shape.hosts; ++i) {
+        places_.push_back(
+                {HostId(fmt::format("h{}", i)), DomainId(fmt::format("d{}", i % Domains))});
+    }
+    startAllHosts();
+    endpoints_.resize(static_cast<std::size_t>(shape.endpoints));
+}
+
+void SimulatedFleet::startHost(int number)
+{
+    const HostPlace &self = places_.at(static_cast<std::size_t>(number));
+    auto host = std::make_unique<CrashingParts>(CrashingPartsSettings{self.host, self.domain});
+    host->sendReport = [this, from = self.host](const HostId &to, const CrashReport &report) {
+        deliver(from, to, [this, to, report] { at(to).onReport(report, now_); });
+    };
+    host->broadcastInquiry = [this, from = self.host](const PartInquiry &inquiry) {
+        for (const HostPlace &place : places_) {
+            deliver(from, place.host, [this, from, to = place.host, inquiry] {
+                const auto response = at(to).onInquiry(inquiry);
+                if (response && to != from) {
+                    deliver(to, from, [this, from, response] {
+                        at(from).onInquiryResponse(*response, now_);
+                    });
+                }
+            });
+        }
+    };
+    host->broadcastQuarantine = [this, from = self.host](const Quarantine &quarantine) {
+        for (const HostPlace &place : places_) {
+            deliver(from, place.host,
+                    [this, to = place.host, quarantine] { at(to).onQuarantine(quarantine, now_); });
+        }
+    };
+    std::vector<HostPlace> others;
+    for (const HostPlace &place : places_) {
+        if (place.host != self.host) {
+            others.push_back(place);
+        }
+    }
+    host->setHosts(others);
+    hosts_[self.host] = std::move(host);
+}
+
+void SimulatedFleet::startAllHosts()
+{
+    for (int i = 0; i < shape_.hosts; ++i) {
+        startHost(i);
+    }
+}
+
+int SimulatedFleet::numberOf(const HostId &host) const
+{
+    const auto found = std::find_if(places_.begin(), places_.end(),
+                                    [&host](const auto &place) { return place.host == host; });
+    return static_cast<int>(found - places_.begin());
+}
+
+EndpointId SimulatedFleet::idOfEndpoint(std::size_t number, int starts) const
+{
+    return EndpointId(shape_.keepsIds ? fmt::format("e{}", number)
+                                      : fmt::format("e{}-{}", number, starts));
+}
+
+bool SimulatedFleet::canReach(int host, std::size_t endpoint) const
+{
+    if (!isCut()) {
+        return true;
+    }
+    if (cut_.endpoints == Cut::Endpoints::All) {
+        return !isBehind(host);
+    }
+    const bool isEndpointBehind = cut_.domains.count(static_cast<int>(endpoint) % Domains) > 0;
+    return isBehind(host) == isEndpointBehind;
+}
+
+bool SimulatedFleet::canHear(int from, int to) const
+{
+    if (!isCut() || cut_.datagrams == Cut::Datagrams::Pass || isBehind(from) == isBehind(to)) {
+        return true;
+    }
+    return cut_.datagrams == Cut::Datagrams::Inbound && !isBehind(to);
+}
+
+bool SimulatedFleet::chance(double share)
+{
+    return share > 0.0 && std::uniform_real_distribution<>(0.0, 1.0)(random_) < share;
+}
+
+void SimulatedFleet::send(const std::vector<uint64_t> &parts, bool isRepeat)
+{
+    const auto host = static_cast<int>(random_() % places_.size());
+    const bool isSoundFirst = !isRepeat && badPart(parts) == 0;
+    sound_.sent += isSoundFirst ? 1 : 0;
+    if (at(idOf(host)).find(Service, parts, now_) != nullptr) {
+        ++refused;
+        return;
+    }
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+        const auto avoided = avoidedUntil_.find({host, i});
+        const bool isAvoided = avoided != avoidedUntil_.end() && now_ < avoided->second;
+        if (now_ >= endpoints_[i].downUntil && !isAvoided) {
+            up.push_back(i);
+        }
+    }
+    if (!up.empty()) {
+        sendTo(up[random_() % up.size()], {host, parts, now_, isRepeat, chance(shape_.relayed)});
+    }
+}
+
+void SimulatedFleet::sendBy(int host, const std::vector<uint64_t> &parts)
+{
+    if (at(idOf(host)).find(Service, parts, now_) != nullptr) {
+        ++refused;
+        return;
+    }
+    const std::size_t endpoint = randomEndpoint();
+    if (now_ >= endpoints_[endpoint].downUntil) {
+        sendTo(endpoint, {host, parts, now_, true, false});
+    }
+}
+
+void SimulatedFleet::sendTo(std::size_t endpoint, Request request)
+{
+    const int starts = endpoints_[endpoint].starts;
+    if (!canReach(request.host, endpoint)) {
+        avoidedUntil_[{request.host, endpoint}] = now_ + AvoidedTime;
+        queue_.emplace(now_ + cut_.untilLost, [this, endpoint, starts, request] {
+            lose(request, endpoint, starts);
+            if (!request.isRepeat) {
+                send(request.parts, true);
+            }
+        });
+        return;
+    }
+    const uint64_t bad = badPart(request.parts);
+    endpoints_[endpoint].open.push_back(std::move(request));
+    if (bad == 0) {
+        return;
+    }
+    badArrivals[bad].push_back(now_);
+    queue_.emplace(now_ + shape_.untilCrash, [this, endpoint, bad, starts] {
+        if (endpoints_[endpoint].starts == starts) {
+            crash(endpoint);
+            badCrashes[bad].push_back(now_);
+        }
+    });
+}
+
+void SimulatedFleet::lose(const Request &request, std::size_t endpoint, int starts)
+{
+    if (request.isRelayed) {
+        return;
+    }
+    const EndpointId id = idOfEndpoint(endpoint, starts);
+    CrashingParts &host = at(idOf(request.host));
+    if (!host.onConnectionLost(Service, id, request.parts, request.sentAt, now_)) {
+        return;
+    }
+    const bool hasEnded = !chance(shape_.listening);
+    queue_.emplace(now_ + UntilProbed, [this, to = idOf(request.host), id, hasEnded] {
+        at(to).onEndpointProbed(id, hasEnded, now_);
+    });
+}
+
+void SimulatedFleet::beginCut()
+{
+    isCutBegun_ = true;
+    for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+        std::vector<Request> kept;
+        for (const Request &request : std::exchange(endpoints_[i].open, {})) {
+            if (canReach(request.host, i)) {
+                kept.push_back(request);
+                continue;
+            }
+            queue_.emplace(now_ + cut_.untilLost, [this, i, starts = endpoints_[i].starts,
+                                                   request] { lose(request, i, starts); });
+        }
+        endpoints_[i].open = std::move(kept);
+    }
+}
+
+void SimulatedFleet::crash(std::size_t number)
+{
+    Endpoint &endpoint = endpoints_[number];
+    if (now_ < endpoint.downUntil) {
+        return;
+    }
+    const int starts = endpoint.starts++;
+    endpoint.downUntil = now_ + RestartDelay;
+    for (const Request &request : std::exchange(endpoint.open, {})) {
+        if (now_ < request.sentAt + UntilWritten) {
+            lose(request, number, starts);
+        }
+        if (!request.isRepeat) {
+            queue_.emplace(now_ + UntilRepeated,
+                           [this, parts = request.parts] { send(parts, true); });
+        }
+    }
+}
+
+void SimulatedFleet::crashShare(int percent)
+{
+    for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+        if (static_cast<int>(random_() % 100) < percent) {
+            crash(i);
+        }
+    }
+}
+
+void SimulatedFleet::run(Interval time)
+{
+    const Instant end = now_ + time;
+    while (now_ < end) {
+        now_ += Step;
+        if (isCut() && !isCutBegun_) {
+            beginCut();
+        }
+        while (!queue_.empty() && queue_.begin()->first <= now_) {
+            const std::function<void()> handle = std::move(queue_.begin()->second);
+            queue_.erase(queue_.begin());
+            handle();
+        }
+        soundDue_ += shape_.soundPerSecond * std::chrono::duration<double>(Step).count();
+        for (; soundDue_ >= 1.0; soundDue_ -= 1.0) {
+            const uint64_t first = 1 + random_() % 4;
+            send({first, 1000 + random_() % 190});
+        }
+        complete();
+        for (const auto &[id, host] : hosts_) {
+            if (now_ >= host->nextDeadline()) {
+                host->tick(now_);
+            }
+        }
+        gossip();
+    }
+}
+
+std::set<PartKey> SimulatedFleet::quarantined() const
+{
+    std::set<PartKey> parts;
+    for (const auto &[id, host] : hosts_) {
+        for (const Quarantine &quarantine : host->quarantines(now_)) {
+            parts.insert(quarantine.part);
+        }
+    }
+    return parts;
+}
+
+bool SimulatedFleet::knowsAll(int host, const std::vector<uint64_t> &parts)
+{
+    return at(idOf(host)).find(Service, parts, now_) != nullptr;
+}
+
+void SimulatedFleet::deliver(const HostId &from, const HostId &to, std::function<void()> arrive)
+{
+    ++sent_;
+    if (std::uniform_real_distribution<>(0.0, 1.0)(random_) < shape_.loss
+        || (isCut() && !canHear(numberOf(from), numberOf(to)))) {
+        return;
+    }
+    const std::chrono::microseconds delay(500 + random_() % 3000);
+    queue_.emplace(now_ + delay, std::move(arrive));
+}
+
+void SimulatedFleet::complete()
+{
+    for (Endpoint &endpoint : endpoints_) {
+        std::erase_if(endpoint.open, [this](const Request &request) {
+            if (now_ < request.sentAt + UntilWritten) {
+                return false;
+            }
+            at(idOf(request.host)).onAnswerWritten(Service, request.parts, now_);
+            sound_.served += !request.isRepeat && badPart(request.parts) == 0 ? 1 : 0;
+            return true;
+        });
+    }
+}
+
+void SimulatedFleet::gossip()
+{
+    if (now_ < nextGossipAt_) {
+        return;
+    }
+    nextGossipAt_ = now_ + millis(500);
+    for (const auto &[id, host] : hosts_) {
+        for (const Quarantine &quarantine : host->quarantines(now_)) {
+            for (int i = 0; i < 3; ++i) {
+                const HostId &to = places_[random_() % places_.size()].host;
+                deliver(id, to, [this, to, quarantine] { at(to).onQuarantine(quarantine, now_); });
+            }
+        }
+    }
+}
+
+} // namespace sequoiagate::crashing
