[Proxy] [Edge] Log what tells the hypotheses about crashing parts apart

For a lost connection the logs named the shared parts and the endpoint. They didn't say which process of the endpoint it was, whether another host relayed the request, which part the prompt ended with, or why a crash told nothing: the address accepted a connection, or the entry was gone. Now request.connection_lost has started_at, relay, age_ms and own_part, endpoint.changed the start, crash.not_counted the reason, and part.inquired each inquiry, so that a part that was suspected and not condemned leaves a line. No decision changes.

--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -115,6 +115,7 @@
     /// Reports that the endpoint has written, or is writing, an answer on the prompt.
     void reportAnswer(Instant now);
     /// Reports a lost connection, if the endpoint had no more than just begun to write.
+    void logLoss(const std::string &detail, Instant now);
     void reportLoss(Instant now);
     void endAttempt(bool succeeded);
     void cancelAttempt(bool succeeded);
--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -58,6 +58,7 @@
         hosts_.send(to, encodeCrashReport(report, std::chrono::steady_clock::now()));
     };
     parts_.broadcastInquiry = [this](const PartInquiry &inquiry) {
+        log_.write(Event("part.inquired").with("part", fmt::format("{:016x}", inquiry.part)));
         hosts_.broadcast(encodePartInquiry(inquiry, std::chrono::steady_clock::now()));
     };
     parts_.broadcastQuarantine = [this](const Quarantine &quarantine) {
@@ -137,7 +138,9 @@
 {
     const auto address = resolve_(endpoint);
     if (!address) {
-        return; // It is leaving.
+        // It is leaving.
+        log_.write(Event("crash.not_counted").with("endpoint", endpoint).with("why", "not_listed"));
+        return;
     }
     const bool isProbed =
             parts_.onConnectionLost(service, endpoint, sharedParts(prompt), sentAt, now);
@@ -170,6 +173,8 @@
     if (hasEnded) {
         log_.write(Event("endpoint.ended").with("endpoint", endpoint));
         metrics_.count("endpoint_crashes_seen_total");
+    } else {
+        log_.write(Event("crash.not_counted").with("endpoint", endpoint).with("why", "listens"));
     }
     parts_.onEndpointProbed(endpoint, hasEnded, std::chrono::steady_clock::now());
     armTimer();
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -142,6 +142,7 @@
                        .with("service", entry.service)
                        .with("version", entry.version)
                        .with("draining", entry.draining)
+                       .with("started_at", entry.startedAtMillis)
                        .with("reborn", restarted));
 }
 
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -61,6 +61,12 @@
     return text;
 }
 
+/// The part of \p prompt that belongs to the request or its session, for logs.
+std::string describeOwn(const std::vector<PromptPart> &prompt)
+{
+    return prompt.empty() ? "" : fmt::format("{:x}", prompt.back().id);
+}
+
 } // namespace
 
 Exchange::Exchange(ProxyContext &context, CallerRequest request, ResponseSink &sink)
@@ -692,14 +698,24 @@
         }
         return;
     }
+    logLoss(detail, now);
+    reportLoss(now);
+    endAttempt(false);
+    retryOrFail(detail);
+}
+
+void Exchange::logLoss(const std::string &detail, Instant now)
+{
+    const auto age = std::chrono::duration_cast<Millis>(now - attempt_->sentAt);
     log(Event("request.connection_lost")
                 .with("endpoint", attempt_->endpoint)
+                .with("started_at", attempt_->startedAtMillis)
+                .with("relay", attempt_->relay)
                 .with("detail", detail)
+                .with("age_ms", age.count())
                 .with("events", forwardedEvents_)
-                .with("shared_parts", describeShared(metadata_.prompt)));
-    reportLoss(now);
-    endAttempt(false);
-    retryOrFail(detail);
+                .with("shared_parts", describeShared(metadata_.prompt))
+                .with("own_part", describeOwn(metadata_.prompt)));
 }
 
 void Exchange::reportAnswer(Instant now)
