--- a/test/Edge/CrashingPromptTest.cpp
+++ b/test/Edge/CrashingPromptTest.cpp
@@ -1,6 +1,7 @@
 /// Prompts with a part that crashes each endpoint that begins to write an answer on it.
 
 #include <atomic>
+#include <iterator>
 #include <list>
 #include <map>
 
@@ -19,17 +20,25 @@
 
 constexpr const char *CrashingPart = "bad0bad0";
 constexpr std::chrono::milliseconds RestartDelay(700);
+/// A restart that takes so long that most endpoints are down until the part is found.
+constexpr std::chrono::milliseconds LongRestartDelay(2500);
 /// How long after the fifth crash requests with the part may still reach endpoints.
 constexpr std::chrono::seconds Settling(3);
 constexpr std::size_t CrashesToLearn = 5;
 constexpr int MaxArrivalsAfterwards = 3;
 
-/// A fleet before endpoints that crash on a part of a prompt, and come back under another id.
+/// How endpoints start again after a crash.
+struct Restarts
+{
+    std::chrono::milliseconds delay = RestartDelay;
+    bool keepsId = false;
+};
+
+/// A fleet before endpoints that crash on a part of a prompt, and come back.
 class CrashingFleet : public EdgeProcess
 {
 protected:
     static constexpr int Hosts = 4;
-    static constexpr int Endpoints = 6;
 
     struct Place
     {
@@ -48,7 +57,11 @@
         resumable["max-attempts"] = 2;
         config["routes"].push_back(resumable);
         store_.put("keyed.op", "config", config.dump());
-        for (int i = 0; i < Endpoints; ++i) {
+    }
+
+    void addEndpoints(int count)
+    {
+        for (int i = 0; i < count; ++i) {
             Place &place = places_.emplace_back();
             place.server =
                     std::make_unique<EndpointStandin>(ip(210 + i), fmt::format("c-{}-0", i), "v1");
@@ -74,7 +87,7 @@
                                    {"slots", 64},
                                    {"state", "ready"},
                                    {"version", "v1"},
-                                   {"born", 1}})
+                                   {"born", 1 + place.starts}})
                            .dump());
     }
 
@@ -89,12 +102,17 @@
         crashes_.push_back(std::chrono::steady_clock::now());
         place.relay->setCut(RelayCut::Reset);
         restarts_.emplace_back([this, &place, number] {
-            std::this_thread::sleep_for(RestartDelay);
+            std::this_thread::sleep_for(restartsOfEndpoints_.delay);
+            ++place.starts;
             const std::string before = place.server->id();
-            place.server->setId(fmt::format("c-{}-{}", number, ++place.starts));
+            if (!restartsOfEndpoints_.keepsId) {
+                place.server->setId(fmt::format("c-{}-{}", number, place.starts));
+            }
             place.relay->setCut(RelayCut::None);
             place.isDown = false;
-            store_.put("keyed.servers", before, "");
+            if (place.server->id() != before) {
+                store_.put("keyed.servers", before, "");
+            }
             listPlace(place);
         });
     }
@@ -151,15 +169,29 @@
     void callBadly(const std::string &path)
     {
         for (int i = 0; !isStopping_; ++i) {
-            const std::string prompt =
-                    fmt::format("f1:120,{}:80,{:x}:100", CrashingPart, 0xA00000 + i);
-            std::thread([path, i, prompt] {
-                stream(1 + i % Hosts, path, fmt::format("b{}", i), prompt);
-            }).detach();
+            std::thread([path, i] { sendBadly(path, i); }).detach();
             std::this_thread::sleep_for(std::chrono::milliseconds(250));
         }
     }
 
+    static void sendBadly(const std::string &path, int number)
+    {
+        const std::string prompt =
+                fmt::format("f1:120,{}:80,{:x}:100", CrashingPart, 0xA00000 + number);
+        stream(1 + number % Hosts, path, fmt::format("b{}", number), prompt);
+    }
+
+    /// A caller who comes back soon after each answer or failure.
+    void insistBadly(const std::string &path, int caller)
+    {
+        constexpr int RequestsPerCaller = 10'000;
+        for (int i = caller * RequestsPerCaller; !isStopping_; ++i) {
+            sendBadly(path, i);
+            std::this_thread::sleep_for(std::chrono::milliseconds(250));
+        }
+    }
+
+    Restarts restartsOfEndpoints_;
     RelayLoop loop_;
     std::list<Place> places_;
     std::mutex mutex_;
@@ -175,6 +207,9 @@
 {
     const char *name;
     const char *path; ///< of all requests
+    Restarts restarts;
+    int endpoints = 6;
+    int insistingCallers = 0; ///< 0: the part comes at a steady rate
 };
 
 class CrashingPrompts : public CrashingFleet, public testing::WithParamInterface<PromptCase>
@@ -185,13 +220,21 @@
 TEST_P(CrashingPrompts, AreKeptFromEndpoints)
 {
     const std::string path = GetParam().path;
+    restartsOfEndpoints_ = GetParam().restarts;
+    addEndpoints(GetParam().endpoints);
     startAll();
     std::vector<std::thread> callers;
     for (int i = 0; i < 10; ++i) {
         callers.emplace_back([this, path, i] { callSoundly(path, i); });
     }
     std::this_thread::sleep_for(std::chrono::seconds(2));
-    std::thread bad([this, path] { callBadly(path); });
+    std::vector<std::thread> bad;
+    for (int i = 0; i < GetParam().insistingCallers; ++i) {
+        bad.emplace_back([this, path, i] { insistBadly(path, i); });
+    }
+    if (bad.empty()) {
+        bad.emplace_back([this, path] { callBadly(path); });
+    }
     const Instant limit = std::chrono::steady_clock::now() + std::chrono::seconds(6);
     Instant learnt = limit;
     while (std::chrono::steady_clock::now() < learnt + Settling) {
@@ -206,11 +249,12 @@
     const int sent = sound_.sent - sentBefore;
     const int served = sound_.served - servedBefore;
     isStopping_ = true;
-    bad.join();
+    callers.insert(callers.end(), std::make_move_iterator(bad.begin()),
+                   std::make_move_iterator(bad.end()));
     for (std::thread &caller : callers) {
         caller.join();
     }
-    std::this_thread::sleep_for(RestartDelay);
+    std::this_thread::sleep_for(restartsOfEndpoints_.delay);
     const std::lock_guard lock(mutex_);
     const auto late = std::count_if(arrivals_.begin(), arrivals_.end(),
                                     [learnt](Instant time) { return time > learnt + Settling; });
@@ -223,9 +267,13 @@
     EXPECT_GT(sent, 0);
 }
 
-INSTANTIATE_TEST_SUITE_P(Routes, CrashingPrompts,
-                         testing::Values(PromptCase{"SentOnce", "stream"},
-                                         PromptCase{"Resumable", "resume"}),
-                         [](const auto &row) { return row.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+        Routes, CrashingPrompts,
+        testing::Values(
+                PromptCase{"SentOnce", "stream", {}}, PromptCase{"Resumable", "resume", {}},
+                PromptCase{"SentOnceUnderKeptIds", "stream", {RestartDelay, true}},
+                PromptCase{"ToFewEndpointsUnderKeptIds", "stream", {LongRestartDelay, true}, 4, 3},
+                PromptCase{"ToFewEndpointsUnderNewIds", "stream", {LongRestartDelay, false}, 4, 3}),
+        [](const auto &row) { return row.param.name; });
 
 } // namespace
