[Decisions] [Edge] Count crashes by the endpoint's process, not by its id

What callers saw: requests with a part under which endpoints end are sent on and on; sound requests of the service are lost with them. Cause: crashes were counted by endpoint id, and a repeated one kept the time of the first. An endpoint that starts again under its id and ends again counted once, so that a part which goes round few endpoints, or ends all of them within 0.3 s, never came to three crashes that are 0.3 s apart. Change: the key is the endpoint with the start of its process, as it was listed when the request was sent: a row that is read later names the next process, and a row that is read late merges two crashes, which costs one more and blames nobody. Messages name the starts in a new field; without it the endpoint's id stands for its process, as for rows without a start.

--- a/include/sequoiagate/Decisions/CrashingParts.h
+++ b/include/sequoiagate/Decisions/CrashingParts.h
@@ -8,7 +8,8 @@
 /// carry it to the next one. Requests that share the caller or other parts are innocent, and so are
 /// those that were open at the same endpoint. This is group testing (Dorfman, 1943) with one-sided
 /// evidence: each crash names the parts of the requests that the endpoint had just begun or was
-/// about to begin, and an answer that was written clears all parts of its prompt.
+/// about to begin, and an answer that was written clears all parts of its prompt. Crashes are those
+/// of processes: an endpoint that starts again under its id may crash again.
 ///
 /// Each host sees only its own requests. It reports the suspects of a crash to hosts that
 /// rendezvous hashing selects for each part (ReplicaPlacement), which count crashes by part. A part
@@ -31,6 +32,7 @@
 
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
+#include "sequoiagate/Decisions/EndpointProcess.h"
 #include "sequoiagate/Decisions/LossStatistics.h"
 #include "sequoiagate/Decisions/ReplicaPlacement.h"
 
@@ -54,7 +56,7 @@
 struct CrashReport
 {
     uint64_t service = 0; ///< stable hash of its name
-    EndpointId endpoint;
+    EndpointProcess process;
     std::vector<SuspectPart> parts;
     Instant at{};
 };
@@ -73,7 +75,7 @@
     PartKey part = 0;
     uint64_t service = 0;
     std::optional<Instant> servedAt;
-    std::vector<EndpointId> crashed;
+    std::vector<EndpointProcess> crashed;
     OutcomeCounts outcomes;
 };
 
@@ -82,7 +84,7 @@
     PartKey part = 0;
     uint32_t level = 0; ///< the number of quarantines before it
     Instant until{};
-    std::vector<EndpointId> crashed;
+    std::vector<EndpointProcess> crashed;
     HostId decidedBy;
 };
 
@@ -143,11 +145,11 @@
     /// An answer on a prompt with these shared parts was written, or has been for a while.
     void onAnswerWritten(const ServiceId &service, const std::vector<uint64_t> &parts, Instant now);
     /// The connection of a request was lost that had no answer yet, or an answer that had just
-    /// begun. \returns whether to find out if \p endpoint has ended, and to call onEndpointProbed
+    /// begun. \returns whether to find out if \p process has ended, and to call onEndpointProbed
     /// \pre \p sentAt isn't later than \p now
-    bool onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
+    bool onConnectionLost(const ServiceId &service, const EndpointProcess &process,
                           const std::vector<uint64_t> &parts, Instant sentAt, Instant now);
-    void onEndpointProbed(const EndpointId &endpoint, bool hasEnded, Instant now);
+    void onEndpointProbed(const EndpointProcess &process, bool hasEnded, Instant now);
     /// The quarantine of one of these parts; nullptr if none is quarantined.
     const Quarantine *find(const ServiceId &service, const std::vector<uint64_t> &parts,
                            Instant now) const;
@@ -189,13 +191,13 @@
     {
         uint64_t service = 0;
         uint32_t depth = 0;
-        std::map<EndpointId, Crash> crashes;
+        std::map<EndpointProcess, Crash> crashes;
         OutcomeCounts outcomesElsewhere; ///< that other hosts answered to the last inquiry
         Instant decideAt = Never;
         Instant nextInquiryAt{};
     };
 
-    void report(const EndpointId &endpoint, const Loss &loss, Instant now);
+    void report(const EndpointProcess &process, const Loss &loss, Instant now);
     std::optional<Instant> servedAt(PartKey part) const;
     static void clear(Suspect &suspect, Instant until);
     static std::size_t countCrashes(const Suspect &suspect);
@@ -207,7 +209,7 @@
     bool isDue(PartKey part, const Suspect &suspect) const;
     bool isSignificant(PartKey part, const Suspect &suspect) const;
     bool isQuarantined(PartKey part, Instant now) const;
-    void noteCrash(uint64_t service, const EndpointId &endpoint, Instant at);
+    void noteCrash(uint64_t service, const EndpointProcess &process, Instant at);
     /// The share of the endpoints of its service that crashed since its first crash, at which
     /// \p suspect was.
     double shareExplained(const Suspect &suspect) const;
@@ -226,10 +228,10 @@
     std::unordered_map<PartKey, Instant> servedBefore_;
     std::map<uint64_t, Instant> serviceServed_;
     std::map<uint64_t, LossStatistics> outcomes_;
-    std::map<EndpointId, Loss> losses_;   ///< until the endpoint is probed
-    std::map<EndpointId, Instant> ended_; ///< when they were found to have ended
+    std::map<EndpointProcess, Loss> losses_;   ///< until the endpoint is probed
+    std::map<EndpointProcess, Instant> ended_; ///< when they were found to have ended
     /// When endpoints crashed, by service, without those that quarantined parts crashed.
-    std::map<uint64_t, std::map<EndpointId, Instant>> crashes_;
+    std::map<uint64_t, std::map<EndpointProcess, Instant>> crashes_;
     std::map<PartKey, Suspect> suspects_;
     std::map<PartKey, Quarantine> quarantines_; ///< including those that were lifted
     std::map<PartKey, Instant> resends_;
--- a/include/sequoiagate/Proxy/PromptGuard.h
+++ b/include/sequoiagate/Proxy/PromptGuard.h
@@ -9,6 +9,7 @@
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
 #include "sequoiagate/Base/Verdict.h"
+#include "sequoiagate/Decisions/EndpointProcess.h"
 #include "sequoiagate/Proxy/Dialect.h"
 
 namespace sequoiagate {
@@ -27,9 +28,9 @@
     /// An answer on \p prompt was written, or has been for a while.
     virtual void onAnswerWritten(const ServiceId &service, const std::vector<PromptPart> &prompt,
                                  Instant now) = 0;
-    /// The connection to \p endpoint was lost before or just after it began to write an answer to a
+    /// The connection to \p process was lost before or just after it began to write an answer to a
     /// request that was sent at \p sentAt.
-    virtual void onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
+    virtual void onConnectionLost(const ServiceId &service, const EndpointProcess &process,
                                   const std::vector<PromptPart> &prompt, Instant sentAt,
                                   Instant now) = 0;
 };
--- a/lib/Decisions/CrashingParts.cpp
+++ b/lib/Decisions/CrashingParts.cpp
@@ -58,7 +58,7 @@
     return std::nullopt;
 }
 
-bool CrashingParts::onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
+bool CrashingParts::onConnectionLost(const ServiceId &service, const EndpointProcess &process,
                                      const std::vector<uint64_t> &parts, Instant sentAt,
                                      Instant now)
 {
@@ -72,12 +72,12 @@
     }
     outcomes_[lost.service].onLost(age, now);
     std::erase_if(ended_, [now](const auto &entry) { return now >= entry.second + EndedMemory; });
-    const auto ended = ended_.find(endpoint);
+    const auto ended = ended_.find(process);
     if (ended != ended_.end()) {
-        report(endpoint, lost, now);
+        report(process, lost, now);
         return false;
     }
-    const auto [found, added] = losses_.try_emplace(endpoint, lost);
+    const auto [found, added] = losses_.try_emplace(process, lost);
     for (const auto &[key, part] : lost.parts) {
         LostPart &known = found->second.parts[key];
         known = {std::max(known.depth, part.depth), std::max(known.ageClass, part.ageClass)};
@@ -85,23 +85,23 @@
     return added;
 }
 
-void CrashingParts::onEndpointProbed(const EndpointId &endpoint, bool hasEnded, Instant now)
+void CrashingParts::onEndpointProbed(const EndpointProcess &process, bool hasEnded, Instant now)
 {
-    const auto found = losses_.find(endpoint);
+    const auto found = losses_.find(process);
     if (found == losses_.end()) {
         return;
     }
     const Loss loss = std::move(found->second);
     losses_.erase(found);
     if (hasEnded) {
-        ended_[endpoint] = now;
-        report(endpoint, loss, now);
+        ended_[process] = now;
+        report(process, loss, now);
     }
 }
 
-void CrashingParts::report(const EndpointId &endpoint, const Loss &loss, Instant now)
+void CrashingParts::report(const EndpointProcess &process, const Loss &loss, Instant now)
 {
-    CrashReport report{loss.service, endpoint, {}, loss.at};
+    CrashReport report{loss.service, process, {}, loss.at};
     std::set<HostId> recipients;
     for (const auto &[key, part] : loss.parts) {
         // What was served since the loss can't have caused it.
@@ -128,7 +128,7 @@
 std::size_t CrashingParts::countCrashes(const Suspect &suspect)
 {
     std::vector<Instant> times;
-    for (const auto &[endpoint, crash] : suspect.crashes) {
+    for (const auto &[process, crash] : suspect.crashes) {
         times.push_back(crash.at);
     }
     std::sort(times.begin(), times.end());
@@ -146,15 +146,16 @@
 Instant CrashingParts::firstCrash(const Suspect &suspect)
 {
     Instant first = Never;
-    for (const auto &[endpoint, crash] : suspect.crashes) {
+    for (const auto &[process, crash] : suspect.crashes) {
         first = std::min(first, crash.at);
     }
     return first;
 }
 
-void CrashingParts::noteCrash(uint64_t service, const EndpointId &endpoint, Instant at)
+void CrashingParts::noteCrash(uint64_t service, const EndpointProcess &process, Instant at)
 {
-    const auto [found, added] = crashes_[service].try_emplace(endpoint, at);
+    auto &crashes = crashes_[service];
+    const auto [found, added] = crashes.try_emplace(knownProcess(crashes, process), at);
     found->second = std::min(found->second, at);
 }
 
@@ -178,7 +179,7 @@
         counts += own->second.since(firstCrash(suspect) - BaselineTime);
     }
     std::size_t oldest = 0;
-    for (const auto &[endpoint, crash] : suspect.crashes) {
+    for (const auto &[process, crash] : suspect.crashes) {
         oldest = std::max(oldest, crash.ageClass);
     }
     const std::size_t count = suspect.crashes.size();
@@ -226,7 +227,7 @@
 void CrashingParts::onReport(const CrashReport &report, Instant now)
 {
     dropOldSuspects(now);
-    noteCrash(report.service, report.endpoint, report.at);
+    noteCrash(report.service, report.process, report.at);
     for (const SuspectPart &part : report.parts) {
         if (suspects_.size() >= MaxSuspects && suspects_.count(part.key) == 0) {
             continue;
@@ -235,7 +236,8 @@
         suspect.service = report.service;
         suspect.depth = std::max(suspect.depth, part.depth);
         const Crash reported{report.at, part.ageClass};
-        Crash &crash = suspect.crashes.try_emplace(report.endpoint, reported).first->second;
+        const EndpointProcess process = knownProcess(suspect.crashes, report.process);
+        Crash &crash = suspect.crashes.try_emplace(process, reported).first->second;
         crash.at = std::min(crash.at, reported.at);
         crash.ageClass = std::max(crash.ageClass, reported.ageClass);
         if (const auto served = servedAt(part.key)) {
@@ -283,8 +285,8 @@
     quarantine.level = known == quarantines_.end() ? 0 : known->second.level + 1;
     quarantine.until = now + quarantineTime(quarantine.level);
     quarantine.decidedBy = settings_.host;
-    for (const auto &[endpoint, crash] : suspect.crashes) {
-        quarantine.crashed.push_back(endpoint);
+    for (const auto &[process, crash] : suspect.crashes) {
+        quarantine.crashed.push_back(process);
     }
     broadcastQuarantine(quarantine);
     resends_[part] = now + ResendDelay;
@@ -311,12 +313,12 @@
     quarantines_[quarantine.part] = quarantine;
     suspects_.erase(quarantine.part);
     // Other parts that were at these endpoints didn't crash them.
-    for (const EndpointId &endpoint : quarantine.crashed) {
+    for (const EndpointProcess &process : quarantine.crashed) {
         for (auto &[part, suspect] : suspects_) {
-            suspect.crashes.erase(endpoint);
+            suspect.crashes.erase(knownProcess(suspect.crashes, process));
         }
         for (auto &[service, crashed] : crashes_) {
-            crashed.erase(endpoint);
+            crashed.erase(knownProcess(crashed, process));
         }
     }
     if (isNew && onQuarantined) {
@@ -332,9 +334,9 @@
     }
     const auto all = crashes_.find(inquiry.service);
     if (all != crashes_.end()) {
-        for (const auto &[endpoint, at] : all->second) {
+        for (const auto &[process, at] : all->second) {
             if (at >= inquiry.since && response.crashed.size() < MaxNamedEndpoints) {
-                response.crashed.push_back(endpoint);
+                response.crashed.push_back(process);
             }
         }
     }
@@ -350,8 +352,8 @@
 
 void CrashingParts::onInquiryResponse(const InquiryResponse &response, Instant now)
 {
-    for (const EndpointId &endpoint : response.crashed) {
-        noteCrash(response.service, endpoint, now);
+    for (const EndpointProcess &process : response.crashed) {
+        noteCrash(response.service, process, now);
     }
     const auto found = suspects_.find(response.part);
     if (found == suspects_.end()) {
--- a/lib/Edge/CrashMessage.cpp
+++ b/lib/Edge/CrashMessage.cpp
@@ -23,24 +23,29 @@
     return message.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-/// Names no more endpoints than fit into a datagram.
-nlohmann::json namesOf(const std::vector<EndpointId> &endpoints)
+/// Adds the endpoints to \p message, no more than fit into a datagram, and the starts of their
+/// processes, which earlier versions ignore.
+void addCrashed(nlohmann::json &message, const std::vector<EndpointProcess> &crashed)
 {
-    nlohmann::json names = nlohmann::json::array();
-    const std::size_t count = std::min(endpoints.size(), CrashingParts::MaxNamedEndpoints);
+    message["crashed"] = nlohmann::json::array();
+    message["started_at"] = nlohmann::json::array();
+    const std::size_t count = std::min(crashed.size(), CrashingParts::MaxNamedEndpoints);
     for (std::size_t i = 0; i < count; ++i) {
-        names.push_back(endpoints[i].text());
+        message["crashed"].push_back(crashed[i].endpoint.text());
+        message["started_at"].push_back(crashed[i].startedAtMillis);
     }
-    return names;
 }
 
-std::vector<EndpointId> endpointsOf(const nlohmann::json &names)
+std::vector<EndpointProcess> crashedOf(const nlohmann::json &message)
 {
-    std::vector<EndpointId> endpoints;
-    for (const nlohmann::json &name : names) {
-        endpoints.emplace_back(name.get<std::string>());
+    const nlohmann::json &names = message.at("crashed");
+    const nlohmann::json starts = message.value("started_at", nlohmann::json::array());
+    std::vector<EndpointProcess> crashed;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        const uint64_t start = i < starts.size() ? starts.at(i).get<uint64_t>() : 0;
+        crashed.push_back({EndpointId(names.at(i).get<std::string>()), start});
     }
-    return endpoints;
+    return crashed;
 }
 
 OutcomeCounts outcomesOf(const nlohmann::json &message)
@@ -71,7 +76,8 @@
 {
     nlohmann::json message = messageOf(CrashReportMessageKind);
     message["service"] = report.service;
-    message["endpoint"] = report.endpoint.text();
+    message["endpoint"] = report.process.endpoint.text();
+    message["started_at"] = report.process.startedAtMillis;
     message["age_ms"] = ageOf(report.at, now);
     message["parts"] = nlohmann::json::array();
     for (const SuspectPart &part : report.parts) {
@@ -84,7 +90,8 @@
 {
     CrashReport report;
     report.service = message.at("service").get<uint64_t>();
-    report.endpoint = EndpointId(message.at("endpoint").get<std::string>());
+    report.process = {EndpointId(message.at("endpoint").get<std::string>()),
+                      message.value("started_at", uint64_t{0})};
     report.at = timeOf(message.at("age_ms"), now);
     for (const nlohmann::json &part : message.at("parts")) {
         const std::size_t age = part.size() > 2 ? part.at(2).get<std::size_t>() : OldestAgeClass;
@@ -117,7 +124,7 @@
     if (response.servedAt) {
         message["served_age_ms"] = ageOf(*response.servedAt, now);
     }
-    message["crashed"] = namesOf(response.crashed);
+    addCrashed(message, response.crashed);
     message["written"] = response.outcomes.written;
     message["lost"] = response.outcomes.lost;
     return textOf(message);
@@ -131,7 +138,7 @@
     if (const auto age = message.find("served_age_ms"); age != message.end()) {
         response.servedAt = timeOf(*age, now);
     }
-    response.crashed = endpointsOf(message.at("crashed"));
+    response.crashed = crashedOf(message);
     response.outcomes = outcomesOf(message);
     return response;
 }
@@ -143,7 +150,7 @@
     message["level"] = quarantine.level;
     message["remaining_ms"] = std::chrono::duration_cast<Millis>(quarantine.until - now).count();
     message["decided_by"] = quarantine.decidedBy.text();
-    message["crashed"] = namesOf(quarantine.crashed);
+    addCrashed(message, quarantine.crashed);
     return textOf(message);
 }
 
@@ -156,7 +163,7 @@
     quarantine.until =
             now + std::clamp<Interval>(remaining, Interval::zero(), CrashingParts::MaxQuarantine);
     quarantine.decidedBy = HostId(message.at("decided_by").get<std::string>());
-    quarantine.crashed = endpointsOf(message.at("crashed"));
+    quarantine.crashed = crashedOf(message);
     return quarantine;
 }
 
--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -35,11 +35,12 @@
     return parts;
 }
 
-std::string listOf(const std::vector<EndpointId> &endpoints)
+std::string listOf(const std::vector<EndpointProcess> &processes)
 {
     std::string text;
-    for (const EndpointId &endpoint : endpoints) {
-        text += (text.empty() ? "" : " ") + endpoint.text();
+    for (const EndpointProcess &process : processes) {
+        text += fmt::format("{}{}@{}", text.empty() ? "" : " ", process.endpoint.text(),
+                            process.startedAtMillis);
     }
     return text;
 }
@@ -132,51 +133,57 @@
     parts_.onAnswerWritten(service, sharedParts(prompt), now);
 }
 
-void CrashingPartsLink::onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
+void CrashingPartsLink::onConnectionLost(const ServiceId &service, const EndpointProcess &process,
                                          const std::vector<PromptPart> &prompt, Instant sentAt,
                                          Instant now)
 {
-    const auto address = resolve_(endpoint);
+    const auto address = resolve_(process.endpoint);
     if (!address) {
         // It is leaving.
-        log_.write(Event("crash.not_counted").with("endpoint", endpoint).with("why", "not_listed"));
+        log_.write(Event("crash.not_counted")
+                           .with("endpoint", process.endpoint)
+                           .with("why", "not_listed"));
         return;
     }
     const bool isProbed =
-            parts_.onConnectionLost(service, endpoint, sharedParts(prompt), sentAt, now);
+            parts_.onConnectionLost(service, process, sharedParts(prompt), sentAt, now);
     armTimer();
     if (!isProbed) {
         return;
     }
-    probe(endpoint, *address, ProbeAttempts);
+    probe(process, *address, ProbeAttempts);
 }
 
-void CrashingPartsLink::probe(const EndpointId &endpoint,
+void CrashingPartsLink::probe(const EndpointProcess &process,
                               const boost::asio::ip::tcp::endpoint &address, int attempts)
 {
     const Instant deadline = std::chrono::steady_clock::now() + ProbeTimeout;
-    probeConnection(io_, address, deadline, [this, endpoint, address, attempts](bool connected) {
+    probeConnection(io_, address, deadline, [this, process, address, attempts](bool connected) {
         if (!connected || attempts <= 1) {
-            onProbed(endpoint, !connected);
+            onProbed(process, !connected);
             return;
         }
         const auto timer = std::make_shared<DeadlineTimer>(io_);
         timer->arm(std::chrono::steady_clock::now() + ProbeInterval,
-                   [this, timer, endpoint, address, attempts] {
-                       probe(endpoint, address, attempts - 1);
+                   [this, timer, process, address, attempts] {
+                       probe(process, address, attempts - 1);
                    });
     });
 }
 
-void CrashingPartsLink::onProbed(const EndpointId &endpoint, bool hasEnded)
+void CrashingPartsLink::onProbed(const EndpointProcess &process, bool hasEnded)
 {
     if (hasEnded) {
-        log_.write(Event("endpoint.ended").with("endpoint", endpoint));
+        log_.write(Event("endpoint.ended")
+                           .with("endpoint", process.endpoint)
+                           .with("started_at", process.startedAtMillis));
         metrics_.count("endpoint_crashes_seen_total");
     } else {
-        log_.write(Event("crash.not_counted").with("endpoint", endpoint).with("why", "listens"));
+        log_.write(Event("crash.not_counted")
+                           .with("endpoint", process.endpoint)
+                           .with("why", "listens"));
     }
-    parts_.onEndpointProbed(endpoint, hasEnded, std::chrono::steady_clock::now());
+    parts_.onEndpointProbed(process, hasEnded, std::chrono::steady_clock::now());
     armTimer();
 }
 
--- a/lib/Edge/CrashingPartsLink.h
+++ b/lib/Edge/CrashingPartsLink.h
@@ -38,7 +38,7 @@
                                    Instant now) override;
     void onAnswerWritten(const ServiceId &service, const std::vector<PromptPart> &prompt,
                          Instant now) override;
-    void onConnectionLost(const ServiceId &service, const EndpointId &endpoint,
+    void onConnectionLost(const ServiceId &service, const EndpointProcess &process,
                           const std::vector<PromptPart> &prompt, Instant sentAt,
                           Instant now) override;
 
@@ -47,9 +47,9 @@
 
     void registerHandlers();
     /// Finds out whether an endpoint has ended.
-    void probe(const EndpointId &endpoint, const boost::asio::ip::tcp::endpoint &address,
+    void probe(const EndpointProcess &process, const boost::asio::ip::tcp::endpoint &address,
                int attempts);
-    void onProbed(const EndpointId &endpoint, bool hasEnded);
+    void onProbed(const EndpointProcess &process, bool hasEnded);
     void onQuarantined(const Quarantine &quarantine);
     void armTimer();
 
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -734,7 +734,8 @@
     const bool isLost = attempt_->outcome == AttemptOutcome::ConnectionLost;
     const bool mayHaveCrashed = !attempt_->isAnswerReported && attempt_->relay.empty();
     if (!metadata_.prompt.empty() && isLost && mayHaveCrashed) {
-        context_.prompts.onConnectionLost(service_->name, attempt_->endpoint, metadata_.prompt,
+        const EndpointProcess process{attempt_->endpoint, attempt_->startedAtMillis};
+        context_.prompts.onConnectionLost(service_->name, process, metadata_.prompt,
                                           attempt_->sentAt, now);
     }
 }
--- a/unittests/Decisions/CrashingPartsTest.cpp
+++ b/unittests/Decisions/CrashingPartsTest.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include "SimulatedFleet.h"
+#include "sequoiagate/Base/Rendezvous.h"
 #include "sequoiagate/Decisions/CrashingParts.h"
 
 using namespace sequoiagate;
@@ -319,15 +320,16 @@
     }
 
     void crash(const std::string &endpoint, const std::vector<uint64_t> &parts,
-               bool hasEnded = true)
+               bool hasEnded = true, uint64_t startedAtMillis = 1)
     {
+        const EndpointProcess process{EndpointId(endpoint), startedAtMillis};
         now_ += std::chrono::seconds(1);
         constexpr int SoundRequests = 50;
         for (int i = 0; i < SoundRequests; ++i) {
             parts_.onAnswerWritten(S, {5}, now_);
         }
-        if (parts_.onConnectionLost(S, EndpointId(endpoint), parts, now_ - UntilCrash, now_)) {
-            parts_.onEndpointProbed(EndpointId(endpoint), hasEnded, now_);
+        if (parts_.onConnectionLost(S, process, parts, now_ - UntilCrash, now_)) {
+            parts_.onEndpointProbed(process, hasEnded, now_);
         }
         parts_.tick(now_ + CrashingParts::InquiryTime);
     }
@@ -358,6 +360,32 @@
     EXPECT_EQ(parts_.find(ServiceId("other"), {BadPart}, now_), nullptr);
 }
 
+// Guards against taking the crashes of an endpoint that starts again under its id for one.
+TEST_F(LoneHost, EachStartOfAnEndpointCrashesByItself)
+{
+    for (uint64_t start = 1; start <= 3; ++start) {
+        EXPECT_FALSE(isQuarantined(BadPart)) << start;
+        crash("a", {start, BadPart}, true, start);
+    }
+    EXPECT_TRUE(isQuarantined(BadPart));
+}
+
+// Guards against counting one crash twice when a host of an earlier version reports it as well.
+TEST_F(LoneHost, AReportWithoutAStartIsOfAKnownProcess)
+{
+    for (const char *endpoint : {"a", "b"}) {
+        crash(endpoint, {1, BadPart}, true, 7);
+        now_ += std::chrono::seconds(1);
+        parts_.onReport({stableHash(S.text()),
+                         {EndpointId(endpoint), 0},
+                         {{partKey(S, BadPart), 1, 2}},
+                         now_},
+                        now_);
+        parts_.tick(now_ + CrashingParts::InquiryTime);
+    }
+    EXPECT_FALSE(isQuarantined(BadPart));
+}
+
 TEST_F(LoneHost, AnAnswerClearsAPart)
 {
     crash("a", {1, BadPart});
@@ -381,7 +409,7 @@
 {
     for (int i = 0; i < 5; ++i) {
         now_ += std::chrono::seconds(1);
-        const EndpointId endpoint(fmt::format("e{}", i));
+        const EndpointProcess endpoint{EndpointId(fmt::format("e{}", i)), 1};
         parts_.onConnectionLost(S, endpoint, {1, BadPart}, now_ - UntilCrash, now_);
         parts_.onEndpointProbed(endpoint, true, now_);
         parts_.tick(now_ + CrashingParts::InquiryTime);
--- a/unittests/Decisions/SimulatedFleet.cpp
+++ b/unittests/Decisions/SimulatedFleet.cpp
@@ -14,6 +14,8 @@
 constexpr Interval Step = std::chrono::milliseconds(5);
 constexpr Interval UntilWritten = std::chrono::milliseconds(400);
 constexpr Interval RestartDelay = std::chrono::seconds(3);
+/// How long hosts take to read the row of an endpoint that started again under its id.
+constexpr Interval UntilListed = std::chrono::milliseconds(300);
 constexpr Interval UntilProbed = std::chrono::milliseconds(2);
 constexpr Interval UntilRepeated = std::chrono::milliseconds(50);
 /// How long a host leaves out an endpoint that it doesn't reach.
@@ -105,10 +107,15 @@
     return static_cast<int>(found - places_.begin());
 }
 
-EndpointId SimulatedFleet::idOfEndpoint(std::size_t number, int starts) const
+EndpointProcess SimulatedFleet::listedProcess(std::size_t number) const
 {
-    return EndpointId(shape_.keepsIds ? fmt::format("e{}", number)
-                                      : fmt::format("e{}-{}", number, starts));
+    const Endpoint &endpoint = endpoints_[number];
+    if (!shape_.keepsIds) {
+        return {EndpointId(fmt::format("e{}-{}", number, endpoint.starts)), 1};
+    }
+    const bool isNew = endpoint.starts > 0 && now_ < endpoint.downUntil + UntilListed;
+    const int listed = isNew ? endpoint.starts - 1 : endpoint.starts;
+    return {EndpointId(fmt::format("e{}", number)), static_cast<uint64_t>(listed) + 1};
 }
 
 bool SimulatedFleet::canReach(int host, std::size_t endpoint) const
@@ -166,17 +173,17 @@
     }
     const std::size_t endpoint = randomEndpoint();
     if (now_ >= endpoints_[endpoint].downUntil) {
-        sendTo(endpoint, {host, parts, now_, true, false});
+        sendTo(endpoint, {host, parts, now_, true, false, {}});
     }
 }
 
 void SimulatedFleet::sendTo(std::size_t endpoint, Request request)
 {
-    const int starts = endpoints_[endpoint].starts;
+    request.process = listedProcess(endpoint);
     if (!canReach(request.host, endpoint)) {
         avoidedUntil_[{request.host, endpoint}] = now_ + AvoidedTime;
-        queue_.emplace(now_ + cut_.untilLost, [this, endpoint, starts, request] {
-            lose(request, endpoint, starts);
+        queue_.emplace(now_ + cut_.untilLost, [this, request] {
+            lose(request);
             if (!request.isRepeat) {
                 send(request.parts, true);
             }
@@ -189,28 +196,29 @@
         return;
     }
     badArrivals[bad].push_back(now_);
-    queue_.emplace(now_ + shape_.untilCrash, [this, endpoint, bad, starts] {
-        if (endpoints_[endpoint].starts == starts) {
-            crash(endpoint);
-            badCrashes[bad].push_back(now_);
-        }
-    });
+    queue_.emplace(now_ + shape_.untilCrash,
+                   [this, endpoint, bad, starts = endpoints_[endpoint].starts] {
+                       if (endpoints_[endpoint].starts == starts) {
+                           crash(endpoint);
+                           badCrashes[bad].push_back(now_);
+                       }
+                   });
 }
 
-void SimulatedFleet::lose(const Request &request, std::size_t endpoint, int starts)
+void SimulatedFleet::lose(const Request &request)
 {
     if (request.isRelayed) {
         return;
     }
-    const EndpointId id = idOfEndpoint(endpoint, starts);
     CrashingParts &host = at(idOf(request.host));
-    if (!host.onConnectionLost(Service, id, request.parts, request.sentAt, now_)) {
+    if (!host.onConnectionLost(Service, request.process, request.parts, request.sentAt, now_)) {
         return;
     }
     const bool hasEnded = !chance(shape_.listening);
-    queue_.emplace(now_ + UntilProbed, [this, to = idOf(request.host), id, hasEnded] {
-        at(to).onEndpointProbed(id, hasEnded, now_);
-    });
+    queue_.emplace(now_ + UntilProbed,
+                   [this, to = idOf(request.host), process = request.process, hasEnded] {
+                       at(to).onEndpointProbed(process, hasEnded, now_);
+                   });
 }
 
 void SimulatedFleet::beginCut()
@@ -223,8 +231,7 @@
                 kept.push_back(request);
                 continue;
             }
-            queue_.emplace(now_ + cut_.untilLost, [this, i, starts = endpoints_[i].starts,
-                                                   request] { lose(request, i, starts); });
+            queue_.emplace(now_ + cut_.untilLost, [this, request] { lose(request); });
         }
         endpoints_[i].open = std::move(kept);
     }
@@ -236,11 +243,11 @@
     if (now_ < endpoint.downUntil) {
         return;
     }
-    const int starts = endpoint.starts++;
+    ++endpoint.starts;
     endpoint.downUntil = now_ + RestartDelay;
     for (const Request &request : std::exchange(endpoint.open, {})) {
         if (now_ < request.sentAt + UntilWritten) {
-            lose(request, number, starts);
+            lose(request);
         }
         if (!request.isRepeat) {
             queue_.emplace(now_ + UntilRepeated,
--- a/unittests/Decisions/SimulatedFleet.h
+++ b/unittests/Decisions/SimulatedFleet.h
@@ -118,6 +118,7 @@
         Instant sentAt{};
         bool isRepeat = false;
         bool isRelayed = false;
+        EndpointProcess process; ///< as listed when it was sent
     };
 
     struct Endpoint
@@ -130,7 +131,8 @@
     CrashingParts &at(const HostId &host) { return *hosts_.at(host); }
     const HostId &idOf(int host) const { return places_.at(static_cast<std::size_t>(host)).host; }
     int numberOf(const HostId &host) const;
-    EndpointId idOfEndpoint(std::size_t number, int starts) const;
+    /// The process that is listed, which is the one before for a moment after a start.
+    EndpointProcess listedProcess(std::size_t number) const;
     bool isCut() const { return now_ >= cut_.from && now_ < cut_.until; }
     bool isBehind(int host) const { return cut_.hosts.count(host) > 0; }
     bool canReach(int host, std::size_t endpoint) const;
@@ -138,7 +140,7 @@
     bool chance(double share);
     void sendTo(std::size_t endpoint, Request request);
     /// Loses a request and has its host look at the endpoint.
-    void lose(const Request &request, std::size_t endpoint, int starts);
+    void lose(const Request &request);
     void deliver(const HostId &from, const HostId &to, std::function<void()> arrive);
     /// Loses the requests that are open behind the cut.
     void beginCut();
--- a/unittests/Edge/CrashMessageTest.cpp
+++ b/unittests/Edge/CrashMessageTest.cpp
@@ -25,13 +25,13 @@
 
 TEST(CrashMessage, ReportsAreDecoded)
 {
-    CrashReport report{Service, EndpointId("e"), {}, Now - Age};
+    CrashReport report{Service, {EndpointId("e"), 17}, {}, Now - Age};
     for (uint32_t i = 0; i < CrashingParts::MaxReportedParts; ++i) {
         report.parts.push_back({Part - i, i, i % OutcomeCounts::AgeClasses});
     }
     const CrashReport decoded = decodeCrashReport(parsed(encodeCrashReport(report, Now)), Later);
     EXPECT_EQ(decoded.service, Service);
-    EXPECT_EQ(decoded.endpoint, EndpointId("e"));
+    EXPECT_EQ(decoded.process, report.process);
     EXPECT_EQ(decoded.at, Later - Age);
     ASSERT_EQ(decoded.parts.size(), report.parts.size());
     EXPECT_EQ(decoded.parts[3].key, Part - 3);
@@ -56,7 +56,7 @@
 // Guards against a report that makes losses look earlier than they were.
 TEST_P(ReportedAges, AreTheOldestIfUnknown)
 {
-    CrashReport report{Service, EndpointId("e"), {}, Now};
+    CrashReport report{Service, {EndpointId("e"), 17}, {}, Now};
     nlohmann::json message = parsed(encodeCrashReport(report, Now));
     message["parts"].push_back(GetParam().part);
     const CrashReport decoded = decodeCrashReport(message, Later);
@@ -83,6 +83,21 @@
     EXPECT_TRUE(decodeInquiryResponse(message, Later).outcomes.isEmpty());
 }
 
+// Guards against dropping the messages of processes that don't name the starts of endpoints.
+TEST(CrashMessage, MessagesWithoutStartsAreDecoded)
+{
+    const EndpointProcess process{EndpointId("e"), 17};
+    const EndpointProcess withoutStart{EndpointId("e"), 0};
+    nlohmann::json report = parsed(encodeCrashReport({Service, process, {}, Now}, Now));
+    report.erase("started_at");
+    EXPECT_EQ(decodeCrashReport(report, Later).process, withoutStart);
+    nlohmann::json quarantine =
+            parsed(encodeQuarantine({Part, 0, Now + Age, {process, process}, HostId("h")}, Now));
+    quarantine.erase("started_at");
+    EXPECT_EQ(decodeQuarantine(quarantine, Later).crashed,
+              (std::vector<EndpointProcess>{withoutStart, withoutStart}));
+}
+
 TEST(CrashMessage, InquiriesAreDecoded)
 {
     const PartInquiry inquiry =
@@ -97,7 +112,7 @@
     const char *name;
     std::optional<Instant> servedAt;
     std::optional<Instant> decoded;
-    std::vector<EndpointId> crashed;
+    std::vector<EndpointProcess> crashed;
 };
 
 class InquiryResponses : public testing::TestWithParam<ResponseCase>
@@ -105,7 +120,7 @@
 
 const ResponseCase ResponseCases[] = {
         {"Served", Now - Age, Later - Age, {}},
-        {"NotServed", std::nullopt, std::nullopt, {EndpointId("a"), EndpointId("b")}},
+        {"NotServed", std::nullopt, std::nullopt, {{EndpointId("a"), 5}, {EndpointId("b"), 0}}},
         // Guards against a time that is later than now at another host.
         {"FromTheFuture", Now + Age, Later, {}},
 };
@@ -129,7 +144,8 @@
 {
     Quarantine quarantine{Part, 2, Now + std::chrono::minutes(7), {}, HostId("h")};
     for (int i = 0; i < 100; ++i) {
-        quarantine.crashed.emplace_back("endpoint-" + std::to_string(i));
+        quarantine.crashed.push_back(
+                {EndpointId("endpoint-" + std::to_string(i)), 1'800'000'000'000});
     }
     const Quarantine decoded = decodeQuarantine(parsed(encodeQuarantine(quarantine, Now)), Later);
     EXPECT_EQ(decoded.part, Part);
