[Test] A part that comes faster than endpoints restart; ordinary crashes within a moment

A part that comes each 20 or 40 ms ends all endpoints within 0.3 s; such crashes count as one, so three of them take two restarts. The rows of ordinary crashes spread over 0.5 s are what an easier rule has to be weighed against.

--- a/unittests/Decisions/CrashingPartsTest.cpp
+++ b/unittests/Decisions/CrashingPartsTest.cpp
@@ -67,6 +67,13 @@
          {BadPart}},
         SlowToBeginWithFewCallers,
         {"AmongOrdinaryCrashes", Small, {{1, BadPart}}, 700, {BadPart}, true},
+        // Guards against taking crashes that follow each other fast for one.
+        {"FasterThanEndpointsRestart", Small, {{1, BadPart}}, 20, {BadPart}},
+        {"FirstPartFasterThanEndpointsRestart",
+         Small,
+         {{BadPart, 2001}, {BadPart, 2002}, {BadPart, 2003}, {BadPart, 2004}},
+         40,
+         {BadPart}},
         // Guards against counting the crashes of endpoints that start again under their ids as one.
         {"FourEndpointsKeepTheirIds",
          {.endpoints = 4, .keepsIds = true},
@@ -184,6 +191,25 @@
     fleet.crashShare(100);
 }
 
+/// As hosts notice a common cause at different times.
+void crashAllWithinAMoment(SimulatedFleet &fleet, int)
+{
+    constexpr std::size_t Endpoints = 9;
+    for (std::size_t i = 0; i < Endpoints; ++i) {
+        fleet.crash(i);
+        fleet.run(millis(60));
+    }
+}
+
+void crashAThirdWithinAMoment(SimulatedFleet &fleet, int round)
+{
+    constexpr std::size_t Third = 3;
+    for (std::size_t i = 0; i < Third; ++i) {
+        fleet.crash((static_cast<std::size_t>(round) % Third) * Third + i);
+        fleet.run(millis(60));
+    }
+}
+
 void crashInTurn(SimulatedFleet &fleet, int round)
 {
     fleet.crash(static_cast<std::size_t>(round) % 9);
@@ -201,6 +227,9 @@
         {"MostOfTheTime", Small, 400, 200, crashInTurn},
         {"MostOfTheTimeAtRandom", Small, 400, 200, crashOne},
         {"MostOfTheTimeWithFewCallers", {6, 9, 8, 0.0}, 400, 200, crashInTurn},
+        {"AllWithinAMoment", Small, 5000, 25, crashAllWithinAMoment},
+        {"AllWithinAMomentWithFewCallers", {6, 9, 8, 0.0}, 5000, 25, crashAllWithinAMoment},
+        {"AThirdWithinAMoment", Small, 4000, 60, crashAThirdWithinAMoment},
         {"OneByOneUnderKeptIds", {.keepsIds = true}, 1000, 100, crashOne},
         {"AThirdAtOnceUnderKeptIds", {.keepsIds = true}, 4000, 60, crashAThird},
         {"AllAtOnceUnderKeptIds", {.keepsIds = true}, 5000, 25, crashAll},
