[Edge] [Decisions] Keep quarantined parts in the store, so that they outlive the hosts

What callers saw: after a restart of all hosts, by a loss of power or a kill of all, a part that was known crashes endpoints again, and three more crashes pass before it is refused. Cause: a quarantine lived in the memory of the hosts alone; gossip helps a host that starts while others run. Change: the host that decides writes one row of the edge's own topic, which each process reads when it starts, before it holds tokens for a request. No call is made without a decision. A write that fails is repeated until the quarantine is over. What it doesn't cover: a host that decides and ends before the store answers, when all others end as well.

--- a/include/sequoiagate/Decisions/CrashingParts.h
+++ b/include/sequoiagate/Decisions/CrashingParts.h
@@ -137,6 +137,8 @@
     std::function<void(const HostId &to, const CrashReport &)> sendReport;
     std::function<void(const PartInquiry &)> broadcastInquiry;
     std::function<void(const Quarantine &)> broadcastQuarantine;
+    /// Called when this host decides on a quarantine, to have it outlive the hosts.
+    std::function<void(const Quarantine &)> onDecided;
     /// Called when a part is quarantined here for the first time.
     std::function<void(const Quarantine &)> onQuarantined;
 
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -56,6 +56,9 @@
     std::function<SlotResponse(const SlotRequest &)> onSlotRequest;
     std::function<void(const SlotResponse &)> onSlotResponse;
 
+    /// Called for the topic's rows of quarantined parts. Set before start.
+    std::function<void(const StoreRow &)> onQuarantineRow;
+
     void start();
     void setHorizon(Interval horizon) { holder_.setHorizon(horizon); }
     void setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant now);
--- a/lib/Decisions/CrashingParts.cpp
+++ b/lib/Decisions/CrashingParts.cpp
@@ -289,6 +289,9 @@
         quarantine.crashed.push_back(process);
     }
     broadcastQuarantine(quarantine);
+    if (onDecided) {
+        onDecided(quarantine);
+    }
     resends_[part] = now + ResendDelay;
     onQuarantine(quarantine, now);
 }
--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -49,9 +49,10 @@
 
 CrashingPartsLink::CrashingPartsLink(boost::asio::io_context &io, PeerLink &peers,
                                      const CrashingPartsSettings &settings, Resolve resolve,
-                                     EventLog &log, Metrics &metrics)
+                                     std::unique_ptr<QuarantineStore> records, EventLog &log,
+                                     Metrics &metrics)
     : io_(io), peers_(peers), resolve_(std::move(resolve)), log_(log), metrics_(metrics),
-      parts_(settings), hosts_(peers),
+      parts_(settings), records_(std::move(records)), hosts_(peers),
       // Hosts that know the same others must not all begin with the same ones.
       nextGossiped_(stableHash(settings.host.text())), timer_(io)
 {
@@ -65,6 +66,9 @@
     parts_.broadcastQuarantine = [this](const Quarantine &quarantine) {
         hosts_.broadcast(encodeQuarantine(quarantine, std::chrono::steady_clock::now()));
     };
+    parts_.onDecided = [this](const Quarantine &quarantine) {
+        records_->write(quarantine, std::chrono::steady_clock::now());
+    };
     parts_.onQuarantined = [this](const Quarantine &quarantine) {
         onQuarantined(quarantine);
     };
@@ -201,6 +205,14 @@
     metrics_.count("prompt_quarantines_total");
 }
 
+void CrashingPartsLink::onRow(const StoreRow &row)
+{
+    const Instant now = std::chrono::steady_clock::now();
+    if (const std::optional<Quarantine> quarantine = records_->onRow(row, now)) {
+        parts_.onQuarantine(*quarantine, now);
+    }
+}
+
 void CrashingPartsLink::armTimer()
 {
     const Instant deadline = parts_.nextDeadline();
--- a/lib/Edge/CrashingPartsLink.h
+++ b/lib/Edge/CrashingPartsLink.h
@@ -4,10 +4,12 @@
 /// Connects CrashingParts to the other hosts, and probes endpoints for it.
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <vector>
 
 #include "HostAddresses.h"
+#include "QuarantineStore.h"
 #include "sequoiagate/Decisions/CrashingParts.h"
 #include "sequoiagate/Proxy/PromptGuard.h"
 #include "sequoiagate/Service/DeadlineTimer.h"
@@ -25,8 +27,11 @@
 
     /// \pre all arguments outlive it
     CrashingPartsLink(boost::asio::io_context &io, PeerLink &peers,
-                      const CrashingPartsSettings &settings, Resolve resolve, EventLog &log,
-                      Metrics &metrics);
+                      const CrashingPartsSettings &settings, Resolve resolve,
+                      std::unique_ptr<QuarantineStore> records, EventLog &log, Metrics &metrics);
+
+    /// Takes a row of a quarantined part.
+    void onRow(const StoreRow &row);
 
     void setHosts(const std::vector<Peer> &others) { parts_.setHosts(hosts_.set(others)); }
     /// Tells a few hosts, in rotation, which parts are quarantined: those that missed it or started
@@ -59,6 +64,7 @@
     EventLog &log_;
     Metrics &metrics_;
     CrashingParts parts_;
+    std::unique_ptr<QuarantineStore> records_;
     HostAddresses hosts_;
     std::size_t nextGossiped_;
     DeadlineTimer timer_;
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -143,8 +143,14 @@
                                                         settings_.domain, metrics_);
     crashingParts_ = std::make_unique<CrashingPartsLink>(
             io_, tokens_->peers(), CrashingPartsSettings{settings_.host, settings_.domain},
-            [this](const EndpointId &endpoint) { return endpoints_.addressOf(endpoint); }, log_,
-            metrics_);
+            [this](const EndpointId &endpoint) { return endpoints_.addressOf(endpoint); },
+            std::make_unique<QuarantineStore>(io_, *store_, adapter_.topics().ledger,
+                                              log.identity().incarnation.text() + "-quarantines",
+                                              log_),
+            log_, metrics_);
+    tokens_->onQuarantineRow = [this](const StoreRow &row) {
+        crashingParts_->onRow(row);
+    };
     context_ = std::make_unique<ProxyContext>(
             ProxyContext{io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_,
                          *streamOrigins_, *crashingParts_, link_, log_, metrics_,
--- a/lib/Edge/LedgerRows.cpp
+++ b/lib/Edge/LedgerRows.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Addresses.h"
+#include "QuarantineRows.h"
 
 namespace sequoiagate {
 
@@ -76,7 +77,8 @@
     };
     constexpr Kind Kinds[] = {{BudgetPrefix, LedgerRowKind::Budget},
                               {BatchPrefix, LedgerRowKind::Batch},
-                              {HostPrefix, LedgerRowKind::Host}};
+                              {HostPrefix, LedgerRowKind::Host},
+                              {QuarantineRowPrefix, LedgerRowKind::Quarantine}};
     for (const Kind &kind : Kinds) {
         if (startsWith(key, kind.prefix)) {
             return kind.row;
--- a/lib/Edge/LedgerRows.h
+++ b/lib/Edge/LedgerRows.h
@@ -2,7 +2,8 @@
 #define SEQUOIAGATE_LIB_EDGE_LEDGERROWS_H
 
 /// Encodes and decodes the rows of the edge's own topic: the tokens of a workspace's budget that a
-/// holder has, the time of each process's last batch, and the address of each host's process.
+/// holder has, the time of each process's last batch, and the address of each host's process. Rows
+/// of quarantined parts are those of QuarantineRows.h.
 
 #include <optional>
 #include <string>
@@ -16,7 +17,7 @@
 namespace sequoiagate {
 
 /// The kind of a row, given by the prefix of its key.
-enum class LedgerRowKind { Budget, Batch, Host, Unknown };
+enum class LedgerRowKind { Budget, Batch, Host, Quarantine, Unknown };
 
 LedgerRowKind ledgerRowKind(const std::string &key);
 
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -180,6 +180,9 @@
             onHostRow(row);
             hostsChanged = true;
             break;
+        case LedgerRowKind::Quarantine:
+            onQuarantineRow(row);
+            break;
         case LedgerRowKind::Unknown:
             log_.write(Event("ledger.malformed").with("key", row.key));
             break;
--- a/test/Edge/CrashingPromptTest.cpp
+++ b/test/Edge/CrashingPromptTest.cpp
@@ -267,6 +267,42 @@
     EXPECT_GT(sent, 0);
 }
 
+class QuarantinedPart : public CrashingFleet
+{};
+
+// Guards against forgetting a part that crashes endpoints when all hosts start again.
+TEST_F(QuarantinedPart, OutlivesAllHosts)
+{
+    addEndpoints(6);
+    startAll();
+    int number = 0;
+    std::vector<std::thread> sound;
+    for (int i = 0; i < 4; ++i) {
+        sound.emplace_back([this, i] { callSoundly("stream", i); });
+    }
+    EXPECT_TRUE(eventually([this, &number] {
+        sendBadly("stream", number++);
+        const auto rows = store_.newest(OwnTopic);
+        return std::any_of(rows.begin(), rows.end(),
+                           [](const auto &row) { return row.first.rfind("quarantine/", 0) == 0; });
+    }));
+    isStopping_ = true;
+    for (std::thread &caller : sound) {
+        caller.join();
+    }
+    edges_.clear();
+    startAll();
+    const auto countArrivals = [this] {
+        const std::lock_guard lock(mutex_);
+        return arrivals_.size();
+    };
+    const std::size_t before = countArrivals();
+    for (int i = 0; i < 2 * Hosts; ++i) {
+        sendBadly("stream", number++);
+    }
+    EXPECT_EQ(countArrivals(), before);
+}
+
 INSTANTIATE_TEST_SUITE_P(
         Routes, CrashingPrompts,
         testing::Values(
--- a/unittests/Decisions/SimulatedFleet.cpp
+++ b/unittests/Decisions/SimulatedFleet.cpp
@@ -16,6 +16,8 @@
 constexpr Interval RestartDelay = std::chrono::seconds(3);
 /// How long hosts take to read the row of an endpoint that started again under its id.
 constexpr Interval UntilListed = std::chrono::milliseconds(300);
+/// How long a write to the store takes, and a host that starts until it has read.
+constexpr Interval UntilStored = std::chrono::milliseconds(50);
 constexpr Interval UntilProbed = std::chrono::milliseconds(2);
 constexpr Interval UntilRepeated = std::chrono::milliseconds(50);
 /// How long a host leaves out an endpoint that it doesn't reach.
@@ -83,6 +85,15 @@
                     [this, to = place.host, quarantine] { at(to).onQuarantine(quarantine, now_); });
         }
     };
+    host->onDecided = [this](const Quarantine &quarantine) {
+        queue_.emplace(now_ + UntilStored,
+                       [this, quarantine] { stored_[quarantine.part] = quarantine; });
+    };
+    queue_.emplace(now_ + UntilStored, [this, to = self.host] {
+        for (const auto &[part, quarantine] : stored_) {
+            at(to).onQuarantine(quarantine, now_);
+        }
+    });
     std::vector<HostPlace> others;
     for (const HostPlace &place : places_) {
         if (place.host != self.host) {
--- a/unittests/Decisions/SimulatedFleet.h
+++ b/unittests/Decisions/SimulatedFleet.h
@@ -81,6 +81,7 @@
 public:
     explicit SimulatedFleet(FleetShape shape, uint64_t seed = 1);
 
+    /// Starts a host that knows nothing yet but what the store holds.
     void startHost(int number);
     /// Loses the memory of all hosts at the same moment.
     void startAllHosts();
@@ -160,6 +161,7 @@
     /// When a host tries an endpoint again behind a cut.
     std::map<std::pair<int, std::size_t>, Instant> avoidedUntil_;
     std::multimap<Instant, std::function<void()>> queue_;
+    std::map<PartKey, Quarantine> stored_;
     std::size_t sent_ = 0;
     SoundRequests sound_;
 };
