[Decisions] [Edge] Have other hosts confirm that an endpoint has ended, also of relayed requests

What callers saw: while hosts relay for each other, a part that crashes endpoints isn't found. Cause: the host that lost a connection was the only one to look. Over a relay it has no path, so it didn't; cut off, it takes all endpoints behind the cut for ended. What one host believes of an endpoint was passed on as known of the endpoint. Real edges: when all endpoints are down, each host takes itself for partitioned and relays. Change: CrashConfirmation. A host that can't connect asks five hosts of other failure domains to probe; one that connects, or no majority that can't, means no crash. For a relayed request the relay is asked in place of the own probe. Two messages more, versioned. A process whose row names a later start has ended without a probe. Nothing is sent while no connection is lost.

--- a/include/sequoiagate/Proxy/PromptGuard.h
+++ b/include/sequoiagate/Proxy/PromptGuard.h
@@ -14,6 +14,15 @@
 
 namespace sequoiagate {
 
+/// A request whose connection was lost before or just after its endpoint began to write an answer.
+struct LostRequest
+{
+    ServiceId service;
+    EndpointProcess process;
+    HostId relay; ///< the host that relayed it; empty if none did
+    Instant sentAt{};
+};
+
 /// Single-threaded.
 class PromptGuard
 {
@@ -28,10 +37,7 @@
     /// An answer on \p prompt was written, or has been for a while.
     virtual void onAnswerWritten(const ServiceId &service, const std::vector<PromptPart> &prompt,
                                  Instant now) = 0;
-    /// The connection to \p process was lost before or just after it began to write an answer to a
-    /// request that was sent at \p sentAt.
-    virtual void onConnectionLost(const ServiceId &service, const EndpointProcess &process,
-                                  const std::vector<PromptPart> &prompt, Instant sentAt,
+    virtual void onConnectionLost(const LostRequest &request, const std::vector<PromptPart> &prompt,
                                   Instant now) = 0;
 };
 
--- a/lib/Edge/CrashMessage.cpp
+++ b/lib/Edge/CrashMessage.cpp
@@ -1,6 +1,9 @@
 #include "CrashMessage.h"
 
 #include <algorithm>
+#include <iterator>
+#include <string_view>
+#include <utility>
 
 namespace sequoiagate {
 
@@ -60,6 +63,34 @@
     return outcomes;
 }
 
+nlohmann::json probeMessage(const char *kind, const ProbeMessage &probe)
+{
+    nlohmann::json message = messageOf(kind);
+    message["from"] = probe.from.text();
+    message["endpoint"] = probe.process.endpoint.text();
+    message["started_at"] = probe.process.startedAtMillis;
+    return message;
+}
+
+constexpr std::pair<ProbeResult, std::string_view> ProbeResultNames[] = {
+        {ProbeResult::Unknown, "unknown"},
+        {ProbeResult::Listens, "listens"},
+        {ProbeResult::Ended, "ended"},
+};
+
+std::string_view resultName(ProbeResult result)
+{
+    return ProbeResultNames[static_cast<std::size_t>(result)].second;
+}
+
+ProbeResult resultOf(std::string_view name)
+{
+    const auto *const found =
+            std::find_if(std::begin(ProbeResultNames), std::end(ProbeResultNames),
+                         [name](const auto &entry) { return entry.second == name; });
+    return found == std::end(ProbeResultNames) ? ProbeResult::Unknown : found->first;
+}
+
 int64_t ageOf(Instant at, Instant now)
 {
     return std::chrono::duration_cast<Millis>(now - at).count();
@@ -167,4 +198,24 @@
     return quarantine;
 }
 
+std::string encodeProbeRequest(const ProbeMessage &request)
+{
+    return textOf(probeMessage(ProbeRequestMessageKind, request));
+}
+
+std::string encodeProbeResponse(const ProbeMessage &response)
+{
+    nlohmann::json message = probeMessage(ProbeResponseMessageKind, response);
+    message["result"] = resultName(response.result);
+    return textOf(message);
+}
+
+ProbeMessage decodeProbeMessage(const nlohmann::json &message)
+{
+    return {HostId(message.at("from").get<std::string>()),
+            {EndpointId(message.at("endpoint").get<std::string>()),
+             message.at("started_at").get<uint64_t>()},
+            resultOf(message.value("result", ""))};
+}
+
 } // namespace sequoiagate
--- a/lib/Edge/CrashMessage.h
+++ b/lib/Edge/CrashMessage.h
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "sequoiagate/Decisions/CrashConfirmation.h"
 #include "sequoiagate/Decisions/CrashingParts.h"
 
 namespace sequoiagate {
@@ -18,6 +19,8 @@
 inline constexpr const char *PartInquiryMessageKind = "ask_part";
 inline constexpr const char *InquiryResponseMessageKind = "part_known";
 inline constexpr const char *QuarantineMessageKind = "quarantine";
+inline constexpr const char *ProbeRequestMessageKind = "probe_endpoint";
+inline constexpr const char *ProbeResponseMessageKind = "endpoint_probed";
 
 /// Thread safe, as are the following; the decoding ones throw nlohmann::json::exception for a
 /// malformed message.
@@ -30,6 +33,19 @@
 std::string encodeQuarantine(const Quarantine &quarantine, Instant now);
 Quarantine decodeQuarantine(const nlohmann::json &message, Instant now);
 
+/// Asks another host to probe a process, or is the response of \p from.
+struct ProbeMessage
+{
+    HostId from;
+    EndpointProcess process;
+    ProbeResult result = ProbeResult::Unknown; ///< not in requests
+};
+
+std::string encodeProbeRequest(const ProbeMessage &request);
+std::string encodeProbeResponse(const ProbeMessage &response);
+/// Decodes both; a result of a later version is read as Unknown.
+ProbeMessage decodeProbeMessage(const nlohmann::json &message);
+
 } // namespace sequoiagate
 
 #endif
--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <memory>
 
+#include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
 #include "ConnectProbe.h"
@@ -52,7 +53,8 @@
                                      std::unique_ptr<QuarantineStore> records, EventLog &log,
                                      Metrics &metrics)
     : io_(io), peers_(peers), resolve_(std::move(resolve)), log_(log), metrics_(metrics),
-      parts_(settings), records_(std::move(records)), hosts_(peers),
+      host_(settings.host), parts_(settings), confirmation_(settings.domain),
+      records_(std::move(records)), hosts_(peers),
       // Hosts that know the same others must not all begin with the same ones.
       nextGossiped_(stableHash(settings.host.text())), timer_(io)
 {
@@ -73,6 +75,42 @@
         onQuarantined(quarantine);
     };
     registerHandlers();
+    registerProbeHandlers();
+}
+
+void CrashingPartsLink::registerProbeHandlers()
+{
+    confirmation_.probe = [this](const EndpointProcess &process) {
+        probe(process);
+    };
+    confirmation_.sendRequest = [this](const HostId &to, const EndpointProcess &process) {
+        hosts_.send(to, encodeProbeRequest({host_, process, ProbeResult::Unknown}));
+    };
+    confirmation_.sendResponse = [this](const HostId &to, const EndpointProcess &process,
+                                        ProbeResult result) {
+        hosts_.send(to, encodeProbeResponse({host_, process, result}));
+    };
+    confirmation_.onDecided = [this](const EndpointProcess &process, bool hasEnded) {
+        onDecided(process, hasEnded);
+    };
+    peers_.setHandler(ProbeRequestMessageKind, [this](const nlohmann::json &message,
+                                                      const Address &) {
+        const ProbeMessage request = decodeProbeMessage(message);
+        confirmation_.onRequest(request.from, request.process, std::chrono::steady_clock::now());
+    });
+    peers_.setHandler(ProbeResponseMessageKind,
+                      [this](const nlohmann::json &message, const Address &) {
+                          const ProbeMessage response = decodeProbeMessage(message);
+                          confirmation_.onResponse(response.from, response.process, response.result,
+                                                   std::chrono::steady_clock::now());
+                      });
+}
+
+void CrashingPartsLink::setHosts(const std::vector<Peer> &others)
+{
+    const std::vector<HostPlace> places = hosts_.set(others);
+    parts_.setHosts(places);
+    confirmation_.setHosts(places);
 }
 
 void CrashingPartsLink::registerHandlers()
@@ -137,45 +175,68 @@
     parts_.onAnswerWritten(service, sharedParts(prompt), now);
 }
 
-void CrashingPartsLink::onConnectionLost(const ServiceId &service, const EndpointProcess &process,
-                                         const std::vector<PromptPart> &prompt, Instant sentAt,
-                                         Instant now)
+void CrashingPartsLink::onConnectionLost(const LostRequest &request,
+                                         const std::vector<PromptPart> &prompt, Instant now)
 {
-    const auto address = resolve_(process.endpoint);
-    if (!address) {
+    const EndpointProcess &process = request.process;
+    if (!resolve_(process.endpoint)) {
         // It is leaving.
         log_.write(Event("crash.not_counted")
                            .with("endpoint", process.endpoint)
                            .with("why", "not_listed"));
         return;
     }
-    const bool isProbed =
-            parts_.onConnectionLost(service, process, sharedParts(prompt), sentAt, now);
+    const bool isUndecided = parts_.onConnectionLost(request.service, process, sharedParts(prompt),
+                                                     request.sentAt, now);
+    if (isUndecided) {
+        confirmation_.begin(process, request.relay, now);
+    }
     armTimer();
-    if (!isProbed) {
+}
+
+void CrashingPartsLink::probe(const EndpointProcess &process)
+{
+    const std::optional<ListedProcess> listed = resolve_(process.endpoint);
+    const bool isReplaced = listed && process.startedAtMillis != 0
+                            && listed->startedAtMillis > process.startedAtMillis;
+    if (listed && !isReplaced) {
+        tryConnection(process, listed->address, ProbeAttempts);
         return;
     }
-    probe(process, *address, ProbeAttempts);
+    // Not from inside the call that asks for it.
+    boost::asio::post(io_, [this, process, isReplaced] {
+        onProbed(process, isReplaced ? ProbeResult::Ended : ProbeResult::Unknown);
+    });
 }
 
-void CrashingPartsLink::probe(const EndpointProcess &process,
-                              const boost::asio::ip::tcp::endpoint &address, int attempts)
+void CrashingPartsLink::tryConnection(const EndpointProcess &process,
+                                      const boost::asio::ip::tcp::endpoint &address, int attempts)
 {
     const Instant deadline = std::chrono::steady_clock::now() + ProbeTimeout;
     probeConnection(io_, address, deadline, [this, process, address, attempts](bool connected) {
-        if (!connected || attempts <= 1) {
-            onProbed(process, !connected);
+        if (!connected) {
+            onProbed(process, ProbeResult::Ended);
+            return;
+        }
+        if (attempts <= 1) {
+            onProbed(process, ProbeResult::Listens);
             return;
         }
         const auto timer = std::make_shared<DeadlineTimer>(io_);
         timer->arm(std::chrono::steady_clock::now() + ProbeInterval,
                    [this, timer, process, address, attempts] {
-                       probe(process, address, attempts - 1);
+                       tryConnection(process, address, attempts - 1);
                    });
     });
 }
 
-void CrashingPartsLink::onProbed(const EndpointProcess &process, bool hasEnded)
+void CrashingPartsLink::onProbed(const EndpointProcess &process, ProbeResult result)
+{
+    confirmation_.onProbed(process, result, std::chrono::steady_clock::now());
+    armTimer();
+}
+
+void CrashingPartsLink::onDecided(const EndpointProcess &process, bool hasEnded)
 {
     if (hasEnded) {
         log_.write(Event("endpoint.ended")
@@ -185,10 +246,9 @@
     } else {
         log_.write(Event("crash.not_counted")
                            .with("endpoint", process.endpoint)
-                           .with("why", "listens"));
+                           .with("why", "not_confirmed"));
     }
     parts_.onEndpointProbed(process, hasEnded, std::chrono::steady_clock::now());
-    armTimer();
 }
 
 void CrashingPartsLink::onQuarantined(const Quarantine &quarantine)
@@ -215,12 +275,13 @@
 
 void CrashingPartsLink::armTimer()
 {
-    const Instant deadline = parts_.nextDeadline();
+    const Instant deadline = std::min(parts_.nextDeadline(), confirmation_.nextDeadline());
     if (deadline == Never) {
         timer_.disarm();
         return;
     }
     timer_.arm(deadline, [this] {
+        confirmation_.tick(std::chrono::steady_clock::now());
         parts_.tick(std::chrono::steady_clock::now());
         armTimer();
     });
--- a/lib/Edge/CrashingPartsLink.h
+++ b/lib/Edge/CrashingPartsLink.h
@@ -10,6 +10,7 @@
 
 #include "HostAddresses.h"
 #include "QuarantineStore.h"
+#include "sequoiagate/Decisions/CrashConfirmation.h"
 #include "sequoiagate/Decisions/CrashingParts.h"
 #include "sequoiagate/Proxy/PromptGuard.h"
 #include "sequoiagate/Service/DeadlineTimer.h"
@@ -21,9 +22,14 @@
 class CrashingPartsLink : public PromptGuard
 {
 public:
-    /// Returns the address of an endpoint that takes new requests.
-    using Resolve =
-            std::function<std::optional<boost::asio::ip::tcp::endpoint>(const EndpointId &)>;
+    /// The process that is listed as an endpoint which takes new requests.
+    struct ListedProcess
+    {
+        boost::asio::ip::tcp::endpoint address;
+        uint64_t startedAtMillis = 0;
+    };
+
+    using Resolve = std::function<std::optional<ListedProcess>(const EndpointId &)>;
 
     /// \pre all arguments outlive it
     CrashingPartsLink(boost::asio::io_context &io, PeerLink &peers,
@@ -33,7 +39,7 @@
     /// Takes a row of a quarantined part.
     void onRow(const StoreRow &row);
 
-    void setHosts(const std::vector<Peer> &others) { parts_.setHosts(hosts_.set(others)); }
+    void setHosts(const std::vector<Peer> &others);
     /// Tells a few hosts, in rotation, which parts are quarantined: those that missed it or started
     /// later learn it within a few such rounds.
     void gossip(Instant now);
@@ -43,18 +49,20 @@
                                    Instant now) override;
     void onAnswerWritten(const ServiceId &service, const std::vector<PromptPart> &prompt,
                          Instant now) override;
-    void onConnectionLost(const ServiceId &service, const EndpointProcess &process,
-                          const std::vector<PromptPart> &prompt, Instant sentAt,
+    void onConnectionLost(const LostRequest &request, const std::vector<PromptPart> &prompt,
                           Instant now) override;
 
 private:
     using Address = boost::asio::ip::udp::endpoint;
 
     void registerHandlers();
-    /// Finds out whether an endpoint has ended.
-    void probe(const EndpointProcess &process, const boost::asio::ip::tcp::endpoint &address,
-               int attempts);
-    void onProbed(const EndpointProcess &process, bool hasEnded);
+    void registerProbeHandlers();
+    /// Finds out whether a process still listens.
+    void probe(const EndpointProcess &process);
+    void tryConnection(const EndpointProcess &process,
+                       const boost::asio::ip::tcp::endpoint &address, int attempts);
+    void onProbed(const EndpointProcess &process, ProbeResult result);
+    void onDecided(const EndpointProcess &process, bool hasEnded);
     void onQuarantined(const Quarantine &quarantine);
     void armTimer();
 
@@ -63,7 +71,9 @@
     Resolve resolve_;
     EventLog &log_;
     Metrics &metrics_;
+    HostId host_;
     CrashingParts parts_;
+    CrashConfirmation confirmation_;
     std::unique_ptr<QuarantineStore> records_;
     HostAddresses hosts_;
     std::size_t nextGossiped_;
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -87,6 +87,16 @@
     return settings;
 }
 
+std::optional<CrashingPartsLink::ListedProcess> listedProcess(const EndpointDirectory &endpoints,
+                                                              const EndpointId &endpoint)
+{
+    const std::optional<tcp::endpoint> address = endpoints.addressOf(endpoint);
+    if (!address) {
+        return std::nullopt;
+    }
+    return CrashingPartsLink::ListedProcess{*address, endpoints.startedAtMillis(endpoint)};
+}
+
 std::vector<WorkspaceBudget> budgetsOf(const ServingConfig &config)
 {
     std::vector<WorkspaceBudget> budgets;
@@ -143,7 +153,7 @@
                                                         settings_.domain, metrics_);
     crashingParts_ = std::make_unique<CrashingPartsLink>(
             io_, tokens_->peers(), CrashingPartsSettings{settings_.host, settings_.domain},
-            [this](const EndpointId &endpoint) { return endpoints_.addressOf(endpoint); },
+            [this](const EndpointId &endpoint) { return listedProcess(endpoints_, endpoint); },
             std::make_unique<QuarantineStore>(io_, *store_, adapter_.topics().ledger,
                                               log.identity().incarnation.text() + "-quarantines",
                                               log_),
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -732,12 +732,12 @@
 void Exchange::reportLoss(Instant now)
 {
     const bool isLost = attempt_->outcome == AttemptOutcome::ConnectionLost;
-    const bool mayHaveCrashed = !attempt_->isAnswerReported && attempt_->relay.empty();
-    if (!metadata_.prompt.empty() && isLost && mayHaveCrashed) {
-        const EndpointProcess process{attempt_->endpoint, attempt_->startedAtMillis};
-        context_.prompts.onConnectionLost(service_->name, process, metadata_.prompt,
-                                          attempt_->sentAt, now);
+    if (metadata_.prompt.empty() || !isLost || attempt_->isAnswerReported) {
+        return;
     }
+    const EndpointProcess process{attempt_->endpoint, attempt_->startedAtMillis};
+    context_.prompts.onConnectionLost({service_->name, process, attempt_->relay, attempt_->sentAt},
+                                      metadata_.prompt, now);
 }
 
 void Exchange::onNotConnected(const std::string &detail, Instant now)
--- a/unittests/Decisions/SimulatedFleet.cpp
+++ b/unittests/Decisions/SimulatedFleet.cpp
@@ -19,6 +19,7 @@
 /// How long a write to the store takes, and a host that starts until it has read.
 constexpr Interval UntilStored = std::chrono::milliseconds(50);
 constexpr Interval UntilProbed = std::chrono::milliseconds(2);
+constexpr Interval MaxProbeTime = std::chrono::milliseconds(300);
 constexpr Interval UntilRepeated = std::chrono::milliseconds(50);
 /// How long a host leaves out an endpoint that it doesn't reach.
 constexpr Interval AvoidedTime = std::chrono::seconds(1);
@@ -63,11 +64,32 @@
 void SimulatedFleet::startHost(int number)
 {
     const HostPlace &self = places_.at(static_cast<std::size_t>(number));
-    auto host = std::make_unique<CrashingParts>(CrashingPartsSettings{self.host, self.domain});
-    host->sendReport = [this, from = self.host](const HostId &to, const CrashReport &report) {
+    auto host = std::make_unique<Host>(
+            Host{CrashingParts({self.host, self.domain}), CrashConfirmation(self.domain)});
+    connectParts(self, host->parts);
+    connectConfirmation(self, host->confirmation);
+    std::vector<HostPlace> others;
+    for (const HostPlace &place : places_) {
+        if (place.host != self.host) {
+            others.push_back(place);
+        }
+    }
+    host->parts.setHosts(others);
+    host->confirmation.setHosts(others);
+    hosts_[self.host] = std::move(host);
+    queue_.emplace(now_ + UntilStored, [this, to = self.host] {
+        for (const auto &[part, quarantine] : stored_) {
+            at(to).onQuarantine(quarantine, now_);
+        }
+    });
+}
+
+void SimulatedFleet::connectParts(const HostPlace &self, CrashingParts &parts)
+{
+    parts.sendReport = [this, from = self.host](const HostId &to, const CrashReport &report) {
         deliver(from, to, [this, to, report] { at(to).onReport(report, now_); });
     };
-    host->broadcastInquiry = [this, from = self.host](const PartInquiry &inquiry) {
+    parts.broadcastInquiry = [this, from = self.host](const PartInquiry &inquiry) {
         for (const HostPlace &place : places_) {
             deliver(from, place.host, [this, from, to = place.host, inquiry] {
                 const auto response = at(to).onInquiry(inquiry);
@@ -79,29 +101,51 @@
             });
         }
     };
-    host->broadcastQuarantine = [this, from = self.host](const Quarantine &quarantine) {
+    parts.broadcastQuarantine = [this, from = self.host](const Quarantine &quarantine) {
         for (const HostPlace &place : places_) {
             deliver(from, place.host,
                     [this, to = place.host, quarantine] { at(to).onQuarantine(quarantine, now_); });
         }
     };
-    host->onDecided = [this](const Quarantine &quarantine) {
+    parts.onDecided = [this](const Quarantine &quarantine) {
         queue_.emplace(now_ + UntilStored,
                        [this, quarantine] { stored_[quarantine.part] = quarantine; });
     };
-    queue_.emplace(now_ + UntilStored, [this, to = self.host] {
-        for (const auto &[part, quarantine] : stored_) {
-            at(to).onQuarantine(quarantine, now_);
-        }
+}
+
+void SimulatedFleet::connectConfirmation(const HostPlace &self, CrashConfirmation &confirmation)
+{
+    const HostId from = self.host;
+    confirmation.probe = [this, number = numberOf(from)](const EndpointProcess &process) {
+        probe(number, process);
+    };
+    confirmation.sendRequest = [this, from](const HostId &to, const EndpointProcess &process) {
+        deliver(from, to,
+                [this, from, to, process] { confirmationAt(to).onRequest(from, process, now_); });
+    };
+    confirmation.sendResponse = [this, from](const HostId &to, const EndpointProcess &process,
+                                             ProbeResult result) {
+        deliver(from, to, [this, from, to, process, result] {
+            confirmationAt(to).onResponse(from, process, result, now_);
+        });
+    };
+    confirmation.onDecided = [this, from](const EndpointProcess &process, bool hasEnded) {
+        at(from).onEndpointProbed(process, hasEnded, now_);
+    };
+}
+
+void SimulatedFleet::probe(int host, const EndpointProcess &process)
+{
+    const auto number = static_cast<std::size_t>(std::stoul(process.endpoint.text().substr(1)));
+    const Endpoint &endpoint = endpoints_[number];
+    const bool isReachable = canReach(host, number);
+    const bool listens = now_ >= endpoint.downUntil || endpoint.listensWhileDown;
+    const Interval time =
+            isReachable ? UntilProbed : std::min(UntilProbed + cut_.untilLost, MaxProbeTime);
+    const ProbeResult result = isReachable && listens ? ProbeResult::Listens : ProbeResult::Ended;
+    queue_.emplace(now_ + time, [this, to = idOf(host), process, result] {
+        confirmationAt(to).onProbed(process, result, now_);
     });
-    std::vector<HostPlace> others;
-    for (const HostPlace &place : places_) {
-        if (place.host != self.host) {
-            others.push_back(place);
-        }
-    }
-    host->setHosts(others);
-    hosts_[self.host] = std::move(host);
 }
 
 void SimulatedFleet::startAllHosts()
@@ -154,6 +198,16 @@
     return share > 0.0 && std::uniform_real_distribution<>(0.0, 1.0)(random_) < share;
 }
 
+HostId SimulatedFleet::drawRelay(int host)
+{
+    if (!chance(shape_.relayed)) {
+        return {};
+    }
+    const auto other = (static_cast<std::size_t>(host) + 1 + random_() % (places_.size() - 1))
+                       % places_.size();
+    return places_[other].host;
+}
+
 void SimulatedFleet::send(const std::vector<uint64_t> &parts, bool isRepeat)
 {
     const auto host = static_cast<int>(random_() % places_.size());
@@ -172,7 +226,7 @@
         }
     }
     if (!up.empty()) {
-        sendTo(up[random_() % up.size()], {host, parts, now_, isRepeat, chance(shape_.relayed)});
+        sendTo(up[random_() % up.size()], {host, parts, now_, isRepeat, drawRelay(host), {}});
     }
 }
 
@@ -184,7 +238,7 @@
     }
     const std::size_t endpoint = randomEndpoint();
     if (now_ >= endpoints_[endpoint].downUntil) {
-        sendTo(endpoint, {host, parts, now_, true, false, {}});
+        sendTo(endpoint, {host, parts, now_, true, {}, {}});
     }
 }
 
@@ -218,18 +272,10 @@
 
 void SimulatedFleet::lose(const Request &request)
 {
-    if (request.isRelayed) {
-        return;
-    }
-    CrashingParts &host = at(idOf(request.host));
-    if (!host.onConnectionLost(Service, request.process, request.parts, request.sentAt, now_)) {
-        return;
+    const HostId &host = idOf(request.host);
+    if (at(host).onConnectionLost(Service, request.process, request.parts, request.sentAt, now_)) {
+        confirmationAt(host).begin(request.process, request.relay, now_);
     }
-    const bool hasEnded = !chance(shape_.listening);
-    queue_.emplace(now_ + UntilProbed,
-                   [this, to = idOf(request.host), process = request.process, hasEnded] {
-                       at(to).onEndpointProbed(process, hasEnded, now_);
-                   });
 }
 
 void SimulatedFleet::beginCut()
@@ -256,6 +302,7 @@
     }
     ++endpoint.starts;
     endpoint.downUntil = now_ + RestartDelay;
+    endpoint.listensWhileDown = chance(shape_.listening);
     for (const Request &request : std::exchange(endpoint.open, {})) {
         if (now_ < request.sentAt + UntilWritten) {
             lose(request);
@@ -296,8 +343,11 @@
         }
         complete();
         for (const auto &[id, host] : hosts_) {
-            if (now_ >= host->nextDeadline()) {
-                host->tick(now_);
+            if (now_ >= host->confirmation.nextDeadline()) {
+                host->confirmation.tick(now_);
+            }
+            if (now_ >= host->parts.nextDeadline()) {
+                host->parts.tick(now_);
             }
         }
         gossip();
@@ -308,7 +358,7 @@
 {
     std::set<PartKey> parts;
     for (const auto &[id, host] : hosts_) {
-        for (const Quarantine &quarantine : host->quarantines(now_)) {
+        for (const Quarantine &quarantine : host->parts.quarantines(now_)) {
             parts.insert(quarantine.part);
         }
     }
@@ -352,7 +402,7 @@
     }
     nextGossipAt_ = now_ + millis(500);
     for (const auto &[id, host] : hosts_) {
-        for (const Quarantine &quarantine : host->quarantines(now_)) {
+        for (const Quarantine &quarantine : host->parts.quarantines(now_)) {
             for (int i = 0; i < 3; ++i) {
                 const HostId &to = places_[random_() % places_.size()].host;
                 deliver(id, to, [this, to, quarantine] { at(to).onQuarantine(quarantine, now_); });
--- a/unittests/Decisions/SimulatedFleet.h
+++ b/unittests/Decisions/SimulatedFleet.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "sequoiagate/Decisions/CrashConfirmation.h"
 #include "sequoiagate/Decisions/CrashingParts.h"
 
 namespace sequoiagate::crashing {
@@ -118,18 +119,30 @@
         std::vector<uint64_t> parts;
         Instant sentAt{};
         bool isRepeat = false;
-        bool isRelayed = false;
+        HostId relay;            ///< empty if none relays it
         EndpointProcess process; ///< as listed when it was sent
     };
 
+    struct Host
+    {
+        CrashingParts parts;
+        CrashConfirmation confirmation;
+    };
+
     struct Endpoint
     {
         int starts = 0;
         Instant downUntil{};
+        bool listensWhileDown = false;
         std::vector<Request> open;
     };
 
-    CrashingParts &at(const HostId &host) { return *hosts_.at(host); }
+    CrashingParts &at(const HostId &host) { return hosts_.at(host)->parts; }
+    CrashConfirmation &confirmationAt(const HostId &host) { return hosts_.at(host)->confirmation; }
+    void connectParts(const HostPlace &self, CrashingParts &parts);
+    void connectConfirmation(const HostPlace &self, CrashConfirmation &confirmation);
+    /// Tries the address of a process from a host.
+    void probe(int host, const EndpointProcess &process);
     const HostId &idOf(int host) const { return places_.at(static_cast<std::size_t>(host)).host; }
     int numberOf(const HostId &host) const;
     /// The process that is listed, which is the one before for a moment after a start.
@@ -139,6 +152,8 @@
     bool canReach(int host, std::size_t endpoint) const;
     bool canHear(int from, int to) const;
     bool chance(double share);
+    /// Another host that relays a request of \p host; empty if none does.
+    HostId drawRelay(int host);
     void sendTo(std::size_t endpoint, Request request);
     /// Loses a request and has its host look at the endpoint.
     void lose(const Request &request);
@@ -156,7 +171,7 @@
     Cut cut_;
     bool isCutBegun_ = false;
     std::vector<HostPlace> places_;
-    std::map<HostId, std::unique_ptr<CrashingParts>> hosts_;
+    std::map<HostId, std::unique_ptr<Host>> hosts_;
     std::vector<Endpoint> endpoints_;
     /// When a host tries an endpoint again behind a cut.
     std::map<std::pair<int, std::size_t>, Instant> avoidedUntil_;
--- a/unittests/Edge/CrashMessageTest.cpp
+++ b/unittests/Edge/CrashMessageTest.cpp
@@ -158,4 +158,34 @@
               Later + CrashingParts::MaxQuarantine);
 }
 
+class ProbeMessages : public testing::TestWithParam<ProbeResult>
+{};
+
+TEST_P(ProbeMessages, AreDecoded)
+{
+    const EndpointProcess process{EndpointId("e"), 17};
+    const ProbeMessage request =
+            decodeProbeMessage(parsed(encodeProbeRequest({HostId("h"), process, GetParam()})));
+    EXPECT_EQ(request.from, HostId("h"));
+    EXPECT_EQ(request.process, process);
+    EXPECT_EQ(request.result, ProbeResult::Unknown);
+    const ProbeMessage response =
+            decodeProbeMessage(parsed(encodeProbeResponse({HostId("h"), process, GetParam()})));
+    EXPECT_EQ(response.process, process);
+    EXPECT_EQ(response.result, GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, ProbeMessages,
+                         testing::Values(ProbeResult::Unknown, ProbeResult::Listens,
+                                         ProbeResult::Ended));
+
+// Guards against taking a result that this version doesn't know for the end of an endpoint.
+TEST(CrashMessage, ResultsOfLaterVersionsTellNothing)
+{
+    nlohmann::json message =
+            parsed(encodeProbeResponse({HostId("h"), {EndpointId("e"), 17}, ProbeResult::Ended}));
+    message["result"] = "half_closed";
+    EXPECT_EQ(decodeProbeMessage(message).result, ProbeResult::Unknown);
+}
+
 } // namespace
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -160,10 +160,10 @@
     {
         ++written;
     }
-    void onConnectionLost(const ServiceId &, const EndpointProcess &process,
-                          const std::vector<PromptPart> &, Instant, Instant) override
+    void onConnectionLost(const LostRequest &request, const std::vector<PromptPart> &,
+                          Instant) override
     {
-        lost.push_back(process.endpoint);
+        lost.push_back(request.process.endpoint);
     }
 
     uint64_t quarantined = 0; ///< a part; 0: none
