[Decisions] [Edge] A process that another one replaced has ended, though its address listens

What callers saw: a part that crashes endpoints isn't found, or late, where something listens at the address of a crashed endpoint when it is probed: its next start, another endpoint, or a path that accepts connections and carries nothing. Cause: a probe can't tell which process listens; one that connects cleared the loss for good. Change: the loss is kept for 6 s. An entry with a later start under the same id, or under another id at the same address, shows that the process before has ended, and the loss counts from when it came. Rows of earlier processes that are read late show nothing.

--- a/include/sequoiagate/Decisions/CrashingParts.h
+++ b/include/sequoiagate/Decisions/CrashingParts.h
@@ -124,6 +124,9 @@
     static constexpr Interval FirstQuarantine = std::chrono::minutes(30);
     static constexpr Interval MaxQuarantine = std::chrono::hours(24);
     static constexpr Interval ResendDelay = std::chrono::milliseconds(100);
+    /// How long a process that was replaced may have been the cause of a loss: as long as endpoints
+    /// take to start again, and their rows to be read.
+    static constexpr Interval ReplacementTime = std::chrono::seconds(6);
     /// Bound memory and the size of a message.
     static constexpr std::size_t MaxServedParts = 32'768;
     static constexpr std::size_t MaxSuspects = 4'096;
@@ -152,6 +155,9 @@
     bool onConnectionLost(const ServiceId &service, const EndpointProcess &process,
                           const std::vector<uint64_t> &parts, Instant sentAt, Instant now);
     void onEndpointProbed(const EndpointProcess &process, bool hasEnded, Instant now);
+    /// Another process is listed at the address of \p process, which has ended therefore, also if
+    /// probes found that something listens there.
+    void onProcessReplaced(const EndpointProcess &process, Instant now);
     /// The quarantine of one of these parts; nullptr if none is quarantined.
     const Quarantine *find(const ServiceId &service, const std::vector<uint64_t> &parts,
                            Instant now) const;
@@ -230,8 +236,9 @@
     std::unordered_map<PartKey, Instant> servedBefore_;
     std::map<uint64_t, Instant> serviceServed_;
     std::map<uint64_t, LossStatistics> outcomes_;
-    std::map<EndpointProcess, Loss> losses_;   ///< until the endpoint is probed
-    std::map<EndpointProcess, Instant> ended_; ///< when they were found to have ended
+    std::map<EndpointProcess, Loss> losses_;      ///< until the endpoint is probed
+    std::map<EndpointProcess, Loss> unconfirmed_; ///< at processes that were found to listen
+    std::map<EndpointProcess, Instant> ended_;    ///< when they were found to have ended
     /// When endpoints crashed, by service, without those that quarantined parts crashed.
     std::map<uint64_t, std::map<EndpointProcess, Instant>> crashes_;
     std::map<PartKey, Suspect> suspects_;
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -34,6 +34,7 @@
 #include "sequoiagate/Decisions/DomainEvacuations.h"
 #include "sequoiagate/Decisions/EndpointEligibility.h"
 #include "sequoiagate/Decisions/EndpointLimits.h"
+#include "sequoiagate/Decisions/EndpointProcess.h"
 #include "sequoiagate/Decisions/EndpointSelector.h"
 #include "sequoiagate/Decisions/EndpointWithdrawals.h"
 #include "sequoiagate/Decisions/PartitionDetector.h"
@@ -79,6 +80,9 @@
     /// Called when a slot of another host's share of a limit is needed.
     std::function<void(const SlotRequest &)> onSlotNeeded;
 
+    /// Called when an entry shows that another process listens where one was listed.
+    std::function<void(const EndpointProcess &replaced)> onProcessReplaced;
+
     /// Adds or changes an entry. Takes effect with the next publish.
     void update(const EndpointEntry &entry, Instant now);
     /// Removes \p id. An endpoint whose entry may merely have expired stays in use for
@@ -214,6 +218,8 @@
     std::string describeWithdrawals(const std::vector<EndpointId> &endpoints, Instant now) const;
     /// Makes the limit of \p endpoint follow how cold it is.
     void limitWhileCold(const EndpointId &endpoint, Instant now);
+    /// Reports the processes in whose place \p entry is listed at \p address.
+    void reportReplaced(const EndpointEntry &entry, const boost::asio::ip::tcp::endpoint &address);
     void onLeavingNotice(const NoticeSource &source, const char *heardFrom, Instant now);
 
     struct ListedEndpoint
--- a/lib/Decisions/CrashingParts.cpp
+++ b/lib/Decisions/CrashingParts.cpp
@@ -96,6 +96,23 @@
     if (hasEnded) {
         ended_[process] = now;
         report(process, loss, now);
+        return;
+    }
+    std::erase_if(unconfirmed_,
+                  [now](const auto &entry) { return now >= entry.second.at + ReplacementTime; });
+    unconfirmed_.insert_or_assign(process, loss);
+}
+
+void CrashingParts::onProcessReplaced(const EndpointProcess &process, Instant now)
+{
+    const auto found = unconfirmed_.find(process);
+    if (found == unconfirmed_.end()) {
+        return;
+    }
+    const Loss loss = std::move(found->second);
+    unconfirmed_.erase(found);
+    if (now < loss.at + ReplacementTime) {
+        report(process, loss, now);
     }
 }
 
--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -273,6 +273,12 @@
     }
 }
 
+void CrashingPartsLink::onProcessReplaced(const EndpointProcess &process)
+{
+    parts_.onProcessReplaced(process, std::chrono::steady_clock::now());
+    armTimer();
+}
+
 void CrashingPartsLink::armTimer()
 {
     const Instant deadline = std::min(parts_.nextDeadline(), confirmation_.nextDeadline());
--- a/lib/Edge/CrashingPartsLink.h
+++ b/lib/Edge/CrashingPartsLink.h
@@ -38,6 +38,8 @@
 
     /// Takes a row of a quarantined part.
     void onRow(const StoreRow &row);
+    /// Another process is listed in the place of \p process.
+    void onProcessReplaced(const EndpointProcess &process);
 
     void setHosts(const std::vector<Peer> &others);
     /// Tells a few hosts, in rotation, which parts are quarantined: those that missed it or started
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -158,6 +158,9 @@
                                               log.identity().incarnation.text() + "-quarantines",
                                               log_),
             log_, metrics_);
+    endpoints_.onProcessReplaced = [this](const EndpointProcess &process) {
+        crashingParts_->onProcessReplaced(process);
+    };
     tokens_->onQuarantineRow = [this](const StoreRow &row) {
         crashingParts_->onRow(row);
     };
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -104,6 +104,7 @@
         remove(entry.id, RemovalReason::Malformed, now);
         return;
     }
+    reportReplaced(entry, *address);
     const auto [found, added] = entries_.try_emplace(entry.id);
     ListedEndpoint &listed = found->second;
     const EndpointEntry &known = listed.entry;
@@ -146,6 +147,23 @@
                        .with("reborn", restarted));
 }
 
+void EndpointDirectory::reportReplaced(const EndpointEntry &entry,
+                                       const boost::asio::ip::tcp::endpoint &address)
+{
+    const auto known = entries_.find(entry.id);
+    if (!onProcessReplaced
+        || (known != entries_.end()
+            && known->second.entry.startedAtMillis == entry.startedAtMillis)) {
+        return;
+    }
+    for (const auto &[id, listed] : entries_) {
+        const bool isEarlier = listed.entry.startedAtMillis < entry.startedAtMillis;
+        if (isEarlier && (id == entry.id || listed.address == address)) {
+            onProcessReplaced({id, listed.entry.startedAtMillis});
+        }
+    }
+}
+
 void EndpointDirectory::remove(const EndpointId &id, RemovalReason reason, Instant now)
 {
     const auto found = entries_.find(id);
--- a/unittests/Decisions/CrashingPartsTest.cpp
+++ b/unittests/Decisions/CrashingPartsTest.cpp
@@ -378,6 +378,31 @@
     EXPECT_FALSE(isQuarantined(BadPart));
 }
 
+// Guards against a process that listens again before it is probed.
+TEST_F(LoneHost, AProcessThatWasReplacedHasCrashed)
+{
+    for (const char *endpoint : {"a", "b", "c"}) {
+        EXPECT_FALSE(isQuarantined(BadPart)) << endpoint;
+        crash(endpoint, {1, BadPart}, false);
+        parts_.onProcessReplaced({EndpointId(endpoint), 1}, now_);
+        parts_.onProcessReplaced({EndpointId(endpoint), 1}, now_);
+        parts_.tick(now_ + CrashingParts::InquiryTime);
+    }
+    EXPECT_TRUE(isQuarantined(BadPart));
+}
+
+// Guards against blaming prompts for connections that were reset long before a planned restart.
+TEST_F(LoneHost, AProcessThatIsReplacedMuchLaterHasNotCrashed)
+{
+    for (const char *endpoint : {"a", "b", "c"}) {
+        crash(endpoint, {1, BadPart}, false);
+        now_ += CrashingParts::ReplacementTime;
+        parts_.onProcessReplaced({EndpointId(endpoint), 1}, now_);
+        parts_.tick(now_ + CrashingParts::InquiryTime);
+    }
+    EXPECT_FALSE(isQuarantined(BadPart));
+}
+
 TEST_F(LoneHost, ThreeCrashesQuarantineAPartAtItsService)
 {
     crash("a", {1, BadPart});
--- a/unittests/Decisions/SimulatedFleet.cpp
+++ b/unittests/Decisions/SimulatedFleet.cpp
@@ -162,15 +162,21 @@
     return static_cast<int>(found - places_.begin());
 }
 
+EndpointProcess SimulatedFleet::runningProcess(std::size_t number) const
+{
+    const int starts = endpoints_[number].starts;
+    return shape_.keepsIds ? EndpointProcess{EndpointId(fmt::format("e{}", number)),
+                                             static_cast<uint64_t>(starts) + 1}
+                           : EndpointProcess{EndpointId(fmt::format("e{}-{}", number, starts)), 1};
+}
+
 EndpointProcess SimulatedFleet::listedProcess(std::size_t number) const
 {
     const Endpoint &endpoint = endpoints_[number];
-    if (!shape_.keepsIds) {
-        return {EndpointId(fmt::format("e{}-{}", number, endpoint.starts)), 1};
-    }
+    EndpointProcess listed = runningProcess(number);
     const bool isNew = endpoint.starts > 0 && now_ < endpoint.downUntil + UntilListed;
-    const int listed = isNew ? endpoint.starts - 1 : endpoint.starts;
-    return {EndpointId(fmt::format("e{}", number)), static_cast<uint64_t>(listed) + 1};
+    listed.startedAtMillis -= shape_.keepsIds && isNew ? 1 : 0;
+    return listed;
 }
 
 bool SimulatedFleet::canReach(int host, std::size_t endpoint) const
@@ -300,9 +306,15 @@
     if (now_ < endpoint.downUntil) {
         return;
     }
+    const EndpointProcess crashed = runningProcess(number);
     ++endpoint.starts;
     endpoint.downUntil = now_ + RestartDelay;
     endpoint.listensWhileDown = chance(shape_.listening);
+    queue_.emplace(endpoint.downUntil + UntilListed, [this, crashed] {
+        for (const auto &[id, host] : hosts_) {
+            host->parts.onProcessReplaced(crashed, now_);
+        }
+    });
     for (const Request &request : std::exchange(endpoint.open, {})) {
         if (now_ < request.sentAt + UntilWritten) {
             lose(request);
--- a/unittests/Decisions/SimulatedFleet.h
+++ b/unittests/Decisions/SimulatedFleet.h
@@ -145,6 +145,7 @@
     void probe(int host, const EndpointProcess &process);
     const HostId &idOf(int host) const { return places_.at(static_cast<std::size_t>(host)).host; }
     int numberOf(const HostId &host) const;
+    EndpointProcess runningProcess(std::size_t number) const;
     /// The process that is listed, which is the one before for a moment after a start.
     EndpointProcess listedProcess(std::size_t number) const;
     bool isCut() const { return now_ >= cut_.from && now_ < cut_.until; }
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -72,6 +72,45 @@
     EndpointDirectory directory_;
 };
 
+struct ReplacedCase
+{
+    const char *name;
+    const char *id;
+    uint64_t startedAt;
+    const char *address;
+    bool isReplaced;
+};
+
+class ReplacedProcess : public EndpointDirectoryTest,
+                        public testing::WithParamInterface<ReplacedCase>
+{};
+
+const ReplacedCase ReplacedCases[] = {
+        {"SameIdLaterStart", "a", 6, "127.0.0.1:9", true},
+        {"OtherIdSameAddress", "b", 6, "127.0.0.1:9", true},
+        {"OtherIdOtherAddress", "b", 6, "127.0.0.1:10", false},
+        {"SameStart", "a", 5, "127.0.0.1:9", false},
+        // Guards against rows of earlier processes that are read late.
+        {"EarlierStart", "b", 4, "127.0.0.1:9", false},
+};
+
+TEST_P(ReplacedProcess, IsReported)
+{
+    std::vector<EndpointProcess> replaced;
+    directory_.onProcessReplaced = [&replaced](const EndpointProcess &process) {
+        replaced.push_back(process);
+    };
+    directory_.update(entry("a", false, 5), now_);
+    EndpointEntry next = entry(GetParam().id, false, GetParam().startedAt);
+    next.address = GetParam().address;
+    directory_.update(next, now_);
+    const std::vector<EndpointProcess> expected = {{EndpointId("a"), 5}};
+    EXPECT_EQ(replaced, GetParam().isReplaced ? expected : std::vector<EndpointProcess>());
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, ReplacedProcess, testing::ValuesIn(ReplacedCases),
+                         [](const auto &row) { return row.param.name; });
+
 TEST_F(EndpointDirectoryTest, DrainingEndpointGetsNoNewRequests)
 {
     directory_.update(entry("a"), now_);
