[Test] A loss over a relay names the relay

What it guards against, a prompt that is blamed for the end of a relay, is decided by CrashConfirmation now: a row shows that an endpoint which listens to any other host hasn't crashed.

--- a/unittests/Decisions/CrashConfirmationTest.cpp
+++ b/unittests/Decisions/CrashConfirmationTest.cpp
@@ -140,6 +140,14 @@
     EXPECT_EQ(decided_, true);
 }
 
+// Guards against blaming a prompt for the end of a relay.
+TEST_F(Confirmation, ARelayThatEndedIsNoCrashOfTheEndpoint)
+{
+    confirmation_.begin(Process, HostId("a1"), Start);
+    respond("b1", ProbeResult::Listens);
+    EXPECT_EQ(decided_, false);
+}
+
 TEST_F(Confirmation, AsksAgainThoseThatHaventResponded)
 {
     beginDirectly(ProbeResult::Ended);
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -164,12 +164,14 @@
                           Instant) override
     {
         lost.push_back(request.process.endpoint);
+        relays.push_back(request.relay);
     }
 
     uint64_t quarantined = 0; ///< a part; 0: none
     int refuseAfter = 0;      ///< prompts with the part that pass before
     int written = 0;
     std::vector<EndpointId> lost;
+    std::vector<HostId> relays; ///< of the lost requests
 };
 
 struct ProxyTestSettings
