--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -103,7 +103,8 @@
                           const ProbeMessage response = decodeProbeMessage(message);
                           confirmation_.onResponse(response.from, response.process, response.result,
                                                    std::chrono::steady_clock::now());
-                      });
+                          armTimer();
+            });
 }
 
 void CrashingPartsLink::setHosts(const std::vector<Peer> &others)
--- a/lib/Edge/QuarantineRows.cpp
+++ b/lib/Edge/QuarantineRows.cpp
@@ -21,8 +21,8 @@
 
 std::optional<PartKey> partOf(const std::string &key)
 {
-    const std::string_view text = std::string_view(key).substr(
-            std::min(key.size(), std::string_view(QuarantineRowPrefix).size()));
+    std::string_view text = key;
+    text.remove_prefix(std::min(text.size(), std::string_view(QuarantineRowPrefix).size()));
     PartKey part = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), part, HexBase);
     const bool isWhole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
