--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -104,7 +104,7 @@
                           confirmation_.onResponse(response.from, response.process, response.result,
                                                    std::chrono::steady_clock::now());
                           armTimer();
-            });
+                      });
 }
 
 void CrashingPartsLink::setHosts(const std::vector<Peer> &others)
