[Edge] Split the retrying writer of rows out of QuarantineStore

Change: RowAppender has them; QuarantineStore composes its rows. Its log lines say the number of rows in place of the number of parts.

--- a/lib/Edge/QuarantineStore.cpp
+++ b/lib/Edge/QuarantineStore.cpp
@@ -8,17 +8,21 @@
 
 QuarantineStore::QuarantineStore(boost::asio::io_context &io, Store &store, std::string topic,
                                  std::string writer, EventLog &log)
-    : store_(store), topic_(std::move(topic)), writer_(std::move(writer)), log_(log),
-      retryTimer_(io)
+    : log_(log),
+      appender_(io, store, std::move(topic), std::move(writer),
+                {[this] { return compose(); },
+                 [this](const StoreBatch &batch, bool isTaken, StoreOutcome outcome) {
+                     log_.write(Event(isTaken ? "quarantine.stored" : "quarantine.not_stored")
+                                        .with("rows", batch.rows.size())
+                                        .with("outcome", storeOutcomeName(outcome)));
+                 }})
 {}
 
 void QuarantineStore::write(const Quarantine &quarantine, Instant now)
 {
     dropEnded(now);
     unwritten_[quarantine.part] = quarantine;
-    if (!batch_) {
-        append();
-    }
+    appender_.write();
 }
 
 std::optional<Quarantine> QuarantineStore::onRow(const StoreRow &row, Instant now)
@@ -32,54 +36,26 @@
     return now < quarantine->until ? quarantine : std::nullopt;
 }
 
-void QuarantineStore::append()
+std::vector<StoreRow> QuarantineStore::compose()
 {
     const Instant now = std::chrono::steady_clock::now();
-    if (!batch_) {
-        dropEnded(now);
-        if (unwritten_.empty()) {
-            return;
-        }
-        batched_ = std::exchange(unwritten_, {});
-        batch_ = StoreBatch{topic_, writer_, nextSeq_++, {}};
-        for (const auto &[part, quarantine] : batched_) {
-            batch_->rows.push_back(
-                    encodeQuarantineRow(quarantine, now, std::chrono::system_clock::now()));
-        }
-        std::erase_if(rowEnds_, [this, now](const auto &entry) {
-            const bool isOld = now >= entry.second + EndedRowLifetime;
-            if (isOld && batched_.count(entry.first) == 0) {
-                batch_->rows.push_back(encodeQuarantineRemoval(entry.first));
-            }
-            return isOld;
-        });
+    dropEnded(now);
+    std::vector<StoreRow> rows;
+    if (unwritten_.empty()) {
+        return rows;
+    }
+    const std::map<PartKey, Quarantine> batched = std::exchange(unwritten_, {});
+    for (const auto &[part, quarantine] : batched) {
+        rows.push_back(encodeQuarantineRow(quarantine, now, std::chrono::system_clock::now()));
     }
-    const std::weak_ptr<bool> alive = alive_;
-    store_.append(*batch_, [this, alive](const AppendAnswer &response) {
-        if (!alive.expired()) {
-            onAppended(response);
+    std::erase_if(rowEnds_, [&rows, &batched, now](const auto &entry) {
+        const bool isOld = now >= entry.second + EndedRowLifetime;
+        if (isOld && batched.count(entry.first) == 0) {
+            rows.push_back(encodeQuarantineRemoval(entry.first));
         }
+        return isOld;
     });
-}
-
-void QuarantineStore::onAppended(const AppendAnswer &response)
-{
-    const bool isTaken = response.outcome == StoreOutcome::Ok
-                         || (response.outcome == StoreOutcome::OutOfOrder && response.expectedSeq
-                             && *response.expectedSeq == batch_->seq + 1);
-    log_.write(Event(isTaken ? "quarantine.stored" : "quarantine.not_stored")
-                       .with("parts", batched_.size())
-                       .with("outcome", storeOutcomeName(response.outcome)));
-    if (isTaken) {
-        batch_.reset();
-        append();
-        return;
-    }
-    if (response.outcome == StoreOutcome::OutOfOrder && response.expectedSeq) {
-        batch_->seq = *response.expectedSeq;
-        nextSeq_ = batch_->seq + 1;
-    }
-    retryTimer_.arm(std::chrono::steady_clock::now() + RetryDelay, [this] { append(); });
+    return rows;
 }
 
 void QuarantineStore::dropEnded(Instant now)
--- a/lib/Edge/QuarantineStore.h
+++ b/lib/Edge/QuarantineStore.h
@@ -7,17 +7,15 @@
 /// the edge's topic. A write also removes the rows of quarantines that ended long ago, so that
 /// nothing is called while no part is quarantined.
 
-#include <cstdint>
-#include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
 #include "QuarantineRows.h"
-#include "sequoiagate/Service/DeadlineTimer.h"
+#include "RowAppender.h"
 #include "sequoiagate/Service/EventLog.h"
 
 namespace sequoiagate {
@@ -28,8 +26,6 @@
 public:
     /// How long the row of a quarantine that is over is kept, for the length of the next one.
     static constexpr Interval EndedRowLifetime = std::chrono::hours(24);
-    /// After a write that failed.
-    static constexpr Interval RetryDelay = std::chrono::milliseconds(500);
 
     /// \param writer names this process's batches and no others
     /// \pre \p io, \p store and \p log outlive it
@@ -42,22 +38,14 @@
     std::optional<Quarantine> onRow(const StoreRow &row, Instant now);
 
 private:
-    void append();
-    void onAppended(const AppendAnswer &response);
+    std::vector<StoreRow> compose();
     /// Drops what is over from what is to be written.
     void dropEnded(Instant now);
 
-    Store &store_;
-    std::string topic_;
-    std::string writer_;
     EventLog &log_;
     std::map<PartKey, Quarantine> unwritten_;
     std::map<PartKey, Instant> rowEnds_; ///< of quarantines that have a row
-    std::optional<StoreBatch> batch_;    ///< the batch being written
-    std::map<PartKey, Quarantine> batched_;
-    uint64_t nextSeq_ = 0;
-    DeadlineTimer retryTimer_;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    RowAppender appender_;
 };
 
 } // namespace sequoiagate
