[Decisions] [Edge] Keep the versions of a service in the store, so that they outlive the hosts

Cause: a stream that its caller doesn't name went on where no host that was asked had seen a second software version. After all hosts had ended at once they see only the version that is listed then, and a stream that began at one that has left went on at the new one, answered 200.

Change: a row versions/SERVICE in the edge's own topic names the versions that streams can have begun at. One host writes it when it changes. A host that hasn't read the list for two minutes and the longest stream counts recorded versions as listed, and an unnamed stream needs a record that names the one version that is seen. A host that hears neither the store nor most of the others refuses.

The row AskedHostIsCutOff of StreamsWithoutRecord expects a refusal now where it expected the stream to go on: a host that is cut off alone can't rule out a version that came since; a new row holds that an outage of the store alone refuses nothing. AllHostsHaveStartedAndRead is replaced by rows that tell what the record says.

--- a/include/sequoiagate/Decisions/StreamOrigins.h
+++ b/include/sequoiagate/Decisions/StreamOrigins.h
@@ -111,7 +111,8 @@
                        const SoftwareVersion &version, Instant now);
     /// Calls \p handler, possibly from inside this call, at the latest after QueryTimeout.
     /// \param first empty if the caller doesn't name it. Such a stream goes on if no host that is
-    ///     asked has seen more than one version of its service.
+    ///     asked has seen more than one version of its service, and the store's record names that
+    ///     one alone: hosts that all started again have seen no version that left before.
     void find(const ServiceId &service, const RequestId &first, Instant now, FoundHandler handler);
 
     /// Another host's record, which is to be acknowledged to it.
--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -42,6 +42,7 @@
 struct RelayTarget;
 class StatusServer;
 class StreamOriginLink;
+class VersionRecorder;
 
 /// Single-threaded.
 class Edge
@@ -109,6 +110,7 @@
     bool shedding_ = false; ///< as last logged
     std::unique_ptr<TokenService> tokens_;
     std::unique_ptr<StreamOriginLink> streamOrigins_;
+    std::unique_ptr<VersionRecorder> versionRecorder_;
     std::unique_ptr<CrashingPartsLink> crashingParts_;
     std::unique_ptr<ProxyContext> context_;
     std::unique_ptr<TopicFollower> configFollower_;
--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -58,6 +58,10 @@
 
     /// Called for the topic's rows of quarantined parts. Set before start.
     std::function<void(const StoreRow &)> onQuarantineRow;
+    /// Called for the topic's rows of software versions. Set before start.
+    std::function<void(const StoreRow &)> onVersionRow;
+    /// Called when all rows that the topic had at a moment after the start were handed over.
+    std::function<void()> onTopicRead;
 
     void start();
     void setHorizon(Interval horizon) { holder_.setHorizon(horizon); }
--- a/lib/Decisions/StreamOrigins.cpp
+++ b/lib/Decisions/StreamOrigins.cpp
@@ -194,15 +194,22 @@
     std::vector<VersionView> views = lookup.views;
     views.push_back(versions_.view(lookup.query.service, now));
     const VersionView *sole = nullptr;
+    const VersionView *seen = nullptr;
+    // A host that hears neither the store nor most of the others misses a version that came since.
+    const bool mayTrustRecords =
+            !lookup.isNamed
+            && (versions_.isUpToDate(now) || 2 * lookup.views.size() > lookup.asked);
     for (const VersionView &view : views) {
-        const bool counts = view.knowledge == VersionKnowledge::Sole
-                            || (!lookup.isNamed && !view.version.empty());
+        const bool isSole = view.knowledge == VersionKnowledge::Sole;
+        // Without a name, one host that has seen another version is enough to refuse.
+        const bool counts = isSole || (!lookup.isNamed && !view.version.empty());
         const bool contradicts = view.knowledge == VersionKnowledge::Several
-                                 || (counts && sole != nullptr && sole->version != view.version);
+                                 || (counts && seen != nullptr && seen->version != view.version);
         if (contradicts) {
             return origin;
         }
-        if (counts) {
+        seen = counts ? &view : seen;
+        if (isSole || (mayTrustRecords && view.isRecorded)) {
             sole = &view;
         }
     }
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -10,6 +10,7 @@
 #include "RelayServer.h"
 #include "StatusServer.h"
 #include "StreamOriginLink.h"
+#include "VersionRecorder.h"
 #include "sequoiagate/Service/DeadlineTimer.h"
 #include "sequoiagate/Service/Events.h"
 #include "sequoiagate/Service/Program.h"
@@ -151,6 +152,15 @@
     };
     streamOrigins_ = std::make_unique<StreamOriginLink>(io_, tokens_->peers(), settings_.host,
                                                         settings_.domain, metrics_);
+    versionRecorder_ = std::make_unique<VersionRecorder>(
+            io_, *store_, adapter_.topics().ledger, log.identity().incarnation.text() + "-versions",
+            settings_.host, streamOrigins_->versions(), log_);
+    tokens_->onVersionRow = [this](const StoreRow &row) {
+        versionRecorder_->onRow(row);
+    };
+    tokens_->onTopicRead = [this] {
+        versionRecorder_->onTopicRead(std::chrono::steady_clock::now());
+    };
     crashingParts_ = std::make_unique<CrashingPartsLink>(
             io_, tokens_->peers(), CrashingPartsSettings{settings_.host, settings_.domain},
             [this](const EndpointId &endpoint) { return listedProcess(endpoints_, endpoint); },
@@ -270,6 +280,7 @@
     endpoints_.setRelays(std::move(relays));
     streamOrigins_->setHosts(others);
     crashingParts_->setHosts(others);
+    versionRecorder_->setHosts(others);
 }
 
 void Edge::probeEndpoint(Instant now)
@@ -416,6 +427,7 @@
         const Instant now = std::chrono::steady_clock::now();
         streamOrigins_->versions().setListed(endpoints_.listedVersions(), now);
         streamOrigins_->versions().onRead(now);
+        versionRecorder_->tick(now);
     }
 }
 
@@ -565,6 +577,7 @@
     endpoints_.tick(now);
     probeEndpoint(now);
     gossip(now);
+    versionRecorder_->tick(now);
     pool_.closeExpired(now);
 }
 
--- a/lib/Edge/LedgerRows.cpp
+++ b/lib/Edge/LedgerRows.cpp
@@ -9,6 +9,7 @@
 
 #include "Addresses.h"
 #include "QuarantineRows.h"
+#include "VersionRecorder.h"
 
 namespace sequoiagate {
 
@@ -78,7 +79,8 @@
     constexpr Kind Kinds[] = {{BudgetPrefix, LedgerRowKind::Budget},
                               {BatchPrefix, LedgerRowKind::Batch},
                               {HostPrefix, LedgerRowKind::Host},
-                              {QuarantineRowPrefix, LedgerRowKind::Quarantine}};
+                              {QuarantineRowPrefix, LedgerRowKind::Quarantine},
+                              {VersionRowPrefix, LedgerRowKind::Versions}};
     for (const Kind &kind : Kinds) {
         if (startsWith(key, kind.prefix)) {
             return kind.row;
--- a/lib/Edge/LedgerRows.h
+++ b/lib/Edge/LedgerRows.h
@@ -3,7 +3,8 @@
 
 /// Encodes and decodes the rows of the edge's own topic: the tokens of a workspace's budget that a
 /// holder has, the time of each process's last batch, and the address of each host's process. Rows
-/// of quarantined parts are those of QuarantineRows.h.
+/// of quarantined parts are those of QuarantineRows.h, rows of software versions those of
+/// VersionRecorder.h.
 
 #include <optional>
 #include <string>
@@ -17,7 +18,7 @@
 namespace sequoiagate {
 
 /// The kind of a row, given by the prefix of its key.
-enum class LedgerRowKind { Budget, Batch, Host, Quarantine, Unknown };
+enum class LedgerRowKind { Budget, Batch, Host, Quarantine, Versions, Unknown };
 
 LedgerRowKind ledgerRowKind(const std::string &key);
 
--- a/lib/Edge/StreamOriginMessage.cpp
+++ b/lib/Edge/StreamOriginMessage.cpp
@@ -99,6 +99,7 @@
     }
     message["listed"] = nameOf(response.listed.knowledge);
     message["listed_version"] = response.listed.version.text();
+    message["listed_recorded"] = response.listed.isRecorded;
     return textOf(message);
 }
 
@@ -111,6 +112,8 @@
     }
     response.listed.knowledge = knowledgeOf(message.at("listed").get<std::string>());
     response.listed.version = SoftwareVersion(message.at("listed_version").get<std::string>());
+    // Earlier versions keep no records.
+    response.listed.isRecorded = message.value("listed_recorded", false);
     return response;
 }
 
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -85,6 +85,7 @@
                          batchAcknowledged_ = true;
                          serveWaitingRequests(std::chrono::steady_clock::now());
                      }
+                     onTopicRead();
                  },
                  [this](bool reachable, StoreOutcome outcome) {
                      log_.write(Event(reachable ? "ledger.reachable" : "ledger.lost")
@@ -183,6 +184,9 @@
         case LedgerRowKind::Quarantine:
             onQuarantineRow(row);
             break;
+        case LedgerRowKind::Versions:
+            onVersionRow(row);
+            break;
         case LedgerRowKind::Unknown:
             log_.write(Event("ledger.malformed").with("key", row.key));
             break;
--- a/test/Edge/StreamVersionTest.cpp
+++ b/test/Edge/StreamVersionTest.cpp
@@ -31,14 +31,16 @@
 class StreamCaller
 {
 public:
-    StreamCaller(std::string name, std::function<std::string(int attempt)> host)
-        : name_(std::move(name)), host_(std::move(host))
+    /// \param isNamed whether it says which request brought its first event
+    StreamCaller(std::string name, std::function<std::string(int attempt)> host, int maxAttempts,
+                 bool isNamed)
+        : name_(std::move(name)), host_(std::move(host)), maxAttempts_(maxAttempts),
+          isNamed_(isNamed)
     {}
 
     StreamOutcome run(std::atomic<int> &begun)
     {
-        constexpr int MaxAttempts = 5;
-        for (int attempt = 0; attempt < MaxAttempts && !outcome_.whole; ++attempt) {
+        for (int attempt = 0; attempt < maxAttempts_ && !outcome_.whole; ++attempt) {
             const int before = outcome_.events;
             outcome_.broke = outcome_.broke || before > 0;
             const int status = send(attempt, begun);
@@ -65,6 +67,8 @@
                            {"X-Events", std::to_string(Events)}};
         if (outcome_.events > 0) {
             request.headers.emplace("Last-Event-Id", std::to_string(outcome_.events - 1));
+        }
+        if (outcome_.events > 0 && isNamed_) {
             request.headers.emplace("Resumes", firstId_);
         }
         std::string rest;
@@ -100,6 +104,8 @@
 
     std::string name_;
     std::function<std::string(int)> host_;
+    int maxAttempts_;
+    bool isNamed_;
     std::string firstId_;
     StreamOutcome outcome_;
 };
@@ -159,6 +165,40 @@
         ASSERT_TRUE(eventually([host] { return status(post(host, "first", 1)) == 200; }));
     }
 
+    /// Removes the entries of \p version, whose endpoints go on for a while.
+    void delistVersion(const std::string &version)
+    {
+        for (const auto &endpoint : endpoints_) {
+            if (endpoint->version() == version) {
+                store_.put("keyed.servers", endpoint->id(), "");
+            }
+        }
+    }
+
+    /// Waits until the store's record of the service's versions holds \p version.
+    bool isRecorded(const std::string &version)
+    {
+        return eventually([this, &version] {
+            const auto rows = store_.newest(OwnTopic);
+            const auto row = rows.find("versions/s");
+            return row != rows.end()
+                   && row->second.find("\"" + version + "\"") != std::string::npos;
+        });
+    }
+
+    /// Ends all hosts at once, and starts them again after \p meanwhile.
+    void restartAllHosts(const std::function<void()> &meanwhile)
+    {
+        for (int host = 1; host <= Hosts; ++host) {
+            killHost(host);
+        }
+        meanwhile();
+        for (int host = 1; host <= Hosts; ++host) {
+            edges_.at(host).reset();
+            startHost(host);
+        }
+    }
+
     void killHost(int host) { edges_.at(host)->signal(SIGKILL); }
 
     /// Breaks off the streams at the \p n th endpoint of each version.
@@ -172,7 +212,8 @@
 
     /// Runs streams that go to the hosts in turn, each attempt to the next one, and \p fault
     /// once all of them have begun.
-    std::vector<StreamOutcome> play(const std::function<void()> &fault)
+    std::vector<StreamOutcome> play(const std::function<void()> &fault, int maxAttempts = 5,
+                                    bool isNamed = true)
     {
         std::vector<StreamOutcome> outcomes(Streams);
         std::atomic<int> begun{0};
@@ -183,7 +224,7 @@
                     return fmt::format("{}:{}", ip(1 + (i + attempt) % Hosts), CallerPort);
                 };
                 outcomes[static_cast<std::size_t>(i)] =
-                        StreamCaller(fmt::format("s{}", i), host).run(begun);
+                        StreamCaller(fmt::format("s{}", i), host, maxAttempts, isNamed).run(begun);
             });
         }
         EXPECT_TRUE(eventually([&begun] { return begun == Streams; }));
@@ -199,6 +240,9 @@
     int starts_ = 0;
 };
 
+/// Attempts that last until hosts that were all killed are back.
+constexpr int UntilHostsAreBack = 60;
+
 struct FaultCase
 {
     const char *name;
@@ -206,6 +250,8 @@
     std::vector<std::string> atStart; ///< versions that are listed when streams begin
     void (*play)(VersionedFleet &);
     bool goOn; ///< whether two endpoints of each stream's version serve on
+    int callerAttempts = 5;
+    bool isNamed = true; ///< whether callers say which request brought the first event
 };
 
 class StreamVersions : public VersionedFleet, public testing::WithParamInterface<FaultCase>
@@ -265,6 +311,28 @@
             of(fleet).breakStreams(i);
         }
     }
+
+    static void allHostsAreKilledAfterARelease(VersionedFleet &fleet)
+    {
+        of(fleet).listVersion("v2");
+        EXPECT_TRUE(of(fleet).isRecorded("v2"));
+        of(fleet).delistVersion("v1");
+        pause(std::chrono::milliseconds(350));
+        of(fleet).restartAllHosts([] {});
+    }
+
+    static void allHostsAreKilledDuringARelease(VersionedFleet &fleet)
+    {
+        of(fleet).restartAllHosts([&fleet] {
+            of(fleet).listVersion("v2");
+            of(fleet).delistVersion("v1");
+        });
+    }
+
+    static void allHostsAreKilled(VersionedFleet &fleet)
+    {
+        of(fleet).restartAllHosts([] {});
+    }
 };
 
 // Guards against streams that hold events of two software versions.
@@ -278,7 +346,9 @@
     for (int host = 1; host <= Hosts; ++host) {
         startHost(host);
     }
-    const std::vector<StreamOutcome> outcomes = play([this, &row] { row.play(*this); });
+    EXPECT_TRUE(isRecorded(row.atStart.back()));
+    const std::vector<StreamOutcome> outcomes =
+            play([this, &row] { row.play(*this); }, row.callerAttempts, row.isNamed);
     int mixed = 0;
     int broken = 0;
     int wentOn = 0;
@@ -320,7 +390,47 @@
                 FaultCase{"HostStops", 1, {"v1", "v2"}, &StreamVersions::hostStops, true},
                 FaultCase{"VersionAppears", 1, {"v1"}, &StreamVersions::versionAppears, true},
                 FaultCase{
-                        "VersionIsReplaced", 1, {"v1"}, &StreamVersions::versionIsReplaced, false}),
+                        "VersionIsReplaced", 1, {"v1"}, &StreamVersions::versionIsReplaced, false},
+                FaultCase{"AllHostsAreKilledAfterARelease",
+                          1,
+                          {"v1"},
+                          &StreamVersions::allHostsAreKilledAfterARelease,
+                          false,
+                          UntilHostsAreBack},
+                FaultCase{"AllHostsAreKilledAfterAReleaseUnnamed",
+                          1,
+                          {"v1"},
+                          &StreamVersions::allHostsAreKilledAfterARelease,
+                          false,
+                          UntilHostsAreBack,
+                          false},
+                FaultCase{"AllHostsAreKilledDuringARelease",
+                          1,
+                          {"v1"},
+                          &StreamVersions::allHostsAreKilledDuringARelease,
+                          false,
+                          UntilHostsAreBack},
+                FaultCase{"AllHostsAreKilledDuringAReleaseUnnamed",
+                          1,
+                          {"v1"},
+                          &StreamVersions::allHostsAreKilledDuringARelease,
+                          false,
+                          UntilHostsAreBack,
+                          false},
+                FaultCase{"AllHostsAreKilledWithTwoVersionsUnnamed",
+                          1,
+                          {"v1", "v2"},
+                          &StreamVersions::allHostsAreKilled,
+                          false,
+                          UntilHostsAreBack,
+                          false},
+                FaultCase{"AllHostsAreKilledWithOneVersionUnnamed",
+                          1,
+                          {"v1"},
+                          &StreamVersions::allHostsAreKilled,
+                          true,
+                          UntilHostsAreBack,
+                          false}),
         [](const auto &row) { return row.param.name; });
 
 } // namespace
--- a/unittests/Decisions/StreamOriginsTest.cpp
+++ b/unittests/Decisions/StreamOriginsTest.cpp
@@ -116,6 +116,28 @@
         at(host).versions().onRead(now_);
     }
 
+    /// The host has read the records of the store.
+    void record(int host, const std::vector<std::string> &versions)
+    {
+        VersionRecord record;
+        record.versions.insert(versions.begin(), versions.end());
+        at(host).versions().setRecord(S, record);
+        at(host).versions().onRecordsRead();
+    }
+
+    /// Starts all hosts again. They read the list, and the record if there is one.
+    void startAll(const std::vector<std::string> &listed,
+                  const std::optional<std::vector<std::string>> &recorded)
+    {
+        for (int host = 0; host < size(); ++host) {
+            start(host);
+            list(host, listed);
+            if (recorded) {
+                record(host, *recorded);
+            }
+        }
+    }
+
 private:
     static std::size_t index(int host) { return static_cast<std::size_t>(host); }
 
@@ -335,22 +357,48 @@
         // Guards against an asked host that can't hear the store or the other hosts.
         {"AskedHostIsCutOff",
          [](SimulatedFleet &fleet) {
+             fleet.record(3, {"v1"});
              fleet.partition({3});
              fleet.run(std::chrono::seconds(3));
          },
+         OriginSource::Unknown, OriginSource::Unknown},
+        // Guards against refusing all streams that callers don't name in an outage of the store.
+        {"AllHostsAreCutFromTheStore",
+         [](SimulatedFleet &fleet) {
+             fleet.record(3, {"v1"});
+             fleet.run(std::chrono::seconds(3));
+         },
          OriginSource::Unknown, OriginSource::SoleVersion},
         {"AskedHostHearsTheStoreAlone", [](SimulatedFleet &fleet) { fleet.partition({3}); },
          OriginSource::SoleVersion, OriginSource::SoleVersion},
-        // Guards against refusing all streams that callers don't name, while nobody has seen
-        // another version.
-        {"AllHostsHaveStartedAndRead",
+        // Guards against streams that go on at a new version, after all hosts were killed, since
+        // none of them has seen the version that left before.
+        {"AllHostsHaveStartedAndReadTheList",
+         [](SimulatedFleet &fleet) { fleet.startAll({"v1"}, std::nullopt); }, OriginSource::Unknown,
+         OriginSource::Unknown},
+        {"AllHostsHaveStartedAndTheRecordNamesAnotherVersion",
+         [](SimulatedFleet &fleet) { fleet.startAll({"v2"}, std::vector<std::string>{"v1"}); },
+         OriginSource::Unknown, OriginSource::Unknown},
+        {"AllHostsHaveStartedAndTheRecordNamesTwoVersions",
          [](SimulatedFleet &fleet) {
-             for (int host = 0; host < fleet.size(); ++host) {
-                 fleet.start(host);
-                 fleet.list(host, {"v1"});
-             }
+             fleet.startAll({"v2"}, std::vector<std::string>{"v1", "v2"});
          },
+         OriginSource::Unknown, OriginSource::Unknown},
+        {"AllHostsHaveStartedAndTheServiceHasNoRecord",
+         [](SimulatedFleet &fleet) { fleet.startAll({"v1"}, std::vector<std::string>{}); },
+         OriginSource::Unknown, OriginSource::Unknown},
+        // Guards against refusing all streams that callers don't name, while there has been no
+        // other version.
+        {"AllHostsHaveStartedAndTheRecordNamesOneVersion",
+         [](SimulatedFleet &fleet) { fleet.startAll({"v1"}, std::vector<std::string>{"v1"}); },
          OriginSource::Unknown, OriginSource::SoleVersion},
+        // Guards against a host that has read the list before a new version was listed.
+        {"AskedHostIsBehindTheOthers",
+         [](SimulatedFleet &fleet) {
+             fleet.startAll({"v1"}, std::vector<std::string>{"v1"});
+             fleet.list(1, {"v2"});
+         },
+         OriginSource::Unknown, OriginSource::Unknown},
 };
 
 TEST_P(StreamsWithoutRecord, GoOnOnlyIfThereWasNoOtherVersion)
