[Docs] [Decisions] Design of the parts for load that exceeds a fleet's available capacity

Cause: two deployments of 65 and 75 hosts whose callers are refused for tokens that nobody holds at the right place, and whose endpoints differ in speed.

--- /dev/null
+++ b/include/sequoiagate/Decisions/EndpointRate.h
@@ -0,0 +1,33 @@
+#ifndef SEQUOIAGATE_DECISIONS_ENDPOINTRATE_H
+#define SEQUOIAGATE_DECISIONS_ENDPOINTRATE_H
+
+/// How fast an endpoint works compared with the other endpoints of its service.
+
+#include <cstdint>
+
+#include "sequoiagate/Base/Ids.h"
+#include "sequoiagate/Base/Time.h"
+
+namespace sequoiagate {
+
+/// Factors of the time that the median endpoint of the service takes: 2 is twice as slow.
+struct EndpointRate
+{
+    double prefillFactor = 1.0;
+    double decodeFactor = 1.0;
+    uint32_t samples = 0; ///< 0: the endpoint's process is unknown
+    Interval age{};       ///< of the newest sample
+};
+
+/// Not thread safe.
+class EndpointRateSource
+{
+public:
+    virtual ~EndpointRateSource() = default;
+    /// The rate of the process that is listed as \p endpoint; the usual one if it is unknown.
+    virtual EndpointRate rateOf(const EndpointId &endpoint, Instant now) const = 0;
+};
+
+} // namespace sequoiagate
+
+#endif
