[Edge] Move the requests that wait for tokens out of TokenService

Change: lib/Edge/TokenWaitQueue holds that part; TokenReservations::reserve takes a ReservationRequest, which Exchange fills in. Nothing else behaves differently.

--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -4,8 +4,6 @@
 /// Reserves tokens for requests. Connects the TokenHolder to the store and the peers, and queues
 /// requests for the short time that it takes to get tokens from them.
 
-#include <deque>
-#include <list>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -28,6 +26,7 @@
 class PeerClocks;
 class Predecessor;
 class TokenStateLog;
+class TokenWaitQueue;
 
 struct TokenServiceSettings
 {
@@ -74,30 +73,12 @@
     /// Whether \p process is that of a listed host.
     bool isListed(const Incarnation &process) const;
 
-    ReservationTicket reserve(const WorkspaceId &workspace, uint64_t tokens, Instant deadline,
+    ReservationTicket reserve(const ReservationRequest &request,
                               std::function<void(std::optional<Verdict>)> handler) override;
     void cancel(ReservationTicket ticket) override;
     void settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent) override;
 
 private:
-    struct WaitingRequest
-    {
-        ReservationTicket ticket = 0;
-        WorkspaceId workspace;
-        uint64_t tokens = 0;
-        Instant since{};
-        Instant deadline{};
-        std::function<void(std::optional<Verdict>)> handler;
-    };
-
-    /// A recent reservation that failed for lack of tokens. Requests for at least as many are
-    /// refused without waiting.
-    struct Shortfall
-    {
-        uint64_t tokens = 0;
-        Instant until{};
-    };
-
     void onRows(const std::vector<StoreRow> &rows);
     void confirmBatchIfReadBack(const StoreRow &row);
     void onBudgetRow(const StoreRow &row);
@@ -117,14 +98,11 @@
     void writeBatch();
     void appendBatch();
     void onAppended(const AppendAnswer &response);
-    void serveWaitingRequests(Instant now);
-    void expireWaitingRequests(Instant now);
-    void updateRequiredTokens(const WorkspaceId &workspace);
     uint64_t transferOut(const TokenRequest &request, Instant now);
     void requestFromPeers(Instant now);
     void returnUnusedTokens(Instant now);
+    bool predecessorPending() const;
     HeldTokens heldTokens(const WorkspaceId &workspace) const;
-    Verdict shortfallVerdict(const WaitingRequest &waiting, Instant now) const;
     void finishStop(Instant now);
     void logTokenStates();
 
@@ -133,6 +111,7 @@
     EventLog &log_;
     Metrics &metrics_;
     TokenHolder holder_;
+    std::unique_ptr<TokenWaitQueue> waiting_;
     PeerLink peers_;
     TopicFollower follower_;
     boost::asio::steady_timer timer_;
@@ -144,9 +123,6 @@
     /// Final allotments of the previous process, to be written with the next batch.
     std::vector<AllotmentRow> seals_;
     Instant startedAt_;
-    std::list<WaitingRequest> waitingRequests_;
-    std::unordered_map<WorkspaceId, Shortfall> shortfalls_;
-    ReservationTicket lastTicket_ = 0;
 
     std::optional<StoreBatch> batch_; ///< the batch being written
     uint64_t nextSeq_ = 0;
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -102,6 +102,18 @@
 /// Identifies a pending token reservation.
 using ReservationTicket = uint64_t;
 
+/// A request for tokens of a workspace.
+struct ReservationRequest
+{
+    WorkspaceId workspace;
+    std::string route;     ///< name of the request's route
+    uint32_t priority = 0; ///< 0 is the most urgent
+    uint64_t tokens = 0;   ///< the most that the request may use
+    Instant receivedAt{};
+    Interval latencyTarget{};
+    Instant deadline = Never;
+};
+
 /// Reserves tokens of workspaces. Single-threaded.
 class TokenReservations
 {
@@ -109,8 +121,7 @@
     virtual ~TokenReservations() = default;
     /// Calls \p handler, possibly from inside this call, with std::nullopt when the tokens are
     /// reserved, or with the verdict that refuses them.
-    virtual ReservationTicket reserve(const WorkspaceId &workspace, uint64_t tokens,
-                                      Instant deadline,
+    virtual ReservationTicket reserve(const ReservationRequest &request,
                                       std::function<void(std::optional<Verdict>)> handler) = 0;
     /// Cancels a pending reservation; its handler isn't called.
     virtual void cancel(ReservationTicket ticket) = 0;
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <map>
 
-#include <fmt/format.h>
-
 #include "LedgerRows.h"
 #include "PeerClocks.h"
 #include "Predecessor.h"
 #include "TokenStateLog.h"
+#include "TokenWaitQueue.h"
 #include "sequoiagate/Ledger/TokenHomes.h"
 
 namespace sequoiagate {
@@ -19,19 +18,6 @@
 /// and a transfer a few; a waiting request is delayed by at most this in addition.
 constexpr Interval TickInterval = std::chrono::milliseconds(25);
 
-/// The longest that a request waits for tokens: enough for a claim (about 15 ms) and, if the store
-/// has no tokens left, for several rounds of token requests to peers.
-constexpr Interval MaxTokenWait = std::chrono::milliseconds(200);
-
-/// For this long after a request found too few tokens, requests for as many are refused at once.
-constexpr Interval ShortfallDuration = std::chrono::milliseconds(300);
-
-/// Retry delay told to callers while the store is unreachable; it isn't known when it returns.
-constexpr Interval RetryDelayWithoutStore = std::chrono::milliseconds(1000);
-
-/// Retry delay told to callers while the store still has tokens or open requests may return some.
-constexpr Interval RetryDelayWithStore = std::chrono::milliseconds(400);
-
 constexpr Interval AppendRetryDelay = std::chrono::milliseconds(120);
 constexpr Interval RejectedAppendRetryDelay = std::chrono::seconds(1);
 
@@ -60,6 +46,17 @@
                            EventLog &log, Metrics &metrics)
     : store_(store), settings_(std::move(settings)), log_(log), metrics_(metrics),
       holder_(settings_.incarnation, settings_.holder),
+      waiting_(std::make_unique<TokenWaitQueue>(
+              holder_, TokenWaitQueue::Hooks{[this](Instant now) {
+                                                 writeBatch();
+                                                 requestFromPeers(now);
+                                             },
+                                             [this](const WorkspaceId &workspace, Instant since) {
+                                                 return peers_.heldByPeers(workspace, since);
+                                             },
+                                             [this] {
+                                                 return predecessorPending();
+                                             }})),
       peers_(io, settings_.listenPeers, settings_.incarnation, settings_.domain, log,
              {[this](const TokenRequest &request) {
                   return transferOut(request, std::chrono::steady_clock::now());
@@ -68,7 +65,7 @@
               [this](const WorkspaceId &workspace, uint64_t tokens) {
                   const Instant now = std::chrono::steady_clock::now();
                   holder_.transferIn(workspace, tokens, now);
-                  serveWaitingRequests(now);
+                  waiting_->serve(now);
               },
               [this](const ClockResponse &response) { onClockResponse(response); },
               [this](const std::vector<EndpointLimitRecord> &records, bool rejected) {
@@ -83,7 +80,7 @@
                  [this](uint64_t next) {
                      if (holder_.onReadUpTo(next)) {
                          batchAcknowledged_ = true;
-                         serveWaitingRequests(std::chrono::steady_clock::now());
+                         waiting_->serve(std::chrono::steady_clock::now());
                      }
                      onTopicRead();
                  },
@@ -126,8 +123,8 @@
     requestFromPeers(now);
     returnUnusedTokens(now);
     peers_.tick(now);
-    serveWaitingRequests(now);
-    expireWaitingRequests(now);
+    waiting_->serve(now);
+    waiting_->expire(now);
     if (now >= nextStateLogAt_) {
         nextStateLogAt_ = now + StateLogInterval;
         logTokenStates();
@@ -162,7 +159,7 @@
 {
     holder_.setBudgets(budgets, now);
     chooseHomes();
-    shortfalls_.clear();
+    waiting_->forgetShortfalls();
 }
 
 void TokenService::onRows(const std::vector<StoreRow> &rows)
@@ -505,48 +502,15 @@
     retryAppendAt_ = now + (rejected ? RejectedAppendRetryDelay : AppendRetryDelay);
 }
 
-ReservationTicket TokenService::reserve(const WorkspaceId &workspace, uint64_t tokens,
-                                        Instant deadline,
+ReservationTicket TokenService::reserve(const ReservationRequest &request,
                                         std::function<void(std::optional<Verdict>)> handler)
 {
-    const Instant now = std::chrono::steady_clock::now();
-    if (holder_.reserve(workspace, tokens, now)) {
-        handler(std::nullopt);
-        return 0;
-    }
-    WaitingRequest waiting{
-            ++lastTicket_,     workspace, tokens, now, std::min(deadline, now + MaxTokenWait),
-            std::move(handler)};
-    const auto recent = shortfalls_.find(workspace);
-    const bool isShort = recent != shortfalls_.end() && now < recent->second.until
-                         && tokens >= recent->second.tokens
-                         && holder_.budgetState(workspace, tokens) != BudgetState::Available;
-    if (isShort) {
-        // The failed reservation counted this request as waiting.
-        updateRequiredTokens(workspace);
-        const auto refuse = std::move(waiting.handler);
-        refuse(shortfallVerdict(waiting, now));
-        return 0;
-    }
-    const ReservationTicket ticket = waiting.ticket;
-    waitingRequests_.push_back(std::move(waiting));
-    updateRequiredTokens(workspace);
-    writeBatch();
-    requestFromPeers(now);
-    return ticket;
+    return waiting_->reserve(request, std::move(handler), std::chrono::steady_clock::now());
 }
 
 void TokenService::cancel(ReservationTicket ticket)
 {
-    const auto found = std::find_if(
-            waitingRequests_.begin(), waitingRequests_.end(),
-            [ticket](const WaitingRequest &waiting) { return waiting.ticket == ticket; });
-    if (found == waitingRequests_.end()) {
-        return;
-    }
-    const WorkspaceId workspace = found->workspace;
-    waitingRequests_.erase(found);
-    updateRequiredTokens(workspace);
+    waiting_->cancel(ticket);
 }
 
 void TokenService::settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent)
@@ -554,82 +518,17 @@
     const Instant now = std::chrono::steady_clock::now();
     holder_.settle(workspace, reserved, spent, now);
     metrics_.count("ledger_tokens_spent_total", {}, spent);
-    if (!waitingRequests_.empty()) {
-        serveWaitingRequests(now);
-    }
+    waiting_->serve(now);
 }
 
-void TokenService::serveWaitingRequests(Instant now)
+bool TokenService::predecessorPending() const
 {
-    std::list<WaitingRequest> served;
-    for (auto waiting = waitingRequests_.begin(); waiting != waitingRequests_.end();) {
-        const auto next = std::next(waiting);
-        if (holder_.reserve(waiting->workspace, waiting->tokens, now)) {
-            served.splice(served.end(), waitingRequests_, waiting);
-        }
-        waiting = next;
-    }
-    for (const WaitingRequest &waiting : served) {
-        updateRequiredTokens(waiting.workspace);
-        waiting.handler(std::nullopt);
-    }
-}
-
-void TokenService::updateRequiredTokens(const WorkspaceId &workspace)
-{
-    uint64_t tokens = 0;
-    for (const WaitingRequest &waiting : waitingRequests_) {
-        tokens += waiting.workspace == workspace ? waiting.tokens : 0;
-    }
-    holder_.setRequiredTokens(workspace, tokens);
-}
-
-void TokenService::expireWaitingRequests(Instant now)
-{
-    std::list<WaitingRequest> expired;
-    for (auto waiting = waitingRequests_.begin(); waiting != waitingRequests_.end();) {
-        const auto next = std::next(waiting);
-        if (now >= waiting->deadline) {
-            expired.splice(expired.end(), waitingRequests_, waiting);
-        }
-        waiting = next;
-    }
-    for (const WaitingRequest &waiting : expired) {
-        shortfalls_[waiting.workspace] = {waiting.tokens, now + ShortfallDuration};
-        updateRequiredTokens(waiting.workspace);
-        waiting.handler(shortfallVerdict(waiting, now));
-    }
-}
-
-Verdict TokenService::shortfallVerdict(const WaitingRequest &waiting, Instant now) const
-{
-    const BudgetState state = holder_.budgetState(waiting.workspace, waiting.tokens);
-    const std::string detail =
-            fmt::format("{} tokens wanted, {} at hand, {} given to nobody", waiting.tokens,
-                        holder_.usable(waiting.workspace), holder_.unallotted(waiting.workspace));
-    if (state == BudgetState::Unreachable) {
-        return {Execution::NotRun, Reason::BudgetUnreachable, detail, now + RetryDelayWithoutStore};
-    }
-    // The budget counts as spent only if, by recent reports of all peers, the tokens that are held
-    // or may be returned don't suffice.
-    constexpr Interval MaxReportAge = std::chrono::milliseconds(1000);
-    const std::optional<uint64_t> elsewhere =
-            peers_.heldByPeers(waiting.workspace, now - MaxReportAge);
-    const HeldTokens here = heldTokens(waiting.workspace);
-    const bool spent =
-            state == BudgetState::Exhausted && elsewhere && !here.predecessorPending
-            && *elsewhere + here.usable + here.reserved + holder_.unallotted(waiting.workspace)
-                       < waiting.tokens;
-    if (spent) {
-        return {Execution::NotRun, Reason::BudgetSpent, detail, std::nullopt};
-    }
-    return {Execution::NotRun, Reason::BudgetUnreachable, detail, now + RetryDelayWithStore};
+    return !ownHostRowRead_ || predecessor_ || !seals_.empty();
 }
 
 HeldTokens TokenService::heldTokens(const WorkspaceId &workspace) const
 {
-    const bool isSettling = !ownHostRowRead_ || predecessor_ || !seals_.empty();
-    return {holder_.usable(workspace), holder_.reserved(workspace), isSettling};
+    return {holder_.usable(workspace), holder_.reserved(workspace), predecessorPending()};
 }
 
 uint64_t TokenService::transferOut(const TokenRequest &request, Instant now)
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -245,8 +245,11 @@
     statechart_.handle("reserve");
     reservedTokens_ = metadata_.promptTokens + metadata_.maxOutputTokens;
     const std::weak_ptr<Exchange> weak = weak_from_this();
-    const ReservationTicket ticket = context_.tokens.reserve(
-            workspace_->name, reservedTokens_, deadline_, [weak](std::optional<Verdict> refusal) {
+    const ReservationRequest reservation{
+            workspace_->name,    route_->name,          priority(), reservedTokens_,
+            request_.receivedAt, route_->latencyTarget, deadline_};
+    const ReservationTicket ticket =
+            context_.tokens.reserve(reservation, [weak](std::optional<Verdict> refusal) {
                 if (const std::shared_ptr<Exchange> self = weak.lock()) {
                     self->onReserved(std::move(refusal));
                 }
--- a/unittests/Proxy/ExchangeTest.cpp
+++ b/unittests/Proxy/ExchangeTest.cpp
@@ -463,6 +463,23 @@
 INSTANTIATE_TEST_SUITE_P(Rows, ExchangeRefusal, testing::ValuesIn(RefusalCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against an allocation of tokens that doesn't know the route, the rank or the times of a
+// request.
+TEST(Exchange, DescribesTheRequestToTheTokenReservations)
+{
+    ProxyTestHarness harness({{{plain("ok")}}});
+    harness.send(ProxyTestHarness::request("/get/a", "r1"));
+    ASSERT_TRUE(harness.waitUntil([&harness] { return harness.tokenReservations.settled == 1; }));
+    const ReservationRequest &request = harness.tokenReservations.last;
+    EXPECT_EQ(request.workspace, WorkspaceId("w"));
+    EXPECT_EQ(request.route, "get");
+    EXPECT_EQ(request.priority, Route().priority);
+    EXPECT_GT(request.tokens, 0U);
+    EXPECT_EQ(request.latencyTarget, std::chrono::seconds(2));
+    EXPECT_LE(request.receivedAt, std::chrono::steady_clock::now());
+    EXPECT_LE(request.deadline, request.receivedAt + std::chrono::seconds(5));
+}
+
 std::string largeRequest()
 {
     return ProxyTestHarness::request("/get/a", "r",
--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -157,22 +157,23 @@
 }
 
 ReservationTicket
-FakeTokenReservations::reserve(const WorkspaceId &workspace, uint64_t tokens, Instant now,
+FakeTokenReservations::reserve(const ReservationRequest &request,
                                std::function<void(std::optional<Verdict>)> handler)
 {
+    last = request;
     if (isDelayed) {
         isDelayed = false;
-        delayed = [this, workspace, tokens, now, handler] {
-            reserve(workspace, tokens, now, handler);
+        delayed = [this, request, handler] {
+            reserve(request, handler);
         };
         return 1;
     }
-    if (tokens > usable) {
-        handler(Verdict{Execution::NotRun, Reason::BudgetSpent, "spent", now});
+    if (request.tokens > usable) {
+        handler(Verdict{Execution::NotRun, Reason::BudgetSpent, "spent", request.deadline});
         return 0;
     }
-    usable -= tokens;
-    reserved += tokens;
+    usable -= request.tokens;
+    reserved += request.tokens;
     handler(std::nullopt);
     return 0;
 }
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -114,13 +114,14 @@
 class FakeTokenReservations : public TokenReservations
 {
 public:
-    ReservationTicket reserve(const WorkspaceId &, uint64_t tokens, Instant,
+    ReservationTicket reserve(const ReservationRequest &request,
                               std::function<void(std::optional<Verdict>)> handler) override;
     void cancel(ReservationTicket) override { delayed = nullptr; }
     void settle(const WorkspaceId &, uint64_t reservedTokens, uint64_t spentTokens) override;
 
     bool isDelayed = false;        ///< tokens are reserved when the test calls delayed
     std::function<void()> delayed; ///< the last reservation that waits
+    ReservationRequest last;       ///< the last request for tokens
     uint64_t usable = 1'000'000;
     uint64_t reserved = 0;
     uint64_t spent = 0;
