--- a/include/sequoiagate/Decisions/Estimates.h
+++ b/include/sequoiagate/Decisions/Estimates.h
@@ -35,6 +35,22 @@
     double mean_ = 0.0;
 };
 
+/// A sum in which amounts lose weight over time.
+class DecayingSum
+{
+public:
+    /// \pre timeConstant > 0: an amount added that long ago has a weight of 1/e.
+    explicit DecayingSum(Interval timeConstant) : timeConstant_(timeConstant) {}
+
+    void add(double amount, Instant now);
+    double at(Instant now) const;
+
+private:
+    Interval timeConstant_;
+    double sum_ = 0.0; ///< at updatedAt_
+    Instant updatedAt_{};
+};
+
 /// The median of the last Window samples: unlike a mean it isn't affected by a few
 /// extreme ones.
 class RecentMedian
--- a/lib/Decisions/Estimates.cpp
+++ b/lib/Decisions/Estimates.cpp
@@ -1,6 +1,7 @@
 #include "sequoiagate/Decisions/Estimates.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sequoiagate {
 
@@ -28,6 +29,18 @@
     mean_ = 0.0;
 }
 
+void DecayingSum::add(double amount, Instant now)
+{
+    sum_ = at(now) + amount;
+    updatedAt_ = std::max(updatedAt_, now);
+}
+
+double DecayingSum::at(Instant now) const
+{
+    const Interval age = std::max(now - updatedAt_, Interval::zero());
+    return sum_ * std::exp(-secondsOf(age) / secondsOf(timeConstant_));
+}
+
 void RecentMedian::add(double sample)
 {
     ring_[next_] = sample;
