[Edge] Token requests carry their rank, and responses whether the peer can claim more

Cause: in a large fleet the homes of a workspace grant the tokens, and know neither how urgent a request is nor tell the requesting host whether more tokens are on their way.

Change: the optional field priority of ask (absent: no rank) and the field claims of move (earlier versions ignore it; absent: unknown). TokenHolder::reliesOnHomes becomes readable. Nothing sets or reads the fields yet.

Result: PeerLinkTest passes with a test of requests with, without and with a malformed rank.

--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -49,6 +49,7 @@
     uint64_t reserved = 0; ///< for open requests, which may use fewer
     /// Whether unused tokens of the previous process on its host may still be returned.
     bool predecessorPending = false;
+    bool mayClaim = false; ///< whether the process can claim more of the store
 };
 
 /// A peer's response to a request for its clock since boot.
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -131,6 +131,7 @@
     uint64_t usable = 0;          ///< tokens of the requesting holder
     uint64_t demandPerSecond = 0; ///< of the requesting holder
     uint32_t round = 0; ///< number of earlier requests for the tokens that are awaited now
+    std::optional<uint32_t> priority; ///< of the waiting request; 0 is the most urgent
 };
 
 /// The availability of a workspace's budget.
@@ -219,6 +220,8 @@
     /// Tokens that no holder has, as far as the store was read.
     uint64_t unallotted(const WorkspaceId &workspace) const;
     BudgetState budgetState(const WorkspaceId &workspace, uint64_t need) const;
+    /// Whether this host gets the tokens of each request of \p workspace from a home.
+    bool reliesOnHomes(const WorkspaceId &workspace, Instant now) const;
     std::vector<WorkspaceId> workspaces() const;
 
 private:
--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -144,13 +144,16 @@
 
 void PeerLink::requestTokens(const TokenRequest &request)
 {
-    const nlohmann::json message = {{"kind", "ask"},
-                                    {"from", self_.text()},
-                                    {"workspace", request.workspace.text()},
-                                    {"need", request.need},
-                                    {"usable", request.usable},
-                                    {"per_second", request.demandPerSecond},
-                                    {"round", request.round}};
+    nlohmann::json message = {{"kind", "ask"},
+                              {"from", self_.text()},
+                              {"workspace", request.workspace.text()},
+                              {"need", request.need},
+                              {"usable", request.usable},
+                              {"per_second", request.demandPerSecond},
+                              {"round", request.round}};
+    if (request.priority) {
+        message["priority"] = *request.priority;
+    }
     const std::string text = message.dump();
     for (const udp::endpoint &to : recipients(request)) {
         send(text, to);
@@ -165,6 +168,9 @@
     request.usable = message.at("usable").get<uint64_t>();
     request.demandPerSecond = message.at("per_second").get<uint64_t>();
     request.round = message.value("round", 0U);
+    if (message.contains("priority")) {
+        request.priority = message.at("priority").get<uint32_t>();
+    }
     const auto from = message.at("from").get<std::string>();
     const uint64_t tokens = handlers_.onTokenRequest(request);
     sendTransfer(request.workspace, tokens, from, sender_, std::chrono::steady_clock::now());
@@ -183,7 +189,8 @@
                                     {"tokens", tokens},
                                     {"usable", held.usable},
                                     {"reserved", held.reserved + tokensInTransit(workspace)},
-                                    {"settling", held.predecessorPending}};
+                                    {"settling", held.predecessorPending},
+                                    {"claims", held.mayClaim}};
     const std::string text = message.dump();
     if (tokens > 0) {
         unacknowledged_[id] = {
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -82,6 +82,12 @@
     return maxHolders < holderCount_ && ownDemand * maxHolders < fleetUse;
 }
 
+bool TokenHolder::reliesOnHomes(const WorkspaceId &workspace, Instant now) const
+{
+    const Account *account = find(workspace);
+    return account != nullptr && reliesOnHomes(workspace, *account, now);
+}
+
 bool TokenHolder::reserve(const WorkspaceId &workspace, uint64_t tokens, Instant now)
 {
     Account *account = find(workspace);
--- a/unittests/Edge/PeerLinkTest.cpp
+++ b/unittests/Edge/PeerLinkTest.cpp
@@ -24,7 +24,10 @@
         : file_(std::tmpfile()),
           log_({"test", HostId("h"), DomainId("d"), Incarnation("self")}, file_),
           peerSocket_(io_, AnyPort), link_(io_, AnyPort, Incarnation("self"), DomainId("d"), log_,
-                                           {[](const TokenRequest &) { return uint64_t{0}; },
+                                           {[this](const TokenRequest &request) {
+                                                requests_.push_back(request);
+                                                return uint64_t{0};
+                                            },
                                             [](const WorkspaceId &) {
                                                 return HeldTokens{5, 7, false};
                                             },
@@ -71,6 +74,7 @@
     PeerLink link_;
     udp::endpoint linkAddress_;
     std::vector<ClockResponse> responses_;
+    std::vector<TokenRequest> requests_;
 };
 
 TEST_F(PeerLinkTest, PassesOnClockResponses)
@@ -186,6 +190,31 @@
 INSTANTIATE_TEST_SUITE_P(Rows, PeerLinkHome, testing::ValuesIn(HomeCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against ranks that get lost on the way, and against requests of hosts without ranks that
+// are taken for the most urgent ones or dropped.
+TEST_F(PeerLinkTest, PassesOnTheRankOfTokenRequests)
+{
+    Peer peer;
+    peer.address = peerSocket_.local_endpoint();
+    link_.setPeers({peer});
+    const WorkspaceId workspace("w");
+    link_.requestTokens({workspace, 9, 0, 0, 2, 3});
+    const nlohmann::json withRank = nextDatagram();
+    link_.requestTokens({workspace, 9, 0, 0, 2});
+    const nlohmann::json withoutRank = nextDatagram();
+    nlohmann::json malformed = withRank;
+    malformed["priority"] = "first";
+    EXPECT_FALSE(withoutRank.contains("priority"));
+    deliver(withRank);
+    deliver(malformed);
+    deliver(withoutRank);
+    io_.restart();
+    io_.poll();
+    ASSERT_EQ(requests_.size(), 2U);
+    EXPECT_EQ(requests_[0].priority, 3U);
+    EXPECT_FALSE(requests_[1].priority);
+}
+
 TEST_F(PeerLinkTest, ReportsUsableAndReservedTokens)
 {
     link_.requestClock(peerSocket_.local_endpoint(), Millis(0));
