[Edge] token_allocation by_rank: scarce tokens by rank, here and at homes, and prompt refusals

Cause: during an outage of the store the tokens of a workspace go to whoever asks first, requests that can't be served wait for 200 ms, and their callers are told to retry after 1 s.

Change: with the setting token_allocation by_rank (default first_come, as before) TokenWaitQueue allocates a host's tokens with TokenAllocation while the store is lost, to its own requests and, in TokenService::transferOut, to those of other hosts, before TokenHolder sees them. What a request lacks is searched for by one TokenSearch per workspace at a time; others of the same or a less urgent rank are refused at once for 0.3 to 1 s after it has failed.

--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "sequoiagate/Base/BootClock.h"
+#include "sequoiagate/Decisions/TokenAllocation.h"
 #include "sequoiagate/Edge/PeerLink.h"
 #include "sequoiagate/Ledger/TokenHolder.h"
 #include "sequoiagate/Proxy/ProxyContext.h"
@@ -38,6 +39,7 @@
     std::string topic;
     Incarnation incarnation;
     TokenHolderSettings holder;
+    TokenAllocationPolicy allocation = TokenAllocationPolicy::FirstCome;
 };
 
 /// Single-threaded.
@@ -63,7 +65,7 @@
     std::function<void()> onTopicRead;
 
     void start();
-    void setHorizon(Interval horizon) { holder_.setHorizon(horizon); }
+    void setHorizon(Interval horizon);
     void setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant now);
     /// Returns all unreserved tokens to the store. Calls \p done when the store has acknowledged
     /// them or \p deadline has passed.
@@ -91,6 +93,7 @@
     void logWrittenOffTokens(const Incarnation &dead, std::optional<Interval> elapsed);
     void requestClocks(Instant now);
     void onClockResponse(const ClockResponse &response);
+    void onTokenResponse(const nlohmann::json &message);
     void updatePeers();
     void chooseHomes();
     void tick();
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -85,6 +85,7 @@
     settings.topic = topic;
     settings.incarnation = incarnation;
     settings.holder = edge.tokens;
+    settings.allocation = edge.tokenAllocation;
     return settings;
 }
 
--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -28,6 +28,9 @@
     edge.retries.ratio = settings.at("retry_ratio").get<double>();
     edge.retries.baseRetries = settings.at("retry_slack").get<double>();
     edge.retries.window = millisOf(settings, "retry_window_ms");
+    const bool isByRank = settings.at("token_allocation").get<std::string>() == "by_rank";
+    edge.tokenAllocation =
+            isByRank ? TokenAllocationPolicy::ByRank : TokenAllocationPolicy::FirstCome;
     edge.tokens.horizon = millisOf(settings, "token_horizon_ms");
     return edge;
 }
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -46,17 +46,6 @@
                            EventLog &log, Metrics &metrics)
     : store_(store), settings_(std::move(settings)), log_(log), metrics_(metrics),
       holder_(settings_.incarnation, settings_.holder),
-      waiting_(std::make_unique<TokenWaitQueue>(
-              holder_, TokenWaitQueue::Hooks{[this](Instant now) {
-                                                 writeBatch();
-                                                 requestFromPeers(now);
-                                             },
-                                             [this](const WorkspaceId &workspace, Instant since) {
-                                                 return peers_.heldByPeers(workspace, since);
-                                             },
-                                             [this] {
-                                                 return predecessorPending();
-                                             }})),
       peers_(io, settings_.listenPeers, settings_.incarnation, settings_.domain, log,
              {[this](const TokenRequest &request) {
                   return transferOut(request, std::chrono::steady_clock::now());
@@ -65,7 +54,7 @@
               [this](const WorkspaceId &workspace, uint64_t tokens) {
                   const Instant now = std::chrono::steady_clock::now();
                   holder_.transferIn(workspace, tokens, now);
-                  waiting_->serve(now);
+                  waiting_->onTokensReceived(workspace, tokens, now);
               },
               [this](const ClockResponse &response) { onClockResponse(response); },
               [this](const std::vector<EndpointLimitRecord> &records, bool rejected) {
@@ -91,7 +80,29 @@
       timer_(io), stateLog_(std::make_unique<TokenStateLog>()),
       peerClocks_(std::make_unique<PeerClocks>(settings_.host)),
       startedAt_(std::chrono::steady_clock::now())
-{}
+{
+    TokenWaitQueue::Hooks hooks;
+    hooks.obtainTokens = [this](Instant now) {
+        writeBatch();
+        requestFromPeers(now);
+    };
+    hooks.requestTokens = [this](const TokenRequest &request) {
+        peers_.requestTokens(request);
+    };
+    hooks.heldByPeers = [this](const WorkspaceId &workspace, Instant since) {
+        return peers_.heldByPeers(workspace, since);
+    };
+    hooks.predecessorPending = [this] {
+        return predecessorPending();
+    };
+    waiting_ = std::make_unique<TokenWaitQueue>(holder_, settings_.allocation, log, metrics,
+                                                std::move(hooks));
+    waiting_->setHorizon(settings_.holder.horizon);
+    // Called after the link has passed on the tokens that the message contains.
+    peers_.setHandler("move", [this](const nlohmann::json &message, const auto &) {
+        onTokenResponse(message);
+    });
+}
 
 TokenService::~TokenService() = default;
 
@@ -101,6 +112,12 @@
     armTick();
 }
 
+void TokenService::setHorizon(Interval horizon)
+{
+    holder_.setHorizon(horizon);
+    waiting_->setHorizon(horizon);
+}
+
 void TokenService::armTick()
 {
     timer_.expires_after(TickInterval);
@@ -117,14 +134,15 @@
 {
     const Instant now = std::chrono::steady_clock::now();
     holder_.setStoreReachable(follower_.current());
+    const bool isLost = follower_.caughtUp() && !follower_.reachable();
+    waiting_->setUnreachableSince(isLost ? std::optional(follower_.lastAnswerAt()) : std::nullopt);
     sealPredecessor(now);
     requestClocks(now);
     writeBatch();
     requestFromPeers(now);
     returnUnusedTokens(now);
     peers_.tick(now);
-    waiting_->serve(now);
-    waiting_->expire(now);
+    waiting_->tick(now);
     if (now >= nextStateLogAt_) {
         nextStateLogAt_ = now + StateLogInterval;
         logTokenStates();
@@ -310,6 +328,17 @@
     }
 }
 
+void TokenService::onTokenResponse(const nlohmann::json &message)
+{
+    TokenResponse response;
+    response.workspace = WorkspaceId(message.at("workspace").get<std::string>());
+    response.from = Incarnation(message.at("from").get<std::string>());
+    response.tokens = message.at("tokens").get<uint64_t>();
+    response.usable = message.at("usable").get<uint64_t>();
+    response.mayClaim = message.value("claims", true);
+    waiting_->onTokenResponse(response, std::chrono::steady_clock::now());
+}
+
 void TokenService::requestClocks(Instant now)
 {
     // A successor has nothing to return unless a row of this process leaves tokens unused.
@@ -362,6 +391,7 @@
     peerClocks_->setPeers(peers);
     const std::vector<Peer> others = peers;
     peers_.setPeers(std::move(peers));
+    waiting_->setPeerCount(others.size());
     chooseHomes();
     if (onHostsChanged) {
         onHostsChanged(others);
@@ -395,6 +425,7 @@
         }
         const bool isHome = others.size() < homes.size();
         holder_.setHomes(workspace, static_cast<uint32_t>(homes.size()), isHome);
+        waiting_->setHomeCount(workspace, others.size());
         peers_.setHomes(workspace, std::move(others));
     }
 }
@@ -510,7 +541,7 @@
 
 void TokenService::cancel(ReservationTicket ticket)
 {
-    waiting_->cancel(ticket);
+    waiting_->cancel(ticket, std::chrono::steady_clock::now());
 }
 
 void TokenService::settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent)
@@ -528,12 +559,17 @@
 
 HeldTokens TokenService::heldTokens(const WorkspaceId &workspace) const
 {
-    return {holder_.usable(workspace), holder_.reserved(workspace), predecessorPending()};
+    const bool mayClaim = follower_.current() && holder_.unallotted(workspace) > 0;
+    return {holder_.usable(workspace), holder_.reserved(workspace), predecessorPending(), mayClaim};
 }
 
 uint64_t TokenService::transferOut(const TokenRequest &request, Instant now)
 {
+    if (!waiting_->mayTransfer(request, now)) {
+        return 0;
+    }
     const uint64_t tokens = holder_.transferOut(request, now);
+    waiting_->onTransferred(request, tokens);
     if (tokens < request.need) {
         writeBatch(); // claims the missing tokens, if possible before the peer's next request
     }
@@ -542,8 +578,10 @@
 
 void TokenService::requestFromPeers(Instant now)
 {
-    for (const TokenRequest &request : holder_.peerRequests(now)) {
-        peers_.requestTokens(request);
+    for (TokenRequest &request : holder_.peerRequests(now)) {
+        if (waiting_->prepareRequest(request)) {
+            peers_.requestTokens(request);
+        }
     }
 }
 
--- a/unittests/Decisions/TokenAllocationTest.cpp
+++ b/unittests/Decisions/TokenAllocationTest.cpp
@@ -66,16 +66,20 @@
     bool isRetry = false;
 };
 
-/// Plays \p load at one host that holds tokens. \returns the counts of the requests that arrive
-/// during the outage, by kind.
-std::vector<Counts> play(const Load &load, TokenAllocationPolicy policy, uint32_t seed)
+struct Arrivals
 {
-    std::mt19937 random(seed);
     std::multimap<Instant, Attempt> attempts;
-    double tokensPerSecond = 0;
+    double tokensPerSecond = 0; ///< usually
+};
+
+/// The requests of \p load, from 8 s before the outage.
+Arrivals arrivalsOf(const Load &load, uint32_t seed)
+{
+    std::mt19937 random(seed);
+    Arrivals arrivals;
     for (std::size_t i = 0; i < load.kinds.size(); ++i) {
         const Kind &kind = load.kinds[i];
-        tokensPerSecond +=
+        arrivals.tokensPerSecond +=
                 kind.perSecond * static_cast<double>(kind.minTokens + kind.maxTokens) / 2;
         std::uniform_int_distribution<uint64_t> size(kind.minTokens, kind.maxTokens);
         for (double at = -8; at < load.outageSeconds;) {
@@ -83,9 +87,17 @@
             at += std::exponential_distribution<double>(kind.perSecond * (doubled ? 2 : 1))(random);
             const TokenDemand demand{kind.rank, size(random), std::chrono::milliseconds(500),
                                      after(at) + kind.deadline};
-            attempts.insert({after(at), {i, demand}});
+            arrivals.attempts.insert({after(at), {i, demand}});
         }
     }
+    return arrivals;
+}
+
+/// Plays \p load at one host that holds tokens. \returns the counts of the requests that arrive
+/// during the outage, by kind.
+std::vector<Counts> play(const Load &load, TokenAllocationPolicy policy, uint32_t seed)
+{
+    auto [attempts, tokensPerSecond] = arrivalsOf(load, seed);
     const Instant outageEnd = after(load.outageSeconds);
     TokenAllocation allocation;
     auto usable = static_cast<uint64_t>(load.supplySeconds * tokensPerSecond);
