--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -4,8 +4,6 @@
 /// Reserves tokens for requests. Connects the TokenHolder to the store and the peers, and queues
 /// requests for the short time that it takes to get tokens from them.
 
-#include <deque>
-#include <list>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -15,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "sequoiagate/Base/BootClock.h"
+#include "sequoiagate/Decisions/TokenAllocation.h"
 #include "sequoiagate/Edge/PeerLink.h"
 #include "sequoiagate/Ledger/TokenHolder.h"
 #include "sequoiagate/Proxy/ProxyContext.h"
@@ -28,6 +27,7 @@
 class PeerClocks;
 class Predecessor;
 class TokenStateLog;
+class TokenWaitQueue;
 
 struct TokenServiceSettings
 {
@@ -39,6 +39,7 @@
     std::string topic;
     Incarnation incarnation;
     TokenHolderSettings holder;
+    TokenAllocationPolicy allocation = TokenAllocationPolicy::FirstCome;
 };
 
 /// Single-threaded.
@@ -64,7 +65,7 @@
     std::function<void()> onTopicRead;
 
     void start();
-    void setHorizon(Interval horizon) { holder_.setHorizon(horizon); }
+    void setHorizon(Interval horizon);
     void setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant now);
     /// Returns all unreserved tokens to the store. Calls \p done when the store has acknowledged
     /// them or \p deadline has passed.
@@ -74,30 +75,12 @@
     /// Whether \p process is that of a listed host.
     bool isListed(const Incarnation &process) const;
 
-    ReservationTicket reserve(const WorkspaceId &workspace, uint64_t tokens, Instant deadline,
+    ReservationTicket reserve(const ReservationRequest &request,
                               std::function<void(std::optional<Verdict>)> handler) override;
     void cancel(ReservationTicket ticket) override;
     void settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent) override;
 
 private:
-    struct WaitingRequest
-    {
-        ReservationTicket ticket = 0;
-        WorkspaceId workspace;
-        uint64_t tokens = 0;
-        Instant since{};
-        Instant deadline{};
-        std::function<void(std::optional<Verdict>)> handler;
-    };
-
-    /// A recent reservation that failed for lack of tokens. Requests for at least as many are
-    /// refused without waiting.
-    struct Shortfall
-    {
-        uint64_t tokens = 0;
-        Instant until{};
-    };
-
     void onRows(const std::vector<StoreRow> &rows);
     void confirmBatchIfReadBack(const StoreRow &row);
     void onBudgetRow(const StoreRow &row);
@@ -110,6 +93,7 @@
     void logWrittenOffTokens(const Incarnation &dead, std::optional<Interval> elapsed);
     void requestClocks(Instant now);
     void onClockResponse(const ClockResponse &response);
+    void onTokenResponse(const nlohmann::json &message);
     void updatePeers();
     void chooseHomes();
     void tick();
@@ -117,14 +101,11 @@
     void writeBatch();
     void appendBatch();
     void onAppended(const AppendAnswer &response);
-    void serveWaitingRequests(Instant now);
-    void expireWaitingRequests(Instant now);
-    void updateRequiredTokens(const WorkspaceId &workspace);
     uint64_t transferOut(const TokenRequest &request, Instant now);
     void requestFromPeers(Instant now);
     void returnUnusedTokens(Instant now);
+    bool predecessorPending() const;
     HeldTokens heldTokens(const WorkspaceId &workspace) const;
-    Verdict shortfallVerdict(const WaitingRequest &waiting, Instant now) const;
     void finishStop(Instant now);
     void logTokenStates();
 
@@ -133,6 +114,7 @@
     EventLog &log_;
     Metrics &metrics_;
     TokenHolder holder_;
+    std::unique_ptr<TokenWaitQueue> waiting_;
     PeerLink peers_;
     TopicFollower follower_;
     boost::asio::steady_timer timer_;
@@ -144,9 +126,6 @@
     /// Final allotments of the previous process, to be written with the next batch.
     std::vector<AllotmentRow> seals_;
     Instant startedAt_;
-    std::list<WaitingRequest> waitingRequests_;
-    std::unordered_map<WorkspaceId, Shortfall> shortfalls_;
-    ReservationTicket lastTicket_ = 0;
 
     std::optional<StoreBatch> batch_; ///< the batch being written
     uint64_t nextSeq_ = 0;
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <map>
 
-#include <fmt/format.h>
-
 #include "LedgerRows.h"
 #include "PeerClocks.h"
 #include "Predecessor.h"
 #include "TokenStateLog.h"
+#include "TokenWaitQueue.h"
 #include "sequoiagate/Ledger/TokenHomes.h"
 
 namespace sequoiagate {
@@ -19,19 +18,6 @@
 /// and a transfer a few; a waiting request is delayed by at most this in addition.
 constexpr Interval TickInterval = std::chrono::milliseconds(25);
 
-/// The longest that a request waits for tokens: enough for a claim (about 15 ms) and, if the store
-/// has no tokens left, for several rounds of token requests to peers.
-constexpr Interval MaxTokenWait = std::chrono::milliseconds(200);
-
-/// For this long after a request found too few tokens, requests for as many are refused at once.
-constexpr Interval ShortfallDuration = std::chrono::milliseconds(300);
-
-/// Retry delay told to callers while the store is unreachable; it isn't known when it returns.
-constexpr Interval RetryDelayWithoutStore = std::chrono::milliseconds(1000);
-
-/// Retry delay told to callers while the store still has tokens or open requests may return some.
-constexpr Interval RetryDelayWithStore = std::chrono::milliseconds(400);
-
 constexpr Interval AppendRetryDelay = std::chrono::milliseconds(120);
 constexpr Interval RejectedAppendRetryDelay = std::chrono::seconds(1);
 
@@ -68,7 +54,7 @@
               [this](const WorkspaceId &workspace, uint64_t tokens) {
                   const Instant now = std::chrono::steady_clock::now();
                   holder_.transferIn(workspace, tokens, now);
-                  serveWaitingRequests(now);
+                  waiting_->onTokensReceived(workspace, tokens, now);
               },
               [this](const ClockResponse &response) { onClockResponse(response); },
               [this](const std::vector<EndpointLimitRecord> &records, bool rejected) {
@@ -83,7 +69,7 @@
                  [this](uint64_t next) {
                      if (holder_.onReadUpTo(next)) {
                          batchAcknowledged_ = true;
-                         serveWaitingRequests(std::chrono::steady_clock::now());
+                         waiting_->serve(std::chrono::steady_clock::now());
                      }
                      onTopicRead();
                  },
@@ -94,7 +80,29 @@
       timer_(io), stateLog_(std::make_unique<TokenStateLog>()),
       peerClocks_(std::make_unique<PeerClocks>(settings_.host)),
       startedAt_(std::chrono::steady_clock::now())
-{}
+{
+    TokenWaitQueue::Hooks hooks;
+    hooks.obtainTokens = [this](Instant now) {
+        writeBatch();
+        requestFromPeers(now);
+    };
+    hooks.requestTokens = [this](const TokenRequest &request) {
+        peers_.requestTokens(request);
+    };
+    hooks.heldByPeers = [this](const WorkspaceId &workspace, Instant since) {
+        return peers_.heldByPeers(workspace, since);
+    };
+    hooks.predecessorPending = [this] {
+        return predecessorPending();
+    };
+    waiting_ = std::make_unique<TokenWaitQueue>(holder_, settings_.allocation, log, metrics,
+                                                std::move(hooks));
+    waiting_->setHorizon(settings_.holder.horizon);
+    // Called after the link has passed on the tokens that the message contains.
+    peers_.setHandler("move", [this](const nlohmann::json &message, const auto &) {
+        onTokenResponse(message);
+    });
+}
 
 TokenService::~TokenService() = default;
 
@@ -104,6 +112,12 @@
     armTick();
 }
 
+void TokenService::setHorizon(Interval horizon)
+{
+    holder_.setHorizon(horizon);
+    waiting_->setHorizon(horizon);
+}
+
 void TokenService::armTick()
 {
     timer_.expires_after(TickInterval);
@@ -120,14 +134,15 @@
 {
     const Instant now = std::chrono::steady_clock::now();
     holder_.setStoreReachable(follower_.current());
+    const bool isLost = follower_.caughtUp() && !follower_.reachable();
+    waiting_->setUnreachableSince(isLost ? std::optional(follower_.lastAnswerAt()) : std::nullopt);
     sealPredecessor(now);
     requestClocks(now);
     writeBatch();
     requestFromPeers(now);
     returnUnusedTokens(now);
     peers_.tick(now);
-    serveWaitingRequests(now);
-    expireWaitingRequests(now);
+    waiting_->tick(now);
     if (now >= nextStateLogAt_) {
         nextStateLogAt_ = now + StateLogInterval;
         logTokenStates();
@@ -162,7 +177,7 @@
 {
     holder_.setBudgets(budgets, now);
     chooseHomes();
-    shortfalls_.clear();
+    waiting_->forgetShortfalls();
 }
 
 void TokenService::onRows(const std::vector<StoreRow> &rows)
@@ -313,6 +328,17 @@
     }
 }
 
+void TokenService::onTokenResponse(const nlohmann::json &message)
+{
+    TokenResponse response;
+    response.workspace = WorkspaceId(message.at("workspace").get<std::string>());
+    response.from = Incarnation(message.at("from").get<std::string>());
+    response.tokens = message.at("tokens").get<uint64_t>();
+    response.usable = message.at("usable").get<uint64_t>();
+    response.mayClaim = message.value("claims", true);
+    waiting_->onTokenResponse(response, std::chrono::steady_clock::now());
+}
+
 void TokenService::requestClocks(Instant now)
 {
     // A successor has nothing to return unless a row of this process leaves tokens unused.
@@ -365,6 +391,7 @@
     peerClocks_->setPeers(peers);
     const std::vector<Peer> others = peers;
     peers_.setPeers(std::move(peers));
+    waiting_->setPeerCount(others.size());
     chooseHomes();
     if (onHostsChanged) {
         onHostsChanged(others);
@@ -398,6 +425,7 @@
         }
         const bool isHome = others.size() < homes.size();
         holder_.setHomes(workspace, static_cast<uint32_t>(homes.size()), isHome);
+        waiting_->setHomeCount(workspace, others.size());
         peers_.setHomes(workspace, std::move(others));
     }
 }
@@ -505,48 +533,15 @@
     retryAppendAt_ = now + (rejected ? RejectedAppendRetryDelay : AppendRetryDelay);
 }
 
-ReservationTicket TokenService::reserve(const WorkspaceId &workspace, uint64_t tokens,
-                                        Instant deadline,
+ReservationTicket TokenService::reserve(const ReservationRequest &request,
                                         std::function<void(std::optional<Verdict>)> handler)
 {
-    const Instant now = std::chrono::steady_clock::now();
-    if (holder_.reserve(workspace, tokens, now)) {
-        handler(std::nullopt);
-        return 0;
-    }
-    WaitingRequest waiting{
-            ++lastTicket_,     workspace, tokens, now, std::min(deadline, now + MaxTokenWait),
-            std::move(handler)};
-    const auto recent = shortfalls_.find(workspace);
-    const bool isShort = recent != shortfalls_.end() && now < recent->second.until
-                         && tokens >= recent->second.tokens
-                         && holder_.budgetState(workspace, tokens) != BudgetState::Available;
-    if (isShort) {
-        // The failed reservation counted this request as waiting.
-        updateRequiredTokens(workspace);
-        const auto refuse = std::move(waiting.handler);
-        refuse(shortfallVerdict(waiting, now));
-        return 0;
-    }
-    const ReservationTicket ticket = waiting.ticket;
-    waitingRequests_.push_back(std::move(waiting));
-    updateRequiredTokens(workspace);
-    writeBatch();
-    requestFromPeers(now);
-    return ticket;
+    return waiting_->reserve(request, std::move(handler), std::chrono::steady_clock::now());
 }
 
 void TokenService::cancel(ReservationTicket ticket)
 {
-    const auto found = std::find_if(
-            waitingRequests_.begin(), waitingRequests_.end(),
-            [ticket](const WaitingRequest &waiting) { return waiting.ticket == ticket; });
-    if (found == waitingRequests_.end()) {
-        return;
-    }
-    const WorkspaceId workspace = found->workspace;
-    waitingRequests_.erase(found);
-    updateRequiredTokens(workspace);
+    waiting_->cancel(ticket, std::chrono::steady_clock::now());
 }
 
 void TokenService::settle(const WorkspaceId &workspace, uint64_t reserved, uint64_t spent)
@@ -554,87 +549,27 @@
     const Instant now = std::chrono::steady_clock::now();
     holder_.settle(workspace, reserved, spent, now);
     metrics_.count("ledger_tokens_spent_total", {}, spent);
-    if (!waitingRequests_.empty()) {
-        serveWaitingRequests(now);
-    }
-}
-
-void TokenService::serveWaitingRequests(Instant now)
-{
-    std::list<WaitingRequest> served;
-    for (auto waiting = waitingRequests_.begin(); waiting != waitingRequests_.end();) {
-        const auto next = std::next(waiting);
-        if (holder_.reserve(waiting->workspace, waiting->tokens, now)) {
-            served.splice(served.end(), waitingRequests_, waiting);
-        }
-        waiting = next;
-    }
-    for (const WaitingRequest &waiting : served) {
-        updateRequiredTokens(waiting.workspace);
-        waiting.handler(std::nullopt);
-    }
+    waiting_->serve(now);
 }
 
-void TokenService::updateRequiredTokens(const WorkspaceId &workspace)
+bool TokenService::predecessorPending() const
 {
-    uint64_t tokens = 0;
-    for (const WaitingRequest &waiting : waitingRequests_) {
-        tokens += waiting.workspace == workspace ? waiting.tokens : 0;
-    }
-    holder_.setRequiredTokens(workspace, tokens);
-}
-
-void TokenService::expireWaitingRequests(Instant now)
-{
-    std::list<WaitingRequest> expired;
-    for (auto waiting = waitingRequests_.begin(); waiting != waitingRequests_.end();) {
-        const auto next = std::next(waiting);
-        if (now >= waiting->deadline) {
-            expired.splice(expired.end(), waitingRequests_, waiting);
-        }
-        waiting = next;
-    }
-    for (const WaitingRequest &waiting : expired) {
-        shortfalls_[waiting.workspace] = {waiting.tokens, now + ShortfallDuration};
-        updateRequiredTokens(waiting.workspace);
-        waiting.handler(shortfallVerdict(waiting, now));
-    }
-}
-
-Verdict TokenService::shortfallVerdict(const WaitingRequest &waiting, Instant now) const
-{
-    const BudgetState state = holder_.budgetState(waiting.workspace, waiting.tokens);
-    const std::string detail =
-            fmt::format("{} tokens wanted, {} at hand, {} given to nobody", waiting.tokens,
-                        holder_.usable(waiting.workspace), holder_.unallotted(waiting.workspace));
-    if (state == BudgetState::Unreachable) {
-        return {Execution::NotRun, Reason::BudgetUnreachable, detail, now + RetryDelayWithoutStore};
-    }
-    // The budget counts as spent only if, by recent reports of all peers, the tokens that are held
-    // or may be returned don't suffice.
-    constexpr Interval MaxReportAge = std::chrono::milliseconds(1000);
-    const std::optional<uint64_t> elsewhere =
-            peers_.heldByPeers(waiting.workspace, now - MaxReportAge);
-    const HeldTokens here = heldTokens(waiting.workspace);
-    const bool spent =
-            state == BudgetState::Exhausted && elsewhere && !here.predecessorPending
-            && *elsewhere + here.usable + here.reserved + holder_.unallotted(waiting.workspace)
-                       < waiting.tokens;
-    if (spent) {
-        return {Execution::NotRun, Reason::BudgetSpent, detail, std::nullopt};
-    }
-    return {Execution::NotRun, Reason::BudgetUnreachable, detail, now + RetryDelayWithStore};
+    return !ownHostRowRead_ || predecessor_ || !seals_.empty();
 }
 
 HeldTokens TokenService::heldTokens(const WorkspaceId &workspace) const
 {
-    const bool isSettling = !ownHostRowRead_ || predecessor_ || !seals_.empty();
-    return {holder_.usable(workspace), holder_.reserved(workspace), isSettling};
+    const bool mayClaim = follower_.current() && holder_.unallotted(workspace) > 0;
+    return {holder_.usable(workspace), holder_.reserved(workspace), predecessorPending(), mayClaim};
 }
 
 uint64_t TokenService::transferOut(const TokenRequest &request, Instant now)
 {
+    if (!waiting_->mayTransfer(request, now)) {
+        return 0;
+    }
     const uint64_t tokens = holder_.transferOut(request, now);
+    waiting_->onTransferred(request, tokens);
     if (tokens < request.need) {
         writeBatch(); // claims the missing tokens, if possible before the peer's next request
     }
@@ -643,8 +578,10 @@
 
 void TokenService::requestFromPeers(Instant now)
 {
-    for (const TokenRequest &request : holder_.peerRequests(now)) {
-        peers_.requestTokens(request);
+    for (TokenRequest &request : holder_.peerRequests(now)) {
+        if (waiting_->prepareRequest(request)) {
+            peers_.requestTokens(request);
+        }
     }
 }
 
