[Proxy] Release the memory of a request when its call has ended

Cause: an idle connection to an endpoint kept the capacity of the last request it had sent, up to the 4 MB that the configuration allows.

Change: the string is replaced by an empty one in place of being cleared.

The memory itself wasn't measured.

--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -306,7 +306,8 @@
 void HttpConnection::finishCall()
 {
     HttpCallObserver *observer = std::exchange(observer_, nullptr);
-    request_.clear();
+    // An idle connection keeps no memory for the request it sent.
+    request_ = std::string();
     readingPaused_ = false;
     idleSince_ = std::chrono::steady_clock::now();
     const auto self = shared_from_this();
