[Proxy] Bound what all connections buffer, and name responses left unread

Cause: a slow caller paused its endpoint only at 128 KB, whatever the others had queued. A response that its endpoint aborted since it stayed unread was logged and reported as a lost connection, so that the endpoint and the prompt were blamed; a paused endpoint of a resumable stream counted as stalled.

Change: CallerConnection accounts to the BufferBudget of ProxyContext, if there is one: it pauses streams, reads bodies only when they are admitted, drops pipelined requests and forwards plain responses earlier when there is little room, and resets the slowest caller (caller.cut_off). Exchange logs stream.paused and request.left_unread, which is resumed like any loss but isn't reported as a crash. Without a budget nothing changes.

--- a/include/sequoiagate/Proxy/CallerCloseReason.h
+++ b/include/sequoiagate/Proxy/CallerCloseReason.h
@@ -15,6 +15,7 @@
     Idle,        ///< no request arrived within the idle timeout
     Drained,     ///< idle while the process drains or sheds connections
     StopForced,  ///< closed by force when the process stops
+    CutOff,      ///< the slowest caller, since the process buffers too much for callers
 };
 
 std::string_view callerCloseReasonName(CallerCloseReason reason);
--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -24,7 +24,9 @@
 namespace sequoiagate {
 
 /// Single-threaded.
-class CallerConnection : public std::enable_shared_from_this<CallerConnection>, private ResponseSink
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>,
+                         private ResponseSink,
+                         private BufferHolder
 {
 public:
     using ClosedHandler = std::function<void(const std::shared_ptr<CallerConnection> &)>;
@@ -52,6 +54,24 @@
     void abort() override;
     bool checkCallerGone() override;
     std::size_t backlog() const override { return backlog_; }
+    bool isFull() override;
+    bool hasRoom() override;
+    std::size_t maxBufferedBytes() const override;
+
+    // ---- BufferHolder ----
+    void onBufferRoom() override;
+    void onCutOff(const BufferCutOff &figures) override;
+
+    /// Tells the process's budget what this connection buffers.
+    void accountBuffers();
+    /// Lets the budget act, if it has to, in the next iteration of the event loop.
+    static void scheduleBufferAction(ProxyContext &context);
+    /// Whether the process has room for the request's body, if one is being received.
+    bool mayReadBody();
+    /// The size of the request's body, as far as it is known. \pre the head was received
+    std::size_t maxBodySize() const;
+    void appendBody(const std::string &bytes);
+    std::size_t maxPipelinedBytes() const;
 
     void read();
     /// Reads and drops what follows the open request, at a limited rate, until the response is
@@ -70,6 +90,8 @@
     void onTimer();
     void queue(std::string bytes);
     void write();
+    /// The socket has taken \p bytes of what is being written.
+    void onTaken(std::size_t bytes);
     void close(CallerCloseReason reason, const ErrorCode &error = ErrorCode());
 
     ProxyContext &context_;
@@ -85,8 +107,9 @@
     std::shared_ptr<Exchange> exchange_;
     std::deque<std::string> outgoing_;
     std::size_t backlog_ = 0;
-    std::size_t lingerBytes_ = 0; ///< received while lingering
-    bool isNew_ = true;           ///< awaitNextRequest hasn't been called yet
+    std::optional<BufferBudget::Id> bufferId_; ///< in the process's budget, until it is closed
+    std::size_t lingerBytes_ = 0;              ///< received while lingering
+    bool isNew_ = true;                        ///< awaitNextRequest hasn't been called yet
     bool reading_ = false;
     bool writing_ = false;
     bool keepAlive_ = true;
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -57,6 +57,11 @@
     /// Called when bytes were written to the caller, so that reading from the endpoint may
     /// resume.
     void onBacklogReduced();
+    /// Bytes of the request's body, with the copy that is sent.
+    std::size_t requestBytes() const;
+    /// Bytes of the response that are buffered here.
+    std::size_t responseBytes() const;
+    const RequestId &requestId() const { return metadata_.id; }
     bool ended() const { return statechart_.isFinished(); }
 
 private:
@@ -80,6 +85,9 @@
         Instant firstEventAt{};
         bool isAnswerReported = false; ///< that the endpoint has been writing for a while
         bool passThrough = false;      ///< a non-streaming response too large to buffer
+        Instant pausedAt = Never;      ///< when reading was paused; Never if it isn't
+        Instant resumedAt{};           ///< the last time
+        Interval longestPause{};
         /// The outcome if the attempt ends now. Without a known cause it is a lost connection.
         AttemptOutcome outcome = AttemptOutcome::ConnectionLost;
     };
@@ -108,6 +116,11 @@
     void onDone() override;
     void onFailed(CallFailure failure, const std::string &detail) override;
     void onStreamBytes(std::string_view bytes);
+    /// Stops reading from the endpoint if too much is queued for the caller.
+    void pauseIfFull();
+    /// Whether the endpoint is likely to have aborted the response since it stayed unread.
+    bool wasLeftUnread(Instant now) const;
+    void logUnread(const std::string &detail, Instant now);
     bool forwardEvent(const StreamEvent &event);
     void beginStream();
     void onNotExecuted();
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -24,6 +24,7 @@
 #include "sequoiagate/Decisions/EndpointSpec.h"
 #include "sequoiagate/Decisions/LinkLoad.h"
 #include "sequoiagate/Decisions/WorkItem.h"
+#include "sequoiagate/Proxy/BufferBudget.h"
 #include "sequoiagate/Proxy/Dialect.h"
 #include "sequoiagate/Proxy/PromptGuard.h"
 #include "sequoiagate/Proxy/StreamContinuity.h"
@@ -138,6 +139,7 @@
     /// Whether callers are to reconnect to another host, since the process stops or its link is
     /// saturated.
     std::function<bool()> shouldShedConnections;
+    BufferBudget *buffers = nullptr; ///< nullptr: only the queue of each stream is bounded
 };
 
 } // namespace sequoiagate
--- a/include/sequoiagate/Proxy/ResponseSink.h
+++ b/include/sequoiagate/Proxy/ResponseSink.h
@@ -28,6 +28,13 @@
     virtual bool checkCallerGone() = 0;
     /// Bytes that are queued and not yet written to the caller's socket.
     virtual std::size_t backlog() const = 0;
+    /// Whether the endpoint is to be read no further until hasRoom(). Called after each part of a
+    /// response, so that what the exchange buffers is accounted for.
+    virtual bool isFull() = 0;
+    /// Whether an endpoint that was paused may be read again.
+    virtual bool hasRoom() = 0;
+    /// Maximum size of a response that is buffered until it is complete.
+    virtual std::size_t maxBufferedBytes() const = 0;
 };
 
 } // namespace sequoiagate
--- a/lib/Proxy/CallerCloseReason.cpp
+++ b/lib/Proxy/CallerCloseReason.cpp
@@ -18,6 +18,7 @@
         {CallerCloseReason::Idle, "idle"},
         {CallerCloseReason::Drained, "drained"},
         {CallerCloseReason::StopForced, "stop_forced"},
+        {CallerCloseReason::CutOff, "cut_off"},
 };
 
 } // namespace
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -1,6 +1,10 @@
 #include "sequoiagate/Proxy/CallerConnection.h"
 
+#include <algorithm>
+#include <charconv>
+
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
@@ -20,6 +24,17 @@
 /// the peer's socket can't be noticed.
 constexpr std::size_t MaxPipelinedBytes = 256 * 1024;
 
+/// A non-streaming response up to this size is buffered until it is complete, so that a broken
+/// one can be replaced by another endpoint's. Usual responses are under 5 KB.
+constexpr std::size_t MaxBufferedBytes = 256 * 1024;
+
+/// Bytes queued for a caller above which its endpoint is no longer read; some hundred events.
+/// This bounds memory and passes the backpressure of a slow caller on to the endpoint.
+constexpr std::size_t MaxBacklogBytes = 128 * 1024;
+
+/// What a queued string costs beside its bytes.
+constexpr std::size_t QueuedStringBytes = 64;
+
 /// Maximum bytes that are dropped in one interval.
 constexpr std::size_t MaxDroppedBytes = 1024 * 1024;
 constexpr Interval DropInterval = std::chrono::milliseconds(100);
@@ -86,6 +101,9 @@
     ErrorCode ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
+    if (context_.buffers != nullptr) {
+        bufferId_ = context_.buffers->add(*this);
+    }
     awaitNextRequest();
     read();
 }
@@ -95,12 +113,15 @@
     if (reading_ || isClosed_) {
         return;
     }
-    if (unparsed_.size() > MaxPipelinedBytes) {
+    if (unparsed_.size() > maxPipelinedBytes()) {
         if (exchange_) {
             dropPipelined();
         }
         return;
     }
+    if (!mayReadBody()) {
+        return;
+    }
     reading_ = true;
     socket_.async_read_some(asio::buffer(readBuffer_),
                             [self = shared_from_this()](const ErrorCode &error, std::size_t bytes) {
@@ -117,6 +138,7 @@
     keepAlive_ = false;
     unparsed_.clear();
     unparsed_.shrink_to_fit();
+    accountBuffers();
     ErrorCode error;
     for (std::size_t dropped = 0; dropped < MaxDroppedBytes && !error;) {
         dropped += socket_.read_some(asio::buffer(readBuffer_), error);
@@ -154,9 +176,141 @@
     if (!exchange_ && !closeWhenWritten_ && !isBetweenRequests) {
         readRequest();
     }
+    accountBuffers();
     read();
 }
 
+bool CallerConnection::mayReadBody()
+{
+    const bool isReadingBody = bufferId_ && !exchange_ && !closeWhenWritten_ && !lingering_
+                               && reader_->hasHead() && !reader_->done();
+    if (!isReadingBody) {
+        return true;
+    }
+    const bool wasWaiting = context_.buffers->isWaiting(*bufferId_);
+    const std::size_t size = maxBodySize();
+    const bool mayRead = context_.buffers->admitBody(*bufferId_, size);
+    if (!mayRead && !wasWaiting) {
+        context_.log.write(Event("caller.body_waits")
+                                   .with("size", size)
+                                   .with("bodies", context_.buffers->total().body)
+                                   .with("limit", context_.buffers->bodyLimit(size))
+                                   .with("waiting", context_.buffers->waiting()));
+        context_.metrics.count("proxy_bodies_waited_total");
+    }
+    return mayRead;
+}
+
+std::size_t CallerConnection::maxBodySize() const
+{
+    std::size_t whole = limitsOf(context_).maxBodyBytes;
+    const std::string *length = findField(reader_->head().fields, "Content-Length");
+    if (length != nullptr) {
+        std::size_t declared = 0;
+        std::from_chars(length->data(), length->data() + length->size(), declared);
+        whole = std::min(whole, declared);
+    }
+    return whole;
+}
+
+void CallerConnection::appendBody(const std::string &bytes)
+{
+    // A string that grows takes up to twice its size, which is more than was reserved.
+    const bool isKnown = findField(reader_->head().fields, "Content-Length") != nullptr;
+    if (bufferId_ && isKnown && context_.buffers->isAdmitted(*bufferId_)) {
+        body_.reserve(maxBodySize());
+    }
+    body_ += bytes;
+}
+
+std::size_t CallerConnection::maxPipelinedBytes() const
+{
+    return bufferId_ ? std::min(MaxPipelinedBytes, context_.buffers->otherLimit())
+                     : MaxPipelinedBytes;
+}
+
+std::size_t CallerConnection::maxBufferedBytes() const
+{
+    return bufferId_ ? std::min(MaxBufferedBytes, context_.buffers->otherLimit())
+                     : MaxBufferedBytes;
+}
+
+bool CallerConnection::isFull()
+{
+    accountBuffers();
+    return bufferId_ ? context_.buffers->pauseIfFull(*bufferId_) : backlog_ > MaxBacklogBytes;
+}
+
+bool CallerConnection::hasRoom()
+{
+    return bufferId_ ? context_.buffers->resumeIfRoom(*bufferId_) : backlog_ <= MaxBacklogBytes / 2;
+}
+
+void CallerConnection::accountBuffers()
+{
+    if (!bufferId_) {
+        return;
+    }
+    if (unparsed_.empty()) {
+        unparsed_ = std::string();
+    }
+    BufferUse use;
+    use.unread = backlog_ + outgoing_.size() * QueuedStringBytes;
+    use.body = body_.empty() ? 0 : body_.capacity() + body_.size();
+    use.other = unparsed_.empty() ? 0 : unparsed_.capacity();
+    if (exchange_) {
+        use.body += exchange_->requestBytes();
+        use.other += exchange_->responseBytes();
+    }
+    context_.buffers->update(*bufferId_, use, std::chrono::steady_clock::now());
+    scheduleBufferAction(context_);
+}
+
+void CallerConnection::scheduleBufferAction(ProxyContext &context)
+{
+    BufferBudget &buffers = *context.buffers;
+    if (buffers.needsAction()) {
+        // Posted, since it may call any connection, also the one on the call stack.
+        asio::post(context.io, [&buffers] {
+            if (buffers.needsAction()) {
+                buffers.act(std::chrono::steady_clock::now());
+            }
+        });
+    }
+}
+
+void CallerConnection::onBufferRoom()
+{
+    // Keeps it alive: what is read may end it.
+    const auto self = shared_from_this();
+    if (exchange_) {
+        const std::shared_ptr<Exchange> exchange = exchange_;
+        exchange->onBacklogReduced();
+    }
+    read();
+}
+
+void CallerConnection::onCutOff(const BufferCutOff &figures)
+{
+    const auto self = shared_from_this();
+    bufferId_.reset();
+    context_.log.write(
+            Event("caller.cut_off")
+                    .with("request", exchange_ ? exchange_->requestId() : RequestId())
+                    .with("unread", figures.unread)
+                    .with("unread_total", figures.unreadTotal)
+                    .with("limit", figures.limit)
+                    .with("taken", figures.taken)
+                    .with("behind_ms",
+                          std::chrono::duration_cast<Millis>(figures.behindFor).count())
+                    .with("last_taken_ms",
+                          std::chrono::duration_cast<Millis>(figures.lastTakenAgo).count()));
+    context_.metrics.count("proxy_callers_cut_off_total");
+    ErrorCode ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close(CallerCloseReason::CutOff);
+}
+
 void CallerConnection::readRequest()
 {
     if (unparsed_.empty()) {
@@ -176,7 +330,7 @@
     if (!hadStarted && reader_->begun()) {
         armTimer(limitsOf(context_).headerTimeout);
     }
-    body_ += reader_->takeBody();
+    appendBody(reader_->takeBody());
     if (reader_->fault() != HttpParseError::None) {
         refuseRequest(reader_->fault());
         return;
@@ -217,6 +371,9 @@
     if (checkCallerGone()) {
         return;
     }
+    if (bufferId_) {
+        body_.shrink_to_fit();
+    }
     CallerRequest request;
     request.head = std::move(reader_->head());
     request.body = std::exchange(body_, std::string());
@@ -228,6 +385,10 @@
     ResponseSink &sink = *this;
     const auto exchange = std::make_shared<Exchange>(context_, std::move(request), sink);
     exchange_ = exchange;
+    if (bufferId_) {
+        context_.buffers->endBody(*bufferId_);
+    }
+    accountBuffers();
     try {
         exchange->start();
     } catch (const std::exception &) {
@@ -311,6 +472,11 @@
 void CallerConnection::onResponseQueued(bool keepAlive)
 {
     exchange_.reset();
+    if (bufferId_) {
+        context_.buffers->endBody(*bufferId_);
+        context_.buffers->endPause(*bufferId_);
+    }
+    accountBuffers();
     if (!keepAlive) {
         closeWhenWritten_ = true;
         write();
@@ -398,6 +564,7 @@
     backlog_ += bytes.size();
     context_.link.onSent(bytes.size(), std::chrono::steady_clock::now());
     outgoing_.push_back(std::move(bytes));
+    accountBuffers();
     write();
 }
 
@@ -432,22 +599,37 @@
         outgoing_.pop_front();
     }
     const auto shared = std::make_shared<std::string>(std::move(bytes));
-    asio::async_write(socket_, asio::buffer(*shared),
-                      [self = shared_from_this(), shared](const ErrorCode &error, std::size_t) {
-                          self->writing_ = false;
-                          self->backlog_ -= shared->size();
-                          if (self->isClosed_) {
-                              return;
-                          }
-                          if (error) {
-                              self->close(CallerCloseReason::WriteFailed, error);
-                              return;
-                          }
-                          if (self->exchange_) {
-                              self->exchange_->onBacklogReduced();
-                          }
-                          self->write();
-                      });
+    std::size_t taken = 0;
+    asio::async_write(
+            socket_, asio::buffer(*shared),
+            [self = shared_from_this(), taken](const ErrorCode &error,
+                                               std::size_t written) mutable {
+                self->onTaken(written - std::exchange(taken, written));
+                return asio::transfer_all()(error, written);
+            },
+            [self = shared_from_this(), shared](const ErrorCode &error, std::size_t) {
+                self->writing_ = false;
+                self->backlog_ -= shared->size();
+                self->accountBuffers();
+                if (self->isClosed_) {
+                    return;
+                }
+                if (error) {
+                    self->close(CallerCloseReason::WriteFailed, error);
+                    return;
+                }
+                if (self->exchange_) {
+                    self->exchange_->onBacklogReduced();
+                }
+                self->write();
+            });
+}
+
+void CallerConnection::onTaken(std::size_t bytes)
+{
+    if (bufferId_ && bytes > 0) {
+        context_.buffers->onTaken(*bufferId_, bytes, std::chrono::steady_clock::now());
+    }
 }
 
 void CallerConnection::close(CallerCloseReason reason, const ErrorCode &error)
@@ -458,6 +640,10 @@
     isClosed_ = true;
     timer_.disarm();
     dropTimer_.disarm();
+    if (bufferId_) {
+        context_.buffers->remove(*std::exchange(bufferId_, std::nullopt));
+        scheduleBufferAction(context_);
+    }
     ErrorCode ignored;
     socket_.close(ignored);
     const auto self = shared_from_this();
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -12,13 +12,12 @@
 
 namespace {
 
-/// A non-streaming response up to this size is buffered until it is complete, so that a broken
-/// one can be replaced by another endpoint's. Usual responses are under 5 KB.
-constexpr std::size_t MaxBufferedBytes = 256 * 1024;
+/// Endpoints abort a response that stays unread for some seconds. A loss counts as such an abort
+/// if reading was paused for at least this long,
+constexpr Interval MinUnreadTime = std::chrono::seconds(1);
 
-/// Bytes queued for a caller above which its endpoint is no longer read; some hundred events.
-/// This bounds memory and passes the backpressure of a slow caller on to the endpoint.
-constexpr std::size_t MaxBacklogBytes = 128 * 1024;
+/// and was resumed at most this long ago: what the endpoint had sent before is read first.
+constexpr Interval MaxAfterUnread = std::chrono::seconds(1);
 
 /// An endpoint that sends nothing for this multiple of the route's latency target counts as
 /// stalled, and the request is retried elsewhere if it may be. 2.5 is more than the queueing
@@ -530,16 +529,54 @@
         sink_.streamData(bytes);
     } else {
         attempt.body.append(bytes);
-        if (attempt.isSuccess && attempt.body.size() > MaxBufferedBytes) {
+        if (attempt.isSuccess && attempt.body.size() > sink_.maxBufferedBytes()) {
             attempt.passThrough = true;
             plainResponseForwarded_ = true;
             beginStream();
             sink_.streamData(std::exchange(attempt.body, std::string()));
         }
     }
-    if (sink_.backlog() > MaxBacklogBytes) {
-        attempt.connection->pauseReading();
+    pauseIfFull();
+}
+
+void Exchange::pauseIfFull()
+{
+    if (!sink_.isFull()) {
+        return;
+    }
+    attempt_->connection->pauseReading();
+    if (context_.buffers == nullptr || attempt_->pausedAt != Never) {
+        return;
+    }
+    attempt_->pausedAt = std::chrono::steady_clock::now();
+    if (route_->kind == RouteKind::Stream) {
+        // An endpoint that isn't read doesn't stall.
+        disarmStallTimer();
+    }
+    if (context_.buffers->isScarce()) {
+        log(Event("stream.paused")
+                    .with("endpoint", attempt_->endpoint)
+                    .with("unread", sink_.backlog())
+                    .with("queue_limit", context_.buffers->queueLimit())
+                    .with("unread_total", context_.buffers->total().unread)
+                    .with("limit", context_.buffers->cutOffLimit())
+                    .with("paused", context_.buffers->paused()));
+        context_.metrics.count("proxy_streams_paused_total");
+    }
+}
+
+std::size_t Exchange::requestBytes() const
+{
+    return request_.body.empty() ? 0 : request_.body.capacity() + request_.body.size();
+}
+
+std::size_t Exchange::responseBytes() const
+{
+    if (!attempt_) {
+        return 0;
     }
+    const std::size_t body = attempt_->body.empty() ? 0 : attempt_->body.capacity();
+    return body + attempt_->splitter.pending();
 }
 
 void Exchange::beginStream()
@@ -566,9 +603,7 @@
         reportAnswer(std::chrono::steady_clock::now());
         setStallTimeout(scaled(route_->eventGapTarget, GapTimeoutFactor));
     }
-    if (sink_.backlog() > MaxBacklogBytes) {
-        attempt_->connection->pauseReading();
-    }
+    pauseIfFull();
 }
 
 bool Exchange::forwardEvent(const StreamEvent &event)
@@ -597,9 +632,37 @@
 
 void Exchange::onBacklogReduced()
 {
-    if (attempt_ && sink_.backlog() <= MaxBacklogBytes / 2) {
-        attempt_->connection->resumeReading();
+    if (!attempt_ || !sink_.hasRoom()) {
+        return;
+    }
+    if (attempt_->pausedAt != Never) {
+        const Instant now = std::chrono::steady_clock::now();
+        attempt_->longestPause = std::max(attempt_->longestPause, now - attempt_->pausedAt);
+        attempt_->pausedAt = Never;
+        attempt_->resumedAt = now;
+        if (route_->kind == RouteKind::Stream) {
+            setStallTimeout(scaled(route_->eventGapTarget, GapTimeoutFactor));
+        }
     }
+    attempt_->connection->resumeReading();
+}
+
+bool Exchange::wasLeftUnread(Instant now) const
+{
+    return attempt_->longestPause >= MinUnreadTime
+           && (attempt_->pausedAt != Never || now - attempt_->resumedAt <= MaxAfterUnread);
+}
+
+void Exchange::logUnread(const std::string &detail, Instant now)
+{
+    log(Event("request.left_unread")
+                .with("endpoint", attempt_->endpoint)
+                .with("detail", detail)
+                .with("paused_ms", millis(attempt_->longestPause).count())
+                .with("resumed_ago_ms", millis(now - attempt_->resumedAt).count())
+                .with("events", forwardedEvents_)
+                .with("may_resume", mayRetry()));
+    context_.metrics.count("proxy_responses_left_unread_total");
 }
 
 void Exchange::onDone()
@@ -698,6 +761,13 @@
         }
         return;
     }
+    if (wasLeftUnread(now)) {
+        // The endpoint is sound, and its prompt isn't to blame.
+        logUnread(detail, now);
+        endAttempt(true);
+        retryOrFail("the endpoint aborted the unread response: " + detail);
+        return;
+    }
     logLoss(detail, now);
     reportLoss(now);
     endAttempt(false);
--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -236,22 +236,16 @@
                               }},
       caller_(io)
 {
+    if (settings.memoryBytes > 0) {
+        buffers.emplace(BufferBudgetSettings::forProcess(settings.memoryBytes));
+        context_.buffers = &*buffers;
+    }
     for (std::size_t i = 0; i < scripts.size(); ++i) {
         endpoints.push_back(std::make_unique<ScriptedEndpoint>(io, std::move(scripts[i])));
         placement.endpoints.push_back(
                 {EndpointId(fmt::format("e{}", i)), endpoints[i]->address(), "order"});
     }
-    tcp::acceptor acceptor(io, loopback());
-    caller_.open(tcp::v4());
-    constexpr int SmallBufferBytes = 4096;
-    if (settings.isCallerSlow) {
-        caller_.set_option(boost::asio::socket_base::receive_buffer_size(SmallBufferBytes));
-    }
-    caller_.connect(acceptor.local_endpoint());
-    tcp::socket accepted = acceptor.accept();
-    if (settings.isCallerSlow) {
-        accepted.set_option(boost::asio::socket_base::send_buffer_size(SmallBufferBytes));
-    }
+    tcp::socket accepted = connectCaller(caller_, settings.isCallerSlow);
     connection_ = std::make_shared<CallerConnection>(
             context_, std::move(accepted), [](const std::shared_ptr<CallerConnection> &) {});
     connection_->start();
@@ -263,6 +257,9 @@
 ProxyTestHarness::~ProxyTestHarness()
 {
     connection_->forceClose();
+    for (const std::shared_ptr<CallerConnection> &connection : unreadConnections_) {
+        connection->forceClose();
+    }
     error_code ignored;
     caller_.close(ignored);
     endpoints.clear();
@@ -271,6 +268,33 @@
     std::fclose(logFile_);
 }
 
+tcp::socket ProxyTestHarness::connectCaller(tcp::socket &caller, bool isSlow)
+{
+    tcp::acceptor acceptor(io, loopback());
+    caller.open(tcp::v4());
+    constexpr int SmallBufferBytes = 4096;
+    if (isSlow) {
+        caller.set_option(boost::asio::socket_base::receive_buffer_size(SmallBufferBytes));
+    }
+    caller.connect(acceptor.local_endpoint());
+    tcp::socket accepted = acceptor.accept();
+    if (isSlow) {
+        accepted.set_option(boost::asio::socket_base::send_buffer_size(SmallBufferBytes));
+    }
+    return accepted;
+}
+
+tcp::socket &ProxyTestHarness::addUnreadCaller(const std::string &bytes)
+{
+    tcp::socket &caller = *unreadCallers_.emplace_back(std::make_unique<tcp::socket>(io));
+    tcp::socket accepted = connectCaller(caller, true);
+    unreadConnections_.push_back(std::make_shared<CallerConnection>(
+            context_, std::move(accepted), [](const std::shared_ptr<CallerConnection> &) {}));
+    unreadConnections_.back()->start();
+    boost::asio::write(caller, boost::asio::buffer(bytes));
+    return caller;
+}
+
 void ProxyTestHarness::send(const std::string &bytes)
 {
     boost::asio::write(caller_, boost::asio::buffer(bytes));
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -180,6 +180,8 @@
     Interval idleTimeout = std::chrono::seconds(15);
     /// The caller doesn't read, and the socket buffers are small.
     bool isCallerSlow = false;
+    /// Memory of the process; 0: unknown.
+    std::size_t memoryBytes = 0;
 };
 
 class ProxyTestHarness
@@ -202,6 +204,8 @@
     void closeCaller();
     /// Resets the caller's connection; data sent last may be lost.
     void reset();
+    /// Connects a further caller with small socket buffers, which sends \p bytes and doesn't read.
+    boost::asio::ip::tcp::socket &addUnreadCaller(const std::string &bytes);
     /// Starts reading on the caller's side, for a caller that was slow until now.
     void readAsCaller();
     /// Number of log lines that contain \p text.
@@ -227,8 +231,12 @@
     bool configIsCurrent = true;
     bool stopping = false;
     LinkLoad link{LinkLoadSettings{}};
+    std::optional<BufferBudget> buffers; ///< if the settings name the process's memory
 
 private:
+    /// \returns the accepted socket
+    boost::asio::ip::tcp::socket connectCaller(boost::asio::ip::tcp::socket &caller, bool isSlow);
+
     Statechart chart_;
     std::FILE *logFile_;
     EventLog log_;
@@ -237,6 +245,8 @@
     ProxyContext context_;
     boost::asio::ip::tcp::socket caller_;
     std::shared_ptr<CallerConnection> connection_;
+    std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> unreadCallers_;
+    std::vector<std::shared_ptr<CallerConnection>> unreadConnections_;
     std::array<char, 4096> buffer_;
     std::string callerReceived_;
     bool closed_ = false;
