[Edge] Setting memory_mb, by which the process bounds what it buffers

Cause: hosts have 120 to 512 MB, and the process doesn't know its limit.

A change takes effect at the next start of the process.

Measured: unittests-Edge 186 of 186, unittests-Service 49 of 49, test-Edge EdgeProcess, EdgeFailure and ConnectionBurst 28 of 28 pass, with memory_mb 0.

--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -107,7 +107,8 @@
     std::unique_ptr<Store> store_;
     EndpointDirectory endpoints_;
     LinkLoad link_;
-    bool shedding_ = false; ///< as last logged
+    std::unique_ptr<BufferBudget> buffers_; ///< nullptr if the process's memory limit is unknown
+    bool shedding_ = false;                 ///< as last logged
     std::unique_ptr<TokenService> tokens_;
     std::unique_ptr<StreamOriginLink> streamOrigins_;
     std::unique_ptr<VersionRecorder> versionRecorder_;
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -98,6 +98,14 @@
     return CrashingPartsLink::ListedProcess{*address, endpoints.startedAtMillis(endpoint)};
 }
 
+std::unique_ptr<BufferBudget> bufferBudgetOf(const EdgeSettings &settings)
+{
+    if (settings.memoryBytes == 0) {
+        return nullptr;
+    }
+    return std::make_unique<BufferBudget>(BufferBudgetSettings::forProcess(settings.memoryBytes));
+}
+
 std::vector<WorkspaceBudget> budgetsOf(const ServingConfig &config)
 {
     std::vector<WorkspaceBudget> budgets;
@@ -119,7 +127,7 @@
       exchangeChart_(Statechart::parse(readShareFile("statecharts/exchange.json"))),
       drainChart_(Statechart::parse(readShareFile("statecharts/drain.json"))), drain_(drainChart_),
       pool_(io_, {}), endpoints_(settings_.host, settings_.domain, settings_.retries, log),
-      link_(LinkLoadSettings{settings_.linkBytesPerSecond})
+      link_(LinkLoadSettings{settings_.linkBytesPerSecond}), buffers_(bufferBudgetOf(settings_))
 {
     endpoints_.setRegions(settings_.regions);
     const tcp::endpoint listen = tcpSetting("listen", settings_.listenCallers);
@@ -178,9 +186,7 @@
             ProxyContext{io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_,
                          *streamOrigins_, *crashingParts_, link_, log_, metrics_,
                          [this] { return config_; }, [this] { return configIsCurrent(); },
-                         [this] {
-                             return drain_.state() != "serving";
-                         }});
+                         [this] { return drain_.state() != "serving"; }, buffers_.get()});
     configFollower_ = std::make_unique<TopicFollower>(
             io_, *store_, FollowerSettings{adapter_.topics().config},
             TopicFollower::Handlers{[this](const std::vector<StoreRow> &rows, bool whole) {
@@ -648,6 +654,18 @@
     metrics_.gauge("edge_config_version", config_ ? static_cast<double>(config_->version) : 0.0);
     metrics_.gauge("edge_config_age_seconds", age(*configFollower_));
     metrics_.gauge("edge_endpoints_age_seconds", age(*endpointFollower_));
+    if (buffers_) {
+        const BufferUse &buffered = buffers_->total();
+        const auto gauge = [this](const char *kind, std::size_t bytes) {
+            metrics_.gauge("edge_buffered_bytes", static_cast<double>(bytes), {{"kind", kind}});
+        };
+        gauge("unread", buffered.unread);
+        gauge("body", buffered.body);
+        gauge("other", buffered.other);
+        metrics_.gauge("edge_buffer_limit_bytes", static_cast<double>(buffers_->limit()));
+        metrics_.gauge("edge_streams_paused", static_cast<double>(buffers_->paused()));
+        metrics_.gauge("edge_bodies_waiting", static_cast<double>(buffers_->waiting()));
+    }
     metrics_.gauge("edge_connections_opened", static_cast<double>(pool_.opened()));
 }
 
--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -25,6 +25,8 @@
     constexpr double BytesPerMegabit = 1e6 / 8;
     edge.linkBytesPerSecond =
             static_cast<uint64_t>(settings.at("link_mbps").get<double>() * BytesPerMegabit);
+    constexpr std::size_t BytesPerMegabyte = 1'000'000;
+    edge.memoryBytes = settings.at("memory_mb").get<std::size_t>() * BytesPerMegabyte;
     edge.retries.ratio = settings.at("retry_ratio").get<double>();
     edge.retries.baseRetries = settings.at("retry_slack").get<double>();
     edge.retries.window = millisOf(settings, "retry_window_ms");
