[Edge] Notice a lost store by an append without a response

Cause: token_allocation by_rank applies from when the store is known to be lost. An unanswered read shows that after up to 1.6 s (a wait of 0.9 s and a timeout of 0.7 s); under doubled demand a fleet uses up to 3 of its 4 s of tokens in that time.

Change: StoreLoss takes the store for lost when an append got no response within its 0.6 s and no read has been answered since it was sent.

The time until an outage is noticed by a process wasn't measured.

--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -26,6 +26,7 @@
 
 class PeerClocks;
 class Predecessor;
+class StoreLoss;
 class TokenStateLog;
 class TokenWaitQueue;
 
@@ -104,6 +105,8 @@
     uint64_t transferOut(const TokenRequest &request, Instant now);
     void requestFromPeers(Instant now);
     void returnUnusedTokens(Instant now);
+    /// When the store last responded; nullopt while it does, and until it was read once.
+    std::optional<Instant> storeLostSince() const;
     bool predecessorPending() const;
     HeldTokens heldTokens(const WorkspaceId &workspace) const;
     void finishStop(Instant now);
@@ -118,6 +121,7 @@
     PeerLink peers_;
     TopicFollower follower_;
     boost::asio::steady_timer timer_;
+    std::unique_ptr<StoreLoss> storeLoss_;
     std::unique_ptr<TokenStateLog> stateLog_;
     std::unordered_map<std::string, Peer> hosts_;
     std::unique_ptr<PeerClocks> peerClocks_;
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -6,6 +6,7 @@
 #include "LedgerRows.h"
 #include "PeerClocks.h"
 #include "Predecessor.h"
+#include "StoreLoss.h"
 #include "TokenStateLog.h"
 #include "TokenWaitQueue.h"
 #include "sequoiagate/Ledger/TokenHomes.h"
@@ -77,7 +78,8 @@
                      log_.write(Event(reachable ? "ledger.reachable" : "ledger.lost")
                                         .with("outcome", storeOutcomeName(outcome)));
                  }}),
-      timer_(io), stateLog_(std::make_unique<TokenStateLog>()),
+      timer_(io), storeLoss_(std::make_unique<StoreLoss>()),
+      stateLog_(std::make_unique<TokenStateLog>()),
       peerClocks_(std::make_unique<PeerClocks>(settings_.host)),
       startedAt_(std::chrono::steady_clock::now())
 {
@@ -134,8 +136,7 @@
 {
     const Instant now = std::chrono::steady_clock::now();
     holder_.setStoreReachable(follower_.current());
-    const bool isLost = follower_.caughtUp() && !follower_.reachable();
-    waiting_->setUnreachableSince(isLost ? std::optional(follower_.lastAnswerAt()) : std::nullopt);
+    waiting_->setUnreachableSince(storeLostSince());
     sealPredecessor(now);
     requestClocks(now);
     writeBatch();
@@ -494,6 +495,9 @@
     const Instant sentAt = std::chrono::steady_clock::now();
     store_.append(*batch_, [this, sentAt, seq = batch_->seq](const AppendAnswer &response) {
         metrics_.observe("ledger_append_seconds", std::chrono::steady_clock::now() - sentAt);
+        if (response.outcome == StoreOutcome::Unreachable) {
+            storeLoss_->onUnansweredAppend(sentAt);
+        }
         // A batch that was read back is complete even without a response. Waiting for a lost
         // response would delay the next claim until the timeout.
         if (batch_ && batch_->seq == seq) {
@@ -552,6 +556,12 @@
     waiting_->serve(now);
 }
 
+std::optional<Instant> TokenService::storeLostSince() const
+{
+    return follower_.caughtUp() ? storeLoss_->since(follower_.reachable(), follower_.lastAnswerAt())
+                                : std::nullopt;
+}
+
 bool TokenService::predecessorPending() const
 {
     return !ownHostRowRead_ || predecessor_ || !seals_.empty();
@@ -559,7 +569,8 @@
 
 HeldTokens TokenService::heldTokens(const WorkspaceId &workspace) const
 {
-    const bool mayClaim = follower_.current() && holder_.unallotted(workspace) > 0;
+    const bool mayClaim =
+            follower_.current() && !storeLostSince() && holder_.unallotted(workspace) > 0;
     return {holder_.usable(workspace), holder_.reserved(workspace), predecessorPending(), mayClaim};
 }
 
