[Ledger] Compute the tokens held for an outage in a unit of its own, also by peak demand

Cause: homes held 9% to 17% of the budgets, and an outage of 8 s with doubled demand takes up to 30%, while 38% to 75% weren't allocated to any host.

Change: OutageReserve computes target, covered period and bound, which TokenHolder did. Its policy MeanDemand (default) is what TokenHolder did; PeakDemand holds the highest recent demand of the horizon and a burst in it, up to the holder's share of the same bound, refills with rows that are written anyway, and holds all that the bound allows while demand is unknown.

--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -45,22 +45,12 @@
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
 #include "sequoiagate/Ledger/AllotmentTable.h"
-#include "sequoiagate/Ledger/DemandRate.h"
+#include "sequoiagate/Ledger/OutageReserve.h"
 
 namespace sequoiagate {
 
-struct TokenHolderSettings
+struct TokenHolderSettings : OutageReserveSettings
 {
-    /// Period of demand for which tokens are held while there are plenty: the outage of the store
-    /// that can be bridged. With a lower value callers are refused during an outage; with a higher
-    /// one more is lost with a process whose end can't be dated.
-    Interval horizon = std::chrono::seconds(9);
-    /// All holders together hold at most about this part of the remaining budget idle, and a
-    /// smaller part as less remains: these tokens are lost if all hosts lose power.
-    double maxIdleShare = 0.6;
-    /// When less than this part of a budget remains, that bound falls with the cube of the
-    /// remaining part instead of in proportion to it.
-    double lowBudgetShare = 0.5;
     /// Time without a batch after which the last one no longer bounds the holder. Longer than a
     /// killed process takes to restart, plus the age of its last batch.
     Interval batchValidity = std::chrono::milliseconds(2400);
@@ -83,25 +73,10 @@
     double scarceHorizons = 1.5;
     /// And if less than this part of the budget remains.
     double scarceBudgetShare = 0.25;
-    /// Tokens below this part of the target are replenished.
-    double refillBelow = 0.7;
-    /// Tokens above this multiple of the target are returned.
-    double returnAbove = 2.5;
-    /// Part of the budget held by all hosts together until demand is known.
-    double initialShare = 0.15;
     /// Limits a claim to this multiple of an equal share, over all hosts, of the unallotted tokens,
     /// unless waiting requests need more: near the end of a budget the first claimer doesn't take
     /// the last tokens.
     double maxClaimFactor = 3.0;
-    /// Time constant for averaging demand: short enough to follow a workspace whose load rises
-    /// within seconds.
-    Interval demandTimeConstant = std::chrono::seconds(4);
-    /// Time constant for averaging the use of all holders: a budget that lasts long must not seem
-    /// scarce because of a burst.
-    Interval fleetUseTimeConstant = std::chrono::seconds(8);
-    /// A host that isn't a home holds its own tokens if its demand over the horizon is at least
-    /// this many typical requests: with less, it would mostly hold a part of a request.
-    double minOwnRequests = 2.0;
     /// Interval between requests to peers for the same workspace.
     Interval urgentRequestInterval = std::chrono::milliseconds(60);
     /// Interval between requests to peers for a workspace whose tokens run low but still suffice.
@@ -148,7 +123,7 @@
 
     /// Replaces the budgets. Unspent tokens of a workspace whose budget was lowered are returned.
     void setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant now);
-    void setHorizon(Interval horizon) { settings_.horizon = horizon; }
+    void setHorizon(Interval horizon);
     /// Sets the number of processes that share the budgets.
     /// \pre count > 0
     void setHolderCount(uint32_t count) { holderCount_ = count; }
@@ -231,9 +206,7 @@
 
     struct Account
     {
-        Account(Interval demandTimeConstant, Interval fleetUseTimeConstant)
-            : demand(demandTimeConstant), fleetUse(fleetUseTimeConstant)
-        {}
+        explicit Account(const OutageReserveSettings &settings) : reserve(settings) {}
 
         uint64_t prepaid = 0;
         uint64_t owned = 0;    ///< this holder's total, as accepted
@@ -253,8 +226,7 @@
         uint32_t requestRounds = 0;      ///< for the requests that are waiting now
         uint32_t homes = 0;
         bool isHome = false;
-        DemandRate demand;
-        DemandRate fleetUse; ///< of all holders, according to their rows
+        OutageReserve reserve;
     };
 
     /// A row in flight, and the tokens it claims beyond the owned ones.
@@ -274,22 +246,22 @@
     const Account *find(const WorkspaceId &workspace) const;
     bool isScarce(const WorkspaceId &workspace, const Account &account, Instant now) const;
     uint64_t unusedTokens(const WorkspaceId &workspace, const Account &account) const;
-    uint64_t maxIdleTokens(const WorkspaceId &workspace, const Account &account) const;
-    Interval coveredPeriod(const WorkspaceId &workspace, const Account &account, Instant now) const;
+    ReserveContext contextOf(const WorkspaceId &workspace, const Account &account) const;
     uint64_t targetTokens(const WorkspaceId &workspace, const Account &account, Instant now) const;
     bool reliesOnHomes(const WorkspaceId &workspace, const Account &account, Instant now) const;
-    uint64_t claimSize(const WorkspaceId &workspace, const Account &account, Instant now) const;
+    /// \p writesRow: a row of the workspace is written in any case
+    uint64_t claimSize(const WorkspaceId &workspace, const Account &account, bool writesRow,
+                       Instant now) const;
     void returnTokens(Account &account, uint64_t tokens);
     static uint64_t transferFromHome(Account &account, const TokenRequest &request, Instant now);
     uint64_t balancingTransfer(const Account &account, const TokenRequest &request,
                                Instant now) const;
     static uint64_t used(const Account &account);
-    bool inUse(const Account &account, Instant now) const;
+    bool inUse(const WorkspaceId &workspace, const Account &account, Instant now) const;
     uint64_t usableNow(const Account &account, Instant now) const;
     static uint64_t tokensRequestedByPeers(const Account &account, Instant now);
     void recordPeerRequest(Account &account, uint64_t tokens, bool isRepeat, Instant now) const;
     static void recordTransfer(Account &account, uint64_t tokens);
-    uint32_t maxHoldersOf(const Account &account) const;
     uint64_t rowLimit(const Allotment &row, Instant composedAt, Instant now) const;
     uint64_t allowedUsePerSecond(const WorkspaceId &workspace, const Account &account,
                                  Instant now) const;
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -13,10 +13,6 @@
 /// Number of peers that receive a request at once: each may supply a part of the tokens.
 constexpr uint64_t PeersPerRequest = 8;
 
-/// Assumed maximum number of holders per home that claim a workspace's tokens: the home itself and
-/// hosts with enough demand of their own.
-constexpr uint32_t MaxHoldersPerHome = 4;
-
 uint64_t scaled(uint64_t tokens, double factor)
 {
     return static_cast<uint64_t>(static_cast<double>(tokens) * factor);
@@ -43,10 +39,7 @@
 void TokenHolder::setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant)
 {
     for (const WorkspaceBudget &budget : budgets) {
-        Account &account = accounts_
-                                   .try_emplace(budget.workspace, settings_.demandTimeConstant,
-                                                settings_.fleetUseTimeConstant)
-                                   .first->second;
+        Account &account = accounts_.try_emplace(budget.workspace, settings_).first->second;
         if (budget.prepaid < account.prepaid) {
             account.budgetLowered = true;
             returnTokens(account, account.usable);
@@ -58,28 +51,38 @@
 void TokenHolder::setHomes(const WorkspaceId &workspace, uint32_t homes, bool isHome)
 {
     if (Account *account = find(workspace)) {
+        if (isHome && !account->isHome) {
+            account->reserve.forgetObservation();
+        }
         account->homes = homes;
         account->isHome = isHome;
     }
 }
 
+void TokenHolder::setHorizon(Interval horizon)
+{
+    settings_.horizon = horizon;
+    for (auto &[workspace, account] : accounts_) {
+        account.reserve.setHorizon(horizon);
+    }
+}
+
+ReserveContext TokenHolder::contextOf(const WorkspaceId &workspace, const Account &account) const
+{
+    return {account.prepaid,
+            table_.used(workspace),
+            used(account),
+            account.written.maxUsed,
+            account.typicalReservation,
+            holderCount_,
+            account.homes,
+            account.isHome};
+}
+
 bool TokenHolder::reliesOnHomes(const WorkspaceId &workspace, const Account &account,
                                 Instant now) const
 {
-    if (account.homes == 0 || account.isHome) {
-        return false;
-    }
-    const uint64_t own = scaled(account.typicalReservation, settings_.minOwnRequests);
-    if (account.typicalReservation == 0
-        || account.demand.expectedTokens(coveredPeriod(workspace, account, now), now) < own) {
-        return true;
-    }
-    // Limits the number of holders: if not every host may be one, a host must have at least an
-    // equal share of the workspace's demand among them.
-    const uint64_t maxHolders = maxHoldersOf(account);
-    const uint64_t ownDemand = account.demand.expectedTokens(settings_.fleetUseTimeConstant, now);
-    const uint64_t fleetUse = account.fleetUse.expectedTokens(settings_.fleetUseTimeConstant, now);
-    return maxHolders < holderCount_ && ownDemand * maxHolders < fleetUse;
+    return account.reserve.reliesOnHomes(contextOf(workspace, account), now);
 }
 
 bool TokenHolder::reserve(const WorkspaceId &workspace, uint64_t tokens, Instant now)
@@ -97,7 +100,7 @@
     }
     account->usable -= tokens;
     account->reserved += tokens;
-    account->demand.add(tokens, now);
+    account->reserve.addDemand(tokens, now);
     return true;
 }
 
@@ -148,17 +151,12 @@
     if (account == nullptr || !caughtUp_) {
         return;
     }
-    if (after > before) {
-        account->fleetUse.add(after - before, now);
-    } else {
-        account->fleetUse.remove(before - after, now);
-    }
+    account->reserve.onFleetUse(before, after, row.holder == self_, now);
 }
 
 bool TokenHolder::isScarce(const WorkspaceId &workspace, const Account &account, Instant now) const
 {
-    const auto horizonUse =
-            static_cast<double>(account.fleetUse.expectedTokens(settings_.horizon, now));
+    const auto horizonUse = static_cast<double>(account.reserve.fleetUse(settings_.horizon, now));
     const auto left = static_cast<double>(unusedTokens(workspace, account));
     // A budget of which most remains isn't scarce, however fast its use has started.
     const double maxTokens = settings_.scarceBudgetShare * static_cast<double>(account.prepaid);
@@ -172,13 +170,15 @@
     if (isScarce(workspace, account, now)) {
         return account.requiredTokens + forPeers;
     }
-    const uint64_t byDemand = account.demand.expectedTokens(settings_.window, now);
+    const uint64_t byDemand = account.reserve.demand(settings_.window, now);
     // The next request of a workspace that is in use here needn't wait for a row, unless it is
     // larger than usual. Before the first request the size is unknown.
     uint64_t next = 0;
     if (account.typicalReservation == 0) {
-        next = scaled(targetTokens(workspace, account, now), settings_.initialWindowShare);
-    } else if (inUse(account, now)) {
+        const uint64_t initial = account.reserve.initialTokens(contextOf(workspace, account));
+        next = scaled(std::min(targetTokens(workspace, account, now), initial),
+                      settings_.initialWindowShare);
+    } else if (inUse(workspace, account, now)) {
         next = account.typicalReservation + account.typicalReservation / 2;
     }
     return std::max({byDemand, next, account.requiredTokens}) + forPeers;
@@ -223,12 +223,6 @@
     }
 }
 
-uint32_t TokenHolder::maxHoldersOf(const Account &account) const
-{
-    return account.homes == 0 ? holderCount_
-                              : std::min(holderCount_, account.homes * MaxHoldersPerHome);
-}
-
 bool TokenHolder::anyRowHasUnusedTokens() const
 {
     return std::any_of(accounts_.begin(), accounts_.end(), [](const auto &entry) {
@@ -237,17 +231,15 @@
     });
 }
 
-bool TokenHolder::inUse(const Account &account, Instant now) const
+bool TokenHolder::inUse(const WorkspaceId &workspace, const Account &account, Instant now) const
 {
-    // After three time constants a twentieth of a request's tokens is left.
-    return account.demand.expectedTokens(settings_.demandTimeConstant, now)
-           > account.typicalReservation / 20;
+    return account.reserve.inUse(contextOf(workspace, account), now);
 }
 
 uint64_t TokenHolder::allowedUsePerSecond(const WorkspaceId &workspace, const Account &account,
                                           Instant now) const
 {
-    const uint64_t demand = account.demand.expectedTokens(std::chrono::seconds(1), now);
+    const uint64_t demand = account.reserve.demand(std::chrono::seconds(1), now);
     const bool scarce = isScarce(workspace, account, now);
     return scaled(demand, scarce ? settings_.scarcePaceFactor : settings_.paceFactor);
 }
@@ -287,7 +279,7 @@
     account->spent += spent;
     account->usable += reserved - spent;
     account->leftoverReturnAt = now + settings_.leftoverRetention;
-    account->demand.remove(reserved - spent, now);
+    account->reserve.removeDemand(reserved - spent, now);
     if (account->budgetLowered) {
         returnTokens(*account, reserved - spent);
     }
@@ -306,50 +298,10 @@
     setRequiredTokens(workspace, 0);
 }
 
-uint64_t TokenHolder::maxIdleTokens(const WorkspaceId &workspace, const Account &account) const
-{
-    const uint64_t left = unusedTokens(workspace, account);
-    const double remainingShare =
-            static_cast<double>(left) / static_cast<double>(std::max<uint64_t>(account.prepaid, 1));
-    const double low = std::min(1.0, remainingShare / settings_.lowBudgetShare);
-    return scaled(left, settings_.maxIdleShare * remainingShare * low * low);
-}
-
-Interval TokenHolder::coveredPeriod(const WorkspaceId &workspace, const Account &account,
-                                    Instant now) const
-{
-    const uint64_t fleetDemand = std::max(account.fleetUse.expectedTokens(settings_.horizon, now),
-                                          account.demand.expectedTokens(settings_.horizon, now));
-    const uint64_t idle = maxIdleTokens(workspace, account);
-    if (idle >= fleetDemand) {
-        return settings_.horizon;
-    }
-    const double part = static_cast<double>(idle) / static_cast<double>(fleetDemand);
-    return std::chrono::duration_cast<Interval>(settings_.horizon * part);
-}
-
 uint64_t TokenHolder::targetTokens(const WorkspaceId &workspace, const Account &account,
                                    Instant now) const
 {
-    if (reliesOnHomes(workspace, account, now)) {
-        return 0;
-    }
-    const uint64_t byDemand =
-            account.demand.expectedTokens(coveredPeriod(workspace, account, now), now);
-    const uint64_t idle = maxIdleTokens(workspace, account);
-    // Where the workspace is in use, its next request needn't wait for the store.
-    const bool allMayHoldOne = account.typicalReservation * maxHoldersOf(account) <= idle;
-    const uint64_t next = allMayHoldOne && inUse(account, now) ? account.typicalReservation : 0;
-    // Once the workspace is in use anywhere, demand determines where its tokens belong. Minimum
-    // holdings at all hosts amounted to twenty seconds of demand of a small workspace, which were
-    // lost when all hosts terminated.
-    const uint32_t first = account.homes > 0 ? account.homes : holderCount_;
-    const bool holdsFirst = account.homes == 0 || account.isHome;
-    const uint64_t initial =
-            holdsFirst ? std::min(idle, scaled(account.prepaid, settings_.initialShare)) / first
-                       : 0;
-    const bool isNew = table_.used(workspace) < scaled(account.prepaid, settings_.initialShare);
-    return std::max({byDemand, next, isNew ? initial : 0});
+    return account.reserve.target(contextOf(workspace, account), now);
 }
 
 uint64_t TokenHolder::unallotted(const WorkspaceId &workspace) const
@@ -363,7 +315,7 @@
 }
 
 uint64_t TokenHolder::claimSize(const WorkspaceId &workspace, const Account &account,
-                                Instant now) const
+                                bool writesRow, Instant now) const
 {
     const uint64_t requested =
             account.requiredTokens + (account.isHome ? tokensRequestedByPeers(account, now) : 0);
@@ -373,12 +325,13 @@
     if (lacksTokens && account.requestRounds < 2 && reliesOnHomes(workspace, account, now)) {
         return 0;
     }
-    if (!lacksTokens && account.usable >= scaled(wanted, settings_.refillBelow)) {
+    const ReserveContext context = contextOf(workspace, account);
+    if (!lacksTokens && !account.reserve.needsRefill(context, account.usable, wanted, writesRow)) {
         return 0;
     }
     const uint64_t left = unallotted(workspace);
-    const uint64_t fair =
-            scaled(left, std::min(1.0, settings_.maxClaimFactor / maxHoldersOf(account)));
+    const uint32_t holders = OutageReserve::maxHolders(context);
+    const uint64_t fair = scaled(left, std::min(1.0, settings_.maxClaimFactor / holders));
     const uint64_t need = lacksTokens ? requested - account.usable : 0;
     const uint64_t maxTokens = std::min(left, std::max(fair, need));
     return std::min(maxTokens, wanted - std::min(wanted, account.usable));
@@ -408,17 +361,18 @@
     for (auto &[workspace, account] : accounts_) {
         account.budgetLowered =
                 account.budgetLowered && table_.allotted(workspace) > account.prepaid;
-        if (!stopping_) {
-            const uint64_t wanted = targetTokens(workspace, account, now);
-            const bool isWaiting = account.requiredTokens > 0
-                                   || (account.isHome && tokensRequestedByPeers(account, now) > 0);
-            if (!isWaiting && account.usable > scaled(wanted, settings_.returnAbove)) {
-                returnTokens(account, account.usable - wanted);
-            }
+        account.reserve.observe(now);
+        const bool isWaiting = account.requiredTokens > 0
+                               || (account.isHome && tokensRequestedByPeers(account, now) > 0);
+        if (!stopping_ && !isWaiting) {
+            const bool writesRow = account.needsCorrection || needsRewrite(workspace, account, now);
+            returnTokens(account, account.reserve.excess(contextOf(workspace, account),
+                                                         account.usable, writesRow, now));
         }
-        const uint64_t claim = stopping_ ? 0 : claimSize(workspace, account, now);
+        const bool writesRow = account.needsCorrection || needsRewrite(workspace, account, now);
+        const uint64_t claim = stopping_ ? 0 : claimSize(workspace, account, writesRow, now);
         account.inFlight = account.written;
-        if (claim == 0 && !account.needsCorrection && !needsRewrite(workspace, account, now)) {
+        if (claim == 0 && !writesRow) {
             continue;
         }
         account.needsCorrection = false;
@@ -514,7 +468,7 @@
     std::vector<TokenRequest> requests;
     for (auto &[workspace, account] : accounts_) {
         const bool lacksTokens = usableNow(account, now) < account.requiredTokens;
-        const uint64_t low = account.demand.expectedTokens(settings_.demandTimeConstant, now) / 2;
+        const uint64_t low = account.reserve.demand(settings_.demandTimeConstant, now) / 2;
         const bool fromStore = storeReachable_ && unallotted(workspace) > 0;
         const bool runsLow =
                 !fromStore && account.usable < low && !reliesOnHomes(workspace, account, now);
@@ -531,7 +485,7 @@
         ++account.unansweredRequests;
         const uint64_t need = lacksTokens ? account.requiredTokens - usableNow(account, now) : 0;
         requests.push_back({workspace, need, account.usable,
-                            account.demand.expectedTokens(std::chrono::seconds(1), now),
+                            account.reserve.demand(std::chrono::seconds(1), now),
                             account.requestRounds});
         account.requestRounds += lacksTokens ? 1 : 0;
     }
@@ -561,7 +515,7 @@
     // Tokens requested by peers count as demand here, even if they can't be transferred now: the
     // home holds tokens for them.
     if (request.round == 0) {
-        account.demand.add(request.need, now);
+        account.reserve.addDemand(request.need, now);
         account.typicalReservation = account.typicalReservation == 0
                                              ? request.need
                                              : (7 * account.typicalReservation + request.need) / 8;
@@ -585,7 +539,7 @@
         return usable >= request.need / PeersPerRequest ? usable : 0;
     }
     // The amount with which both holders' tokens last equally long at their own demand.
-    const uint64_t perSecond = account.demand.expectedTokens(std::chrono::seconds(1), now);
+    const uint64_t perSecond = account.reserve.demand(std::chrono::seconds(1), now);
     const auto ownDemand = static_cast<double>(perSecond);
     const auto peerDemand = static_cast<double>(request.demandPerSecond);
     const double totalDemand = std::max(ownDemand + peerDemand, 1.0);
@@ -603,8 +557,9 @@
     }
     // A request that waits there has priority over requests that may arrive here, except for the
     // next one.
-    const uint64_t ownNeed =
-            inUse(account, now) ? std::max(account.typicalReservation, perSecond) : 0;
+    const uint64_t ownNeed = inUse(request.workspace, account, now)
+                                     ? std::max(account.typicalReservation, perSecond)
+                                     : 0;
     const bool canSpare = usable >= request.need + ownNeed;
     return std::max(amount, canSpare ? request.need : 0);
 }
--- a/unittests/Ledger/PowerLossTest.cpp
+++ b/unittests/Ledger/PowerLossTest.cpp
@@ -2,6 +2,7 @@
 /// used.
 
 #include <memory>
+#include <tuple>
 #include <vector>
 
 #include <fmt/format.h>
@@ -27,7 +28,10 @@
 class Fleet
 {
 public:
-    explicit Fleet(uint64_t prepaid) : prepaid_(prepaid) { startAll(); }
+    Fleet(uint64_t prepaid, ReservePolicy policy) : prepaid_(prepaid), policy_(policy)
+    {
+        startAll();
+    }
 
     /// \p elapsed: the bound that the new processes have on the time since the last batches
     void losePower(std::optional<Interval> elapsed)
@@ -66,7 +70,9 @@
         processes_.clear();
         for (int i = 0; i < Hosts; ++i) {
             processes_.emplace_back(fmt::format("h{}-{}", i, starts_));
-            holders_.push_back(std::make_unique<TokenHolder>(processes_.back()));
+            TokenHolderSettings settings;
+            settings.policy = policy_;
+            holders_.push_back(std::make_unique<TokenHolder>(processes_.back(), settings));
             TokenHolder &holder = *holders_.back();
             holder.setBudgets({{Workspace, prepaid_}}, now_);
             holder.setHolderCount(Hosts);
@@ -103,6 +109,7 @@
     }
 
     uint64_t prepaid_;
+    ReservePolicy policy_;
     int starts_ = 0;
     Instant now_{std::chrono::hours(1)};
     std::vector<AllotmentRow> log_;
@@ -110,10 +117,10 @@
     std::vector<std::unique_ptr<TokenHolder>> holders_;
 };
 
-void expectQuarterServed(std::optional<Interval> elapsed)
+void expectQuarterServed(std::optional<Interval> elapsed, ReservePolicy policy)
 {
     constexpr uint64_t Prepaid = DayTokens * 85 / 100;
-    Fleet fleet(Prepaid);
+    Fleet fleet(Prepaid, policy);
     uint64_t spent = 0;
     int servedLast = 0;
     for (int step = 0; step < DaySeconds * StepsPerSecond; ++step) {
@@ -130,30 +137,38 @@
             << spent << " of " << Prepaid << " used, " << servedLast << " served at the end";
 }
 
-TEST(PowerLoss, QuarterIsServedWhileUnusedTokensRemain)
+constexpr ReservePolicy Policies[] = {ReservePolicy::MeanDemand, ReservePolicy::PeakDemand};
+
+class PowerLoss : public testing::TestWithParam<ReservePolicy>
+{};
+
+TEST_P(PowerLoss, QuarterIsServedWhileUnusedTokensRemain)
 {
-    expectQuarterServed(std::nullopt);
+    expectQuarterServed(std::nullopt, GetParam());
 }
 
 // The time from the last batches to the start of the next processes is known to be at most 1700 ms.
-TEST(PowerLoss, QuarterIsServedIfElapsedTimeIsKnown)
+TEST_P(PowerLoss, QuarterIsServedIfElapsedTimeIsKnown)
 {
-    expectQuarterServed(std::chrono::milliseconds(1700));
+    expectQuarterServed(std::chrono::milliseconds(1700), GetParam());
 }
 
-class PowerLossNearTheEnd : public testing::TestWithParam<int>
+INSTANTIATE_TEST_SUITE_P(Policies, PowerLoss, testing::ValuesIn(Policies));
+
+class PowerLossNearTheEnd : public testing::TestWithParam<std::tuple<int, ReservePolicy>>
 {};
 
 // Guards against refusing callers for a budget of which more than 3% was never used.
 TEST_P(PowerLossNearTheEnd, CostsAtMostThreePercentOfTheBudget)
 {
     constexpr uint64_t Prepaid = DayTokens * 85 / 100;
-    Fleet fleet(Prepaid);
+    const auto [percentLeft, policy] = GetParam();
+    Fleet fleet(Prepaid, policy);
     uint64_t spent = 0;
     bool isPowerLost = false;
     for (int step = 0; step < DaySeconds * StepsPerSecond; ++step) {
         const uint64_t left = Prepaid - spent;
-        if (!isPowerLost && left * 100 <= Prepaid * static_cast<uint64_t>(GetParam())) {
+        if (!isPowerLost && left * 100 <= Prepaid * static_cast<uint64_t>(percentLeft)) {
             isPowerLost = true;
             fleet.losePower(std::nullopt);
         }
@@ -164,6 +179,8 @@
     EXPECT_GE(spent * 100, Prepaid * 97) << spent << " of " << Prepaid << " used";
 }
 
-INSTANTIATE_TEST_SUITE_P(PercentLeft, PowerLossNearTheEnd, testing::Values(30, 20, 10));
+INSTANTIATE_TEST_SUITE_P(PercentLeft, PowerLossNearTheEnd,
+                         testing::Combine(testing::Values(30, 20, 10),
+                                          testing::ValuesIn(Policies)));
 
 } // namespace
--- a/unittests/Ledger/TokenHolderModelTest.cpp
+++ b/unittests/Ledger/TokenHolderModelTest.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <tuple>
 
 #include <gtest/gtest.h>
 
@@ -144,9 +145,9 @@
 class Simulation
 {
 public:
-    Simulation(uint64_t seed, DisabledSafeguard disabled)
+    Simulation(uint64_t seed, DisabledSafeguard disabled, ReservePolicy policy)
         : random_(seed), homesRandom_(static_cast<unsigned>(seed)), disabled_(disabled),
-          homes_(seed > Seeds / 2)
+          policy_(policy), homes_(seed > Seeds / 2)
     {
         // Some runs have no terminated processes: the tokens that these strand would hide tokens
         // that are created by a fault.
@@ -183,6 +184,7 @@
     TokenHolderSettings settings() const
     {
         TokenHolderSettings settings;
+        settings.policy = policy_;
         settings.initialShare = 0.5;
         // Shorter than the longest simulated outages, so that holders continue beyond their rows.
         settings.batchValidity = std::chrono::milliseconds(2400);
@@ -642,6 +644,7 @@
     std::mt19937_64 random_;
     std::minstd_rand homesRandom_; ///< separate, so that it doesn't affect other choices
     DisabledSafeguard disabled_;
+    ReservePolicy policy_;
     bool homes_;
     Instant now_{std::chrono::hours(1)};
     uint64_t prepaid_ = 0;
@@ -660,34 +663,45 @@
     std::map<Incarnation, Batch> stored_; ///< the last batch of each process in the store
 };
 
-int overspentRuns(DisabledSafeguard disabled)
+int overspentRuns(DisabledSafeguard disabled, ReservePolicy policy)
 {
     int overspent = 0;
     for (uint64_t seed = 1; seed <= Seeds; ++seed) {
-        overspent += Simulation(seed, disabled).simulate(Steps) > 0 ? 1 : 0;
+        overspent += Simulation(seed, disabled, policy).simulate(Steps) > 0 ? 1 : 0;
     }
     return overspent;
 }
 
-TEST(TokenHolderModel, NeverOverspends)
+constexpr ReservePolicy Policies[] = {ReservePolicy::MeanDemand, ReservePolicy::PeakDemand};
+
+class TokenHolderModel : public testing::TestWithParam<ReservePolicy>
+{};
+
+TEST_P(TokenHolderModel, NeverOverspends)
 {
-    EXPECT_EQ(overspentRuns(DisabledSafeguard::None), 0);
+    EXPECT_EQ(overspentRuns(DisabledSafeguard::None, GetParam()), 0);
 }
 
-class DisabledSafeguardTest : public testing::TestWithParam<DisabledSafeguard>
+INSTANTIATE_TEST_SUITE_P(Policies, TokenHolderModel, testing::ValuesIn(Policies));
+
+class DisabledSafeguardTest
+    : public testing::TestWithParam<std::tuple<DisabledSafeguard, ReservePolicy>>
 {};
 
 TEST_P(DisabledSafeguardTest, Overspends)
 {
-    EXPECT_GT(overspentRuns(GetParam()), 0);
+    EXPECT_GT(overspentRuns(std::get<0>(GetParam()), std::get<1>(GetParam())), 0);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-        Rows, DisabledSafeguardTest,
-        testing::Values(DisabledSafeguard::SealOnlyRecentBatches,
-                        DisabledSafeguard::ClocksSinceBoot, DisabledSafeguard::UsePerSecond,
-                        DisabledSafeguard::PeersThatKeptRunning,
-                        DisabledSafeguard::OwnResponsesOnly, DisabledSafeguard::TimeUntilRequest,
-                        DisabledSafeguard::TransferOnce, DisabledSafeguard::BatchesInOrder));
+INSTANTIATE_TEST_SUITE_P(Rows, DisabledSafeguardTest,
+                         testing::Combine(testing::Values(DisabledSafeguard::SealOnlyRecentBatches,
+                                                          DisabledSafeguard::ClocksSinceBoot,
+                                                          DisabledSafeguard::UsePerSecond,
+                                                          DisabledSafeguard::PeersThatKeptRunning,
+                                                          DisabledSafeguard::OwnResponsesOnly,
+                                                          DisabledSafeguard::TimeUntilRequest,
+                                                          DisabledSafeguard::TransferOnce,
+                                                          DisabledSafeguard::BatchesInOrder),
+                                          testing::ValuesIn(Policies)));
 
 } // namespace
