[Edge] [Ledger] With the peak policy, ask all homes at once if the near one has too few tokens

Cause: a host asks the home in its failure domain first and the others 60 ms later, also when that home has reported, with its last answer, that it has none. In an outage of the store each request then takes two rounds.

The first home still counts the demand, and gives a part ("part" in the datagram); the others get it as the second round, which gives a part as before. With MeanDemand the same datagrams are sent as before.

--- a/include/sequoiagate/Edge/PeerLink.h
+++ b/include/sequoiagate/Edge/PeerLink.h
@@ -89,6 +89,8 @@
     void setHomes(const WorkspaceId &workspace, std::vector<Peer> homes);
     /// Requests tokens from peers. For a waiting request, the first round goes to the home in this
     /// failure domain, the second to all homes. All other requests go to a few peers in rotation.
+    /// If the request says so and the last report of the first home is recent and states too few
+    /// tokens, the first round goes to all homes too: tokens arrive within one round trip.
     void requestTokens(const TokenRequest &request);
     /// Whether the first home of \p workspace, the one in this failure domain if any, has responded
     /// recently enough to transfer tokens to it.
@@ -153,7 +155,15 @@
     uint64_t tokensInTransit(const WorkspaceId &workspace) const;
     void sendTransfer(const WorkspaceId &workspace, uint64_t tokens, const std::string &to,
                       const boost::asio::ip::udp::endpoint &address, Instant now);
-    std::vector<boost::asio::ip::udp::endpoint> recipients(const TokenRequest &request);
+    /// A request as one peer gets it.
+    struct AddressedRequest
+    {
+        boost::asio::ip::udp::endpoint to;
+        TokenRequest request;
+    };
+    std::vector<AddressedRequest> recipients(const TokenRequest &request, Instant now);
+    /// The last report of the first home, unless it is too old or from another process.
+    const HeldTokens *recentHomeReport(const WorkspaceId &workspace, Instant now) const;
 
     boost::asio::ip::udp::socket socket_;
     Incarnation self_;
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -106,6 +106,10 @@
     uint64_t usable = 0;          ///< tokens of the requesting holder
     uint64_t demandPerSecond = 0; ///< of the requesting holder
     uint32_t round = 0; ///< number of earlier requests for the tokens that are awaited now
+    /// A first request goes to all homes at once if the near one is known to have too few tokens.
+    bool asksAllIfNearIsShort = false;
+    /// Fewer tokens than needed are useful, since other homes are asked at the same time.
+    bool acceptsPart = false;
 };
 
 /// The availability of a workspace's budget.
--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -67,23 +67,33 @@
                           [this](const Peer &peer) { return peer.domain == domain_; });
 }
 
-std::vector<udp::endpoint> PeerLink::recipients(const TokenRequest &request)
+std::vector<PeerLink::AddressedRequest> PeerLink::recipients(const TokenRequest &request,
+                                                             Instant now)
 {
-    std::vector<udp::endpoint> chosen;
+    std::vector<AddressedRequest> chosen;
     const auto homes = homes_.find(request.workspace);
     const bool hasHomes = homes != homes_.end() && !homes->second.empty();
-    if (hasHomes && request.need > 0 && request.round == 0) {
-        return {homes->second.front().address};
-    }
-    if (hasHomes && request.need > 0 && request.round == 1) {
+    if (hasHomes && request.need > 0 && request.round < 2) {
+        const HeldTokens *near =
+                request.asksAllIfNearIsShort ? recentHomeReport(request.workspace, now) : nullptr;
+        const bool nearIsShort = near != nullptr && near->usable < request.need;
         for (const Peer &home : homes->second) {
-            chosen.push_back(home.address);
+            chosen.push_back({home.address, request});
+            if (request.round > 0) {
+                continue;
+            }
+            if (!nearIsShort) {
+                break;
+            }
+            // The demand counts at the first home alone.
+            chosen.back().request.round = chosen.size() == 1 ? 0 : 1;
+            chosen.back().request.acceptsPart = true;
         }
         return chosen;
     }
     const std::size_t count = std::min(MaxPeersPerRequest, peers_.size());
     for (std::size_t i = 0; i < count; ++i) {
-        chosen.push_back(peers_[nextPeer_ % peers_.size()].address);
+        chosen.push_back({peers_[nextPeer_ % peers_.size()].address, request});
         ++nextPeer_;
     }
     return chosen;
@@ -144,16 +154,19 @@
 
 void PeerLink::requestTokens(const TokenRequest &request)
 {
-    const nlohmann::json message = {{"kind", "ask"},
-                                    {"from", self_.text()},
-                                    {"workspace", request.workspace.text()},
-                                    {"need", request.need},
-                                    {"usable", request.usable},
-                                    {"per_second", request.demandPerSecond},
-                                    {"round", request.round}};
-    const std::string text = message.dump();
-    for (const udp::endpoint &to : recipients(request)) {
-        send(text, to);
+    const Instant now = std::chrono::steady_clock::now();
+    for (const auto &[to, addressed] : recipients(request, now)) {
+        nlohmann::json message = {{"kind", "ask"},
+                                  {"from", self_.text()},
+                                  {"workspace", addressed.workspace.text()},
+                                  {"need", addressed.need},
+                                  {"usable", addressed.usable},
+                                  {"per_second", addressed.demandPerSecond},
+                                  {"round", addressed.round}};
+        if (addressed.acceptsPart) {
+            message["part"] = true;
+        }
+        send(message.dump(), to);
     }
 }
 
@@ -165,6 +178,7 @@
     request.usable = message.at("usable").get<uint64_t>();
     request.demandPerSecond = message.at("per_second").get<uint64_t>();
     request.round = message.value("round", 0U);
+    request.acceptsPart = message.value("part", false);
     const auto from = message.at("from").get<std::string>();
     const uint64_t tokens = handlers_.onTokenRequest(request);
     sendTransfer(request.workspace, tokens, from, sender_, std::chrono::steady_clock::now());
@@ -197,15 +211,22 @@
     send(text, address);
 }
 
-bool PeerLink::homeRespondedRecently(const WorkspaceId &workspace, Instant now) const
+const HeldTokens *PeerLink::recentHomeReport(const WorkspaceId &workspace, Instant now) const
 {
     const auto homes = homes_.find(workspace);
     const auto reports = reports_.find(workspace);
     if (homes == homes_.end() || homes->second.empty() || reports == reports_.end()) {
-        return false;
+        return nullptr;
     }
     const auto found = reports->second.find(homes->second.front().incarnation);
-    return found != reports->second.end() && now < found->second.receivedAt + HomeResponseMaxAge;
+    const bool isRecent =
+            found != reports->second.end() && now < found->second.receivedAt + HomeResponseMaxAge;
+    return isRecent ? &found->second.held : nullptr;
+}
+
+bool PeerLink::homeRespondedRecently(const WorkspaceId &workspace, Instant now) const
+{
+    return recentHomeReport(workspace, now) != nullptr;
 }
 
 void PeerLink::transferToHome(const WorkspaceId &workspace, uint64_t tokens, Instant now)
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -486,7 +486,7 @@
         const uint64_t need = lacksTokens ? account.requiredTokens - usableNow(account, now) : 0;
         requests.push_back({workspace, need, account.usable,
                             account.reserve.demand(std::chrono::seconds(1), now),
-                            account.requestRounds});
+                            account.requestRounds, settings_.policy == ReservePolicy::PeakDemand});
         account.requestRounds += lacksTokens ? 1 : 0;
     }
     return requests;
@@ -523,7 +523,9 @@
     // A part of the tokens that a request needs is useful only together with parts from other
     // homes.
     const bool enough = account.usable >= request.need;
-    return enough || request.round > 0 ? std::min(account.usable, request.need) : 0;
+    return enough || request.round > 0 || request.acceptsPart
+                   ? std::min(account.usable, request.need)
+                   : 0;
 }
 
 uint64_t TokenHolder::balancingTransfer(const Account &account, const TokenRequest &request,
--- a/unittests/Edge/PeerLinkTest.cpp
+++ b/unittests/Edge/PeerLinkTest.cpp
@@ -186,6 +186,63 @@
 INSTANTIATE_TEST_SUITE_P(Rows, PeerLinkHome, testing::ValuesIn(HomeCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct FirstRequestCase
+{
+    const char *name;
+    bool asksAllIfNearIsShort;
+    uint64_t reported; ///< by the near home
+    bool asksAll;
+};
+
+class PeerLinkFirstRequest : public PeerLinkTest,
+                             public testing::WithParamInterface<FirstRequestCase>
+{};
+
+const FirstRequestCase FirstRequestCases[] = {{"NearHomeIsShort", true, 8, true},
+                                              {"NearHomeHasEnough", true, 9, false},
+                                              {"MeanDemand", false, 8, false}};
+
+// Guards against a second round trip, 60 ms later, for each request in an outage in which the near
+// home has no tokens left.
+TEST_P(PeerLinkFirstRequest, GoesToAllHomesIfNearOneIsShort)
+{
+    const WorkspaceId workspace("w");
+    udp::socket farHome(io_, AnyPort);
+    link_.setHomes(workspace, {{HostId("far"), DomainId("e"), Incarnation("far"),
+                                farHome.local_endpoint(), farHome.local_endpoint()},
+                               {HostId("p"), DomainId("d"), Incarnation("peer"),
+                                peerSocket_.local_endpoint(), peerSocket_.local_endpoint()}});
+    TokenRequest request;
+    request.workspace = workspace;
+    request.need = 9;
+    request.asksAllIfNearIsShort = GetParam().asksAllIfNearIsShort;
+    link_.requestTokens(request);
+    nextDatagram();
+    EXPECT_EQ(farHome.available(), 0U) << "nothing is known of the near home";
+    deliver({{"kind", "move"},
+             {"from", "peer"},
+             {"to", "self"},
+             {"id", 0},
+             {"workspace", "w"},
+             {"tokens", 0},
+             {"usable", GetParam().reported}});
+    link_.requestTokens(request);
+    const nlohmann::json near = nextDatagram();
+    EXPECT_EQ(near.at("round"), 0);
+    EXPECT_EQ(near.value("part", false), GetParam().asksAll);
+    ASSERT_EQ(farHome.available() > 0, GetParam().asksAll);
+    if (GetParam().asksAll) {
+        std::array<char, 2048> buffer{};
+        const std::size_t bytes = farHome.receive(boost::asio::buffer(buffer));
+        const nlohmann::json far = nlohmann::json::parse(std::string_view(buffer.data(), bytes));
+        EXPECT_EQ(far.at("round"), 1) << "the demand would count at two homes";
+        EXPECT_EQ(far.at("need"), 9);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, PeerLinkFirstRequest, testing::ValuesIn(FirstRequestCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 TEST_F(PeerLinkTest, ReportsUsableAndReservedTokens)
 {
     link_.requestClock(peerSocket_.local_endpoint(), Millis(0));
--- a/unittests/Ledger/TokenHolderTest.cpp
+++ b/unittests/Ledger/TokenHolderTest.cpp
@@ -144,6 +144,20 @@
     EXPECT_EQ(a_.usable(Workspace) + b_.usable(Workspace), before);
 }
 
+// Guards against tokens that stay unused at a home because none of the homes that were asked at
+// once has enough alone.
+TEST(TokenHolderHome, TransfersPartIfAllHomesAreAsked)
+{
+    TokenHolder home(Incarnation("home"), testSettings());
+    home.setBudgets({{Workspace, Prepaid}}, Now);
+    home.setHomes(Workspace, 1, true);
+    home.transferIn(Workspace, 30, Now);
+    TokenRequest request{Workspace, 50, 0, 0, 0};
+    EXPECT_EQ(home.transferOut(request, Now), 0U);
+    request.acceptsPart = true;
+    EXPECT_EQ(home.transferOut(request, Now), 30U);
+}
+
 // Guards against holding tokens for a request that another holder served as long as other requests
 // arrive.
 TEST(TokenHolderHome, HoldsNothingForExpiredRequest)
