[Edge] Setting token_reserve: mean_demand (default) or peak_demand

Cause: the policy of OutageReserve has to be chosen for each deployment, so that it can be measured with and without.

--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -29,6 +29,9 @@
     edge.retries.baseRetries = settings.at("retry_slack").get<double>();
     edge.retries.window = millisOf(settings, "retry_window_ms");
     edge.tokens.horizon = millisOf(settings, "token_horizon_ms");
+    edge.tokens.policy = settings.at("token_reserve").get<std::string>() == "peak_demand"
+                                 ? ReservePolicy::PeakDemand
+                                 : ReservePolicy::MeanDemand;
     return edge;
 }
 
