[Ledger] [Test] Play TokenHolderFleetTest with the peak policy too

Cause: the reserve must not cost the store more than a tenth more calls, and no request may be refused while the store has tokens.

Change: the policy is a parameter; the rows with the mean are as before. The number of batches is recorded.

--- a/unittests/Ledger/TokenHolderFleetTest.cpp
+++ b/unittests/Ledger/TokenHolderFleetTest.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -37,7 +38,7 @@
 class Fleet
 {
 public:
-    Fleet(std::size_t hosts, std::size_t domains, bool busiestOnOneHost)
+    Fleet(std::size_t hosts, std::size_t domains, bool busiestOnOneHost, ReservePolicy policy)
         : hostCount_(hosts), busiestOnOneHost_(busiestOnOneHost)
     {
         std::vector<HostLocation> locations;
@@ -45,6 +46,8 @@
             locations.push_back({HostId(fmt::format("host-{}", i)),
                                  DomainId(fmt::format("domain-{}", i % domains))});
         }
+        TokenHolderSettings settings;
+        settings.policy = policy;
         TokenHomes homes;
         homes.setHosts(locations);
         // Covers several minutes of demand.
@@ -55,11 +58,12 @@
             homes_.push_back(indexes(homes.homesOf(workspace(w)), locations));
         }
         for (std::size_t i = 0; i < hosts; ++i) {
-            hosts_.push_back({std::make_unique<TokenHolder>(Incarnation(locations[i].host.text())),
-                              i % domains,
-                              {},
-                              0,
-                              false});
+            hosts_.push_back(
+                    {std::make_unique<TokenHolder>(Incarnation(locations[i].host.text()), settings),
+                     i % domains,
+                     {},
+                     0,
+                     false});
             TokenHolder &holder = *hosts_[i].holder;
             holder.setBudgets(budgets, now_);
             holder.setHolderCount(static_cast<uint32_t>(hosts));
@@ -348,28 +352,36 @@
 const FleetSize FleetSizes[] = {{8, 3, false}, {75, 4, false}, {195, 6, false}, {374, 6, false},
                                 {8, 3, true},  {75, 4, true},  {195, 6, true},  {374, 6, true}};
 
-class TokenHolderFleet : public testing::TestWithParam<FleetSize>
+class TokenHolderFleet : public testing::TestWithParam<std::tuple<FleetSize, ReservePolicy>>
 {};
 
 TEST_P(TokenHolderFleet, NoRequestIsRefusedWhileStoreHasTokens)
 {
     constexpr Interval WarmUp = std::chrono::seconds(5);
     constexpr Interval MeasuredTime = std::chrono::seconds(5);
-    Fleet fleet(GetParam().hosts, GetParam().domains, GetParam().busiestOnOneHost);
+    const auto &[size, policy] = GetParam();
+    Fleet fleet(size.hosts, size.domains, size.busiestOnOneHost, policy);
     fleet.simulate(WarmUp);
     const uint64_t refused = fleet.refused();
     const std::size_t batches = fleet.batches();
     fleet.simulate(MeasuredTime);
+    RecordProperty("batches", static_cast<int>(fleet.batches() - batches));
     EXPECT_EQ(fleet.refused() - refused, 0U);
     // Half the capacity of the store.
     EXPECT_LE(fleet.batches() - batches, MeasuredTime / AppendTime / 2);
 }
 
-INSTANTIATE_TEST_SUITE_P(FleetSizes, TokenHolderFleet, testing::ValuesIn(FleetSizes),
+constexpr ReservePolicy Policies[] = {ReservePolicy::MeanDemand, ReservePolicy::PeakDemand};
+
+INSTANTIATE_TEST_SUITE_P(FleetSizes, TokenHolderFleet,
+                         testing::Combine(testing::ValuesIn(FleetSizes),
+                                          testing::ValuesIn(Policies)),
                          [](const auto &row) {
-                             return fmt::format("{}Hosts{}", row.param.hosts,
-                                                row.param.busiestOnOneHost ? "BusiestOnOneHost"
-                                                                           : "");
+                             const FleetSize &size = std::get<0>(row.param);
+                             const bool peak = std::get<1>(row.param) == ReservePolicy::PeakDemand;
+                             return fmt::format("{}Hosts{}{}", size.hosts,
+                                                size.busiestOnOneHost ? "BusiestOnOneHost" : "",
+                                                peak ? "PeakDemand" : "");
                          });
 
 } // namespace
