[Ledger] [Test] Hold the loss near the end of a budget to the same bound by peak demand

Cause: the bound of 3% of the budget near its end was played with the mean demand alone.

Change: HomesNearTheEnd plays the peak policy too, with the same bound.

--- a/unittests/Ledger/HomesTest.cpp
+++ b/unittests/Ledger/HomesTest.cpp
@@ -41,10 +41,12 @@
 class Fleet
 {
 public:
-    Fleet(bool homes, double idleShare) : homes_(homes)
+    Fleet(bool homes, double idleShare, ReservePolicy policy = ReservePolicy::MeanDemand)
+        : homes_(homes)
     {
         TokenHolderSettings settings;
         settings.maxIdleShare = idleShare;
+        settings.policy = policy;
         for (std::size_t i = 0; i < Hosts; ++i) {
             holders_.push_back(
                     std::make_unique<TokenHolder>(Incarnation(fmt::format("h{}", i)), settings));
@@ -225,11 +227,10 @@
     EXPECT_LE(fleet.spent(), Prepaid);
 }
 
-// Guards against refusing callers for a budget of which more than 3% was never used.
-TEST(HomesNearTheEnd, LossOfPowerCostsAtMostThreePercentOfTheBudget)
+void expectSmallLossNearTheEnd(ReservePolicy policy)
 {
     constexpr uint64_t MaxLoss = Prepaid * 3 / 100;
-    Fleet fleet(true, TokenHolderSettings().maxIdleShare);
+    Fleet fleet(true, TokenHolderSettings().maxIdleShare, policy);
     uint64_t maxIdle = 0;
     uint64_t leftAtMaxIdle = 0;
     while (fleet.spent() < Prepaid * 90 / 100) {
@@ -245,6 +246,17 @@
                                 << " left";
 }
 
+// Guards against refusing callers for a budget of which more than 3% was never used.
+TEST(HomesNearTheEnd, LossOfPowerCostsAtMostThreePercentOfTheBudget)
+{
+    expectSmallLossNearTheEnd(ReservePolicy::MeanDemand);
+}
+
+TEST(HomesNearTheEnd, LossOfPowerCostsAtMostThreePercentByPeakDemand)
+{
+    expectSmallLossNearTheEnd(ReservePolicy::PeakDemand);
+}
+
 INSTANTIATE_TEST_SUITE_P(Outages, HomesInAnOutage, testing::ValuesIn(Outages),
                          [](const auto &row) { return std::string(row.param.name); });
 
