--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -34,6 +34,9 @@
     edge.tokenAllocation =
             isByRank ? TokenAllocationPolicy::ByRank : TokenAllocationPolicy::FirstCome;
     edge.tokens.horizon = millisOf(settings, "token_horizon_ms");
+    edge.tokens.policy = settings.at("token_reserve").get<std::string>() == "peak_demand"
+                                 ? ReservePolicy::PeakDemand
+                                 : ReservePolicy::MeanDemand;
     return edge;
 }
 
