--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -33,6 +33,7 @@
     const bool isByRank = settings.at("token_allocation").get<std::string>() == "by_rank";
     edge.tokenAllocation =
             isByRank ? TokenAllocationPolicy::ByRank : TokenAllocationPolicy::FirstCome;
+    edge.sharesEndpointRates = settings.at("endpoint_rates").get<std::string>() == "shared";
     edge.tokens.horizon = millisOf(settings, "token_horizon_ms");
     edge.tokens.policy = settings.at("token_reserve").get<std::string>() == "peak_demand"
                                  ? ReservePolicy::PeakDemand
