--- a/include/sequoiagate/Config/ServingConfig.h
+++ b/include/sequoiagate/Config/ServingConfig.h
@@ -60,6 +60,7 @@
     uint32_t maxConnections = 0; ///< that one endpoint accepts from all callers together
     uint32_t tokensPerEvent = 1; ///< 0 for a plain service
     bool isModelEngine = false;
+    uint64_t kvTokens = 0; ///< prompt and response tokens an endpoint can hold; 0: unknown
     /// How long an endpoint is cold after its start, and the requests per second that it then bears
     /// from all hosts together; 0: it is never cold.
     Interval coldDuration{};
--- a/unittests/PlatformAdapter/RowsTest.cpp
+++ b/unittests/PlatformAdapter/RowsTest.cpp
@@ -47,6 +47,45 @@
     EXPECT_EQ(config->limits.maxBodyBytes, 200U);
 }
 
+struct KvTokensCase
+{
+    const char *name;
+    const char *field; ///< of a service's engine
+    uint64_t decoded;
+    std::size_t warnings;
+};
+
+class KvTokens : public testing::TestWithParam<KvTokensCase>
+{};
+
+// Guards against a configuration that is rejected, or an endpoint that gets no requests, for an
+// invalid statement of its memory.
+const KvTokensCase KvTokensCases[] = {
+        {"Missing", "", 0, 0},
+        {"Null", R"("kv-tokens":null,)", 0, 0},
+        {"Stated", R"("kv-tokens":386933,)", 386'933, 0},
+        {"Zero", R"("kv-tokens":0,)", 0, 1},
+        {"Negative", R"("kv-tokens":-1,)", 0, 1},
+        {"Huge", R"("kv-tokens":1e300,)", 0, 1},
+        {"NotANumber", R"("kv-tokens":"many",)", 0, 1},
+};
+
+TEST_P(KvTokens, OfInvalidFieldsAreUnknown)
+{
+    const std::string row =
+            std::string(R"({"version":1,"routes":[],"backends":[{"name":"s1","engine":{)")
+            + GetParam().field + R"("stride":4}}]})";
+    const ServingConfigPtr config = platform::decodeConfig(row);
+    const ServiceSpec *service = config->findService(ServiceId("s1"));
+    ASSERT_NE(service, nullptr);
+    EXPECT_EQ(service->kvTokens, GetParam().decoded);
+    EXPECT_EQ(service->tokensPerEvent, 4U);
+    EXPECT_EQ(config->warnings.size(), GetParam().warnings);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, KvTokens, testing::ValuesIn(KvTokensCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 struct ColdTimeCase
 {
     const char *name;
