[Decisions] Place prompts by the expected time to the first event

One prefix with a quarter of the traffic went to two homes.

With EndpointPlacement::ExpectedTime the homes of a prefix are chosen by rendezvous hashing weighted with the endpoints' rates, which are rounded to steps with hysteresis, and the cheapest of the first three is selected by PlacementCost: the queue there, the prefill of what isn't cached at the endpoint's rate, the path, and the delay caused to others. EndpointOccupancy keeps what this host has at each endpoint and what the others are expected to have: requests, pending prefill, and memory, in which a shared prefix counts once. A prefix has as many homes as its requests need. Requests without a prompt, and all requests with EndpointPlacement::PrefixHome, are placed as before.

--- a/include/sequoiagate/Decisions/EndpointSelector.h
+++ b/include/sequoiagate/Decisions/EndpointSelector.h
@@ -28,6 +28,10 @@
 ///    least loaded endpoint by lagging reports, their requests would arrive there together.
 /// 5. If no endpoint has capacity, the one with the least expected time to first token.
 ///
+/// With EndpointPlacement::ExpectedTime, prompts are placed otherwise: by PlacementCost among the
+/// first homes of their prefix, which are chosen by rendezvous hashing weighted with the endpoints'
+/// rates. Requests without a prompt follow the criteria above.
+///
 /// See LongPromptLanes for long prompts, EndpointHealth for outlier detection and
 /// EndpointLoad for the correction of lagging reports.
 
@@ -44,8 +48,11 @@
 #include "sequoiagate/Base/Verdict.h"
 #include "sequoiagate/Decisions/EndpointHealth.h"
 #include "sequoiagate/Decisions/EndpointLoad.h"
+#include "sequoiagate/Decisions/EndpointOccupancy.h"
+#include "sequoiagate/Decisions/EndpointRate.h"
 #include "sequoiagate/Decisions/EndpointSpec.h"
 #include "sequoiagate/Decisions/LongPromptLanes.h"
+#include "sequoiagate/Decisions/PlacementCost.h"
 #include "sequoiagate/Decisions/PrefixAffinity.h"
 #include "sequoiagate/Decisions/RetryBudget.h"
 #include "sequoiagate/Decisions/WorkItem.h"
@@ -62,11 +69,28 @@
 struct SelectedEndpoint
 {
     EndpointId endpoint;
-    std::string reason; ///< "prefix_home", "least_loaded", "spill", ...
+    std::string reason;   ///< "prefix_home", "least_loaded", "spill", "expected_time", ...
+    std::string detail{}; ///< the expected time and its parts, for logs; empty: it wasn't estimated
 };
 
 using SelectionOutcome = std::variant<SelectedEndpoint, Verdict>;
 
+/// How an endpoint is selected for a request that has a prompt.
+enum class EndpointPlacement {
+    PrefixHome,   ///< the less loaded of two homes of the prefix; all endpoints count as alike
+    ExpectedTime, ///< the lowest expected time to the first event, by the endpoints' rates
+};
+
+/// Counts of the selections by expected time.
+struct ExpectedTimeCounts
+{
+    uint64_t selected = 0;
+    uint64_t awayFromHome = 0;  ///< another endpoint than the first usable home was cheaper
+    uint64_t spread = 0;        ///< the prefix needs more homes than are considered otherwise
+    uint64_t withoutMemory = 0; ///< an endpoint was left out since the prompt doesn't fit there
+    uint64_t refused = 0;       ///< the memory of no endpoint holds the prompt
+};
+
 struct EndpointSelectorSettings
 {
     double boundFactor = 1.25; ///< of the mean load, up to which a prefix stays at home
@@ -99,6 +123,10 @@
     double kvLimit = 0.9;         ///< of its KV memory; beyond it an engine preempts and recomputes
     Interval defaultRoundTrip = std::chrono::milliseconds(5); ///< to other domains, until measured
     bool longPromptLanes = true;
+    EndpointPlacement placement = EndpointPlacement::PrefixHome;
+    /// Share of its time that a home of a prefix is expected to spend on it; a prefix that needs
+    /// more has more homes. The rest is left to the other prefixes of the endpoint.
+    double homeUtilization = 0.5;
     /// Routers that send to the same endpoints, as membership reports. Deployments have 6 to 9
     /// hosts.
     uint32_t routerCount = 9;
@@ -140,6 +168,10 @@
     /// Sets how many routers send to these endpoints. A wrong count makes the load uneven
     /// between routers until it is corrected.
     void setRouterCount(uint32_t count) { settings_.routerCount = count; }
+    /// Sets the rates that EndpointPlacement::ExpectedTime uses; nullptr: all endpoints are alike.
+    /// \p rates must outlive this object.
+    void setRateSource(const EndpointRateSource *rates);
+    const ExpectedTimeCounts &expectedTimeCounts() const { return counts_; }
     /// Returns how many requests this router may have in flight at all services' endpoints:
     /// at least an equal share of their slots, more while the other routers leave slots free,
     /// and less again when all slots are taken. If slots were divided only by what each router
@@ -164,6 +196,12 @@
         EndpointLoad load;
         EndpointHealth health;
         Instant prefillUntil; ///< own prompts sent there are prefilled by then
+        /// Identifies its cache among the holders of prefixes. ExpectedTime: that of its process.
+        uint64_t cacheKey = 0;
+        EndpointRate rate; ///< of the last refresh, trusted and stepped
+        SteppedFactor prefillFactor;
+        SteppedFactor decodeFactor;
+        double weight = 1.0; ///< in the choice of homes
     };
 
     /// An endpoint that may be selected, with the values derived once per selection.
@@ -184,6 +222,33 @@
         std::vector<std::size_t> endpoints;
         OutlierDetection outliers;
         LongPromptLanes longPrompts;
+        // Used by EndpointPlacement::ExpectedTime alone.
+        std::vector<HomeCandidate> homes{}; ///< in the order of endpoints
+        double meanWeight = 1.0;
+        Instant ratesDueAt{};
+        EndpointOccupancy occupancy{};
+    };
+
+    /// What the options of one selection by expected time share.
+    struct ExpectedTimeQuery
+    {
+        const Service &service;
+        const WorkItem &item;
+        RequestUse use;
+        EndpointUse others;
+        uint32_t homes; ///< that the prefix needs
+        Instant now;
+    };
+
+    /// An endpoint in a selection by expected time.
+    struct Option
+    {
+        Endpoint *endpoint = nullptr;
+        std::size_t rank = 0; ///< among the usable homes
+        PlacementCost cost;
+        double memoryShare = 0.0; ///< that would be occupied by all hosts; 0: unknown
+        bool holdsPrefix = false;
+        bool isFull = false; ///< this host's requests alone would exceed its memory
     };
 
     static const char *usabilityName(Usability usability);
@@ -208,6 +273,24 @@
     const Candidate *firstByPrefix(uint64_t prefix, bool holdersOnly, Instant now) const;
     const Candidate *bestOfTwo(const WorkItem &item, Instant now);
     const Candidate *leastCost(const WorkItem &item, bool isLong, Instant now);
+    void updateProcess(Endpoint &endpoint) const;
+    void updateHomes(Service &service, Instant now);
+    PlacementCostSettings costSettings(double slots) const;
+    void refreshRates(Service &service, Instant now);
+    std::optional<SelectionOutcome> selectByExpectedTime(Service &service, const WorkItem &item,
+                                                         const std::vector<EndpointId> &excluded,
+                                                         Instant now);
+    void collectHomes(const Service &service, uint64_t prefix, std::size_t count,
+                      const std::vector<EndpointId> &excluded, Instant now);
+    uint32_t homesNeeded(const WorkItem &item, Instant now) const;
+    RequestUse useOf(const WorkItem &item, bool holdsPrefix) const;
+    bool isRetained(const Service &service, uint64_t prefix, const Endpoint &endpoint,
+                    Instant now) const;
+    Option optionOf(const ExpectedTimeQuery &query, std::size_t rank) const;
+    static bool isBetter(const Option &option, const Option &best);
+    Option bestOption(const ExpectedTimeQuery &query, std::size_t first, std::size_t last) const;
+    Option bestHome(const ExpectedTimeQuery &query);
+    void recordUse(Endpoint &endpoint, const WorkItem &item, Instant now);
     Interval expectedPrefill(uint64_t promptTokens) const;
     double cost(const Candidate &candidate, const WorkItem &item, Instant now) const;
     double shareOf(double own, double total) const;
@@ -225,6 +308,10 @@
     std::vector<Candidate> candidates_; ///< of the selection in progress
     double ownShare_ = 1.0;             ///< this router's share of the candidates' load
     std::mt19937_64 random_;
+    const EndpointRateSource *rates_ = nullptr;
+    std::vector<HomeDistance> nearest_; ///< of the selection in progress
+    std::vector<Endpoint *> homes_;     ///< those that are usable, the first home first
+    ExpectedTimeCounts counts_;
 };
 
 } // namespace sequoiagate
--- a/include/sequoiagate/Decisions/EndpointSpec.h
+++ b/include/sequoiagate/Decisions/EndpointSpec.h
@@ -20,6 +20,8 @@
     uint32_t slots = 1; ///< requests it batches at once
     bool plainService = false;
     bool leaving = false;
+    uint64_t kvTokens = 0;        ///< that its memory holds; 0: unknown
+    uint64_t startedAtMillis = 0; ///< identifies its process
 };
 
 /// An endpoint's report of its own load; it arrives with a delay.
--- a/include/sequoiagate/Decisions/PrefixAffinity.h
+++ b/include/sequoiagate/Decisions/PrefixAffinity.h
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -38,9 +39,17 @@
     void addHolder(uint64_t prefix, uint64_t endpoint, Instant seenAt);
     /// Records that \p endpoint published that it evicted the prefix.
     void removeHolder(uint64_t prefix, uint64_t endpoint);
+    /// Records a request with the prefix, wherever it is sent.
+    void recordRequest(uint64_t prefix, Instant now);
+    /// The rate of requests with the prefix over the last seconds, without one that is just being
+    /// placed.
+    double requestsPerSecond(uint64_t prefix, Instant now) const;
+    /// When \p endpoint was last sent the prefix or published that it stored it; nullopt if it
+    /// isn't known to have it.
+    std::optional<Instant> lastUse(uint64_t prefix, uint64_t endpoint) const;
     /// Whether \p endpoint is expected to have the prefix in its cache.
     bool hasHolder(uint64_t prefix, uint64_t endpoint, Instant now) const;
-    std::size_t prefixCount() const { return holders_.size(); }
+    std::size_t prefixCount() const { return prefixes_.size(); }
 
 private:
     struct Holder
@@ -49,12 +58,41 @@
         Instant expiresAt;
     };
 
+    /// What is known of one prefix.
+    struct Prefix
+    {
+        std::vector<Holder> holders;
+        double recentRequests = 0.0; ///< decaying, until countedAt
+        Instant countedAt;
+    };
+
     void dropExpired(Instant now);
 
-    std::unordered_map<uint64_t, std::vector<Holder>> holders_;
+    std::unordered_map<uint64_t, Prefix> prefixes_;
     std::size_t sweepThreshold_ = 1024; ///< number of prefixes above which expired ones are dropped
 };
 
+/// An endpoint among which the homes of a prefix are chosen.
+struct HomeCandidate
+{
+    uint64_t hash = 0;
+    double inverseWeight = 1.0; ///< of the share of prefixes that it is home to
+};
+
+/// The distance of an endpoint from a prefix, by its position among the candidates.
+struct HomeDistance
+{
+    double distance = 0.0;
+    uint32_t position = 0;
+};
+
+/// Writes the \p count candidates nearest to \p prefix to \p nearest, the first home first. Each
+/// candidate is first home to a share of the prefixes in proportion to its weight, and a weight
+/// that changes moves only prefixes to or from its endpoint (weighted rendezvous hashing,
+/// Schindelhauer and Schomaker, 2005). \pre \p count is positive
+void nearestHomes(uint64_t prefix, const std::vector<HomeCandidate> &candidates, std::size_t count,
+                  std::vector<HomeDistance> &nearest);
+
 /// Rendezvous weight of an endpoint for a prefix; the endpoint with the highest weight is
 /// the prefix's home. Mixes two precomputed hashes, as each selection computes 140 weights.
 inline uint64_t affinityWeight(uint64_t prefix, uint64_t endpoint)
--- a/lib/Decisions/EndpointSelector.cpp
+++ b/lib/Decisions/EndpointSelector.cpp
@@ -50,6 +50,7 @@
         updated.back().spec = spec;
         updated.back().hash = stableHash(spec.id.text());
         updated.back().local = spec.domain == self_;
+        updateProcess(updated.back());
         if (known == nullptr && !firstSet) {
             updated.back().health.beginSlowStart(now, settings_.health);
         }
@@ -68,6 +69,9 @@
         }
     }
     std::erase_if(services_, [](const auto &entry) { return entry.second.endpoints.empty(); });
+    for (auto &[name, service] : services_) {
+        updateHomes(service, now);
+    }
 }
 
 SelectionOutcome EndpointSelector::select(const WorkItem &item,
@@ -89,6 +93,11 @@
     }
     std::vector<EndpointId> excluded = attempted;
     excluded.insert(excluded.end(), unavailable.begin(), unavailable.end());
+    if (settings_.placement == EndpointPlacement::ExpectedTime && item.promptTokens > 0) {
+        if (auto outcome = selectByExpectedTime(service, item, excluded, now)) {
+            return *std::move(outcome);
+        }
+    }
     collectCandidates(service, excluded, now);
     if (candidates_.empty()) {
         if (Endpoint *last = lastResort(service, excluded, now); last != nullptr) {
@@ -153,7 +162,8 @@
     uint32_t seen = 0;
     for (const Candidate &candidate : candidates_) {
         const bool isHolder =
-                seen == 0 || affinity_.hasHolder(item.prefixHash, candidate.endpoint->hash, now);
+                seen == 0
+                || affinity_.hasHolder(item.prefixHash, candidate.endpoint->cacheKey, now);
         const double observedShare = std::min(1.0, candidate.slots / routerCount);
         const double cost =
                 loadSeconds(candidate) + (isHolder ? 0.0 : observedShare * prefixMissCost);
@@ -364,7 +374,7 @@
         if (best != nullptr && weight <= bestWeight) {
             continue;
         }
-        if (holdersOnly && !affinity_.hasHolder(prefix, candidate.endpoint->hash, now)) {
+        if (holdersOnly && !affinity_.hasHolder(prefix, candidate.endpoint->cacheKey, now)) {
             continue;
         }
         best = &candidate;
@@ -416,7 +426,7 @@
 {
     const Endpoint &endpoint = *candidate.endpoint;
     const bool cached =
-            item.prefixHash != 0 && affinity_.hasHolder(item.prefixHash, endpoint.hash, now);
+            item.prefixHash != 0 && affinity_.hasHolder(item.prefixHash, endpoint.cacheKey, now);
     const double overflow = std::max((candidate.utilization - 1.0) * candidate.slots + 1.0, 0.0);
     const double ownOverflow = std::max(candidate.ownUtilization - 1.0, 0.0) * candidate.slots;
     double seconds = secondsOf(prefillBacklog(endpoint, now));
@@ -472,7 +482,7 @@
         return;
     }
     const bool cached =
-            item.prefixHash != 0 && affinity_.hasHolder(item.prefixHash, found->hash, now);
+            item.prefixHash != 0 && affinity_.hasHolder(item.prefixHash, found->cacheKey, now);
     const Interval prefill = expectedPrefill(item.promptTokens);
     const double share = cached ? 1.0 - CachedPrefixShare : 1.0;
     found->prefillUntil =
@@ -480,8 +490,9 @@
     const bool full = found->load.requests(now) >= NearlyFull * found->spec.slots;
     found->load.onSent(now);
     found->health.onSent(item.request, prefill, full, now);
+    recordUse(*found, item, now);
     if (item.prefixHash != 0) {
-        affinity_.addHolder(item.prefixHash, found->hash, now);
+        affinity_.addHolder(item.prefixHash, found->cacheKey, now);
     }
 }
 
@@ -490,6 +501,9 @@
 {
     if (Endpoint *found = find(endpoint); found != nullptr) {
         found->health.onFirstToken(request, now);
+        for (const ServiceId &service : found->spec.services) {
+            services_.at(service).occupancy.onFirstEvent(found->cacheKey, request, now);
+        }
     }
 }
 
@@ -501,6 +515,9 @@
     }
     found->load.onEnd(now);
     found->health.onEnd(result.request, result.succeeded, result.firstToken, result.tokens, now);
+    for (const ServiceId &service : found->spec.services) {
+        services_.at(service).occupancy.onEnd(found->cacheKey, result.request, now);
+    }
     if (result.succeeded) {
         return;
     }
@@ -530,9 +547,9 @@
         return;
     }
     if (stored) {
-        affinity_.addHolder(prefix, found->hash, observedAt);
+        affinity_.addHolder(prefix, found->cacheKey, observedAt);
     } else {
-        affinity_.removeHolder(prefix, found->hash);
+        affinity_.removeHolder(prefix, found->cacheKey);
     }
 }
 
--- a/unittests/Decisions/EndpointSelectorTest.cpp
+++ b/unittests/Decisions/EndpointSelectorTest.cpp
@@ -547,4 +547,169 @@
 INSTANTIATE_TEST_SUITE_P(Rows, PrefixHomes, testing::ValuesIn(HomesCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+/// Rates that a test sets.
+class SetRates : public EndpointRateSource
+{
+public:
+    EndpointRate rateOf(const EndpointId &endpoint, Instant /*now*/) const override
+    {
+        const auto found = rates.find(endpoint);
+        return found == rates.end() ? EndpointRate() : found->second;
+    }
+
+    std::map<EndpointId, EndpointRate> rates;
+};
+
+struct HomeLeftCase
+{
+    const char *name;
+    /// What happens at the home of the prefix before the next request.
+    void (*happens)(EndpointSelector &selector, std::vector<EndpointSpec> specs, SetRates &rates,
+                    const EndpointId &home, Instant now);
+    bool staysAtHome;
+};
+
+class HomeLeft : public testing::TestWithParam<HomeLeftCase>
+{};
+
+WorkItem digestOf(int number, uint64_t prefix)
+{
+    WorkItem item = itemOf(number, prefix);
+    item.promptTokens = 9190;
+    item.cacheablePrefixTokens = 6300;
+    item.outputCeiling = 54;
+    return item;
+}
+
+void sendMany(EndpointSelector &selector, const EndpointId &home, int count, bool isPrefilled,
+              Instant now)
+{
+    for (int i = 0; i < count; ++i) {
+        const WorkItem item = digestOf(100 + i, 1000 + static_cast<uint64_t>(i));
+        selector.onSent(home, item, now);
+        if (isPrefilled) {
+            selector.onFirstToken(home, item.request, now);
+        }
+    }
+}
+
+// A request's prefix is held by an endpoint that can't serve it soon. Guards against a caller who
+// waits there for longer than another endpoint takes to prefill it.
+const HomeLeftCase HomeLeftCases[] = {
+        {"Nothing",
+         [](EndpointSelector &, std::vector<EndpointSpec>, SetRates &, const EndpointId &,
+            Instant) {},
+         true},
+        {"OneRequest",
+         [](EndpointSelector &selector, std::vector<EndpointSpec>, SetRates &,
+            const EndpointId &home, Instant now) { sendMany(selector, home, 1, false, now); },
+         true},
+        {"LongQueue",
+         [](EndpointSelector &selector, std::vector<EndpointSpec>, SetRates &,
+            const EndpointId &home, Instant now) { sendMany(selector, home, 8, false, now); },
+         false},
+        {"Slow",
+         [](EndpointSelector &, std::vector<EndpointSpec>, SetRates &rates, const EndpointId &home,
+            Instant) {
+             rates.rates[home] = {9.0, 9.0, 60, Millis(100)};
+         },
+         false},
+        {"SlowByAStaleRate",
+         [](EndpointSelector &, std::vector<EndpointSpec>, SetRates &rates, const EndpointId &home,
+            Instant) {
+             rates.rates[home] = {9.0, 9.0, 60, Seconds(20)};
+         },
+         true},
+        {"OutOfMemory",
+         [](EndpointSelector &selector, std::vector<EndpointSpec>, SetRates &,
+            const EndpointId &home, Instant now) { sendMany(selector, home, 4, true, now); },
+         false},
+        {"Leaving",
+         [](EndpointSelector &selector, std::vector<EndpointSpec> specs, SetRates &,
+            const EndpointId &home, Instant now) {
+             for (EndpointSpec &spec : specs) {
+                 spec.leaving = spec.id == home;
+             }
+             selector.setEndpoints(specs, now);
+         },
+         false},
+        {"Ended",
+         [](EndpointSelector &selector, std::vector<EndpointSpec> specs, SetRates &,
+            const EndpointId &home, Instant now) {
+             std::erase_if(specs, [&home](const EndpointSpec &spec) { return spec.id == home; });
+             selector.setEndpoints(specs, now);
+         },
+         false},
+        {"RestartedWithAQueueOfItsEarlierProcess",
+         [](EndpointSelector &selector, std::vector<EndpointSpec> specs, SetRates &,
+            const EndpointId &home, Instant now) {
+             sendMany(selector, home, 8, false, now);
+             for (EndpointSpec &spec : specs) {
+                 spec.startedAtMillis = spec.id == home ? 2 : 1;
+             }
+             selector.setEndpoints(specs, now);
+         },
+         true},
+};
+
+TEST_P(HomeLeft, WhenAnotherEndpointIsSooner)
+{
+    EndpointSelectorSettings settings;
+    settings.placement = EndpointPlacement::ExpectedTime;
+    settings.routerCount = 1;
+    SetRates rates;
+    std::vector<EndpointSpec> specs = fleetOf(12);
+    for (EndpointSpec &spec : specs) {
+        spec.kvTokens = 40'000;
+        spec.startedAtMillis = 1;
+    }
+    EndpointSelector selector(Here, settings);
+    selector.setEndpoints(specs, Start);
+    selector.setRateSource(&rates);
+    Instant now = Start + std::chrono::minutes(5);
+    const WorkItem first = digestOf(0, 7);
+    const EndpointId home(selectedId(selector.select(first, {}, now)));
+    selector.onSent(home, first, now);
+    selector.onFirstToken(home, first.request, now);
+    selector.onEnd({home, first.request, true, Millis(1), 0}, now);
+    now += Seconds(3);
+    GetParam().happens(selector, specs, rates, home, now);
+    const SelectionOutcome next = selector.select(digestOf(1, 7), {}, now);
+    EXPECT_EQ(selectedId(next) == home.text(), GetParam().staysAtHome) << selectedId(next);
+    EXPECT_FALSE(std::get<SelectedEndpoint>(next).detail.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, HomeLeft, testing::ValuesIn(HomeLeftCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+TEST(EndpointSelector, RefusesWhatFitsIntoNoMemory)
+{
+    // An engine without memory preempts the requests that it has. A prompt that is too large for
+    // any endpoint is left to the endpoint to reject.
+    EndpointSelectorSettings settings;
+    settings.placement = EndpointPlacement::ExpectedTime;
+    settings.routerCount = 1;
+    std::vector<EndpointSpec> specs = fleetOf(2);
+    for (EndpointSpec &spec : specs) {
+        spec.kvTokens = 10'000;
+    }
+    EndpointSelector selector(Here, settings);
+    selector.setEndpoints(specs, Start);
+    WorkItem tooLarge = digestOf(9, 9);
+    tooLarge.promptTokens = 20'000;
+    EXPECT_NE(selectedId(selector.select(tooLarge, {}, Start)), "");
+    for (int i = 0; i < 2; ++i) {
+        const WorkItem item = digestOf(i, static_cast<uint64_t>(i) + 1);
+        const std::string endpoint = selectedId(selector.select(item, {}, Start));
+        ASSERT_NE(endpoint, "") << i;
+        selector.onSent(EndpointId(endpoint), item, Start);
+    }
+    const SelectionOutcome refused = selector.select(digestOf(2, 3), {}, Start);
+    const auto *verdict = std::get_if<Verdict>(&refused);
+    ASSERT_NE(verdict, nullptr);
+    EXPECT_EQ(verdict->reason, Reason::QueueFull);
+    EXPECT_EQ(verdict->execution, Execution::NotRun);
+    EXPECT_EQ(selector.expectedTimeCounts().refused, 1U);
+}
+
 } // namespace
