[Edge] State the measured reason of the interval between tokens.withheld lines

Cause: the comment gave an estimate. Change: it names the refusals measured in docs/design/hard-load.md. Result: no change of behaviour; TokenWait tests pass.

--- a/lib/Edge/TokenWaitQueue.cpp
+++ b/lib/Edge/TokenWaitQueue.cpp
@@ -36,8 +36,8 @@
 /// Least retry delay while the store is reachable: an append and the read that confirms it.
 constexpr Interval MinRetryDelayWithStore = std::chrono::milliseconds(50);
 
-/// Lines about tokens kept back from peers' requests, per workspace: a host with a tenth of a core
-/// gets dozens of such requests a second.
+/// Interval between lines about tokens kept from peers' requests, per workspace: a fleet refused
+/// 600 requests per second in an outage, and each asks up to three homes.
 constexpr Interval WithheldLogInterval = std::chrono::milliseconds(500);
 
 Millis millis(Interval interval)
