--- a/unittests/Ledger/OutageReserveTest.cpp
+++ b/unittests/Ledger/OutageReserveTest.cpp
@@ -335,6 +335,7 @@
     const int batches = fleet.batches();
     fleet.simulate(TicksPerSecond, 1);
     EXPECT_GE(static_cast<double>(fleet.held()), 0.8 * static_cast<double>(fleet.bound()));
+    RecordProperty("batches", fleet.batches() - batches);
     EXPECT_LE(fleet.batches() - batches, static_cast<int>(Homes) * 6);
 }
 
@@ -349,6 +350,8 @@
     for (std::size_t home = 0; home < Homes; ++home) {
         fleet.restartHome(home);
         fleet.simulate(TicksPerSecond, 1);
+        RecordProperty(fmt::format("held_after_{}", home),
+                       fmt::format("{:.3f} of {:.3f}", fleet.heldShare(), before));
         EXPECT_GE(fleet.heldShare(), 0.8 * before);
     }
     EXPECT_EQ(fleet.refused(), refused);
