[Bench] Time a choice of an endpoint with both placements

bench-Placement timed EndpointDirectory::place as one of two hosts, with a clock that stands still. A choice by expected time reads the rates twice a second, which such a clock hides.

timeChoice times EndpointSelector::select alone, as one of 75 hosts that sends a request each 130 ms.

--- a/bench/Placement/Placement.cpp
+++ b/bench/Placement/Placement.cpp
@@ -1,8 +1,15 @@
 /// The processor time of EndpointDirectory::place among 112 endpoints: when all take requests, when
-/// some are limited, and when all back off.
+/// some are limited, and when all back off. Then that of a choice alone, as one of 75 hosts and
+/// with a clock that moves, for both settings of `placement`, among 100 and 300 endpoints.
 
+#include <chrono>
 #include <cstdio>
+#include <deque>
 #include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include <benchmark/benchmark.h>
 
@@ -81,6 +88,85 @@
     }
 }
 
+/// A rate for each endpoint, as the hosts exchange them.
+class Rates : public EndpointRateSource
+{
+public:
+    explicit Rates(int endpoints)
+    {
+        for (int i = 0; i < endpoints; ++i) {
+            const double factor = i % 3 == 2 ? 1.7 / 0.7 : 1.0;
+            rates_[Directory::idOf(i)] = {factor, factor, 40, std::chrono::milliseconds(300)};
+        }
+    }
+    EndpointRate rateOf(const EndpointId &endpoint, Instant) const override
+    {
+        const auto found = rates_.find(endpoint);
+        return found == rates_.end() ? EndpointRate() : found->second;
+    }
+
+private:
+    std::unordered_map<EndpointId, EndpointRate> rates_;
+};
+
+/// The choice alone, with the requests in flight that one of 75 hosts has.
+void timeChoice(benchmark::State &state, EndpointPlacement placement)
+{
+    constexpr std::size_t OpenRequests = 8;
+    const int count = static_cast<int>(state.range(0));
+    const Rates rates(count);
+    EndpointSelectorSettings settings;
+    settings.placement = placement;
+    settings.prefixHomes = 2;
+    settings.routerCount = 75;
+    EndpointSelector selector(DomainId("d0"), settings);
+    std::vector<EndpointSpec> specs;
+    for (int i = 0; i < count; ++i) {
+        EndpointSpec spec;
+        spec.id = Directory::idOf(i);
+        spec.domain = DomainId("d" + std::to_string(i % Domains));
+        spec.services = {Service};
+        spec.slots = 64;
+        spec.kvTokens = 459'404;
+        specs.push_back(spec);
+    }
+    Instant now{std::chrono::hours(1)};
+    selector.setEndpoints(specs, now);
+    selector.setRateSource(&rates);
+    std::deque<std::pair<EndpointId, RequestId>> open;
+    WorkItem item;
+    item.service = Service;
+    item.promptTokens = 9190;
+    item.cacheablePrefixTokens = 6300;
+    item.outputCeiling = 54;
+    uint64_t number = 0;
+    for (auto _ : state) {
+        item.prefixHash = affinityWeight(number % 1055, 77);
+        const Instant begin = std::chrono::steady_clock::now();
+        const SelectionOutcome chosen = selector.select(item, {}, now);
+        const Interval taken = std::chrono::steady_clock::now() - begin;
+        state.SetIterationTime(std::chrono::duration<double>(taken).count());
+        item.request = RequestId("r" + std::to_string(++number));
+        const EndpointId endpoint = std::get<SelectedEndpoint>(chosen).endpoint;
+        selector.onSent(endpoint, item, now);
+        open.emplace_back(endpoint, item.request);
+        if (open.size() > OpenRequests) {
+            selector.onFirstToken(open.front().first, open.front().second, now);
+            selector.onEnd({open.front().first, open.front().second, true, Interval(1), 0}, now);
+            open.pop_front();
+        }
+        now += std::chrono::milliseconds(130);
+    }
+}
+
+BENCHMARK_CAPTURE(timeChoice, prefix_home, EndpointPlacement::PrefixHome)
+        ->Arg(100)
+        ->Arg(300)
+        ->UseManualTime();
+BENCHMARK_CAPTURE(timeChoice, expected_time, EndpointPlacement::ExpectedTime)
+        ->Arg(100)
+        ->Arg(300)
+        ->UseManualTime();
 BENCHMARK_CAPTURE(timePlacement, all_take_requests, 0, 0);
 BENCHMARK_CAPTURE(timePlacement, a_quarter_is_limited, Endpoints / 4, 0);
 BENCHMARK_CAPTURE(timePlacement, a_quarter_backs_off, 0, Endpoints / 4);
