[Edge] Setting placement: prefix_home or expected_time

The placement by expected time wasn't reachable from the program.

placement (default prefix_home) selects it, EndpointDirectory hands the memory and the process of each endpoint to the selector and takes the source of the rates (setRateSource; none is connected yet).

unittests-Edge, unittests-Service and unittests-PlatformAdapter pass.

--- a/include/sequoiagate/Edge/EdgeSettings.h
+++ b/include/sequoiagate/Edge/EdgeSettings.h
@@ -11,6 +11,7 @@
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
 #include "sequoiagate/Decisions/DistributedRetryBudget.h"
+#include "sequoiagate/Decisions/EndpointSelector.h"
 #include "sequoiagate/Ledger/TokenHolder.h"
 
 namespace sequoiagate {
@@ -33,6 +34,7 @@
     uint64_t linkBytesPerSecond = 0; ///< link capacity in each direction; 0 if unknown
     DistributedRetryBudgetSettings retries;
     TokenHolderSettings tokens;
+    EndpointPlacement placement = EndpointPlacement::PrefixHome;
 };
 
 /// \pre \p settings are valid according to their schema.
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -72,7 +72,8 @@
     static constexpr Interval UnreachableRetryDelay = std::chrono::milliseconds(1000);
 
     EndpointDirectory(const HostId &host, const DomainId &self,
-                      DistributedRetryBudgetSettings retries, EventLog &log);
+                      DistributedRetryBudgetSettings retries, EventLog &log,
+                      EndpointPlacement placement = EndpointPlacement::PrefixHome);
 
     /// Called when the other hosts should learn at once what this one observed of an endpoint.
     /// \param rejected whether the endpoint rejected a request
@@ -92,6 +93,9 @@
     void keepOnly(const std::vector<EndpointId> &present, Instant now);
     /// Sets the services of the configuration in force.
     void setServices(const std::vector<ServiceSpec> &services, Instant now);
+    /// Sets the rates of the endpoints, which must outlive this object; nullptr: they are alike.
+    void setRateSource(const EndpointRateSource *rates) { selector_.setRateSource(rates); }
+    const ExpectedTimeCounts &expectedTimeCounts() const { return selector_.expectedTimeCounts(); }
     void setStoreReachable(bool reachable, Instant now);
     /// Removes entries whose grace period is over. To be called several times a second.
     void tick(Instant now);
@@ -270,7 +274,8 @@
     uint64_t refusedByRegion_ = 0;
     DistributedRetryBudget retryBudget_;
     std::unordered_map<EndpointId, ListedEndpoint> entries_;
-    std::set<ServiceId> servedServices_; ///< services with an endpoint that isn't draining
+    std::map<ServiceId, uint64_t> kvTokens_; ///< of the services whose endpoints' memory is known
+    std::set<ServiceId> servedServices_;     ///< services with an endpoint that isn't draining
     bool changed_ = false;
     bool storeReachable_ = false;
     Instant storeReachableSince_{};
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -118,7 +118,8 @@
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_),
       exchangeChart_(Statechart::parse(readShareFile("statecharts/exchange.json"))),
       drainChart_(Statechart::parse(readShareFile("statecharts/drain.json"))), drain_(drainChart_),
-      pool_(io_, {}), endpoints_(settings_.host, settings_.domain, settings_.retries, log),
+      pool_(io_, {}),
+      endpoints_(settings_.host, settings_.domain, settings_.retries, log, settings_.placement),
       link_(LinkLoadSettings{settings_.linkBytesPerSecond})
 {
     endpoints_.setRegions(settings_.regions);
@@ -645,6 +646,17 @@
     metrics_.gauge("edge_stream_records", static_cast<double>(streamOrigins_->recordCount()));
     metrics_.gauge("edge_parts_quarantined", static_cast<double>(crashingParts_->quarantined(now)));
     metrics_.gauge("edge_requests_limited", static_cast<double>(endpoints_.limitedRequests()));
+    const ExpectedTimeCounts &placements = endpoints_.expectedTimeCounts();
+    const std::pair<const char *, uint64_t> placementCounts[] = {
+            {"edge_placements_by_expected_time", placements.selected},
+            {"edge_placements_away_from_home", placements.awayFromHome},
+            {"edge_placements_spread", placements.spread},
+            {"edge_placements_without_memory", placements.withoutMemory},
+            {"edge_placements_refused", placements.refused},
+    };
+    for (const auto &[name, count] : placementCounts) {
+        metrics_.gauge(name, static_cast<double>(count));
+    }
     metrics_.gauge("edge_config_version", config_ ? static_cast<double>(config_->version) : 0.0);
     metrics_.gauge("edge_config_age_seconds", age(*configFollower_));
     metrics_.gauge("edge_endpoints_age_seconds", age(*endpointFollower_));
--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -29,6 +29,9 @@
     edge.retries.baseRetries = settings.at("retry_slack").get<double>();
     edge.retries.window = millisOf(settings, "retry_window_ms");
     edge.tokens.horizon = millisOf(settings, "token_horizon_ms");
+    edge.placement = settings.at("placement").get<std::string>() == "expected_time"
+                             ? EndpointPlacement::ExpectedTime
+                             : EndpointPlacement::PrefixHome;
     return edge;
 }
 
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -16,9 +16,10 @@
 
 /// Settings for selecting endpoints by this process's own requests alone. Reports of the endpoints'
 /// load cost extra, arrive late and add no information.
-EndpointSelectorSettings selectorSettings()
+EndpointSelectorSettings selectorSettings(EndpointPlacement placement)
 {
     EndpointSelectorSettings settings;
+    settings.placement = placement;
     settings.boundExemptShare = 0.6;
     settings.prefixHomes = 2;
     settings.prefillBacklogLimit = std::chrono::milliseconds(400);
@@ -90,8 +91,9 @@
 }
 
 EndpointDirectory::EndpointDirectory(const HostId &host, const DomainId &self,
-                                     DistributedRetryBudgetSettings retries, EventLog &log)
-    : log_(log), selector_(self, selectorSettings()), limits_(host),
+                                     DistributedRetryBudgetSettings retries, EventLog &log,
+                                     EndpointPlacement placement)
+    : log_(log), selector_(self, selectorSettings(placement)), limits_(host),
       eligibility_(limits_, withdrawals_, evacuations_), relaySelector_(stableHash(host.text())),
       retryBudget_(retries)
 {}
@@ -243,6 +245,9 @@
         spec.services = {listed.entry.service};
         spec.slots = listed.entry.slots;
         spec.leaving = listed.isLeaving;
+        spec.startedAtMillis = listed.entry.startedAtMillis;
+        const auto kvTokens = kvTokens_.find(listed.entry.service);
+        spec.kvTokens = kvTokens == kvTokens_.end() ? 0 : kvTokens->second;
         specs.push_back(std::move(spec));
     }
     // Sorted by id, so that the choice doesn't depend on the order of the hash table.
@@ -350,7 +355,8 @@
     const ListedEndpoint &listed = entries_.at(chosen.endpoint);
     return PlacementTarget{chosen.endpoint,
                            listed.address,
-                           chosen.reason,
+                           chosen.detail.empty() ? chosen.reason
+                                                 : chosen.reason + " " + chosen.detail,
                            relayFor(item, chosen.endpoint, now),
                            describeLimitsOf(chosen.endpoint, excluded, now),
                            listed.entry.version,
--- a/lib/Edge/EndpointDirectoryExclusions.cpp
+++ b/lib/Edge/EndpointDirectoryExclusions.cpp
@@ -73,12 +73,20 @@
 void EndpointDirectory::setServices(const std::vector<ServiceSpec> &services, Instant now)
 {
     std::map<ServiceId, ColdService> cold;
+    std::map<ServiceId, uint64_t> kvTokens;
     for (const ServiceSpec &service : services) {
+        if (service.kvTokens > 0) {
+            kvTokens[service.name] = service.kvTokens;
+        }
         if (service.coldRequestsPerSecond > 0.0) {
             cold[service.name] = {service.coldDuration, service.coldRequestsPerSecond};
         }
     }
     cold_.setServices(std::move(cold), now);
+    if (kvTokens != kvTokens_) {
+        kvTokens_ = std::move(kvTokens);
+        changed_ = true;
+    }
     for (const auto &[id, listed] : entries_) {
         limitWhileCold(id, now);
     }
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -845,4 +845,33 @@
     EXPECT_EQ(sharedPromptHash({}), 0U);
 }
 
+// Guards against a badly placed request whose cause can't be found, and against a memory that the
+// configuration states but placement doesn't know.
+TEST_F(EndpointDirectoryTest, ExpectedTimeIsPartOfTheReasonAndMemoryBoundsRequests)
+{
+    EndpointDirectory directory(HostId("h"), DomainId("d"), {}, log_,
+                                EndpointPlacement::ExpectedTime);
+    ServiceSpec service;
+    service.name = ServiceId("s");
+    service.kvTokens = 2000;
+    directory.setServices({service}, now_);
+    directory.update(entry("a", false, 5), now_);
+    directory.publish(now_);
+    WorkItem item;
+    item.request = RequestId("r1");
+    item.service = ServiceId("s");
+    item.promptTokens = 1200;
+    const std::vector<PromptPart> prompt = {{7, 1000}, {8, 200}};
+    const PlacementResult first = directory.place(item, prompt, {}, now_);
+    const auto *target = std::get_if<PlacementTarget>(&first);
+    ASSERT_NE(target, nullptr);
+    EXPECT_EQ(target->reason.rfind("expected_time ", 0), 0U) << target->reason;
+    EXPECT_NE(target->reason.find("queue"), std::string::npos) << target->reason;
+    directory.onSent(target->endpoint, item, now_);
+    item.request = RequestId("r2");
+    const PlacementResult second = directory.place(item, {{9, 1000}, {8, 200}}, {}, now_);
+    EXPECT_TRUE(std::holds_alternative<Verdict>(second));
+    EXPECT_EQ(directory.expectedTimeCounts().refused, 1U);
+}
+
 } // namespace
