--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -81,6 +81,9 @@
     void abortCallers(Instant now);
     void tick();
     void onHostsChanged(const std::vector<Peer> &others);
+    /// Creates what hosts tell each other by, and connects it to the endpoints and the tokens.
+    void createPeerLinks();
+    void createFollowers();
     void startRelayServer();
     std::optional<RelayTarget> relayTarget(const EndpointId &endpoint) const;
     void onRelayedResponse(NoticeSource source, const ResponseHead &head);
--- a/include/sequoiagate/Edge/EdgeSettings.h
+++ b/include/sequoiagate/Edge/EdgeSettings.h
@@ -11,6 +11,7 @@
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
 #include "sequoiagate/Decisions/DistributedRetryBudget.h"
+#include "sequoiagate/Decisions/EndpointSelector.h"
 #include "sequoiagate/Decisions/TokenAllocation.h"
 #include "sequoiagate/Ledger/TokenHolder.h"
 
@@ -30,13 +31,14 @@
     std::string store;
     std::map<DomainId, RegionId> regions; ///< of all failure domains
     Interval stopGrace{};                 ///< from the stop signal to the forced exit
-    Interval readyGrace{};           ///< new callers are accepted this long after the stop signal
-    uint64_t linkBytesPerSecond = 0; ///< link capacity in each direction; 0 if unknown
-    std::size_t memoryBytes = 0;     ///< memory limit of the process; 0 if unknown
+    Interval readyGrace{};            ///< new callers are accepted this long after the stop signal
+    uint64_t linkBytesPerSecond = 0;  ///< link capacity in each direction; 0 if unknown
+    std::size_t memoryBytes = 0;      ///< memory limit of the process; 0 if unknown
     bool sharesEndpointRates = false; ///< whether rates of endpoints are measured and shared
     DistributedRetryBudgetSettings retries;
     TokenHolderSettings tokens;
     TokenAllocationPolicy tokenAllocation = TokenAllocationPolicy::FirstCome;
+    EndpointPlacement placement = EndpointPlacement::PrefixHome;
 };
 
 /// \pre \p settings are valid according to their schema.
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -73,7 +73,8 @@
     static constexpr Interval UnreachableRetryDelay = std::chrono::milliseconds(1000);
 
     EndpointDirectory(const HostId &host, const DomainId &self,
-                      DistributedRetryBudgetSettings retries, EventLog &log);
+                      DistributedRetryBudgetSettings retries, EventLog &log,
+                      EndpointPlacement placement = EndpointPlacement::PrefixHome);
 
     /// Called when the other hosts should learn at once what this one observed of an endpoint.
     /// \param rejected whether the endpoint rejected a request
@@ -93,6 +94,7 @@
     void keepOnly(const std::vector<EndpointId> &present, Instant now);
     /// Sets the services of the configuration in force.
     void setServices(const std::vector<ServiceSpec> &services, Instant now);
+    const ExpectedTimeCounts &expectedTimeCounts() const { return selector_.expectedTimeCounts(); }
     void setStoreReachable(bool reachable, Instant now);
     /// Removes entries whose grace period is over. To be called several times a second.
     void tick(Instant now);
@@ -104,9 +106,13 @@
     void setRelays(std::map<HostId, RelayHost> relays);
     /// Sets the region of each failure domain. To be called before endpoints are added.
     void setRegions(std::map<DomainId, RegionId> regions) { regions_ = std::move(regions); }
-    /// Sets what measures the endpoints' rates; nullptr: nothing does. To be called before
-    /// endpoints are added. \pre it outlives this object
-    void setRates(EndpointRates *rates) { rates_ = rates; }
+    /// Sets what measures the endpoints' rates; nullptr: nothing does, and they count as alike. To
+    /// be called before endpoints are added. \pre it outlives this object
+    void setRates(EndpointRates *rates)
+    {
+        rates_ = rates;
+        selector_.setRateSource(rates);
+    }
     bool isPartitioned() const { return partition_.isPartitioned(); }
     /// Whether the endpoint of \p entry takes no new requests, by that entry or by its responses.
     bool isLeaving(const EndpointEntry &entry) const
@@ -277,7 +283,8 @@
     uint64_t refusedByRegion_ = 0;
     DistributedRetryBudget retryBudget_;
     std::unordered_map<EndpointId, ListedEndpoint> entries_;
-    std::set<ServiceId> servedServices_; ///< services with an endpoint that isn't draining
+    std::map<ServiceId, uint64_t> kvTokens_; ///< of the services whose endpoints' memory is known
+    std::set<ServiceId> servedServices_;     ///< services with an endpoint that isn't draining
     bool changed_ = false;
     bool storeReachable_ = false;
     Instant storeReachableSince_{};
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -132,7 +132,7 @@
       rates_(settings_.sharesEndpointRates
                      ? std::make_unique<EndpointRates>(settings_.host, settings_.domain)
                      : nullptr),
-      endpoints_(settings_.host, settings_.domain, settings_.retries, log),
+      endpoints_(settings_.host, settings_.domain, settings_.retries, log, settings_.placement),
       link_(LinkLoadSettings{settings_.linkBytesPerSecond}), buffers_(bufferBudgetOf(settings_))
 {
     endpoints_.setRegions(settings_.regions);
@@ -147,6 +147,32 @@
             io_, *store_,
             tokenSettings(settings_, adapter_.topics().ledger, log.identity().incarnation), log,
             metrics_);
+    createPeerLinks();
+    context_ = std::make_unique<ProxyContext>(
+            ProxyContext{io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_,
+                         *streamOrigins_, *crashingParts_, link_, log_, metrics_,
+                         [this] { return config_; }, [this] { return configIsCurrent(); },
+                         [this] { return drain_.state() != "serving"; }, buffers_.get()});
+    createFollowers();
+    startRelayServer();
+    readyServer_ = std::make_unique<StatusServer>(
+            io_, tcpSetting("listen_ready", settings_.listenReady), [this] {
+                const bool isReady = ready();
+                return StatusPage{isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "no\n"};
+            });
+    if (!settings_.listenMetrics.empty()) {
+        metricsServer_ = std::make_unique<StatusServer>(
+                io_, tcpSetting("listen_metrics", settings_.listenMetrics), [this] {
+                    updateGauges();
+                    return StatusPage{200, "text/plain; version=0.0.4", metrics_.render()};
+                });
+    }
+}
+
+Edge::~Edge() = default;
+
+void Edge::createPeerLinks()
+{
     tokens_->onHostsChanged = [this](const std::vector<Peer> &others) {
         onHostsChanged(others);
     };
@@ -167,9 +193,10 @@
     };
     streamOrigins_ = std::make_unique<StreamOriginLink>(io_, tokens_->peers(), settings_.host,
                                                         settings_.domain, metrics_);
-    versionRecorder_ = std::make_unique<VersionRecorder>(
-            io_, *store_, adapter_.topics().ledger, log.identity().incarnation.text() + "-versions",
-            settings_.host, streamOrigins_->versions(), log_);
+    versionRecorder_ =
+            std::make_unique<VersionRecorder>(io_, *store_, adapter_.topics().ledger,
+                                              log_.identity().incarnation.text() + "-versions",
+                                              settings_.host, streamOrigins_->versions(), log_);
     tokens_->onVersionRow = [this](const StoreRow &row) {
         versionRecorder_->onRow(row);
     };
@@ -180,7 +207,7 @@
             io_, tokens_->peers(), CrashingPartsSettings{settings_.host, settings_.domain},
             [this](const EndpointId &endpoint) { return listedProcess(endpoints_, endpoint); },
             std::make_unique<QuarantineStore>(io_, *store_, adapter_.topics().ledger,
-                                              log.identity().incarnation.text() + "-quarantines",
+                                              log_.identity().incarnation.text() + "-quarantines",
                                               log_),
             log_, metrics_);
     if (rates_) {
@@ -193,11 +220,10 @@
     tokens_->onQuarantineRow = [this](const StoreRow &row) {
         crashingParts_->onRow(row);
     };
-    context_ = std::make_unique<ProxyContext>(
-            ProxyContext{io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_,
-                         *streamOrigins_, *crashingParts_, link_, log_, metrics_,
-                         [this] { return config_; }, [this] { return configIsCurrent(); },
-                         [this] { return drain_.state() != "serving"; }, buffers_.get()});
+}
+
+void Edge::createFollowers()
+{
     configFollower_ = std::make_unique<TopicFollower>(
             io_, *store_, FollowerSettings{adapter_.topics().config},
             TopicFollower::Handlers{[this](const std::vector<StoreRow> &rows, bool whole) {
@@ -221,23 +247,8 @@
                                                 reachable, std::chrono::steady_clock::now());
                                         onReachabilityChanged("endpoints", reachable, outcome);
                                     }});
-    startRelayServer();
-    readyServer_ = std::make_unique<StatusServer>(
-            io_, tcpSetting("listen_ready", settings_.listenReady), [this] {
-                const bool isReady = ready();
-                return StatusPage{isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "no\n"};
-            });
-    if (!settings_.listenMetrics.empty()) {
-        metricsServer_ = std::make_unique<StatusServer>(
-                io_, tcpSetting("listen_metrics", settings_.listenMetrics), [this] {
-                    updateGauges();
-                    return StatusPage{200, "text/plain; version=0.0.4", metrics_.render()};
-                });
-    }
 }
 
-Edge::~Edge() = default;
-
 void Edge::startRelayServer()
 {
     if (settings_.listenRelay.empty()) {
@@ -671,6 +682,17 @@
     metrics_.gauge("edge_stream_records", static_cast<double>(streamOrigins_->recordCount()));
     metrics_.gauge("edge_parts_quarantined", static_cast<double>(crashingParts_->quarantined(now)));
     metrics_.gauge("edge_requests_limited", static_cast<double>(endpoints_.limitedRequests()));
+    const ExpectedTimeCounts &placements = endpoints_.expectedTimeCounts();
+    const std::pair<const char *, uint64_t> placementCounts[] = {
+            {"edge_placements_by_expected_time", placements.selected},
+            {"edge_placements_away_from_home", placements.awayFromHome},
+            {"edge_placements_spread", placements.spread},
+            {"edge_placements_without_memory", placements.withoutMemory},
+            {"edge_placements_refused", placements.refused},
+    };
+    for (const auto &[name, count] : placementCounts) {
+        metrics_.gauge(name, static_cast<double>(count));
+    }
     metrics_.gauge("edge_config_version", config_ ? static_cast<double>(config_->version) : 0.0);
     metrics_.gauge("edge_config_age_seconds", age(*configFollower_));
     metrics_.gauge("edge_endpoints_age_seconds", age(*endpointFollower_));
--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -38,6 +38,9 @@
     edge.tokens.policy = settings.at("token_reserve").get<std::string>() == "peak_demand"
                                  ? ReservePolicy::PeakDemand
                                  : ReservePolicy::MeanDemand;
+    edge.placement = settings.at("placement").get<std::string>() == "expected_time"
+                             ? EndpointPlacement::ExpectedTime
+                             : EndpointPlacement::PrefixHome;
     return edge;
 }
 
