[Proxy] [Edge] Measure and share rates of endpoints if endpoint_rates is shared

Cause: EndpointRates gets no measurements and isn't connected to other hosts.

Change: the proxy reports the progress of a stream after each four events and at its end, unless it has stopped reading; EndpointDirectory passes it on, with the time to the first event. The setting endpoint_rates (off by default) creates EndpointRates and its link.

The rest of test-Edge wasn't run.

--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -38,6 +38,7 @@
 namespace sequoiagate {
 
 class CrashingPartsLink;
+class EndpointRateLink;
 class RelayServer;
 struct RelayTarget;
 class StatusServer;
@@ -81,6 +82,7 @@
     void tick();
     void onHostsChanged(const std::vector<Peer> &others);
     void startRelayServer();
+    void connectRates();
     std::optional<RelayTarget> relayTarget(const EndpointId &endpoint) const;
     void onRelayedResponse(NoticeSource source, const ResponseHead &head);
     /// Tries a connection during a partition, to find out whether it is over.
@@ -105,6 +107,7 @@
     StatechartInstance drain_;
     ConnectionPool pool_;
     std::unique_ptr<Store> store_;
+    std::unique_ptr<EndpointRates> rates_; ///< nullptr if none are shared
     EndpointDirectory endpoints_;
     LinkLoad link_;
     bool shedding_ = false; ///< as last logged
@@ -112,6 +115,7 @@
     std::unique_ptr<StreamOriginLink> streamOrigins_;
     std::unique_ptr<VersionRecorder> versionRecorder_;
     std::unique_ptr<CrashingPartsLink> crashingParts_;
+    std::unique_ptr<EndpointRateLink> rateLink_; ///< nullptr if none are shared
     std::unique_ptr<ProxyContext> context_;
     std::unique_ptr<TopicFollower> configFollower_;
     std::unique_ptr<TopicFollower> endpointFollower_;
--- a/include/sequoiagate/Edge/EdgeSettings.h
+++ b/include/sequoiagate/Edge/EdgeSettings.h
@@ -29,8 +29,9 @@
     std::string store;
     std::map<DomainId, RegionId> regions; ///< of all failure domains
     Interval stopGrace{};                 ///< from the stop signal to the forced exit
-    Interval readyGrace{};           ///< new callers are accepted this long after the stop signal
-    uint64_t linkBytesPerSecond = 0; ///< link capacity in each direction; 0 if unknown
+    Interval readyGrace{};            ///< new callers are accepted this long after the stop signal
+    uint64_t linkBytesPerSecond = 0;  ///< link capacity in each direction; 0 if unknown
+    bool sharesEndpointRates = false; ///< whether rates of endpoints are measured and shared
     DistributedRetryBudgetSettings retries;
     TokenHolderSettings tokens;
 };
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -35,6 +35,7 @@
 #include "sequoiagate/Decisions/EndpointEligibility.h"
 #include "sequoiagate/Decisions/EndpointLimits.h"
 #include "sequoiagate/Decisions/EndpointProcess.h"
+#include "sequoiagate/Decisions/EndpointRates.h"
 #include "sequoiagate/Decisions/EndpointSelector.h"
 #include "sequoiagate/Decisions/EndpointWithdrawals.h"
 #include "sequoiagate/Decisions/PartitionDetector.h"
@@ -103,6 +104,9 @@
     void setRelays(std::map<HostId, RelayHost> relays);
     /// Sets the region of each failure domain. To be called before endpoints are added.
     void setRegions(std::map<DomainId, RegionId> regions) { regions_ = std::move(regions); }
+    /// Sets what measures the endpoints' rates; nullptr: nothing does. To be called before
+    /// endpoints are added. \pre it outlives this object
+    void setRates(EndpointRates *rates) { rates_ = rates; }
     bool isPartitioned() const { return partition_.isPartitioned(); }
     /// Whether the endpoint of \p entry takes no new requests, by that entry or by its responses.
     bool isLeaving(const EndpointEntry &entry) const
@@ -165,6 +169,8 @@
                           const std::vector<EndpointId> &tried, Instant now) override;
     void onSent(const EndpointId &endpoint, const WorkItem &item, Instant now) override;
     void onFirstToken(const EndpointId &endpoint, const RequestId &request, Instant now) override;
+    void onStreamProgress(const EndpointId &endpoint, const RequestId &request, uint64_t events,
+                          Instant now) override;
     void onAttemptEnd(const AttemptResult &result, Instant now) override;
     void onNotice(const NoticeSource &source, const EndpointNotice &notice, Instant now) override;
     std::optional<Instant> returnTime(const WorkItem &item, Instant now) override;
@@ -247,6 +253,7 @@
     };
 
     EventLog &log_;
+    EndpointRates *rates_ = nullptr;
     EndpointSelector selector_;
     EndpointLimits limits_;
     ColdEndpoints cold_;
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -78,6 +78,8 @@
         bool isSuccess = false; ///< the head of a successful response was received
         bool hasFirstEvent = false;
         Instant firstEventAt{};
+        uint64_t unreportedEvents = 0; ///< since the first one or the last report of progress
+        bool wasPaused = false;        ///< reading, since then
         bool isAnswerReported = false; ///< that the endpoint has been writing for a while
         bool passThrough = false;      ///< a non-streaming response too large to buffer
         /// The outcome if the attempt ends now. Without a known cause it is a lost connection.
@@ -114,6 +116,10 @@
     void onPlainResponse();
     /// Reports that the endpoint has written, or is writing, an answer on the prompt.
     void reportAnswer(Instant now);
+    /// Reports how many events have arrived since the last report.
+    void reportProgress(Instant now);
+    /// Stops reading from the endpoint until the caller has read what is queued.
+    void pauseReading();
     /// Reports a lost connection, if the endpoint had no more than just begun to write.
     void logLoss(const std::string &detail, Instant now);
     void reportLoss(Instant now);
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -78,6 +78,10 @@
     virtual void onSent(const EndpointId &endpoint, const WorkItem &item, Instant now) = 0;
     virtual void onFirstToken(const EndpointId &endpoint, const RequestId &request,
                               Instant now) = 0;
+    /// \p events of the stream of \p request have arrived since the last call or the first event.
+    /// 0: the time since then isn't the endpoint's, since this side didn't read.
+    virtual void onStreamProgress(const EndpointId &endpoint, const RequestId &request,
+                                  uint64_t events, Instant now) = 0;
     virtual void onAttemptEnd(const AttemptResult &result, Instant now) = 0;
     /// A response of an endpoint has arrived, with this notice.
     virtual void onNotice(const NoticeSource &source, const EndpointNotice &notice,
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -6,6 +6,7 @@
 #include "Addresses.h"
 #include "ConnectProbe.h"
 #include "CrashingPartsLink.h"
+#include "EndpointRateLink.h"
 #include "EvacuationRows.h"
 #include "RelayServer.h"
 #include "StatusServer.h"
@@ -33,9 +34,9 @@
 /// draining endpoint must be noticed.
 constexpr Interval MinEndpointReadInterval = std::chrono::milliseconds(300);
 
-/// How often a few peers are told what is known of endpoints' limits and of quarantined parts,
-/// while there are any.
-constexpr Interval GossipInterval = std::chrono::milliseconds(500);
+/// How often a few peers are told what is known of endpoints' limits, quarantined parts and
+/// endpoints' rates, while there are any.
+constexpr Interval GossipInterval = EndpointRates::RoundInterval;
 
 /// How long before the end of the stop's grace period open requests are aborted: time to send
 /// errors to their callers and to return the tokens to the store.
@@ -118,7 +119,11 @@
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_),
       exchangeChart_(Statechart::parse(readShareFile("statecharts/exchange.json"))),
       drainChart_(Statechart::parse(readShareFile("statecharts/drain.json"))), drain_(drainChart_),
-      pool_(io_, {}), endpoints_(settings_.host, settings_.domain, settings_.retries, log),
+      pool_(io_, {}),
+      rates_(settings_.sharesEndpointRates
+                     ? std::make_unique<EndpointRates>(settings_.host, settings_.domain)
+                     : nullptr),
+      endpoints_(settings_.host, settings_.domain, settings_.retries, log),
       link_(LinkLoadSettings{settings_.linkBytesPerSecond})
 {
     endpoints_.setRegions(settings_.regions);
@@ -168,6 +173,7 @@
                                               log.identity().incarnation.text() + "-quarantines",
                                               log_),
             log_, metrics_);
+    connectRates();
     endpoints_.onProcessReplaced = [this](const EndpointProcess &process) {
         crashingParts_->onProcessReplaced(process);
     };
@@ -221,6 +227,15 @@
 
 Edge::~Edge() = default;
 
+void Edge::connectRates()
+{
+    endpoints_.setRates(rates_.get());
+    if (rates_) {
+        rateLink_ = std::make_unique<EndpointRateLink>(tokens_->peers(), settings_.host, *rates_,
+                                                       log_, metrics_);
+    }
+}
+
 void Edge::startRelayServer()
 {
     if (settings_.listenRelay.empty()) {
@@ -281,6 +296,9 @@
     streamOrigins_->setHosts(others);
     crashingParts_->setHosts(others);
     versionRecorder_->setHosts(others);
+    if (rateLink_) {
+        rateLink_->setHosts(others);
+    }
 }
 
 void Edge::probeEndpoint(Instant now)
@@ -592,6 +610,9 @@
         tokens_->peers().gossipLimits(records, now);
     }
     crashingParts_->gossip(now);
+    if (rateLink_) {
+        rateLink_->gossip(now);
+    }
 }
 
 void Edge::onPeerLimits(const std::vector<EndpointLimitRecord> &records, bool rejected)
@@ -639,6 +660,9 @@
                    static_cast<double>(endpoints_.requestsRefusedByRegion()));
     metrics_.gauge("edge_endpoints_cold", static_cast<double>(endpoints_.coldEndpoints(now)));
     metrics_.gauge("edge_endpoints_limited", static_cast<double>(endpoints_.limitedEndpoints()));
+    if (rates_) {
+        metrics_.gauge("edge_endpoint_rates_known", static_cast<double>(rates_->knownCount(now)));
+    }
     metrics_.gauge("edge_partitioned", endpoints_.isPartitioned() ? 1.0 : 0.0);
     metrics_.gauge("edge_requests_relayed_now",
                    relayServer_ ? static_cast<double>(relayServer_->open()) : 0.0);
--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -28,6 +28,7 @@
     edge.retries.ratio = settings.at("retry_ratio").get<double>();
     edge.retries.baseRetries = settings.at("retry_slack").get<double>();
     edge.retries.window = millisOf(settings, "retry_window_ms");
+    edge.sharesEndpointRates = settings.at("endpoint_rates").get<std::string>() == "shared";
     edge.tokens.horizon = millisOf(settings, "token_horizon_ms");
     return edge;
 }
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -137,6 +137,9 @@
     limits_.setEndpoint(entry.id, entry.startedAtMillis, entry.slots);
     limitWhileCold(entry.id, now);
     withdrawals_.setEndpoint(entry.id, entry.startedAtMillis);
+    if (rates_ != nullptr) {
+        rates_->setEndpoint({entry.id, entry.startedAtMillis}, entry.service);
+    }
     changed_ = true;
     log_.write(Event(added ? "endpoint.listed" : "endpoint.changed")
                        .with("endpoint", entry.id)
@@ -213,6 +216,9 @@
             limits_.removeEndpoint(entry.first, now);
             cold_.removeEndpoint(entry.first);
             withdrawals_.removeEndpoint(entry.first, now);
+            if (rates_ != nullptr) {
+                rates_->removeEndpoint(entry.first);
+            }
         }
         return isOver;
     });
@@ -347,6 +353,9 @@
     if (isShared && yieldsToMoreUrgent(item, now)) {
         return refuseByLimits(item, {chosen.endpoint}, now);
     }
+    if (rates_ != nullptr) {
+        rates_->onSent(chosen.endpoint, work, now);
+    }
     const ListedEndpoint &listed = entries_.at(chosen.endpoint);
     return PlacementTarget{chosen.endpoint,
                            listed.address,
@@ -605,12 +614,26 @@
                                      Instant now)
 {
     selector_.onFirstToken(endpoint, request, now);
+    if (rates_ != nullptr) {
+        rates_->onFirstEvent(endpoint, request, now);
+    }
+}
+
+void EndpointDirectory::onStreamProgress(const EndpointId &endpoint, const RequestId &request,
+                                         uint64_t events, Instant now)
+{
+    if (rates_ != nullptr) {
+        rates_->onProgress(endpoint, request, events, now);
+    }
 }
 
 void EndpointDirectory::onAttemptEnd(const AttemptResult &result, Instant now)
 {
     selector_.onEnd(result, now);
     limits_.onEnd(result.endpoint, now);
+    if (rates_ != nullptr) {
+        rates_->onEnd(result.request);
+    }
 }
 
 void EndpointDirectory::onStaleEndpoint(const EndpointId &endpoint, Instant now)
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -30,6 +30,10 @@
 /// disconnect at eight times the target.
 constexpr double GapTimeoutFactor = 4.0;
 
+/// Events of a stream after which its progress is reported. At an endpoint that becomes five times
+/// slower they take 0.9 s, and it is to be noticed within 2 s.
+constexpr uint64_t ProgressEvents = 4;
+
 /// Maximum number of endpoints that a request fails to connect to. At 0.4 s each, three use up
 /// most of the 1.5 s that short calls wait.
 constexpr uint32_t MaxConnectFailures = 3;
@@ -538,7 +542,7 @@
         }
     }
     if (sink_.backlog() > MaxBacklogBytes) {
-        attempt.connection->pauseReading();
+        pauseReading();
     }
 }
 
@@ -563,14 +567,32 @@
         return;
     }
     if (attempt_->hasFirstEvent) {
-        reportAnswer(std::chrono::steady_clock::now());
+        const Instant now = std::chrono::steady_clock::now();
+        reportAnswer(now);
+        if (attempt_->unreportedEvents >= ProgressEvents) {
+            reportProgress(now);
+        }
         setStallTimeout(scaled(route_->eventGapTarget, GapTimeoutFactor));
     }
     if (sink_.backlog() > MaxBacklogBytes) {
-        attempt_->connection->pauseReading();
+        pauseReading();
     }
 }
 
+void Exchange::pauseReading()
+{
+    attempt_->wasPaused = true;
+    attempt_->connection->pauseReading();
+}
+
+void Exchange::reportProgress(Instant now)
+{
+    const uint64_t events = attempt_->wasPaused ? 0 : attempt_->unreportedEvents;
+    attempt_->unreportedEvents = 0;
+    attempt_->wasPaused = false;
+    context_.placement.onStreamProgress(attempt_->endpoint, metadata_.id, events, now);
+}
+
 bool Exchange::forwardEvent(const StreamEvent &event)
 {
     if (event.id && lastEventId_ && *event.id != *lastEventId_ + 1) {
@@ -585,6 +607,8 @@
         context_.placement.onFirstToken(attempt_->endpoint, metadata_.id, now);
         continuity_.onFirstEvent(service_->name, attempt_->version, now);
         statechart_.handle("event");
+    } else {
+        ++attempt_->unreportedEvents;
     }
     beginStream();
     if (event.id) {
@@ -807,6 +831,9 @@
     const Instant now = std::chrono::steady_clock::now();
     if (attempt_->outcome == AttemptOutcome::Completed) {
         reportAnswer(now);
+        if (attempt_->unreportedEvents > 0) {
+            reportProgress(now);
+        }
     }
     AttemptResult result;
     result.endpoint = attempt_->endpoint;
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -111,6 +111,27 @@
 INSTANTIATE_TEST_SUITE_P(Rows, ReplacedProcess, testing::ValuesIn(ReplacedCases),
                          [](const auto &row) { return row.param.name; });
 
+// Guards against endpoints whose times are measured under another process, or not at all.
+TEST_F(EndpointDirectoryTest, TimesAtAnEndpointReachItsRates)
+{
+    EndpointRates rates(HostId("h"), DomainId("d"));
+    directory_.setRates(&rates);
+    directory_.update(entry("e"), now_);
+    for (int i = 0; i < 60; ++i) {
+        ASSERT_EQ(chosenEndpoint(), "e");
+        now_ += std::chrono::milliseconds(100);
+        directory_.onFirstToken(EndpointId("e"), RequestId("r"), now_);
+        now_ += std::chrono::milliseconds(200);
+        directory_.onStreamProgress(EndpointId("e"), RequestId("r"), 4, now_);
+        directory_.onAttemptEnd({EndpointId("e"), RequestId("r"), true, {}, 5}, now_);
+        rates.tick(now_);
+    }
+    EXPECT_GT(rates.rateOf(EndpointId("e"), now_).samples, 0U);
+    directory_.update(entry("e", false, 2), now_);
+    EXPECT_EQ(rates.rateOf(EndpointId("e"), now_).samples, 0U);
+    directory_.setRates(nullptr);
+}
+
 TEST_F(EndpointDirectoryTest, DrainingEndpointGetsNoNewRequests)
 {
     directory_.update(entry("a"), now_);
--- a/unittests/Proxy/ExchangeTest.cpp
+++ b/unittests/Proxy/ExchangeTest.cpp
@@ -637,6 +637,24 @@
 
 // Guards against duplicate events: the caller resumes an interrupted stream by its last event
 // id, and an endpoint that doesn't get this id starts from the beginning.
+// Guards against rates of endpoints that are measured with the first event, which waits for the
+// prompt, or without the last ones.
+TEST(Exchange, ReportsTheProgressOfAStreamAfterItsFirstEvent)
+{
+    std::string stream = streamHead();
+    for (int i = 0; i < 7; ++i) {
+        stream += chunk(event(i));
+    }
+    ProxyTestHarness harness({{{stream + "0\r\n\r\n"}}});
+    harness.send(ProxyTestHarness::request("/stream/a", "r", ""));
+    EXPECT_TRUE(harness.waitFor("0\r\n\r\n"));
+    uint64_t events = 0;
+    for (const uint64_t reported : harness.placement.progress) {
+        events += reported;
+    }
+    EXPECT_EQ(events, 6U);
+}
+
 TEST(Exchange, CallersLastEventIdIsForwarded)
 {
     ProxyTestHarness harness({{{streamHead() + chunk(event(8)) + "0\r\n\r\n"}}});
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -71,6 +71,10 @@
                           const std::vector<EndpointId> &tried, Instant now) override;
     void onSent(const EndpointId &, const WorkItem &, Instant) override { ++sent; }
     void onFirstToken(const EndpointId &, const RequestId &, Instant) override {}
+    void onStreamProgress(const EndpointId &, const RequestId &, uint64_t events, Instant) override
+    {
+        progress.push_back(events);
+    }
     void onAttemptEnd(const AttemptResult &, Instant) override { ++ended; }
     void onNotice(const NoticeSource &, const EndpointNotice &notice, Instant) override
     {
@@ -103,6 +107,7 @@
     std::vector<EndpointId> staleEndpoints;
     std::vector<EndpointNotice> notices;
     std::vector<HostId> failedRelays;
+    std::vector<uint64_t> progress;  ///< events, as reported
     std::optional<Interval> backoff; ///< of all endpoints
     int connected = 0;
     int retriesLeft = 10;
