[Test] The soak plays unequal endpoints, ranks and callers that read slowly

Cause: the settings for load that exceeds a fleet's capacity are to hold under faults as well.

Change: in each fifth seed endpoints take 0.7 to 3 times as long, routes differ in rank, engines name their memory, one caller in five reads slowly, and the hosts run with token_allocation by_rank, token_reserve peak_demand, endpoint_rates shared, placement expected_time and memory_mb 120. The checks are those of the other seeds.

--- a/test/Soak/Callers.cpp
+++ b/test/Soak/Callers.cpp
@@ -15,7 +15,8 @@
 /// Longer than its patience: what the system says at the deadline is waited for.
 constexpr std::chrono::seconds ReadWithin(6);
 constexpr std::chrono::milliseconds Pause(15);
-constexpr uint64_t HangsUpAfter = 3; // events
+constexpr std::chrono::milliseconds SlowRead(60); // for each part of an answer
+constexpr uint64_t HangsUpAfter = 3;              // events
 
 /// What one caller sends, by chance of a hundred.
 struct Share
@@ -148,9 +149,14 @@
         attempt.answerBegan = true;
         return true;
     };
-    request.content_receiver = [&body, hangsUp](const char *bytes, std::size_t size, uint64_t,
-                                                uint64_t) {
+    constexpr uint64_t SlowReaders = 5; // one request of so many
+    const bool readsSlowly = fleet_.hasSlowReaders && stableHash(attempt.id) % SlowReaders == 0;
+    request.content_receiver = [&body, hangsUp, readsSlowly](const char *bytes, std::size_t size,
+                                                             uint64_t, uint64_t) {
         body.append(bytes, size);
+        if (readsSlowly) {
+            std::this_thread::sleep_for(SlowRead);
+        }
         const std::string enough = fmt::format("id: {}\n", HangsUpAfter);
         return !hangsUp || body.find(enough) == std::string::npos;
     };
--- a/test/Soak/Callers.h
+++ b/test/Soak/Callers.h
@@ -28,6 +28,7 @@
     std::function<int(int)> incarnation;
     std::function<uint64_t()> newestVersion;
     bool hasCrashingPart = false; ///< a caller sends prompts that crash endpoints
+    bool hasSlowReaders = false;  ///< some callers read their answers slowly
 };
 
 constexpr uint64_t UsualPrompt = 200; // tokens
--- a/test/Soak/Endpoint.cpp
+++ b/test/Soak/Endpoint.cpp
@@ -258,7 +258,7 @@
 void Endpoint::servePlain(const std::string &id, std::size_t, int spoilt,
                           httplib::Response &response)
 {
-    std::this_thread::sleep_for(PlainWork);
+    std::this_thread::sleep_for(taking(PlainWork));
     const std::string body = plainBody(id);
     if (spoilt != CutOff) {
         response.set_content(body, "text/plain");
@@ -288,7 +288,7 @@
                         return false;
                     }
                     noteEvent(run);
-                    std::this_thread::sleep_for(EventPause);
+                    std::this_thread::sleep_for(taking(EventPause));
                 }
                 sink.done();
                 return true;
--- a/test/Soak/Endpoint.h
+++ b/test/Soak/Endpoint.h
@@ -48,6 +48,8 @@
     /// Lets it be cold for ColdTime after each start under another id, and note what it gets then
     /// beyond what it bears. Set before any request arrives.
     void setColdAfterStart(bool isCold) { isColdAfterStart_ = isCold; }
+    /// Sets what its work takes in percent of the usual. Set before any request arrives.
+    void setSlowness(int percent) { slownessPercent_ = percent; }
     /// Rejects requests beyond a few at a time from now on, names the rejections that it bears, and
     /// notes when there are more.
     void limitRejections(bool limits);
@@ -71,6 +73,11 @@
                     httplib::Response &response);
     void serveStream(const std::string &stream, uint64_t first, std::size_t run, int spoilt,
                      httplib::Response &response);
+    /// How long work takes here that usually takes \p usual.
+    std::chrono::milliseconds taking(std::chrono::milliseconds usual) const
+    {
+        return usual * slownessPercent_ / 100;
+    }
     std::size_t begin(const httplib::Request &request, bool spoilt);
     void noteEvent(std::size_t run);
 
@@ -84,6 +91,7 @@
     std::atomic<int> open_{0};
     Instant requestsLimitedAt_ = Never;
     Instant rejectionsLimitedAt_ = Never;
+    int slownessPercent_ = 100;
     bool isColdAfterStart_ = false;
     Instant coldUntil_{};
     std::vector<Instant> coldArrivals_;
--- a/test/Soak/SoakTest.cpp
+++ b/test/Soak/SoakTest.cpp
@@ -48,6 +48,10 @@
 constexpr uint64_t EvacuationsEach = 11;
 constexpr uint64_t EvacuationsRemainder = 1;
 
+/// In the seeds of this remainder of so many, endpoints and callers are unequal.
+constexpr uint64_t UnequalEach = 5;
+constexpr uint64_t UnequalRemainder = 2;
+
 int numberFrom(const char *variable, int otherwise)
 {
     const char *const text = std::getenv(variable);
@@ -122,6 +126,7 @@
         plan.length += std::chrono::seconds(4);
         shape.hasColdStarts = true;
     }
+    shape.hasUnequalLoad = plan.seed % UnequalEach == UnequalRemainder;
     shape.hosts = numberFrom("SEQUOIAGATE_SOAK_HOSTS", shape.hosts);
     if (plan.seed % IdleEach == IdleRemainder) {
         shape.idleLimit = IdleLimit;
--- a/test/Soak/World.cpp
+++ b/test/Soak/World.cpp
@@ -26,6 +26,8 @@
 constexpr int LossPercent = 30;
 constexpr std::size_t Workers = 256;
 constexpr int StopGraceMs = 5000;
+constexpr int EngineMemoryTokens = 20'000;
+constexpr int HostMemoryMb = 120;
 
 /// Loopback addresses of this test process alone, so that ports needn't be found.
 std::string ip(int host)
@@ -45,16 +47,24 @@
     return fmt::format("v{}", 1 + (endpoint + starts / 2) % 2);
 }
 
-nlohmann::json route(const std::string &path, const std::string &kind, const std::string &service)
+nlohmann::json route(const std::string &path, const std::string &kind, const std::string &service,
+                     int priority = 0)
 {
-    return {{"name", path},        {"host", "h.example"},
-            {"path-prefix", path}, {"type", kind},
-            {"timeout-ms", 3000},  {"slo-ms", 800},
-            {"priority", 0},       {"backend", service},
-            {"max-attempts", 2},   {"resumable", path == "/talk/"},
+    return {{"name", path},         {"host", "h.example"},
+            {"path-prefix", path},  {"type", kind},
+            {"timeout-ms", 3000},   {"slo-ms", 800},
+            {"priority", priority}, {"backend", service},
+            {"max-attempts", 2},    {"resumable", path == "/talk/"},
             {"gap-target-ms", 400}};
 }
 
+/// What an endpoint's work takes, in percent of the usual.
+int slownessOf(int endpoint)
+{
+    constexpr int Slowness[] = {70, 70, 170, 100, 300};
+    return Slowness[static_cast<std::size_t>(endpoint) % std::size(Slowness)];
+}
+
 nlohmann::json backend(const std::string &name, bool hasColdStarts)
 {
     nlohmann::json row = {{"name", name}, {"max-conns", 400}};
@@ -68,9 +78,10 @@
 nlohmann::json configuration(uint64_t version, const WorldShape &shape, uint64_t smallBudget,
                              const nlohmann::json &limits)
 {
-    nlohmann::json routes = {
-            route("/once/", "non_idempotent", "plain"), route("/read/", "idempotent", "plain"),
-            route("/chat/", "streaming", "engines"), route("/talk/", "streaming", "engines")};
+    nlohmann::json routes = {route("/once/", "non_idempotent", "plain"),
+                             route("/read/", "idempotent", "plain"),
+                             route("/chat/", "streaming", "engines", shape.hasUnequalLoad ? 1 : 0),
+                             route("/talk/", "streaming", "engines")};
     nlohmann::json keys = {"key-large"};
     // Each version's own route and key stay for one version more.
     for (uint64_t probe = version > 1 ? version - 1 : 1; probe <= version; ++probe) {
@@ -79,6 +90,9 @@
     }
     nlohmann::json engines = backend("engines", shape.hasColdStarts);
     engines["engine"] = {{"stride", TokensPerEvent}};
+    if (shape.hasUnequalLoad) {
+        engines["engine"]["kv-tokens"] = EngineMemoryTokens;
+    }
     return {{"version", version},
             {"routes", routes},
             {"backends", {backend("plain", shape.hasColdStarts), engines}},
@@ -104,6 +118,9 @@
                                                   softwareVersion(i, 0), record_, Workers);
         place.relay = std::make_unique<TcpRelay>(loop_, ip(RelayHost), place.server->address());
         place.server->setColdAfterStart(shape_.hasColdStarts);
+        if (shape_.hasUnequalLoad) {
+            place.server->setSlowness(slownessOf(i));
+        }
         if (shape_.hasCrashingPart) {
             place.server->onCrash = [this, i] {
                 crashByPart(i);
@@ -125,6 +142,7 @@
     }
     view_.hosts = shape_.hosts;
     view_.hasCrashingPart = shape_.hasCrashingPart;
+    view_.hasSlowReaders = shape_.hasUnequalLoad;
     view_.address = [this](int host) {
         return hosts_[at(host)].callers->address();
     };
@@ -157,7 +175,8 @@
     constexpr double RatioStep = 0.01;
     constexpr uint64_t Steps = 10;
     const Host &of = hosts_[at(host)];
-    return {{"host", fmt::format("h{}", host)},
+    nlohmann::json settings = {
+            {"host", fmt::format("h{}", host)},
             {"domain", fmt::format("d{}", host % 2)},
             {"listen", fmt::format("{}:{}", ip(1 + host), CallerPort)},
             {"listen_ready", fmt::format("{}:{}", ip(1 + host), ReadyPort)},
@@ -168,6 +187,14 @@
             {"ready_grace_ms", 1000},
             {"stop_grace_ms", StopGraceMs},
             {"retry_ratio", Ratio + RatioStep * static_cast<double>(reloads % Steps)}};
+    if (shape_.hasUnequalLoad) {
+        settings.update({{"token_allocation", "by_rank"},
+                         {"token_reserve", "peak_demand"},
+                         {"endpoint_rates", "shared"},
+                         {"placement", "expected_time"},
+                         {"memory_mb", HostMemoryMb}});
+    }
+    return settings;
 }
 
 void World::makeLinks(Host &host)
--- a/test/Soak/World.h
+++ b/test/Soak/World.h
@@ -34,6 +34,9 @@
     bool ownLinks = false;                 ///< each host reaches the endpoints by links of its own
     bool hasCrashingPart = false;          ///< of prompts; it crashes endpoints
     bool hasColdStarts = false;            ///< endpoints are cold for a while after their starts
+    /// Endpoints of unequal speed, routes of unequal rank, callers that read slowly, and hosts that
+    /// decide by these.
+    bool hasUnequalLoad = false;
 };
 
 /// Used by the thread that plays the faults.
