[Proxy] Rank requests for tokens by their route

Change: a reservation carries the route's priority. Endpoints are told the workspace's as before. A comment of another test stands before that test again.

Measured: unittests-Proxy, Exchange*: 20 of 20 pass.

--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -111,9 +111,11 @@
 struct ReservationRequest
 {
     WorkspaceId workspace;
-    std::string route;     ///< name of the request's route
-    uint32_t priority = 0; ///< 0 is the most urgent
-    uint64_t tokens = 0;   ///< the most that the request may use
+    std::string route; ///< name of the request's route
+    /// The route's; 0 is the most urgent. A priority of the workspace is the same for all requests
+    /// that compete for its tokens, and says nothing of their order.
+    uint32_t priority = 0;
+    uint64_t tokens = 0; ///< the most that the request may use
     Instant receivedAt{};
     Interval latencyTarget{};
     Instant deadline = Never;
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -249,7 +249,7 @@
     reservedTokens_ = metadata_.promptTokens + metadata_.maxOutputTokens;
     const std::weak_ptr<Exchange> weak = weak_from_this();
     const ReservationRequest reservation{
-            workspace_->name,    route_->name,          priority(), reservedTokens_,
+            workspace_->name,    route_->name,          route_->priority, reservedTokens_,
             request_.receivedAt, route_->latencyTarget, deadline_};
     const ReservationTicket ticket =
             context_.tokens.reserve(reservation, [weak](std::optional<Verdict> refusal) {
--- a/unittests/Proxy/ExchangeTest.cpp
+++ b/unittests/Proxy/ExchangeTest.cpp
@@ -464,10 +464,12 @@
                          [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against an allocation of tokens that doesn't know the route, the rank or the times of a
-// request.
+// request, or ranks all requests of a workspace alike since the workspace has a priority.
 TEST(Exchange, DescribesTheRequestToTheTokenReservations)
 {
     ProxyTestHarness harness({{{plain("ok")}}});
+    harness.config->workspaces.front().overridesPriority = true;
+    harness.config->workspaces.front().priority = Route().priority + 1;
     harness.send(ProxyTestHarness::request("/get/a", "r1"));
     ASSERT_TRUE(harness.waitUntil([&harness] { return harness.tokenReservations.settled == 1; }));
     const ReservationRequest &request = harness.tokenReservations.last;
@@ -652,8 +654,6 @@
     EXPECT_TRUE(harness.waitFor("HTTP/1.1 500"));
 }
 
-// Guards against duplicate events: the caller resumes an interrupted stream by its last event
-// id, and an endpoint that doesn't get this id starts from the beginning.
 // Guards against rates of endpoints that are measured with the first event, which waits for the
 // prompt, or without the last ones.
 TEST(Exchange, ReportsTheProgressOfAStreamAfterItsFirstEvent)
@@ -672,6 +672,8 @@
     EXPECT_EQ(events, 6U);
 }
 
+// Guards against duplicate events: the caller resumes an interrupted stream by its last event
+// id, and an endpoint that doesn't get this id starts from the beginning.
 TEST(Exchange, CallersLastEventIdIsForwarded)
 {
     ProxyTestHarness harness({{{streamHead() + chunk(event(8)) + "0\r\n\r\n"}}});
