--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -41,6 +41,8 @@
     Incarnation incarnation;
     TokenHolderSettings holder;
     TokenAllocationPolicy allocation = TokenAllocationPolicy::FirstCome;
+    /// The allocation and the reserve policy apply to fleets of at least so many hosts.
+    uint32_t policiesFromHosts = 1;
 };
 
 /// Single-threaded.
@@ -96,6 +98,8 @@
     void onClockResponse(const ClockResponse &response);
     void onTokenResponse(const nlohmann::json &message);
     void updatePeers();
+    /// Sets the policies that apply to a fleet of \p hosts.
+    void applyPolicies(uint32_t hosts);
     void chooseHomes();
     void tick();
     void armTick();
--- a/include/sequoiagate/Ledger/OutageReserve.h
+++ b/include/sequoiagate/Ledger/OutageReserve.h
@@ -100,6 +100,7 @@
     explicit OutageReserve(const OutageReserveSettings &settings);
 
     void setHorizon(Interval horizon) { settings_.horizon = horizon; }
+    void setPolicy(ReservePolicy policy) { settings_.policy = policy; }
 
     void addDemand(uint64_t tokens, Instant now);
     /// Subtracts tokens that were reserved but not used.
--- a/include/sequoiagate/Ledger/TokenHolder.h
+++ b/include/sequoiagate/Ledger/TokenHolder.h
@@ -129,6 +129,7 @@
     /// Replaces the budgets. Unspent tokens of a workspace whose budget was lowered are returned.
     void setBudgets(const std::vector<WorkspaceBudget> &budgets, Instant now);
     void setHorizon(Interval horizon);
+    void setReservePolicy(ReservePolicy policy);
     /// Sets the number of processes that share the budgets.
     /// \pre count > 0
     void setHolderCount(uint32_t count) { holderCount_ = count; }
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -87,6 +87,7 @@
     settings.incarnation = incarnation;
     settings.holder = edge.tokens;
     settings.allocation = edge.tokenAllocation;
+    settings.policiesFromHosts = edge.tokenPoliciesFromHosts;
     return settings;
 }
 
--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -34,6 +34,7 @@
     edge.tokenAllocation =
             isByRank ? TokenAllocationPolicy::ByRank : TokenAllocationPolicy::FirstCome;
     edge.sharesEndpointRates = settings.at("endpoint_rates").get<std::string>() == "shared";
+    edge.tokenPoliciesFromHosts = settings.at("token_policies_from_hosts").get<uint32_t>();
     edge.tokens.horizon = millisOf(settings, "token_horizon_ms");
     edge.tokens.policy = settings.at("token_reserve").get<std::string>() == "peak_demand"
                                  ? ReservePolicy::PeakDemand
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -100,6 +100,7 @@
     waiting_ = std::make_unique<TokenWaitQueue>(holder_, settings_.allocation, log, metrics,
                                                 std::move(hooks));
     waiting_->setHorizon(settings_.holder.horizon);
+    applyPolicies(1);
     // Called after the link has passed on the tokens that the message contains.
     peers_.setHandler("move", [this](const nlohmann::json &message, const auto &) {
         onTokenResponse(message);
@@ -376,6 +377,13 @@
     }
 }
 
+void TokenService::applyPolicies(uint32_t hosts)
+{
+    const bool areApplied = hosts >= settings_.policiesFromHosts;
+    holder_.setReservePolicy(areApplied ? settings_.holder.policy : ReservePolicy::MeanDemand);
+    waiting_->setPolicy(areApplied ? settings_.allocation : TokenAllocationPolicy::FirstCome);
+}
+
 void TokenService::updatePeers()
 {
     std::vector<Peer> peers;
@@ -386,6 +394,7 @@
     }
     const auto count = static_cast<uint32_t>(peers.size() + 1);
     holder_.setHolderCount(count);
+    applyPolicies(count);
     // Each process's batches wake all readers, so without this the fleet's reads per second would
     // grow with the square of its size. Own batches are read back without this delay.
     follower_.setPace(std::max<Interval>(MinReadInterval, MinReadIntervalPerProcess * count));
--- a/lib/Edge/TokenWaitQueue.h
+++ b/lib/Edge/TokenWaitQueue.h
@@ -60,6 +60,8 @@
     ReservationTicket reserve(const ReservationRequest &request, Handler handler, Instant now);
     /// See TokenReservations::cancel.
     void cancel(ReservationTicket ticket, Instant now);
+    /// Sets who gets scarce tokens, also of the requests that are waiting.
+    void setPolicy(TokenAllocationPolicy policy) { policy_ = policy; }
     /// Serves waiting requests. To be called when there may be more usable tokens.
     void serve(Instant now);
     /// Serves waiting requests, continues the searches for tokens, and refuses requests that have
--- a/lib/Ledger/TokenHolder.cpp
+++ b/lib/Ledger/TokenHolder.cpp
@@ -67,6 +67,14 @@
     }
 }
 
+void TokenHolder::setReservePolicy(ReservePolicy policy)
+{
+    settings_.policy = policy;
+    for (auto &[workspace, account] : accounts_) {
+        account.reserve.setPolicy(policy);
+    }
+}
+
 ReserveContext TokenHolder::contextOf(const WorkspaceId &workspace, const Account &account) const
 {
     return {account.prepaid,
