--- a/include/sequoiagate/Decisions/EndpointRates.h
+++ b/include/sequoiagate/Decisions/EndpointRates.h
@@ -11,7 +11,7 @@
 ///   contributed, or count it twice.
 /// - A published rate replaces an older one. It spreads by gossip, a few records to one host per
 ///   round. A rate that has changed considerably is sent to all hosts at once, since gossip takes
-///   3 to 5 s to reach all of 65 hosts, and a slow endpoint is to be known within 2 s.
+///   several rounds to reach all hosts, and a slow endpoint is to be known within 2 s.
 /// - Cost: measurements that agree with the published rate are thinned out, the rest having a
 ///   higher weight; the sends to all hosts have a budget for the whole fleet. So the cost per host
 ///   doesn't depend on the number of hosts.
--- a/lib/Decisions/EndpointRateEstimates.cpp
+++ b/lib/Decisions/EndpointRateEstimates.cpp
@@ -17,8 +17,8 @@
 constexpr std::size_t MinLevelTimes = 5;
 
 /// Newest samples whose median is the factor. Half of 24 independent ones are among the seventh of
-/// the times that are twice as long with a probability of 0.00004. With 24 samples, of which those
-/// that don't agree with the known rate have little weight, 5 of 1,000 factors were above 1.3.
+/// the times that are twice as long with a probability of 0.00004. More are kept, since samples
+/// that agree with the known rate are thinned out.
 constexpr std::size_t MaxSamples = 40;
 constexpr Interval MaxSampleAge = std::chrono::seconds(15);
 
@@ -27,9 +27,8 @@
 constexpr double VariationLog = 1.05;
 
 /// Bounds of what one sample adds to the evidence, and the evidence that suffices: five samples in
-/// succession that are three times as long, or four that are five times as long. An endpoint gets
-/// six prompts per second, and the first event of a slow one takes longer. Four samples at three
-/// times occurred within half a second in which all times were twice as long.
+/// succession that are three times as long, or four that are five times as long. Fewer are
+/// likely to occur within a moment in which an endpoint's times are twice as long by chance.
 constexpr double MaxStep = 0.7;
 constexpr double MinStep = -1.0;
 constexpr double ChangeEvidence = 2.6;
--- a/lib/Decisions/EndpointRates.cpp
+++ b/lib/Decisions/EndpointRates.cpp
@@ -20,7 +20,7 @@
 /// 1 to 11, and a few samples decide the median.
 constexpr double SmoothingShare = 0.1;
 /// The highest weight for some time after a change, since the samples that showed the change are in
-/// part of the time before it: an endpoint that had recovered stayed at 1.7 for 2 s.
+/// part of the time before it.
 constexpr uint32_t WeightAfterChange = 4;
 constexpr Interval ChangeTime = std::chrono::seconds(3);
 /// Measurements of a kind sent in a round at most, for bursts in which none agrees.
