[Test] Give a test program 1,500 s under the sanitizers

Cause: unittests-Ledger and unittests-Decisions play more simulated fleets (57 to 97 s and 40 to 48 s on the plain build beside other work); under a sanitizer that may exceed the 600 s after which ctest ends a program. The limit ends a program that hangs and decides no verdict.

Measured: the sanitizers were not run on this code.

--- a/cmake/Parts.cmake
+++ b/cmake/Parts.cmake
@@ -101,7 +101,7 @@
         sequoiagate_test_common(${target})
         add_test(NAME ${target} COMMAND ${target})
         # A fixed seed: the same verdict every run. Soak runs vary it.
-        set_tests_properties(${target} PROPERTIES TIMEOUT 600 LABELS ${kind}
+        set_tests_properties(${target} PROPERTIES TIMEOUT 1500 LABELS ${kind}
             ENVIRONMENT "RC_PARAMS=seed=20261202 max_success=200")
         if(kind STREQUAL "test")
             add_dependencies(${target} ${tools})
