--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -234,6 +234,9 @@
     void reportReplaced(const EndpointEntry &entry, const boost::asio::ip::tcp::endpoint &address);
     void onLeavingNotice(const NoticeSource &source, const char *heardFrom, Instant now);
 
+    /// How long a request waits for a slot of a limited endpoint.
+    static constexpr Interval MaxSlotWait = std::chrono::milliseconds(200);
+
     struct ListedEndpoint
     {
         EndpointEntry entry;
