[Proxy] Don't repeat a request of whose plain response a part was forwarded

Cause: an idempotent response too large to be buffered (over 256 KB) is forwarded as it comes. If its endpoint then broke off, the request was sent to another one, whose response followed behind the part, with a last chunk: a body of two responses that looks complete. Found by a review; the code stood so on.

Change: such a request isn't repeated; the caller's connection ends without the last chunk.

--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -429,7 +429,8 @@
 bool Exchange::mayRetry() const
 {
     const bool repeatable = route_->kind == RouteKind::Idempotent || route_->resumable;
-    return repeatable && sendCount_ < route_->maxAttempts;
+    // A plain response of which a part was forwarded can't go on with another endpoint's.
+    return repeatable && !plainResponseForwarded_ && sendCount_ < route_->maxAttempts;
 }
 
 void Exchange::onConnected()
--- a/unittests/Proxy/ExchangeTest.cpp
+++ b/unittests/Proxy/ExchangeTest.cpp
@@ -654,6 +654,38 @@
     EXPECT_TRUE(harness.waitFor("HTTP/1.1 500"));
 }
 
+struct PartlyForwardedCase
+{
+    const char *name;
+    AfterReply then; ///< of the endpoint, in the middle of its response
+};
+
+class PartlyForwarded : public testing::TestWithParam<PartlyForwardedCase>
+{};
+
+// Guards against a response that looks complete and holds the beginning of one endpoint's and the
+// whole of another's: it is too large to be buffered, and the request may be repeated.
+TEST_P(PartlyForwarded, ResponseIsNotFollowedByAnother)
+{
+    const std::string body(600 * 1024, 'a');
+    const std::string whole = plain(body);
+    ProxyTestHarness harness({{{whole.substr(0, whole.size() - 100 * 1024), GetParam().then}},
+                              {{plain(std::string(600 * 1024, 'b'))}}});
+    harness.send(ProxyTestHarness::request("/get/a", "r"));
+    harness.waitUntil(
+            [&harness] { return harness.closed() || absl::EndsWith(harness.received(), "bbbb"); });
+    // A reset may drop what the first endpoint sent; then the second one's response is the whole.
+    const bool isPartOfFirst = absl::StrContains(harness.received(), "aaaa");
+    EXPECT_FALSE(isPartOfFirst && absl::StrContains(harness.received(), "bbbb"));
+    EXPECT_FALSE(isPartOfFirst && absl::EndsWith(harness.received(), "0\r\n\r\n"));
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, PartlyForwarded,
+                         testing::Values(PartlyForwardedCase{"Closed", AfterReply::Close},
+                                         PartlyForwardedCase{"Reset", AfterReply::Reset},
+                                         PartlyForwardedCase{"Stalled", AfterReply::Hang}),
+                         [](const auto &row) { return row.param.name; });
+
 // Guards against rates of endpoints that are measured with the first event, which waits for the
 // prompt, or without the last ones.
 TEST(Exchange, ReportsTheProgressOfAStreamAfterItsFirstEvent)
