[Decisions] [Edge] A host that slept doesn't take its list of versions for recent

Cause: the steady clock stands still while a host sleeps, so that a list read before seemed less than two seconds old, and the host could vouch that a service had one version only.

Change: the clock since boot is compared as well before a host says so. A test for a route that was moved before all hosts ended.

--- a/include/sequoiagate/Decisions/VersionHistory.h
+++ b/include/sequoiagate/Decisions/VersionHistory.h
@@ -67,8 +67,15 @@
     void setLongestStream(Interval longest) { longestStream_ = longest; }
     /// Replaces the versions that are listed.
     void setListed(const std::vector<ListedVersion> &listed, Instant now);
-    /// Called whenever the list is complete as of \p now.
-    void onRead(Instant now) { readAt_ = now; }
+    /// Called whenever the list is complete as of \p now. \param sinceBoot the clock since boot
+    void onRead(Instant now, Millis sinceBoot = Millis::zero())
+    {
+        readAt_ = now;
+        readSinceBoot_ = sinceBoot;
+    }
+    /// Called before view() with the clock since boot. It goes on while the host sleeps, and the
+    /// steady clock doesn't: a list that seems recent may have been read before.
+    void checkAge(Millis sinceBoot);
     /// Called if changes of the list may have been missed.
     void onGap(Instant now);
     /// Called if requests that went to another service so far go to \p service from now on.
@@ -104,6 +111,7 @@
     Interval longestStream_{};
     Instant observedSince_ = Never;
     Instant readAt_{};
+    Millis readSinceBoot_{};
     bool recordsRead_ = false;
 };
 
--- a/lib/Decisions/VersionHistory.cpp
+++ b/lib/Decisions/VersionHistory.cpp
@@ -19,6 +19,13 @@
     }
 }
 
+void VersionHistory::checkAge(Millis sinceBoot)
+{
+    if (sinceBoot >= readSinceBoot_ + MaxListAge) {
+        readAt_ = Instant();
+    }
+}
+
 void VersionHistory::onGap(Instant now)
 {
     observedSince_ = now;
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -12,6 +12,7 @@
 #include "StatusServer.h"
 #include "StreamOriginLink.h"
 #include "VersionRecorder.h"
+#include "sequoiagate/Base/BootClock.h"
 #include "sequoiagate/Service/DeadlineTimer.h"
 #include "sequoiagate/Service/Events.h"
 #include "sequoiagate/Service/Program.h"
@@ -458,7 +459,7 @@
     if (endpointFollower_->current()) {
         const Instant now = std::chrono::steady_clock::now();
         streamOrigins_->versions().setListed(endpoints_.listedVersions(), now);
-        streamOrigins_->versions().onRead(now);
+        streamOrigins_->versions().onRead(now, sinceBoot());
         versionRecorder_->tick(now);
     }
 }
--- a/lib/Edge/StreamOriginLink.cpp
+++ b/lib/Edge/StreamOriginLink.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "StreamOriginMessage.h"
+#include "sequoiagate/Base/BootClock.h"
 
 namespace sequoiagate {
 
@@ -75,6 +76,7 @@
     });
     peers_.setHandler(OriginQueryMessageKind, [this](const nlohmann::json &message,
                                                      const Address &from) {
+        versions().checkAge(sinceBoot());
         const OriginResponse response =
                 origins_.respond(decodeOriginQuery(message), std::chrono::steady_clock::now());
         peers_.send(encodeOriginResponse(self_, response), from);
@@ -109,6 +111,7 @@
 void StreamOriginLink::find(const ServiceId &service, const RequestId &first, Instant now,
                             std::function<void(const StreamOrigin &)> handler)
 {
+    versions().checkAge(sinceBoot());
     origins_.find(service, first, now, std::move(handler));
     armTimer();
 }
--- a/unittests/Decisions/VersionHistoryTest.cpp
+++ b/unittests/Decisions/VersionHistoryTest.cpp
@@ -47,6 +47,23 @@
          Span / 2, VersionKnowledge::Unknown, V1},
         // Guards against a host that is partitioned from the store and doesn't see a new version.
         {"NotUpToDate", [](VersionHistory &) {}, Span, VersionKnowledge::Unknown, V1},
+        // Guards against a host that slept and takes its list for recent, since its steady clock
+        // stood still.
+        {"Slept",
+         [](VersionHistory &history) {
+             history.onRead(Start + Span, std::chrono::hours(1));
+             history.checkAge(std::chrono::hours(1)
+                              + std::chrono::duration_cast<Millis>(VersionHistory::MaxListAge));
+         },
+         Span, VersionKnowledge::Unknown, V1},
+        {"SleptAndReadAgain",
+         [](VersionHistory &history) {
+             history.onRead(Start + Span, std::chrono::hours(1));
+             history.checkAge(std::chrono::hours(2));
+             history.onRead(Start + Span, std::chrono::hours(2));
+             history.checkAge(std::chrono::hours(2));
+         },
+         Span, VersionKnowledge::Sole, V1},
         {"TwoVersions",
          [](VersionHistory &history) {
              list(history, {V1, V2}, Start + Span);
--- a/unittests/Edge/VersionRecorderTest.cpp
+++ b/unittests/Edge/VersionRecorderTest.cpp
@@ -159,6 +159,22 @@
     EXPECT_EQ(viewOf(0).knowledge, VersionKnowledge::Several);
 }
 
+// Guards against streams that began at another service, from which their route was moved before all
+// hosts ended.
+TEST_F(RecordingFleet, RemembersThatARouteWasMoved)
+{
+    startAll();
+    list({"v1"});
+    run(std::chrono::seconds(7));
+    for (const auto &host : hosts_) {
+        host->versions.onRouteMoved(S, now_);
+    }
+    run(std::chrono::seconds(7));
+    startAll();
+    list({"v1"});
+    EXPECT_FALSE(viewOf(0).isRecorded);
+}
+
 TEST_F(RecordingFleet, KnowsThatThereWasOneVersion)
 {
     startAll();
