[Decisions] [Edge] Resume no stream at an endpoint that may have started again with another version

Cause: an endpoint may start again under its id with another software version. Until its new entry is read, hosts took it for the old version, so a resumed stream could go on there, and a stream that began there was recorded under the wrong version. Nothing in a response names the software version.

Change: after a failed connection, the version of an endpoint is uncertain until its entry has been written twice more, since the first one may be older, or names another start of the process. Until then it gets no resumed stream (exclusion "unconfirmed"), the caller is told to return if no other endpoint is left, and streams that begin there aren't recorded.

Ruled out: the same after a reset of an established connection. Resets of many connections at once, without an end of the endpoint, would refuse the very resumptions that they cause.

Remains: a host that made no connection while the endpoint was down.

--- a/include/sequoiagate/Decisions/EndpointEligibility.h
+++ b/include/sequoiagate/Decisions/EndpointEligibility.h
@@ -30,11 +30,12 @@
     OtherRegion,  ///< the request's body may not be sent to its region
     Evacuated,    ///< its failure domain is
     BackingOff,   ///< it asked this host to send nothing
+    Unconfirmed,  ///< it may have started again with another version since its entry was written
     Limited,      ///< this host's share of its limits is used up
     Unreachable,  ///< a connection failed a moment ago
     OnTrial,      ///< the first request after a backoff isn't answered yet
 };
-inline constexpr std::size_t ExclusionCount = 8;
+inline constexpr std::size_t ExclusionCount = 9;
 
 /// How strictly a reason excludes an endpoint.
 enum class Strictness {
@@ -51,6 +52,7 @@
     const RegionId &region; ///< empty if it isn't known
     bool isLeaving = false;
     Instant unreachableUntil{};
+    bool isVersionConfirmed = true; ///< by an entry written since a connection failed
 };
 
 /// The endpoints of a service that may not get a request, by reason.
@@ -164,6 +166,7 @@
     Instant otherRegionEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant evacuationEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant backoffEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
+    Instant confirmationEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant limitEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant unreachableEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant trialEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -227,6 +227,8 @@
                                  Instant now) const;
     void onBackoffNotice(const NoticeSource &source, Interval duration, const char *heardFrom,
                          Instant now);
+    /// The version of \p endpoint isn't certain until its entry has been written again.
+    void awaitConfirmation(const EndpointId &endpoint);
     std::string describeWithdrawals(const std::vector<EndpointId> &endpoints, Instant now) const;
     /// Makes the limit of \p endpoint follow how cold it is.
     void limitWhileCold(const EndpointId &endpoint, Instant now);
@@ -245,6 +247,7 @@
         Instant removeAt = Never; ///< end of the grace period after its entry disappeared
         Instant excludedUntil{};  ///< not chosen before then, since it was unreachable
         bool isLeaving = false;   ///< as published
+        int entriesToConfirm = 0; ///< until its version is certain
     };
 
     /// A request that waits for a slot of an endpoint's limit.
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -74,6 +74,7 @@
         EndpointId endpoint;
         HostId relay; ///< the host that relays it; empty if none does
         SoftwareVersion version;
+        bool isVersionConfirmed = true;
         uint64_t startedAtMillis = 0; ///< of the endpoint's process
         Instant sentAt;
         ResponseMetadata metadata;
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -58,6 +58,8 @@
     std::string limits; ///< the endpoint's limits, and those that excluded others, for logs
     SoftwareVersion version;
     uint64_t startedAtMillis = 0; ///< identifies the endpoint's process
+    /// False if the endpoint may have started again with another version.
+    bool isVersionConfirmed = true;
 };
 
 /// No endpoint may be used yet; the request is to be placed again at this time.
--- a/include/sequoiagate/Proxy/StreamContinuity.h
+++ b/include/sequoiagate/Proxy/StreamContinuity.h
@@ -48,8 +48,10 @@
     void findOrigin(const ServiceId &service, Instant now,
                     std::function<void(const StreamOrigin &)> handler);
     void onOriginFound(const StreamOrigin &origin);
-    /// Called before the first event of each attempt is forwarded.
-    void onFirstEvent(const ServiceId &service, const SoftwareVersion &version, Instant now);
+    /// Called before the first event of each attempt is forwarded. A version that isn't confirmed
+    /// isn't recorded: a resumption is rather refused than continued at the wrong version.
+    void onFirstEvent(const ServiceId &service, const SoftwareVersion &version, bool isConfirmed,
+                      Instant now);
     /// The version at which the stream has to go on; nullopt before it has begun.
     const std::optional<SoftwareVersion> &version() const { return version_; }
 
--- a/lib/Decisions/EndpointEligibility.cpp
+++ b/lib/Decisions/EndpointEligibility.cpp
@@ -35,6 +35,8 @@
           &EndpointEligibility::evacuationEnd, &EndpointEligibility::hasEvacuations},
          {Exclusion::BackingOff, "backing_off", Strictness::Always,
           &EndpointEligibility::backoffEnd, &EndpointEligibility::hasWithdrawals},
+         {Exclusion::Unconfirmed, "unconfirmed", Strictness::Always,
+          &EndpointEligibility::confirmationEnd, &EndpointEligibility::hasVersion},
          {Exclusion::Limited, "limited", Strictness::Always, &EndpointEligibility::limitEnd,
           &EndpointEligibility::hasLimits},
          {Exclusion::Unreachable, "unreachable", Strictness::WhileOthersCanBeUsed,
@@ -140,6 +142,12 @@
                                                        : NotExcluded;
 }
 
+Instant EndpointEligibility::confirmationEnd(const EndpointState &endpoint, const WorkItem &item,
+                                             Instant) const
+{
+    return neverIf(item.version && !endpoint.isVersionConfirmed);
+}
+
 Instant EndpointEligibility::limitEnd(const EndpointState &endpoint, const WorkItem &,
                                       Instant now) const
 {
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -29,6 +29,10 @@
 /// How often a connection is tried during a partition.
 constexpr Interval PartitionProbeInterval = std::chrono::milliseconds(300);
 
+/// Entries of a process to be read after a failed connection until its version is certain again:
+/// the first one may have been written before.
+constexpr int EntriesToConfirm = 2;
+
 struct RemovalReasonName
 {
     RemovalReason reason;
@@ -111,6 +115,11 @@
                              && known.service == entry.service && known.domain == entry.domain
                              && known.slots == entry.slots && known.draining == entry.draining
                              && known.version == entry.version && listed.removeAt == Never;
+    if (restarted) {
+        listed.entriesToConfirm = 0;
+    } else if (entry.sequence > known.sequence && listed.entriesToConfirm > 0) {
+        --listed.entriesToConfirm;
+    }
     if (isUnchanged) {
         listed.entry.sequence = entry.sequence;
         limitWhileCold(entry.id, now);
@@ -356,7 +365,8 @@
                            relayFor(item, chosen.endpoint, now),
                            describeLimitsOf(chosen.endpoint, excluded, now),
                            listed.entry.version,
-                           listed.entry.startedAtMillis};
+                           listed.entry.startedAtMillis,
+                           listed.entriesToConfirm == 0};
 }
 
 PlacementResult EndpointDirectory::delayOrRefuse(const WorkItem &item,
@@ -459,6 +469,7 @@
     // Also in a partition: endpoints that all start again at once look the same.
     cold_.onConnectFailed(endpoint, now);
     limitWhileCold(endpoint, now);
+    awaitConfirmation(endpoint);
     if (!partition_.isPartitioned()) {
         onStaleEndpoint(endpoint, now);
         return;
@@ -529,6 +540,14 @@
     }
 }
 
+void EndpointDirectory::awaitConfirmation(const EndpointId &endpoint)
+{
+    const auto found = entries_.find(endpoint);
+    if (found != entries_.end() && found->second.entry.sequence != 0) {
+        found->second.entriesToConfirm = EntriesToConfirm;
+    }
+}
+
 void EndpointDirectory::onStaleEndpoint(const EndpointId &endpoint, Instant now)
 {
     const auto found = entries_.find(endpoint);
--- a/lib/Edge/EndpointDirectoryExclusions.cpp
+++ b/lib/Edge/EndpointDirectoryExclusions.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 namespace sequoiagate {
 
 namespace {
@@ -18,7 +21,7 @@
     for (const auto &[id, listed] : entries_) {
         if (listed.entry.service == item.service) {
             checks.check({id, listed.entry.version, listed.entry.domain, listed.region,
-                          listed.isLeaving, listed.excludedUntil},
+                          listed.isLeaving, listed.excludedUntil, listed.entriesToConfirm == 0},
                          excluded);
         }
     }
@@ -124,7 +127,7 @@
 std::optional<Instant> EndpointDirectory::returnTime(const WorkItem &item,
                                                      const ExcludedEndpoints &excluded, Instant now)
 {
-    if (!excluded.areAll({Exclusion::Evacuated, Exclusion::BackingOff})) {
+    if (!excluded.areAll({Exclusion::Evacuated, Exclusion::BackingOff, Exclusion::Unconfirmed})) {
         return std::nullopt;
     }
     Instant earliest = excluded.firstEnd(Exclusion::BackingOff);
@@ -149,12 +152,19 @@
     const bool isEvacuated = !excluded.of(Exclusion::Evacuated).empty();
     refusedInBackoff_ += backingOff.empty() ? 0 : 1;
     refusedByEvacuation_ += isEvacuated ? 1 : 0;
-    std::string detail = "no endpoint takes requests: ";
-    detail += describeWithdrawals(backingOff, now);
+    std::vector<std::string> causes;
+    if (!backingOff.empty()) {
+        causes.push_back(describeWithdrawals(backingOff, now));
+    }
     if (isEvacuated) {
-        detail += (backingOff.empty() ? "" : "; ") + evacuations_.describe(now);
+        causes.push_back(evacuations_.describe(now));
     }
-    return {Execution::NotRun, Reason::NoEndpoint, detail, returnAt};
+    if (const auto count = excluded.of(Exclusion::Unconfirmed).size(); count > 0) {
+        causes.push_back(
+                fmt::format("the version of {} isn't certain since a connection failed", count));
+    }
+    return {Execution::NotRun, Reason::NoEndpoint,
+            fmt::format("no endpoint takes requests: {}", fmt::join(causes, "; ")), returnAt};
 }
 
 std::string EndpointDirectory::describeLimitsOf(const EndpointId &chosen,
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -332,6 +332,7 @@
     ++possibleExecutions_;
     attempt_.emplace(target.endpoint, now);
     attempt_->version = target.version;
+    attempt_->isVersionConfirmed = target.isVersionConfirmed;
     attempt_->startedAtMillis = target.startedAtMillis;
     attempt_->connection = connectionTo(target, now);
     attempt_->connection->setUnacknowledgedTimeout(MaxEndpointSilence);
@@ -609,7 +610,8 @@
         const Instant now = std::chrono::steady_clock::now();
         attempt_->firstEventAt = now;
         context_.placement.onFirstToken(attempt_->endpoint, metadata_.id, now);
-        continuity_.onFirstEvent(service_->name, attempt_->version, now);
+        continuity_.onFirstEvent(service_->name, attempt_->version, attempt_->isVersionConfirmed,
+                                 now);
         statechart_.handle("event");
     } else {
         ++attempt_->unreportedEvents;
--- a/lib/Proxy/StreamContinuity.cpp
+++ b/lib/Proxy/StreamContinuity.cpp
@@ -27,14 +27,14 @@
 }
 
 void StreamContinuity::onFirstEvent(const ServiceId &service, const SoftwareVersion &version,
-                                    Instant now)
+                                    bool isConfirmed, Instant now)
 {
     if (isForwarding_) {
         return;
     }
     isForwarding_ = true;
     version_ = version;
-    if (!isRecorded_) {
+    if (!isRecorded_ || !isConfirmed) {
         return;
     }
     origins_.onStreamBegan(service, first_, version, now);
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -72,6 +72,65 @@
     EndpointDirectory directory_;
 };
 
+struct ConfirmationCase
+{
+    const char *name;
+    /// Entries read after a failed connection: the start of the process and the sequence number.
+    std::vector<std::pair<uint64_t, uint64_t>> entries;
+    bool isResumed; ///< whether a stream that began at the entry's version may be resumed there
+    bool isRestarted;
+};
+
+class UnconfirmedVersion : public EndpointDirectoryTest,
+                           public testing::WithParamInterface<ConfirmationCase>
+{};
+
+const ConfirmationCase ConfirmationCases[] = {
+        {"NoEntry", {}, false, false},
+        {"OneEntryWhichMayBeOlder", {{1, 11}}, false, false},
+        {"SameEntryAgain", {{1, 10}, {1, 10}}, false, false},
+        {"TwoEntries", {{1, 11}, {1, 12}}, true, false},
+        {"EntryOfTheNextProcess", {{2, 1}}, false, true},
+};
+
+/// Guards against resuming a stream at an endpoint that has started again under its id with
+/// another software version, before its new entry is read.
+TEST_P(UnconfirmedVersion, TakesNoResumedStream)
+{
+    const ConfirmationCase &row = GetParam();
+    EndpointEntry listed = entry("e");
+    listed.version = SoftwareVersion("v1");
+    listed.sequence = 10;
+    directory_.update(listed, now_);
+    directory_.onConnectFailed(EndpointId("e"), now_);
+    for (const auto &[startedAt, sequence] : row.entries) {
+        listed.startedAtMillis = startedAt;
+        listed.sequence = sequence;
+        listed.version = SoftwareVersion(startedAt == 1 ? "v1" : "v2");
+        directory_.update(listed, now_);
+    }
+    directory_.publish(now_);
+    WorkItem item;
+    item.request = RequestId("r");
+    item.service = ServiceId("s");
+    item.arrivedAt = now_;
+    item.deadline = now_ + std::chrono::seconds(4);
+    const PlacementResult fresh = directory_.place(item, {}, {}, now_);
+    ASSERT_TRUE(std::holds_alternative<PlacementTarget>(fresh));
+    EXPECT_EQ(std::get<PlacementTarget>(fresh).isVersionConfirmed,
+              row.isResumed || row.isRestarted);
+    item.version = SoftwareVersion("v1");
+    const PlacementResult resumed = directory_.place(item, {}, {}, now_);
+    EXPECT_EQ(std::holds_alternative<PlacementTarget>(resumed), row.isResumed);
+    if (const auto *verdict = std::get_if<Verdict>(&resumed)) {
+        // Until the entry is written again, the caller may return; at another version it can't.
+        EXPECT_EQ(verdict->retryAt.has_value(), !row.isRestarted);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, UnconfirmedVersion, testing::ValuesIn(ConfirmationCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 struct ReplacedCase
 {
     const char *name;
