[Decisions] [Edge] Rates of endpoints that follow their speed, not their load; the load of the other hosts

An endpoint under load counted as up to 8 times as slow, and its prefixes moved away with each burst. - A host expected the others to send as many requests as itself.

Change: the published rate is that of the distance between events, of its lower third, since prefill of other prompts only adds to it. Each message states the sender's requests in ten seconds, and a host scales what others send by its own part. Endpoints without a rate count as usual in the median. A change must be seen by three hosts. A first rate that isn't usual is sent to all at once.

--- a/include/sequoiagate/Decisions/EndpointOccupancy.h
+++ b/include/sequoiagate/Decisions/EndpointOccupancy.h
@@ -5,9 +5,9 @@
 /// prefill that is pending. Pure.
 ///
 /// A host knows only its own requests. What the other hosts have at an endpoint is estimated from
-/// the mean of this host's own use over the last seconds: each of them is expected to use the
-/// endpoints of a service as much as this one does. A host has less than one request per endpoint
-/// in flight, so its use of a single endpoint says little of theirs.
+/// the mean of this host's own use over the last seconds and its part of the fleet's requests. A
+/// host has less than one request per endpoint in flight, so its use of a single endpoint says
+/// little of theirs.
 
 #include <cstddef>
 #include <cstdint>
@@ -41,8 +41,8 @@
 class EndpointOccupancy
 {
 public:
-    /// Sets how many hosts send to how many endpoints.
-    void setScale(uint32_t hosts, std::size_t endpoints);
+    /// Sets the part of the requests for \p endpoints that this host sends. \pre 0 < share <= 1
+    void setScale(double share, std::size_t endpoints);
     void onSent(uint64_t endpoint, const RequestUse &use, Instant now);
     /// The prompt of \p request is prefilled. An unknown request is ignored.
     void onFirstEvent(uint64_t endpoint, const RequestId &request, Instant now);
@@ -81,7 +81,7 @@
     void advance(Instant now);
     void remove(Endpoint &endpoint, std::size_t position);
 
-    double otherHosts_ = 0.0;
+    double othersPerOwn_ = 0.0; ///< requests of the other hosts for each of this one
     double endpointCount_ = 1.0;
     std::unordered_map<uint64_t, Endpoint> endpoints_;
     EndpointUse total_;         ///< of this host, at all endpoints
--- a/include/sequoiagate/Decisions/EndpointRate.h
+++ b/include/sequoiagate/Decisions/EndpointRate.h
@@ -4,6 +4,7 @@
 /// How fast an endpoint works compared with the other endpoints of its service.
 
 #include <cstdint>
+#include <optional>
 
 #include "sequoiagate/Base/Ids.h"
 #include "sequoiagate/Base/Time.h"
@@ -26,6 +27,9 @@
     virtual ~EndpointRateSource() = default;
     /// The rate of the process that is listed as \p endpoint; the usual one if it is unknown.
     virtual EndpointRate rateOf(const EndpointId &endpoint, Instant now) const = 0;
+    /// The part of the fleet's requests that this host sends, in (0, 1]; nullopt if the load of the
+    /// other hosts isn't known. The balancer may give one host ten times as many as another.
+    virtual std::optional<double> shareOfRequests(Instant) const { return std::nullopt; }
 };
 
 } // namespace sequoiagate
--- a/include/sequoiagate/Decisions/EndpointRateEstimates.h
+++ b/include/sequoiagate/Decisions/EndpointRateEstimates.h
@@ -3,6 +3,7 @@
 
 /// Estimators of EndpointRates. Pure.
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -59,24 +60,34 @@
     static constexpr std::size_t LevelTimes = 9;
 };
 
-/// The median of the relative times of an endpoint. Not thread safe.
+/// A quantile of the relative times of an endpoint. Not thread safe.
 ///
-/// Medians ignore the seventh of an endpoint's times that are twice as long, but follow a change
-/// only after half of their samples. A cumulative sum of the logarithms (Page, "Continuous
-/// inspection schemes", 1954) therefore detects changes by more than these variations, after which
-/// the samples before the change are dropped.
+/// It ignores the seventh of an endpoint's times that are twice as long, but follows a change only
+/// after many samples. A cumulative sum of the logarithms (Page, "Continuous inspection schemes",
+/// 1954) therefore detects changes by more than these variations, after which the samples before
+/// the change are dropped.
 class RateEstimate
 {
 public:
-    /// Fewer samples have no meaningful median.
+    /// Fewer samples have no meaningful quantile.
     static constexpr std::size_t MinSamples = 5;
     static constexpr uint32_t MaxWeight = 32; ///< of one sample
 
+    /// A change must be seen by this many hosts, or by all if there are fewer: times that one host
+    /// measures also become longer with its own path and processor.
+    static constexpr std::size_t MinSources = 3;
+
+    /// \pre 0 < \p quantile < 1
+    explicit RateEstimate(double quantile = 0.5) : quantile_(quantile) {}
+
     /// \param weight the number of similar times that it stands for
+    /// \param source identifies the host that measured it
+    /// \param hosts the number of hosts that measure
     /// \returns whether it shows a change
-    bool add(double relativeTime, uint32_t weight, Instant observedAt);
+    bool add(double relativeTime, uint32_t weight, Instant observedAt, uint64_t source,
+             std::size_t hosts);
     void dropOld(Instant now);
-    /// The median; 1 if it isn't known.
+    /// The quantile; 1 if it isn't known.
     double factor() const;
     bool isKnown() const { return samples_.size() >= MinSamples; }
     /// The number of times that the samples stand for.
@@ -91,15 +102,19 @@
         Instant observedAt{};
     };
 
-    /// Evidence that the times are longer, or shorter, than the median.
+    /// Evidence that the times are longer, or shorter, than the quantile.
     struct Drift
     {
         double sum = 0.0;
-        std::size_t samples = 0; ///< since the sum was 0
+        std::size_t samples = 0;                    ///< since the sum was 0
+        std::array<uint64_t, MinSources> sources{}; ///< that differ, of samples that add to the sum
+        std::size_t sourceCount = 0;
     };
 
-    static bool advance(Drift &drift, double logRatio, uint32_t weight);
+    static bool advance(Drift &drift, double logRatio, uint32_t weight, uint64_t source,
+                        std::size_t hosts);
 
+    double quantile_;
     std::deque<Sample> samples_; ///< in the order of arrival
     Drift slower_;
     Drift faster_;
--- a/include/sequoiagate/Decisions/EndpointRates.h
+++ b/include/sequoiagate/Decisions/EndpointRates.h
@@ -32,6 +32,7 @@
 #include "sequoiagate/Decisions/EndpointProcess.h"
 #include "sequoiagate/Decisions/EndpointRate.h"
 #include "sequoiagate/Decisions/EndpointRateEstimates.h"
+#include "sequoiagate/Decisions/Estimates.h"
 #include "sequoiagate/Decisions/ReplicaPlacement.h"
 #include "sequoiagate/Decisions/WorkItem.h"
 
@@ -63,6 +64,8 @@
     static constexpr Interval FadedAge = std::chrono::seconds(25);
     /// A factor is logged when it crosses this.
     static constexpr double SlowFactor = 1.5;
+    /// Time constant of a host's load.
+    static constexpr Interval LoadTime = std::chrono::seconds(3);
 
     EndpointRates(const HostId &self, const DomainId &domain);
 
@@ -78,6 +81,8 @@
     std::function<void(const EndpointId &endpoint, const EndpointRate &rate, bool isSlow)>
             onCrossed;
 
+    /// In fleets of fewer hosts, nothing is measured or sent, and no rate is known.
+    void setMinHosts(std::size_t count) { minHosts_ = count; }
     /// Sets the other hosts.
     void setHosts(const std::vector<HostPlace> &others);
     /// Adds an endpoint, or the process that replaces its process, of which nothing is known.
@@ -93,15 +98,20 @@
                     Instant now);
     void onEnd(const RequestId &request) { open_.erase(request); }
 
-    /// Takes a measurement of another host, which chose this one as a collector.
+    /// Takes a measurement of host \p from, which chose this one as a collector.
     /// \returns false if it is of an unknown process
-    bool onMeasurement(const SharedRate &measurement, Instant now);
+    bool onMeasurement(const SharedRate &measurement, const HostId &from, Instant now);
+    /// Takes over the load that another host states of itself.
+    void onHostLoad(const HostId &host, double requestsPerSecond, Instant now);
+    /// Requests that this host sends per second, averaged over a few seconds.
+    double requestsPerSecond(Instant now) const;
     /// Takes over a published rate. \returns false if it is of an unknown process
     bool onRate(const SharedRate &rate, Instant now);
     /// Publishes and gossips. To be called each RoundInterval.
     void tick(Instant now);
 
     EndpointRate rateOf(const EndpointId &endpoint, Instant now) const override;
+    std::optional<double> shareOfRequests(Instant now) const override;
     /// The number of endpoints whose rate is known.
     std::size_t knownCount(Instant now) const;
 
@@ -112,7 +122,9 @@
         ServiceId service;
         std::vector<HostId> collectors; ///< the preferred first
         RateEstimate prefill;           ///< of measurements sent to this host
-        RateEstimate decode;
+        /// The prefill of other prompts lies between two events of a stream and only adds to their
+        /// distance, so the shorter ones tell the endpoint's speed from its load.
+        RateEstimate decode{0.35};
         Instant measuredAt{};
         SharedRate rate;        ///< as published; no samples: none is
         Instant changedAt{};    ///< when the factors of a known rate changed
@@ -143,6 +155,12 @@
         uint32_t weight = 1;        ///< of measurements that agree with the published rate
     };
 
+    struct HostLoad
+    {
+        double requestsPerSecond = 0.0;
+        Instant statedAt{};
+    };
+
     struct ServiceTimes
     {
         RelativeTimes prefill;
@@ -164,7 +182,8 @@
     void share(Endpoint &endpoint, SharedRate measurement, Sampling &sampling, Instant now);
     void measurePrefill(Endpoint &endpoint, const OpenRequest &open, Instant now);
     void measureDecode(Endpoint &endpoint, Interval time, Instant now);
-    void collect(Endpoint &endpoint, const SharedRate &measurement, Instant now);
+    void collect(Endpoint &endpoint, const SharedRate &measurement, const HostId &from,
+                 Instant now);
     /// The rank of this host among the collectors of \p endpoint; their number if it is none.
     std::size_t rankAt(const Endpoint &endpoint) const;
     void publish(Endpoint &endpoint, Instant now);
@@ -178,8 +197,11 @@
     void updateRelative(Endpoint &endpoint, Instant now);
     void dropExpired(Instant now);
 
+    bool isActive() const { return hosts_.size() >= minHosts_; }
+
     HostId self_;
     DomainId domain_;
+    std::size_t minHosts_ = 1;
     std::vector<HostPlace> hosts_; ///< including this one
     std::unordered_map<EndpointId, Endpoint> endpoints_;
     std::unordered_map<uint32_t, EndpointId> byKey_;
@@ -187,6 +209,10 @@
     std::unordered_map<ServiceId, UsualFactors> usual_;
     std::unordered_map<RequestId, OpenRequest> open_;
     std::unordered_map<uint64_t, Instant> cachedUntil_; ///< prefixes sent to endpoints
+    /// Prompts sent to endpoints. Short enough to follow a burst, and long enough for a host with
+    /// one request per second.
+    DecayingSum sent_{LoadTime};
+    std::unordered_map<HostId, HostLoad> loads_; ///< of the other hosts
     Sampling prefillSampling_;
     Sampling decodeSampling_;
     Instant mayBroadcastAt_{};
--- a/lib/Decisions/EndpointOccupancy.cpp
+++ b/lib/Decisions/EndpointOccupancy.cpp
@@ -33,9 +33,9 @@
 
 } // namespace
 
-void EndpointOccupancy::setScale(uint32_t hosts, std::size_t endpoints)
+void EndpointOccupancy::setScale(double share, std::size_t endpoints)
 {
-    otherHosts_ = std::max(hosts, 1U) - 1.0;
+    othersPerOwn_ = 1.0 / share - 1.0;
     endpointCount_ = static_cast<double>(std::max<std::size_t>(endpoints, 1));
 }
 
@@ -155,7 +155,7 @@
 EndpointUse EndpointOccupancy::others(Instant now) const
 {
     const EndpointUse mean = mixed(mean_, total_, decay(now - changedAt_, MeanTime));
-    const double scale = otherHosts_ / endpointCount_;
+    const double scale = othersPerOwn_ / endpointCount_;
     return {mean.requests * scale, mean.tokens * scale,
             intervalOf(secondsOf(mean.prefill) * scale)};
 }
@@ -172,7 +172,7 @@
 {
     const double recent = recentTokens_ * decay(now - changedAt_, FlowTime);
     const double tokensPerSecond =
-            recent / secondsOf(FlowTime) * (otherHosts_ + 1.0) / endpointCount_;
+            recent / secondsOf(FlowTime) * (othersPerOwn_ + 1.0) / endpointCount_;
     if (kvTokens == 0 || tokensPerSecond <= 0.0) {
         return limit;
     }
--- a/lib/Decisions/EndpointRateEstimates.cpp
+++ b/lib/Decisions/EndpointRateEstimates.cpp
@@ -27,9 +27,9 @@
 constexpr double VariationLog = 1.05;
 
 /// Bounds of what one sample adds to the evidence, and the evidence that suffices: five samples in
-/// succession that are three times as long, or four that are five times as long. Fewer are
+/// succession that are three times as long, or three that are five times as long. Fewer are
 /// likely to occur within a moment in which an endpoint's times are twice as long by chance.
-constexpr double MaxStep = 0.7;
+constexpr double MaxStep = 0.9;
 constexpr double MinStep = -1.0;
 constexpr double ChangeEvidence = 2.6;
 
@@ -71,7 +71,8 @@
     return std::clamp(knownFactor * ratio / level, MinRelativeTime, MaxRelativeTime);
 }
 
-bool RateEstimate::advance(Drift &drift, double logRatio, uint32_t weight)
+bool RateEstimate::advance(Drift &drift, double logRatio, uint32_t weight, uint64_t source,
+                           std::size_t hosts)
 {
     const double step = std::clamp(logRatio - VariationLog, MinStep, MaxStep);
     // However long a time is, it is the evidence of one sample alone.
@@ -80,16 +81,24 @@
     if (drift.sum <= 0.0) {
         drift = Drift();
     }
-    return drift.sum >= ChangeEvidence;
+    const auto known = drift.sources.begin() + static_cast<std::ptrdiff_t>(drift.sourceCount);
+    if (step > 0.0 && drift.sourceCount < MinSources
+        && std::find(drift.sources.begin(), known, source) == known) {
+        drift.sources[drift.sourceCount++] = source;
+    }
+    // What one host alone has measured for long isn't more evidence.
+    drift.sum = std::min(drift.sum, ChangeEvidence);
+    return drift.sum >= ChangeEvidence && drift.sourceCount >= std::min(MinSources, hosts);
 }
 
-bool RateEstimate::add(double relativeTime, uint32_t weight, Instant observedAt)
+bool RateEstimate::add(double relativeTime, uint32_t weight, Instant observedAt, uint64_t source,
+                       std::size_t hosts)
 {
     const uint32_t bounded = std::clamp(weight, 1U, MaxWeight);
     const double logRatio = std::log2(relativeTime / factor());
     samples_.push_back({relativeTime, bounded, observedAt});
-    const bool isSlower = advance(slower_, logRatio, bounded);
-    const bool isFaster = advance(faster_, -logRatio, bounded);
+    const bool isSlower = advance(slower_, logRatio, bounded, source, hosts);
+    const bool isFaster = advance(faster_, -logRatio, bounded, source, hosts);
     const bool isChange = isSlower || isFaster;
     const std::size_t kept = isChange ? (isSlower ? slower_ : faster_).samples : MaxSamples;
     while (samples_.size() > kept) {
@@ -133,7 +142,7 @@
     uint32_t below = 0;
     for (const auto &[relativeTime, weight] : sorted) {
         below += weight;
-        if (2 * below >= total) {
+        if (below >= quantile_ * total) {
             return relativeTime;
         }
     }
--- a/lib/Decisions/EndpointRates.cpp
+++ b/lib/Decisions/EndpointRates.cpp
@@ -13,8 +13,7 @@
 constexpr std::size_t Collectors = 2;
 
 /// Measurements of a kind that agree with the published rate and are sent in a round, on average.
-/// Of
-/// 65 hosts, these are three measurements per second of each of 90 endpoints.
+/// Of 65 hosts, these are three measurements per second of each of 90 endpoints.
 constexpr double AgreeingPerRound = 1.0;
 /// Share of a round in the moving mean of measurements. Weights that follow single rounds vary from
 /// 1 to 11, and a few samples decide the median.
@@ -38,6 +37,9 @@
 /// 16 datagrams of 90 bytes per second are at most 1.4 kB per second at each host.
 constexpr Interval FleetBroadcastInterval = std::chrono::milliseconds(60);
 constexpr int BroadcastBurst = 6;
+/// Broadcasts that a host may make as soon as it has started: endpoints that differ by their kind
+/// do so from the start.
+constexpr int FirstBroadcasts = 1;
 /// Changes of both factors of an endpoint are a little apart, and take one broadcast in this time.
 constexpr Interval MinBroadcastInterval = std::chrono::seconds(1);
 
@@ -67,6 +69,13 @@
 /// Open requests that are older are forgotten.
 constexpr Interval MaxOpenTime = std::chrono::minutes(10);
 
+/// A host's load that was stated longer ago is forgotten: the host may have ended.
+constexpr Interval MaxLoadAge = std::chrono::seconds(20);
+/// Before this many other hosts have stated their load, it isn't known how even it is.
+constexpr std::size_t MinLoads = 4;
+/// A host without requests expects to send this many per second.
+constexpr double MinRequestsPerSecond = 0.2;
+
 /// Endpoints of a service with fewer known rates than this have no meaningful median.
 constexpr std::size_t MinEndpointsForMedian = 3;
 /// A slow endpoint counts as usual again below this share of SlowFactor.
@@ -201,11 +210,17 @@
 
 void EndpointRates::onSent(const EndpointId &endpoint, const WorkItem &item, Instant now)
 {
+    if (!isActive()) {
+        return;
+    }
     OpenRequest &open = open_[item.request];
     open = OpenRequest();
     open.endpoint = endpoint;
     open.size = sizeClass(uncachedTokens(endpoint, item, now));
     open.sentAt = now;
+    if (item.promptTokens > 0) {
+        sent_.add(1.0, now);
+    }
 }
 
 void EndpointRates::onFirstEvent(const EndpointId &endpoint, const RequestId &request, Instant now)
@@ -269,33 +284,36 @@
     ++sampling.sent;
     for (const HostId &collector : endpoint.collectors) {
         if (collector == self_) {
-            collect(endpoint, measurement, now);
+            collect(endpoint, measurement, self_, now);
         } else if (sendMeasurement) {
             sendMeasurement(collector, measurement);
         }
     }
 }
 
-bool EndpointRates::onMeasurement(const SharedRate &measurement, Instant now)
+bool EndpointRates::onMeasurement(const SharedRate &measurement, const HostId &from, Instant now)
 {
     Endpoint *endpoint = findByKey(measurement.process);
     if (endpoint == nullptr) {
         return false;
     }
-    collect(*endpoint, measurement, now);
+    collect(*endpoint, measurement, from, now);
     return true;
 }
 
-void EndpointRates::collect(Endpoint &endpoint, const SharedRate &measurement, Instant now)
+void EndpointRates::collect(Endpoint &endpoint, const SharedRate &measurement, const HostId &from,
+                            Instant now)
 {
+    const uint64_t source = stableHash(from.text());
     bool isChange = false;
     if (measurement.prefillFactor > 0.0) {
         isChange = endpoint.prefill.add(measurement.prefillFactor, measurement.samples,
-                                        measurement.observedAt);
+                                        measurement.observedAt, source, hosts_.size());
     }
     if (measurement.decodeFactor > 0.0) {
-        const bool isDecodeChange = endpoint.decode.add(
-                measurement.decodeFactor, measurement.samples, measurement.observedAt);
+        const bool isDecodeChange =
+                endpoint.decode.add(measurement.decodeFactor, measurement.samples,
+                                    measurement.observedAt, source, hosts_.size());
         isChange = isChange || isDecodeChange;
     }
     endpoint.measuredAt = std::max(endpoint.measuredAt, measurement.observedAt);
@@ -312,7 +330,11 @@
 
 SharedRate EndpointRates::estimateOf(const Endpoint &endpoint) const
 {
-    return {endpoint.rate.process, endpoint.prefill.factor(), endpoint.decode.factor(),
+    // The time to the first event includes the wait for other prompts. A rate that follows it makes
+    // a busy endpoint seem slow, and its prefixes move away with each burst.
+    const double decode = endpoint.decode.factor();
+    const double prefill = endpoint.decode.isKnown() ? decode : endpoint.prefill.factor();
+    return {endpoint.rate.process, prefill, decode,
             std::min(endpoint.prefill.samples() + endpoint.decode.samples(), 255U),
             endpoint.measuredAt};
 }
@@ -336,9 +358,8 @@
     if (!isKnown || !isNew || !isDue || !mayPublish(endpoint, now)) {
         return;
     }
-    if (endpoint.rate.samples > 0) {
-        endpoint.isUrgent = endpoint.isUrgent || differBy(estimate, endpoint.rate, BroadcastFactor);
-    }
+    // Without a published rate, hosts take the endpoint for a usual one.
+    endpoint.isUrgent = endpoint.isUrgent || differBy(estimate, endpoint.rate, BroadcastFactor);
     if (endpoint.rate.samples > 0 && !differs) {
         estimate.prefillFactor = endpoint.rate.prefillFactor;
         estimate.decodeFactor = endpoint.rate.decodeFactor;
@@ -407,8 +428,10 @@
 void EndpointRates::tick(Instant now)
 {
     if (mayBroadcastAt_ == Instant()) {
-        // Nothing is saved up at first, when factors of a few samples change often.
-        mayBroadcastAt_ = now;
+        // Little is saved up at first, when factors of a few samples change often.
+        mayBroadcastAt_ =
+                now
+                - FirstBroadcasts * FleetBroadcastInterval * static_cast<int64_t>(hosts_.size());
     }
     for (Sampling *sampling : {&prefillSampling_, &decodeSampling_}) {
         sampling->usualMeasured += SmoothingShare * (sampling->measured - sampling->usualMeasured);
@@ -418,6 +441,10 @@
         sampling->measured = 0;
         sampling->sent = 0;
     }
+    if (!isActive()) {
+        dropExpired(now);
+        return;
+    }
     for (auto &[id, endpoint] : endpoints_) {
         if (!endpoint.prefill.isEmpty() || !endpoint.decode.isEmpty()) {
             publish(endpoint, now);
@@ -462,11 +489,12 @@
     };
     std::unordered_map<ServiceId, Factors> known;
     for (const auto &[id, endpoint] : endpoints_) {
-        if (endpoint.rate.samples > 0 && now < endpoint.rate.observedAt + FadedAge) {
-            Factors &factors = known[endpoint.service];
-            factors.prefill.push_back(orUsual(endpoint.rate.prefillFactor));
-            factors.decode.push_back(orUsual(endpoint.rate.decodeFactor));
-        }
+        // Unknown endpoints count as usual ones. Rates of slow endpoints are sent first, and the
+        // median of these alone would make them seem usual.
+        const bool isKnown = endpoint.rate.samples > 0 && now < endpoint.rate.observedAt + FadedAge;
+        Factors &factors = known[endpoint.service];
+        factors.prefill.push_back(isKnown ? orUsual(endpoint.rate.prefillFactor) : 1.0);
+        factors.decode.push_back(isKnown ? orUsual(endpoint.rate.decodeFactor) : 1.0);
     }
     for (auto &[service, factors] : known) {
         usual_[service] = {medianOf(factors.prefill), medianOf(factors.decode)};
@@ -505,6 +533,8 @@
 void EndpointRates::dropExpired(Instant now)
 {
     std::erase_if(cachedUntil_, [now](const auto &entry) { return now >= entry.second; });
+    std::erase_if(loads_,
+                  [now](const auto &entry) { return now >= entry.second.statedAt + MaxLoadAge; });
     std::erase_if(open_,
                   [now](const auto &entry) { return now >= entry.second.sentAt + MaxOpenTime; });
 }
@@ -512,7 +542,7 @@
 EndpointRate EndpointRates::rateOf(const EndpointId &endpoint, Instant now) const
 {
     const auto found = endpoints_.find(endpoint);
-    if (found == endpoints_.end()) {
+    if (found == endpoints_.end() || !isActive()) {
         return {};
     }
     EndpointRate rate = found->second.relative;
@@ -522,6 +552,38 @@
     return rate;
 }
 
+void EndpointRates::onHostLoad(const HostId &host, double requestsPerSecond, Instant now)
+{
+    if (host != self_) {
+        loads_[host] = {requestsPerSecond, now};
+    }
+}
+
+double EndpointRates::requestsPerSecond(Instant now) const
+{
+    return sent_.at(now) / secondsOf(LoadTime);
+}
+
+std::optional<double> EndpointRates::shareOfRequests(Instant now) const
+{
+    double sum = 0.0;
+    std::size_t known = 0;
+    for (const auto &[host, load] : loads_) {
+        if (now < load.statedAt + MaxLoadAge) {
+            sum += load.requestsPerSecond;
+            ++known;
+        }
+    }
+    const std::size_t others = hosts_.size() - 1;
+    if (known < std::min(MinLoads, others) || others == 0) {
+        return std::nullopt;
+    }
+    // The hosts that are heard are about as loaded as the others.
+    const double otherRequests = sum * static_cast<double>(others) / static_cast<double>(known);
+    const double own = std::max(requestsPerSecond(now), MinRequestsPerSecond);
+    return own / (own + otherRequests);
+}
+
 std::size_t EndpointRates::knownCount(Instant now) const
 {
     return static_cast<std::size_t>(
--- a/lib/Decisions/PlacementCost.cpp
+++ b/lib/Decisions/PlacementCost.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-/// Factors beyond these come from an error of measurement.
-constexpr double MinFactor = 0.2;
+/// An endpoint isn't taken for faster than this: one that is wrongly believed to be fast gets more
+/// requests than it can serve, while one that is faster than believed only has room to spare.
+constexpr double MinFactor = 0.7;
+/// Factors beyond this come from an error of measurement.
 constexpr double MaxFactor = 10.0;
 /// Number of samples at which half of a deviation from 1 is believed.
 constexpr double HalfTrustSamples = 3.0;
--- a/lib/Edge/EndpointRateLink.cpp
+++ b/lib/Edge/EndpointRateLink.cpp
@@ -1,5 +1,7 @@
 #include "EndpointRateLink.h"
 
+#include <utility>
+
 #include "sequoiagate/Base/Rendezvous.h"
 
 namespace sequoiagate {
@@ -29,14 +31,14 @@
 {
     rates_.sendMeasurement = [this](const HostId &to, const SharedRate &measurement) {
         const Instant now = std::chrono::steady_clock::now();
-        for (const std::string &text : encodeEndpointRates({self_, {measurement}, {}}, now)) {
+        for (const std::string &text : encode({measurement}, {}, now)) {
             hosts_.send(to, text);
             count(text, 1);
         }
     };
     rates_.sendRate = [this](const HostId &to, const SharedRate &rate) {
         const Instant now = std::chrono::steady_clock::now();
-        for (const std::string &text : encodeEndpointRates({self_, {}, {rate}}, now)) {
+        for (const std::string &text : encode({}, {rate}, now)) {
             hosts_.send(to, text);
             count(text, 1);
         }
@@ -47,14 +49,14 @@
         }
         const std::size_t place = nextGossiped_++ % hosts_.size();
         const Instant now = std::chrono::steady_clock::now();
-        for (const std::string &text : encodeEndpointRates({self_, {}, rates}, now)) {
+        for (const std::string &text : encode({}, rates, now)) {
             hosts_.sendToNth(place, text);
             count(text, 1);
         }
     };
     rates_.broadcastRate = [this](const SharedRate &rate) {
         const Instant now = std::chrono::steady_clock::now();
-        for (const std::string &text : encodeEndpointRates({self_, {}, {rate}}, now)) {
+        for (const std::string &text : encode({}, {rate}, now)) {
             hosts_.broadcast(text);
             count(text, hosts_.size());
         }
@@ -69,6 +71,14 @@
     };
 }
 
+std::vector<std::string> EndpointRateLink::encode(std::vector<SharedRate> measurements,
+                                                  std::vector<SharedRate> rates, Instant now) const
+{
+    EndpointRateMessage message{self_, std::move(measurements), std::move(rates)};
+    message.requestsPerSecond = rates_.requestsPerSecond(now);
+    return encodeEndpointRates(message, now);
+}
+
 void EndpointRateLink::count(const std::string &datagram, std::size_t recipients)
 {
     metrics_.count("endpoint_rate_messages_sent_total", {}, recipients);
@@ -83,8 +93,11 @@
         ++decoded.dropped;
         decoded.fault = "unknown endpoint";
     };
+    if (decoded.requestsPerSecond) {
+        rates_.onHostLoad(decoded.from, *decoded.requestsPerSecond, now);
+    }
     for (const SharedRate &measurement : decoded.measurements) {
-        if (!rates_.onMeasurement(measurement, now)) {
+        if (!rates_.onMeasurement(measurement, decoded.from, now)) {
             onUnknown();
         }
     }
--- a/lib/Edge/EndpointRateLink.h
+++ b/lib/Edge/EndpointRateLink.h
@@ -27,6 +27,8 @@
 
 private:
     void setSenders();
+    std::vector<std::string> encode(std::vector<SharedRate> measurements,
+                                    std::vector<SharedRate> rates, Instant now) const;
     void onMessage(const nlohmann::json &message);
     void logDropped(const EndpointRateMessage &message, Instant now);
     /// Counts \p datagram as sent to \p recipients.
--- a/lib/Edge/EndpointRateMessage.cpp
+++ b/lib/Edge/EndpointRateMessage.cpp
@@ -17,6 +17,10 @@
 /// The unit of ages.
 constexpr Millis AgeUnit{100};
 
+/// The unit of loads is a request in ten seconds.
+constexpr double LoadUnitsPerRequest = 10.0;
+constexpr int64_t MaxLoadUnits = 10'000'000;
+
 struct Field
 {
     const char *name;
@@ -91,8 +95,24 @@
     }
 }
 
-void encodeRecords(const HostId &from, const char *key, const std::vector<SharedRate> &rates,
-                   Instant now, std::vector<std::string> &datagrams)
+void decodeLoad(const nlohmann::json &message, EndpointRateMessage &decoded)
+{
+    const auto load = message.find("load");
+    if (load == message.end()) {
+        return;
+    }
+    const int64_t units = load->is_number_integer() ? load->get<int64_t>() : -1;
+    if (units < 0 || units > MaxLoadUnits) {
+        ++decoded.dropped;
+        decoded.fault = "load is out of range";
+        return;
+    }
+    decoded.requestsPerSecond = static_cast<double>(units) / LoadUnitsPerRequest;
+}
+
+void encodeRecords(const EndpointRateMessage &message, const char *key,
+                   const std::vector<SharedRate> &rates, Instant now,
+                   std::vector<std::string> &datagrams)
 {
     for (std::size_t first = 0; first < rates.size(); first += MaxRecords) {
         const std::size_t end = std::min(first + MaxRecords, rates.size());
@@ -100,10 +120,14 @@
         for (std::size_t i = first; i < end; ++i) {
             records.push_back(encodeRecord(rates[i], now));
         }
-        const nlohmann::json datagram = {{"kind", EndpointRateMessageKind},
-                                         {"version", Version},
-                                         {"from", from.text()},
-                                         {key, std::move(records)}};
+        nlohmann::json datagram = {{"kind", EndpointRateMessageKind},
+                                   {"version", Version},
+                                   {"from", message.from.text()},
+                                   {key, std::move(records)}};
+        if (message.requestsPerSecond) {
+            datagram["load"] = std::min<int64_t>(
+                    std::lround(LoadUnitsPerRequest * *message.requestsPerSecond), MaxLoadUnits);
+        }
         datagrams.push_back(
                 datagram.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
     }
@@ -114,8 +138,8 @@
 std::vector<std::string> encodeEndpointRates(const EndpointRateMessage &message, Instant now)
 {
     std::vector<std::string> datagrams;
-    encodeRecords(message.from, "own", message.measurements, now, datagrams);
-    encodeRecords(message.from, "rates", message.rates, now, datagrams);
+    encodeRecords(message, "own", message.measurements, now, datagrams);
+    encodeRecords(message, "rates", message.rates, now, datagrams);
     return datagrams;
 }
 
@@ -130,6 +154,7 @@
         decoded.fault = "version " + std::to_string(version);
         return decoded;
     }
+    decodeLoad(message, decoded);
     decodeRecords(message, "own", now, decoded.measurements, decoded);
     decodeRecords(message, "rates", now, decoded.rates, decoded);
     return decoded;
--- a/lib/Edge/EndpointRateMessage.h
+++ b/lib/Edge/EndpointRateMessage.h
@@ -3,13 +3,15 @@
 
 /// The datagrams by which hosts share how fast endpoints work.
 ///
-/// {"kind": "endpoint_rates", "version": 1, "from": host, "own": records, "rates": records},
+/// {"kind": "endpoint_rates", "version": 1, "from": host, "load": the sender's requests in ten
+/// seconds, "own": records, "rates": records},
 /// where "own" are measurements of the sender, and a record is [process, prefill percent, decode
 /// percent, samples, age in tenths of seconds], and 0 percent is a factor that isn't known. Ages
 /// are rounded up, so that a record doesn't become newer on its way. Processes of versions before
 /// this message ignore it.
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,8 @@
     std::vector<SharedRate> rates;        ///< as published
     std::size_t dropped = 0;              ///< invalid records, or 1 if the whole message is
     std::string fault;                    ///< of the last one dropped
+    /// Requests that the sender sends per second; nullopt if it doesn't say so.
+    std::optional<double> requestsPerSecond;
 };
 
 /// Returns one datagram, or several if the records don't fit into one. Thread safe.
--- a/unittests/Decisions/EndpointOccupancyTest.cpp
+++ b/unittests/Decisions/EndpointOccupancyTest.cpp
@@ -61,7 +61,7 @@
 TEST(EndpointOccupancy, ExpectsOtherHostsToUseAsMuch)
 {
     EndpointOccupancy occupancy;
-    occupancy.setScale(75, 60);
+    occupancy.setScale(1.0 / 75, 60);
     EXPECT_EQ(occupancy.others(Start).requests, 0.0);
     occupancy.onSent(1, useOf("a"), Start);
     occupancy.onSent(2, useOf("b", 0), Start);
@@ -79,7 +79,7 @@
 TEST(EndpointOccupancy, EstimatesRetentionByTheFlowOfNewTokens)
 {
     EndpointOccupancy occupancy;
-    occupancy.setScale(75, 60);
+    occupancy.setScale(1.0 / 75, 60);
     const Interval limit = Seconds(60);
     EXPECT_EQ(occupancy.retention(459'404, limit, Start), limit) << "nothing was sent";
     Instant now = Start;
--- a/unittests/Decisions/EndpointRatesTest.cpp
+++ b/unittests/Decisions/EndpointRatesTest.cpp
@@ -199,6 +199,98 @@
     EXPECT_LE(above, all / 100) << "of " << all;
 }
 
+// Guards against factors that follow the queue of an endpoint: its prefixes would move away with
+// each burst, to endpoints that have to prefill them again.
+TEST(EndpointRates, QueueDoesNotMakeAnEndpointSlow)
+{
+    RateFleet fleet({});
+    fleet.runFor(LearningTime);
+    int above = 0;
+    int all = 0;
+    for (const Interval wait : {Interval(milliseconds(800)), Interval::zero()}) {
+        for (int endpoint = 0; endpoint < 90; endpoint += 9) {
+            fleet.setQueue(endpoint, wait);
+        }
+        for (int round = 0; round < 8; ++round) {
+            fleet.runFor(milliseconds(500));
+            for (int endpoint = 0; endpoint < 90; ++endpoint) {
+                for (const EndpointRate &rate : fleet.rates(endpoint)) {
+                    ++all;
+                    above += highest(rate) > 1.3 || lowest(rate) < 1.0 / 1.3 ? 1 : 0;
+                }
+            }
+        }
+    }
+    EXPECT_LE(above, all / 100) << "of " << all;
+}
+
+// Guards against requests to slow endpoints in the first seconds of a fleet, when nothing is known.
+TEST(EndpointRates, SlowEndpointsAreKnownToMostHostsAfterThreeSeconds)
+{
+    RateFleet fleet({});
+    for (int i = 0; i < 90; i += 3) {
+        fleet.setFactor(i, 2.4);
+    }
+    fleet.runFor(seconds(3));
+    double share = 0.0;
+    for (int i = 0; i < 90; i += 3) {
+        share += fleet.shareOf(i, [](const EndpointRate &rate) { return highest(rate) >= 1.5; });
+    }
+    EXPECT_GE(share / 30, 0.75);
+}
+
+struct ShareCase
+{
+    const char *name;
+    int ownPerSecond;
+    std::vector<double> others; ///< loads that are stated, of eight other hosts
+    std::optional<double> expected;
+};
+
+class ShareOfRequests : public testing::TestWithParam<ShareCase>
+{};
+
+// Guards against a host that expects the load of the others to be like its own: the balancer gave
+// one host fifteen times as many requests as the others, and it spread each prefix over the fleet.
+TEST_P(ShareOfRequests, FollowsTheLoadOfTheOthers)
+{
+    const ShareCase &row = GetParam();
+    EndpointRates rates(HostId("h"), DomainId("d"));
+    rates.setEndpoint({EndpointId("e"), 1}, ServiceId("s"));
+    std::vector<HostPlace> others;
+    for (int i = 0; i < 8; ++i) {
+        others.push_back({HostId(std::to_string(i)), DomainId("d")});
+    }
+    rates.setHosts(others);
+    Instant now{std::chrono::hours(1)};
+    for (int i = 0; i < 20 * row.ownPerSecond; ++i) {
+        WorkItem item;
+        item.request = RequestId(std::to_string(i));
+        item.promptTokens = 100;
+        now += Interval(seconds(1)) / row.ownPerSecond;
+        rates.onSent(EndpointId("e"), item, now);
+    }
+    for (std::size_t i = 0; i < row.others.size(); ++i) {
+        rates.onHostLoad(HostId(std::to_string(i)), row.others[i], now);
+    }
+    const std::optional<double> share = rates.shareOfRequests(now);
+    ASSERT_EQ(share.has_value(), row.expected.has_value());
+    if (share) {
+        EXPECT_NEAR(*share, *row.expected, *row.expected * 0.2);
+    }
+    EXPECT_FALSE(rates.shareOfRequests(now + std::chrono::minutes(1)).has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, ShareOfRequests,
+                         testing::ValuesIn(std::vector<ShareCase>{
+                                 {"Equal", 10, std::vector<double>(8, 10.0), 1.0 / 9},
+                                 {"Busy", 80, std::vector<double>(8, 10.0), 0.5},
+                                 {"Idle", 1, std::vector<double>(8, 10.0), 1.0 / 81},
+                                 {"HalfAreHeard", 40, std::vector<double>(4, 10.0), 1.0 / 3},
+                                 {"TooFewAreHeard", 10, std::vector<double>(3, 10.0), std::nullopt},
+                         }),
+                         [](const auto &row) { return row.param.name; });
+
 TEST(EndpointRates, RestartedEndpointIsUnknown)
 {
     RateFleet fleet({});
@@ -296,7 +388,7 @@
     const Instant now{std::chrono::hours(1)};
     const uint32_t other = processKey({EndpointId("e"), 2});
     EXPECT_FALSE(rates.onRate({other, 3.0, 3.0, 9, now}, now));
-    EXPECT_FALSE(rates.onMeasurement({other, 3.0, 3.0, 1, now}, now));
+    EXPECT_FALSE(rates.onMeasurement({other, 3.0, 3.0, 1, now}, HostId("g"), now));
     EXPECT_EQ(rates.rateOf(EndpointId("e"), now).samples, 0U);
     EXPECT_EQ(rates.rateOf(EndpointId("unlisted"), now).prefillFactor, 1.0);
     EXPECT_EQ(rates.knownCount(now), 0U);
--- a/unittests/Edge/EndpointRateMessageTest.cpp
+++ b/unittests/Edge/EndpointRateMessageTest.cpp
@@ -38,6 +38,50 @@
     EXPECT_DOUBLE_EQ(second.rates[0].decodeFactor, 3.14);
 }
 
+struct LoadCase
+{
+    const char *name;
+    const char *load; ///< as it is in the message
+    std::optional<double> expected;
+    std::size_t dropped;
+};
+
+class StatedLoad : public testing::TestWithParam<LoadCase>
+{};
+
+// Guards against a load that isn't one, and against records that are lost with it.
+TEST_P(StatedLoad, IsTakenIfItIsOne)
+{
+    const LoadCase &row = GetParam();
+    const EndpointRateMessage decoded =
+            decode(std::string(R"({"kind":"endpoint_rates","version":1,"from":"h1")") + row.load
+                   + R"(,"rates":[[7,100,100,5,0]]})");
+    EXPECT_EQ(decoded.requestsPerSecond, row.expected);
+    EXPECT_EQ(decoded.dropped, row.dropped);
+    EXPECT_EQ(decoded.rates.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, StatedLoad,
+                         testing::ValuesIn(std::vector<LoadCase>{
+                                 {"None", "", std::nullopt, 0},
+                                 {"Zero", ",\"load\":0", 0.0, 0},
+                                 {"Usual", ",\"load\":74", 7.4, 0},
+                                 {"Negative", ",\"load\":-1", std::nullopt, 1},
+                                 {"Huge", ",\"load\":1e300", std::nullopt, 1},
+                                 {"BeyondInt64", ",\"load\":18446744073709551615", std::nullopt, 1},
+                                 {"Text", ",\"load\":\"7\"", std::nullopt, 1},
+                         }),
+                         [](const auto &row) { return row.param.name; });
+
+TEST(EndpointRateMessage, LoadIsInEachDatagram)
+{
+    EndpointRateMessage message{Sender, {{7, 1.0, 0.0, 5, Now}}, {{8, 1.0, 1.0, 5, Now}}};
+    message.requestsPerSecond = 110.26;
+    for (const std::string &datagram : encodeEndpointRates(message, Now)) {
+        EXPECT_EQ(decode(datagram).requestsPerSecond, 110.3);
+    }
+}
+
 // Guards against dates of a clock that differs between hosts, and against a record that becomes
 // newer each time it is passed on.
 TEST(EndpointRateMessage, AgesAreRelativeAndNeverShrink)
--- a/unittests/Support/RateFleet.cpp
+++ b/unittests/Support/RateFleet.cpp
@@ -33,7 +33,7 @@
 
 RateFleet::RateFleet(RateFleetSettings settings)
     : settings_(settings), random_(settings.seed), factors_(settings.endpoints, 1.0),
-      processes_(settings.endpoints, 1)
+      queues_(settings.endpoints, Interval::zero()), processes_(settings.endpoints, 1)
 {
     hosts_.resize(settings_.hosts);
     std::vector<HostPlace> places;
@@ -152,7 +152,7 @@
     const double prefill = (tokens / TokensPerMs + StepMs) * factors_[endpoint] * load_
                            * noise(endpoint) * hosts_[host].slowdown;
     const Stream stream{host, endpoint, item.request, isDigest ? 6 : 41};
-    schedule(millis(prefill), [this, stream] {
+    schedule(queues_[endpoint] + millis(prefill), [this, stream] {
         hosts_[stream.host].rates->onFirstEvent(endpointId(stream.endpoint), stream.request, now_);
         continueStream(stream);
     });
@@ -198,7 +198,7 @@
             const EndpointRateMessage message =
                     decodeEndpointRates(nlohmann::json::parse(datagram), now_);
             for (const SharedRate &measurement : message.measurements) {
-                hosts_[to].rates->onMeasurement(measurement, now_);
+                hosts_[to].rates->onMeasurement(measurement, message.from, now_);
             }
             for (const SharedRate &rate : message.rates) {
                 hosts_[to].rates->onRate(rate, now_);
--- a/unittests/Support/RateFleet.h
+++ b/unittests/Support/RateFleet.h
@@ -38,6 +38,8 @@
     /// \p factor of the times of endpoint \p index from now on.
     void setFactor(int index, double factor) { factors_.at(index) = factor; }
     double factor(int index) const { return factors_.at(index); }
+    /// How long prompts wait at endpoint \p index until they are prefilled, from now on.
+    void setQueue(int index, Interval wait) { queues_.at(index) = wait; }
     /// Multiplies the times of all endpoints.
     void setLoad(double factor) { load_ = factor; }
     /// Multiplies all times that host \p index measures.
@@ -113,6 +115,7 @@
     Instant now_{std::chrono::hours(1)};
     std::vector<Host> hosts_;
     std::vector<double> factors_;
+    std::vector<Interval> queues_;
     std::vector<uint64_t> processes_;
     std::map<HostId, int> byId_;
     double load_ = 1.0;
