[Decisions] [Edge] Placement adaptive: by expected time only where endpoints differ in speed

Change: placement adaptive uses expected_time for a service while a fifth of its endpoints is known to take at least 1.5 times as long as the median one, with hysteresis, and prefix_home otherwise.

AdaptivePlacement, seven rows.

--- a/include/sequoiagate/Decisions/EndpointSelector.h
+++ b/include/sequoiagate/Decisions/EndpointSelector.h
@@ -79,6 +79,7 @@
 enum class EndpointPlacement {
     PrefixHome,   ///< the less loaded of two homes of the prefix; all endpoints count as alike
     ExpectedTime, ///< the lowest expected time to the first event, by the endpoints' rates
+    Adaptive,     ///< ExpectedTime for services whose endpoints differ in speed, else PrefixHome
 };
 
 /// Counts of the selections by expected time.
@@ -222,9 +223,10 @@
         std::vector<std::size_t> endpoints;
         OutlierDetection outliers;
         LongPromptLanes longPrompts;
-        // Used by EndpointPlacement::ExpectedTime alone.
+        // Not used by EndpointPlacement::PrefixHome.
         std::vector<HomeCandidate> homes{}; ///< in the order of endpoints
         double meanWeight = 1.0;
+        bool isUneven = false; ///< whether its endpoints differ in speed
         Instant ratesDueAt{};
         EndpointOccupancy occupancy{};
     };
--- a/include/sequoiagate/Edge/EdgeSettings.h
+++ b/include/sequoiagate/Edge/EdgeSettings.h
@@ -38,7 +38,7 @@
     DistributedRetryBudgetSettings retries;
     TokenHolderSettings tokens;
     TokenAllocationPolicy tokenAllocation = TokenAllocationPolicy::FirstCome;
-    uint32_t tokenPoliciesFromHosts = 1; ///< see TokenServiceSettings
+    uint32_t fleetPoliciesFromHosts = 1; ///< see TokenServiceSettings
     EndpointPlacement placement = EndpointPlacement::PrefixHome;
 };
 
--- a/lib/Decisions/EndpointSelector.cpp
+++ b/lib/Decisions/EndpointSelector.cpp
@@ -93,7 +93,7 @@
     }
     std::vector<EndpointId> excluded = attempted;
     excluded.insert(excluded.end(), unavailable.begin(), unavailable.end());
-    if (settings_.placement == EndpointPlacement::ExpectedTime && item.promptTokens > 0) {
+    if (item.promptTokens > 0 && usesExpectedTime(service, now)) {
         if (auto outcome = selectByExpectedTime(service, item, excluded, now)) {
             return *std::move(outcome);
         }
--- a/lib/Decisions/EndpointSelectorExpectedTime.cpp
+++ b/lib/Decisions/EndpointSelectorExpectedTime.cpp
@@ -27,6 +27,13 @@
 constexpr double MaxMemoryShare = 0.9;
 constexpr Interval RetryAfterFullMemory = std::chrono::seconds(1);
 
+/// Endpoints differ in speed if this part of them takes longer than the median one by the factor.
+/// Where they differ less, the homes that are moved cost more prefill than slow endpoints do.
+constexpr double UnevenShare = 0.2;
+constexpr double UnevenFactor = 1.5;
+/// They count as alike again below this factor.
+constexpr double EvenFactor = 1.25;
+
 bool contains(const std::vector<EndpointId> &ids, const EndpointId &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -45,7 +52,7 @@
 void EndpointSelector::updateProcess(Endpoint &endpoint) const
 {
     uint64_t key = endpoint.hash;
-    if (settings_.placement == EndpointPlacement::ExpectedTime) {
+    if (settings_.placement != EndpointPlacement::PrefixHome) {
         key = affinityWeight(endpoint.spec.startedAtMillis, endpoint.hash);
     }
     if (key != endpoint.cacheKey) {
@@ -101,10 +108,12 @@
     }
     service.ratesDueAt = now + RateInterval;
     double sum = 0.0;
+    std::vector<double> factors;
     for (std::size_t i = 0; i < service.endpoints.size(); ++i) {
         Endpoint &endpoint = endpoints_[service.endpoints[i]];
         endpoint.rate = rates_ == nullptr ? EndpointRate()
                                           : trustedRate(rates_->rateOf(endpoint.spec.id, now));
+        factors.push_back(endpoint.rate.prefillFactor);
         endpoint.prefillFactor.update(endpoint.rate.prefillFactor, now);
         endpoint.decodeFactor.update(endpoint.rate.decodeFactor, now);
         endpoint.rate.prefillFactor = endpoint.prefillFactor.value();
@@ -114,6 +123,20 @@
         sum += endpoint.weight;
     }
     service.meanWeight = sum / static_cast<double>(service.endpoints.size());
+    const auto slow = factors.begin()
+                      + static_cast<std::ptrdiff_t>(static_cast<double>(factors.size())
+                                                    * (1.0 - UnevenShare));
+    std::nth_element(factors.begin(), slow, factors.end());
+    service.isUneven = *slow >= (service.isUneven ? EvenFactor : UnevenFactor);
+}
+
+bool EndpointSelector::usesExpectedTime(Service &service, Instant now)
+{
+    if (settings_.placement != EndpointPlacement::Adaptive) {
+        return settings_.placement == EndpointPlacement::ExpectedTime;
+    }
+    refreshRates(service, now);
+    return service.isUneven;
 }
 
 std::optional<SelectionOutcome>
@@ -289,7 +312,7 @@
 void EndpointSelector::recordUse(Endpoint &endpoint, const WorkItem &item, Instant now)
 {
     const auto found = services_.find(item.service);
-    if (settings_.placement != EndpointPlacement::ExpectedTime || item.promptTokens == 0
+    if (settings_.placement == EndpointPlacement::PrefixHome || item.promptTokens == 0
         || found == services_.end()) {
         return;
     }
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -88,7 +88,7 @@
     settings.incarnation = incarnation;
     settings.holder = edge.tokens;
     settings.allocation = edge.tokenAllocation;
-    settings.policiesFromHosts = edge.tokenPoliciesFromHosts;
+    settings.policiesFromHosts = edge.fleetPoliciesFromHosts;
     return settings;
 }
 
@@ -213,6 +213,7 @@
                                               log_),
             log_, metrics_);
     if (rates_) {
+        rates_->setMinHosts(settings_.fleetPoliciesFromHosts);
         rateLink_ = std::make_unique<EndpointRateLink>(tokens_->peers(), settings_.host, *rates_,
                                                        log_, metrics_);
     }
--- a/lib/Edge/EdgeSettings.cpp
+++ b/lib/Edge/EdgeSettings.cpp
@@ -4,6 +4,15 @@
 
 namespace sequoiagate {
 
+static EndpointPlacement placementOf(const std::string &name)
+{
+    if (name == "adaptive") {
+        return EndpointPlacement::Adaptive;
+    }
+    return name == "expected_time" ? EndpointPlacement::ExpectedTime
+                                   : EndpointPlacement::PrefixHome;
+}
+
 EdgeSettings edgeSettingsFrom(const nlohmann::json &settings)
 {
     EdgeSettings edge;
@@ -34,14 +43,12 @@
     edge.tokenAllocation =
             isByRank ? TokenAllocationPolicy::ByRank : TokenAllocationPolicy::FirstCome;
     edge.sharesEndpointRates = settings.at("endpoint_rates").get<std::string>() == "shared";
-    edge.tokenPoliciesFromHosts = settings.at("token_policies_from_hosts").get<uint32_t>();
+    edge.fleetPoliciesFromHosts = settings.at("fleet_policies_from_hosts").get<uint32_t>();
     edge.tokens.horizon = millisOf(settings, "token_horizon_ms");
     edge.tokens.policy = settings.at("token_reserve").get<std::string>() == "peak_demand"
                                  ? ReservePolicy::PeakDemand
                                  : ReservePolicy::MeanDemand;
-    edge.placement = settings.at("placement").get<std::string>() == "expected_time"
-                             ? EndpointPlacement::ExpectedTime
-                             : EndpointPlacement::PrefixHome;
+    edge.placement = placementOf(settings.at("placement").get<std::string>());
     return edge;
 }
 
--- a/unittests/Decisions/EndpointSelectorTest.cpp
+++ b/unittests/Decisions/EndpointSelectorTest.cpp
@@ -712,4 +712,56 @@
     EXPECT_EQ(selector.expectedTimeCounts().refused, 1U);
 }
 
+struct AdaptiveCase
+{
+    const char *name;
+    std::vector<double> factors; ///< of ten endpoints, one phase after the other
+    const char *expected;        ///< how a prompt is placed in the end
+};
+
+class AdaptivePlacement : public testing::TestWithParam<AdaptiveCase>
+{};
+
+const AdaptiveCase AdaptiveCases[] = {
+        {"NothingIsKnown", {}, "prefix_home"},
+        {"AllAlike", {1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, "prefix_home"},
+        {"ThirdIsSlower", {1, 1, 1, 1, 1, 1, 1, 2.4, 2.4, 2.4}, "expected_time"},
+        {"ThirdIsALittleSlower", {1, 1, 1, 1, 1, 1, 1, 1.3, 1.3, 1.3}, "prefix_home"},
+        {"OneHasAFault", {1, 1, 1, 1, 1, 1, 1, 1, 1, 5}, "prefix_home"},
+        {"SlowerAndThenALittleSlower",
+         {1, 1, 1, 1, 1, 1, 1, 2.4, 2.4, 2.4, 1, 1, 1, 1, 1, 1, 1, 1.4, 1.4, 1.4},
+         "expected_time"},
+        {"SlowerAndThenAlike",
+         {1, 1, 1, 1, 1, 1, 1, 2.4, 2.4, 2.4, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1},
+         "prefix_home"},
+};
+
+/// Guards against prefixes that move to other endpoints, which must prefill them again, where the
+/// endpoints differ too little for that to pay.
+TEST_P(AdaptivePlacement, UsesExpectedTimeWhereEndpointsDiffer)
+{
+    const AdaptiveCase &row = GetParam();
+    EndpointSelectorSettings settings;
+    settings.placement = EndpointPlacement::Adaptive;
+    SetRates rates;
+    EndpointSelector selector(Here, settings);
+    selector.setRateSource(&rates);
+    selector.setEndpoints(fleetOf(10), Start);
+    std::string reason;
+    Instant now = Start;
+    for (std::size_t phase = 0; phase == 0 || phase < row.factors.size() / 10; ++phase) {
+        for (std::size_t i = 0; i < 10 && !row.factors.empty(); ++i) {
+            const double factor = row.factors[10 * phase + i];
+            rates.rates[specOf(static_cast<int>(i)).id] = {factor, factor, 60, Millis(100)};
+        }
+        now += Seconds(1);
+        const SelectionOutcome outcome = selector.select(digestOf(1, 7), {}, now);
+        reason = std::get<SelectedEndpoint>(outcome).reason;
+    }
+    EXPECT_EQ(reason, row.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, AdaptivePlacement, testing::ValuesIn(AdaptiveCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
