[Edge] With token_allocation by_rank, wait for peers an eighth of the latency target after a wait in vain

Change: for 2 s after a wait in vain, and while the store responds, a request waits for an eighth of its latency target, at least 40 and at most 200 ms.

Ruled out: the same from the first wait on, and while the store's loss isn't noticed yet.

--- a/lib/Edge/TokenWaitQueue.cpp
+++ b/lib/Edge/TokenWaitQueue.cpp
@@ -14,6 +14,15 @@
 /// has no tokens left, for several rounds of token requests to peers.
 constexpr Interval MaxTokenWait = std::chrono::milliseconds(200);
 
+/// Where only peers can have tokens and a request has waited for them in vain lately, the next ones
+/// wait for this part of their latency target: most waits end in a refusal then, and use up the
+/// time in which the caller's retry would be on time.
+constexpr int LatencyTargetPerPeerWait = 8;
+/// The least of these waits: requests to the near home and to all homes.
+constexpr Interval MinPeerWait = std::chrono::milliseconds(40);
+/// How long a wait in vain counts, beyond the time in which the same is refused at once.
+constexpr Interval VainWaitMemory = std::chrono::seconds(2);
+
 /// For this long after a request found too few tokens, requests for as many are refused at once.
 constexpr Interval ShortfallDuration = std::chrono::milliseconds(300);
 
@@ -98,6 +107,13 @@
     });
 }
 
+bool TokenWaitQueue::hasWaitedInVain(const Account &account, Instant now)
+{
+    return std::any_of(
+            account.shortfalls.begin(), account.shortfalls.end(),
+            [now](const auto &entry) { return now < entry.second.until + VainWaitMemory; });
+}
+
 void TokenWaitQueue::recordShortfall(Account &account, const ReservationRequest &request,
                                      Instant now)
 {
@@ -117,11 +133,16 @@
 {
     const bool isShort = isKnownShort(account, request, now);
     if (!allocatesByRank()) {
-        const bool cannotClaim =
-                holder_.budgetState(request.workspace, request.tokens) != BudgetState::Available;
-        return isShort && cannotClaim
-                       ? std::nullopt
-                       : std::optional(std::min(request.deadline, now + MaxTokenWait));
+        const BudgetState state = holder_.budgetState(request.workspace, request.tokens);
+        if (isShort && state != BudgetState::Available) {
+            return std::nullopt;
+        }
+        const Interval wait =
+                isByRank() && state == BudgetState::Exhausted && hasWaitedInVain(account, now)
+                        ? std::clamp(request.latencyTarget / LatencyTargetPerPeerWait, MinPeerWait,
+                                     MaxTokenWait)
+                        : MaxTokenWait;
+        return std::min(request.deadline, now + wait);
     }
     TokenSupply supply = supplyOf(request.workspace);
     if (!isShort && peerCount_ > 0) {
--- a/unittests/Edge/TokenWaitQueueTest.cpp
+++ b/unittests/Edge/TokenWaitQueueTest.cpp
@@ -276,6 +276,46 @@
     EXPECT_TRUE(result.isServed());
 }
 
+struct PeerWaitCase
+{
+    const char *name;
+    Millis latencyTarget;
+    Millis wait;
+};
+
+class PeerWait : public TokenWaitQueueTest, public testing::WithParamInterface<PeerWaitCase>
+{};
+
+// Guards against callers who wait until their latency target is half over for tokens that only
+// peers can have, and are refused then.
+TEST_P(PeerWait, DependsOnTheLatencyTarget)
+{
+    holder_.setBudgets({{Space, 500}}, Lost);
+    holder_.setStoreReachable(true);
+    queue_.setUnreachableSince(std::nullopt);
+    ReservationRequest request = chat(Now);
+    request.latencyTarget = GetParam().latencyTarget;
+    // The second request comes when the first one's refusal is no longer taken for its own.
+    const Instant starts[] = {Now, Now + std::chrono::seconds(1)};
+    const Millis waits[] = {Millis(200), GetParam().wait};
+    for (std::size_t i = 0; i < 2; ++i) {
+        Result result;
+        reserve(request, result, starts[i]);
+        queue_.tick(starts[i] + waits[i] - Millis(1));
+        EXPECT_FALSE(result.isDone) << i;
+        queue_.tick(starts[i] + waits[i]);
+        EXPECT_TRUE(result.isRefused()) << i;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, PeerWait,
+                         testing::ValuesIn(std::vector<PeerWaitCase>{
+                                 {"Tight", Millis(100), Millis(40)},
+                                 {"Usual", Millis(1200), Millis(150)},
+                                 {"Relaxed", Millis(5000), Millis(200)},
+                         }),
+                         [](const auto &row) { return row.param.name; });
+
 struct TransferCase
 {
     const char *name;
