[Decisions] Name a host's part of the fleet's requests hostShare

Cause: EndpointRateSource::shareOfRequests had the name of a function that returns the share of requests an endpoint should get.

--- a/include/sequoiagate/Decisions/EndpointRate.h
+++ b/include/sequoiagate/Decisions/EndpointRate.h
@@ -29,7 +29,7 @@
     virtual EndpointRate rateOf(const EndpointId &endpoint, Instant now) const = 0;
     /// The part of the fleet's requests that this host sends, in (0, 1]; nullopt if the load of the
     /// other hosts isn't known. The balancer may give one host ten times as many as another.
-    virtual std::optional<double> shareOfRequests(Instant) const { return std::nullopt; }
+    virtual std::optional<double> hostShare(Instant) const { return std::nullopt; }
 };
 
 } // namespace sequoiagate
--- a/include/sequoiagate/Decisions/EndpointRates.h
+++ b/include/sequoiagate/Decisions/EndpointRates.h
@@ -111,7 +111,7 @@
     void tick(Instant now);
 
     EndpointRate rateOf(const EndpointId &endpoint, Instant now) const override;
-    std::optional<double> shareOfRequests(Instant now) const override;
+    std::optional<double> hostShare(Instant now) const override;
     /// The number of endpoints whose rate is known.
     std::size_t knownCount(Instant now) const;
 
--- a/include/sequoiagate/Decisions/EndpointSelector.h
+++ b/include/sequoiagate/Decisions/EndpointSelector.h
@@ -278,7 +278,7 @@
     void updateProcess(Endpoint &endpoint) const;
     void updateHomes(Service &service, Instant now);
     PlacementCostSettings costSettings(double slots) const;
-    void updateShareOfRequests(Instant now);
+    void updateHostShare(Instant now);
     /// Whether a prompt for \p service is placed by the expected time.
     bool usesExpectedTime(Service &service, Instant now);
     void refreshRates(Service &service, Instant now);
@@ -314,8 +314,8 @@
     double ownShare_ = 1.0;             ///< this router's share of the candidates' load
     std::mt19937_64 random_;
     const EndpointRateSource *rates_ = nullptr;
-    double shareOfRequests_ = 1.0; ///< the part of the fleet's requests that this host sends
-    Instant shareDueAt_{};
+    double hostShare_ = 1.0; ///< the part of the fleet's requests that this host sends
+    Instant hostShareDueAt_{};
     std::vector<HomeDistance> nearest_; ///< of the selection in progress
     std::vector<Endpoint *> homes_;     ///< those that are usable, the first home first
     ExpectedTimeCounts counts_;
--- a/lib/Decisions/EndpointRates.cpp
+++ b/lib/Decisions/EndpointRates.cpp
@@ -564,7 +564,7 @@
     return sent_.at(now) / secondsOf(LoadTime);
 }
 
-std::optional<double> EndpointRates::shareOfRequests(Instant now) const
+std::optional<double> EndpointRates::hostShare(Instant now) const
 {
     double sum = 0.0;
     std::size_t known = 0;
--- a/lib/Decisions/EndpointSelectorExpectedTime.cpp
+++ b/lib/Decisions/EndpointSelectorExpectedTime.cpp
@@ -84,25 +84,25 @@
     cost.prefillBase = settings_.prefillBase;
     // Scaled as in selectHome: a host with less than one request per endpoint sees only a part of
     // the queue that a request at the first home waits for.
-    const double observedShare = std::min(1.0, slots * shareOfRequests_);
+    const double observedShare = std::min(1.0, slots * hostShare_);
     cost.prefixMissWeight = std::max(1.0, settings_.prefixMissWeight * observedShare);
     return cost;
 }
 
-void EndpointSelector::updateShareOfRequests(Instant now)
+void EndpointSelector::updateHostShare(Instant now)
 {
-    if (now < shareDueAt_) {
+    if (now < hostShareDueAt_) {
         return;
     }
-    shareDueAt_ = now + RateInterval;
+    hostShareDueAt_ = now + RateInterval;
     const double equal = 1.0 / std::max(settings_.routerCount, 1U);
-    shareOfRequests_ = rates_ == nullptr ? equal : rates_->shareOfRequests(now).value_or(equal);
+    hostShare_ = rates_ == nullptr ? equal : rates_->hostShare(now).value_or(equal);
 }
 
 void EndpointSelector::refreshRates(Service &service, Instant now)
 {
-    updateShareOfRequests(now);
-    service.occupancy.setScale(shareOfRequests_, service.endpoints.size());
+    updateHostShare(now);
+    service.occupancy.setScale(hostShare_, service.endpoints.size());
     if (now < service.ratesDueAt) {
         return;
     }
@@ -195,8 +195,7 @@
     if (item.prefixHash == 0) {
         return 1;
     }
-    const double requestsPerSecond =
-            affinity_.requestsPerSecond(item.prefixHash, now) / shareOfRequests_;
+    const double requestsPerSecond = affinity_.requestsPerSecond(item.prefixHash, now) / hostShare_;
     const double work =
             requestsPerSecond * std::chrono::duration<double>(useOf(item, true).prefill).count();
     return std::clamp(static_cast<uint32_t>(std::min(work / settings_.homeUtilization, 1e6)) + 1,
--- a/unittests/Decisions/EndpointRatesTest.cpp
+++ b/unittests/Decisions/EndpointRatesTest.cpp
@@ -247,12 +247,12 @@
     std::optional<double> expected;
 };
 
-class ShareOfRequests : public testing::TestWithParam<ShareCase>
+class HostShare : public testing::TestWithParam<ShareCase>
 {};
 
 // Guards against a host that expects the load of the others to be like its own: the balancer gave
 // one host fifteen times as many requests as the others, and it spread each prefix over the fleet.
-TEST_P(ShareOfRequests, FollowsTheLoadOfTheOthers)
+TEST_P(HostShare, FollowsTheLoadOfTheOthers)
 {
     const ShareCase &row = GetParam();
     EndpointRates rates(HostId("h"), DomainId("d"));
@@ -273,15 +273,15 @@
     for (std::size_t i = 0; i < row.others.size(); ++i) {
         rates.onHostLoad(HostId(std::to_string(i)), row.others[i], now);
     }
-    const std::optional<double> share = rates.shareOfRequests(now);
+    const std::optional<double> share = rates.hostShare(now);
     ASSERT_EQ(share.has_value(), row.expected.has_value());
     if (share) {
         EXPECT_NEAR(*share, *row.expected, *row.expected * 0.2);
     }
-    EXPECT_FALSE(rates.shareOfRequests(now + std::chrono::minutes(1)).has_value());
+    EXPECT_FALSE(rates.hostShare(now + std::chrono::minutes(1)).has_value());
 }
 
-INSTANTIATE_TEST_SUITE_P(Rows, ShareOfRequests,
+INSTANTIATE_TEST_SUITE_P(Rows, HostShare,
                          testing::ValuesIn(std::vector<ShareCase>{
                                  {"Equal", 10, std::vector<double>(8, 10.0), 1.0 / 9},
                                  {"Busy", 80, std::vector<double>(8, 10.0), 0.5},
