[Proxy] Don't close a connection whose next request has arrived and isn't read yet

Cause: a host that is being stopped closes idle connections at each tick. The idle time-out did the same.

Change: drain and the idle time-out leave a connection alone that has unread bytes.

Looked for elsewhere: drain is also what a host with a full link does to its callers; relays' connections carry one request each and aren't drained.

Measured: CallerConnection.DrainAnswersARequestThatHasArrived is reset before and answered after; 91 tests of callers' connections passed three times in a row.

--- a/include/sequoiagate/Proxy/SocketState.h
+++ b/include/sequoiagate/Proxy/SocketState.h
@@ -16,6 +16,9 @@
 /// \pre \p socket is open and non-blocking. Not thread safe.
 boost::system::error_code peekCloseError(boost::asio::ip::tcp::socket &socket);
 
+/// \returns whether bytes of the peer have arrived that haven't been read. Not thread safe.
+bool hasUnreadBytes(const boost::asio::ip::tcp::socket &socket);
+
 /// \returns the number of bytes that were sent and not yet acknowledged by the peer; nullopt if the
 /// kernel can't tell. Not thread safe.
 std::optional<std::size_t> unacknowledgedBytes(boost::asio::ip::tcp::socket &socket);
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -520,6 +520,11 @@
         close(CallerCloseReason::Answered);
         return;
     }
+    if (!reader_->begun() && hasUnreadBytes(socket_)) {
+        // The next request has arrived and is about to be read.
+        armTimer(limitsOf(context_).idleTimeout);
+        return;
+    }
     if (!reader_->begun()) {
         close(CallerCloseReason::Idle);
         return;
@@ -534,7 +539,8 @@
 void CallerConnection::drain()
 {
     const bool isIdle = !exchange_ && reader_ && !reader_->begun() && unparsed_.empty();
-    if (isIdle && outgoing_.empty() && !writing_) {
+    // A request that has arrived is served: a busy host reads it some hundred milliseconds later.
+    if (isIdle && outgoing_.empty() && !writing_ && !hasUnreadBytes(socket_)) {
         close(CallerCloseReason::Drained);
     }
 }
--- a/lib/Proxy/SocketState.cpp
+++ b/lib/Proxy/SocketState.cpp
@@ -28,6 +28,12 @@
     return isClosed ? asio::error::eof : error_code();
 }
 
+bool hasUnreadBytes(const tcp::socket &socket)
+{
+    error_code error;
+    return socket.available(error) > 0 && !error;
+}
+
 std::optional<std::size_t> unacknowledgedBytes(tcp::socket &socket)
 {
     int bytes = 0;
--- a/unittests/Proxy/CallerConnectionTest.cpp
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -151,6 +151,21 @@
     EXPECT_TRUE(harness.waitForClose());
 }
 
+// Guards against a planned stop that closes a connection whose request has arrived and isn't read
+// yet: a busy host reads it some hundred milliseconds later.
+TEST(CallerConnection, DrainAnswersARequestThatHasArrived)
+{
+    ProxyTestHarness harness({{{plain("first")}, {plain("second")}}});
+    harness.send(ProxyTestHarness::request("/get/a", "r1"));
+    ASSERT_TRUE(harness.waitFor("first"));
+    harness.stopping = true;
+    harness.send(ProxyTestHarness::request("/get/a", "r2"));
+    harness.connection().drain();
+    EXPECT_TRUE(harness.waitFor("second"));
+    EXPECT_FALSE(harness.wasReset());
+    EXPECT_TRUE(harness.waitForClose());
+}
+
 struct DisconnectCase
 {
     const char *name;
