[Proxy] Log relayed requests with their event's name

Cause: request.sent was extended by assigning the result of Event::with() to the event itself, a move onto itself that clears the name: lines of relayed and of limited requests had "event":"".

Change: Event::add() for events that are built in several statements. No other place in lib/ or platform/ assigns an event to itself.

--- a/include/sequoiagate/Service/EventLog.h
+++ b/include/sequoiagate/Service/EventLog.h
@@ -58,6 +58,13 @@
         fields_[std::string(key)] = id.text();
         return std::move(*this);
     }
+    /// Adds a field to an event that is built in several statements. Assigning the result of with()
+    /// to the event itself would move it onto itself, which clears its name.
+    template <typename Value>
+    void add(std::string_view key, const Value &value)
+    {
+        static_cast<void>(std::move(*this).with(key, value));
+    }
     /// Marks a line that others can't be understood without. Its writer bounds how often it comes.
     Event &&essential(bool is = true) &&
     {
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -348,10 +348,10 @@
                           .with("left_ms", millis(remaining(now)).count())
                           .with("config", config_->version);
     if (!attempt_->relay.empty()) {
-        event = std::move(event).with("relay", attempt_->relay);
+        event.add("relay", attempt_->relay);
     }
     if (!target.limits.empty()) {
-        event = std::move(event).with("limits", target.limits);
+        event.add("limits", target.limits);
     }
     log(std::move(event));
     context_.placement.onSent(target.endpoint, workItem(), now);
--- a/unittests/Proxy/ExchangeRelayTest.cpp
+++ b/unittests/Proxy/ExchangeRelayTest.cpp
@@ -126,6 +126,21 @@
     EXPECT_NE(harness.received().find("id: 1"), std::string::npos);
 }
 
+// Guards against relayed requests that a search of the log by event doesn't find.
+TEST(ExchangeRelay, SentRequestIsLoggedWithItsEventAndRelay)
+{
+    ProxyTestHarness harness({{{Established}, {Good}}});
+    harness.placement.endpoints[0].relay =
+            RelayRoute{HostId("other"), harness.endpoints[0]->address(), false};
+    harness.placement.endpoints[0].limits = "slots";
+    harness.send(ProxyTestHarness::request("/once/a", "r1"));
+    ASSERT_TRUE(harness.waitFor("good")) << harness.received();
+    EXPECT_EQ(harness.countLogLines("\"event\":\"request.sent\""), 1U);
+    EXPECT_EQ(harness.countLogLines("\"relay\":\"other\""), 1U);
+    EXPECT_EQ(harness.countLogLines("\"limits\":\"slots\""), 1U);
+    EXPECT_EQ(harness.countLogLines("\"event\":\"\""), 0U);
+}
+
 // Guards against a stream that ends, or repeats events, because its relay died.
 TEST(ExchangeRelay, ResumableStreamGoesOnThroughAnotherRelay)
 {
