[Proxy] Don't continue a stream that began at an endpoint whose version isn't confirmed

Cause: an endpoint that may have started again with another version takes no resumed stream and is recorded by none, but a new stream may begin there. When it broke off within the same response, the host continued it at another endpoint of the version that was listed, so the response could hold events of two versions.

Change: after the first event of such an endpoint the stream isn't repeated; it ends as cut off.

--- a/include/sequoiagate/Proxy/StreamContinuity.h
+++ b/include/sequoiagate/Proxy/StreamContinuity.h
@@ -52,6 +52,9 @@
     /// isn't recorded: a resumption is rather refused than continued at the wrong version.
     void onFirstEvent(const ServiceId &service, const SoftwareVersion &version, bool isConfirmed,
                       Instant now);
+    /// Whether another endpoint may continue the stream: not after an event of an endpoint whose
+    /// version isn't confirmed, since its listed version may not be the one that it runs.
+    bool mayContinue() const { return mayContinue_; }
     /// The version at which the stream has to go on; nullopt before it has begun.
     const std::optional<SoftwareVersion> &version() const { return version_; }
 
@@ -63,6 +66,7 @@
     bool isNamed_ = true; ///< whether the caller says which request began a stream
     bool isRecorded_ = false;
     bool isForwarding_ = false; ///< an event was forwarded in this request
+    bool mayContinue_ = true;
     std::optional<SoftwareVersion> version_;
 };
 
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -431,7 +431,8 @@
 {
     const bool repeatable = route_->kind == RouteKind::Idempotent || route_->resumable;
     // A plain response of which a part was forwarded can't go on with another endpoint's.
-    return repeatable && !plainResponseForwarded_ && sendCount_ < route_->maxAttempts;
+    return repeatable && !plainResponseForwarded_ && continuity_.mayContinue()
+           && sendCount_ < route_->maxAttempts;
 }
 
 void Exchange::onConnected()
--- a/lib/Proxy/StreamContinuity.cpp
+++ b/lib/Proxy/StreamContinuity.cpp
@@ -34,6 +34,7 @@
     }
     isForwarding_ = true;
     version_ = version;
+    mayContinue_ = isConfirmed;
     if (!isRecorded_ || !isConfirmed) {
         return;
     }
--- a/unittests/Proxy/StreamContinuityTest.cpp
+++ b/unittests/Proxy/StreamContinuityTest.cpp
@@ -35,6 +35,7 @@
 {
     const char *version;
     std::vector<Reply> replies;
+    bool isConfirmed = true;
 };
 
 struct ContinuityCase
@@ -78,6 +79,15 @@
          "id: 1",
          "id: 2",
          {1, 0}},
+        // Guards against a stream that goes on at the listed version of an endpoint which may have
+        // started again with another one.
+        {"EndsIfItsEndpointsVersionWasNotConfirmed",
+         "/resume/a",
+         {{"v1", {{events(0, 2), AfterReply::Reset}}, false}, {"v1", {{wholeFrom(2)}}}},
+         "",
+         "id: 1",
+         "id: 2",
+         {1, 0}},
         // Guards against failing a request because another version is left, while no event of it
         // was forwarded.
         {"MayChangeTheVersionBeforeTheFirstEvent",
@@ -159,6 +169,7 @@
     ProxyTestHarness harness(scripts);
     for (std::size_t i = 0; i < row.endpoints.size(); ++i) {
         harness.placement.endpoints[i].version = SoftwareVersion(row.endpoints[i].version);
+        harness.placement.endpoints[i].isVersionConfirmed = row.endpoints[i].isConfirmed;
     }
     harness.streamOrigins.origins[RequestId("r0")] = SoftwareVersion("v1");
     harness.send(ProxyTestHarness::request(row.path, "r1", row.fields));
