[Edge] Bound the rank and the size that a token request may state

Cause: a rank above 32 bits wrapped around to the most urgent one, and a size near 2^64 raised a rank's expected demand beyond what the conversion to an integer allows. One faulty message made a home withhold tokens for minutes.

Change: ranks are clamped, and a request counts as demand for at most the workspace's budget.

--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "sequoiagate/Edge/PeerLink.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <boost/asio/buffer.hpp>
 
@@ -182,7 +183,9 @@
     request.demandPerSecond = message.at("per_second").get<uint64_t>();
     request.round = message.value("round", 0U);
     if (message.contains("priority")) {
-        request.priority = message.at("priority").get<uint32_t>();
+        // A value beyond the type must not wrap around to the most urgent rank.
+        request.priority = static_cast<uint32_t>(std::min<uint64_t>(
+                message.at("priority").get<uint64_t>(), std::numeric_limits<uint32_t>::max()));
     }
     request.acceptsPart = message.value("part", false);
     const auto from = message.at("from").get<std::string>();
--- a/lib/Edge/TokenWaitQueue.cpp
+++ b/lib/Edge/TokenWaitQueue.cpp
@@ -426,14 +426,16 @@
 bool TokenWaitQueue::mayTransfer(const TokenRequest &request, Instant now)
 {
     // Peers can name workspaces that aren't configured here.
-    if (!isByRank() || !request.priority || request.need == 0
-        || holder_.prepaid(request.workspace) == 0) {
+    const uint64_t prepaid = holder_.prepaid(request.workspace);
+    if (!isByRank() || !request.priority || request.need == 0 || prepaid == 0) {
         return true;
     }
     Account &account = accounts_[request.workspace];
     const TokenSupply supply = supplyOf(request.workspace);
     if (request.round == TokenSearch::NearHome) {
-        account.allocation.recordRequest(*request.priority, request.need, supply, now);
+        // One faulty message must not make a rank's expected demand exceed the whole budget.
+        account.allocation.recordRequest(*request.priority, std::min(request.need, prepaid), supply,
+                                         now);
     }
     const bool may = account.allocation.mayGrant(*request.priority, supply, now);
     metrics_.count("token_transfer_decisions_total", {{"decision", may ? "allowed" : "withheld"}});
--- a/unittests/Edge/PeerLinkTest.cpp
+++ b/unittests/Edge/PeerLinkTest.cpp
@@ -204,15 +204,19 @@
     const nlohmann::json withoutRank = nextDatagram();
     nlohmann::json malformed = withRank;
     malformed["priority"] = "first";
+    nlohmann::json tooLarge = withRank;
+    tooLarge["priority"] = uint64_t{1} << 32;
     EXPECT_FALSE(withoutRank.contains("priority"));
     deliver(withRank);
     deliver(malformed);
     deliver(withoutRank);
+    deliver(tooLarge);
     io_.restart();
     io_.poll();
-    ASSERT_EQ(requests_.size(), 2U);
+    ASSERT_EQ(requests_.size(), 3U);
     EXPECT_EQ(requests_[0].priority, 3U);
     EXPECT_FALSE(requests_[1].priority);
+    EXPECT_GT(requests_[2].priority, 3U);
 }
 
 struct FirstRequestCase
--- a/unittests/Edge/TokenWaitQueueTest.cpp
+++ b/unittests/Edge/TokenWaitQueueTest.cpp
@@ -2,6 +2,7 @@
 /// each request from a home, and at a home.
 
 #include <cstdio>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -316,6 +317,16 @@
                          }),
                          [](const auto &row) { return row.param.name; });
 
+// Guards against one faulty message by which a home withholds its tokens for minutes.
+TEST_F(TokenWaitQueueTest, DemandOfOneMessageIsBoundedByTheBudget)
+{
+    makeHome(90'000, 0);
+    constexpr uint64_t Max = std::numeric_limits<uint64_t>::max();
+    queue_.mayTransfer(transferRequest(0, Max), Lost);
+    EXPECT_FALSE(queue_.mayTransfer(transferRequest(2, 9'200), Lost + std::chrono::seconds(1)));
+    EXPECT_TRUE(queue_.mayTransfer(transferRequest(2, 9'200), Lost + std::chrono::seconds(90)));
+}
+
 struct TransferCase
 {
     const char *name;
