[Proxy] Don't close a connection whose request has been read while the handler is queued

Cause: a read that is started when bytes are there takes them at once and queues its handler. At a busy host the queue holds some 250 ms of work.

Change: between two requests a connection with a pending read is closed when that read has been cancelled. A read that had its bytes isn't cancelled, and its request is served. The idle time-out does the same.

--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -93,6 +93,8 @@
     /// The socket has taken \p bytes of what is being written.
     void onTaken(std::size_t bytes);
     void close(CallerCloseReason reason, const ErrorCode &error = ErrorCode());
+    /// Closes a connection between two requests, at once or when its pending read is cancelled.
+    void closeUnlessRequested(CallerCloseReason reason);
 
     ProxyContext &context_;
     boost::asio::ip::tcp::socket socket_;
@@ -111,6 +113,7 @@
     std::size_t lingerBytes_ = 0;              ///< received while lingering
     bool isNew_ = true;                        ///< awaitNextRequest hasn't been called yet
     bool reading_ = false;
+    std::optional<CallerCloseReason> idleClose_; ///< set while the pending read is cancelled
     bool writing_ = false;
     bool keepAlive_ = true;
     bool acceptsChunks_ = true;
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -159,6 +159,15 @@
     if (isClosed_) {
         return;
     }
+    const std::optional<CallerCloseReason> idleClose = std::exchange(idleClose_, std::nullopt);
+    if (idleClose && error == asio::error::operation_aborted) {
+        if (hasUnreadBytes(socket_)) {
+            read();
+        } else {
+            close(*idleClose);
+        }
+        return;
+    }
     if (error) {
         onPeerClosed(error);
         return;
@@ -520,13 +529,10 @@
         close(CallerCloseReason::Answered);
         return;
     }
-    if (!reader_->begun() && hasUnreadBytes(socket_)) {
-        // The next request has arrived and is about to be read.
-        armTimer(limitsOf(context_).idleTimeout);
-        return;
-    }
     if (!reader_->begun()) {
-        close(CallerCloseReason::Idle);
+        // Takes effect unless a request has arrived, which then is served.
+        armTimer(limitsOf(context_).idleTimeout);
+        closeUnlessRequested(CallerCloseReason::Idle);
         return;
     }
     // The request hasn't been received completely, so it hasn't run.
@@ -539,10 +545,26 @@
 void CallerConnection::drain()
 {
     const bool isIdle = !exchange_ && reader_ && !reader_->begun() && unparsed_.empty();
+    if (isIdle && outgoing_.empty() && !writing_) {
+        closeUnlessRequested(CallerCloseReason::Drained);
+    }
+}
+
+void CallerConnection::closeUnlessRequested(CallerCloseReason reason)
+{
     // A request that has arrived is served: a busy host reads it some hundred milliseconds later.
-    if (isIdle && outgoing_.empty() && !writing_ && !hasUnreadBytes(socket_)) {
-        close(CallerCloseReason::Drained);
+    if (hasUnreadBytes(socket_)) {
+        return;
+    }
+    if (!reading_) {
+        close(reason);
+        return;
     }
+    // A read may have taken the request already, with its handler still queued. Only one that
+    // hasn't is cancelled.
+    idleClose_ = reason;
+    ErrorCode ignored;
+    socket_.cancel(ignored);
 }
 
 void CallerConnection::stop()
--- a/unittests/Proxy/CallerConnectionTest.cpp
+++ b/unittests/Proxy/CallerConnectionTest.cpp
@@ -166,6 +166,30 @@
     EXPECT_TRUE(harness.waitForClose());
 }
 
+// Guards against a planned stop that closes a new connection whose request has been taken from the
+// socket while the handler of the read waits behind those of other connections.
+TEST(CallerConnection, DrainAnswersARequestWhoseReadHandlerIsQueued)
+{
+    ProxyTestSettings settings;
+    settings.sentBefore = ProxyTestHarness::request("/get/a", "r");
+    ProxyTestHarness harness({{{plain("good")}}}, settings);
+    harness.stopping = true;
+    harness.connection().drain();
+    EXPECT_TRUE(harness.waitFor("good")) << harness.received();
+    EXPECT_FALSE(harness.wasReset());
+    EXPECT_TRUE(harness.waitForClose());
+}
+
+// Guards against a planned stop that waits for callers who have nothing to send.
+TEST(CallerConnection, DrainClosesAnIdleConnection)
+{
+    ProxyTestHarness harness({{{plain("good")}}});
+    harness.stopping = true;
+    harness.connection().drain();
+    EXPECT_TRUE(harness.waitForClose());
+    EXPECT_EQ(harness.received(), "");
+}
+
 struct DisconnectCase
 {
     const char *name;
--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -247,6 +247,7 @@
                 {EndpointId(fmt::format("e{}", i)), endpoints[i]->address(), "order"});
     }
     tcp::socket accepted = connectCaller(caller_, settings.isCallerSlow);
+    boost::asio::write(caller_, boost::asio::buffer(settings.sentBefore));
     connection_ = std::make_shared<CallerConnection>(
             context_, std::move(accepted), [](const std::shared_ptr<CallerConnection> &) {});
     connection_->start();
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -188,6 +188,8 @@
     bool isCallerSlow = false;
     /// Memory of the process; 0: unknown.
     std::size_t memoryBytes = 0;
+    /// What the caller has sent before its connection is accepted.
+    std::string sentBefore;
 };
 
 class ProxyTestHarness
