[Decisions] Count the headers of segments and acknowledgements at this host's link

One host with a link of 10 Mbit/s gets 240 requests and some 1,400 events of 100 bytes a second. By payload its link was 0.82 full, below the 0.92 at which large requests are refused; with the headers of its segments and acknowledgements it was over 1. Requests and the closes that cancel them took 0.7 to 1.4 s.

Change: LinkLoad adds 66 bytes a segment, and half of that in the other direction. The thresholds rise by what prompts of full segments take in headers, 0.75 to 0.8 and 0.92 to 0.98, so that hosts with large prompts alone decide as before. This applies to all deployments whose hosts know their link.

Measured: LinkOfSmallMessages; the rows of LinkUnderLoad pass unchanged.

--- a/include/sequoiagate/Decisions/LinkLoad.h
+++ b/include/sequoiagate/Decisions/LinkLoad.h
@@ -26,9 +26,9 @@
 {
     uint64_t bytesPerSecond = 0; ///< in each direction; 0: unknown, and never full
     /// Link utilization above which callers are sent to other hosts: queues grow without bound
-    /// at 1, and frames and acknowledgements take about 5% that isn't counted.
-    double shedThreshold = 0.75;
-    double refuseThreshold = 0.92;
+    /// at 1, and handshakes of connections and retransmissions aren't counted.
+    double shedThreshold = 0.8;
+    double refuseThreshold = 0.98;
     /// The time over which bytes are counted: long compared with one prompt's transmission
     /// (15 ms at 10 Mbit/s), short compared with the second that callers wait for a response.
     Interval window = std::chrono::milliseconds(500);
@@ -50,8 +50,9 @@
     explicit LinkLoad(LinkLoadSettings settings) : settings_(settings) {}
 
     void setBytesPerSecond(uint64_t bytes) { settings_.bytesPerSecond = bytes; }
-    void onReceived(uint64_t bytes, Instant now) { in_.add(bytes, now, settings_.window); }
-    void onSent(uint64_t bytes, Instant now) { out_.add(bytes, now, settings_.window); }
+    /// \p bytes are those of one message, which the link carries with the headers of its segments.
+    void onReceived(uint64_t bytes, Instant now);
+    void onSent(uint64_t bytes, Instant now);
     /// Whether callers are to be sent to other hosts.
     bool shedding(Instant now);
     /// Whether a request of \p bytes is to be refused.
@@ -73,6 +74,9 @@
         uint64_t previous = 0;
     };
 
+    void addMessage(Direction &data, Direction &acknowledgements, uint64_t bytes,
+                    Instant now) const;
+
     LinkLoadSettings settings_;
     Direction in_;
     Direction out_;
--- a/lib/Decisions/LinkLoad.cpp
+++ b/lib/Decisions/LinkLoad.cpp
@@ -4,6 +4,21 @@
 
 namespace sequoiagate {
 
+namespace {
+
+constexpr uint64_t SegmentBytes = 1'448; ///< payload of a full segment
+/// Ethernet, IP and TCP with time stamps: an event of 100 bytes takes two thirds more than its
+/// size.
+constexpr uint64_t HeaderBytes = 66;
+constexpr uint64_t SegmentsPerAcknowledgement = 2;
+
+uint64_t segmentsOf(uint64_t bytes)
+{
+    return bytes / SegmentBytes + 1;
+}
+
+} // namespace
+
 void LinkLoad::Direction::add(uint64_t bytes, Instant now, Interval window)
 {
     if (now >= windowStart + window) {
@@ -27,6 +42,24 @@
     return static_cast<double>(previous) * (1.0 - windowsElapsed) + static_cast<double>(current);
 }
 
+void LinkLoad::onReceived(uint64_t bytes, Instant now)
+{
+    addMessage(in_, out_, bytes, now);
+}
+
+void LinkLoad::onSent(uint64_t bytes, Instant now)
+{
+    addMessage(out_, in_, bytes, now);
+}
+
+void LinkLoad::addMessage(Direction &data, Direction &acknowledgements, uint64_t bytes,
+                          Instant now) const
+{
+    const uint64_t headers = segmentsOf(bytes) * HeaderBytes;
+    data.add(bytes + headers, now, settings_.window);
+    acknowledgements.add(headers / SegmentsPerAcknowledgement, now, settings_.window);
+}
+
 double LinkLoad::share(Instant now) const
 {
     if (settings_.bytesPerSecond == 0) {
--- a/unittests/Decisions/LinkLoadTest.cpp
+++ b/unittests/Decisions/LinkLoadTest.cpp
@@ -58,6 +58,48 @@
 INSTANTIATE_TEST_SUITE_P(Rows, LinkUnderLoad, testing::ValuesIn(LoadCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct SmallMessageCase
+{
+    const char *name;
+    int eventsPerSecond; ///< of 100 bytes, each received and forwarded
+    bool refuses;
+};
+
+class LinkOfSmallMessages : public testing::TestWithParam<SmallMessageCase>
+{};
+
+// 270 prompts of 3.3 KB a second take 0.71 of a link of 10 Mbit/s. Guards against a host that
+// counts the payload of events alone: 1,400 of them take 0.11 as payload and 0.19 on the link. It
+// accepted more until requests, and the closes that cancel them, took over a second.
+const SmallMessageCase SmallMessageCases[] = {{"FewEvents", 200, false},
+                                              {"ManyEvents", 1'400, true}};
+
+TEST_P(LinkOfSmallMessages, CountsHeaders)
+{
+    LinkLoadSettings settings;
+    settings.bytesPerSecond = 10'000'000 / 8;
+    LinkLoad link(settings);
+    Instant now{std::chrono::hours(1)};
+    bool isRefused = false;
+    for (int millis = 0; millis < 3'000; ++millis) {
+        now += std::chrono::milliseconds(1);
+        const int events = (millis + 1) * GetParam().eventsPerSecond / 1'000
+                           - millis * GetParam().eventsPerSecond / 1'000;
+        for (int i = 0; i < events; ++i) {
+            link.onReceived(100, now);
+            link.onSent(100, now);
+        }
+        if ((millis + 1) * 270 / 1'000 > millis * 270 / 1'000) {
+            link.onSent(3'300, now);
+        }
+        isRefused = isRefused || link.refuses(9'000, now);
+    }
+    EXPECT_EQ(isRefused, GetParam().refuses);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, LinkOfSmallMessages, testing::ValuesIn(SmallMessageCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 struct ReturnCase
 {
     const char *name;
