[Edge] A connection that a relay couldn't make leaves an endpoint's version unconfirmed

Cause: an endpoint that can't be reached may have started again under its id with another version. A host that failed to connect waits for new entries before it resumes a stream there; one whose relay reported the same didn't, and could resume a stream at the other version.

Change: both do.

--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -554,6 +554,8 @@
     if (found == entries_.end()) {
         return;
     }
+    // A relay that couldn't connect shows the same as a failed connection of this host.
+    awaitConfirmation(endpoint);
     found->second.excludedUntil = now + UnreachableRetryDelay;
     log_.write(Event("endpoint.unreachable").with("endpoint", endpoint));
 }
--- a/unittests/Edge/EndpointDirectoryTest.cpp
+++ b/unittests/Edge/EndpointDirectoryTest.cpp
@@ -79,6 +79,7 @@
     std::vector<std::pair<uint64_t, uint64_t>> entries;
     bool isResumed; ///< whether a stream that began at the entry's version may be resumed there
     bool isRestarted;
+    bool isRelayed = false; ///< whether a relay reported the failed connection
 };
 
 class UnconfirmedVersion : public EndpointDirectoryTest,
@@ -91,6 +92,8 @@
         {"SameEntryAgain", {{1, 10}, {1, 10}}, false, false},
         {"TwoEntries", {{1, 11}, {1, 12}}, true, false},
         {"EntryOfTheNextProcess", {{2, 1}}, false, true},
+        {"NoEntryBehindARelay", {}, false, false, true},
+        {"TwoEntriesBehindARelay", {{1, 11}, {1, 12}}, true, false, true},
 };
 
 /// Guards against resuming a stream at an endpoint that has started again under its id with
@@ -102,7 +105,11 @@
     listed.version = SoftwareVersion("v1");
     listed.sequence = 10;
     directory_.update(listed, now_);
-    directory_.onConnectFailed(EndpointId("e"), now_);
+    if (row.isRelayed) {
+        directory_.onStaleEndpoint(EndpointId("e"), now_);
+    } else {
+        directory_.onConnectFailed(EndpointId("e"), now_);
+    }
     for (const auto &[startedAt, sequence] : row.entries) {
         listed.startedAtMillis = startedAt;
         listed.sequence = sequence;
