[Edge] [Test] Plain terms for unsuccessful waits, time-outs of endpoints and rates

Names and comments alone: hasUnsuccessfulWait, UnsuccessfulWaitMemory; the tests' unreadTimeout, addHotPrefix, SlowHostDoesNotChangeRates (SlowHostCondemnsNoEndpoint before).

--- a/include/sequoiagate/Decisions/PlacementCost.h
+++ b/include/sequoiagate/Decisions/PlacementCost.h
@@ -38,7 +38,7 @@
 {
     EndpointRate rate;     ///< as trustedRate returns it
     Interval queued{};     ///< prefill of the prompts without a first event, at the median endpoint
-    Interval waited{};     ///< of this host\'s oldest request there without a first event
+    Interval waited{};     ///< of this host's oldest request there without a first event
     double requests = 0.0; ///< in flight, of all hosts
     double slots = 1.0;
     bool holdsPrefix = false;
--- a/lib/Decisions/EndpointSelectorExpectedTime.cpp
+++ b/lib/Decisions/EndpointSelectorExpectedTime.cpp
@@ -13,7 +13,7 @@
 /// rates of all endpoints take as long to read as a selection.
 constexpr Interval RateInterval = std::chrono::milliseconds(500);
 /// Homes that are compared for each prefix. With more of them, an endpoint that is cheaper for a
-/// moment draws prefixes that it must prefill.
+/// moment gets prefixes that it must prefill.
 constexpr std::size_t ComparedHomes = 3;
 /// Homes beyond these that are ranked, in case some of them can't be used.
 constexpr std::size_t SpareHomes = 3;
--- a/lib/Decisions/TokenAllocation.cpp
+++ b/lib/Decisions/TokenAllocation.cpp
@@ -65,8 +65,8 @@
 Interval TokenAllocation::remainingOutage(const TokenSupply &supply, Instant now) const
 {
     // Up to the length that is to be outlasted, tokens for urgent requests are kept until then: an
-    // outage of 8 s seems to end after 2 s when it has lasted for one. Tokens kept in vain aren't
-    // lost.
+    // outage of 8 s seems to end after 2 s when it has lasted for one. Tokens kept without need
+    // aren't lost.
     const Interval age = std::max(now - *supply.unreachableSince, Interval::zero());
     const Interval expected = age < supply.horizon ? supply.horizon - age : age;
     return std::max(expected, settings_.minRemainingOutage);
--- a/lib/Edge/TokenWaitQueue.cpp
+++ b/lib/Edge/TokenWaitQueue.cpp
@@ -14,20 +14,20 @@
 /// has no tokens left, for several rounds of token requests to peers.
 constexpr Interval MaxTokenWait = std::chrono::milliseconds(200);
 
-/// Where only peers can have tokens and a request has waited for them in vain lately, the next ones
-/// wait for this part of their latency target: most waits end in a refusal then, and use up the
-/// time in which the caller's retry would be on time.
+/// Where only peers can have tokens and a request recently waited for them without success, the
+/// next ones wait for this part of their latency target: most waits end in a refusal then, and use
+/// up the time in which the caller's retry would be on time.
 constexpr int LatencyTargetPerPeerWait = 8;
 /// The least of these waits: requests to the near home and to all homes.
 constexpr Interval MinPeerWait = std::chrono::milliseconds(40);
-/// How long a wait in vain counts, beyond the time in which the same is refused at once.
-constexpr Interval VainWaitMemory = std::chrono::seconds(2);
+/// How long an unsuccessful wait counts, beyond the time in which the same is refused at once.
+constexpr Interval UnsuccessfulWaitMemory = std::chrono::seconds(2);
 
 /// For this long after a request found too few tokens, requests for as many are refused at once.
 constexpr Interval ShortfallDuration = std::chrono::milliseconds(300);
 
 /// The same for less urgent ranks during an outage, while tokens are kept for the more urgent ones:
-/// the host would ask its peers in vain.
+/// the host would ask peers that have nothing.
 constexpr Interval LessUrgentShortfallDuration = std::chrono::milliseconds(1000);
 
 /// Rounds of requests to peers that a request waits for: to the near home and to all homes.
@@ -107,11 +107,11 @@
     });
 }
 
-bool TokenWaitQueue::hasWaitedInVain(const Account &account, Instant now)
+bool TokenWaitQueue::hasUnsuccessfulWait(const Account &account, Instant now)
 {
     return std::any_of(
             account.shortfalls.begin(), account.shortfalls.end(),
-            [now](const auto &entry) { return now < entry.second.until + VainWaitMemory; });
+            [now](const auto &entry) { return now < entry.second.until + UnsuccessfulWaitMemory; });
 }
 
 void TokenWaitQueue::recordShortfall(Account &account, const ReservationRequest &request,
@@ -138,7 +138,7 @@
             return std::nullopt;
         }
         const Interval wait =
-                isByRank() && state == BudgetState::Exhausted && hasWaitedInVain(account, now)
+                isByRank() && state == BudgetState::Exhausted && hasUnsuccessfulWait(account, now)
                         ? std::clamp(request.latencyTarget / LatencyTargetPerPeerWait, MinPeerWait,
                                      MaxTokenWait)
                         : MaxTokenWait;
--- a/lib/Edge/TokenWaitQueue.h
+++ b/lib/Edge/TokenWaitQueue.h
@@ -142,8 +142,8 @@
     std::optional<Instant> waitDeadline(Account &account, const ReservationRequest &request,
                                         Instant now);
     bool isKnownShort(const Account &account, const ReservationRequest &request, Instant now) const;
-    /// Whether a request has waited for tokens in vain a short while ago.
-    static bool hasWaitedInVain(const Account &account, Instant now);
+    /// Whether a request has recently waited for tokens without success.
+    static bool hasUnsuccessfulWait(const Account &account, Instant now);
     void recordShortfall(Account &account, const ReservationRequest &request, Instant now);
     bool isMostUrgent(const ReservationRequest &request) const;
     void insert(WaitingRequest waiting);
--- a/unittests/Decisions/EndpointRatesTest.cpp
+++ b/unittests/Decisions/EndpointRatesTest.cpp
@@ -163,8 +163,8 @@
                          }),
                          [](const auto &row) { return row.param.name; });
 
-// Guards against a host whose own path or processor is slow and that condemns endpoints.
-TEST(EndpointRates, SlowHostCondemnsNoEndpoint)
+// Guards against a host whose own path or processor is slow, by which endpoints are rated as slow.
+TEST(EndpointRates, SlowHostDoesNotChangeRates)
 {
     RateFleet fleet({});
     fleet.runFor(seconds(10));
--- a/unittests/Decisions/PlacementSimulationTest.cpp
+++ b/unittests/Decisions/PlacementSimulationTest.cpp
@@ -371,7 +371,7 @@
     return outcome;
 }
 
-/// The load after 10 s with today's placement, which doesn't use the rates.
+/// The load after 10 s with prefix_home, which doesn't use the rates.
 const Outcome &byPrefixHome(const Load &load)
 {
     static std::map<const Load *, Outcome> outcomes;
@@ -481,11 +481,13 @@
 // that every endpoint prefills.
 TEST_P(Loads, SpreadAHotPrefix)
 {
-    const auto heat = [](Fleet &fleet) {
+    const auto addHotPrefix = [](Fleet &fleet) {
         fleet.hotShare = 0.25;
     };
-    const Outcome reference = simulate(*GetParam(), EndpointPlacement::PrefixHome, 40, 10, heat);
-    const Outcome outcome = simulate(*GetParam(), EndpointPlacement::ExpectedTime, 40, 10, heat);
+    const Outcome reference =
+            simulate(*GetParam(), EndpointPlacement::PrefixHome, 40, 10, addHotPrefix);
+    const Outcome outcome =
+            simulate(*GetParam(), EndpointPlacement::ExpectedTime, 40, 10, addHotPrefix);
     record(reference, outcome);
     EXPECT_LE(outcome.readAgain, 1.1 * reference.readAgain);
     EXPECT_LE(outcome.late(), reference.late() / 2.0);
--- a/unittests/Edge/TokenWaitFleetTest.cpp
+++ b/unittests/Edge/TokenWaitFleetTest.cpp
@@ -301,8 +301,8 @@
 class TokenWaitFleet : public testing::TestWithParam<FleetCase>
 {};
 
-// Guards against hosts that wait for tokens in vain, against homes that give the tokens of urgent
-// requests to less urgent ones, and against a kind that is starved.
+// Guards against hosts that wait for tokens that nobody has, against homes that give the tokens of
+// urgent requests to less urgent ones, and against a kind that is starved.
 TEST_P(TokenWaitFleet, ServesUrgentRequestsAndRefusesOthersSoon)
 {
     const std::vector<KindResult> firstCome = play(GetParam(), TokenAllocationPolicy::FirstCome);
--- a/unittests/Proxy/SlowCallersTest.cpp
+++ b/unittests/Proxy/SlowCallersTest.cpp
@@ -23,9 +23,10 @@
 class StreamingEndpoint
 {
 public:
-    StreamingEndpoint(boost::asio::io_context &io, uint64_t events, Interval patience = Never - Now)
+    StreamingEndpoint(boost::asio::io_context &io, uint64_t events,
+                      Interval unreadTimeout = Never - Now)
         : io_(io), acceptor_(io, {boost::asio::ip::address_v4::loopback(), 0}), events_(events),
-          patience_(patience)
+          unreadTimeout_(unreadTimeout)
     {
         // Small, so that what is sent is soon limited by what the proxy reads.
         acceptor_.set_option(boost::asio::socket_base::send_buffer_size(16 * 1024));
@@ -106,8 +107,8 @@
     }
     void write(const StreamPtr &stream)
     {
-        if (patience_ != Never - Now) {
-            stream->timer.arm(std::chrono::steady_clock::now() + patience_, [stream] {
+        if (unreadTimeout_ != Never - Now) {
+            stream->timer.arm(std::chrono::steady_clock::now() + unreadTimeout_, [stream] {
                 if (stream->owner != nullptr) {
                     ++stream->owner->aborted;
                     error_code ignored;
@@ -142,7 +143,7 @@
     boost::asio::io_context &io_;
     tcp::acceptor acceptor_;
     uint64_t events_;
-    Interval patience_;
+    Interval unreadTimeout_;
     std::vector<StreamPtr> streams_;
 };
 
@@ -293,12 +294,12 @@
 {
     const AbortCase &row = GetParam();
     ProxyTestHarness harness({}, memory(120, true));
-    StreamingEndpoint impatient(harness.io, 1000, std::chrono::milliseconds(1200));
+    StreamingEndpoint aborting(harness.io, 1000, std::chrono::milliseconds(1200));
     StreamingEndpoint other(harness.io, 1000);
-    place(harness, "impatient", impatient);
+    place(harness, "aborting", aborting);
     place(harness, "other", other);
     harness.send(ProxyTestHarness::request(row.path, "r"));
-    ASSERT_TRUE(harness.waitUntil([&impatient] { return impatient.aborted == 1; }));
+    ASSERT_TRUE(harness.waitUntil([&aborting] { return aborting.aborted == 1; }));
     harness.readAsCaller();
     if (row.isResumed) {
         EXPECT_TRUE(harness.waitFor("\r\n0\r\n\r\n"));
