[Test] The store stand-in returns its rows in pages of 1 MiB

Cause: the stand-in returned all rows of a topic in one answer, whatever its size, so that no test could put large rows into a topic as the store would.

--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t EndpointWorkers = 128;
+constexpr std::size_t MaxPageBytes = 1024 * 1024;   // of rows that the store returns
 constexpr std::chrono::milliseconds EventPause(10); // a quick engine's events
 constexpr std::chrono::milliseconds LateBy(1500);   // past the edge's timeout and its repeats
 
@@ -167,7 +168,7 @@
         return;
     }
     std::string body = bigEndian(topic.records.size(), 8) + bigEndian(topic.first, 8);
-    for (std::size_t i = from; i < topic.records.size(); ++i) {
+    for (std::size_t i = from; i < topic.records.size() && body.size() < MaxPageBytes; ++i) {
         const Record &record = topic.records[i];
         const std::string content =
                 bigEndian(record.key.size(), 1) + record.key + valueFor(request, record);
@@ -184,12 +185,17 @@
     const std::lock_guard lock(mutex_);
     const Topic &topic = topics_[request.get_param_value("topic")];
     nlohmann::json items = nlohmann::json::array();
-    for (const auto &[key, offset] : topic.newest) {
-        items.push_back({{"key", key},
-                         {"value", absl::Base64Escape(valueFor(request, topic.records[offset]))},
-                         {"offset", offset}});
+    std::size_t bytes = 0;
+    auto next = topic.newest.upper_bound(request.get_param_value("after"));
+    for (; next != topic.newest.end() && bytes < MaxPageBytes; ++next) {
+        const auto &[key, offset] = *next;
+        const std::string value = valueFor(request, topic.records[offset]);
+        bytes += key.size() + value.size();
+        items.push_back({{"key", key}, {"value", absl::Base64Escape(value)}, {"offset", offset}});
     }
-    answerJson(response, {{"items", items}, {"has-more", false}, {"end", topic.records.size()}});
+    answerJson(response, {{"items", items},
+                          {"has-more", next != topic.newest.end()},
+                          {"end", topic.records.size()}});
 }
 
 nlohmann::json StoreStandin::take(Topic &topic, const httplib::Request &request)
