[Base] [Edge] Don't parse rows that are nested too deeply

Callers of a host that reads an entry nested 100,000 deep were refused for lack of tokens that the host had: it served nobody for 73 to 544 ms while it parsed the entry (load 11 to 12 on 5 processors).

Cause: the nesting of a row was not bounded, and rows are parsed on the thread that serves.

Change: the depth of a row's value is counted in one scan before it is parsed. A value that is too deep is malformed.

That a host ends by such an entry was not reproduced.

--- a/lib/Edge/LedgerRows.cpp
+++ b/lib/Edge/LedgerRows.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "sequoiagate/Base/JsonDepth.h"
+
 #include "Addresses.h"
 #include "QuarantineRows.h"
 #include "VersionRecorder.h"
@@ -189,6 +191,9 @@
 
 Peer decodeHost(const StoreRow &row)
 {
+    if (isNestedTooDeeply(row.value)) {
+        throw std::invalid_argument("nested too deeply");
+    }
     const nlohmann::json value = nlohmann::json::parse(row.value);
     const auto addressValue = value.at("address").get<std::string>();
     const auto address = parseUdpAddress(addressValue);
--- a/lib/Edge/QuarantineRows.cpp
+++ b/lib/Edge/QuarantineRows.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "sequoiagate/Base/JsonDepth.h"
+
 namespace sequoiagate {
 
 namespace {
@@ -55,7 +57,7 @@
 std::optional<Quarantine> decodeQuarantineRow(const StoreRow &row, Instant now, WallTime wallNow)
 {
     const std::optional<PartKey> part = partOf(row.key);
-    if (!part || row.value.empty()) {
+    if (!part || row.value.empty() || isNestedTooDeeply(row.value)) {
         return std::nullopt;
     }
     try {
--- a/lib/Edge/VersionRecorder.cpp
+++ b/lib/Edge/VersionRecorder.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "sequoiagate/Base/JsonDepth.h"
 #include "sequoiagate/Base/Rendezvous.h"
 
 namespace sequoiagate {
@@ -31,6 +32,9 @@
 {
     const VersionRow unreadable{
             ServiceId(row.key.substr(std::string_view(VersionRowPrefix).size())), {{}, true}};
+    if (isNestedTooDeeply(row.value)) {
+        return unreadable;
+    }
     try {
         const nlohmann::json value = nlohmann::json::parse(row.value);
         if (value.at("format").get<int>() != RowFormat) {
