--- a/unittests/PlatformAdapter/RowsTest.cpp
+++ b/unittests/PlatformAdapter/RowsTest.cpp
@@ -47,6 +47,15 @@
     EXPECT_EQ(config->limits.maxBodyBytes, 200U);
 }
 
+// Guards against a timeout that overflows and is over before it begins.
+TEST(ConfigRow, LongTimeoutsAreBounded)
+{
+    nlohmann::json row = nlohmann::json::parse(GoodConfig);
+    row["routes"][0]["timeout-ms"] = 1e15;
+    const ServingConfigPtr config = platform::decodeConfig(row.dump());
+    EXPECT_EQ(config->findRoute("h.example", "/a/x")->timeout, std::chrono::hours(24) * 365);
+}
+
 struct KvTokensCase
 {
     const char *name;
@@ -312,6 +321,10 @@
          R"({"backend":"s","address":"a","zone":"z","slots":6,"state":"ready","version":2})",
          "version"},
         {"WithoutState", R"({"backend":"s","address":"a","zone":"z","slots":6})", "state"},
+        {"SlotsBeyondTheirType",
+         R"({"backend":"s","address":"a","zone":"z","slots":4294967296,"state":"ready"})", "slots"},
+        {"LargestNumberOfSlots",
+         R"({"backend":"s","address":"a","zone":"z","slots":1e15,"state":"ready"})", "slots"},
 };
 
 TEST_P(BadEndpoint, ErrorNamesTheField)
