[Edge] Bound times of messages and rows before they are converted

Cause: the remaining time of a quarantine was made nanoseconds before it was bounded, so that the largest number that a peer can state overflowed and ended the quarantine at once. Times in messages of slots had no bound; the end in the row of a quarantine wrapped around.

Change: parseBoundedMillis() bounds a number while it is milliseconds.

--- a/lib/Edge/CrashMessage.cpp
+++ b/lib/Edge/CrashMessage.cpp
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <utility>
 
+#include "MessageTime.h"
+
 namespace sequoiagate {
 
 namespace {
@@ -98,7 +100,7 @@
 
 Instant timeOf(const nlohmann::json &age, Instant now)
 {
-    return now - std::clamp(Millis(age.get<int64_t>()), Millis(0), MaxAge);
+    return now - parseBoundedMillis(age, MaxAge);
 }
 
 } // namespace
@@ -190,9 +192,8 @@
     Quarantine quarantine;
     quarantine.part = message.at("part").get<PartKey>();
     quarantine.level = message.at("level").get<uint32_t>();
-    const Millis remaining(message.at("remaining_ms").get<int64_t>());
     quarantine.until =
-            now + std::clamp<Interval>(remaining, Interval::zero(), CrashingParts::MaxQuarantine);
+            now + parseBoundedMillis(message.at("remaining_ms"), CrashingParts::MaxQuarantine);
     quarantine.decidedBy = HostId(message.at("decided_by").get<std::string>());
     quarantine.crashed = crashedOf(message);
     return quarantine;
--- a/lib/Edge/EndpointLimitMessage.cpp
+++ b/lib/Edge/EndpointLimitMessage.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "MessageTime.h"
+
 namespace sequoiagate {
 
 namespace {
@@ -39,8 +41,7 @@
     record.startedAtMillis = value.at(1).get<uint64_t>();
     record.maxRequestsPerSecond = parseOptional<double>(value.at(2));
     record.maxRejectionsPerSecond = parseOptional<uint32_t>(value.at(3));
-    record.observedAt =
-            now - std::clamp(Millis(value.at(4).get<int64_t>()), Millis(0), MaxRecordAge);
+    record.observedAt = now - parseBoundedMillis(value.at(4), MaxRecordAge);
     return record;
 }
 
@@ -93,14 +94,13 @@
 {
     SlotRequest request;
     request.id = message.at("id").get<uint64_t>();
-    request.maxDelay = Millis(message.at("max_delay_ms").get<int64_t>());
+    request.maxDelay = parseBoundedMillis(message.at("max_delay_ms"), MaxSlotTime);
     request.record = decodeRecord(message.at("record"), now);
     // Version 1 has no known limits.
     const auto known = message.find("known");
     if (known != message.end()) {
-        const Millis left(known->at(1).get<int64_t>());
         request.known = KnownLimit{known->at(0).get<double>(),
-                                   now + std::clamp(left, Millis(0), MaxKnownLimitTime)};
+                                   now + parseBoundedMillis(known->at(1), MaxKnownLimitTime)};
     }
     return request;
 }
@@ -124,10 +124,10 @@
 {
     SlotResponse response;
     response.id = message.at("id").get<uint64_t>();
-    if (const auto delay = parseOptional<int64_t>(message.at("delay_ms"))) {
-        response.delay = Millis(*delay);
+    if (const nlohmann::json &delay = message.at("delay_ms"); !delay.is_null()) {
+        response.delay = parseBoundedMillis(delay, MaxSlotTime);
     }
-    response.retryAfter = Millis(message.at("retry_after_ms").get<int64_t>());
+    response.retryAfter = parseBoundedMillis(message.at("retry_after_ms"), MaxSlotTime);
     return response;
 }
 
--- a/lib/Edge/EndpointLimitMessage.h
+++ b/lib/Edge/EndpointLimitMessage.h
@@ -22,6 +22,8 @@
 
 /// Records name no greater age.
 inline constexpr Millis MaxRecordAge = std::chrono::hours(1);
+/// Messages about slots name no longer time.
+inline constexpr Millis MaxSlotTime = std::chrono::hours(1);
 
 struct EndpointLimitMessage
 {
--- a/lib/Edge/QuarantineRows.cpp
+++ b/lib/Edge/QuarantineRows.cpp
@@ -65,9 +65,10 @@
         Quarantine quarantine;
         quarantine.part = *part;
         quarantine.level = value.at("level").get<uint32_t>();
-        const WallTime until{Millis(value.at("until_ms").get<int64_t>())};
-        const Interval remaining = std::chrono::duration_cast<Interval>(until - wallNow);
-        quarantine.until = now + std::min(remaining, CrashingParts::MaxQuarantine);
+        const auto wallMillis = std::chrono::duration_cast<Millis>(wallNow.time_since_epoch());
+        constexpr auto Longest = std::chrono::duration_cast<Millis>(CrashingParts::MaxQuarantine);
+        const Millis until(value.at("until_ms").get<int64_t>());
+        quarantine.until = now + (std::clamp(until, Millis(0), wallMillis + Longest) - wallMillis);
         quarantine.decidedBy = HostId(value.at("decided_by").get<std::string>());
         for (const nlohmann::json &process : value.at("crashed")) {
             quarantine.crashed.push_back(
--- a/unittests/Edge/CrashMessageTest.cpp
+++ b/unittests/Edge/CrashMessageTest.cpp
@@ -158,6 +158,31 @@
               Later + CrashingParts::MaxQuarantine);
 }
 
+struct OddQuarantineCase
+{
+    const char *name;
+    int64_t remainingMillis;
+    Interval left; ///< as decoded
+};
+
+class OddQuarantines : public testing::TestWithParam<OddQuarantineCase>
+{};
+
+// Guards against a quarantine whose time overflows, so that it is over at once.
+TEST_P(OddQuarantines, AreBounded)
+{
+    const Quarantine quarantine{Part, 1, Now, {}, HostId("h")};
+    nlohmann::json message = parsed(encodeQuarantine(quarantine, Now));
+    message["remaining_ms"] = GetParam().remainingMillis;
+    EXPECT_EQ(decodeQuarantine(message, Later).until, Later + GetParam().left);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, OddQuarantines,
+        testing::Values(OddQuarantineCase{"Largest", INT64_MAX, CrashingParts::MaxQuarantine},
+                        OddQuarantineCase{"Smallest", INT64_MIN, Interval::zero()}),
+        [](const auto &row) { return row.param.name; });
+
 class ProbeMessages : public testing::TestWithParam<ProbeResult>
 {};
 
--- a/unittests/Edge/EndpointLimitMessageTest.cpp
+++ b/unittests/Edge/EndpointLimitMessageTest.cpp
@@ -141,6 +141,37 @@
                                               Millis(60'000)}),
         [](const auto &row) { return row.param.name; });
 
+struct OddSlotCase
+{
+    const char *name;
+    int64_t millis;
+    Interval expected;
+};
+
+class OddSlotMessages : public testing::TestWithParam<OddSlotCase>
+{};
+
+// Guards against a peer's time that overflows when it is added to this host's.
+TEST_P(OddSlotMessages, AreBounded)
+{
+    const OddSlotCase &row = GetParam();
+    nlohmann::json message = nlohmann::json::parse(
+            encodeSlotRequest({HostId("h"), 3, Millis(20), record("e"), std::nullopt}, Now));
+    message["max_delay_ms"] = row.millis;
+    EXPECT_EQ(decodeSlotRequest(message, Now).maxDelay, row.expected);
+    nlohmann::json response =
+            nlohmann::json::parse(encodeSlotResponse({3, Millis(20), Millis(20)}));
+    response["delay_ms"] = row.millis;
+    response["retry_after_ms"] = row.millis;
+    EXPECT_EQ(decodeSlotResponse(response).delay, row.expected);
+    EXPECT_EQ(decodeSlotResponse(response).retryAfter, row.expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, OddSlotMessages,
+                         testing::Values(OddSlotCase{"Largest", INT64_MAX, MaxSlotTime},
+                                         OddSlotCase{"Smallest", INT64_MIN, Interval::zero()}),
+                         [](const auto &row) { return row.param.name; });
+
 TEST(SlotRequestMessage, KeepsTheKnownLimit)
 {
     SlotRequest request{HostId("h"), 3, Millis(20), record("e"), std::nullopt};
--- a/unittests/Edge/QuarantineStoreTest.cpp
+++ b/unittests/Edge/QuarantineStoreTest.cpp
@@ -3,6 +3,7 @@
 #include <deque>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include "lib/Edge/LedgerRows.h"
 #include "lib/Edge/QuarantineStore.h"
@@ -58,6 +59,34 @@
         {"Removal", {"quarantine/00000000000000ff", "", 0}},
         {"NoPart", {"quarantine/", "{}", 0}},
         {"OtherText", {"quarantine/xyz", "{}", 0}},
+struct OddEndCase
+{
+    const char *name;
+    int64_t untilMillis;
+    Instant decoded;
+};
+
+class OddEnds : public testing::TestWithParam<OddEndCase>
+{};
+
+// Guards against an end beyond the range of its type.
+TEST_P(OddEnds, AreWithinTheLongestQuarantine)
+{
+    StoreRow row = encodeQuarantineRow(quarantineOf(Part, Now), Now, Wall);
+    nlohmann::json value = nlohmann::json::parse(row.value);
+    value["until_ms"] = GetParam().untilMillis;
+    row.value = value.dump();
+    const auto decoded = decodeQuarantineRow(row, Now, Wall);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->until, GetParam().decoded);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, OddEnds,
+        testing::Values(OddEndCase{"Largest", INT64_MAX, Now + CrashingParts::MaxQuarantine},
+                        OddEndCase{"Smallest", INT64_MIN, Now - Wall.time_since_epoch()}),
+        [](const auto &row) { return row.param.name; });
+
         {"NotJson", {"quarantine/00000000000000ff", "none", 0}},
         {"MissingField", {"quarantine/00000000000000ff", R"({"level":0})", 0}},
         {"OtherType", {"quarantine/00000000000000ff", R"({"level":"a","until_ms":[]})", 0}},
