[Decisions] [Edge] [Proxy] Refuse a request under which three endpoints were lost

Callers saw endpoints end one after the other under one request: each host repeats it, its stream is resumed, and its client sends it again to other hosts under new ids.

Cause: losses were recorded by the shared parts of prompts alone. The last part, which belongs to the request or its session, gave no evidence, and neither did a request without a prompt, so that no host knew of the losses before. Class: evidence that leaves out what is carried from endpoint to endpoint.

Change: a request is known by its content: workspace, host name, method, target, prompt and body, whatever its id and the service that its route selects. CrashingRequests counts the endpoint processes that were lost under it, at all hosts and as of the loss, and refuses it after three (a session after six) with a time to come back. A whole response clears the losses before it. A request that was answered before, or has no prompt, is refused for 10 s, one that was lost in a herd of crashes for 2 minutes, others for 30 minutes, which a row of the store keeps beyond the hosts.

--- a/include/sequoiagate/Base/Verdict.h
+++ b/include/sequoiagate/Base/Verdict.h
@@ -39,6 +39,7 @@
     EndpointFailed,     ///< the endpoint failed before or during its response
     StreamCut,          ///< the stream ended without its end marker
     PromptQuarantined,  ///< a part of the prompt crashed endpoints
+    RequestQuarantined, ///< endpoints crashed under the request
     StreamNotResumable, ///< no endpoint can continue the stream, now or later
     KeeperUnreachable,  ///< no keeper of the failure domain responds
     LogUnavailable,     ///< a record that must be written first can't be written
--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -38,6 +38,7 @@
 namespace sequoiagate {
 
 class CrashingPartsLink;
+class CrashingRequestsLink;
 class EndpointRateLink;
 class RelayServer;
 struct RelayTarget;
@@ -118,6 +119,7 @@
     std::unique_ptr<StreamOriginLink> streamOrigins_;
     std::unique_ptr<VersionRecorder> versionRecorder_;
     std::unique_ptr<CrashingPartsLink> crashingParts_;
+    std::unique_ptr<CrashingRequestsLink> crashingRequests_;
     std::unique_ptr<EndpointRateLink> rateLink_; ///< nullptr if none are shared
     std::unique_ptr<ProxyContext> context_;
     std::unique_ptr<TopicFollower> configFollower_;
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -100,7 +100,7 @@
     bool selectService();
     void findStreamOrigin();
     void onStreamOrigin(const StreamOrigin &origin);
-    /// Refuses a request whose prompt may not be sent. \returns whether it did
+    /// Refuses a request that would crash endpoints. \returns whether it did
     bool refuseQuarantined();
     void reserveTokens();
     void onReserved(std::optional<Verdict> refusal);
@@ -148,7 +148,9 @@
     /// Refuses a request that the configuration doesn't allow. If the configuration may be out
     /// of date, the refusal is a temporary one.
     void refuseByConfig(Reason reason, const std::string &detail);
-    void fail(Reason reason, const std::string &detail, int status);
+    /// \param retryAt when the caller may send the request again; nullopt if nothing is known
+    void fail(Reason reason, const std::string &detail, int status,
+              std::optional<Instant> retryAt = std::nullopt);
     void onDeadline();
     void onStalled();
     void setStallTimeout(Interval limit);
@@ -173,6 +175,7 @@
     const Route *route_ = nullptr;
     const WorkspaceSpec *workspace_ = nullptr;
     const ServiceSpec *service_ = nullptr;
+    RequestIdentity identity_;
     StatechartInstance statechart_;
     Instant deadline_ = Never;
     boost::asio::steady_timer deadlineTimer_;
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -27,6 +27,7 @@
 #include "sequoiagate/Proxy/BufferBudget.h"
 #include "sequoiagate/Proxy/Dialect.h"
 #include "sequoiagate/Proxy/PromptGuard.h"
+#include "sequoiagate/Proxy/RequestGuard.h"
 #include "sequoiagate/Proxy/StreamContinuity.h"
 #include "sequoiagate/Service/EventLog.h"
 #include "sequoiagate/Service/Metrics.h"
@@ -148,6 +149,7 @@
     TokenReservations &tokens;
     StreamOriginSource &streamOrigins;
     PromptGuard &prompts;
+    RequestGuard &requests;
     LinkLoad &link;
     EventLog &log;
     Metrics &metrics;
--- a/lib/Base/Verdict.cpp
+++ b/lib/Base/Verdict.cpp
@@ -29,6 +29,7 @@
         ReasonEntry{Reason::EndpointFailed, "endpoint_failed"},
         ReasonEntry{Reason::StreamCut, "stream_cut"},
         ReasonEntry{Reason::PromptQuarantined, "prompt_quarantined"},
+        ReasonEntry{Reason::RequestQuarantined, "request_quarantined"},
         ReasonEntry{Reason::StreamNotResumable, "stream_not_resumable"},
         ReasonEntry{Reason::KeeperUnreachable, "keeper_unreachable"},
         ReasonEntry{Reason::LogUnavailable, "log_unavailable"},
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -6,6 +6,7 @@
 #include "Addresses.h"
 #include "ConnectProbe.h"
 #include "CrashingPartsLink.h"
+#include "CrashingRequestsLink.h"
 #include "EndpointRateLink.h"
 #include "EvacuationRows.h"
 #include "RelayServer.h"
@@ -152,8 +153,8 @@
     createPeerLinks();
     context_ = std::make_unique<ProxyContext>(
             ProxyContext{io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_,
-                         *streamOrigins_, *crashingParts_, link_, log_, metrics_,
-                         [this] { return config_; }, [this] { return configIsCurrent(); },
+                         *streamOrigins_, *crashingParts_, *crashingRequests_, link_, log_,
+                         metrics_, [this] { return config_; }, [this] { return configIsCurrent(); },
                          [this] { return drain_.state() != "serving"; }, buffers_.get()});
     createFollowers();
     startRelayServer();
@@ -212,6 +213,12 @@
                                               log_.identity().incarnation.text() + "-quarantines",
                                               log_),
             log_, metrics_);
+    crashingRequests_ = std::make_unique<CrashingRequestsLink>(
+            io_, tokens_->peers(), settings_.host, settings_.domain,
+            std::make_unique<QuarantineStore>(io_, *store_, adapter_.topics().ledger,
+                                              log_.identity().incarnation.text() + "-refusals",
+                                              log_, RequestQuarantineRowPrefix),
+            log_, metrics_);
     if (rates_) {
         rates_->setMinHosts(settings_.fleetPoliciesFromHosts);
         rateLink_ = std::make_unique<EndpointRateLink>(tokens_->peers(), settings_.host, *rates_,
@@ -221,7 +228,11 @@
         crashingParts_->onProcessReplaced(process);
     };
     tokens_->onQuarantineRow = [this](const StoreRow &row) {
-        crashingParts_->onRow(row);
+        if (row.key.rfind(RequestQuarantineRowPrefix, 0) == 0) {
+            crashingRequests_->onRow(row);
+        } else {
+            crashingParts_->onRow(row);
+        }
     };
 }
 
@@ -311,6 +322,7 @@
     endpoints_.setRelays(std::move(relays));
     streamOrigins_->setHosts(others);
     crashingParts_->setHosts(others);
+    crashingRequests_->setHosts(others);
     versionRecorder_->setHosts(others);
     if (rateLink_) {
         rateLink_->setHosts(others);
@@ -627,6 +639,7 @@
     }
     crashingParts_->gossip(now);
     if (rateLink_) {
+    crashingRequests_->gossip(now);
         rateLink_->gossip(now);
     }
 }
@@ -685,6 +698,8 @@
     metrics_.gauge("edge_stream_records", static_cast<double>(streamOrigins_->recordCount()));
     metrics_.gauge("edge_parts_quarantined", static_cast<double>(crashingParts_->quarantined(now)));
     metrics_.gauge("edge_requests_limited", static_cast<double>(endpoints_.limitedRequests()));
+    metrics_.gauge("edge_requests_quarantined",
+                   static_cast<double>(crashingRequests_->refused(now)));
     const ExpectedTimeCounts &placements = endpoints_.expectedTimeCounts();
     const std::pair<const char *, uint64_t> placementCounts[] = {
             {"edge_placements_by_expected_time", placements.selected},
--- a/lib/Edge/QuarantineRows.cpp
+++ b/lib/Edge/QuarantineRows.cpp
@@ -16,15 +16,15 @@
 constexpr int RowVersion = 1;
 constexpr int HexBase = 16;
 
-std::string rowKey(PartKey part)
+std::string rowKey(PartKey part, std::string_view prefix)
 {
-    return fmt::format("{}{:016x}", QuarantineRowPrefix, part);
+    return fmt::format("{}{:016x}", prefix, part);
 }
 
-std::optional<PartKey> partOf(const std::string &key)
+std::optional<PartKey> partOf(const std::string &key, std::string_view prefix)
 {
     std::string_view text = key;
-    text.remove_prefix(std::min(text.size(), std::string_view(QuarantineRowPrefix).size()));
+    text.remove_prefix(std::min(text.size(), prefix.size()));
     PartKey part = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), part, HexBase);
     const bool isWhole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
@@ -33,7 +33,8 @@
 
 } // namespace
 
-StoreRow encodeQuarantineRow(const Quarantine &quarantine, Instant now, WallTime wallNow)
+StoreRow encodeQuarantineRow(const Quarantine &quarantine, Instant now, WallTime wallNow,
+                             std::string_view prefix)
 {
     const auto until = std::chrono::duration_cast<Millis>(wallNow.time_since_epoch()
                                                           + (quarantine.until - now));
@@ -45,18 +46,19 @@
     for (const EndpointProcess &process : quarantine.crashed) {
         value["crashed"].push_back({process.endpoint.text(), process.startedAtMillis});
     }
-    return {rowKey(quarantine.part),
+    return {rowKey(quarantine.part, prefix),
             value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), 0};
 }
 
-StoreRow encodeQuarantineRemoval(PartKey part)
+StoreRow encodeQuarantineRemoval(PartKey part, std::string_view prefix)
 {
-    return {rowKey(part), "", 0};
+    return {rowKey(part, prefix), "", 0};
 }
 
-std::optional<Quarantine> decodeQuarantineRow(const StoreRow &row, Instant now, WallTime wallNow)
+std::optional<Quarantine> decodeQuarantineRow(const StoreRow &row, Instant now, WallTime wallNow,
+                                              std::string_view prefix)
 {
-    const std::optional<PartKey> part = partOf(row.key);
+    const std::optional<PartKey> part = partOf(row.key, prefix);
     if (!part || row.value.empty() || isNestedTooDeeply(row.value)) {
         return std::nullopt;
     }
--- a/lib/Edge/QuarantineStore.cpp
+++ b/lib/Edge/QuarantineStore.cpp
@@ -7,8 +7,8 @@
 namespace sequoiagate {
 
 QuarantineStore::QuarantineStore(boost::asio::io_context &io, Store &store, std::string topic,
-                                 std::string writer, EventLog &log)
-    : log_(log),
+                                 std::string writer, EventLog &log, std::string prefix)
+    : log_(log), prefix_(std::move(prefix)),
       appender_(io, store, std::move(topic), std::move(writer),
                 {[this] { return compose(); },
                  [this](const StoreBatch &batch, bool isTaken, StoreOutcome outcome) {
@@ -27,7 +27,8 @@
 
 std::optional<Quarantine> QuarantineStore::onRow(const StoreRow &row, Instant now)
 {
-    const auto quarantine = decodeQuarantineRow(row, now, std::chrono::system_clock::now());
+    const auto quarantine =
+            decodeQuarantineRow(row, now, std::chrono::system_clock::now(), prefix_);
     if (!quarantine) {
         log_.write(Event("quarantine.row_ignored").with("key", row.key));
         return std::nullopt;
@@ -46,12 +47,13 @@
     }
     const std::map<PartKey, Quarantine> batched = std::exchange(unwritten_, {});
     for (const auto &[part, quarantine] : batched) {
-        rows.push_back(encodeQuarantineRow(quarantine, now, std::chrono::system_clock::now()));
+        rows.push_back(
+                encodeQuarantineRow(quarantine, now, std::chrono::system_clock::now(), prefix_));
     }
-    std::erase_if(rowEnds_, [&rows, &batched, now](const auto &entry) {
+    std::erase_if(rowEnds_, [this, &rows, &batched, now](const auto &entry) {
         const bool isOld = now >= entry.second + EndedRowLifetime;
         if (isOld && batched.count(entry.first) == 0) {
-            rows.push_back(encodeQuarantineRemoval(entry.first));
+            rows.push_back(encodeQuarantineRemoval(entry.first, prefix_));
         }
         return isOld;
     });
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -85,7 +85,13 @@
     });
     const bool isStream = route_->kind == RouteKind::Stream;
     continuity_.begin(metadata_, isStream, isStream && route_->resumable);
-    if (!selectService() || refuseQuarantined()) {
+    if (!selectService()) {
+        return;
+    }
+    identity_ = identifyRequest(*route_, service_->name,
+                                workspace_ == nullptr ? WorkspaceId() : workspace_->name,
+                                request_.head, request_.body, metadata_.prompt);
+    if (refuseQuarantined()) {
         return;
     }
     if (continuity_.isResumed()) {
@@ -97,11 +103,11 @@
 
 bool Exchange::refuseQuarantined()
 {
-    if (metadata_.prompt.empty()) {
-        return false;
+    const Instant now = std::chrono::steady_clock::now();
+    std::optional<Verdict> refusal = context_.requests.refusal(identity_, now);
+    if (!refusal && !metadata_.prompt.empty()) {
+        refusal = context_.prompts.refusal(service_->name, metadata_.prompt, now);
     }
-    std::optional<Verdict> refusal = context_.prompts.refusal(service_->name, metadata_.prompt,
-                                                              std::chrono::steady_clock::now());
     if (refusal) {
         refuse(std::move(*refusal));
     }
@@ -718,6 +724,11 @@
         return;
     }
     const Instant now = std::chrono::steady_clock::now();
+    const bool isWhole = attempt_->outcome == AttemptOutcome::Completed
+                         || attempt_->outcome == AttemptOutcome::Failed;
+    if (isWhole) {
+        context_.requests.onAnswered(identity_, now);
+    }
     if (attempt_->outcome == AttemptOutcome::Completed) {
         reportAnswer(now);
         if (attempt_->unreportedEvents > 0) {
--- a/lib/Proxy/ExchangeFailures.cpp
+++ b/lib/Proxy/ExchangeFailures.cpp
@@ -41,6 +41,11 @@
     return prompt.empty() ? "" : fmt::format("{:x}", prompt.back().id);
 }
 
+std::optional<Interval> timeUntil(std::optional<Instant> at, Instant now)
+{
+    return at ? std::optional(std::max(*at - now, Interval::zero())) : std::nullopt;
+}
+
 } // namespace
 
 void Exchange::onNotExecuted()
@@ -126,16 +131,20 @@
                 .with("age_ms", age.count())
                 .with("events", forwardedEvents_)
                 .with("shared_parts", describeShared(metadata_.prompt))
-                .with("own_part", describeOwn(metadata_.prompt)));
+                .with("own_part", describeOwn(metadata_.prompt))
+                .with("request_key", fmt::format("{:016x}", identity_.request)));
 }
 
 void Exchange::reportLoss(Instant now)
 {
-    const bool isLost = attempt_->outcome == AttemptOutcome::ConnectionLost;
-    if (metadata_.prompt.empty() || !isLost || attempt_->isAnswerReported) {
+    if (attempt_->outcome != AttemptOutcome::ConnectionLost) {
         return;
     }
     const EndpointProcess process{attempt_->endpoint, attempt_->startedAtMillis};
+    context_.requests.onEndpointLost(identity_, process, attempt_->sentAt, now);
+    if (metadata_.prompt.empty() || attempt_->isAnswerReported) {
+        return;
+    }
     context_.prompts.onConnectionLost({service_->name, process, attempt_->relay, attempt_->sentAt},
                                       metadata_.prompt, now);
 }
@@ -202,14 +211,12 @@
 {
     const Instant now = std::chrono::steady_clock::now();
     if (possibleExecutions_ > 0) {
-        fail(verdict.reason, verdict.detail, 502);
+        const bool isQuarantined = verdict.reason == Reason::RequestQuarantined;
+        fail(verdict.reason, verdict.detail, 502, isQuarantined ? verdict.retryAt : std::nullopt);
         return;
     }
     cancelAttempt(true);
-    std::optional<Interval> after;
-    if (verdict.retryAt) {
-        after = std::max(*verdict.retryAt - now, Interval::zero());
-    }
+    const std::optional<Interval> after = timeUntil(verdict.retryAt, now);
     const int status = refusalStatus(verdict.reason);
     log(Event("request.refused")
                 .with("workspace", workspace_ == nullptr ? WorkspaceId() : workspace_->name)
@@ -235,7 +242,8 @@
             std::chrono::steady_clock::now() + RetryElsewhereDelay});
 }
 
-void Exchange::fail(Reason reason, const std::string &detail, int status)
+void Exchange::fail(Reason reason, const std::string &detail, int status,
+                    std::optional<Instant> retryAt)
 {
     cancelAttempt(false);
     log(Event("request.failed")
@@ -247,7 +255,8 @@
         sink_.abort();
     } else {
         const Verdict verdict{Execution::MayHaveRun, reason, detail, {}};
-        sink_.sendResponse(context_.dialect.encodeRefusal(status, metadata_.id, std::nullopt),
+        const auto after = timeUntil(retryAt, std::chrono::steady_clock::now());
+        sink_.sendResponse(context_.dialect.encodeRefusal(status, metadata_.id, after),
                            refusalBody(verdict));
     }
     finish("give_up", "failed", status);
--- a/test/Support/PlatformStandin.cpp
+++ b/test/Support/PlatformStandin.cpp
@@ -342,7 +342,9 @@
     }
     ++runs_;
     const std::string prompt = request.get_header_value("Prompt-Prefix");
-    if (crash_ && prompt.find(crashPart_ + ":") != std::string::npos) {
+    const bool isCrashing = prompt.find(crashPart_ + ":") != std::string::npos
+                            || request.path.find(crashPart_) != std::string::npos;
+    if (crash_ && isCrashing) {
         crash_();
         return;
     }
--- a/test/Support/PlatformStandin.h
+++ b/test/Support/PlatformStandin.h
@@ -104,8 +104,8 @@
     std::string id() const;
     /// It was started anew: requests for the id that it had are refused.
     void setId(const std::string &id);
-    /// Calls \p crash, on any thread, for each request with \p part in its prompt that begins to
-    /// run, in place of an answer. Set before requests come.
+    /// Calls \p crash, on any thread, for each request with \p part in its prompt or its path that
+    /// begins to run, in place of an answer. Set before requests come.
     void crashOn(const std::string &part, std::function<void()> crash);
     const std::string &version() const { return version_; }
     /// Requests that ran here.
--- a/unittests/Edge/QuarantineStoreTest.cpp
+++ b/unittests/Edge/QuarantineStoreTest.cpp
@@ -36,6 +36,19 @@
     EXPECT_EQ(decoded->crashed, quarantineOf(Part, Now).crashed);
 }
 
+// Guards against taking the row of a request for that of a part, at any version.
+TEST(QuarantineRow, OfARequestIsNoneOfAPart)
+{
+    const StoreRow row = encodeQuarantineRow(quarantineOf(Part, Now + std::chrono::minutes(20)),
+                                             Now, Wall, RequestQuarantineRowPrefix);
+    EXPECT_EQ(ledgerRowKind(row.key), LedgerRowKind::Quarantine);
+    EXPECT_EQ(decodeQuarantineRow(row, Now, Wall), std::nullopt);
+    const auto decoded = decodeQuarantineRow(row, Now, Wall, RequestQuarantineRowPrefix);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->part, Part);
+    EXPECT_EQ(encodeQuarantineRemoval(Part, RequestQuarantineRowPrefix).key, row.key);
+}
+
 // Guards against a quarantine without an end, of a host whose clock is far ahead.
 TEST(QuarantineRow, EndsWhateverTheClockOfItsWriter)
 {
@@ -46,19 +59,6 @@
     EXPECT_EQ(decoded->until, Now + CrashingParts::MaxQuarantine);
 }
 
-struct IgnoredRowCase
-{
-    const char *name;
-    StoreRow row;
-};
-
-class IgnoredRows : public testing::TestWithParam<IgnoredRowCase>
-{};
-
-const IgnoredRowCase IgnoredRowCases[] = {
-        {"Removal", {"quarantine/00000000000000ff", "", 0}},
-        {"NoPart", {"quarantine/", "{}", 0}},
-        {"OtherText", {"quarantine/xyz", "{}", 0}},
 struct OddEndCase
 {
     const char *name;
@@ -87,6 +87,19 @@
                         OddEndCase{"Smallest", INT64_MIN, Now - Wall.time_since_epoch()}),
         [](const auto &row) { return row.param.name; });
 
+struct IgnoredRowCase
+{
+    const char *name;
+    StoreRow row;
+};
+
+class IgnoredRows : public testing::TestWithParam<IgnoredRowCase>
+{};
+
+const IgnoredRowCase IgnoredRowCases[] = {
+        {"Removal", {"quarantine/00000000000000ff", "", 0}},
+        {"NoPart", {"quarantine/", "{}", 0}},
+        {"OtherText", {"quarantine/xyz", "{}", 0}},
         {"NotJson", {"quarantine/00000000000000ff", "none", 0}},
         {"MissingField", {"quarantine/00000000000000ff", R"({"level":0})", 0}},
         {"OtherType", {"quarantine/00000000000000ff", R"({"level":"a","until_ms":[]})", 0}},
--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -192,6 +192,16 @@
                    now + std::chrono::minutes(1)};
 }
 
+std::optional<Verdict> FakeRequestGuard::refusal(const RequestIdentity &identity, Instant now)
+{
+    asked.push_back(identity);
+    if (lost.size() < lossesToRefuse) {
+        return std::nullopt;
+    }
+    return Verdict{Execution::NotRun, Reason::RequestQuarantined, "lost",
+                   now + std::chrono::minutes(1)};
+}
+
 void FakeStreamOrigins::find(const ServiceId &, const RequestId &first, Instant,
                              std::function<void(const StreamOrigin &)> handler)
 {
@@ -227,6 +237,7 @@
                               tokenReservations,
                               streamOrigins,
                               prompts,
+                              requests,
                               link,
                               log_,
                               metrics_,
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -180,6 +180,24 @@
     std::vector<HostId> relays; ///< of the lost requests
 };
 
+/// Refuses requests after a number of losses, and notes what is reported.
+class FakeRequestGuard : public RequestGuard
+{
+public:
+    std::optional<Verdict> refusal(const RequestIdentity &identity, Instant now) override;
+    void onAnswered(const RequestIdentity &, Instant) override { ++answered; }
+    void onEndpointLost(const RequestIdentity &, const EndpointProcess &process, Instant,
+                        Instant) override
+    {
+        lost.push_back(process.endpoint);
+    }
+
+    std::size_t lossesToRefuse = 100;
+    int answered = 0;
+    std::vector<EndpointId> lost;
+    std::vector<RequestIdentity> asked;
+};
+
 struct ProxyTestSettings
 {
     /// Idle timeout of the caller's connection, also before its first request.
@@ -235,6 +253,7 @@
     FakeTokenReservations tokenReservations;
     FakeStreamOrigins streamOrigins;
     FakePromptGuard prompts;
+    FakeRequestGuard requests;
     std::shared_ptr<ServingConfig> config;
     bool configIsCurrent = true;
     bool stopping = false;
