[Decisions] Blame no shared part for the crashes of one request

Callers of sound requests got 503 prompt_quarantined with half an hour to come back, since their prompts shared a seldom part with a request that crashed endpoints by its own part.

Cause: the own part was no suspect, so that the part before it, which all crashes had in common, explained them best.

Change: a part is blamed only if at least two of its crashes aren't explained by one request that was lost at the others.

--- a/include/sequoiagate/Decisions/CrashingParts.h
+++ b/include/sequoiagate/Decisions/CrashingParts.h
@@ -142,6 +142,9 @@
     std::function<void(const Quarantine &)> broadcastQuarantine;
     /// Called when this host decides on a quarantine, to have it outlive the hosts.
     std::function<void(const Quarantine &)> onDecided;
+    /// Whether the crashes of these processes may all be those of one request with the part. May
+    /// stay empty.
+    std::function<bool(PartKey, const std::vector<EndpointProcess> &)> isExplainedByRequest;
     /// Called when a part is quarantined here for the first time.
     std::function<void(const Quarantine &)> onQuarantined;
 
@@ -222,8 +225,9 @@
     /// \p suspect was.
     double shareExplained(const Suspect &suspect) const;
     /// Whether another part, as deep in the prompts or deeper, was at all but one of the same
-    /// endpoints, so that it can't be told which of the two crashed them.
+    /// endpoints, or one request was, so that it can't be told which of the two crashed them.
     bool isAmbiguous(PartKey part, const Suspect &suspect) const;
+    static std::vector<EndpointProcess> crashedProcesses(const Suspect &suspect);
     void review(PartKey part, Suspect &suspect, Instant now);
     void decide(PartKey part, Instant now);
     void dropOldSuspects(Instant now);
--- a/lib/Decisions/CrashingParts.cpp
+++ b/lib/Decisions/CrashingParts.cpp
@@ -227,8 +227,21 @@
     return found != quarantines_.end() && now < found->second.until;
 }
 
+std::vector<EndpointProcess> CrashingParts::crashedProcesses(const Suspect &suspect)
+{
+    std::vector<EndpointProcess> processes;
+    for (const auto &[process, crash] : suspect.crashes) {
+        processes.push_back(process);
+    }
+    return processes;
+}
+
 bool CrashingParts::isAmbiguous(PartKey part, const Suspect &suspect) const
 {
+    const bool isKnown = quarantines_.count(part) > 0;
+    if (!isKnown && isExplainedByRequest && isExplainedByRequest(part, crashedProcesses(suspect))) {
+        return true;
+    }
     return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto &entry) {
         const Suspect &other = entry.second;
         if (entry.first == part || other.depth < suspect.depth) {
@@ -302,9 +315,7 @@
     quarantine.level = known == quarantines_.end() ? 0 : known->second.level + 1;
     quarantine.until = now + quarantineTime(quarantine.level);
     quarantine.decidedBy = settings_.host;
-    for (const auto &[process, crash] : suspect.crashes) {
-        quarantine.crashed.push_back(process);
-    }
+    quarantine.crashed = crashedProcesses(suspect);
     broadcastQuarantine(quarantine);
     if (onDecided) {
         onDecided(quarantine);
--- a/lib/Edge/CrashingPartsLink.h
+++ b/lib/Edge/CrashingPartsLink.h
@@ -29,6 +29,7 @@
         uint64_t startedAtMillis = 0;
     };
 
+    using IsExplained = std::function<bool(PartKey, const std::vector<EndpointProcess> &)>;
     using Resolve = std::function<std::optional<ListedProcess>(const EndpointId &)>;
 
     /// \pre all arguments outlive it
@@ -36,6 +37,11 @@
                       const CrashingPartsSettings &settings, Resolve resolve,
                       std::unique_ptr<QuarantineStore> records, EventLog &log, Metrics &metrics);
 
+    /// Sets what tells whether one request explains the crashes of a part. Set before it is used.
+    void setIsExplained(IsExplained isExplained)
+    {
+        parts_.isExplainedByRequest = std::move(isExplained);
+    }
     /// Takes a row of a quarantined part.
     void onRow(const StoreRow &row);
     /// Another process is listed in the place of \p process.
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -219,6 +219,10 @@
                                               log_.identity().incarnation.text() + "-refusals",
                                               log_, RequestQuarantineRowPrefix),
             log_, metrics_);
+    crashingParts_->setIsExplained(
+            [this](PartKey part, const std::vector<EndpointProcess> &crashed) {
+                return crashingRequests_->explains(part, crashed);
+            });
     if (rates_) {
         rates_->setMinHosts(settings_.fleetPoliciesFromHosts);
         rateLink_ = std::make_unique<EndpointRateLink>(tokens_->peers(), settings_.host, *rates_,
--- a/unittests/CrashingParts/SimulatedFleet.cpp
+++ b/unittests/CrashingParts/SimulatedFleet.cpp
@@ -51,7 +51,8 @@
     return seeds;
 }
 
-SimulatedFleet::SimulatedFleet(FleetShape shape, uint64_t seed) : shape_(shape), random_(seed)
+SimulatedFleet::SimulatedFleet(FleetShape shape, uint64_t seed)
+    : shape_(shape), random_(seed), lossRandom_(seed)
 {
     for (int i = 0; i < shape.hosts; ++i) {
         places_.push_back(
@@ -64,9 +65,15 @@
 void SimulatedFleet::startHost(int number)
 {
     const HostPlace &self = places_.at(static_cast<std::size_t>(number));
-    auto host = std::make_unique<Host>(
-            Host{CrashingParts({self.host, self.domain}), CrashConfirmation(self.domain)});
+    auto host = std::make_unique<Host>(Host{CrashingParts({self.host, self.domain}),
+                                            CrashConfirmation(self.domain),
+                                            CrashingRequests(self.domain)});
     connectParts(self, host->parts);
+    connectRequests(self, host->requests);
+    host->parts.isExplainedByRequest = [requests = &host->requests](const auto &part,
+                                                                    const auto &processes) {
+        return requests->explains(part, processes);
+    };
     connectConfirmation(self, host->confirmation);
     std::vector<HostPlace> others;
     for (const HostPlace &place : places_) {
@@ -76,6 +83,7 @@
     }
     host->parts.setHosts(others);
     host->confirmation.setHosts(others);
+    host->requests.setHosts(others);
     hosts_[self.host] = std::move(host);
     queue_.emplace(now_ + UntilStored, [this, to = self.host] {
         for (const auto &[part, quarantine] : stored_) {
@@ -113,6 +121,42 @@
     };
 }
 
+void SimulatedFleet::connectRequests(const HostPlace &self, CrashingRequests &requests)
+{
+    requests.sendReport = [this, from = self.host](const HostId &to, const RequestLosses &known) {
+        deliverLosses(from, to, [this, to, known] { requestsAt(to).onReport(known, now_); });
+    };
+    requests.broadcast = [this, from = self.host](const RequestLosses &known) {
+        for (const HostPlace &place : places_) {
+            if (place.host == from) {
+                continue;
+            }
+            deliverLosses(from, place.host, [this, from, to = place.host, known] {
+                if (const auto own = requestsAt(to).onBroadcast(known, now_)) {
+                    deliverLosses(to, from,
+                                  [this, from, own] { requestsAt(from).onReport(*own, now_); });
+                }
+            });
+        }
+    };
+    requests.onRefused = [](const RequestLosses &) {
+    };
+}
+
+uint64_t SimulatedFleet::badOf(const std::vector<uint64_t> &parts, RequestKey key)
+{
+    return key == BadRequest ? BadRequest : badPart(parts);
+}
+
+RequestIdentity SimulatedFleet::identityOf(const std::vector<uint64_t> &parts, RequestKey key)
+{
+    RequestIdentity identity{1, key, ~key, {}};
+    for (const uint64_t part : parts) {
+        identity.sharedParts.push_back(partKey(Service, part));
+    }
+    return identity;
+}
+
 void SimulatedFleet::connectConfirmation(const HostPlace &self, CrashConfirmation &confirmation)
 {
     const HostId from = self.host;
@@ -214,15 +258,41 @@
     return places_[other].host;
 }
 
-void SimulatedFleet::send(const std::vector<uint64_t> &parts, bool isRepeat)
+void SimulatedFleet::send(const std::vector<uint64_t> &parts)
 {
+    sendRequest(parts, ++lastRequest_, 0);
+}
+
+void SimulatedFleet::sendAgain(const std::vector<uint64_t> &parts, RequestKey request)
+{
+    sendRequest(parts, request, shape_.repeats);
+}
+
+void SimulatedFleet::repeat(const Request &request)
+{
+    if (request.repeats < shape_.repeats) {
+        sendRequest(request.parts, request.identity.request, request.repeats + 1);
+    }
+}
+
+void SimulatedFleet::sendRequest(const std::vector<uint64_t> &parts, RequestKey key, int repeats)
+{
+    const bool isRepeat = repeats > 0;
     const auto host = static_cast<int>(random_() % places_.size());
-    const bool isSoundFirst = !isRepeat && badPart(parts) == 0;
+    const bool isSoundFirst = !isRepeat && badOf(parts, key) == 0;
     sound_.sent += isSoundFirst ? 1 : 0;
     if (at(idOf(host)).find(Service, parts, now_) != nullptr) {
         ++refused;
         return;
     }
+    const RequestIdentity identity = identityOf(parts, key);
+    if (const auto *known = requestsAt(idOf(host)).findRefused(identity, now_)) {
+        const bool isSound = badOf(parts, key) == 0;
+        const bool isLong = known->refusedUntil >= now_ + CrashingRequests::LongRefusal;
+        soundRequestsRefused += isSound ? 1 : 0;
+        soundRequestsRefusedForLong += isSound && isLong ? 1 : 0;
+        return;
+    }
     std::vector<std::size_t> up;
     for (std::size_t i = 0; i < endpoints_.size(); ++i) {
         const auto avoided = avoidedUntil_.find({host, i});
@@ -232,7 +302,8 @@
         }
     }
     if (!up.empty()) {
-        sendTo(up[random_() % up.size()], {host, parts, now_, isRepeat, drawRelay(host), {}});
+        sendTo(up[random_() % up.size()],
+               {host, parts, now_, isRepeat, drawRelay(host), {}, identity, repeats});
     }
 }
 
@@ -244,7 +315,14 @@
     }
     const std::size_t endpoint = randomEndpoint();
     if (now_ >= endpoints_[endpoint].downUntil) {
-        sendTo(endpoint, {host, parts, now_, true, {}, {}});
+        sendTo(endpoint, {host,
+                          parts,
+                          now_,
+                          true,
+                          {},
+                          {},
+                          identityOf(parts, ++lastRequest_),
+                          shape_.repeats});
     }
 }
 
@@ -255,13 +333,11 @@
         avoidedUntil_[{request.host, endpoint}] = now_ + AvoidedTime;
         queue_.emplace(now_ + cut_.untilLost, [this, request] {
             lose(request);
-            if (!request.isRepeat) {
-                send(request.parts, true);
-            }
+            repeat(request);
         });
         return;
     }
-    const uint64_t bad = badPart(request.parts);
+    const uint64_t bad = badOf(request.parts, request.identity.request);
     const bool isInTouch = !isCut() || !isBehind(request.host);
     endpoints_[endpoint].open.push_back(std::move(request));
     if (bad == 0) {
@@ -282,6 +358,7 @@
 void SimulatedFleet::lose(const Request &request)
 {
     const HostId &host = idOf(request.host);
+    requestsAt(host).onEndpointLost(request.identity, request.process, request.sentAt, now_);
     if (at(host).onConnectionLost(Service, request.process, request.parts, request.sentAt, now_)) {
         confirmationAt(host).begin(request.process, request.relay, now_);
     }
@@ -322,9 +399,8 @@
         if (now_ < request.sentAt + UntilWritten) {
             lose(request);
         }
-        if (!request.isRepeat) {
-            queue_.emplace(now_ + UntilRepeated,
-                           [this, parts = request.parts] { send(parts, true); });
+        if (request.repeats < shape_.repeats) {
+            queue_.emplace(now_ + UntilRepeated, [this, request] { repeat(request); });
         }
     }
 }
@@ -364,6 +440,9 @@
             if (now_ >= host->parts.nextDeadline()) {
                 host->parts.tick(now_);
             }
+            if (now_ >= host->requests.nextDeadline()) {
+                host->requests.tick(now_);
+            }
         }
         gossip();
     }
@@ -388,11 +467,23 @@
 void SimulatedFleet::deliver(const HostId &from, const HostId &to, std::function<void()> arrive)
 {
     ++sent_;
-    if (std::uniform_real_distribution<>(0.0, 1.0)(random_) < shape_.loss
+    deliverBy(random_, from, to, std::move(arrive));
+}
+
+void SimulatedFleet::deliverLosses(const HostId &from, const HostId &to,
+                                   std::function<void()> arrive)
+{
+    deliverBy(lossRandom_, from, to, std::move(arrive));
+}
+
+void SimulatedFleet::deliverBy(std::mt19937_64 &random, const HostId &from, const HostId &to,
+                               std::function<void()> arrive)
+{
+    if (std::uniform_real_distribution<>(0.0, 1.0)(random) < shape_.loss
         || (isCut() && !canHear(numberOf(from), numberOf(to)))) {
         return;
     }
-    const std::chrono::microseconds delay(500 + random_() % 3000);
+    const std::chrono::microseconds delay(500 + random() % 3000);
     queue_.emplace(now_ + delay, std::move(arrive));
 }
 
@@ -404,6 +495,7 @@
                 return false;
             }
             at(idOf(request.host)).onAnswerWritten(Service, request.parts, now_);
+            requestsAt(idOf(request.host)).onAnswered(request.identity, now_);
             sound_.served += !request.isRepeat && badPart(request.parts) == 0 ? 1 : 0;
             return true;
         });
@@ -417,6 +509,13 @@
     }
     nextGossipAt_ = now_ + millis(500);
     for (const auto &[id, host] : hosts_) {
+        for (const RequestLosses &known : host->requests.nextGossiped(now_)) {
+            for (int i = 0; i < 3; ++i) {
+                const HostId &to = places_[lossRandom_() % places_.size()].host;
+                deliverLosses(id, to,
+                              [this, to, known] { requestsAt(to).onBroadcast(known, now_); });
+            }
+        }
         for (const Quarantine &quarantine : host->parts.quarantines(now_)) {
             for (int i = 0; i < 3; ++i) {
                 const HostId &to = places_[random_() % places_.size()].host;
--- a/unittests/CrashingParts/SimulatedFleet.h
+++ b/unittests/CrashingParts/SimulatedFleet.h
@@ -13,6 +13,7 @@
 
 #include "sequoiagate/Decisions/CrashConfirmation.h"
 #include "sequoiagate/Decisions/CrashingParts.h"
+#include "sequoiagate/Decisions/CrashingRequests.h"
 
 namespace sequoiagate::crashing {
 
@@ -20,6 +21,7 @@
 inline const Instant Start{std::chrono::hours(1)};
 inline constexpr uint64_t BadPart = 0xBAD;
 inline constexpr uint64_t SecondBadPart = 0xBAD2;
+inline constexpr RequestKey BadRequest = 0xBAD3; ///< crashes endpoints by its own part
 inline constexpr int Domains = 3;
 inline constexpr Interval UntilCrash = std::chrono::milliseconds(60);
 inline constexpr Interval StableTime = std::chrono::seconds(3); ///< the rules' stable-ms
@@ -40,6 +42,7 @@
     double relayed = 0.0;   ///< share of the requests that another host relays
     double listening = 0.0; ///< share of the crashed endpoints whose address still accepts
                             ///< connections
+    int repeats = 1;        ///< of a sound request, by its host and its caller
 };
 
 inline constexpr FleetShape Small{6, 9, 100, 0.0};
@@ -88,8 +91,11 @@
     void startAllHosts();
     void setCut(Cut cut) { cut_ = std::move(cut); }
 
-    /// Sends a prompt by any host to any endpoint that is up.
-    void send(const std::vector<uint64_t> &parts, bool isRepeat = false);
+    /// Sends a prompt by any host to any endpoint that is up. Its own last part isn't among
+    /// \p parts.
+    void send(const std::vector<uint64_t> &parts);
+    /// Sends the same prompt once more. \pre \p request is that of an earlier prompt
+    void sendAgain(const std::vector<uint64_t> &parts, RequestKey request);
     /// Sends a sound prompt whose caller doesn't come back.
     void sendBy(int host, const std::vector<uint64_t> &parts);
     void crash(std::size_t number);
@@ -109,6 +115,8 @@
     bool knowsAll(int host, const std::vector<uint64_t> &parts);
 
     int refused = 0;
+    int soundRequestsRefused = 0; ///< for the endpoints that were lost under them
+    int soundRequestsRefusedForLong = 0;
     /// Those that hosts sent that weren't cut off, by part.
     std::map<uint64_t, std::vector<Instant>> badArrivals;
     std::map<uint64_t, std::vector<Instant>> badCrashes;
@@ -122,12 +130,15 @@
         bool isRepeat = false;
         HostId relay;            ///< empty if none relays it
         EndpointProcess process; ///< as listed when it was sent
+        RequestIdentity identity;
+        int repeats = 0; ///< before it
     };
 
     struct Host
     {
         CrashingParts parts;
         CrashConfirmation confirmation;
+        CrashingRequests requests;
     };
 
     struct Endpoint
@@ -139,8 +150,10 @@
     };
 
     CrashingParts &at(const HostId &host) { return hosts_.at(host)->parts; }
+    CrashingRequests &requestsAt(const HostId &host) { return hosts_.at(host)->requests; }
     CrashConfirmation &confirmationAt(const HostId &host) { return hosts_.at(host)->confirmation; }
     void connectParts(const HostPlace &self, CrashingParts &parts);
+    void connectRequests(const HostPlace &self, CrashingRequests &requests);
     void connectConfirmation(const HostPlace &self, CrashConfirmation &confirmation);
     /// Tries the address of a process from a host.
     void probe(int host, const EndpointProcess &process);
@@ -154,12 +167,22 @@
     bool canReach(int host, std::size_t endpoint) const;
     bool canHear(int from, int to) const;
     bool chance(double share);
+    /// What of the request crashes endpoints; 0: nothing does.
+    static uint64_t badOf(const std::vector<uint64_t> &parts, RequestKey key);
+    static RequestIdentity identityOf(const std::vector<uint64_t> &parts, RequestKey key);
+    void sendRequest(const std::vector<uint64_t> &parts, RequestKey key, int repeats);
+    /// Sends a request that was lost once more, if it may be.
+    void repeat(const Request &request);
     /// Another host that relays a request of \p host; empty if none does.
     HostId drawRelay(int host);
     void sendTo(std::size_t endpoint, Request request);
     /// Loses a request and has its host look at the endpoint.
     void lose(const Request &request);
     void deliver(const HostId &from, const HostId &to, std::function<void()> arrive);
+    /// The same for what is told of requests, without changing what the rest draws.
+    void deliverLosses(const HostId &from, const HostId &to, std::function<void()> arrive);
+    void deliverBy(std::mt19937_64 &random, const HostId &from, const HostId &to,
+                   std::function<void()> arrive);
     /// Loses the requests that are open behind the cut.
     void beginCut();
     void complete();
@@ -167,6 +190,7 @@
 
     FleetShape shape_;
     std::mt19937_64 random_;
+    std::mt19937_64 lossRandom_;
     Instant now_ = Start;
     Instant nextGossipAt_{};
     double soundDue_ = 0.0;
@@ -180,6 +204,7 @@
     std::multimap<Instant, std::function<void()>> queue_;
     std::map<PartKey, Quarantine> stored_;
     std::size_t sent_ = 0;
+    RequestKey lastRequest_ = 0;
     SoundRequests sound_;
 };
 
