[Decisions] [Edge] Resume no stream by a list that may be older than a release

Cause: a host's list counted as up to date for two seconds after it was read, as of when the answer was handled, without any other host's response. Class: the absence of a contrary observation.

Change: a list is complete as of when its read was sent. Without the responses of most hosts a stream goes on only by a read that was sent after the lookup began, for which it waits up to 0.3 s.

--- a/include/sequoiagate/Decisions/StreamOrigins.h
+++ b/include/sequoiagate/Decisions/StreamOrigins.h
@@ -13,7 +13,9 @@
 ///
 /// A stream without a record may go on only if its service had one version all the time
 /// (VersionHistory), as this host or one of those that it asked knows, and none of them knows
-/// better. While that is so, nothing is sent when streams begin.
+/// better. Where most of them don't answer, this host has to read the list once more: a version may
+/// have been listed since it last did. While a service has one version, nothing is sent when
+/// streams begin.
 
 #include <cstdint>
 #include <deque>
@@ -92,6 +94,10 @@
     /// How long responses are awaited, and when those that are missing are asked again.
     static constexpr Interval QueryTimeout = std::chrono::milliseconds(120);
     static constexpr Interval QueryResendDelay = std::chrono::milliseconds(40);
+    /// How long this host waits for its list where most responses are missing, and how often it
+    /// looks.
+    static constexpr Interval ListTimeout = std::chrono::milliseconds(300);
+    static constexpr Interval ListCheckInterval = std::chrono::milliseconds(20);
 
     using FoundHandler = std::function<void(const StreamOrigin &)>;
 
@@ -109,7 +115,7 @@
     /// Called before an event of a stream is forwarded for the first time in a request.
     void onStreamBegan(const ServiceId &service, const RequestId &first,
                        const SoftwareVersion &version, Instant now);
-    /// Calls \p handler, possibly from inside this call, at the latest after QueryTimeout.
+    /// Calls \p handler, possibly from inside this call, at the latest after ListTimeout.
     /// \param first empty if the caller doesn't name it. Such a stream goes on if no host that is
     ///     asked has seen more than one version of its service, and the store's record names that
     ///     one alone: hosts that all started again have seen no version that left before.
@@ -152,6 +158,7 @@
         std::set<HostId> unanswered;
         std::vector<VersionView> views;
         std::size_t asked = 0;
+        Instant beganAt{};
         Instant resendAt{};
         Instant endAt{};
     };
@@ -162,8 +169,14 @@
     std::optional<SoftwareVersion> recorded(StreamKey key, Instant now) const;
     bool send(Delivery &delivery, Instant now);
     bool isDelivered(const Delivery &delivery) const;
+    /// Whether a version that was listed before the lookup can't have been missed.
+    bool isCurrent(const Lookup &lookup) const;
     /// What the responses say of a stream that nobody has a record of.
     StreamOrigin originWithoutRecord(const Lookup &lookup, Instant now) const;
+    /// The same if a version can't have been missed.
+    StreamOrigin originIfCurrent(const Lookup &lookup, Instant now) const;
+    /// Ends a lookup, or lets it wait for the list. \returns whether it ends
+    bool isOver(Lookup &lookup, Instant now) const;
     void conclude(StreamKey key, const StreamOrigin &origin);
 
     ReplicaPlacement placement_;
--- a/include/sequoiagate/Decisions/VersionHistory.h
+++ b/include/sequoiagate/Decisions/VersionHistory.h
@@ -67,10 +67,12 @@
     void setLongestStream(Interval longest) { longestStream_ = longest; }
     /// Replaces the versions that are listed.
     void setListed(const std::vector<ListedVersion> &listed, Instant now);
-    /// Called whenever the list is complete as of \p now. \param sinceBoot the clock since boot
-    void onRead(Instant now, Millis sinceBoot = Millis::zero())
+    /// Called whenever the list is complete as of \p asOf, when the read was sent: the store may
+    /// have answered just after that, and its answer may have waited here. \param sinceBoot the
+    /// clock since boot at that time
+    void onRead(Instant asOf, Millis sinceBoot = Millis::zero())
     {
-        readAt_ = now;
+        readAt_ = asOf;
         readSinceBoot_ = sinceBoot;
     }
     /// Called before view() with the clock since boot. It goes on while the host sleeps, and the
@@ -89,6 +91,8 @@
 
     /// Whether the list that this host has read is recent.
     bool isUpToDate(Instant now) const { return now < readAt_ + MaxListAge; }
+    /// Whether the list that this host has read is complete as of \p at.
+    bool isReadSince(Instant at) const { return readAt_ >= at; }
     VersionView view(const ServiceId &service, Instant now) const;
 
 private:
--- a/include/sequoiagate/Store/TopicFollower.h
+++ b/include/sequoiagate/Store/TopicFollower.h
@@ -60,6 +60,10 @@
     bool reachable() const { return reachable_; }
     /// Whether all rows that the store had by its last answer have been handed over.
     bool current() const { return current_; }
+    /// When the last read that was answered had been sent, for a snapshot its first page.
+    Instant lastReadSentAt() const { return answeredSentAt_; }
+    /// The clock since boot at that time.
+    Millis lastReadSentSinceBoot() const { return answeredSentSinceBoot_; }
     /// When the store last answered a read.
     Instant lastAnswerAt() const { return lastAnswerAt_; }
     uint64_t position() const { return position_; }
@@ -96,6 +100,10 @@
     bool stopped_ = false;
     bool unanswered_ = false; ///< the last read got no answer
     Instant lastAnswerAt_{};
+    Instant sentAt_{};
+    Millis sentSinceBoot_{};
+    Instant answeredSentAt_{};
+    Millis answeredSentSinceBoot_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/lib/Decisions/StreamOrigins.cpp
+++ b/lib/Decisions/StreamOrigins.cpp
@@ -147,6 +147,7 @@
     }
     lookup.query = query;
     lookup.isNamed = !first.empty();
+    lookup.beganAt = now;
     lookup.resendAt = now + QueryResendDelay;
     lookup.endAt = now + QueryTimeout;
     for (const ReplicaCandidates &hosts : placement_.candidates(query.key)) {
@@ -186,7 +187,24 @@
     }
 }
 
+bool StreamOrigins::isCurrent(const Lookup &lookup) const
+{
+    return lookup.asked == 0 || 2 * lookup.views.size() > lookup.asked
+           || versions_.isReadSince(lookup.beganAt);
+}
+
 StreamOrigin StreamOrigins::originWithoutRecord(const Lookup &lookup, Instant now) const
+{
+    if (isCurrent(lookup)) {
+        return originIfCurrent(lookup, now);
+    }
+    StreamOrigin unknown;
+    unknown.asked = lookup.asked;
+    unknown.responded = lookup.views.size();
+    return unknown;
+}
+
+StreamOrigin StreamOrigins::originIfCurrent(const Lookup &lookup, Instant now) const
 {
     StreamOrigin origin;
     origin.asked = lookup.asked;
@@ -220,6 +238,17 @@
     return origin;
 }
 
+bool StreamOrigins::isOver(Lookup &lookup, Instant now) const
+{
+    const Instant limit = lookup.beganAt + ListTimeout;
+    if (isCurrent(lookup) || now >= limit
+        || originIfCurrent(lookup, now).source == OriginSource::Unknown) {
+        return true;
+    }
+    lookup.endAt = std::min(limit, now + ListCheckInterval);
+    return false;
+}
+
 void StreamOrigins::conclude(StreamKey key, const StreamOrigin &origin)
 {
     const auto found = lookups_.find(key);
@@ -239,7 +268,7 @@
     }
     std::vector<StreamKey> ended;
     for (auto &[key, lookup] : lookups_) {
-        if (now >= lookup.endAt) {
+        if (now >= lookup.endAt && isOver(lookup, now)) {
             ended.push_back(key);
         } else if (now >= lookup.resendAt) {
             lookup.resendAt = Never;
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -476,7 +476,8 @@
     if (endpointFollower_->current()) {
         const Instant now = std::chrono::steady_clock::now();
         streamOrigins_->versions().setListed(endpoints_.listedVersions(), now);
-        streamOrigins_->versions().onRead(now, sinceBoot());
+        streamOrigins_->versions().onRead(endpointFollower_->lastReadSentAt(),
+                                          endpointFollower_->lastReadSentSinceBoot());
         versionRecorder_->tick(now);
     }
 }
@@ -642,8 +643,8 @@
         tokens_->peers().gossipLimits(records, now);
     }
     crashingParts_->gossip(now);
-    if (rateLink_) {
     crashingRequests_->gossip(now);
+    if (rateLink_) {
         rateLink_->gossip(now);
     }
 }
@@ -701,9 +702,9 @@
                    relayServer_ ? static_cast<double>(relayServer_->open()) : 0.0);
     metrics_.gauge("edge_stream_records", static_cast<double>(streamOrigins_->recordCount()));
     metrics_.gauge("edge_parts_quarantined", static_cast<double>(crashingParts_->quarantined(now)));
-    metrics_.gauge("edge_requests_limited", static_cast<double>(endpoints_.limitedRequests()));
     metrics_.gauge("edge_requests_quarantined",
                    static_cast<double>(crashingRequests_->refused(now)));
+    metrics_.gauge("edge_requests_limited", static_cast<double>(endpoints_.limitedRequests()));
     const ExpectedTimeCounts &placements = endpoints_.expectedTimeCounts();
     const std::pair<const char *, uint64_t> placementCounts[] = {
             {"edge_placements_by_expected_time", placements.selected},
--- a/lib/Store/TopicFollower.cpp
+++ b/lib/Store/TopicFollower.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "sequoiagate/Base/BootClock.h"
+
 namespace sequoiagate {
 
 TopicFollower::TopicFollower(boost::asio::io_context &io, Store &store, FollowerSettings settings,
@@ -44,6 +46,10 @@
         return;
     }
     reading_ = true;
+    if (step_ == Step::Tail || firstPage_) {
+        sentAt_ = std::chrono::steady_clock::now();
+        sentSinceBoot_ = sinceBoot();
+    }
     if (step_ == Step::Snapshot) {
         if (firstPage_) {
             snapshot_.clear();
@@ -67,6 +73,8 @@
 void TopicFollower::noteAnswer()
 {
     lastAnswerAt_ = std::chrono::steady_clock::now();
+    answeredSentAt_ = sentAt_;
+    answeredSentSinceBoot_ = sentSinceBoot_;
     unanswered_ = false;
     if (!reachable_ || !told_) {
         reachable_ = true;
--- a/test/Edge/StreamVersionTest.cpp
+++ b/test/Edge/StreamVersionTest.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include "EdgeProcess.h"
+#include "test/Support/Relay.h"
 
 using namespace sequoiagate;
 
@@ -160,6 +161,9 @@
     {
         nlohmann::json values = settings(host);
         values["domain"] = fmt::format("d{}", host % 2);
+        if (storeAddresses_.count(host) > 0) {
+            values["store"] = storeAddresses_.at(host);
+        }
         edges_[host] = std::make_unique<Process>(scratch_, "sequoia-edge",
                                                  fmt::format("edge{}-{}", host, ++starts_), values);
         ASSERT_TRUE(eventually([host] { return status(post(host, "first", 1)) == 200; }));
@@ -237,6 +241,7 @@
 
     std::vector<std::unique_ptr<EndpointStandin>> endpoints_;
     std::map<int, std::unique_ptr<Process>> edges_;
+    std::map<int, std::string> storeAddresses_; ///< of hosts that reach it over a relay
     int starts_ = 0;
 };
 
@@ -433,4 +438,120 @@
                           false}),
         [](const auto &row) { return row.param.name; });
 
+struct OutOfStepCase
+{
+    const char *name;
+    bool isStopped; ///< or cut off from the store
+};
+
+/// A fleet of which the last host and the others don't hear each other.
+class HostOutOfStep : public VersionedFleet, public testing::WithParamInterface<OutOfStepCase>
+{
+protected:
+    static constexpr int Last = Hosts;
+
+    HostOutOfStep()
+    {
+        for (int host = 1; host <= Hosts; ++host) {
+            auto &link = links_.emplace_back(
+                    std::make_unique<soak::TcpRelay>(loop_, ip(204), store_.address()));
+            const std::string source = fmt::format("127.253.{}.{}", ::getpid() % 250, host);
+            link->setSource(source);
+            storeAddresses_[host] = link->address();
+            store_.setView(source, [host](const std::string &, const std::string &key,
+                                          const std::string &value) {
+                return isOtherSide(host, key) ? withoutAddress(value) : value;
+            });
+        }
+    }
+    ~HostOutOfStep() override { edges_.clear(); }
+
+    static bool isOtherSide(int host, const std::string &key)
+    {
+        const std::string prefix = "host/h";
+        const bool isHost = key.rfind(prefix, 0) == 0;
+        return isHost && (host == Last) != (key == prefix + std::to_string(Last));
+    }
+
+    static std::string withoutAddress(const std::string &value)
+    {
+        nlohmann::json row = nlohmann::json::parse(value);
+        row["address"] = ip(207) + ":9";
+        row["listens"] = ip(207) + ":9";
+        return row.dump();
+    }
+
+    void setOutOfStep(bool isOut)
+    {
+        if (GetParam().isStopped) {
+            edges_.at(Last)->signal(isOut ? SIGSTOP : SIGCONT);
+        } else if (isOut) {
+            links_.back()->setCut(soak::RelayCut::Hang);
+        }
+    }
+
+    void waitUntilDraining(int host, const std::string &endpoint)
+    {
+        EXPECT_NO_THROW(edges_.at(host)->waitFor(
+                "endpoint.changed", [&endpoint](const Process::Line &line) {
+                    return line.at("endpoint") == endpoint && line.at("draining") == true;
+                }));
+    }
+
+    soak::RelayLoop loop_;
+    std::vector<std::unique_ptr<soak::TcpRelay>> links_;
+};
+
+// Guards against a stream that goes on at an old version, taken up at a host that was cut off or
+// stood still while a new version was released.
+TEST_P(HostOutOfStep, MixesNoVersions)
+{
+    configure(1);
+    listVersion("v1");
+    for (int host = 1; host <= Hosts; ++host) {
+        startHost(host);
+    }
+    ASSERT_TRUE(isRecorded("v1"));
+    pause(std::chrono::seconds(1));
+    setOutOfStep(true);
+    listVersion("v2");
+    listVersion("v1", "draining");
+    for (int host = 1; host < Last; ++host) {
+        for (int i = 0; i < EndpointsPerVersion; ++i) {
+            waitUntilDraining(host, endpoints_[static_cast<std::size_t>(i)]->id());
+        }
+    }
+    constexpr int Callers = 9;
+    std::vector<StreamOutcome> outcomes(Callers);
+    std::atomic<int> begun{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < Callers; ++i) {
+        callers.emplace_back([&, i] {
+            const auto host = [i](int attempt) {
+                return fmt::format("{}:{}", ip(attempt == 0 ? 1 + i % (Hosts - 1) : Last),
+                                   CallerPort);
+            };
+            outcomes[static_cast<std::size_t>(i)] =
+                    StreamCaller(fmt::format("s{}", i), host, 3, false).run(begun);
+        });
+    }
+    EXPECT_TRUE(eventually([&begun] { return begun == Callers; }));
+    for (int i = 0; i < EndpointsPerVersion; ++i) {
+        breakStreams(i);
+    }
+    setOutOfStep(false);
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    for (const StreamOutcome &outcome : outcomes) {
+        EXPECT_TRUE(outcome.broke);
+        EXPECT_EQ(outcome.versions, std::set<std::string>{"v2"});
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, HostOutOfStep,
+                         testing::Values(OutOfStepCase{"CutOff", false},
+                                         OutOfStepCase{"Stopped", true}),
+                         [](const auto &row) { return row.param.name; });
+
 } // namespace
--- a/unittests/Decisions/StreamOriginsTest.cpp
+++ b/unittests/Decisions/StreamOriginsTest.cpp
@@ -116,6 +116,17 @@
         at(host).versions().onRead(now_);
     }
 
+    /// The hosts that hear the store read once more that nothing has changed.
+    void readAgain()
+    {
+        for (int host = 0; host < size(); ++host) {
+            if (cutFromStore_.count(host) == 0) {
+                at(host).versions().onRead(now_);
+            }
+        }
+    }
+    void cutFromStore(int host) { cutFromStore_.insert(host); }
+
     /// The host has read the records of the store.
     void record(int host, const std::vector<std::string> &versions)
     {
@@ -159,6 +170,7 @@
     std::vector<HostPlace> places_;
     std::map<HostId, std::unique_ptr<StreamOrigins>> hosts_;
     std::set<HostId> deaf_;
+    std::set<int> cutFromStore_;
     std::set<HostId> side_;
     std::multimap<Instant, std::function<void()>> queue_;
     std::size_t sent_ = 0;
@@ -300,7 +312,10 @@
     StreamOrigin found;
     fleet.at(host).find(S, RequestId(stream), fleet.now(),
                         [&found](const StreamOrigin &origin) { found = origin; });
-    fleet.run(StreamOrigins::QueryTimeout + std::chrono::milliseconds(5));
+    // Those that hear the store go on reading it.
+    fleet.run(StreamOrigins::QueryTimeout);
+    fleet.readAgain();
+    fleet.run(StreamOrigins::ListTimeout + std::chrono::milliseconds(5));
     return found;
 }
 
@@ -359,13 +374,44 @@
          [](SimulatedFleet &fleet) {
              fleet.record(3, {"v1"});
              fleet.partition({3});
+             fleet.cutFromStore(3);
              fleet.run(std::chrono::seconds(3));
          },
          OriginSource::Unknown, OriginSource::Unknown},
+        // Guards against a stream at an old version, of a host that was out of step for a moment
+        // while endpoints of a new one were listed.
+        {"AskedHostIsCutOffForAMoment",
+         [](SimulatedFleet &fleet) {
+             fleet.record(3, {"v1"});
+             fleet.partition({3});
+             fleet.cutFromStore(3);
+             fleet.run(std::chrono::milliseconds(1500));
+             for (const int host : {0, 1, 2, 4, 5}) {
+                 fleet.list(host, {"v1", "v2"});
+             }
+         },
+         OriginSource::Unknown, OriginSource::Unknown},
+        // Guards against the same where a host that is out of step as well answers.
+        {"TwoHostsAreCutOffForAMoment",
+         [](SimulatedFleet &fleet) {
+             for (const int host : {3, 4}) {
+                 fleet.record(host, {"v1"});
+                 fleet.cutFromStore(host);
+             }
+             fleet.partition({3, 4});
+             fleet.run(std::chrono::milliseconds(1500));
+             for (const int host : {0, 1, 2, 5}) {
+                 fleet.list(host, {"v1", "v2"});
+             }
+         },
+         OriginSource::Unknown, OriginSource::Unknown},
         // Guards against refusing all streams that callers don't name in an outage of the store.
         {"AllHostsAreCutFromTheStore",
          [](SimulatedFleet &fleet) {
              fleet.record(3, {"v1"});
+             for (int host = 0; host < fleet.size(); ++host) {
+                 fleet.cutFromStore(host);
+             }
              fleet.run(std::chrono::seconds(3));
          },
          OriginSource::Unknown, OriginSource::SoleVersion},
--- a/unittests/Store/TopicFollowerTest.cpp
+++ b/unittests/Store/TopicFollowerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <map>
+#include <thread>
 
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
@@ -35,6 +36,7 @@
     std::deque<TailAnswer> tails;
     std::deque<SnapshotAnswer> snapshots;
     std::vector<std::string> calls;
+    Interval holdUp{}; ///< how long the process stands still before it handles an answer
 
 private:
     template <typename Answer>
@@ -43,7 +45,10 @@
         if (script.empty()) {
             return;
         }
-        boost::asio::post(io_, [next = script.front(), handler] { handler(next); });
+        boost::asio::post(io_, [this, next = script.front(), handler] {
+            std::this_thread::sleep_for(holdUp);
+            handler(next);
+        });
         script.pop_front();
     }
 
@@ -235,6 +240,29 @@
 INSTANTIATE_TEST_SUITE_P(Rows, FollowerIsCurrent, testing::ValuesIn(CurrentCases),
                          [](const auto &script) { return std::string(script.param.name); });
 
+// Guards against taking a list for recent whose answer has waited while the process stood still.
+TEST(TopicFollower, TellsWhenTheLastReadWasSent)
+{
+    boost::asio::io_context io;
+    ScriptedStore store(io);
+    store.snapshots = {First};
+    store.holdUp = std::chrono::milliseconds(40);
+    std::optional<Interval> waited;
+    std::optional<TopicFollower> follower;
+    follower.emplace(io, store, FollowerSettings{"t"},
+                     TopicFollower::Handlers{[](const std::vector<StoreRow> &, bool) {},
+                                             [&](uint64_t) {
+                                                 waited = follower->lastAnswerAt()
+                                                          - follower->lastReadSentAt();
+                                             },
+                                             [](bool, StoreOutcome) {
+                                             }});
+    follower->start();
+    io.run_for(std::chrono::milliseconds(200));
+    ASSERT_TRUE(waited);
+    EXPECT_GE(*waited, store.holdUp);
+}
+
 // Rows whose handler threw are never told, since the next read begins behind them.
 TEST(TopicFollower, RowsWhoseHandlerThrewAreReadAgain)
 {
