[Keeper] Answer a repeated attempt while draining

Fleet.FrozenKeeperKeepsNoReservation failed in one run of all tests beside builds (load 21): the keeper hadn't ended 120 s after SIGTERM.

Cause: a router ends a reservation whose response was lost by repeating the attempt. A keeper that drains refused every attempt before it looked for the reservation of the same one, and waited for that reservation as long as the router lived.

Change: the reservation of the same attempt, router and body is looked for first.

Result: TriesWhileDraining/SameTry fails without the change. The run that failed wasn't repeated as it was.

--- a/include/sequoiagate/Keeper/KeeperCore.h
+++ b/include/sequoiagate/Keeper/KeeperCore.h
@@ -240,6 +240,8 @@
     void addWork(WorkKind kind) { ++work_[static_cast<std::size_t>(kind)]; }
     uint64_t push(AppendQueue &queue, wire::Record record, Instant sendBy);
 
+    /// The reservation that this very attempt of the router opened; nullptr if there is none.
+    const OpenReservation *findOpenedBy(const wire::ReserveRequest &request, const RequestKey &key);
     std::optional<wire::ReserveReply> answerKnown(const wire::ReserveRequest &request,
                                                   const RequestKey &key, Instant now);
     std::optional<wire::ReserveReply> refuseEarly(const wire::ReserveRequest &request,
--- a/lib/Keeper/KeeperCoreRequests.cpp
+++ b/lib/Keeper/KeeperCoreRequests.cpp
@@ -69,6 +69,17 @@
     return std::nullopt;
 }
 
+const OpenReservation *KeeperCore::findOpenedBy(const wire::ReserveRequest &request,
+                                                const RequestKey &key)
+{
+    const OpenReservation *open = reservations_.find(key);
+    const bool isSame = open != nullptr && !open->attempt.empty()
+                        && open->attempt == request.attempt()
+                        && open->router.text() == request.router()
+                        && (open->bodyHash.empty() || open->bodyHash == request.body_hash());
+    return isSame ? open : nullptr;
+}
+
 std::optional<wire::ReserveReply> KeeperCore::answerKnown(const wire::ReserveRequest &request,
                                                           const RequestKey &key, Instant now)
 {
@@ -80,12 +91,6 @@
         if (mismatch(open->bodyHash)) {
             return refusal(Reason::BodyMismatch, "the id is open with another body", {}, now);
         }
-        // The router's own try again, since the answer was lost: the same reservation.
-        const bool sameTry = !open->attempt.empty() && open->attempt == request.attempt()
-                             && open->router.text() == request.router();
-        if (sameTry) {
-            return openReservation(request, key, {open->id, open->tokens, open->draws});
-        }
         reply.mutable_running()->set_router(open->router.text());
         reply.mutable_running()->set_router_address(open->routerAddress);
         reply.mutable_running()->set_endpoint(open->endpoint);
@@ -114,6 +119,11 @@
     heardRouter(request.router(), now);
     routerAt_[request.router_address()] = Incarnation(request.router());
     const RequestKey key{WorkspaceId(request.workspace()), RequestId(request.request())};
+    // The response was lost. A keeper that drains waits for this reservation, and the router can't
+    // end it without its id.
+    if (const OpenReservation *open = findOpenedBy(request, key)) {
+        return openReservation(request, key, {open->id, open->tokens, open->draws});
+    }
     if (std::optional<wire::ReserveReply> refused = refuseEarly(request, now)) {
         return *refused;
     }
--- a/unittests/Keeper/KeeperCoreTest.cpp
+++ b/unittests/Keeper/KeeperCoreTest.cpp
@@ -206,4 +206,44 @@
     EXPECT_EQ(core_.strandedTokens(), 0U);
 }
 
+struct TryWhileDraining
+{
+    const char *name;
+    const char *body;
+    const char *attempt;
+    wire::ReserveReply::OutcomeCase outcome;
+};
+
+class TriesWhileDraining : public CoreTest, public testing::WithParamInterface<TryWhileDraining>
+{};
+
+// Guards against a planned stop that never ends: the response that opened a reservation was lost,
+// and the router that asks for it again, to end it, is refused.
+TEST_P(TriesWhileDraining, GetTheReservationThatTheyOpened)
+{
+    const TryWhileDraining &row = GetParam();
+    const wire::ReserveReply first = reserve("r1", "body", "try-1");
+    core_.beginDrain();
+    const wire::ReserveReply again = reserve("r1", row.body, row.attempt);
+    ASSERT_EQ(again.outcome_case(), row.outcome) << again.ShortDebugString();
+    EXPECT_FALSE(core_.drained(now_, wall_));
+    if (again.has_reservation()) {
+        EXPECT_EQ(again.reservation().id(), first.reservation().id());
+        settle(again.reservation(), "r1", 0);
+        pump();
+        core_.drained(now_, wall_);
+        pump();
+        EXPECT_TRUE(core_.drained(now_, wall_));
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Requests, TriesWhileDraining,
+                         testing::Values(TryWhileDraining{"SameTry", "body", "try-1",
+                                                          wire::ReserveReply::kReservation},
+                                         TryWhileDraining{"OtherTry", "body", "try-2",
+                                                          wire::ReserveReply::kRefused},
+                                         TryWhileDraining{"OtherBody", "other", "try-1",
+                                                          wire::ReserveReply::kRefused}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
