[Edge] Log no_peers where a host knows no other host

Cause: a request that was refused since this host knew no peer to ask was logged as known_shortfall, which says that an earlier request found too few tokens.

Change: the log line and the counter name no_peers.

Result: two rows of TokenWaitQueueTest fail without the change.

--- a/lib/Edge/TokenWaitQueue.cpp
+++ b/lib/Edge/TokenWaitQueue.cpp
@@ -176,9 +176,11 @@
     }
     const std::optional<Instant> deadline = waitDeadline(account, request, now);
     if (!deadline) {
+        const char *const cause =
+                isKnownShort(account, request, now) ? "known_shortfall" : "no_peers";
         std::list<WaitingRequest> refused;
         refused.push_back({0, request, now, now, std::move(handler)});
-        refuse(std::move(refused), "known_shortfall", now);
+        refuse(std::move(refused), cause, now);
         return 0;
     }
     const ReservationTicket ticket = ++lastTicket_;
--- a/unittests/Edge/TokenWaitQueueTest.cpp
+++ b/unittests/Edge/TokenWaitQueueTest.cpp
@@ -1,6 +1,7 @@
 /// Requests that wait for tokens while the store is unreachable: at a host that gets the tokens of
 /// each request from a home, and at a home.
 
+#include <array>
 #include <cstdio>
 #include <limits>
 #include <optional>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include "lib/Edge/TokenWaitQueue.h"
 
@@ -112,6 +114,17 @@
         }
     }
 
+    std::string lastLoggedCause() const
+    {
+        std::rewind(file_);
+        std::string cause;
+        std::array<char, 1024> line{};
+        while (std::fgets(line.data(), line.size(), file_) != nullptr) {
+            cause = nlohmann::json::parse(line.data()).value("why", "");
+        }
+        return cause;
+    }
+
     static TokenRequest transferRequest(std::optional<uint32_t> priority, uint64_t tokens,
                                         const WorkspaceId &workspace = Space)
     {
@@ -194,6 +207,49 @@
     EXPECT_TRUE(urgent.isServed());
 }
 
+struct RefusalCauseCase
+{
+    const char *name;
+    std::size_t peers;
+    int requests; ///< that the last home's response refuses, before the logged one
+    const char *cause;
+};
+
+class RefusalCause : public TokenWaitQueueTest, public testing::WithParamInterface<RefusalCauseCase>
+{};
+
+// Guards against a log that names an earlier request's shortfall where there was none.
+TEST_P(RefusalCause, IsLogged)
+{
+    const RefusalCauseCase &row = GetParam();
+    Result result;
+    reserve(chat(Now), result, Now);
+    grant(900, Now);
+    queue_.setPeerCount(row.peers);
+    for (int i = 0; i < row.requests; ++i) {
+        result = {};
+        reserve(digest(Now), result, Now);
+        respond("home1", Now);
+        respondAll(Now);
+        ASSERT_TRUE(result.isRefused());
+    }
+    result = {};
+    reserve(digest(Now), result, Now);
+    respond("home1", Now);
+    respondAll(Now);
+    ASSERT_TRUE(result.isRefused());
+    EXPECT_EQ(lastLoggedCause(), row.cause);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, RefusalCause,
+                         testing::ValuesIn(std::vector<RefusalCauseCase>{
+                                 {"NoPeers", 0, 0, "no_peers"},
+                                 {"NoPeersAgain", 0, 1, "no_peers"},
+                                 {"PeersLackTokens", 8, 0, "peers_lack_tokens"},
+                                 {"PeersLackedTokens", 8, 1, "known_shortfall"},
+                         }),
+                         [](const auto &row) { return row.param.name; });
+
 // Guards against several requests that ask the same peers at the same time, and against urgent ones
 // behind others.
 TEST_F(TokenWaitQueueTest, OneRequestAsksAtATime)
