[Test] End gRPC's threads before unittests-Transport exits

Cause: a thread of gRPC that ends behind OpenSSL's exit handler leaks its random generator, which the address sanitizer reports now and then.

Change: the program shuts gRPC down before it exits.

--- a/unittests/Transport/SecurityTest.cpp
+++ b/unittests/Transport/SecurityTest.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <fmt/format.h>
+#include <grpc/grpc.h>
 #include <gtest/gtest.h>
 #include <openssl/evp.h>
 #include <openssl/pem.h>
@@ -24,6 +25,17 @@
 
 constexpr Seconds PatienceLimit{30};
 
+/// Ends gRPC's threads before the process exits. One that ends behind OpenSSL's exit handler leaks
+/// its random generator.
+class GrpcThreads : public testing::Environment
+{
+public:
+    void SetUp() override { grpc_init(); }
+    void TearDown() override { grpc_shutdown_blocking(); }
+};
+
+const auto *const Threads = testing::AddGlobalTestEnvironment(new GrpcThreads);
+
 /// A certificate and its key, made in the test.
 struct Identity
 {
