[Test] Let one file alone know where the source tree is

Each object of the tests named the source tree and the build folder on its command line, so that a cache of objects found it in another folder only after a preprocessor's run.

Change: TreePaths.cpp alone has the two paths.

--- a/cmake/Parts.cmake
+++ b/cmake/Parts.cmake
@@ -12,13 +12,6 @@
     target_compile_definitions(${target} PRIVATE SEQUOIAGATE_VERSION="${PROJECT_VERSION}")
 endfunction()
 
-# What only runs in the source tree: libraries and programs know no path of it.
-function(sequoiagate_test_common target)
-    sequoiagate_common(${target})
-    target_compile_definitions(${target} PRIVATE SEQUOIAGATE_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
-        SEQUOIAGATE_BINARY_DIR="${CMAKE_BINARY_DIR}")
-endfunction()
-
 function(sequoiagate_wire)
     file(GLOB sources CONFIGURE_DEPENDS lib/Wire/proto/*.pb.cc)
     add_library(Wire STATIC ${sources})
@@ -78,11 +71,14 @@
     target_include_directories(TestSupport PUBLIC include ${CMAKE_SOURCE_DIR})
     target_link_libraries(TestSupport PUBLIC Base Service Platform Ledger Config Members Decisions
         History Keeper Router Operate Load Standins Proxy Store Edge PlatformAdapter rapidcheck GTest::gtest GTest::gtest_main)
-    sequoiagate_test_common(TestSupport)
+    sequoiagate_common(TestSupport)
+    # One file alone knows the tree's place, so that a cache of objects serves several trees.
+    set_source_files_properties(unittests/Support/TreePaths.cpp PROPERTIES COMPILE_DEFINITIONS
+        "SEQUOIAGATE_SOURCE_DIR=\"${CMAKE_SOURCE_DIR}\";SEQUOIAGATE_BINARY_DIR=\"${CMAKE_BINARY_DIR}\"")
     file(GLOB fleet CONFIGURE_DEPENDS test/Support/*.cpp)
     add_library(FleetSupport STATIC ${fleet})
     target_link_libraries(FleetSupport PUBLIC TestSupport)
-    sequoiagate_test_common(FleetSupport)
+    sequoiagate_common(FleetSupport)
     file(GLOB folders CONFIGURE_DEPENDS LIST_DIRECTORIES true unittests/* test/*)
     foreach(folder ${folders})
         get_filename_component(name ${folder} NAME)
@@ -98,7 +94,7 @@
         if(kind STREQUAL "test")
             target_link_libraries(${target} PRIVATE FleetSupport)
         endif()
-        sequoiagate_test_common(${target})
+        sequoiagate_common(${target})
         add_test(NAME ${target} COMMAND ${target})
         # A fixed seed: the same verdict every run. Soak runs vary it.
         set_tests_properties(${target} PROPERTIES TIMEOUT 1500 LABELS ${kind}
@@ -122,6 +118,6 @@
         target_link_libraries(bench-${name} PRIVATE TestSupport FleetSupport benchmark::benchmark)
         set_target_properties(bench-${name} PROPERTIES
             RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bench)
-        sequoiagate_test_common(bench-${name})
+        sequoiagate_common(bench-${name})
     endforeach()
 endfunction()
--- a/test/Edge/EdgeTest.cpp
+++ b/test/Edge/EdgeTest.cpp
@@ -16,6 +16,7 @@
 
 #include "EdgeProcess.h"
 #include "sequoiagate/Operate/TokenAccount.h"
+#include "unittests/Support/TreePaths.h"
 
 using namespace sequoiagate;
 
@@ -326,9 +327,9 @@
 TEST_F(EdgeProcess, CopiedProgramStartsWithoutFilesOfTheSourceTree)
 {
     const std::string program = scratch_.path("sequoia-edge");
-    std::filesystem::copy_file(SEQUOIAGATE_BINARY_DIR "/bin/sequoia-edge", program);
+    std::filesystem::copy_file(buildFolder() / "bin/sequoia-edge", program);
     // The schemas aren't watched, since other tests read them.
-    const OpenedFiles opened(SEQUOIAGATE_SOURCE_DIR "/share/statecharts");
+    const OpenedFiles opened((sourceFolder() / "share/statecharts").string());
     const Process edge(scratch_, program, "edge", settings(1));
     edge.waitFor("config.in_force");
     EXPECT_FALSE(opened.any());
--- a/test/Support/Process.cpp
+++ b/test/Support/Process.cpp
@@ -16,6 +16,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "unittests/Support/TreePaths.h"
+
 extern char **environ;
 
 namespace sequoiagate {
@@ -34,7 +36,7 @@
 
 std::string programPath(const std::string &program)
 {
-    return std::filesystem::path(SEQUOIAGATE_BINARY_DIR "/bin") / program;
+    return buildFolder() / "bin" / program;
 }
 
 /// Starts a program with its output in files. A test harness may start
--- a/unittests/Config/SheetTest.cpp
+++ b/unittests/Config/SheetTest.cpp
@@ -7,6 +7,7 @@
 
 #include "sequoiagate/Config/ConfigFold.h"
 #include "unittests/Support/LedgerRecords.h"
+#include "unittests/Support/TreePaths.h"
 
 using namespace sequoiagate;
 
@@ -203,7 +204,7 @@
 
 TEST(Sheet, ParsesTheExample)
 {
-    std::ifstream file(SEQUOIAGATE_SOURCE_DIR "/docs/examples/sheet.csv", std::ios::binary);
+    std::ifstream file(sourceFolder() / "docs/examples/sheet.csv", std::ios::binary);
     std::ostringstream bytes;
     bytes << file.rdbuf();
     const ParseSheetResult result = parseSheet(bytes.str());
--- a/unittests/Proxy/HttpReaderTest.cpp
+++ b/unittests/Proxy/HttpReaderTest.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "sequoiagate/Proxy/HttpReader.h"
+#include "unittests/Support/TreePaths.h"
 
 using namespace sequoiagate;
 
@@ -168,7 +169,7 @@
 
 TEST_P(MessageBounds, StandOnTheSettingsPage)
 {
-    std::ifstream file(SEQUOIAGATE_SOURCE_DIR "/docs/Settings.md");
+    std::ifstream file(sourceFolder() / "docs/Settings.md");
     const std::string page(std::istreambuf_iterator<char>(file), {});
     const std::string row = fmt::format("| `{}` | {} |", GetParam().name, GetParam().bytes);
     EXPECT_NE(page.find(row), std::string::npos) << row;
--- a/unittests/Service/SettingsPageTest.cpp
+++ b/unittests/Service/SettingsPageTest.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include "sequoiagate/Service/Settings.h"
+#include "unittests/Support/TreePaths.h"
 
 using namespace sequoiagate;
 
@@ -96,7 +97,7 @@
 std::string renderPage()
 {
     std::vector<std::filesystem::path> schemas;
-    const std::filesystem::path folder(SEQUOIAGATE_SOURCE_DIR "/share/schemas");
+    const std::filesystem::path folder = sourceFolder() / "share/schemas";
     for (const auto &entry : std::filesystem::directory_iterator(folder)) {
         schemas.push_back(entry.path());
     }
@@ -119,7 +120,7 @@
 
 TEST(SettingsPage, HoldsEverySettingOfEveryProgram)
 {
-    const std::filesystem::path path(SEQUOIAGATE_SOURCE_DIR "/docs/Settings.md");
+    const std::filesystem::path path = sourceFolder() / "docs/Settings.md";
     const std::string expected = renderPage();
     if (std::getenv("SEQUOIAGATE_WRITE_PAGES") != nullptr) {
         std::ofstream(path) << expected;
@@ -130,7 +131,7 @@
 TEST(SettingsPage, SaysWhatEachSettingIsFor)
 {
     for (const auto &entry :
-         std::filesystem::directory_iterator(SEQUOIAGATE_SOURCE_DIR "/share/schemas")) {
+         std::filesystem::directory_iterator(sourceFolder() / "share/schemas")) {
         const nlohmann::json schema = nlohmann::json::parse(readFile(entry.path()));
         for (const auto &[key, rule] : schema.at("properties").items()) {
             EXPECT_FALSE(rule.value("description", "").empty()) << entry.path() << " " << key;
--- a/unittests/Service/ShareFilesTest.cpp
+++ b/unittests/Service/ShareFilesTest.cpp
@@ -7,6 +7,7 @@
 
 #include "sequoiagate/Service/Program.h"
 #include "sequoiagate/Service/Settings.h"
+#include "unittests/Support/TreePaths.h"
 
 using namespace sequoiagate;
 
@@ -14,7 +15,7 @@
 
 TEST(ShareFiles, AreEmbeddedAsTheyStandInTheSourceTree)
 {
-    const std::filesystem::path folder(SEQUOIAGATE_SOURCE_DIR "/share");
+    const std::filesystem::path folder = sourceFolder() / "share";
     int files = 0;
     for (const auto &entry : std::filesystem::recursive_directory_iterator(folder)) {
         if (!entry.is_regular_file()) {
