[Decisions] Report the losses under requests to hosts that are added

Cause: a host reports a loss to those hosts that it knows at that moment. One that lost endpoints in its first tens of milliseconds, before it had read the other hosts' rows, told nobody, and nothing told them later: gossip names refused requests alone.

Change: when hosts are added, known losses are reported to those among them that hold the request's record, within the bound of datagrams a second.

Result: LossesAreReportedToHostsThatAreAdded doesn't hold without the change.

--- a/include/sequoiagate/Decisions/CrashingRequests.h
+++ b/include/sequoiagate/Decisions/CrashingRequests.h
@@ -20,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -125,7 +126,8 @@
     /// Called when this host decides on a refusal that is to outlive the hosts. May stay empty.
     std::function<void(const RequestLosses &)> onDecided;
 
-    void setHosts(const std::vector<HostPlace> &others);
+    /// Replaces the other hosts. What is known is reported to those that are new.
+    void setHosts(const std::vector<HostPlace> &others, Instant now);
 
     /// An endpoint's whole response to the request was received.
     void onAnswered(const RequestIdentity &identity, Instant now);
@@ -172,7 +174,11 @@
     void tell(const RequestLosses &known, Instant now);
     /// Reports it where no more broadcasts may be sent for now.
     void broadcastOrReport(const RequestLosses &known, Instant now);
+    /// The hosts that losses under the request are reported to.
+    std::vector<HostId> recordHolders(RequestKey key) const;
     void report(const RequestLosses &known);
+    void reportToAdded(const std::set<HostId> &added, Instant now);
+    void renewBroadcastPeriod(Instant now);
     static void clearAnswered(RequestLosses &known);
     /// Whether many endpoints of its service that were lost since its first loss weren't lost under
     /// it, as far as this host knows.
@@ -194,7 +200,7 @@
     std::map<uint64_t, std::map<EndpointProcess, Instant>> lostProcesses_;
     std::map<RequestKey, Instant> broadcasts_; ///< when they are due
     RequestKey lastGossiped_ = 0;
-    std::size_t others_ = 0;
+    std::set<HostId> hosts_; ///< the others
     Instant broadcastPeriodEnd_{};
     std::size_t broadcastDatagrams_ = 0; ///< in this period
     Instant nextDropAt_{};
--- a/lib/Decisions/CrashingRequests.cpp
+++ b/lib/Decisions/CrashingRequests.cpp
@@ -75,10 +75,19 @@
 
 } // namespace
 
-void CrashingRequests::setHosts(const std::vector<HostPlace> &others)
-{
+void CrashingRequests::setHosts(const std::vector<HostPlace> &others, Instant now)
+{
+    std::set<HostId> hosts;
+    std::set<HostId> added;
+    for (const HostPlace &place : others) {
+        hosts.insert(place.host);
+        if (hosts_.count(place.host) == 0) {
+            added.insert(place.host);
+        }
+    }
+    hosts_ = std::move(hosts);
     placement_.setHosts(others);
-    others_ = others.size();
+    reportToAdded(added, now);
 }
 
 std::size_t CrashingRequests::lossesToRefuse(RequestScope scope)
@@ -177,27 +186,61 @@
 
 void CrashingRequests::broadcastOrReport(const RequestLosses &known, Instant now)
 {
-    if (now >= broadcastPeriodEnd_) {
-        broadcastPeriodEnd_ = now + BroadcastPeriod;
-        broadcastDatagrams_ = 0;
-    }
+    renewBroadcastPeriod(now);
     // Refusals matter more than what may lead to one.
     const std::size_t limit =
             now < known.refusedUntil ? 2 * MaxBroadcastDatagrams : MaxBroadcastDatagrams;
-    if (broadcastDatagrams_ > 0 && broadcastDatagrams_ + others_ > limit) {
+    if (broadcastDatagrams_ > 0 && broadcastDatagrams_ + hosts_.size() > limit) {
         report(known);
         return;
     }
-    broadcastDatagrams_ += others_;
+    broadcastDatagrams_ += hosts_.size();
     broadcast(known);
 }
 
-void CrashingRequests::report(const RequestLosses &known)
+void CrashingRequests::renewBroadcastPeriod(Instant now)
 {
+    if (now >= broadcastPeriodEnd_) {
+        broadcastPeriodEnd_ = now + BroadcastPeriod;
+        broadcastDatagrams_ = 0;
+    }
+}
+
+std::vector<HostId> CrashingRequests::recordHolders(RequestKey key) const
+{
+    std::vector<HostId> holders;
     const std::size_t replicas = placement_.replicasPerDomain();
-    for (const ReplicaCandidates &hosts : placement_.candidates(known.key)) {
+    for (const ReplicaCandidates &hosts : placement_.candidates(key)) {
         for (std::size_t i = 0; i < std::min(replicas, hosts.size()); ++i) {
-            sendReport(hosts[i], known);
+            holders.push_back(hosts[i]);
+        }
+    }
+    return holders;
+}
+
+void CrashingRequests::report(const RequestLosses &known)
+{
+    for (const HostId &host : recordHolders(known.key)) {
+        sendReport(host, known);
+    }
+}
+
+void CrashingRequests::reportToAdded(const std::set<HostId> &added, Instant now)
+{
+    if (added.empty() || records_.empty()) {
+        return;
+    }
+    renewBroadcastPeriod(now);
+    for (const auto &[key, known] : records_) {
+        if (known.losses.empty()) {
+            continue;
+        }
+        for (const HostId &host : recordHolders(key)) {
+            const bool mayBeSent = broadcastDatagrams_ < MaxBroadcastDatagrams;
+            if (mayBeSent && added.count(host) > 0) {
+                ++broadcastDatagrams_;
+                sendReport(host, known);
+            }
         }
     }
 }
--- a/lib/Edge/CrashingRequestsLink.cpp
+++ b/lib/Edge/CrashingRequestsLink.cpp
@@ -99,7 +99,7 @@
 
 void CrashingRequestsLink::setHosts(const std::vector<Peer> &others)
 {
-    requests_.setHosts(hosts_.set(others));
+    requests_.setHosts(hosts_.set(others), std::chrono::steady_clock::now());
 }
 
 void CrashingRequestsLink::gossip(Instant now)
--- a/unittests/CrashingParts/SimulatedFleet.cpp
+++ b/unittests/CrashingParts/SimulatedFleet.cpp
@@ -83,7 +83,7 @@
     }
     host->parts.setHosts(others);
     host->confirmation.setHosts(others);
-    host->requests.setHosts(others);
+    host->requests.setHosts(others, now_);
     hosts_[self.host] = std::move(host);
     queue_.emplace(now_ + UntilStored, [this, to = self.host] {
         for (const auto &[part, quarantine] : stored_) {
--- a/unittests/Decisions/CrashingRequestsTest.cpp
+++ b/unittests/Decisions/CrashingRequestsTest.cpp
@@ -11,6 +11,7 @@
 const Instant Start{std::chrono::hours(1)};
 const RequestIdentity Prompted{1, 11, 12, {101, 102}};
 const RequestIdentity Plain{1, 21, 0, {}};
+const std::vector<HostPlace> Hosts = {{HostId("a"), DomainId("d1")}, {HostId("b"), DomainId("d2")}};
 
 Interval seconds(int count)
 {
@@ -22,9 +23,10 @@
 protected:
     Requests()
     {
-        requests_.setHosts({{HostId("a"), DomainId("d1")}, {HostId("b"), DomainId("d2")}});
-        requests_.sendReport = [this](const HostId &, const RequestLosses &known) {
+        requests_.setHosts(Hosts, now_);
+        requests_.sendReport = [this](const HostId &to, const RequestLosses &known) {
             reported_.push_back(known);
+            reportedTo_.push_back(to);
         };
         requests_.broadcast = [this](const RequestLosses &known) {
             broadcast_.push_back(known);
@@ -64,6 +66,7 @@
     CrashingRequests requests_{DomainId("d1")};
     Instant now_ = Start;
     std::vector<RequestLosses> reported_;
+    std::vector<HostId> reportedTo_;
     std::vector<RequestLosses> broadcast_;
     std::vector<RequestLosses> refused_;
 };
@@ -346,6 +349,19 @@
     EXPECT_FALSE(isRefused(Plain));
 }
 
+// Guards against losses that no other host counts, since this one knew no other yet.
+TEST_F(Requests, LossesAreReportedToHostsThatAreAdded)
+{
+    requests_.setHosts({}, now_);
+    loseSeveral(Plain, 0, 2);
+    EXPECT_TRUE(reported_.empty());
+    requests_.setHosts({Hosts.front()}, now_);
+    EXPECT_EQ(reportedTo_, std::vector<HostId>{HostId("a")});
+    EXPECT_EQ(reported_.back().losses.size(), 2U);
+    requests_.setHosts(Hosts, now_);
+    EXPECT_EQ(reportedTo_, (std::vector<HostId>{HostId("a"), HostId("b")}));
+}
+
 // Guards against memory and datagrams without bound when many endpoints crash at once.
 TEST_F(Requests, AndMessagesAreBounded)
 {
@@ -354,7 +370,7 @@
     for (int i = 0; i < Others; ++i) {
         others.push_back({HostId("h" + std::to_string(i)), DomainId("d2")});
     }
-    requests_.setHosts(others);
+    requests_.setHosts(others, now_);
     constexpr int Count = 5000;
     for (int i = 0; i < Count; ++i) {
         const RequestIdentity identity{1, static_cast<RequestKey>(1000 + i), 0, {}};
@@ -367,6 +383,12 @@
     const std::size_t before = broadcast_.size();
     requests_.tick(now_);
     EXPECT_LE((broadcast_.size() - before) * Others, 2 * CrashingRequests::MaxBroadcastDatagrams);
+    reported_.clear();
+    others.erase(others.begin());
+    others.push_back({HostId("added"), DomainId("d3")});
+    requests_.setHosts(others, now_);
+    EXPECT_GT(reported_.size(), 0U);
+    EXPECT_LE(reported_.size(), CrashingRequests::MaxBroadcastDatagrams);
     loseSeveral(Prompted, 10, 40);
     const RequestLosses *known = requests_.findRefused(Prompted, now_);
     ASSERT_NE(known, nullptr);
