[Proxy] Wait for what other hosts know before a lost request is repeated

QuarantinedRequest.IsKnownToAHostThatStarts was listed: a fourth endpoint got a request under which three had ended.

Cause: a host that lost an endpoint repeated the request at once. In the log of a run that failed, the second host lost the third endpoint at 1.006125, sent the request on at 1.006352 and got the other hosts' losses at 1.006473: the first host had lost two endpoints before it knew any other host, and answered the report of the third loss within a round trip. Class: a decision on what this host has heard so far, without asking.

Change: a request whose endpoint was lost is sent on 10 ms later, after a round trip in which the hosts that hold its record tell what they know; at once where there is no other host.

Repeats/RefusedMeanwhile and DeadlineMeanwhile fail without the change.

--- a/include/sequoiagate/Decisions/CrashingRequests.h
+++ b/include/sequoiagate/Decisions/CrashingRequests.h
@@ -92,6 +92,9 @@
     static constexpr Interval LongRefusal = std::chrono::minutes(5);
     /// How long responses to a broadcast are collected.
     static constexpr Interval ResponseTime = std::chrono::milliseconds(50);
+    /// How long a request whose endpoint was lost isn't sent on: a round trip between hosts, in
+    /// which those that know of more losses tell.
+    static constexpr Interval RepeatDelay = std::chrono::milliseconds(10);
     /// How far times that travelled as ages may be off.
     static constexpr Interval AgeTolerance = std::chrono::milliseconds(20);
     /// When a broadcast that begins a refusal is repeated, since datagrams may be lost.
@@ -128,6 +131,11 @@
 
     /// Replaces the other hosts. What is known is reported to those that are new.
     void setHosts(const std::vector<HostPlace> &others, Instant now);
+    /// When a request whose endpoint was lost at \p lostAt may be sent to another one.
+    Instant repeatTime(Instant lostAt) const
+    {
+        return hosts_.empty() ? lostAt : lostAt + RepeatDelay;
+    }
 
     /// An endpoint's whole response to the request was received.
     void onAnswered(const RequestIdentity &identity, Instant now);
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -105,6 +105,7 @@
     void reserveTokens();
     void onReserved(std::optional<Verdict> refusal);
     void place();
+    void placeAt(Instant at);
     void placeNow();
     void send(const PlacementTarget &target);
     RequestHead forwardHead(Instant now, const EndpointId &endpoint) const;
@@ -188,6 +189,7 @@
     bool hasReservation_ = false;
     std::optional<Attempt> attempt_;
     std::vector<EndpointId> triedEndpoints_;
+    Instant repeatAt_{};              ///< the earliest time of the next attempt
     uint32_t sendCount_ = 0;          ///< attempts of which a byte was or may have been sent
     uint32_t connectFailures_ = 0;    ///< endpoints that couldn't be connected to
     uint32_t relayFailures_ = 0;      ///< hosts that couldn't be used as relays
--- a/include/sequoiagate/Proxy/RequestGuard.h
+++ b/include/sequoiagate/Proxy/RequestGuard.h
@@ -39,6 +39,10 @@
     /// whole. \pre \p sentAt isn't later than \p now
     virtual void onEndpointLost(const RequestIdentity &identity, const EndpointProcess &process,
                                 Instant sentAt, Instant now) = 0;
+    /// \returns when a request whose endpoint was lost at \p lostAt may be sent to another one:
+    /// hosts
+    ///     that know of more losses under it have told by then
+    virtual Instant repeatTime(Instant lostAt) const = 0;
 };
 
 } // namespace sequoiagate
--- a/lib/Edge/CrashingRequestsLink.h
+++ b/lib/Edge/CrashingRequestsLink.h
@@ -44,6 +44,7 @@
     void onAnswered(const RequestIdentity &identity, Instant now) override;
     void onEndpointLost(const RequestIdentity &identity, const EndpointProcess &process,
                         Instant sentAt, Instant now) override;
+    Instant repeatTime(Instant lostAt) const override { return requests_.repeatTime(lostAt); }
 
 private:
     void logRefused(const RequestLosses &known);
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -283,9 +283,22 @@
 void Exchange::place()
 {
     statechart_.handle("place");
+    if (std::chrono::steady_clock::now() < repeatAt_) {
+        placeAt(repeatAt_);
+        return;
+    }
     placeNow();
 }
 
+void Exchange::placeAt(Instant at)
+{
+    placementTimer_.arm(at, [self = shared_from_this()] {
+        if (!self->ended()) {
+            self->placeNow();
+        }
+    });
+}
+
 void Exchange::placeNow()
 {
     // While the event loop is held up, what was awaited may be handled before the caller's close,
@@ -305,11 +318,7 @@
         return;
     }
     if (const auto *delay = std::get_if<PlacementDelay>(&result)) {
-        placementTimer_.arm(delay->until, [self = shared_from_this()] {
-            if (!self->ended()) {
-                self->placeNow();
-            }
-        });
+        placeAt(delay->until);
         return;
     }
     send(std::get<PlacementTarget>(result));
--- a/lib/Proxy/ExchangeFailures.cpp
+++ b/lib/Proxy/ExchangeFailures.cpp
@@ -142,6 +142,7 @@
     }
     const EndpointProcess process{attempt_->endpoint, attempt_->startedAtMillis};
     context_.requests.onEndpointLost(identity_, process, attempt_->sentAt, now);
+    repeatAt_ = context_.requests.repeatTime(now);
     if (metadata_.prompt.empty() || attempt_->isAnswerReported) {
         return;
     }
--- a/unittests/Decisions/CrashingRequestsTest.cpp
+++ b/unittests/Decisions/CrashingRequestsTest.cpp
@@ -362,6 +362,14 @@
     EXPECT_EQ(reportedTo_, (std::vector<HostId>{HostId("a"), HostId("b")}));
 }
 
+// Guards against a delay for which there is no host to hear of.
+TEST_F(Requests, RepeatsWaitOnlyForOtherHosts)
+{
+    EXPECT_EQ(requests_.repeatTime(now_), now_ + CrashingRequests::RepeatDelay);
+    requests_.setHosts({}, now_);
+    EXPECT_EQ(requests_.repeatTime(now_), now_);
+}
+
 // Guards against memory and datagrams without bound when many endpoints crash at once.
 TEST_F(Requests, AndMessagesAreBounded)
 {
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -191,8 +191,10 @@
     {
         lost.push_back(process.endpoint);
     }
+    Instant repeatTime(Instant lostAt) const override { return lostAt + repeatDelay; }
 
     std::size_t lossesToRefuse = 100;
+    Interval repeatDelay{};
     int answered = 0;
     std::vector<EndpointId> lost;
     std::vector<RequestIdentity> asked;
--- a/unittests/Proxy/RequestGuardTest.cpp
+++ b/unittests/Proxy/RequestGuardTest.cpp
@@ -72,6 +72,46 @@
     EXPECT_EQ(harness.tokenReservations.reserved, 0U);
 }
 
+struct DelayCase
+{
+    const char *name;
+    std::chrono::milliseconds delay;
+    bool isRefusedMeanwhile;
+    const char *expected; ///< substring of what the caller receives
+    std::size_t sentAgain;
+};
+
+class Repeats : public testing::TestWithParam<DelayCase>
+{};
+
+// Guards against a repeat that crashes one endpoint more, since it is sent before other hosts could
+// tell of the losses that they know.
+TEST_P(Repeats, WaitForOtherHosts)
+{
+    const DelayCase &row = GetParam();
+    ProxyTestHarness harness({{{"", AfterReply::Reset}}, {{Whole}}});
+    harness.requests.repeatDelay = row.delay;
+    std::string request = ProxyTestHarness::request("/get/a", "r1", Prompt);
+    const std::string deadline = "Deadline-Ms: 4000";
+    request.replace(request.find(deadline), deadline.size(), "Deadline-Ms: 500");
+    harness.send(request);
+    harness.waitUntil([&harness] { return !harness.requests.lost.empty(); });
+    EXPECT_TRUE(harness.endpoints[1]->received().empty());
+    harness.requests.lossesToRefuse = row.isRefusedMeanwhile ? 1 : 100;
+    EXPECT_TRUE(harness.waitFor(row.expected)) << harness.received();
+    EXPECT_EQ(harness.endpoints[1]->received().size(), row.sentAgain);
+}
+
+constexpr std::chrono::milliseconds ShortDelay(50);
+constexpr std::chrono::milliseconds LongDelay(20'000);
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, Repeats,
+        testing::Values(DelayCase{"RefusedMeanwhile", ShortDelay, true, "request_quarantined", 0},
+                        DelayCase{"NothingTold", ShortDelay, false, "good", 1},
+                        DelayCase{"DeadlineMeanwhile", LongDelay, false, "HTTP/1.1 504", 0}),
+        [](const auto &row) { return row.param.name; });
+
 // Guards against sending a refused request, and against a caller who isn't told that it wasn't run.
 TEST(QuarantinedRequest, IsRefusedAtOnceAsNotRun)
 {
