[Test] Run the programs that compute for long in shards

Without a sanitizer unittests-CrashingParts computes for 103 s (13 s of it the fleets of one request, which this work added), Decisions, Ledger and Edge run for 29 to 64 s beside a build.

Change: these four programs run in four shards each, the longest first. The tests that run are the same.

--- a/cmake/Parts.cmake
+++ b/cmake/Parts.cmake
@@ -61,6 +61,30 @@
     set_property(GLOBAL APPEND PROPERTY SEQUOIAGATE_TOOLS ${program})
 endfunction()
 
+# Programs that compute for long. Their tests run in shards, beside each other.
+set(SEQUOIAGATE_SHARDED_TESTS unittests-CrashingParts unittests-Decisions unittests-Edge
+    unittests-Ledger)
+set(SEQUOIAGATE_SHARDS 4)
+
+# Adds the tests of a program, named after it, with the shard's number if it runs in shards.
+function(sequoiagate_add_tests target label)
+    set(shards 1)
+    if(target IN_LIST SEQUOIAGATE_SHARDED_TESTS)
+        set(shards ${SEQUOIAGATE_SHARDS})
+    endif()
+    foreach(shard RANGE 1 ${shards})
+        set(name ${target})
+        if(shards GREATER 1)
+            string(APPEND name -${shard})
+        endif()
+        math(EXPR index "${shard} - 1")
+        add_test(NAME ${name} COMMAND ${target})
+        # A fixed seed: the same verdict every run. Soak runs vary it. Shards begin first.
+        set_tests_properties(${name} PROPERTIES TIMEOUT 1500 LABELS ${label} COST ${shards}
+            ENVIRONMENT "RC_PARAMS=seed=20261202 max_success=200;GTEST_TOTAL_SHARDS=${shards};GTEST_SHARD_INDEX=${index}")
+    endforeach()
+endfunction()
+
 # One test program a folder of unittests/ and of test/. Folders named Support
 # hold what the other folders share: unittests/Support the fakes, test/Support
 # what runs real processes.
@@ -95,10 +119,7 @@
             target_link_libraries(${target} PRIVATE FleetSupport)
         endif()
         sequoiagate_common(${target})
-        add_test(NAME ${target} COMMAND ${target})
-        # A fixed seed: the same verdict every run. Soak runs vary it.
-        set_tests_properties(${target} PROPERTIES TIMEOUT 1500 LABELS ${kind}
-            ENVIRONMENT "RC_PARAMS=seed=20261202 max_success=200")
+        sequoiagate_add_tests(${target} ${kind})
         if(kind STREQUAL "test")
             add_dependencies(${target} ${tools})
         endif()
