[Decisions] [Proxy] Say plainly what the delay before a repeat is for

The comment of repeatTime() was broken by the formatter in the middle of a sentence; reportToAdded() returns early at its bound. No change of behaviour.

--- a/include/sequoiagate/Proxy/RequestGuard.h
+++ b/include/sequoiagate/Proxy/RequestGuard.h
@@ -39,9 +39,9 @@
     /// whole. \pre \p sentAt isn't later than \p now
     virtual void onEndpointLost(const RequestIdentity &identity, const EndpointProcess &process,
                                 Instant sentAt, Instant now) = 0;
-    /// \returns when a request whose endpoint was lost at \p lostAt may be sent to another one:
-    /// hosts
-    ///     that know of more losses under it have told by then
+    /// Returns when a request whose endpoint was lost at \p lostAt may be sent to another one.
+    /// The delay lets hosts that know of more losses under the request tell this one before one
+    /// more endpoint is lost.
     virtual Instant repeatTime(Instant lostAt) const = 0;
 };
 
--- a/lib/Decisions/CrashingRequests.cpp
+++ b/lib/Decisions/CrashingRequests.cpp
@@ -236,8 +236,10 @@
             continue;
         }
         for (const HostId &host : recordHolders(key)) {
-            const bool mayBeSent = broadcastDatagrams_ < MaxBroadcastDatagrams;
-            if (mayBeSent && added.count(host) > 0) {
+            if (broadcastDatagrams_ >= MaxBroadcastDatagrams) {
+                return;
+            }
+            if (added.count(host) > 0) {
                 ++broadcastDatagrams_;
                 sendReport(host, known);
             }
