--- a/test/Support/Process.cpp
+++ b/test/Support/Process.cpp
@@ -75,7 +75,7 @@
 
 int exitCodeOf(int status)
 {
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
 /// Polls for the end of \p id until \p limit. \returns whether it ended.
--- a/test/Support/Process.h
+++ b/test/Support/Process.h
@@ -37,7 +37,7 @@
 /// What a program that ended by itself left.
 struct ProgramResult
 {
-    int exitCode = -1; ///< -1: ended by a signal
+    int exitCode = -1; ///< -N: ended by signal N
     std::string out;
     std::string err;
 };
@@ -83,7 +83,7 @@
     std::vector<Line> lines() const;
 
     void signal(int number) const; ///< SIGKILL, SIGSTOP, SIGCONT, SIGTERM
-    /// Waits for its end. \returns the exit code, -1 for a signal's.
+    /// Waits for its end. \returns the exit code, -N if signal N ended it.
     int wait(Seconds limit = Seconds(120));
     void kill(); ///< SIGKILL and wait
     bool running();
