[Proxy] Add the weights of a split route in 64 bits

Callers of a split route got 503 "the route leads nowhere", or its last services no requests, where the weights add up to 2^32 or more.

Cause: the sum wrapped around; integerOr() reads a larger number as the largest of 32 bits, so that one odd weight is enough.

Change: the sum has 64 bits.

Result: SplitRouteTakesTheLargestWeights fails without the change (503) and passes with it.

--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -182,7 +182,7 @@
 {
     // A split route chooses its service by a hash and the weights, so that all requests for a
     // stream go to one service.
-    uint32_t total = 0;
+    uint64_t total = 0;
     for (const WeightedService &candidate : route_->services) {
         total += candidate.weight;
     }
--- a/unittests/Proxy/StreamContinuityTest.cpp
+++ b/unittests/Proxy/StreamContinuityTest.cpp
@@ -1,5 +1,7 @@
 /// At which endpoints a stream goes on, inside one response and over its caller's requests.
 
+#include <limits>
+
 #include <gtest/gtest.h>
 
 #include "ProxyTestHarness.h"
@@ -255,6 +257,17 @@
     }
 }
 
+// Guards against weights whose sum wraps around, so that the route leads nowhere.
+TEST(Continuity, SplitRouteTakesTheLargestWeights)
+{
+    constexpr auto Largest = std::numeric_limits<uint32_t>::max();
+    ProxyTestHarness harness({{{wholeFrom(0)}}});
+    harness.config->routes[3].services = {{ServiceId("s"), Largest}, {ServiceId("s"), 1}};
+    harness.config->buildIndexes();
+    harness.send(ProxyTestHarness::request("/resume/a", "r1"));
+    EXPECT_TRUE(harness.waitFor("HTTP/1.1 200")) << harness.received();
+}
+
 // Guards against a resumed stream whose relay is lost and that changes its version.
 TEST(Continuity, HoldsOverARelay)
 {
