[Edge] Ignore allotments that are larger than any budget

Cause: a row of a budget may state any number of 64 bits, and the sums of the table wrap around. With one odd row of 2^64 - 10,000,000 tokens all hosts take 10,000,000 tokens for unallotted that others hold, and more than the prepaid tokens may be spent.

Result: MalformedBudget/TokensThatWrapAround and UseThatWrapsAround fail without the change. Overspending itself was not played.

--- a/lib/Edge/LedgerRows.cpp
+++ b/lib/Edge/LedgerRows.cpp
@@ -22,6 +22,9 @@
 constexpr std::string_view BatchPrefix = "batch/";
 constexpr std::string_view HostPrefix = "host/";
 
+/// No budget is larger. Sums of allotments would wrap around beyond it.
+constexpr uint64_t MaxAllotment = 1'000'000'000'000'000;
+
 bool startsWith(std::string_view text, std::string_view prefix)
 {
     return text.substr(0, prefix.size()) == prefix;
@@ -114,7 +117,8 @@
     } else {
         valid = valid && consumeNumber(numbers, allotment.usePerSecond) && numbers.empty();
     }
-    if (separator == std::string_view::npos || !valid) {
+    const bool isBounded = allotment.tokens <= MaxAllotment && allotment.maxUsed <= MaxAllotment;
+    if (separator == std::string_view::npos || !valid || !isBounded) {
         return std::nullopt;
     }
     parsed.holder = Incarnation(std::string(rest.substr(0, separator)));
--- a/unittests/Edge/LedgerRowsTest.cpp
+++ b/unittests/Edge/LedgerRowsTest.cpp
@@ -99,17 +99,21 @@
     const char *value;
 };
 
-const MalformedRow MalformedBudgets[] = {{"WithoutWorkspace", "budget/i", "7 3 1"},
-                                         {"OneNumber", "budget/i/w", "7"},
-                                         {"NoNumber", "budget/i/w", "x 3 1"},
-                                         {"Negative", "budget/i/w", "-7 3 1"},
-                                         {"TooLarge", "budget/i/w", "99999999999999999999 3 1"},
-                                         {"ExtraNumber", "budget/i/w", "7 3 1 1"},
-                                         {"Empty", "budget/i/w", ""}};
+const MalformedRow MalformedBudgets[] = {
+        {"WithoutWorkspace", "budget/i", "7 3 1"},
+        {"OneNumber", "budget/i/w", "7"},
+        {"NoNumber", "budget/i/w", "x 3 1"},
+        {"Negative", "budget/i/w", "-7 3 1"},
+        {"TooLarge", "budget/i/w", "99999999999999999999 3 1"},
+        {"TokensThatWrapAround", "budget/i/w", "18446744073699551616 3 1"},
+        {"UseThatWrapsAround", "budget/i/w", "7 18446744073699551616 1"},
+        {"ExtraNumber", "budget/i/w", "7 3 1 1"},
+        {"Empty", "budget/i/w", ""}};
 
 class MalformedBudget : public testing::TestWithParam<MalformedRow>
 {};
 
+// Guards also against a sum of allotments that wraps around, so that a budget is spent twice.
 TEST_P(MalformedBudget, IsRejected)
 {
     EXPECT_FALSE(decodeAllotment({GetParam().key, GetParam().value, 0}));
