[Edge] Bound the clocks that batches and other hosts state

Cause: a clock since boot of a row or datagram could be any number of 64 bits. As nanoseconds the time since a process ended wraps around and is negative, so that fewer of its tokens count as used than it may have used.

Change: a batch with a clock of more than 100 years is malformed; in datagrams clocks are bounded to that.

Result: OddClocks (three rows) and three malformed batches fail without the change; by reading, the tokens are then given back wrongly.

--- a/include/sequoiagate/Base/BootClock.h
+++ b/include/sequoiagate/Base/BootClock.h
@@ -8,6 +8,9 @@
 
 namespace sequoiagate {
 
+/// Other hosts' readings are bounded by this: with a margin, an Interval can hold it.
+inline constexpr Millis MaxSinceBoot = std::chrono::hours(24) * 365 * 100;
+
 /// Thread safe.
 Millis sinceBoot();
 
--- a/lib/Edge/LedgerRows.cpp
+++ b/lib/Edge/LedgerRows.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "sequoiagate/Base/BootClock.h"
 #include "sequoiagate/Base/JsonDepth.h"
 
 #include "Addresses.h"
@@ -58,7 +59,8 @@
 {
     uint64_t millis = 0;
     uint64_t unused = 0;
-    if (!consumeNumber(text, millis) || !consumeNumber(text, unused)) {
+    const bool isRead = consumeNumber(text, millis) && consumeNumber(text, unused);
+    if (!isRead || millis > static_cast<uint64_t>(MaxSinceBoot.count())) {
         return false;
     }
     sinceBoot = Millis(millis);
--- a/lib/Edge/PeerLink.cpp
+++ b/lib/Edge/PeerLink.cpp
@@ -7,6 +7,7 @@
 
 #include "Addresses.h"
 #include "EndpointLimitMessage.h"
+#include "MessageTime.h"
 #include "sequoiagate/Base/BootClock.h"
 #include "sequoiagate/Base/Rendezvous.h"
 
@@ -311,8 +312,8 @@
         return;
     }
     handlers_.onClockResponse({*address, Incarnation(message.at("from").get<std::string>()),
-                               Millis(message.at("since_boot_ms").get<int64_t>()),
-                               Millis(message.at("asked_ms").get<int64_t>())});
+                               parseBoundedMillis(message.at("since_boot_ms"), MaxSinceBoot),
+                               parseBoundedMillis(message.at("asked_ms"), MaxSinceBoot)});
 }
 
 void PeerLink::broadcastLimit(const EndpointLimitRecord &record, bool rejected, Instant now)
--- a/unittests/Edge/LedgerRowsTest.cpp
+++ b/unittests/Edge/LedgerRowsTest.cpp
@@ -73,8 +73,12 @@
                                         "12 34 boot|x 2 p 10.0.0.1:1",
                                         "12 34 boot|1 2 p h",
                                         "12 9f3a",
-                                        "12x 34 boot"};
+                                        "12x 34 boot",
+                                        "18446744073709551615 0",
+                                        "9223372036854775807 0",
+                                        "1 0|9300000000000 0 p 10.0.0.1:1"};
 
+// Guards also against a clock that overflows, by which a process that ended spent too little.
 TEST(LedgerRows, RejectsMalformedBatches)
 {
     for (const char *value : MalformedBatches) {
--- a/unittests/Edge/PeerLinkTest.cpp
+++ b/unittests/Edge/PeerLinkTest.cpp
@@ -1,12 +1,14 @@
 /// The datagrams that peers exchange, tested over loopback.
 
 #include <cstdio>
+#include <limits>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include "sequoiagate/Base/BootClock.h"
 #include "sequoiagate/Edge/PeerLink.h"
 
 using namespace sequoiagate;
@@ -100,6 +102,35 @@
     EXPECT_TRUE(responses_.empty());
 }
 
+struct OddClockCase
+{
+    const char *name;
+    int64_t sinceBootMillis;
+    Millis expected;
+};
+
+class OddClocks : public PeerLinkTest, public testing::WithParamInterface<OddClockCase>
+{};
+
+// Guards against a peer's clock that overflows, by which the tokens that an ended process used
+// count as unused.
+TEST_P(OddClocks, AreBounded)
+{
+    link_.requestClock(peerSocket_.local_endpoint(), Millis(40));
+    nlohmann::json response = clockResponseTo(nextDatagram());
+    response["since_boot_ms"] = GetParam().sinceBootMillis;
+    deliver(response);
+    ASSERT_EQ(responses_.size(), 1U);
+    EXPECT_EQ(responses_[0].sinceBoot, GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, OddClocks,
+        testing::Values(OddClockCase{"Largest", std::numeric_limits<int64_t>::max(), MaxSinceBoot},
+                        OddClockCase{"BeyondNanoseconds", 9'300'000'000'000, MaxSinceBoot},
+                        OddClockCase{"Smallest", std::numeric_limits<int64_t>::min(), Millis(0)}),
+        [](const auto &row) { return row.param.name; });
+
 TEST_F(PeerLinkTest, RespondsToClockRequests)
 {
     link_.requestClock(peerSocket_.local_endpoint(), Millis(40));
