--- a/unittests/PlatformAdapter/RowsTest.cpp
+++ b/unittests/PlatformAdapter/RowsTest.cpp
@@ -8,6 +8,7 @@
 #include "platform/PlatformRows.h"
 #include "platform/PlatformStore.h"
 #include "sequoiagate/Edge/EdgeAdapter.h"
+#include "unittests/Support/CorruptedJson.h"
 
 using namespace sequoiagate;
 
@@ -47,6 +48,45 @@
     EXPECT_EQ(config->limits.maxBodyBytes, 200U);
 }
 
+struct CorruptedDocumentCase
+{
+    const char *name;
+    std::string document;
+    void (*decode)(const std::string &value);
+};
+
+class CorruptedDocuments : public testing::TestWithParam<CorruptedDocumentCase>
+{};
+
+// Guards against an entry of another writer that ends each host which reads it.
+TEST_P(CorruptedDocuments, AreRejectedOrBounded)
+{
+    for (const std::string &value : corruptedCopies(GetParam().document)) {
+        try {
+            GetParam().decode(value);
+        } catch (const DecodeError &) {
+        } catch (const std::exception &error) {
+            ADD_FAILURE() << error.what() << ": " << value;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+        Rows, CorruptedDocuments,
+        testing::Values(
+                CorruptedDocumentCase{"Config", GoodConfig,
+                                      [](const std::string &value) {
+                                          platform::decodeConfig(value);
+                                      }},
+                CorruptedDocumentCase{
+                        "Endpoint",
+                        R"({"backend":"s","address":"10.0.0.1:80","zone":"z","slots":8,"version":"v",
+                            "state":"ready","born":5,"seq":6,"cold-left-ms":7})",
+                        [](const std::string &value) {
+                            platform::decodeEndpoint("e", value);
+                        }}),
+        [](const auto &row) { return row.param.name; });
+
 // Guards against a timeout that overflows and is over before it begins.
 TEST(ConfigRow, LongTimeoutsAreBounded)
 {
