--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -574,6 +574,8 @@
         deployment = Deployment(record)
         return await asyncio.wait_for(case(deployment), limit)
 
+    # A case that is stopped ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         code = 1 if asyncio.run(main()) else 0
     except CannotRun as error:
