--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -93,8 +93,10 @@
 def reset(writer):
     """Ends a connection by a reset."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    except (AttributeError, OSError):
+        pass  # closed already
     writer.transport.abort()
 
 
