--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -19,6 +19,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -576,6 +577,15 @@
         deployment = Deployment(record)
         return await asyncio.wait_for(case(deployment), limit)
 
+    def give_up():
+        record("can't run: not over in time")
+        if deployment is not None:
+            deployment.end()
+        os._exit(2)
+
+    watchdog = threading.Timer(limit + 6, give_up)
+    watchdog.daemon = True
+    watchdog.start()
     # A case that is stopped ends its processes as well.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
