[Proxy] [Edge] Log how responses without a length and tunnels end

response.ends_with_connection says that the end of a connection was taken for the end of a response, with its endpoint, relay and length so far; relay.ended says which side ended a tunnel. Both are counted. No change of behaviour.

--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -80,6 +80,7 @@
         ResponseMetadata metadata;
         ResponseHead head;
         std::string body;
+        std::size_t bodyBytes = 0; ///< received, of the body
         EventSplitter splitter;
         bool isSuccess = false; ///< the head of a successful response was received
         bool hasFirstEvent = false;
@@ -129,6 +130,8 @@
     void beginStream();
     void onNotExecuted();
     void onPlainResponse();
+    /// Logs a response whose end was the end of its connection.
+    void logUnframedEnd();
     /// Reports that the endpoint has written, or is writing, an answer on the prompt.
     void reportAnswer(Instant now);
     /// Reports how many events have arrived since the last report.
--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -104,6 +104,8 @@
     /// Bytes of the request that the peer hasn't acknowledged; nullopt if that isn't known.
     std::optional<std::size_t> unacknowledgedBytes();
     bool isRelayed() const { return path_.has_value(); }
+    /// Whether the last response had no length and ended with the connection.
+    bool endedWithConnection() const { return endedWithConnection_; }
     bool usable() const { return connected_ && !closed_; }
     /// Whether it was ever established, closed or not. Before that no byte of a call was sent.
     bool wasConnected() const { return connected_; }
@@ -153,6 +155,7 @@
     bool reading_ = false;
     bool readingPaused_ = false;
     bool headDelivered_ = false;
+    bool endedWithConnection_ = false;
 };
 
 } // namespace sequoiagate
--- a/lib/Edge/RelayServer.cpp
+++ b/lib/Edge/RelayServer.cpp
@@ -27,6 +27,29 @@
 /// After a request's deadline its host has closed the connection, unless it can't any more.
 constexpr Interval DeadlineMargin = std::chrono::seconds(1);
 
+struct RelayEndName
+{
+    RelayEnd end;
+    const char *name;
+};
+
+constexpr RelayEndName RelayEndNames[] = {{RelayEnd::NotEstablished, "not_established"},
+                                          {RelayEnd::EndpointClosed, "endpoint_closed"},
+                                          {RelayEnd::EndpointFailed, "endpoint_failed"},
+                                          {RelayEnd::HostClosed, "host_closed"},
+                                          {RelayEnd::DeadlinePassed, "deadline_passed"},
+                                          {RelayEnd::ProcessStopping, "process_stopping"}};
+
+const char *nameOf(RelayEnd end)
+{
+    for (const RelayEndName &row : RelayEndNames) {
+        if (row.end == end) {
+            return row.name;
+        }
+    }
+    return "";
+}
+
 } // namespace
 
 class RelayTunnel : public std::enable_shared_from_this<RelayTunnel>
@@ -43,16 +66,24 @@
         peer_.set_option(tcp::no_delay(true), ignored);
         peer_.non_blocking(true, ignored);
         reader_.emplace(RelayHandshakeLimits);
-        closeAt(std::chrono::steady_clock::now() + HandshakeTimeout);
+        closeAt(std::chrono::steady_clock::now() + HandshakeTimeout, RelayEnd::NotEstablished);
         readHandshake();
     }
 
-    void close()
+    void close(RelayEnd end)
     {
         if (isClosed_) {
             return;
         }
         isClosed_ = true;
+        if (end != RelayEnd::NotEstablished) {
+            server_.log_.write(Event("relay.ended")
+                                       .with("why", nameOf(end))
+                                       .with("endpoint", request_->endpoint)
+                                       .with("for", request_->process)
+                                       .with("bytes_back", bytesBack_));
+            server_.metrics_.count("relay_tunnels_ended_total", {{"why", nameOf(end)}});
+        }
         timer_.disarm();
         closeCheck_.disarm();
         error_code ignored;
@@ -62,19 +93,23 @@
         server_.onClosed(shared_from_this());
     }
 
+    bool isCarrying() const { return isCarrying_; }
+
 private:
     /// One direction of an established tunnel.
     struct Direction
     {
         tcp::socket &from;
         tcp::socket &to;
+        RelayEnd onReadError;
+        RelayEnd onWriteError;
         std::array<char, 16 * 1024> buffer{};
         std::string_view unwritten{}; ///< part of the buffer
     };
 
-    void closeAt(Instant deadline)
+    void closeAt(Instant deadline, RelayEnd end)
     {
-        timer_.arm(deadline, [self = shared_from_this()] { self->close(); });
+        timer_.arm(deadline, [self = shared_from_this(), end] { self->close(end); });
     }
 
     void readHandshake()
@@ -86,7 +121,7 @@
                         return;
                     }
                     if (error) {
-                        self->close();
+                        self->close(RelayEnd::NotEstablished);
                         return;
                     }
                     self->reader_->feed(std::string_view(self->forth_.buffer.data(), bytes));
@@ -94,7 +129,7 @@
                         self->server_.log_.write(
                                 Event("relay.malformed")
                                         .with("why", describeParseError(self->reader_->fault())));
-                        self->close();
+                        self->close(RelayEnd::NotEstablished);
                     } else if (self->reader_->done()) {
                         self->connect();
                     } else {
@@ -166,7 +201,7 @@
                         return;
                     }
                     if (error || status != RelayEstablished) {
-                        self->close();
+                        self->close(RelayEnd::NotEstablished);
                         return;
                     }
                     self->carry();
@@ -175,7 +210,9 @@
 
     void carry()
     {
-        closeAt(std::chrono::steady_clock::now() + request_->timeout + DeadlineMargin);
+        isCarrying_ = true;
+        closeAt(std::chrono::steady_clock::now() + request_->timeout + DeadlineMargin,
+                RelayEnd::DeadlinePassed);
         pump(forth_);
         pump(back_);
     }
@@ -189,7 +226,7 @@
                                                return;
                                            }
                                            if (error) {
-                                               self->onEnd(direction, error);
+                                               self->onReadError(direction, error);
                                                return;
                                            }
                                            const bool isForth = &direction == &self->forth_;
@@ -197,6 +234,7 @@
                                                return;
                                            }
                                            if (!isForth) {
+                                               self->bytesBack_ += bytes;
                                                self->readResponseHead(bytes);
                                            }
                                            self->write(direction, bytes);
@@ -235,7 +273,7 @@
         if (error == asio::error::would_block) {
             awaitWritable(direction);
         } else if (error) {
-            onEnd(direction, error);
+            end(direction.onWriteError);
         } else {
             pump(direction);
         }
@@ -249,7 +287,7 @@
                 return;
             }
             if (error) {
-                self->onEnd(direction, error);
+                self->end(direction.onWriteError);
             } else if (&direction == &self->back_ || !self->endIfHostClosed()) {
                 self->writeMore(direction);
             }
@@ -273,20 +311,25 @@
     {
         const bool isClosed = static_cast<bool>(peekCloseError(peer_));
         if (isClosed) {
-            onEnd(forth_, asio::error::eof);
+            end(RelayEnd::HostClosed);
         }
         return isClosed;
     }
 
-    void onEnd(const Direction &direction, const error_code &error)
+    void onReadError(const Direction &direction, const error_code &error)
     {
-        // A response may end with its connection. One that was reset must not look complete.
         const bool isOrderly = error == asio::error::eof && &direction == &back_;
-        if (!isOrderly) {
+        end(isOrderly ? RelayEnd::EndpointClosed : direction.onReadError);
+    }
+
+    void end(RelayEnd reason)
+    {
+        // A response may end with its connection. One that was reset must not look complete.
+        if (reason != RelayEnd::EndpointClosed) {
             error_code ignored;
             peer_.set_option(asio::socket_base::linger(true, 0), ignored);
         }
-        close();
+        close(reason);
     }
 
     RelayServer &server_;
@@ -299,9 +342,11 @@
     std::string response_;
     NoticeSource source_;
     std::optional<ResponseReader> responseHead_{HttpReaderLimits()}; ///< until it is read
-    Direction forth_{peer_, endpoint_};
-    Direction back_{endpoint_, peer_};
-    bool isDecided_ = false; ///< whether the endpoint can be connected to
+    Direction forth_{peer_, endpoint_, RelayEnd::HostClosed, RelayEnd::EndpointFailed};
+    Direction back_{endpoint_, peer_, RelayEnd::EndpointFailed, RelayEnd::HostClosed};
+    std::size_t bytesBack_ = 0; ///< received from the endpoint
+    bool isDecided_ = false;    ///< whether the endpoint can be connected to
+    bool isCarrying_ = false;   ///< the tunnel is established
     bool isClosed_ = false;
 };
 
@@ -342,7 +387,7 @@
 {
     const std::set<std::shared_ptr<RelayTunnel>> tunnels = tunnels_;
     for (const std::shared_ptr<RelayTunnel> &tunnel : tunnels) {
-        tunnel->close();
+        tunnel->close(tunnel->isCarrying() ? RelayEnd::ProcessStopping : RelayEnd::NotEstablished);
     }
 }
 
--- a/lib/Edge/RelayServer.h
+++ b/lib/Edge/RelayServer.h
@@ -26,6 +26,16 @@
 
 class RelayTunnel;
 
+/// Why a tunnel ended.
+enum class RelayEnd {
+    NotEstablished, ///< no request was carried
+    EndpointClosed, ///< in order
+    EndpointFailed, ///< reset, or not reachable any more
+    HostClosed,     ///< the host that asked closed or reset its connection
+    DeadlinePassed, ///< of the request
+    ProcessStopping,
+};
+
 /// The process that listens as an endpoint.
 struct RelayTarget
 {
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -516,6 +516,7 @@
 {
     context_.link.onReceived(bytes.size(), std::chrono::steady_clock::now());
     Attempt &attempt = *attempt_;
+    attempt.bodyBytes += bytes.size();
     if (attempt.isSuccess && route_->kind == RouteKind::Stream) {
         onStreamBytes(bytes);
         return;
@@ -658,8 +659,22 @@
     attempt_->connection->resumeReading();
 }
 
+void Exchange::logUnframedEnd()
+{
+    log(Event("response.ends_with_connection")
+                .with("endpoint", attempt_->endpoint)
+                .with("relay", attempt_->relay)
+                .with("body_bytes", attempt_->bodyBytes)
+                .with("events", forwardedEvents_));
+    context_.metrics.count("proxy_unframed_responses_total",
+                           {{"path", attempt_->relay.empty() ? "direct" : "relay"}});
+}
+
 void Exchange::onDone()
 {
+    if (attempt_->connection->endedWithConnection()) {
+        logUnframedEnd();
+    }
     if (attempt_->metadata.notExecuted) {
         onNotExecuted();
         return;
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -295,6 +295,7 @@
     if (error == asio::error::eof) {
         reader_->feedEnd();
         if (reader_->done()) {
+            endedWithConnection_ = true;
             close();
             finishCall();
             return;
