[Proxy] [Edge] Tell the end of a relay from the end of a response

A host without paths to the endpoints is served through another host. That relay's connection carried bare bytes, so that its end was taken for the endpoint's own, which ends a response without a length. The kernel closes the connections of a process that dies in order; a tunnel whose deadline passed closed in order too, and a planned stop exited with tunnels open (closeAll was called nowhere).

The endpoint's bytes are now the chunked body of the relay's response. Its last chunk says that the endpoint closed in order; a connection that ends without it fails the attempt as RelayEnded, which says nothing of the endpoint and isn't counted against it. For a host that doesn't ask for framing the tunnel is reset unless the endpoint closed in order. A stop resets its tunnels when the requests of its own callers are aborted.

Two releases: a host asks for framing by a field that earlier ones ignore, and finds it in the response. What an earlier relay carries is believed where it has a length or chunks of its own; an end of its connection is never taken for the end of a response. An earlier host at a relay of this release gets bare bytes and a reset; that relay's death still looks like an end to it.

The tests of unframed responses over a relay sent bare bytes and held the orderly end of the relay for the endpoint's, which is the fault: they send framed bytes now, and the bare ones have rows of their own that must not look whole.

--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -33,6 +33,7 @@
     RelayUnreachable, ///< no byte was sent: the relay doesn't respond
     RelayRefused,     ///< no byte was sent: the relay doesn't serve the request
     MaybeSent,        ///< a part of the request may have arrived
+    RelayEnded,       ///< the same; the relay ended the connection, the server may not have
 };
 
 /// The host through which a connection is made, and the handshake that asks it to do so.
@@ -132,7 +133,11 @@
     void read();
     void onRead(const ErrorCode &error, std::size_t bytes);
     void deliver(std::string_view bytes);
+    /// Delivers what the relay's framing says the server has sent.
+    void deliverFramed(std::string_view bytes);
     void onEndOfStream(const ErrorCode &error);
+    /// The server closed the connection in order, which may end a response.
+    void onServerClosed();
     void finishCall();
     void failCall(CallFailure failure, const std::string &reason);
     void close();
@@ -146,6 +151,8 @@
     std::string request_;
     std::string_view unwritten_; ///< rest of request_
     std::optional<ResponseReader> reader_;
+    /// Of the relay's response; its body is what the server sends, if it is framed.
+    std::optional<ResponseReader> relayReader_;
     HttpCallObserver *observer_ = nullptr;
     Instant idleSince_{};
     Instant reusableUntil_ = Never;
@@ -156,6 +163,7 @@
     bool readingPaused_ = false;
     bool headDelivered_ = false;
     bool endedWithConnection_ = false;
+    bool isFramed_ = false; ///< by the relay
 };
 
 } // namespace sequoiagate
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -586,6 +586,10 @@
     if (drain_.state() != "draining") {
         return;
     }
+    if (now >= abortAt_ && relayServer_) {
+        // Ends what is left of other hosts' requests in a way that doesn't look complete.
+        relayServer_->closeAll();
+    }
     if (now >= endAt_ && (closeAt_ == Never ? callers_.empty() : now >= closeAt_)) {
         io_.stop();
         return;
--- a/lib/Edge/RelayServer.cpp
+++ b/lib/Edge/RelayServer.cpp
@@ -87,6 +87,11 @@
         timer_.disarm();
         closeCheck_.disarm();
         error_code ignored;
+        // A response may end with its connection. One that was cut off must not look complete to
+        // a host that doesn't accept framing.
+        if (end != RelayEnd::NotEstablished && end != RelayEnd::EndpointClosed) {
+            peer_.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
         peer_.close(ignored);
         dropUnsentOnClose(endpoint_);
         endpoint_.close(ignored);
@@ -104,7 +109,8 @@
         RelayEnd onReadError;
         RelayEnd onWriteError;
         std::array<char, 16 * 1024> buffer{};
-        std::string_view unwritten{}; ///< part of the buffer
+        std::string chunk{};          ///< of the buffer, if the direction is framed
+        std::string_view unwritten{}; ///< part of the buffer or of the chunk
     };
 
     void closeAt(Instant deadline, RelayEnd end)
@@ -193,7 +199,9 @@
                                    .with("open", server_.open()));
         ResponseHead head;
         head.status = status;
-        response_ = writeResponseHead(head, BodyFraming::Length, 0);
+        const bool isFramed = status == RelayEstablished && request_->acceptsFraming;
+        response_ =
+                writeResponseHead(head, isFramed ? BodyFraming::Chunked : BodyFraming::Length, 0);
         asio::async_write(
                 peer_, asio::buffer(response_),
                 [self = shared_from_this(), status](const error_code &error, std::size_t) {
@@ -257,9 +265,18 @@
         }
     }
 
+    bool isFramed(const Direction &direction) const
+    {
+        return &direction == &back_ && request_->acceptsFraming;
+    }
+
     void write(Direction &direction, std::size_t bytes)
     {
         direction.unwritten = std::string_view(direction.buffer.data(), bytes);
+        if (isFramed(direction)) {
+            direction.chunk = writeChunk(direction.unwritten);
+            direction.unwritten = direction.chunk;
+        }
         writeMore(direction);
     }
 
@@ -273,7 +290,9 @@
         if (error == asio::error::would_block) {
             awaitWritable(direction);
         } else if (error) {
-            end(direction.onWriteError);
+            close(direction.onWriteError);
+        } else if (hasEndpointClosed_ && &direction == &back_) {
+            close(RelayEnd::EndpointClosed);
         } else {
             pump(direction);
         }
@@ -287,7 +306,7 @@
                 return;
             }
             if (error) {
-                self->end(direction.onWriteError);
+                self->close(direction.onWriteError);
             } else if (&direction == &self->back_ || !self->endIfHostClosed()) {
                 self->writeMore(direction);
             }
@@ -311,25 +330,20 @@
     {
         const bool isClosed = static_cast<bool>(peekCloseError(peer_));
         if (isClosed) {
-            end(RelayEnd::HostClosed);
+            close(RelayEnd::HostClosed);
         }
         return isClosed;
     }
 
     void onReadError(const Direction &direction, const error_code &error)
     {
-        const bool isOrderly = error == asio::error::eof && &direction == &back_;
-        end(isOrderly ? RelayEnd::EndpointClosed : direction.onReadError);
-    }
-
-    void end(RelayEnd reason)
-    {
-        // A response may end with its connection. One that was reset must not look complete.
-        if (reason != RelayEnd::EndpointClosed) {
-            error_code ignored;
-            peer_.set_option(asio::socket_base::linger(true, 0), ignored);
+        if (error != asio::error::eof || &direction != &back_) {
+            close(direction.onReadError);
+            return;
         }
-        close(reason);
+        hasEndpointClosed_ = true;
+        back_.unwritten = isFramed(back_) ? LastChunk : std::string_view();
+        writeMore(back_);
     }
 
     RelayServer &server_;
@@ -347,6 +361,7 @@
     std::size_t bytesBack_ = 0; ///< received from the endpoint
     bool isDecided_ = false;    ///< whether the endpoint can be connected to
     bool isCarrying_ = false;   ///< the tunnel is established
+    bool hasEndpointClosed_ = false;
     bool isClosed_ = false;
 };
 
--- a/lib/Proxy/ExchangeFailures.cpp
+++ b/lib/Proxy/ExchangeFailures.cpp
@@ -75,6 +75,13 @@
 void Exchange::onFailed(CallFailure failure, const std::string &detail)
 {
     const Instant now = std::chrono::steady_clock::now();
+    if (failure == CallFailure::RelayEnded) {
+        // Says nothing of the endpoint.
+        logLoss(detail, now);
+        endAttempt(true);
+        retryOrFail(detail);
+        return;
+    }
     if (failure != CallFailure::MaybeSent) {
         // No byte was sent, so this doesn't count as a sent attempt.
         --possibleExecutions_;
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -26,7 +26,7 @@
     observer_ = &observer;
     headDelivered_ = false;
     reusableUntil_ = Never;
-    reader_.emplace(path_ ? RelayHandshakeLimits : settings_.limits);
+    reader_.emplace(settings_.limits);
     if (connected_) {
         write();
         return;
@@ -121,6 +121,7 @@
     asio::async_write(socket_, asio::buffer(path_->handshake),
                       [self = shared_from_this()](const ErrorCode &error, std::size_t) {
                           if (!self->closed_ && !error) {
+                              self->relayReader_.emplace(RelayResponseLimits);
                               self->readHandshake();
                           } else if (error) {
                               self->failCall(CallFailure::RelayUnreachable, error.message());
@@ -140,13 +141,13 @@
                     self->failCall(CallFailure::RelayUnreachable, error.message());
                     return;
                 }
-                self->reader_->feed(std::string_view(self->readBuffer_.data(), bytes));
-                if (self->reader_->done()) {
+                self->relayReader_->feed(std::string_view(self->readBuffer_.data(), bytes));
+                if (self->relayReader_->hasHead()) {
                     self->onHandshakeDone();
-                } else if (self->reader_->fault() != HttpParseError::None) {
+                } else if (self->relayReader_->fault() != HttpParseError::None) {
                     self->failCall(CallFailure::RelayUnreachable,
                                    std::string("not a relay: ")
-                                           + describeParseError(self->reader_->fault()));
+                                           + describeParseError(self->relayReader_->fault()));
                 } else {
                     self->readHandshake();
                 }
@@ -155,14 +156,18 @@
 
 void HttpConnection::onHandshakeDone()
 {
-    const int status = reader_->head().status;
+    const int status = relayReader_->head().status;
     if (status != RelayEstablished) {
         const bool isEndpoint = status == RelayUnreachableEndpoint;
         failCall(isEndpoint ? CallFailure::NotConnected : CallFailure::RelayRefused,
                  "the relay answered " + std::to_string(status));
         return;
     }
-    reader_.emplace(settings_.limits);
+    isFramed_ = isRelayFramed(relayReader_->head());
+    if (!isFramed_ && !relayReader_->done()) {
+        failCall(CallFailure::RelayUnreachable, "not a relay: its response has a body");
+        return;
+    }
     onEstablished();
 }
 
@@ -241,12 +246,35 @@
         }
         return;
     }
-    deliver(std::string_view(readBuffer_.data(), bytes));
+    const std::string_view received(readBuffer_.data(), bytes);
+    if (isFramed_) {
+        deliverFramed(received);
+    } else {
+        deliver(received);
+    }
     if (!closed_) {
         read();
     }
 }
 
+void HttpConnection::deliverFramed(std::string_view bytes)
+{
+    relayReader_->feed(bytes);
+    const std::string body = relayReader_->takeBody();
+    if (!body.empty()) {
+        deliver(body);
+    }
+    if (observer_ == nullptr) {
+        return;
+    }
+    if (relayReader_->fault() != HttpParseError::None) {
+        failCall(CallFailure::RelayEnded, std::string("unusable framing of the relay: ")
+                                                  + describeParseError(relayReader_->fault()));
+    } else if (relayReader_->done()) {
+        onServerClosed();
+    }
+}
+
 void HttpConnection::deliver(std::string_view bytes)
 {
     const std::size_t used = reader_->feed(bytes);
@@ -292,16 +320,26 @@
     }
     // Only an orderly close may end a body without a length; after a reset an unknown part of
     // it is missing.
-    if (error == asio::error::eof) {
-        reader_->feedEnd();
-        if (reader_->done()) {
-            endedWithConnection_ = true;
-            close();
-            finishCall();
-            return;
-        }
+    if (error != asio::error::eof) {
+        failCall(CallFailure::MaybeSent, error.message());
+    } else if (path_) {
+        // The kernel closes the connections of a relay that dies in order.
+        failCall(CallFailure::RelayEnded, "the relay ended the connection");
+    } else {
+        onServerClosed();
     }
-    failCall(CallFailure::MaybeSent, error.message());
+}
+
+void HttpConnection::onServerClosed()
+{
+    reader_->feedEnd();
+    if (!reader_->done()) {
+        failCall(CallFailure::MaybeSent, "the connection ended inside the response");
+        return;
+    }
+    endedWithConnection_ = true;
+    close();
+    finishCall();
 }
 
 void HttpConnection::finishCall()
--- a/lib/Proxy/RelayHandshake.cpp
+++ b/lib/Proxy/RelayHandshake.cpp
@@ -9,6 +9,8 @@
 constexpr std::string_view TargetPrefix = "/relay/v1/";
 constexpr const char *ProcessField = "Relay-Process";
 constexpr const char *TimeoutField = "Relay-Timeout-Ms";
+constexpr const char *FramingField = "Relay-Framing";
+constexpr const char *ChunkedFraming = "chunked";
 
 } // namespace
 
@@ -19,6 +21,9 @@
     head.target = std::string(TargetPrefix) + request.endpoint.text();
     head.fields = {{ProcessField, request.process.text()},
                    {TimeoutField, std::to_string(request.timeout.count())}};
+    if (request.acceptsFraming) {
+        head.fields.push_back({FramingField, ChunkedFraming});
+    }
     return writeRequestHead(head, 0);
 }
 
@@ -36,8 +41,15 @@
     if (parsed.ec != std::errc() || millis <= 0) {
         return std::nullopt;
     }
+    const std::string *framing = findField(head.fields, FramingField);
     return RelayRequest{EndpointId(std::string(target.substr(TargetPrefix.size()))),
-                        Incarnation(*process), Millis(millis)};
+                        Incarnation(*process), Millis(millis),
+                        framing != nullptr && *framing == ChunkedFraming};
+}
+
+bool isRelayFramed(const ResponseHead &head)
+{
+    return findField(head.fields, "Transfer-Encoding") != nullptr;
 }
 
 } // namespace sequoiagate
--- a/unittests/Edge/RelayServerTest.cpp
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -68,11 +68,12 @@
 
     /// Sends a handshake. \returns the status of the response
     int handshake(const std::string &process, const std::string &endpoint,
-                  Millis timeout = Millis(5000))
+                  Millis timeout = Millis(5000), bool acceptsFraming = false)
     {
         peer_.connect(relayAddress_);
         boost::asio::write(peer_, boost::asio::buffer(encodeRelayRequest(
-                                          {EndpointId(endpoint), Incarnation(process), timeout})));
+                                          {EndpointId(endpoint), Incarnation(process), timeout,
+                                           acceptsFraming})));
         endpoint_.async_accept([this](const error_code &error, tcp::socket socket) {
             if (!error) {
                 accepted_ = std::move(socket);
@@ -265,6 +266,68 @@
     EXPECT_TRUE(waitUntil([this] { return server_->open() == 0; }));
 }
 
+struct TunnelEndRow
+{
+    const char *name;
+    bool acceptsFraming;
+    /// What ends the tunnel. \p endpoint is its side of the connection.
+    void (*end)(RelayServer &server, tcp::socket &endpoint);
+    const char *received; ///< by the host, behind the response
+    error_code expected;  ///< how its connection ends
+};
+
+void closeInOrder(RelayServer &, tcp::socket &endpoint)
+{
+    endpoint.close();
+}
+
+void reset(RelayServer &, tcp::socket &endpoint)
+{
+    endpoint.set_option(boost::asio::socket_base::linger(true, 0));
+    endpoint.close();
+}
+
+void stopRelay(RelayServer &server, tcp::socket &)
+{
+    server.closeAll();
+}
+
+void letDeadlinePass(RelayServer &, tcp::socket &) {}
+
+const TunnelEndRow TunnelEndRows[] = {
+        {"EndpointCloses", true, closeInOrder, "0\r\n\r\n", boost::asio::error::eof},
+        {"EndpointResets", true, reset, "", boost::asio::error::connection_reset},
+        {"RelayStops", true, stopRelay, "", boost::asio::error::connection_reset},
+        {"DeadlinePasses", true, letDeadlinePass, "", boost::asio::error::connection_reset},
+        {"EndpointClosesForAnEarlierRelease", false, closeInOrder, "", boost::asio::error::eof},
+        {"RelayStopsForAnEarlierRelease", false, stopRelay, "",
+         boost::asio::error::connection_reset},
+        {"DeadlinePassesForAnEarlierRelease", false, letDeadlinePass, "",
+         boost::asio::error::connection_reset},
+};
+
+class TunnelEnd : public RelayServerTest, public testing::WithParamInterface<TunnelEndRow>
+{};
+
+// Guards against a tunnel that ends like a response although its endpoint goes on.
+TEST_P(TunnelEnd, IsInOrderOnlyWithTheEndpoints)
+{
+    const TunnelEndRow &row = GetParam();
+    ASSERT_EQ(handshake("listed", "e", Millis(200), row.acceptsFraming), RelayEstablished);
+    ASSERT_TRUE(waitUntil([this] { return accepted_.is_open(); }));
+    boost::asio::write(accepted_, boost::asio::buffer("answer", 6));
+    EXPECT_EQ(received(peer_), row.acceptsFraming ? "6\r\nanswer\r\n" : "answer");
+    row.end(*server_, accepted_);
+    if (*row.received != '\0') {
+        EXPECT_EQ(received(peer_), row.received);
+    }
+    EXPECT_EQ(endOf(peer_), row.expected);
+    EXPECT_EQ(server_->open(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, TunnelEnd, testing::ValuesIn(TunnelEndRows),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 struct EndlessHandshake
 {
     const char *name;
--- a/unittests/Proxy/UnframedResponseTest.cpp
+++ b/unittests/Proxy/UnframedResponseTest.cpp
@@ -1,5 +1,6 @@
 /// Responses without a length or chunks, which end with their connection.
 
+#include <absl/strings/str_replace.h>
 #include <gtest/gtest.h>
 
 #include "ProxyTestHarness.h"
@@ -10,6 +11,7 @@
 
 constexpr const char *Head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: s\r\n";
 constexpr const char *Established = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+constexpr const char *EstablishedFramed = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 std::string plain(const std::string &body)
 {
@@ -83,6 +85,21 @@
          "id:"},
 };
 
+/// The chunk in which a relay that frames sends \p bytes of a response to r1.
+std::string chunkOf(const std::string &bytes)
+{
+    return writeChunk(absl::StrReplaceAll(bytes, {{"{id}", "r1"}}));
+}
+
+/// \p reply, as a relay that frames sends it.
+Reply framed(const Reply &reply)
+{
+    const bool isOrderly = reply.then == AfterReply::Close;
+    return {(reply.bytes.empty() ? "" : chunkOf(reply.bytes))
+                    + (isOrderly ? std::string(LastChunk) : ""),
+            isOrderly ? AfterReply::Keep : reply.then};
+}
+
 class Unframed : public testing::TestWithParam<std::tuple<UnframedCase, bool>>
 {};
 
@@ -91,7 +108,7 @@
     const auto &[row, isRelayed] = GetParam();
     std::vector<std::vector<Reply>> scripts;
     for (const Reply &reply : row.replies) {
-        scripts.push_back(isRelayed ? std::vector<Reply>{{Established}, reply}
+        scripts.push_back(isRelayed ? std::vector<Reply>{{EstablishedFramed}, framed(reply)}
                                     : std::vector<Reply>{reply});
     }
     ProxyTestHarness harness(scripts);
@@ -120,6 +137,107 @@
                                     + (std::get<1>(row.param) ? "OverARelay" : "");
                          });
 
+struct RelayEndCase
+{
+    const char *name;
+    const char *path;
+    std::vector<Reply> replies; ///< of relays, each behind a handshake of its own
+    std::vector<const char *> handshakes;
+    bool isWhole; ///< whether the caller's response looks complete
+    const char *expected;
+    const char *forbidden;
+};
+
+const RelayEndCase RelayEndCases[] = {
+        {"AnswerOfARelayThatDies",
+         "/once/a",
+         {{chunkOf(plain("hal")), AfterReply::Close}},
+         {EstablishedFramed},
+         true,
+         "HTTP/1.1 502",
+         "hal"},
+        {"StreamOfARelayThatDies",
+         "/stream/a",
+         {{chunkOf(stream(FirstEvents)), AfterReply::Close}},
+         {EstablishedFramed},
+         false,
+         "id: 1",
+         "0\r\n\r\n"},
+        {"StreamOfARelayThatIsReset",
+         "/stream/a",
+         {{chunkOf(stream(FirstEvents)), AfterReply::Reset}},
+         {EstablishedFramed},
+         false,
+         "id: 1",
+         "0\r\n\r\n"},
+        {"StreamThatIsResumed",
+         "/resume/a",
+         {{chunkOf(stream(FirstEvents)), AfterReply::Close},
+          {chunkOf(stream(LastEvent)) + std::string(LastChunk)}},
+         {EstablishedFramed, EstablishedFramed},
+         true,
+         "id: 2\ndata: x",
+         "502"},
+        {"FramingThatIsNone",
+         "/stream/a",
+         {{chunkOf(stream(FirstEvents)) + "no chunk\r\n"}},
+         {EstablishedFramed},
+         false,
+         "id: 1",
+         "0\r\n\r\n"},
+        {"WholeAnswerOfAnEarlierRelease",
+         "/once/a",
+         {{plain("good"), AfterReply::Close}},
+         {Established},
+         true,
+         "HTTP/1.1 502",
+         "good"},
+        {"StreamOfAnEarlierRelease",
+         "/stream/a",
+         {{stream(FirstEvents), AfterReply::Close}},
+         {Established},
+         false,
+         "id: 1",
+         "0\r\n\r\n"},
+        {"AnswerWithALengthOfAnEarlierRelease",
+         "/once/a",
+         {{std::string(Head) + "Content-Length: 4\r\n\r\ngood", AfterReply::Close}},
+         {Established},
+         true,
+         "good",
+         "502"},
+};
+
+class RelayEnds : public testing::TestWithParam<RelayEndCase>
+{};
+
+// Guards against the end of a relay that is taken for the end of a response.
+TEST_P(RelayEnds, AreNotTheEndpointsOwn)
+{
+    const RelayEndCase &row = GetParam();
+    std::vector<std::vector<Reply>> scripts;
+    for (std::size_t i = 0; i < row.replies.size(); ++i) {
+        scripts.push_back({{row.handshakes[i]}, row.replies[i]});
+    }
+    ProxyTestHarness harness(scripts);
+    for (std::size_t i = 0; i < scripts.size(); ++i) {
+        harness.placement.endpoints[i].relay =
+                RelayRoute{HostId("other"), harness.endpoints[i]->address(), false};
+    }
+    harness.send(ProxyTestHarness::request(row.path, "r1"));
+    EXPECT_TRUE(harness.waitFor(row.expected)) << harness.received();
+    if (!row.isWhole) {
+        EXPECT_TRUE(harness.waitForClose());
+    }
+    EXPECT_EQ(harness.received().find(row.forbidden), std::string::npos) << harness.received();
+    // The endpoint isn't known to have ended.
+    EXPECT_EQ(harness.requests.lost.size(),
+              row.replies.front().then == AfterReply::Reset ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, RelayEnds, testing::ValuesIn(RelayEndCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 struct OldCallerCase
 {
     const char *name;
