[Proxy] Don't take a reset that a write has reported for the end of a response

A socket reports a reset once. While a request's body is still being written, the write may get the report, and the read behind the last bytes an end of file, which ended a response without a length. So a part of a response looked whole without any relay, when the endpoint reset the connection while it didn't read and the event loop was a moment late.

An end of file behind a failed write doesn't end such a response, and a connection with a failed write isn't kept.

--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -159,6 +159,7 @@
     bool connected_ = false;
     bool closed_ = false;
     bool writing_ = false;
+    bool hasWriteFailed_ = false; ///< the rest of the request can't be sent
     bool reading_ = false;
     bool readingPaused_ = false;
     bool headDelivered_ = false;
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -189,6 +189,7 @@
     }
     // After another error the response can still be read: a server may respond and close before it
     // has read the whole body.
+    hasWriteFailed_ = error && !writing_;
 }
 
 void HttpConnection::awaitWritable()
@@ -303,7 +304,7 @@
     // Bytes after a response belong to no call. If the request is still being written, the
     // server would read the rest of it as the next request.
     const bool surplus = used < bytes.size();
-    if (surplus || writing_ || !reader_->head().keepAlive) {
+    if (surplus || writing_ || hasWriteFailed_ || !reader_->head().keepAlive) {
         close();
     }
     finishCall();
@@ -322,6 +323,9 @@
     // it is missing.
     if (error != asio::error::eof) {
         failCall(CallFailure::MaybeSent, error.message());
+    } else if (hasWriteFailed_ && reader_->endsWithConnection()) {
+        // A socket reports a reset once. The write has got it, and the read an end of file.
+        failCall(CallFailure::MaybeSent, "the connection was reset");
     } else if (path_) {
         // The kernel closes the connections of a relay that dies in order.
         failCall(CallFailure::RelayEnded, "the relay ended the connection");
--- a/unittests/Proxy/UnframedResponseTest.cpp
+++ b/unittests/Proxy/UnframedResponseTest.cpp
@@ -1,11 +1,14 @@
 /// Responses without a length or chunks, which end with their connection.
 
 #include <absl/strings/str_replace.h>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "ProxyTestHarness.h"
 
 using namespace sequoiagate;
+using boost::asio::ip::tcp;
 
 namespace {
 
@@ -85,10 +88,16 @@
          "id:"},
 };
 
+/// \p bytes of a response to r1.
+std::string forRequest(const std::string &bytes)
+{
+    return absl::StrReplaceAll(bytes, {{"{id}", "r1"}});
+}
+
 /// The chunk in which a relay that frames sends \p bytes of a response to r1.
 std::string chunkOf(const std::string &bytes)
 {
-    return writeChunk(absl::StrReplaceAll(bytes, {{"{id}", "r1"}}));
+    return writeChunk(forRequest(bytes));
 }
 
 /// \p reply, as a relay that frames sends it.
@@ -238,6 +247,32 @@
 INSTANTIATE_TEST_SUITE_P(Rows, RelayEnds, testing::ValuesIn(RelayEndCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against a reset that is taken for the end of a response since a write has reported it.
+TEST(Unframed, ResetBesideAFailedWriteIsNoEnd)
+{
+    ProxyTestHarness harness(std::vector<std::vector<Reply>>(1));
+    harness.config->limits.maxBodyBytes = 16 * 1024 * 1024;
+    tcp::acceptor acceptor(harness.io);
+    acceptor.open(tcp::v4());
+    acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), 0});
+    acceptor.listen();
+    harness.placement.endpoints[0].address = acceptor.local_endpoint();
+    constexpr std::size_t BodyBytes = 12 * 1024 * 1024;
+    harness.send(fmt::format("POST /once/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+                             "Deadline-Ms: 4000\r\nAuthorization: Token key\r\n"
+                             "Token-Count: 100,40\r\nContent-Length: {}\r\n\r\n",
+                             BodyBytes));
+    harness.sendWhileTaken(BodyBytes);
+    ASSERT_TRUE(harness.waitUntil([&harness] { return harness.placement.connected == 1; }));
+    tcp::socket endpoint = acceptor.accept();
+    // The request's body stays unread, so that the close resets the connection.
+    boost::asio::write(endpoint, boost::asio::buffer(forRequest(plain("hal"))));
+    endpoint.close();
+    EXPECT_TRUE(harness.waitFor("HTTP/1.1 502")) << harness.received();
+    EXPECT_EQ(harness.received().find("hal"), std::string::npos) << harness.received();
+}
+
 struct OldCallerCase
 {
     const char *name;
