--- a/unittests/Proxy/ProxyTestHarness.cpp
+++ b/unittests/Proxy/ProxyTestHarness.cpp
@@ -136,6 +136,15 @@
             absl::StrReplaceAll(reply.bytes, {{"{id}", id == nullptr ? "" : *id}});
     error_code ignored;
     boost::asio::write(connection->socket, boost::asio::buffer(bytes), ignored);
+    if (!reply.later.empty()) {
+        sendLater(connection,
+                  absl::StrReplaceAll(reply.later, {{"{id}", id == nullptr ? "" : *id}}),
+                  std::chrono::steady_clock::now() + reply.silence);
+    }
+    if (reply.then == AfterReply::Exit) {
+        stopListening();
+        connection->socket.close(ignored);
+    }
     if (reply.then == AfterReply::Reset) {
         connection->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     }
@@ -144,6 +153,20 @@
     }
 }
 
+void ScriptedEndpoint::sendLater(const std::shared_ptr<Connection> &connection,
+                                 const std::string &bytes, Instant at)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(acceptor_.get_executor(), at);
+    const auto sent = std::make_shared<std::string>(bytes);
+    timer->async_wait([connection, sent, timer, isAlive = isAlive_](const error_code &error) {
+        if (!error && *isAlive) {
+            // Not at once: the proxy reads on the same thread.
+            boost::asio::async_write(connection->socket, boost::asio::buffer(*sent),
+                                     [connection, sent](const error_code &, std::size_t) {});
+        }
+    });
+}
+
 PlacementResult OrderedPlacement::place(const WorkItem &item, const std::vector<PromptPart> &,
                                         const std::vector<EndpointId> &tried, Instant now)
 {
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -25,12 +25,15 @@
     Close,
     Reset,
     Hang, ///< keeps the connection open and sends nothing more
+    Exit, ///< closes in order, and accepts no more connections: its process has ended
 };
 
 struct Reply
 {
     std::string bytes; ///< "{id}" is replaced by the request's id
     AfterReply then = AfterReply::Keep;
+    std::string later{}; ///< sent after the silence
+    Interval silence{};
 };
 
 /// Answers each request with the next of its replies; doesn't respond once they are used up.
@@ -53,6 +56,8 @@
     void accept();
     void read(const std::shared_ptr<Connection> &connection);
     void answer(const std::shared_ptr<Connection> &connection);
+    void sendLater(const std::shared_ptr<Connection> &connection, const std::string &bytes,
+                   Instant at);
 
     boost::asio::ip::tcp::acceptor acceptor_;
     std::vector<Reply> replies_;
--- a/unittests/Proxy/SlowCallersTest.cpp
+++ b/unittests/Proxy/SlowCallersTest.cpp
@@ -319,6 +319,44 @@
                          [](const auto &row) { return std::string(row.param.name); });
 
 /// A connection whose body has to wait is read no further, and is when others have ended.
+struct LargeFailureCase
+{
+    const char *name;
+    const char *head;
+    const char *expected; ///< received by the caller
+};
+
+class LargeFailure : public testing::TestWithParam<LargeFailureCase>
+{};
+
+const LargeFailureCase LargeFailureCases[] = {
+        {"Failed", "HTTP/1.1 500 X\r\nRequest-Id: r\r\nResponse-Stamp: s\r\n", "500"},
+        {"NotExecuted", "HTTP/1.1 503 X\r\nRequest-Id: r\r\nNot-Executed: 1\r\n", "503"},
+};
+
+// Guards against a failure whose body is kept whole, whatever its size.
+TEST_P(LargeFailure, IsNotBuffered)
+{
+    constexpr std::size_t BodyBytes = 4 * 1024 * 1024;
+    constexpr std::size_t MaxBufferedBytes = 1024 * 1024;
+    const std::string body(BodyBytes, 'x');
+    ProxyTestHarness harness(
+            {{{fmt::format("{}Content-Length: {}\r\n\r\n", GetParam().head, BodyBytes),
+               AfterReply::Keep, body, std::chrono::milliseconds(1)}}},
+            memory(120));
+    harness.send(ProxyTestHarness::request("/once/a", "r"));
+    std::size_t highest = 0;
+    EXPECT_TRUE(harness.waitUntil([&] {
+        highest = std::max(highest, harness.buffers->total().other);
+        return harness.tokenReservations.settled == 1;
+    }));
+    EXPECT_TRUE(harness.waitFor(GetParam().expected));
+    EXPECT_LE(highest, MaxBufferedBytes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, LargeFailure, testing::ValuesIn(LargeFailureCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 TEST(LargeBodies, WaitForRoom)
 {
     constexpr std::size_t BodyBytes = 600'000;
--- a/unittests/Proxy/UnframedResponseTest.cpp
+++ b/unittests/Proxy/UnframedResponseTest.cpp
@@ -61,6 +61,25 @@
          false,
          "id: 1",
          "id: 2"},
+        // Guards against a process whose end, like an endpoint's close, ends its connections.
+        {"AnswerOfAProcessThatEnds",
+         "/once/a",
+         {{plain("hal"), AfterReply::Exit}},
+         true,
+         "HTTP/1.1 502",
+         "hal"},
+        {"StreamOfAProcessThatEnds",
+         "/stream/a",
+         {{stream(FirstEvents), AfterReply::Exit}},
+         false,
+         "id: 1",
+         "id: 2"},
+        {"StreamThatIsResumedAfterItsProcessEnded",
+         "/resume/a",
+         {{stream(FirstEvents), AfterReply::Exit}, {stream(LastEvent), AfterReply::Close}},
+         true,
+         "id: 2\ndata: x",
+         "502"},
         {"StreamReset",
          "/stream/a",
          {{stream(FirstEvents), AfterReply::Reset}},
@@ -106,7 +125,7 @@
     const bool isOrderly = reply.then == AfterReply::Close;
     return {(reply.bytes.empty() ? "" : chunkOf(reply.bytes))
                     + (isOrderly ? std::string(LastChunk) : ""),
-            isOrderly ? AfterReply::Keep : reply.then};
+            isOrderly ? AfterReply::Keep : AfterReply::Reset};
 }
 
 class Unframed : public testing::TestWithParam<std::tuple<UnframedCase, bool>>
@@ -306,6 +325,19 @@
     EXPECT_EQ(harness.received().find("chunked"), std::string::npos);
 }
 
+// Guards against a stream that looks whole to a caller of HTTP/1.0 when a stop closes it by force.
+TEST(UnframedForOldCallers, StreamsClosedByForceAreReset)
+{
+    ProxyTestHarness harness({{{stream(FirstEvents), AfterReply::Hang}}});
+    std::string request = ProxyTestHarness::request("/stream/a", "r1");
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    harness.send(request);
+    ASSERT_TRUE(harness.waitFor("id: 1"));
+    harness.connection().forceClose();
+    EXPECT_TRUE(harness.waitForClose());
+    EXPECT_TRUE(harness.wasReset());
+}
+
 INSTANTIATE_TEST_SUITE_P(Rows, UnframedForOldCallers, testing::ValuesIn(OldCallerCases),
                          [](const auto &row) { return row.param.name; });
 
