[Proxy] [Edge] Tell the end of an endpoint's process from the end of its response

When such a response ends, a connection to the endpoint is tried once. If its host refuses it, nobody listens there any more: the attempt counts as lost, also for the guards of crashing prompts. A response of an endpoint that is leaving is believed, since that one may end its process with its last response; so is one where the try is neither accepted nor refused. A relay checks the same before it passes the end on. Responses with a length or chunks try nothing.

Ruled out: closing times between the last bytes and the end, which say nothing; a health check, which takes a slot.

Still open: a process that dies and is started again at its address within a round trip, and one that is killed while it leaves.

--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -187,6 +187,7 @@
     void onStaleEndpoint(const EndpointId &endpoint, Instant now) override;
     bool mayRetry(const ServiceId &service, Instant now) override;
     void onRequest(const ServiceId &service, Instant now) override;
+    bool isLeaving(const EndpointId &endpoint) const override;
 
 private:
     /// The endpoints of \p item's service that may not get it now.
--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -107,6 +107,8 @@
     bool isRelayed() const { return path_.has_value(); }
     /// Whether the last response had no length and ended with the connection.
     bool endedWithConnection() const { return endedWithConnection_; }
+    /// Whether nobody listened at the server's address any more when such a response ended.
+    bool hasServerEnded() const { return hasServerEnded_; }
     bool usable() const { return connected_ && !closed_; }
     /// Whether it was ever established, closed or not. Before that no byte of a call was sent.
     bool wasConnected() const { return connected_; }
@@ -138,6 +140,7 @@
     void onEndOfStream(const ErrorCode &error);
     /// The server closed the connection in order, which may end a response.
     void onServerClosed();
+    void finishAtEnd();
     void finishCall();
     void failCall(CallFailure failure, const std::string &reason);
     void close();
@@ -164,6 +167,7 @@
     bool readingPaused_ = false;
     bool headDelivered_ = false;
     bool endedWithConnection_ = false;
+    bool hasServerEnded_ = false;
     bool isFramed_ = false; ///< by the relay
 };
 
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -102,6 +102,8 @@
     virtual void onRelayResult(const HostId &host, RelayResult result, Instant now) = 0;
     /// The directory entry is out of date: the address belongs to another endpoint or to none.
     virtual void onStaleEndpoint(const EndpointId &endpoint, Instant now) = 0;
+    /// Whether \p endpoint is draining, or no longer listed.
+    virtual bool isLeaving(const EndpointId &endpoint) const = 0;
     /// Whether the retry budget of \p service allows one more retry.
     virtual bool mayRetry(const ServiceId &service, Instant now) = 0;
     virtual void onRequest(const ServiceId &service, Instant now) = 0;
--- a/include/sequoiagate/Service/DeadlineTimer.h
+++ b/include/sequoiagate/Service/DeadlineTimer.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <utility>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -22,6 +23,7 @@
 {
 public:
     explicit DeadlineTimer(boost::asio::io_context &io) : timer_(io) {}
+    explicit DeadlineTimer(const boost::asio::any_io_executor &executor) : timer_(executor) {}
     ~DeadlineTimer() { disarm(); }
     DeadlineTimer(const DeadlineTimer &) = delete;
     DeadlineTimer &operator=(const DeadlineTimer &) = delete;
--- a/lib/Edge/CrashingPartsLink.cpp
+++ b/lib/Edge/CrashingPartsLink.cpp
@@ -6,9 +6,9 @@
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
-#include "ConnectProbe.h"
 #include "CrashMessage.h"
 #include "sequoiagate/Base/Rendezvous.h"
+#include "sequoiagate/Proxy/ConnectProbe.h"
 
 namespace sequoiagate {
 
@@ -214,21 +214,22 @@
                                       const boost::asio::ip::tcp::endpoint &address, int attempts)
 {
     const Instant deadline = std::chrono::steady_clock::now() + ProbeTimeout;
-    probeConnection(io_, address, deadline, [this, process, address, attempts](bool connected) {
-        if (!connected) {
-            onProbed(process, ProbeResult::Ended);
-            return;
-        }
-        if (attempts <= 1) {
-            onProbed(process, ProbeResult::Listens);
-            return;
-        }
-        const auto timer = std::make_shared<DeadlineTimer>(io_);
-        timer->arm(std::chrono::steady_clock::now() + ProbeInterval,
-                   [this, timer, process, address, attempts] {
-                       tryConnection(process, address, attempts - 1);
-                   });
-    });
+    probeConnection(io_.get_executor(), address, deadline,
+                    [this, process, address, attempts](ProbeOutcome outcome) {
+                        if (outcome != ProbeOutcome::Connected) {
+                            onProbed(process, ProbeResult::Ended);
+                            return;
+                        }
+                        if (attempts <= 1) {
+                            onProbed(process, ProbeResult::Listens);
+                            return;
+                        }
+                        const auto timer = std::make_shared<DeadlineTimer>(io_);
+                        timer->arm(std::chrono::steady_clock::now() + ProbeInterval,
+                                   [this, timer, process, address, attempts] {
+                                       tryConnection(process, address, attempts - 1);
+                                   });
+                    });
 }
 
 void CrashingPartsLink::onProbed(const EndpointProcess &process, ProbeResult result)
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -4,7 +4,6 @@
 #include <csignal>
 
 #include "Addresses.h"
-#include "ConnectProbe.h"
 #include "CrashingPartsLink.h"
 #include "CrashingRequestsLink.h"
 #include "EndpointRateLink.h"
@@ -14,6 +13,7 @@
 #include "StreamOriginLink.h"
 #include "VersionRecorder.h"
 #include "sequoiagate/Base/BootClock.h"
+#include "sequoiagate/Proxy/ConnectProbe.h"
 #include "sequoiagate/Service/DeadlineTimer.h"
 #include "sequoiagate/Service/Events.h"
 #include "sequoiagate/Service/Program.h"
@@ -290,6 +290,9 @@
                     },
                     [this](const NoticeSource &source, const ResponseHead &head) {
                         onRelayedResponse(source, head);
+                    },
+                    [this](const EndpointId &endpoint) {
+                        return endpoints_.isLeaving(endpoint);
                     }});
 }
 
@@ -339,9 +342,10 @@
     if (!target) {
         return;
     }
-    probeConnection(io_, target->second, now + HttpConnectionSettings().connectTimeout,
-                    [this, endpoint = target->first](bool connected) {
-                        if (connected) {
+    probeConnection(io_.get_executor(), target->second,
+                    now + HttpConnectionSettings().connectTimeout,
+                    [this, endpoint = target->first](ProbeOutcome outcome) {
+                        if (outcome == ProbeOutcome::Connected) {
                             endpoints_.onConnected(endpoint, std::chrono::steady_clock::now());
                         }
                     });
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -570,4 +570,10 @@
     retryBudget_.onRequest(service, now);
 }
 
+bool EndpointDirectory::isLeaving(const EndpointId &endpoint) const
+{
+    const auto found = entries_.find(endpoint);
+    return found == entries_.end() || isLeaving(found->second.entry);
+}
+
 } // namespace sequoiagate
--- a/lib/Edge/RelayServer.cpp
+++ b/lib/Edge/RelayServer.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include "sequoiagate/Proxy/ConnectProbe.h"
 #include "sequoiagate/Proxy/HttpReader.h"
 #include "sequoiagate/Proxy/SocketState.h"
 #include "sequoiagate/Service/DeadlineTimer.h"
@@ -164,6 +165,7 @@
         }
         source_.endpoint = request_->endpoint;
         source_.startedAtMillis = target->startedAtMillis;
+        address_ = target->address;
         source_.sentAt = std::chrono::steady_clock::now();
         timer_.arm(std::chrono::steady_clock::now() + ConnectTimeout,
                    [self = shared_from_this()] { self->onConnected(asio::error::timed_out); });
@@ -258,6 +260,7 @@
         }
         responseHead_->feed(std::string_view(back_.buffer.data(), bytes));
         if (responseHead_->hasHead()) {
+            endsWithConnection_ = responseHead_->endsWithConnection();
             server_.handlers_.onResponse(source_, responseHead_->head());
         }
         if (responseHead_->hasHead() || responseHead_->fault() != HttpParseError::None) {
@@ -341,6 +344,28 @@
             close(direction.onReadError);
             return;
         }
+        if (!endsWithConnection_ || server_.handlers_.isLeaving(request_->endpoint)) {
+            onEndpointClosed();
+            return;
+        }
+        // The kernel closes the connections of a process that dies in order as well, and from then
+        // on refuses new ones.
+        probeConnection(endpoint_.get_executor(), address_,
+                        std::chrono::steady_clock::now() + ConnectTimeout,
+                        [self = shared_from_this()](ProbeOutcome outcome) {
+                            if (self->isClosed_) {
+                                return;
+                            }
+                            if (outcome == ProbeOutcome::Refused) {
+                                self->close(RelayEnd::EndpointFailed);
+                            } else {
+                                self->onEndpointClosed();
+                            }
+                        });
+    }
+
+    void onEndpointClosed()
+    {
         hasEndpointClosed_ = true;
         back_.unwritten = isFramed(back_) ? LastChunk : std::string_view();
         writeMore(back_);
@@ -358,9 +383,11 @@
     std::optional<ResponseReader> responseHead_{HttpReaderLimits()}; ///< until it is read
     Direction forth_{peer_, endpoint_, RelayEnd::HostClosed, RelayEnd::EndpointFailed};
     Direction back_{endpoint_, peer_, RelayEnd::EndpointFailed, RelayEnd::HostClosed};
-    std::size_t bytesBack_ = 0; ///< received from the endpoint
-    bool isDecided_ = false;    ///< whether the endpoint can be connected to
-    bool isCarrying_ = false;   ///< the tunnel is established
+    std::size_t bytesBack_ = 0;       ///< received from the endpoint
+    bool isDecided_ = false;          ///< whether the endpoint can be connected to
+    bool isCarrying_ = false;         ///< the tunnel is established
+    tcp::endpoint address_;           ///< of the endpoint
+    bool endsWithConnection_ = false; ///< the response has no length
     bool hasEndpointClosed_ = false;
     bool isClosed_ = false;
 };
--- a/lib/Edge/RelayServer.h
+++ b/lib/Edge/RelayServer.h
@@ -58,6 +58,8 @@
         std::function<void(const EndpointId &, bool connected)> onConnectResult;
         /// The head of the endpoint's response has arrived. The source names no request.
         std::function<void(const NoticeSource &, const ResponseHead &)> onResponse;
+        /// Whether the endpoint may end its process with its last response.
+        std::function<bool(const EndpointId &)> isLeaving;
     };
 
     /// Bounds memory and descriptors: a tunnel has two connections and two buffers.
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -679,6 +679,12 @@
         onNotExecuted();
         return;
     }
+    // One that leaves may end its process with its last response.
+    if (attempt_->connection->hasServerEnded()
+        && !context_.placement.isLeaving(attempt_->endpoint)) {
+        onFailed(CallFailure::MaybeSent, "the endpoint's process ended with its response");
+        return;
+    }
     if (!attempt_->isSuccess) {
         onPlainResponse();
         return;
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 
+#include "sequoiagate/Proxy/ConnectProbe.h"
 #include "sequoiagate/Proxy/RelayHandshake.h"
 #include "sequoiagate/Proxy/SocketState.h"
 
@@ -335,6 +336,25 @@
 }
 
 void HttpConnection::onServerClosed()
+{
+    if (path_ || !reader_->endsWithConnection()) {
+        finishAtEnd();
+        return;
+    }
+    // The kernel closes the connections of a process that dies in order as well, and from then on
+    // refuses new ones.
+    close();
+    probeConnection(connectTimer_.get_executor(), address_,
+                    std::chrono::steady_clock::now() + settings_.connectTimeout,
+                    [self = shared_from_this()](ProbeOutcome outcome) {
+                        if (self->observer_ != nullptr) {
+                            self->hasServerEnded_ = outcome == ProbeOutcome::Refused;
+                            self->finishAtEnd();
+                        }
+                    });
+}
+
+void HttpConnection::finishAtEnd()
 {
     reader_->feedEnd();
     if (!reader_->done()) {
--- a/unittests/Edge/RelayServerTest.cpp
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -44,6 +44,9 @@
                                       },
                                       [this](const NoticeSource &source, const ResponseHead &head) {
                                           responses_.emplace_back(source, head);
+                                      },
+                                      [this](const EndpointId &) {
+                                          return isLeaving_;
                                       }});
     }
     ~RelayServerTest() override
@@ -119,6 +122,7 @@
     std::vector<std::pair<NoticeSource, ResponseHead>> responses_;
     bool mayRelay_ = true;
     bool takesRequests_ = true; ///< the endpoint
+    bool isLeaving_ = false;
     int connected_ = 0;
     int failed_ = 0;
 };
@@ -328,6 +332,40 @@
 INSTANTIATE_TEST_SUITE_P(Rows, TunnelEnd, testing::ValuesIn(TunnelEndRows),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct ProcessEndRow
+{
+    const char *name;
+    bool isLeaving;
+    const char *head;
+    error_code expected; ///< how the host's connection ends
+};
+
+class RelayedProcessEnd : public RelayServerTest, public testing::WithParamInterface<ProcessEndRow>
+{};
+
+const ProcessEndRow ProcessEndRows[] = {
+        {"Unframed", false, "HTTP/1.1 200 OK\r\n\r\nhal", boost::asio::error::connection_reset},
+        {"UnframedOfOneThatLeaves", true, "HTTP/1.1 200 OK\r\n\r\nhal", boost::asio::error::eof},
+        {"WithALength", false, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nhal",
+         boost::asio::error::eof},
+};
+
+// Guards against the end of an endpoint's process that looks like the end of its response.
+TEST_P(RelayedProcessEnd, IsNoEndOfAResponse)
+{
+    isLeaving_ = GetParam().isLeaving;
+    ASSERT_EQ(handshake("listed", "e"), RelayEstablished);
+    ASSERT_TRUE(waitUntil([this] { return accepted_.is_open(); }));
+    boost::asio::write(accepted_, boost::asio::buffer(std::string_view(GetParam().head)));
+    EXPECT_EQ(received(peer_), GetParam().head);
+    endpoint_.close();
+    accepted_.close();
+    EXPECT_EQ(endOf(peer_), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, RelayedProcessEnd, testing::ValuesIn(ProcessEndRows),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 struct EndlessHandshake
 {
     const char *name;
--- a/unittests/Proxy/ProxyTestHarness.h
+++ b/unittests/Proxy/ProxyTestHarness.h
@@ -107,6 +107,7 @@
     }
     bool mayRetry(const ServiceId &, Instant) override { return retriesLeft-- > 0; }
     void onRequest(const ServiceId &, Instant) override {}
+    bool isLeaving(const EndpointId &) const override { return areLeaving; }
 
     std::vector<PlacementTarget> endpoints;
     std::vector<EndpointId> staleEndpoints;
@@ -114,6 +115,7 @@
     std::vector<HostId> failedRelays;
     std::vector<uint64_t> progress;  ///< events, as reported
     std::optional<Interval> backoff; ///< of all endpoints
+    bool areLeaving = false;         ///< all endpoints
     int connected = 0;
     int retriesLeft = 10;
     int sent = 0;
--- a/unittests/Proxy/UnframedResponseTest.cpp
+++ b/unittests/Proxy/UnframedResponseTest.cpp
@@ -165,6 +165,15 @@
                                     + (std::get<1>(row.param) ? "OverARelay" : "");
                          });
 
+// Guards against failing the last response of an endpoint that ends its process behind it.
+TEST(Unframed, LastResponseOfAnEndpointThatLeavesIsWhole)
+{
+    ProxyTestHarness harness({{{plain("good"), AfterReply::Exit}}});
+    harness.placement.areLeaving = true;
+    harness.send(ProxyTestHarness::request("/once/a", "r1"));
+    EXPECT_TRUE(harness.waitFor("good")) << harness.received();
+}
+
 struct RelayEndCase
 {
     const char *name;
