[Proxy] [Edge] Reset callers whose stream has no end but that of its connection

A connection that a stop closed by force, or whose process ended with bytes still unwritten, closed in order in the middle of a stream.

Such a connection is reset unless its stream has ended and is written; the end of a stop closes all connections by force before it leaves the event loop.

UnframedForOldCallers.StreamsClosedByForceAreReset failed before and passes; unittests-Proxy without the rows that are still listed 375 of 375. A process that is killed still closes in order: nothing in HTTP/1.0 could tell.

--- a/include/sequoiagate/Proxy/CallerConnection.h
+++ b/include/sequoiagate/Proxy/CallerConnection.h
@@ -117,6 +117,7 @@
     bool writing_ = false;
     bool keepAlive_ = true;
     bool acceptsChunks_ = true;
+    bool isEndUnmarked_ = false;    ///< the response ends with the connection, and hasn't ended
     bool resetWhenWritten_ = false; ///< the end of the connection must not look orderly
     bool closeWhenWritten_ = false;
     bool lingering_ = false; ///< everything is written; waits for the peer to close
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -595,6 +595,7 @@
         relayServer_->closeAll();
     }
     if (now >= endAt_ && (closeAt_ == Never ? callers_.empty() : now >= closeAt_)) {
+        abortCallers(now);
         io_.stop();
         return;
     }
--- a/lib/Proxy/CallerConnection.cpp
+++ b/lib/Proxy/CallerConnection.cpp
@@ -451,6 +451,7 @@
     head.keepAlive = keepAlive_;
     addKeepAliveField(head);
     const BodyFraming framing = acceptsChunks_ ? BodyFraming::Chunked : BodyFraming::Close;
+    isEndUnmarked_ = !acceptsChunks_;
     queue(writeResponseHead(head, framing, 0));
 }
 
@@ -473,7 +474,7 @@
 {
     // Bytes already queued are still written. Without the last chunk the caller can tell that
     // the response is incomplete; without chunks, by the reset.
-    resetWhenWritten_ = !acceptsChunks_;
+    resetWhenWritten_ = isEndUnmarked_;
     onResponseQueued(false);
     armTimer(LingerTime);
 }
@@ -609,6 +610,7 @@
             return;
         }
         if (closeWhenWritten_ && !lingering_) {
+            isEndUnmarked_ = false;
             ErrorCode ignored;
             socket_.shutdown(tcp::socket::shutdown_send, ignored);
             lingering_ = true;
@@ -673,6 +675,9 @@
         scheduleBufferAction(context_);
     }
     ErrorCode ignored;
+    if (isEndUnmarked_) {
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     socket_.close(ignored);
     const auto self = shared_from_this();
     context_.metrics.count("proxy_caller_closed_total",
