[Edge] Bound what a host buffers unless its settings say otherwise

The budget of buffers is off where the process doesn't know its memory limit, the default was "unknown", and the template of the platform didn't pass the limit on. So 8 MB a response and 4 MB a request could add up without bound.

The template names memory_mb, and its default is 256; 0 switches the bound off. Looked for further limits of the host that the template leaves out: link_mbps and stop_grace_ms are there; descriptors aren't a setting (accepting pauses when they run out), processor shares aren't one either.

--- a/include/sequoiagate/Edge/EdgeSettings.h
+++ b/include/sequoiagate/Edge/EdgeSettings.h
@@ -33,7 +33,7 @@
     Interval stopGrace{};                 ///< from the stop signal to the forced exit
     Interval readyGrace{};            ///< new callers are accepted this long after the stop signal
     uint64_t linkBytesPerSecond = 0;  ///< link capacity in each direction; 0 if unknown
-    std::size_t memoryBytes = 0;      ///< memory limit of the process; 0 if unknown
+    std::size_t memoryBytes = 0;      ///< memory limit of the process; 0: none
     bool sharesEndpointRates = false; ///< whether rates of endpoints are measured and shared
     DistributedRetryBudgetSettings retries;
     TokenHolderSettings tokens;
--- a/unittests/Edge/EdgeSettingsTest.cpp
+++ b/unittests/Edge/EdgeSettingsTest.cpp
@@ -1,11 +1,15 @@
 /// The settings file of the edge, as the schema checks it.
 
+#include <fstream>
+#include <iterator>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
 #include "sequoiagate/Edge/EdgeSettings.h"
 #include "sequoiagate/Service/Program.h"
 #include "sequoiagate/Service/Settings.h"
+#include "unittests/Support/TreePaths.h"
 
 using namespace sequoiagate;
 
@@ -32,4 +36,22 @@
     EXPECT_THROW(read({{"token_reserve", "peak"}}), SettingsError);
 }
 
+// Guards against a host that buffers without bound, since its settings don't name its memory.
+TEST(EdgeSettings, MemoryIsBoundedUnlessSaidOtherwise)
+{
+    EXPECT_EQ(read(nlohmann::json::object()).memoryBytes, 256'000'000U);
+    EXPECT_EQ(read({{"memory_mb", 512}}).memoryBytes, 512'000'000U);
+    EXPECT_EQ(read({{"memory_mb", 0}}).memoryBytes, 0U);
+}
+
+// Guards against a template that leaves a limit of the host's out.
+TEST(EdgeSettings, TemplateNamesTheLimitsOfTheHost)
+{
+    std::ifstream file(sourceFolder() / "deploy/settings.json.template");
+    const std::string text{std::istreambuf_iterator<char>(file), {}};
+    for (const std::string limit : {"memory_mb", "link_mbps", "stop_grace_ms"}) {
+        EXPECT_NE(text.find("\"" + limit + "\": {{"), std::string::npos) << limit;
+    }
+}
+
 } // namespace
