[Proxy] Keep no whole bodies of failures

A failure's body was kept whole, up to 8 MB a request, whatever the budget of buffers said: only successes above 256 KB were passed on as they came. A faulty endpoint that answers 500 without end could so fill a host with some thirty requests.

A failure above the limit is passed on as it comes, as a success is. The body of a rejection, and of a failure in place of the rest of a stream, is dropped, and not waited for above the limit.

--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -130,6 +130,8 @@
     void beginStream();
     void onNotExecuted();
     void onPlainResponse();
+    /// Ends a failure that isn't forwarded if its body is too large to wait for its end.
+    void endOversizedFailure();
     /// Logs a response whose end was the end of its connection.
     void logUnframedEnd();
     /// Reports that the endpoint has written, or is writing, an answer on the prompt.
@@ -199,6 +201,7 @@
     uint32_t possibleExecutions_ = 0; ///< attempts that may have started to run the request
     std::vector<AttemptOutcome> attemptOutcomes_; ///< outcomes of the finished attempts
     bool streaming_ = false;                      ///< the head of a stream was sent to the caller
+    bool hasForwardedPart_ = false;               ///< of a non-streaming response
     bool plainResponseForwarded_ = false;         ///< a success, completely or in part
     uint64_t forwardedEvents_ = 0;
     std::optional<uint64_t> lastEventId_;
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -446,7 +446,7 @@
 {
     const bool repeatable = route_->kind == RouteKind::Idempotent || route_->resumable;
     // A plain response of which a part was forwarded can't go on with another endpoint's.
-    return repeatable && !plainResponseForwarded_ && continuity_.mayContinue()
+    return repeatable && !hasForwardedPart_ && continuity_.mayContinue()
            && sendCount_ < route_->maxAttempts;
 }
 
@@ -521,13 +521,20 @@
         onStreamBytes(bytes);
         return;
     }
+    // A failure in place of the rest of a stream isn't forwarded, nor is a rejection.
+    const bool isDropped = attempt.metadata.notExecuted || (streaming_ && !attempt.passThrough);
+    if (isDropped) {
+        endOversizedFailure();
+        return;
+    }
     if (attempt.passThrough) {
         sink_.streamData(bytes);
     } else {
         attempt.body.append(bytes);
-        if (attempt.isSuccess && attempt.body.size() > sink_.maxBufferedBytes()) {
+        if (attempt.body.size() > sink_.maxBufferedBytes()) {
             attempt.passThrough = true;
-            plainResponseForwarded_ = true;
+            hasForwardedPart_ = true;
+            plainResponseForwarded_ = attempt.isSuccess;
             beginStream();
             sink_.streamData(std::exchange(attempt.body, std::string()));
         }
@@ -535,6 +542,21 @@
     pauseIfFull();
 }
 
+void Exchange::endOversizedFailure()
+{
+    if (attempt_->bodyBytes <= sink_.maxBufferedBytes()) {
+        return;
+    }
+    attempt_->connection->cancel();
+    if (attempt_->metadata.notExecuted) {
+        onNotExecuted();
+        return;
+    }
+    attempt_->outcome = AttemptOutcome::Failed;
+    endAttempt(false);
+    retryOrFail("the body of a failure is too large");
+}
+
 void Exchange::pauseIfFull()
 {
     if (!sink_.isFull()) {
@@ -726,6 +748,7 @@
     }
     const ResponseHead head = context_.dialect.encodeResponse(attempt_->head);
     const std::string body = std::move(attempt_->body);
+    hasForwardedPart_ = true;
     plainResponseForwarded_ = plainResponseForwarded_ || attempt_->isSuccess;
     endAttempt(!failed);
     if (streaming_) {
