[Edge] [Proxy] Refuse requests that may not end before a stopping process does

Nothing compared a request with the time that is left in a stop. The head of a response that began before SIGTERM promises to keep its connection, so that the next request on it was taken whatever the time; so was one whose body came slowly, and one on a connection that was accepted at the end of ready_grace_ms.

From 0.2 s before the end of ready_grace_ms on (a signal's handler may be late by that) a request is taken only if it ends before open ones are aborted: by its deadline, or, if it is idempotent, within the time after which its endpoint would count as stalled. Before that all are taken as ever: new callers still arrive, and the rule excuses what is cut of those.

Requests that other hosts send through a stopping relay were refused before.

--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -78,6 +78,8 @@
     void reload();
     void beginStop();
     void checkStop();
+    /// When a request that is received now must have ended; nullopt unless the process stops.
+    std::optional<Instant> latestEnd() const;
     void drainCallers();
     void abortCallers(Instant now);
     void tick();
@@ -133,6 +135,7 @@
     bool endpointsKnown_ = false;
     bool returningTokens_ = false; ///< tokens are being returned to the store
     Instant acceptUntil_ = Never;
+    Instant takeAllUntil_ = Never; ///< requests are taken until then, however long they may last
     Instant abortAt_ = Never;
     Instant closeAt_ = Never; ///< aborted connections are closed then
     Instant endAt_ = Never;   ///< the process exits then even if requests are open
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -103,6 +103,10 @@
     void onStreamOrigin(const StreamOrigin &origin);
     /// Refuses a request that would crash endpoints. \returns whether it did
     bool refuseQuarantined();
+    /// Refuses a request that may not end before the process does. \returns whether it did
+    bool refuseLate();
+    /// When a request that is sent now will have ended. An idempotent one may take longer.
+    Instant expectedEnd(Instant now) const;
     void reserveTokens();
     void onReserved(std::optional<Verdict> refusal);
     void place();
--- a/include/sequoiagate/Proxy/ProxyContext.h
+++ b/include/sequoiagate/Proxy/ProxyContext.h
@@ -163,6 +163,9 @@
     /// saturated.
     std::function<bool()> shouldShedConnections;
     BufferBudget *buffers = nullptr; ///< nullptr: only the queue of each stream is bounded
+    /// When a request that is received now must have ended, since the process aborts those that are
+    /// open then; nullopt while any may be taken, which an empty function means too.
+    std::function<std::optional<Instant>()> latestEnd{};
 };
 
 } // namespace sequoiagate
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -44,6 +44,10 @@
 /// errors to their callers and to return the tokens to the store.
 constexpr Interval AbortBeforeEnd = std::chrono::milliseconds(600);
 
+/// Between a stop signal and its handler in a busy process. Requests of any length are taken for
+/// less than the time in which callers may still expect that.
+constexpr Interval MaxSignalDelay = std::chrono::milliseconds(200);
+
 /// Time for callers to read that error before their connection is closed.
 constexpr Interval CloseAfterAbort = std::chrono::milliseconds(100);
 
@@ -155,7 +159,10 @@
             ProxyContext{io_, adapter_.dialect(), exchangeChart_, pool_, endpoints_, *tokens_,
                          *streamOrigins_, *crashingParts_, *crashingRequests_, link_, log_,
                          metrics_, [this] { return config_; }, [this] { return configIsCurrent(); },
-                         [this] { return drain_.state() != "serving"; }, buffers_.get()});
+                         [this] { return drain_.state() != "serving"; }, buffers_.get(),
+                         [this] {
+                             return latestEnd();
+                         }});
     createFollowers();
     startRelayServer();
     readyServer_ = std::make_unique<StatusServer>(
@@ -554,12 +561,20 @@
     drain_.handle("stop");
     const Instant now = std::chrono::steady_clock::now();
     acceptUntil_ = now + settings_.readyGrace;
+    takeAllUntil_ = acceptUntil_ - MaxSignalDelay;
     abortAt_ = now + settings_.stopGrace - AbortBeforeEnd;
     endAt_ = now + settings_.stopGrace;
     log_.write(Event(events::ProcessDraining).with("callers", callers_.size()));
     drainCallers();
 }
 
+std::optional<Instant> Edge::latestEnd() const
+{
+    const bool takesAll =
+            drain_.state() == "serving" || std::chrono::steady_clock::now() < takeAllUntil_;
+    return takesAll ? std::nullopt : std::optional(abortAt_);
+}
+
 void Edge::drainCallers()
 {
     const std::set<std::shared_ptr<CallerConnection>> callers = callers_;
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -83,6 +83,9 @@
             self->onDeadline();
         }
     });
+    if (refuseLate()) {
+        return;
+    }
     const bool isStream = route_->kind == RouteKind::Stream;
     continuity_.begin(metadata_, isStream, isStream && route_->resumable);
     if (!selectService()) {
@@ -101,6 +104,27 @@
     reserveTokens();
 }
 
+Instant Exchange::expectedEnd(Instant now) const
+{
+    if (route_->kind != RouteKind::Idempotent) {
+        return deadline_;
+    }
+    return std::min(deadline_, now + scaled(route_->latencyTarget, StallTimeoutFactor));
+}
+
+bool Exchange::refuseLate()
+{
+    const Instant now = std::chrono::steady_clock::now();
+    const std::optional<Instant> latestEnd =
+            context_.latestEnd ? context_.latestEnd() : std::nullopt;
+    if (!latestEnd || expectedEnd(now) <= *latestEnd) {
+        return false;
+    }
+    refuse({Execution::NotRun, Reason::Draining, "the process ends before this request may",
+            now + RetryElsewhereDelay});
+    return true;
+}
+
 bool Exchange::refuseQuarantined()
 {
     const Instant now = std::chrono::steady_clock::now();
