--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -424,7 +424,7 @@
         fields = {"node-name": name, "zone": zone, "zones": deployment.zones, "ip": ip,
                   "listen": {"front": "%s:%d" % self.front, "ready": "%s:%d" % self.ready},
                   "port-range": [7200, 7215], "provider": {"address": "%s:%d" % store},
-                  "limits": {"link-mbps": 1000.0},
+                  "limits": {"link-mbps": 1000.0, "memory-mb": 260},
                   "bounds": {"grace-s": 8, "retry-ratio": 0.2, "retry-slack": 52,
                              "retry-window-s": 10}}
         self.settings = os.path.join(deployment.folder, name + ".conf")
