[Proxy] Hear a silent endpoint until another one has begun to answer

A stream, or an idempotent request, whose endpoint was silent for four times the largest pause (2.5 times the latency target) was cancelled there before another endpoint was asked. If that one rejected it, failed, was silent itself or couldn't be reached, the stream was cut, although its first endpoint went on a moment later: a server's silence ended a response.

The silent endpoint's connection stays open until another one has sent the head of a success. If it is heard first, it serves the request and the other attempt is cancelled; if no other endpoint can serve, it is awaited until the deadline. For placing it counts as failed at once, as before.

Ruled out: to return to the first endpoint by a new attempt, which prefills the prompt again and counts as an arrival; to wait longer before another endpoint is asked, which holds callers of endpoints that are gone.

--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -12,6 +12,8 @@
 ///   non-streaming response is forwarded completely, a stream event by event and its end only
 ///   if the endpoint ended it.
 /// - When the caller disconnects, the endpoint's connection is closed, which cancels its work.
+/// - An endpoint that is silent is given up only for another one that has begun a success. Until
+///   then whichever is heard first is the one whose response counts.
 /// - When the route's or the caller's timeout expires, the request is answered at once.
 
 #include <memory>
@@ -92,10 +94,30 @@
         Instant pausedAt = Never;      ///< when reading was paused; Never if it isn't
         Instant resumedAt{};           ///< the last time
         Interval longestPause{};
+        bool isEndReported = false; ///< to the placement
         /// The outcome if the attempt ends now. Without a known cause it is a lost connection.
         AttemptOutcome outcome = AttemptOutcome::ConnectionLost;
     };
 
+    /// Receives what an endpoint sends that was found silent.
+    class SilentAttemptObserver : public HttpCallObserver
+    {
+    public:
+        explicit SilentAttemptObserver(Exchange &exchange) : exchange_(exchange) {}
+
+        void onWritable() override { exchange_.onWritable(); }
+        void onHead(const ResponseHead &head) override;
+        void onBody(std::string_view bytes) override;
+        void onDone() override;
+        void onFailed(CallFailure failure, const std::string &detail) override;
+
+    private:
+        /// Lets the exchange receive what follows.
+        void takeOver();
+
+        Exchange &exchange_;
+    };
+
     void admit();
     bool resolveRouteAndWorkspace();
     bool selectService();
@@ -147,6 +169,18 @@
     void reportLoss(Instant now);
     void endAttempt(bool succeeded);
     void cancelAttempt(bool succeeded);
+    void reportAttemptEnd(bool succeeded);
+
+    // ---- silent endpoints ----
+    /// Keeps the open attempt while another endpoint is asked.
+    void keepSilentAttempt();
+    /// Goes on with it in place of the open attempt, if there is one.
+    void resumeSilentAttempt();
+    void dropSilentAttempt();
+    void onSilentAttemptLost(const std::string &detail);
+    /// Waits for the silent endpoint, if there is one, in place of a failure for \p reason.
+    /// \returns whether it does
+    bool awaitSilentAttempt(Reason reason, const std::string &detail);
 
     // ---- failure handling ----
     bool mayRetry() const;
@@ -197,6 +231,9 @@
     uint64_t reservedTokens_ = 0;
     bool hasReservation_ = false;
     std::optional<Attempt> attempt_;
+    std::optional<Attempt> silentAttempt_; ///< an earlier one, whose connection is still open
+    SilentAttemptObserver silentObserver_{*this};
+    bool awaitsSilentAttempt_ = false; ///< no other endpoint can respond
     std::vector<EndpointId> triedEndpoints_;
     Instant repeatAt_{};              ///< the earliest time of the next attempt
     uint32_t sendCount_ = 0;          ///< attempts of which a byte was or may have been sent
--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -90,6 +90,8 @@
     /// Sends \p request (head and body) and reports the response to \p observer. Connects
     /// first if necessary. \pre no call is open.
     void call(std::string request, HttpCallObserver &observer);
+    /// Reports the rest of the open call to \p observer. \pre a call is open
+    void setObserver(HttpCallObserver &observer) { observer_ = &observer; }
     /// Aborts the open call, if any, and closes the connection, upon which a server cancels the
     /// work. What the server hasn't acknowledged yet is dropped: after an orderly close the kernel
     /// would go on sending it. The observer isn't called any more.
--- a/lib/Proxy/Exchange.cpp
+++ b/lib/Proxy/Exchange.cpp
@@ -461,7 +461,7 @@
         return;
     }
     recordLocalEnd(AttemptOutcome::Stalled);
-    cancelAttempt(false);
+    keepSilentAttempt();
     statechart_.handle("cut");
     retryElsewhere("the endpoint is silent");
 }
@@ -531,6 +531,9 @@
         return;
     }
     attempt_->isSuccess = isSuccess;
+    if (isSuccess) {
+        dropSilentAttempt();
+    }
     if (isSuccess && route_->kind != RouteKind::Stream) {
         setStallTimeout(scaled(route_->latencyTarget, StallTimeoutFactor));
     }
@@ -556,6 +559,7 @@
     } else {
         attempt.body.append(bytes);
         if (attempt.body.size() > sink_.maxBufferedBytes()) {
+            dropSilentAttempt();
             attempt.passThrough = true;
             hasForwardedPart_ = true;
             plainResponseForwarded_ = attempt.isSuccess;
@@ -763,6 +767,11 @@
         retryElsewhere(fmt::format("the endpoint answered {}", status));
         return;
     }
+    if (failed && silentAttempt_) {
+        endAttempt(false);
+        fail(Reason::EndpointFailed, fmt::format("the endpoint answered {}", status), 502);
+        return;
+    }
     if (streaming_ && !attempt_->passThrough) {
         // The caller has received part of a stream that this endpoint should have resumed.
         // Ending it here in order would make that part look complete.
@@ -812,6 +821,17 @@
             reportProgress(now);
         }
     }
+    attemptOutcomes_.push_back(attempt_->outcome);
+    reportAttemptEnd(succeeded);
+    attempt_.reset();
+}
+
+void Exchange::reportAttemptEnd(bool succeeded)
+{
+    if (std::exchange(attempt_->isEndReported, true)) {
+        return;
+    }
+    const Instant now = std::chrono::steady_clock::now();
     AttemptResult result;
     result.endpoint = attempt_->endpoint;
     result.request = metadata_.id;
@@ -820,8 +840,6 @@
     if (route_->kind != RouteKind::Stream) {
         result.firstToken = now - attempt_->sentAt;
     }
-    attemptOutcomes_.push_back(attempt_->outcome);
-    attempt_.reset();
     context_.placement.onAttemptEnd(result, now);
 }
 
@@ -907,6 +925,7 @@
 {
     const std::shared_ptr<Exchange> self = std::move(self_);
     const Instant now = std::chrono::steady_clock::now();
+    dropSilentAttempt();
     const uint64_t spent = hasReservation_ ? spentTokens() : 0;
     settle();
     deadlineTimer_.cancel();
--- a/lib/Proxy/ExchangeFailures.cpp
+++ b/lib/Proxy/ExchangeFailures.cpp
@@ -254,6 +254,9 @@
                     std::optional<Instant> retryAt)
 {
     cancelAttempt(false);
+    if (awaitSilentAttempt(reason, detail)) {
+        return;
+    }
     log(Event("request.failed")
                 .with("reason", reasonName(reason))
                 .with("detail", detail)
