[Proxy] Let a late rejection of a silent endpoint end its attempt alone

A silent endpoint that answers with a rejection or a failure took the request over from the endpoint that was asked in its place. It ends its own attempt now, unless no other endpoint can serve.

--- a/lib/Proxy/ExchangeSilence.cpp
+++ b/lib/Proxy/ExchangeSilence.cpp
@@ -1,11 +1,19 @@
 /// How an exchange goes on when its endpoint falls silent and another one is asked.
 
+#include <fmt/format.h>
+
 #include "sequoiagate/Proxy/Exchange.h"
 
 namespace sequoiagate {
 
 void Exchange::SilentAttemptObserver::onHead(const ResponseHead &head)
 {
+    const bool isSuccess = head.status >= 200 && head.status < 300;
+    if (!isSuccess && !exchange_.awaitsSilentAttempt_) {
+        // The other endpoint may still serve the request.
+        exchange_.onSilentAttemptLost(fmt::format("the endpoint answered {}", head.status));
+        return;
+    }
     takeOver();
     exchange_.onHead(head);
 }
