[Edge] Order an endpoint's entries by their process, also after its removal

A heartbeat whose answer was lost and that the store carried out after the endpoint's removal listed the endpoint again; it got requests later than drain-ms after its removal, and its end cut one off (502). Three neighbours had the same cause: a heartbeat of an earlier process displaced the one that was listed, with and without a removal between, and a host that started after the removal took the late one for a new endpoint.

Cause: entries were compared within one start alone, and with the listed entry alone. A removal forgot both numbers, and an entry with another start, also an earlier one, counted as a process that had started again. What follows from an entry (limits, backoffs, rates, cold times, versions) followed the wrong process as well, since all of it is told by the directory.

EndpointEntryOrder orders entries by (born, seq) and keeps the numbers of what has left for ten minutes, 4,096 at most. An entry of an earlier start is deferred: if the known process lives, it writes its entry again with its next heartbeat; if none follows for 8 s in which the list is read, the clock was set back. An unknown entry that isn't its process's first one may follow a removal that the host couldn't see: its endpoint is a suspect for 30 s, used only while no other one can be, unless its process goes on writing. Entries that come back just after an outage are no suspects.

Ruled out, in a trial on a copy: waiting for the next heartbeat of every endpoint that was read.

--- a/include/sequoiagate/Decisions/EndpointEligibility.h
+++ b/include/sequoiagate/Decisions/EndpointEligibility.h
@@ -33,9 +33,10 @@
     Unconfirmed,  ///< it may have started again with another version since its entry was written
     Limited,      ///< this host's share of its limits is used up
     Unreachable,  ///< a connection failed a moment ago
+    Suspected,    ///< this host may have missed its removal
     OnTrial,      ///< the first request after a backoff isn't answered yet
 };
-inline constexpr std::size_t ExclusionCount = 9;
+inline constexpr std::size_t ExclusionCount = 10;
 
 /// How strictly a reason excludes an endpoint.
 enum class Strictness {
@@ -53,6 +54,7 @@
     bool isLeaving = false;
     Instant unreachableUntil{};
     bool isVersionConfirmed = true; ///< by an entry written since a connection failed
+    bool isSuspect = false;         ///< its removal may have been missed
 };
 
 /// The endpoints of a service that may not get a request, by reason.
@@ -169,6 +171,7 @@
     Instant confirmationEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant limitEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant unreachableEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
+    Instant suspicionEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
     Instant trialEnd(const EndpointState &endpoint, const WorkItem &item, Instant now) const;
 
     const EndpointLimits &limits_;
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -33,6 +33,7 @@
 #include "sequoiagate/Decisions/DistributedRetryBudget.h"
 #include "sequoiagate/Decisions/DomainEvacuations.h"
 #include "sequoiagate/Decisions/EndpointEligibility.h"
+#include "sequoiagate/Decisions/EndpointEntryOrder.h"
 #include "sequoiagate/Decisions/EndpointLimits.h"
 #include "sequoiagate/Decisions/EndpointProcess.h"
 #include "sequoiagate/Decisions/EndpointRates.h"
@@ -85,8 +86,9 @@
     /// Called when an entry shows that another process listens where one was listed.
     std::function<void(const EndpointProcess &replaced)> onProcessReplaced;
 
-    /// Adds or changes an entry. Takes effect with the next publish.
-    void update(const EndpointEntry &entry, Instant now);
+    /// Adds or changes an entry, unless a newer one is known. Takes effect with the next publish.
+    void update(const EndpointEntry &entry, Instant now,
+                EntrySource source = EntrySource::Snapshot);
     /// Removes \p id. An endpoint whose entry may merely have expired stays in use for
     /// a grace period.
     void remove(const EndpointId &id, RemovalReason reason, Instant now);
@@ -96,6 +98,8 @@
     void setServices(const std::vector<ServiceSpec> &services, Instant now);
     const ExpectedTimeCounts &expectedTimeCounts() const { return selector_.expectedTimeCounts(); }
     void setStoreReachable(bool reachable, Instant now);
+    /// Records that all entries written before \p asOf have been read.
+    void onListRead(Instant asOf) { entryOrder_.onListRead(asOf); }
     /// Removes entries whose grace period is over. To be called several times a second.
     void tick(Instant now);
     /// Makes changes visible to place().
@@ -161,6 +165,8 @@
     /// The number of requests that were refused since all endpoints had asked for a backoff.
     uint64_t requestsRefusedInBackoff() const { return refusedInBackoff_; }
     std::size_t leavingByResponse() const { return withdrawals_.leavingCount(); }
+    /// The number of listed endpoints whose removal this host may have missed.
+    std::size_t suspects() const;
     std::size_t coldEndpoints(Instant now) const { return cold_.coldCount(now); }
     std::size_t limitedEndpoints() const { return limits_.limitedCount(); }
     /// The number of requests that an endpoint's limit sent elsewhere or refused.
@@ -190,6 +196,8 @@
     bool isLeaving(const EndpointId &endpoint) const override;
 
 private:
+    struct ListedEndpoint;
+
     /// The endpoints of \p item's service that may not get it now.
     ExcludedEndpoints excludedFor(const WorkItem &item, Instant now) const;
     SelectionOutcome selectEndpoint(const WorkItem &item, const std::vector<EndpointId> &tried,
@@ -218,6 +226,12 @@
     std::string describeLimits(const std::vector<EndpointId> &endpoints, Instant now) const;
     void logLimit(const EndpointLimitRecord &record, const char *source) const;
     void logServiceChanges();
+    /// Takes over an entry that holds.
+    void apply(const EndpointEntry &entry, const boost::asio::ip::tcp::endpoint &address,
+               Instant now);
+    /// Takes over the entries that hold since no other one has followed.
+    void applyDeferred(Instant now);
+    void updateSuspect(const EndpointId &endpoint, ListedEndpoint &listed, Instant now);
     /// When the caller of \p item should return if no endpoint that could run it takes requests.
     std::optional<Instant> returnTime(const WorkItem &item, const ExcludedEndpoints &excluded,
                                       Instant now);
@@ -248,6 +262,7 @@
         Instant removeAt = Never; ///< end of the grace period after its entry disappeared
         Instant excludedUntil{};  ///< not chosen before then, since it was unreachable
         bool isLeaving = false;   ///< as published
+        bool isSuspect = false;   ///< as of the last entry or tick
         int entriesToConfirm = 0; ///< until its version is certain
     };
 
@@ -269,6 +284,7 @@
     EndpointRates *rates_ = nullptr;
     EndpointSelector selector_;
     EndpointLimits limits_;
+    EndpointEntryOrder entryOrder_;
     ColdEndpoints cold_;
     EndpointWithdrawals withdrawals_;
     DomainEvacuations evacuations_;
@@ -290,6 +306,7 @@
     uint64_t refusedByRegion_ = 0;
     DistributedRetryBudget retryBudget_;
     std::unordered_map<EndpointId, ListedEndpoint> entries_;
+    std::map<EndpointId, EndpointEntry> deferred_; ///< of processes with an earlier start
     std::map<ServiceId, uint64_t> kvTokens_; ///< of the services whose endpoints' memory is known
     std::set<ServiceId> servedServices_;     ///< services with an endpoint that isn't draining
     bool changed_ = false;
--- a/lib/Decisions/EndpointEligibility.cpp
+++ b/lib/Decisions/EndpointEligibility.cpp
@@ -41,6 +41,8 @@
           &EndpointEligibility::hasLimits},
          {Exclusion::Unreachable, "unreachable", Strictness::WhileOthersCanBeUsed,
           &EndpointEligibility::unreachableEnd, &EndpointEligibility::always},
+         {Exclusion::Suspected, "suspected", Strictness::WhileOthersCanBeUsed,
+          &EndpointEligibility::suspicionEnd, &EndpointEligibility::always},
          {Exclusion::OnTrial, "on_trial", Strictness::WhileOthersCanBeUsed,
           &EndpointEligibility::trialEnd, &EndpointEligibility::hasWithdrawals}}};
 
@@ -160,6 +162,12 @@
     return endpoint.unreachableUntil;
 }
 
+Instant EndpointEligibility::suspicionEnd(const EndpointState &endpoint, const WorkItem &,
+                                          Instant) const
+{
+    return neverIf(endpoint.isSuspect);
+}
+
 Instant EndpointEligibility::trialEnd(const EndpointState &endpoint, const WorkItem &,
                                       Instant now) const
 {
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -458,6 +458,7 @@
 void Edge::onEndpointRows(const std::vector<StoreRow> &rows, bool whole)
 {
     const Instant now = std::chrono::steady_clock::now();
+    const EntrySource source = whole ? EntrySource::Snapshot : EntrySource::Tail;
     std::vector<EndpointId> present;
     for (const StoreRow &row : rows) {
         const EndpointId id(row.key);
@@ -467,7 +468,7 @@
         }
         present.push_back(id);
         try {
-            endpoints_.update(adapter_.decodeEndpoint(row.key, row.value), now);
+            endpoints_.update(adapter_.decodeEndpoint(row.key, row.value), now, source);
         } catch (const std::exception &error) {
             // The endpoint can't be used any more, even if an earlier entry was valid.
             log_.write(Event("endpoint.malformed").with("endpoint", id).with("why", error.what()));
@@ -486,6 +487,7 @@
 {
     if (endpointFollower_->current()) {
         const Instant now = std::chrono::steady_clock::now();
+        endpoints_.onListRead(endpointFollower_->lastReadSentAt());
         streamOrigins_->versions().setListed(endpoints_.listedVersions(), now);
         streamOrigins_->versions().onRead(endpointFollower_->lastReadSentAt(),
                                           endpointFollower_->lastReadSentSinceBoot());
@@ -716,6 +718,7 @@
                    static_cast<double>(endpoints_.requestsRefusedByEvacuation()));
     metrics_.gauge("edge_requests_refused_by_region",
                    static_cast<double>(endpoints_.requestsRefusedByRegion()));
+    metrics_.gauge("edge_endpoints_suspected", static_cast<double>(endpoints_.suspects()));
     metrics_.gauge("edge_endpoints_cold", static_cast<double>(endpoints_.coldEndpoints(now)));
     metrics_.gauge("edge_endpoints_limited", static_cast<double>(endpoints_.limitedEndpoints()));
     if (rates_) {
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -53,14 +53,6 @@
     return "";
 }
 
-/// Whether the store carried out the write of \p entry after that of the later entry \p known.
-bool isOlder(const EndpointEntry &entry, const EndpointEntry &known)
-{
-    const bool areNumbered = entry.startedAtMillis != 0 && entry.sequence != 0;
-    return areNumbered && entry.startedAtMillis == known.startedAtMillis
-           && entry.sequence < known.sequence;
-}
-
 uint64_t sharedPromptTokens(const std::vector<PromptPart> &prompt)
 {
     uint64_t tokens = 0;
@@ -89,7 +81,7 @@
       retryBudget_(retries)
 {}
 
-void EndpointDirectory::update(const EndpointEntry &entry, Instant now)
+void EndpointDirectory::update(const EndpointEntry &entry, Instant now, EntrySource source)
 {
     const std::optional<boost::asio::ip::tcp::endpoint> address = parseTcpAddress(entry.address);
     if (!address) {
@@ -97,18 +89,31 @@
         remove(entry.id, RemovalReason::Malformed, now);
         return;
     }
-    reportReplaced(entry, *address);
-    const auto [found, added] = entries_.try_emplace(entry.id);
-    ListedEndpoint &listed = found->second;
-    const EndpointEntry &known = listed.entry;
-    if (!added && isOlder(entry, known)) {
+    const EntryVerdict verdict =
+            entryOrder_.onEntry({entry.id, entry.startedAtMillis}, entry.sequence, source, now);
+    if (verdict != EntryVerdict::Holds) {
+        if (verdict == EntryVerdict::Deferred) {
+            deferred_[entry.id] = entry;
+        }
         log_.write(Event("endpoint.older_entry")
                            .with("endpoint", entry.id)
+                           .with("started_at", entry.startedAtMillis)
                            .with("sequence", entry.sequence)
-                           .with("known", known.sequence)
-                           .with("draining", entry.draining));
+                           .with("draining", entry.draining)
+                           .with("deferred", verdict == EntryVerdict::Deferred));
         return;
     }
+    apply(entry, *address, now);
+}
+
+void EndpointDirectory::apply(const EndpointEntry &entry,
+                              const boost::asio::ip::tcp::endpoint &address, Instant now)
+{
+    reportReplaced(entry, address);
+    const auto [found, added] = entries_.try_emplace(entry.id);
+    ListedEndpoint &listed = found->second;
+    const EndpointEntry &known = listed.entry;
+    updateSuspect(entry.id, listed, now);
     cold_.onEntry({entry.id, entry.service, entry.startedAtMillis, entry.coldLeft}, now);
     const bool restarted = !added && known.startedAtMillis != entry.startedAtMillis;
     const bool isUnchanged = !added && !restarted && known.address == entry.address
@@ -126,7 +131,7 @@
         return;
     }
     listed.entry = entry;
-    listed.address = *address;
+    listed.address = address;
     listed.region = regionOf(entry.domain);
     listed.removeAt = Never;
     if (restarted) {
@@ -145,9 +150,41 @@
                        .with("version", entry.version)
                        .with("draining", entry.draining)
                        .with("started_at", entry.startedAtMillis)
+                       .with("sequence", entry.sequence)
                        .with("reborn", restarted));
 }
 
+void EndpointDirectory::applyDeferred(Instant now)
+{
+    std::erase_if(deferred_, [this, now](const auto &deferred) {
+        const EndpointEntry &entry = deferred.second;
+        const EndpointProcess process{entry.id, entry.startedAtMillis};
+        const bool isDue = entryOrder_.takeDue(process, now);
+        if (isDue) {
+            apply(entry, *parseTcpAddress(entry.address), now);
+        }
+        return isDue || !entryOrder_.isDeferred(process);
+    });
+}
+
+void EndpointDirectory::updateSuspect(const EndpointId &endpoint, ListedEndpoint &listed,
+                                      Instant now)
+{
+    const bool isSuspect = entryOrder_.isSuspect(endpoint, now);
+    if (isSuspect != listed.isSuspect) {
+        listed.isSuspect = isSuspect;
+        log_.write(Event(isSuspect ? "endpoint.suspected" : "endpoint.confirmed")
+                           .with("endpoint", endpoint));
+    }
+}
+
+std::size_t EndpointDirectory::suspects() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(entries_.begin(), entries_.end(),
+                          [](const auto &entry) { return entry.second.isSuspect; }));
+}
+
 void EndpointDirectory::reportReplaced(const EndpointEntry &entry,
                                        const boost::asio::ip::tcp::endpoint &address)
 {
@@ -167,6 +204,7 @@
 
 void EndpointDirectory::remove(const EndpointId &id, RemovalReason reason, Instant now)
 {
+    entryOrder_.onRemoved(id, now);
     const auto found = entries_.find(id);
     if (found == entries_.end() || found->second.removeAt != Never) {
         return;
@@ -203,6 +241,7 @@
         storeReachableSince_ = now;
     }
     storeReachable_ = reachable;
+    entryOrder_.setStoreReachable(reachable, now);
 }
 
 void EndpointDirectory::tick(Instant now)
@@ -223,6 +262,11 @@
     if (entries_.size() != before) {
         changed_ = true;
     }
+    for (auto &[id, listed] : entries_) {
+        updateSuspect(id, listed, now);
+    }
+    applyDeferred(now);
+    entryOrder_.dropExpired(now);
     limits_.dropExpired(now);
     withdrawals_.dropExpired(now);
     // Those that are still here belong to callers who left while they waited.
--- a/lib/Edge/EndpointDirectoryExclusions.cpp
+++ b/lib/Edge/EndpointDirectoryExclusions.cpp
@@ -21,7 +21,8 @@
     for (const auto &[id, listed] : entries_) {
         if (listed.entry.service == item.service) {
             checks.check({id, listed.entry.version, listed.entry.domain, listed.region,
-                          listed.isLeaving, listed.excludedUntil, listed.entriesToConfirm == 0},
+                          listed.isLeaving, listed.excludedUntil, listed.entriesToConfirm == 0,
+                          listed.isSuspect},
                          excluded);
         }
     }
