[Edge] Write a host's row again behind a late one of its previous process

Rows of hosts in the edge's own topic have no number: the one that the store carries out last holds. A process that is stopped removes its row; if that write is carried out late, or the first one of a process that was killed, it stands behind the row of the next process, which was read back long before and never written again. The others then don't know the host, or take it for its previous process, until it is started again: no tokens move there, its requests aren't relayed (a relay takes only listed processes), and retry budgets and endpoints' limits are shared by the wrong number of hosts.

A process that reads another row of its host behind its own writes its own again. It takes that one no more for its predecessor, whose tokens were dealt with when its own row was read first.

LateHostRow, real processes, failed before in 2 of 2 rows on and passes in 2 of 2.

--- a/include/sequoiagate/Edge/TokenService.h
+++ b/include/sequoiagate/Edge/TokenService.h
@@ -89,6 +89,8 @@
     void onBudgetRow(const StoreRow &row);
     void onBatchRow(const StoreRow &row);
     void onHostRow(const StoreRow &row);
+    /// Writes this process's host row again, after another one was read behind it.
+    void onOwnHostRowReplaced();
     void findPredecessor();
     void sealPredecessor(Instant now);
     /// Logs how many tokens of \p dead are returned and how many stay counted as spent.
--- a/lib/Edge/TokenService.cpp
+++ b/lib/Edge/TokenService.cpp
@@ -357,6 +357,9 @@
     const HostId host = hostOf(row);
     if (row.value.empty()) {
         hosts_.erase(host.text());
+        if (host == settings_.host) {
+            onOwnHostRowReplaced();
+        }
         return;
     }
     try {
@@ -365,6 +368,10 @@
         if (peer.host != settings_.host) {
             return;
         }
+        if (peer.incarnation != settings_.incarnation && ownHostRowRead_) {
+            onOwnHostRowReplaced();
+            return;
+        }
         if (peer.incarnation != settings_.incarnation) {
             previousProcess_ = peer;
             return;
@@ -377,6 +384,16 @@
     }
 }
 
+void TokenService::onOwnHostRowReplaced()
+{
+    if (!ownHostRowRead_ || onStopped_) {
+        return;
+    }
+    // A write of the process before was carried out late.
+    log_.write(Event("ledger.host_row_replaced"));
+    hostRowQueued_ = false;
+}
+
 void TokenService::applyPolicies(uint32_t hosts)
 {
     const bool areApplied = hosts >= settings_.policiesFromHosts;
--- a/test/Edge/LateEntryTest.cpp
+++ b/test/Edge/LateEntryTest.cpp
@@ -1,4 +1,5 @@
-/// Heartbeats of an endpoint that the store carries out after its removal.
+/// Rows that the store carries out late: behind an endpoint's removal, or behind those of the next
+/// process.
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -100,4 +101,36 @@
                         LateHeartbeatCase{"OfAReplacedProcess", true, "endpoint.older_entry"}),
         [](const auto &row) { return row.param.name; });
 
+struct LateHostRowCase
+{
+    const char *name;
+    bool isRemoval;
+};
+
+class LateHostRow : public EdgeProcess, public testing::WithParamInterface<LateHostRowCase>
+{};
+
+// Guards against a host that the others don't know any more since its previous process's row, or
+// the removal of that row, was written late.
+TEST_P(LateHostRow, IsFollowedByThatOfTheRunningProcess)
+{
+    const std::string key = "host/h1";
+    const auto edge = start(1, "edge");
+    ASSERT_TRUE(eventually([] { return status(post(1, "first", 1)) == 200; }));
+    const std::string own = store_.newest(OwnTopic).at(key);
+    nlohmann::json previous = nlohmann::json::parse(own);
+    previous["incarnation"] = "0123456789abcdef0123456789abcdef";
+    store_.put(OwnTopic, key, GetParam().isRemoval ? std::string() : previous.dump());
+    EXPECT_TRUE(eventually([this, &key, &own] {
+        const auto rows = store_.newest(OwnTopic);
+        const auto found = rows.find(key);
+        return found != rows.end() && found->second == own;
+    }));
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, LateHostRow,
+                         testing::Values(LateHostRowCase{"Removal", true},
+                                         LateHostRowCase{"OfThePreviousProcess", false}),
+                         [](const auto &row) { return row.param.name; });
+
 } // namespace
