[Edge] Count a stop's grace period from before the process was held up

The platform counts the grace period from the signal, and the process from its handler. One that was held up in between took requests of any length for as much longer, and meant to give them up at a time at which the platform had killed it already: the 0.2 s of MaxSignalDelay were all its margin.

The signal may have come at any time since the tick before the last one; what lies beyond two ticks by the clock since boot is taken off all the stop's times. Without a hold-up nothing changes.

EdgeProcess.StopThatBeginsLateRefusesWhatMayNotEndInTime (1.2 s between the signal and its handler, 0.8 s in which callers are taken) failed before on: a stream of ten seconds was taken and cut.

Not covered: a request that is whole in the socket when the process goes on may be read before the signal's handler runs, and is taken then.

--- a/include/sequoiagate/Edge/Edge.h
+++ b/include/sequoiagate/Edge/Edge.h
@@ -80,6 +80,8 @@
     void checkStop();
     /// When a request that is received now must have ended; nullopt unless the process stops.
     std::optional<Instant> latestEnd() const;
+    /// How long a signal may have waited for its handler, beyond the usual.
+    Interval heldUpFor() const;
     void drainCallers();
     void abortCallers(Instant now);
     void tick();
@@ -140,6 +142,8 @@
     Instant closeAt_ = Never; ///< aborted connections are closed then
     Instant endAt_ = Never;   ///< the process exits then even if requests are open
     Instant tickDueAt_ = Never;
+    Millis tickedSinceBoot_{};       ///< the clock since boot at the last tick
+    Millis previousTickSinceBoot_{}; ///< at the tick before it
     Instant nextGossipAt_{};
     std::size_t abortedConnections_ = 0;
     std::exception_ptr failure_; ///< thrown by the last handler that failed
--- a/lib/Edge/Edge.cpp
+++ b/lib/Edge/Edge.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 #include "Addresses.h"
 #include "CrashingPartsLink.h"
@@ -561,15 +562,30 @@
         return;
     }
     drain_.handle("stop");
-    const Instant now = std::chrono::steady_clock::now();
-    acceptUntil_ = now + settings_.readyGrace;
+    const Interval heldUp = heldUpFor();
+    // The platform counts the grace period from the signal, not from its handler.
+    const Instant signalledAt = std::chrono::steady_clock::now() - heldUp;
+    acceptUntil_ = signalledAt + settings_.readyGrace;
     takeAllUntil_ = acceptUntil_ - MaxSignalDelay;
-    abortAt_ = now + settings_.stopGrace - AbortBeforeEnd;
-    endAt_ = now + settings_.stopGrace;
-    log_.write(Event(events::ProcessDraining).with("callers", callers_.size()));
+    abortAt_ = signalledAt + settings_.stopGrace - AbortBeforeEnd;
+    endAt_ = signalledAt + settings_.stopGrace;
+    log_.write(Event(events::ProcessDraining)
+                       .with("callers", callers_.size())
+                       .with("held_up_ms", std::chrono::duration_cast<Millis>(heldUp).count()));
     drainCallers();
 }
 
+Interval Edge::heldUpFor() const
+{
+    if (previousTickSinceBoot_ == Millis::zero()) {
+        return Interval::zero();
+    }
+    // The last tick may have run in the loop's present iteration, behind what held the process up.
+    // The steady clock stands still while the host sleeps.
+    return std::max<Interval>(sinceBoot() - previousTickSinceBoot_ - 2 * TickInterval,
+                              Interval::zero());
+}
+
 std::optional<Instant> Edge::latestEnd() const
 {
     const bool takesAll =
@@ -641,6 +657,7 @@
 void Edge::tick()
 {
     const Instant now = std::chrono::steady_clock::now();
+    previousTickSinceBoot_ = std::exchange(tickedSinceBoot_, sinceBoot());
     recordLoopLag(now);
     // Armed first, so that a stop completes even if something below throws.
     tickDueAt_ = now + TickInterval;
--- a/test/Edge/LateRequestTest.cpp
+++ b/test/Edge/LateRequestTest.cpp
@@ -159,4 +159,32 @@
 INSTANTIATE_TEST_SUITE_P(Rows, LateRequests, testing::ValuesIn(LateRequestRows),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against counting the grace period from a signal handler that ran late.
+TEST_F(EdgeProcess, StopThatBeginsLateRefusesWhatMayNotEndInTime)
+{
+    nlohmann::json values = settings(1);
+    values["ready_grace_ms"] = ReadyGrace.count();
+    values["stop_grace_ms"] = StopGrace.count();
+    Process edge(scratch_, "sequoia-edge", "edge", values);
+    ASSERT_TRUE(eventually([] { return status(post(1, "r1", 1)) == 200; }));
+    Connection connection(1);
+    connection.send(head("/once/a", "first", Long, 0) + "body");
+    connection.readUntil("ran /once/a");
+    const int runs = endpoint_.runs();
+    connection.send(head("/stream/a", "late", Long, 1000) + "bo");
+    // The head is read before the process is held up.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    edge.signal(SIGSTOP);
+    edge.signal(SIGTERM);
+    std::this_thread::sleep_for(Late);
+    edge.signal(SIGCONT);
+    edge.waitFor("process.draining");
+    connection.send("dy");
+    const std::string answer = connection.readUntil("0\r\n\r\n");
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 503") << answer;
+    EXPECT_EQ(endpoint_.runs(), runs);
+    EXPECT_EQ(edge.wait(), 0);
+    EXPECT_EQ(edge.waitFor("process.stopped").at("cut_off"), 0);
+}
+
 } // namespace
