[Edge] Suspect no endpoint where most of its service would be

A host that starts just after an outage of the store doesn't know of it.

Late writes are few. Where more than half of a service's endpoints would be suspects, none is. Suspects are counted when the list is published, and not at all while there are none.

LateEntries TwoOfThree failed without the rule and passes; *Late* in unittests-Edge 40 of 40, LateHeartbeat and LateHostRow 4 of 4.

--- a/include/sequoiagate/Decisions/EndpointEntryOrder.h
+++ b/include/sequoiagate/Decisions/EndpointEntryOrder.h
@@ -83,6 +83,8 @@
     void dropExpired(Instant now);
 
     bool isSuspect(const EndpointId &endpoint, Instant now) const;
+    /// Whether there may be suspects.
+    bool hasSuspects(Instant now) const { return now < lastSuspectUntil_; }
     /// Whether the entry of \p process is deferred still.
     bool isDeferred(const EndpointProcess &process) const;
     /// The number of endpoints, including removed ones, whose numbers are kept.
@@ -121,12 +123,13 @@
     static EntryVerdict defer(Endpoint &known, uint64_t startedAtMillis, uint64_t sequence,
                               Instant now);
     static void setKnown(Endpoint &endpoint, uint64_t startedAtMillis, uint64_t sequence);
-    static void suspect(Endpoint &endpoint, Instant now);
+    void suspect(Endpoint &endpoint, Instant now);
     bool isJustAfterOutage(Instant now) const;
 
     std::unordered_map<EndpointId, Endpoint> endpoints_;
     std::deque<Removal> removals_; ///< in their order; some are of endpoints listed again
     Instant readAsOf_{};
+    Instant lastSuspectUntil_{};
     bool hasLostStore_ = false;
     Instant storeReturnedAt_{};
 };
--- a/include/sequoiagate/Edge/EndpointDirectory.h
+++ b/include/sequoiagate/Edge/EndpointDirectory.h
@@ -196,8 +196,6 @@
     bool isLeaving(const EndpointId &endpoint) const override;
 
 private:
-    struct ListedEndpoint;
-
     /// The endpoints of \p item's service that may not get it now.
     ExcludedEndpoints excludedFor(const WorkItem &item, Instant now) const;
     SelectionOutcome selectEndpoint(const WorkItem &item, const std::vector<EndpointId> &tried,
@@ -231,7 +229,7 @@
                Instant now);
     /// Takes over the entries that hold since no other one has followed.
     void applyDeferred(Instant now);
-    void updateSuspect(const EndpointId &endpoint, ListedEndpoint &listed, Instant now);
+    void updateSuspects(Instant now);
     /// When the caller of \p item should return if no endpoint that could run it takes requests.
     std::optional<Instant> returnTime(const WorkItem &item, const ExcludedEndpoints &excluded,
                                       Instant now);
@@ -262,7 +260,7 @@
         Instant removeAt = Never; ///< end of the grace period after its entry disappeared
         Instant excludedUntil{};  ///< not chosen before then, since it was unreachable
         bool isLeaving = false;   ///< as published
-        bool isSuspect = false;   ///< as of the last entry or tick
+        bool isSuspect = false;   ///< while few of its service are; as published
         int entriesToConfirm = 0; ///< until its version is certain
     };
 
@@ -310,6 +308,7 @@
     std::map<ServiceId, uint64_t> kvTokens_; ///< of the services whose endpoints' memory is known
     std::set<ServiceId> servedServices_;     ///< services with an endpoint that isn't draining
     bool changed_ = false;
+    bool hadSuspects_ = false; ///< as published
     bool storeReachable_ = false;
     Instant storeReachableSince_{};
 };
--- a/lib/Decisions/EndpointEntryOrder.cpp
+++ b/lib/Decisions/EndpointEntryOrder.cpp
@@ -104,6 +104,7 @@
 void EndpointEntryOrder::suspect(Endpoint &endpoint, Instant now)
 {
     endpoint.suspectUntil = now + SuspicionLifetime;
+    lastSuspectUntil_ = endpoint.suspectUntil;
     endpoint.confirmableAt = now + ConfirmationSpan;
 }
 
--- a/lib/Edge/EndpointDirectory.cpp
+++ b/lib/Edge/EndpointDirectory.cpp
@@ -113,7 +113,6 @@
     const auto [found, added] = entries_.try_emplace(entry.id);
     ListedEndpoint &listed = found->second;
     const EndpointEntry &known = listed.entry;
-    updateSuspect(entry.id, listed, now);
     cold_.onEntry({entry.id, entry.service, entry.startedAtMillis, entry.coldLeft}, now);
     const bool restarted = !added && known.startedAtMillis != entry.startedAtMillis;
     const bool isUnchanged = !added && !restarted && known.address == entry.address
@@ -167,14 +166,35 @@
     });
 }
 
-void EndpointDirectory::updateSuspect(const EndpointId &endpoint, ListedEndpoint &listed,
-                                      Instant now)
+void EndpointDirectory::updateSuspects(Instant now)
 {
-    const bool isSuspect = entryOrder_.isSuspect(endpoint, now);
-    if (isSuspect != listed.isSuspect) {
-        listed.isSuspect = isSuspect;
-        log_.write(Event(isSuspect ? "endpoint.suspected" : "endpoint.confirmed")
-                           .with("endpoint", endpoint));
+    if (!hadSuspects_ && !entryOrder_.hasSuspects(now)) {
+        return;
+    }
+    struct Count
+    {
+        std::size_t endpoints = 0;
+        std::size_t suspects = 0;
+    };
+    std::map<ServiceId, Count> counts;
+    for (const auto &[id, listed] : entries_) {
+        Count &count = counts[listed.entry.service];
+        ++count.endpoints;
+        count.suspects += entryOrder_.isSuspect(id, now) ? 1 : 0;
+    }
+    hadSuspects_ = false;
+    for (auto &[id, listed] : entries_) {
+        // Late writes are few. Most endpoints of a service come back where their entries expired in
+        // an outage that this host didn't see.
+        const Count &count = counts.at(listed.entry.service);
+        const bool isSuspect =
+                2 * count.suspects <= count.endpoints && entryOrder_.isSuspect(id, now);
+        hadSuspects_ = hadSuspects_ || isSuspect;
+        if (isSuspect != listed.isSuspect) {
+            listed.isSuspect = isSuspect;
+            log_.write(Event(isSuspect ? "endpoint.suspected" : "endpoint.confirmed")
+                               .with("endpoint", id));
+        }
     }
 }
 
@@ -262,9 +282,6 @@
     if (entries_.size() != before) {
         changed_ = true;
     }
-    for (auto &[id, listed] : entries_) {
-        updateSuspect(id, listed, now);
-    }
     applyDeferred(now);
     entryOrder_.dropExpired(now);
     limits_.dropExpired(now);
@@ -277,6 +294,7 @@
 
 void EndpointDirectory::publish(Instant now)
 {
+    updateSuspects(now);
     if (!changed_) {
         return;
     }
--- a/unittests/Edge/LateEntryTest.cpp
+++ b/unittests/Edge/LateEntryTest.cpp
@@ -305,4 +305,29 @@
 INSTANTIATE_TEST_SUITE_P(Returns, LateEntry, testing::ValuesIn(ReturnCases),
                          [](const auto &row) { return row.param.name; });
 
+class LateEntries : public LateEntry
+{};
+
+// Guards against a host that uses few endpoints since it started when the entries of the others had
+// expired in an outage.
+TEST_P(LateEntries, OfMostEndpointsMakeNoSuspects)
+{
+    directory_.setStoreReachable(true, now_ - std::chrono::minutes(1));
+    readOther();
+    for (const Step &step : GetParam().steps) {
+        now_ += std::chrono::milliseconds(step.afterMs);
+        directory_.update(entryOf(step.startedAt == 5 ? "e" : "e-2", 5, step.sequence), now_,
+                          EntrySource::Tail);
+        directory_.publish(now_);
+        EXPECT_EQ(isUsed(), step.isUsed);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, LateEntries,
+                         testing::Values(LateEntryCase{"OneOfTwo", {{1000, Entry, 5, 9, false, 5}}},
+                                         LateEntryCase{"TwoOfThree",
+                                                       {{1000, Entry, 5, 9, false, 5},
+                                                        {300, Entry, 6, 9, true, 5}}}),
+                         [](const auto &row) { return row.param.name; });
+
 } // namespace
