--- a/test/Edge/LateRequestTest.cpp
+++ b/test/Edge/LateRequestTest.cpp
@@ -159,8 +159,17 @@
 INSTANTIATE_TEST_SUITE_P(Rows, LateRequests, testing::ValuesIn(LateRequestRows),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct LateStopCase
+{
+    const char *name;
+    bool isSentWhole; ///< before the process goes on
+};
+
+class StopThatBeginsLate : public EdgeProcess, public testing::WithParamInterface<LateStopCase>
+{};
+
 // Guards against counting the grace period from a signal handler that ran late.
-TEST_F(EdgeProcess, StopThatBeginsLateRefusesWhatMayNotEndInTime)
+TEST_P(StopThatBeginsLate, RefusesWhatMayNotEndInTime)
 {
     nlohmann::json values = settings(1);
     values["ready_grace_ms"] = ReadyGrace.count();
@@ -176,15 +185,25 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     edge.signal(SIGSTOP);
     edge.signal(SIGTERM);
+    if (GetParam().isSentWhole) {
+        connection.send("dy");
+    }
     std::this_thread::sleep_for(Late);
     edge.signal(SIGCONT);
-    edge.waitFor("process.draining");
-    connection.send("dy");
+    if (!GetParam().isSentWhole) {
+        edge.waitFor("process.draining");
+        connection.send("dy");
+    }
     const std::string answer = connection.readUntil("0\r\n\r\n");
-    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 503") << answer;
+    EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 503") << answer.substr(0, 200);
     EXPECT_EQ(endpoint_.runs(), runs);
     EXPECT_EQ(edge.wait(), 0);
     EXPECT_EQ(edge.waitFor("process.stopped").at("cut_off"), 0);
 }
 
+INSTANTIATE_TEST_SUITE_P(Rows, StopThatBeginsLate,
+                         testing::Values(LateStopCase{"EndOfTheRequestAfterwards", false},
+                                         LateStopCase{"WholeRequestMeanwhile", true}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
