--- a/test/Edge/UnframedResponseTest.cpp
+++ b/test/Edge/UnframedResponseTest.cpp
@@ -3,12 +3,12 @@
 #include <csignal>
 #include <thread>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "PartitionedFleet.h"
+#include "test/Support/RawEndpoint.h"
 
 using namespace sequoiagate;
 using boost::asio::ip::tcp;
@@ -24,64 +24,20 @@
 class UnframedEndpoint
 {
 public:
-    explicit UnframedEndpoint(const std::string &ip) : acceptor_(io_)
-    {
-        const tcp::endpoint address(boost::asio::ip::make_address(ip), 0);
-        acceptor_.open(tcp::v4());
-        acceptor_.bind(address);
-        acceptor_.listen();
-        acceptor_.non_blocking(true);
-        thread_ = std::thread([this] { accept(); });
-    }
-    ~UnframedEndpoint()
-    {
-        isDone_ = true;
-        thread_.join();
-    }
-    UnframedEndpoint(const UnframedEndpoint &) = delete;
-    UnframedEndpoint &operator=(const UnframedEndpoint &) = delete;
+    explicit UnframedEndpoint(const std::string &ip)
+        : endpoint_(ip, [this](tcp::socket &socket, const std::string &request) {
+              answer(socket, request);
+          })
+    {}
 
-    std::string address() const
-    {
-        const tcp::endpoint local = acceptor_.local_endpoint();
-        return fmt::format("{}:{}", local.address().to_string(), local.port());
-    }
+    std::string address() const { return endpoint_.address(); }
     int begun() const { return begun_; }
 
 private:
-    void accept()
-    {
-        std::vector<std::thread> connections;
-        while (!isDone_) {
-            error_code error;
-            tcp::socket socket(io_);
-            acceptor_.accept(socket, error);
-            if (error) {
-                std::this_thread::sleep_for(std::chrono::milliseconds(5));
-                continue;
-            }
-            connections.emplace_back(
-                    [this, accepted = std::move(socket)]() mutable { answer(accepted); });
-        }
-        for (std::thread &connection : connections) {
-            connection.join();
-        }
-    }
-
-    void answer(tcp::socket &socket)
+    void answer(tcp::socket &socket, const std::string &request)
     {
         error_code error;
-        socket.non_blocking(false);
-        std::array<char, 4096> buffer{};
-        std::string request;
-        while (!error && request.find("\r\n\r\n") == std::string::npos) {
-            request.append(buffer.data(), socket.read_some(boost::asio::buffer(buffer), error));
-        }
-        const std::size_t id = request.find("Request-Id: ");
-        if (id == std::string::npos) {
-            return; // a probe
-        }
-        const std::string name = request.substr(id, request.find("\r\n", id) - id);
+        const std::string name = requestIdLine(request);
         const bool isStream = request.find("/stream/") != std::string::npos;
         const bool isProbe = name.find("probe") != std::string::npos;
         boost::asio::write(socket,
@@ -91,7 +47,8 @@
                                    name, isStream ? "text/event-stream" : "text/plain")),
                            error);
         begun_ += isProbe ? 0 : 1;
-        for (int piece = 1; piece <= (isProbe ? 1 : Pieces) && !error && !isDone_; ++piece) {
+        const int pieces = isProbe ? 1 : Pieces;
+        for (int piece = 1; piece <= pieces && !error && !endpoint_.isStopping(); ++piece) {
             const std::string text = isStream ? fmt::format("id: {}\ndata: x\n\n", piece)
                                               : fmt::format("line {}\n", piece);
             boost::asio::write(socket, boost::asio::buffer(text), error);
@@ -99,11 +56,8 @@
         }
     }
 
-    boost::asio::io_context io_;
-    tcp::acceptor acceptor_;
-    std::atomic<bool> isDone_{false};
     std::atomic<int> begun_{0};
-    std::thread thread_;
+    RawEndpoint endpoint_;
 };
 
 struct RelayTrouble
--- a/unittests/Proxy/HttpReaderTest.cpp
+++ b/unittests/Proxy/HttpReaderTest.cpp
@@ -114,6 +114,141 @@
 INSTANTIATE_TEST_SUITE_P(Rows, HttpRequestReading, testing::ValuesIn(RequestCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct ResponseCase
+{
+    std::string name;
+    std::string bytes;
+    HttpParseError error = HttpParseError::Malformed;
+    int status = 0;           ///< of a message that is accepted
+    std::size_t leftover = 0; ///< bytes that belong to no message
+};
+
+constexpr const char *TwoBytes = "Content-Length: 2\r\n";
+
+std::string responseOf(const std::string &statusLine, const std::string &fields = TwoBytes)
+{
+    return statusLine + "\r\n" + fields + "\r\nok";
+}
+
+ResponseCase statusRow(const std::string &name, const std::string &statusLine)
+{
+    return {"Status" + name, responseOf(statusLine)};
+}
+
+ResponseCase soundRow(const std::string &name, const std::string &bytes, int status = 200)
+{
+    return {name, bytes, HttpParseError::None, status};
+}
+
+/// \p fields precede the length, \p after follows it.
+ResponseCase fieldRow(const std::string &name, const std::string &fields,
+                      const std::string &after = "")
+{
+    return {name, responseOf("HTTP/1.1 200 OK", fields + TwoBytes + after)};
+}
+
+std::vector<ResponseCase> statusCases()
+{
+    using namespace std::string_literals;
+    return {
+            statusRow("BelowTwoDigits", "HTTP/1.1 20 OK"),
+            statusRow("AboveThreeDigits", "HTTP/1.1 2000 OK"),
+            statusRow("OfLetters", "HTTP/1.1 2x0 OK"),
+            statusRow("WithASign", "HTTP/1.1 +20 OK"),
+            statusRow("ZeroWithoutABlank", "HTTP/1.1 000"),
+            statusRow("OfVersion09", "HTTP/0.9 200 OK"),
+            statusRow("OfVersion17", "HTTP/1.7 200 OK"),
+            statusRow("OfVersion20", "HTTP/2.0 200 OK"),
+            statusRow("WithNulInTheReason", "HTTP/1.1 200 O\0K"s),
+            statusRow("WithCrInTheReason", "HTTP/1.1 200 O\rK"),
+            soundRow("LowestFinalStatus", responseOf("HTTP/1.1 200 OK")),
+            soundRow("StatusWithoutAReason", responseOf("HTTP/1.1 200 ")),
+            soundRow("UnknownStatus", responseOf("HTTP/1.1 299 Odd"), 299),
+            soundRow("HighestStatus", responseOf("HTTP/1.1 599 Odd"), 599),
+            soundRow("OfVersion10", responseOf("HTTP/1.0 200 OK")),
+    };
+}
+
+std::vector<ResponseCase> fieldCases()
+{
+    using namespace std::string_literals;
+    std::vector<ResponseCase> rows = {
+            fieldRow("BlankBeforeTheColon", "Field : 1\r\n"),
+            fieldRow("TabBeforeTheColon", "Field\t: 1\r\n"),
+            fieldRow("NoName", ": 1\r\n"),
+            fieldRow("NoColon", "Field\r\n"),
+            fieldRow("NulInTheValue", "Field: 1\0002\r\n"s),
+            fieldRow("CrInTheValue", "Field: 1\r2\r\n"),
+            fieldRow("ControlByteInTheValue", "Field: 1\0012\r\n"),
+            fieldRow("LoneLineFeed", "Field: 1\nOther: 2\r\n"),
+            fieldRow("OtherLength", "Content-Length: 3\r\n"),
+            fieldRow("NameBehindTheLength", "", "Fie ld: 1\r\n"),
+            {"SignedLength", responseOf("HTTP/1.1 200 OK", "Content-Length: +2\r\n")},
+            {"TwoLengthsInAField", responseOf("HTTP/1.1 200 OK", "Content-Length: 2, 3\r\n")},
+            {"BlankBehindTheNameOfTheLength",
+             responseOf("HTTP/1.1 200 OK", "Content-Length : 2\r\n")},
+            {"BlankInTheNameOfTheLength", responseOf("HTTP/1.1 200 OK", "Content Length: 2\r\n")},
+            {"BlankBehindTheNameOfTheCoding",
+             responseOf("HTTP/1.1 200 OK", "Transfer-Encoding : chunked\r\n")},
+            fieldRow("BlankBeforeTheFirstName", " Field: 1\r\n"),
+            fieldRow("BlankBeforeTheLastName", "", " Other: 2\r\n"),
+            soundRow("BlanksAroundTheValue",
+                     responseOf("HTTP/1.1 200 OK", "Content-Length: \t2 \r\n")),
+            soundRow("EmptyValue",
+                     responseOf("HTTP/1.1 200 OK", "Field:\r\nContent-Length: 2\r\n")),
+            soundRow("BodyThatBeginsWithABlank", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n o"),
+    };
+    const std::string_view separators = "\"(),/;<=>?@[\\]{}";
+    for (int byte = 0; byte < 256; ++byte) {
+        const char c = static_cast<char>(byte);
+        const bool isOutsideAscii = byte <= ' ' || byte >= 127;
+        // A carriage return or a line feed would make it another line.
+        const bool endsLine = c == '\r' || c == '\n';
+        if (!endsLine && (isOutsideAscii || separators.find(c) != std::string_view::npos)) {
+            rows.push_back(fieldRow(fmt::format("NameWithByte{:02x}", byte),
+                                    std::string("Fie") + c + "ld: 1\r\n"));
+        }
+    }
+    return rows;
+}
+
+class HttpResponseReading : public testing::TestWithParam<ResponseCase>
+{};
+
+// Guards against a malformed response that is taken for an answer.
+TEST_P(HttpResponseReading, WholeOrByteByByte)
+{
+    const ResponseCase &row = GetParam();
+    ResponseReader whole(smallLimits());
+    const std::size_t used = whole.feed(row.bytes);
+    ResponseReader slow(smallLimits());
+    std::size_t fed = 0;
+    for (const char c : row.bytes) {
+        fed += slow.feed(std::string_view(&c, 1));
+    }
+    EXPECT_EQ(whole.fault(), row.error);
+    EXPECT_EQ(slow.fault(), row.error);
+    const bool isAccepted = row.error == HttpParseError::None;
+    EXPECT_EQ(whole.hasHead(), isAccepted);
+    EXPECT_EQ(slow.hasHead(), isAccepted);
+    if (!isAccepted) {
+        return;
+    }
+    EXPECT_EQ(used, row.bytes.size() - row.leftover);
+    EXPECT_EQ(fed, used);
+    for (ResponseReader *reader : {&whole, &slow}) {
+        EXPECT_TRUE(reader->done());
+        EXPECT_EQ(reader->head().status, row.status);
+        EXPECT_EQ(findField(reader->head().fields, "Link"), nullptr);
+        EXPECT_EQ(reader->takeBody().size(), 2U);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, HttpResponseReading, testing::ValuesIn(statusCases()),
+                         [](const auto &row) { return row.param.name; });
+INSTANTIATE_TEST_SUITE_P(Fields, HttpResponseReading, testing::ValuesIn(fieldCases()),
+                         [](const auto &row) { return row.param.name; });
+
 struct ClosedCase
 {
     const char *name;
--- /dev/null
+++ b/unittests/Proxy/MalformedResponseTest.cpp
@@ -0,0 +1,103 @@
+/// Endpoints that send a malformed response.
+
+#include <gtest/gtest.h>
+
+#include "ProxyTestHarness.h"
+
+using namespace sequoiagate;
+
+namespace {
+
+constexpr const char *EstablishedFramed = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+constexpr const char *Fields = "Request-Id: 7\r\nContent-Length: 4\r\nResponse-Stamp: s\r\n";
+
+std::string response(const std::string &statusLine, const std::string &extra = "")
+{
+    return statusLine + "\r\n" + Fields + extra + "\r\nevil";
+}
+
+const std::string Sound = std::string("HTTP/1.1 200 OK\r\n") + Fields + "\r\ngood";
+
+struct MalformedCase
+{
+    const char *name;
+    std::string bytes;
+};
+
+const MalformedCase MalformedCases[] = {
+        {"BlankInAName", response("HTTP/1.1 200 OK", "Fie ld: 1\r\n")},
+        {"ControlByteInAName", response("HTTP/1.1 200 OK", "Fie\001ld: 1\r\n")},
+        {"BlankBeforeTheColon", response("HTTP/1.1 200 OK", "Field : 1\r\n")},
+        {"BlankInTheNameOfTheLength",
+         "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nResponse-Stamp: s\r\nContent Length: 4\r\n\r\nevil"},
+};
+
+struct Path
+{
+    const char *name;
+    bool isRelayed;
+};
+
+const Path Paths[] = {{"", false}, {"OverARelay", true}};
+
+class MalformedResponse : public testing::TestWithParam<std::tuple<MalformedCase, Path>>
+{
+protected:
+    /// Endpoints that send \p responses and close behind them.
+    static std::vector<std::vector<Reply>> scripts(const std::vector<std::string> &responses)
+    {
+        std::vector<std::vector<Reply>> result;
+        for (const std::string &bytes : responses) {
+            result.push_back(
+                    isRelayed() ? std::vector<Reply>{{EstablishedFramed},
+                                                     {writeChunk(bytes) + std::string(LastChunk)}}
+                                : std::vector<Reply>{{bytes, AfterReply::Close}});
+        }
+        return result;
+    }
+
+    static bool isRelayed() { return std::get<1>(GetParam()).isRelayed; }
+
+    static void setRelays(ProxyTestHarness &harness)
+    {
+        for (std::size_t i = 0; isRelayed() && i < harness.endpoints.size(); ++i) {
+            harness.placement.endpoints[i].relay =
+                    RelayRoute{HostId("other"), harness.endpoints[i]->address(), false};
+        }
+    }
+};
+
+// Guards against a malformed response that reaches the caller.
+TEST_P(MalformedResponse, IsNoAnswer)
+{
+    ProxyTestHarness harness(scripts({std::get<0>(GetParam()).bytes}));
+    setRelays(harness);
+    harness.send(ProxyTestHarness::request("/once/a", "7"));
+    EXPECT_TRUE(harness.waitFor("HTTP/1.1 502")) << harness.received();
+    EXPECT_EQ(harness.received().find("evil"), std::string::npos) << harness.received();
+    EXPECT_FALSE(harness.closed());
+    // The request may have run.
+    EXPECT_EQ(harness.placement.sent, 1);
+    EXPECT_EQ(harness.received().find("Not-Executed"), std::string::npos);
+}
+
+TEST_P(MalformedResponse, IsRepeatedElsewhere)
+{
+    ProxyTestHarness harness(scripts({std::get<0>(GetParam()).bytes, Sound}));
+    setRelays(harness);
+    harness.send(ProxyTestHarness::request("/get/a", "7"));
+    EXPECT_TRUE(harness.waitFor("good")) << harness.received();
+    EXPECT_EQ(harness.received().find("evil"), std::string::npos) << harness.received();
+    EXPECT_EQ(harness.received().rfind("HTTP/1.1 200 OK", 0), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, MalformedResponse,
+                         testing::Combine(testing::ValuesIn(MalformedCases),
+                                          testing::ValuesIn(Paths)),
+                         [](const auto &row) {
+                             return std::string(std::get<0>(row.param).name)
+                                    + std::get<1>(row.param).name;
+                         });
+
+} // namespace
