[Proxy] Reject responses whose status code is none

What callers saw: an endpoint in trouble answered with status 000, and the caller got that as its answer, with the status line "HTTP/1.1 0 OK". The same with 001 to 099, 101 and 600 to 999.

Cause: Boost.Beast checks that a status has three digits, and HttpReader took any number for a final response. Codes outside 100 to 599 are invalid (RFC 9110, 15), and 101 ends an exchange by a change of protocol, which is never asked for.

The store's status 020, 101 and 600 were taken for a rejection of a write that may have been done (3 rows of MalformedStoreResponse), and a relaying host believed what 000 and 101 said of the endpoint (2 rows of MalformedHead).

Why the fix works: the reader is the one place through which responses of endpoints, the store and relays come, and it reports no head for such a status, so that nothing of it is believed or passed on. The request may have run: it fails with 502, or is repeated if it may be.

--- a/include/sequoiagate/Proxy/HttpMessage.h
+++ b/include/sequoiagate/Proxy/HttpMessage.h
@@ -45,6 +45,14 @@
 /// \param fields all fields of the message; its Connection field may name further ones
 bool isHopByHop(std::string_view name, const HttpFields &fields);
 
+/// Whether \p status says that a final response follows (RFC 9110, 15.2). 101 doesn't: it ends the
+/// exchange with a change of protocol, which is never asked for. Thread safe.
+bool isInterimStatus(int status);
+
+/// Whether \p status is one of a final response; there are none above 599 (RFC 9110, 15). Thread
+/// safe.
+bool isFinalStatus(int status);
+
 /// Returns the standard reason phrase for \p status.
 std::string_view reasonPhrase(int status);
 
--- a/lib/Proxy/HttpMessage.cpp
+++ b/lib/Proxy/HttpMessage.cpp
@@ -92,6 +92,17 @@
     return false;
 }
 
+bool isInterimStatus(int status)
+{
+    constexpr int SwitchingProtocols = 101;
+    return status >= 100 && status < 200 && status != SwitchingProtocols;
+}
+
+bool isFinalStatus(int status)
+{
+    return status >= 200 && status < 600;
+}
+
 std::string_view reasonPhrase(int status)
 {
     const auto *found = std::find_if(Phrases.begin(), Phrases.end(),
--- a/lib/Proxy/HttpReader.cpp
+++ b/lib/Proxy/HttpReader.cpp
@@ -168,9 +168,13 @@
 }
 
 template <bool IsRequest>
-void HttpReader<IsRequest>::on_response_impl(int status, Text reason, int, ErrorCode &)
+void HttpReader<IsRequest>::on_response_impl(int status, Text reason, int, ErrorCode &error)
 {
     if constexpr (!IsRequest) {
+        if (!isInterimStatus(status) && !isFinalStatus(status)) {
+            error = http::error::bad_status;
+            return;
+        }
         head_.status = status;
         head_.reason.assign(reason.data(), reason.size());
     }
--- a/test/Edge/MalformedResponseTest.cpp
+++ b/test/Edge/MalformedResponseTest.cpp
@@ -112,6 +112,10 @@
 
 const AnswerCase AnswerCases[] = {
         {"Sound", "HTTP/1.1 200 OK\r\n", "", 200},
+        {"StatusZero", "HTTP/1.1 000 Trouble\r\n", "", 502},
+        {"StatusBelowAHundred", "HTTP/1.1 099 Trouble\r\n", "", 502},
+        {"StatusAboveTheRange", "HTTP/1.1 600 Trouble\r\n", "", 502},
+        {"SwitchOfProtocol", "HTTP/1.1 101 Switching Protocols\r\n", "", 502},
         {"BlankInAName", "HTTP/1.1 200 OK\r\n", "Fie ld: 1\r\n", 502},
         {"ControlByteInAName", "HTTP/1.1 200 OK\r\n", "Fie\001ld: 1\r\n", 502},
         {"BlankBeforeTheColon", "HTTP/1.1 200 OK\r\n", "Field : 1\r\n", 502},
--- a/unittests/Edge/RelayServerTest.cpp
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -208,6 +208,34 @@
     EXPECT_TRUE(responses_.empty());
 }
 
+struct NoNoticeRow
+{
+    const char *name;
+    const char *head;
+};
+
+class MalformedHead : public RelayServerTest, public testing::WithParamInterface<NoNoticeRow>
+{};
+
+const NoNoticeRow NoNoticeRows[] = {
+        {"StatusZero", "HTTP/1.1 000 Trouble\r\nServer-Leaving: 1\r\n\r\n"},
+        {"SwitchOfProtocol", "HTTP/1.1 101 Switching Protocols\r\nServer-Leaving: 1\r\n\r\n"},
+        {"BlankInAName", "HTTP/1.1 503 Full\r\nServer-Leaving: 1\r\nFie ld: 1\r\n\r\n"},
+};
+
+// Guards against an endpoint that is left out for what a malformed response says.
+TEST_P(MalformedHead, SaysNothingOfTheEndpoint)
+{
+    EXPECT_EQ(handshake("listed", "e"), RelayEstablished);
+    ASSERT_TRUE(waitUntil([this] { return accepted_.is_open(); }));
+    boost::asio::write(accepted_, boost::asio::buffer(std::string_view(GetParam().head)));
+    EXPECT_EQ(received(peer_), GetParam().head);
+    EXPECT_TRUE(responses_.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, MalformedHead, testing::ValuesIn(NoNoticeRows),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 // Guards against a response that was cut off and looks complete to the host that asked.
 TEST_F(RelayServerTest, PassesAResetOn)
 {
--- a/unittests/PlatformAdapter/StoreTest.cpp
+++ b/unittests/PlatformAdapter/StoreTest.cpp
@@ -78,6 +78,45 @@
     EXPECT_EQ(outcome, StoreOutcome::Ok);
 }
 
+struct MalformedStoreCase
+{
+    const char *name;
+    const char *before; ///< what precedes the body's length
+    StoreOutcome outcome;
+};
+
+class MalformedStoreResponse : public SlowStore,
+                               public testing::WithParamInterface<MalformedStoreCase>
+{};
+
+const MalformedStoreCase MalformedStoreCases[] = {
+        {"StatusZero", "HTTP/1.1 000 Trouble\r\n", StoreOutcome::Unreachable},
+        {"StatusBelowAHundred", "HTTP/1.1 020 Trouble\r\n", StoreOutcome::Unreachable},
+        {"StatusAboveTheRange", "HTTP/1.1 600 Trouble\r\n", StoreOutcome::Unreachable},
+        {"SwitchOfProtocol", "HTTP/1.1 101 Switching Protocols\r\n", StoreOutcome::Unreachable},
+        {"BlankInAName", "HTTP/1.1 200 OK\r\nFie ld: 1\r\n", StoreOutcome::Unreachable},
+};
+
+// Guards against a write whose response says nothing and that is taken for done or for rejected.
+TEST_P(MalformedStoreResponse, IsNoAnswer)
+{
+    bool isDone = false;
+    StoreOutcome outcome = StoreOutcome::Gone;
+    store_.append({"topic", "writer", 0, {{"key", "value", 0}}},
+                  [&isDone, &outcome](const AppendAnswer &response) {
+                      isDone = true;
+                      outcome = response.outcome;
+                  });
+    runUntil(requestReceived_);
+    const std::string body = R"({"offset":7,"end":8})";
+    respond(fmt::format("{}Content-Length: {}\r\n\r\n{}", GetParam().before, body.size(), body));
+    runUntil(isDone);
+    EXPECT_EQ(outcome, GetParam().outcome);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, MalformedStoreResponse, testing::ValuesIn(MalformedStoreCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 struct AppendCase
 {
     const char *name;
--- a/unittests/Proxy/HttpReaderTest.cpp
+++ b/unittests/Proxy/HttpReaderTest.cpp
@@ -150,12 +150,13 @@
 std::vector<ResponseCase> statusCases()
 {
     using namespace std::string_literals;
-    return {
+    std::vector<ResponseCase> rows = {
             statusRow("BelowTwoDigits", "HTTP/1.1 20 OK"),
             statusRow("AboveThreeDigits", "HTTP/1.1 2000 OK"),
             statusRow("OfLetters", "HTTP/1.1 2x0 OK"),
             statusRow("WithASign", "HTTP/1.1 +20 OK"),
             statusRow("ZeroWithoutABlank", "HTTP/1.1 000"),
+            statusRow("ZeroWithoutAReason", "HTTP/1.1 000 "),
             statusRow("OfVersion09", "HTTP/0.9 200 OK"),
             statusRow("OfVersion17", "HTTP/1.7 200 OK"),
             statusRow("OfVersion20", "HTTP/2.0 200 OK"),
@@ -167,6 +168,12 @@
             soundRow("HighestStatus", responseOf("HTTP/1.1 599 Odd"), 599),
             soundRow("OfVersion10", responseOf("HTTP/1.0 200 OK")),
     };
+    // No such codes exist (RFC 9110, 15), and a change of protocol is never asked for.
+    for (const int status : {0, 1, 20, 99, 101, 600, 999}) {
+        rows.push_back(statusRow(fmt::format("{:03}", status),
+                                 fmt::format("HTTP/1.1 {:03} Trouble", status)));
+    }
+    return rows;
 }
 
 std::vector<ResponseCase> fieldCases()
--- a/unittests/Proxy/MalformedResponseTest.cpp
+++ b/unittests/Proxy/MalformedResponseTest.cpp
@@ -26,6 +26,10 @@
 };
 
 const MalformedCase MalformedCases[] = {
+        {"StatusZero", response("HTTP/1.1 000 Trouble")},
+        {"StatusBelowAHundred", response("HTTP/1.1 020 Trouble")},
+        {"StatusAboveTheRange", response("HTTP/1.1 600 Trouble")},
+        {"SwitchOfProtocol", response("HTTP/1.1 101 Switching Protocols", "Upgrade: x\r\n")},
         {"BlankInAName", response("HTTP/1.1 200 OK", "Fie ld: 1\r\n")},
         {"ControlByteInAName", response("HTTP/1.1 200 OK", "Fie\001ld: 1\r\n")},
         {"BlankBeforeTheColon", response("HTTP/1.1 200 OK", "Field : 1\r\n")},
