[Proxy] Read on behind interim responses

What callers saw: an endpoint that sent 100 or 103 before a sound 200 made their request fail with 502, although it had run and its answer had come.

Cause: as for status 000, any status was taken for a final response's. The interim head isn't signed, so that it was rejected, and the connection with it.

Evidence: on seven rows of HttpResponseReading and one of HttpResponseClosed failed, PrecedesTheFinalOne in the eleven of its twelve rows that were run, and DoNotPutOffTheDeadline; with real edges a 100 before a 200 gave 502, direct and relayed. A write to the store behind a 100 was taken for rejected. A relaying host took the interim head for the response's: it learnt from it, and the end of an endpoint's process looked like the end of an unframed response behind it (MalformedHead Interim, RelayedProcessEnd UnframedAfterAnInterim).

Why the fix works: the reader skips interim responses, so that nobody takes one for the final response. The parser reads one message, so it is replaced. Without a bound they could go on for ever: 16 KB in all are accepted, and they don't put off a deadline. None is passed on to the caller, since an interim response has no signature and may come from another program at that address. All rows pass.

--- a/include/sequoiagate/Proxy/HttpReader.h
+++ b/include/sequoiagate/Proxy/HttpReader.h
@@ -2,7 +2,7 @@
 #define SEQUOIAGATE_PROXY_HTTPREADER_H
 
 /// Incremental reader for one HTTP/1.1 message, based on Boost.Beast's parser. The body is
-/// returned decoded, in pieces.
+/// returned decoded, in pieces. Interim responses (RFC 9110, 15.2) are skipped.
 
 #include <cstddef>
 #include <cstdint>
@@ -36,13 +36,16 @@
 /// Empty lines that may precede a request, in bytes.
 inline constexpr std::size_t MaxEmptyLineBytes = 64;
 
+/// Bytes of all interim responses that may precede the final one.
+inline constexpr std::size_t MaxInterimBytes = 16 * 1024;
+
 /// Why a message couldn't be parsed.
 enum class HttpParseError {
     None,
     Malformed,
     HeaderTooLarge,
     BodyTooLarge,
-    FramingTooLarge, ///< chunk lines, trailers or the empty lines before a request
+    FramingTooLarge, ///< chunk lines, trailers, or what precedes the message
     Truncated,       ///< the connection ended inside the message
 };
 
@@ -81,13 +84,16 @@
     bool endsWithConnection() const { return hasHead_ && this->need_eof(); }
 
 private:
+    using Base = boost::beast::http::basic_parser<IsRequest>;
+    using ErrorCode = boost::beast::error_code;
+    using Text = boost::beast::string_view;
+
     static std::size_t leadingEmptyLines(std::string_view bytes);
     std::size_t parse(std::string_view bytes);
+    /// Gets ready for the response that follows an interim one.
+    void skipInterim();
     /// Whether the message contains too much that is neither its head nor data of its body.
     bool isFramingTooLarge() const;
-    using Base = boost::beast::http::basic_parser<IsRequest>;
-    using ErrorCode = boost::beast::error_code;
-    using Text = boost::beast::string_view;
 
     void on_request_impl(boost::beast::http::verb method, Text name, Text target, int version,
                          ErrorCode &error) override;
@@ -109,8 +115,10 @@
     std::uint64_t bodyBytes_ = 0;
     std::uint64_t chunks_ = 0;
     std::size_t emptyLineBytes_ = 0; ///< before the message
-    std::uint32_t headerLimit_;
+    std::size_t interimBytes_ = 0;   ///< before the message
+    HttpReaderLimits limits_;
     bool begun_ = false;
+    bool isInterim_ = false; ///< the head that was parsed last is an interim response's
     bool hasHead_ = false;
     bool done_ = false;
     HttpParseError fault_ = HttpParseError::None;
--- a/lib/Proxy/HttpReader.cpp
+++ b/lib/Proxy/HttpReader.cpp
@@ -22,7 +22,8 @@
         {HttpParseError::Malformed, "not an HTTP message"},
         {HttpParseError::HeaderTooLarge, "the head is too large"},
         {HttpParseError::BodyTooLarge, "the body is too large"},
-        {HttpParseError::FramingTooLarge, "the chunk lines, trailers or empty lines are too large"},
+        {HttpParseError::FramingTooLarge,
+         "the chunk lines, trailers, empty lines or interim responses are too large"},
         {HttpParseError::Truncated, "the connection ended inside the message"},
 };
 
@@ -39,7 +40,7 @@
 }
 
 template <bool IsRequest>
-HttpReader<IsRequest>::HttpReader(HttpReaderLimits limits) : headerLimit_(limits.headerBytes)
+HttpReader<IsRequest>::HttpReader(HttpReaderLimits limits) : limits_(limits)
 {
     this->eager(true);
     this->header_limit(limits.headerBytes);
@@ -89,7 +90,7 @@
         input = joined;
     }
     std::size_t used = 0;
-    while (used < input.size() && !done_) {
+    while (used < input.size() && !done_ && fault_ == HttpParseError::None) {
         ErrorCode error;
         const std::string_view rest = input.substr(used);
         const std::size_t parsed = this->put(boost::asio::buffer(rest.data(), rest.size()), error);
@@ -109,17 +110,36 @@
             leftover_ = input.substr(used);
             return bytes.size();
         }
+        if (isInterim_) {
+            skipInterim();
+            continue;
+        }
         done_ = this->is_done();
     }
     return used - before;
 }
 
+template <bool IsRequest>
+void HttpReader<IsRequest>::skipInterim()
+{
+    interimBytes_ += std::exchange(parsedBytes_, 0);
+    if (interimBytes_ > MaxInterimBytes) {
+        fault_ = HttpParseError::FramingTooLarge;
+        return;
+    }
+    // The parser reads one message.
+    HttpReader next(limits_);
+    Base::operator=(std::move(static_cast<Base &>(next)));
+    head_ = Head();
+    isInterim_ = false;
+}
+
 template <bool IsRequest>
 bool HttpReader<IsRequest>::isFramingTooLarge() const
 {
     // The head, which has a limit of its own, may have been parsed together with what follows.
     const std::uint64_t allowed =
-            headerLimit_ + MaxFramingBytes + FramingBytesPerChunk * chunks_ + bodyBytes_;
+            limits_.headerBytes + MaxFramingBytes + FramingBytesPerChunk * chunks_ + bodyBytes_;
     return parsedBytes_ > allowed;
 }
 
@@ -175,6 +195,7 @@
             error = http::error::bad_status;
             return;
         }
+        isInterim_ = isInterimStatus(status);
         head_.status = status;
         head_.reason.assign(reason.data(), reason.size());
     }
@@ -211,7 +232,7 @@
         return;
     }
     head_.keepAlive = this->keep_alive();
-    hasHead_ = true;
+    hasHead_ = !isInterim_;
 }
 
 template <bool IsRequest>
--- a/test/Edge/MalformedResponseTest.cpp
+++ b/test/Edge/MalformedResponseTest.cpp
@@ -116,6 +116,7 @@
         {"StatusBelowAHundred", "HTTP/1.1 099 Trouble\r\n", "", 502},
         {"StatusAboveTheRange", "HTTP/1.1 600 Trouble\r\n", "", 502},
         {"SwitchOfProtocol", "HTTP/1.1 101 Switching Protocols\r\n", "", 502},
+        {"AfterAnInterim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n", "", 200},
         {"BlankInAName", "HTTP/1.1 200 OK\r\n", "Fie ld: 1\r\n", 502},
         {"ControlByteInAName", "HTTP/1.1 200 OK\r\n", "Fie\001ld: 1\r\n", 502},
         {"BlankBeforeTheColon", "HTTP/1.1 200 OK\r\n", "Field : 1\r\n", 502},
--- a/unittests/Edge/RelayServerTest.cpp
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -220,10 +220,11 @@
 const NoNoticeRow NoNoticeRows[] = {
         {"StatusZero", "HTTP/1.1 000 Trouble\r\nServer-Leaving: 1\r\n\r\n"},
         {"SwitchOfProtocol", "HTTP/1.1 101 Switching Protocols\r\nServer-Leaving: 1\r\n\r\n"},
+        {"Interim", "HTTP/1.1 103 Early Hints\r\nServer-Leaving: 1\r\n\r\n"},
         {"BlankInAName", "HTTP/1.1 503 Full\r\nServer-Leaving: 1\r\nFie ld: 1\r\n\r\n"},
 };
 
-// Guards against an endpoint that is left out for what a malformed response says.
+// Guards against an endpoint that is left out for what a malformed or interim response says.
 TEST_P(MalformedHead, SaysNothingOfTheEndpoint)
 {
     EXPECT_EQ(handshake("listed", "e"), RelayEstablished);
@@ -373,6 +374,8 @@
 
 const ProcessEndRow ProcessEndRows[] = {
         {"Unframed", false, "HTTP/1.1 200 OK\r\n\r\nhal", boost::asio::error::connection_reset},
+        {"UnframedAfterAnInterim", false, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nhal",
+         boost::asio::error::connection_reset},
         {"UnframedOfOneThatLeaves", true, "HTTP/1.1 200 OK\r\n\r\nhal", boost::asio::error::eof},
         {"WithALength", false, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nhal",
          boost::asio::error::eof},
--- a/unittests/Proxy/HttpReaderTest.cpp
+++ b/unittests/Proxy/HttpReaderTest.cpp
@@ -176,6 +176,38 @@
     return rows;
 }
 
+std::string interims(int count)
+{
+    std::string heads;
+    for (int i = 0; i < count; ++i) {
+        heads += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    return heads;
+}
+
+std::vector<ResponseCase> interimCases()
+{
+    const std::string final = responseOf("HTTP/1.1 200 OK");
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    return {
+            soundRow("AfterContinue", interims(1) + final),
+            soundRow("AfterEarlyHints", hints + final),
+            soundRow("AfterSeveralInterims", interims(3) + hints + final),
+            // An empty line ends an interim response whatever its fields (RFC 9112, 6.3).
+            soundRow("AfterAnInterimWithALength",
+                     "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n" + final),
+            {"SwitchAfterAnInterim",
+             interims(1) + "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"},
+            {"NoResponseAfterAnInterim", interims(1) + "no response\r\n\r\n"},
+            {"SurplusAfterAnInterimAndAResponse", interims(1) + final + "more",
+             HttpParseError::None, 200, 4},
+            {"InterimsWithoutEnd", interims(2000) + final, HttpParseError::FramingTooLarge},
+            {"EndlessInterim",
+             "HTTP/1.1 100 Continue\r\nA: " + std::string(3000, 'x') + "\r\n\r\n" + final,
+             HttpParseError::HeaderTooLarge},
+    };
+}
+
 std::vector<ResponseCase> fieldCases()
 {
     using namespace std::string_literals;
@@ -197,6 +229,8 @@
             {"BlankInTheNameOfTheLength", responseOf("HTTP/1.1 200 OK", "Content Length: 2\r\n")},
             {"BlankBehindTheNameOfTheCoding",
              responseOf("HTTP/1.1 200 OK", "Transfer-Encoding : chunked\r\n")},
+            {"NameInAnInterim",
+             "HTTP/1.1 100 Continue\r\nFie ld: 1\r\n\r\n" + responseOf("HTTP/1.1 200 OK")},
             fieldRow("BlankBeforeTheFirstName", " Field: 1\r\n"),
             fieldRow("BlankBeforeTheLastName", "", " Other: 2\r\n"),
             soundRow("BlanksAroundTheValue",
@@ -253,6 +287,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Statuses, HttpResponseReading, testing::ValuesIn(statusCases()),
                          [](const auto &row) { return row.param.name; });
+INSTANTIATE_TEST_SUITE_P(Interims, HttpResponseReading, testing::ValuesIn(interimCases()),
+                         [](const auto &row) { return row.param.name; });
 INSTANTIATE_TEST_SUITE_P(Fields, HttpResponseReading, testing::ValuesIn(fieldCases()),
                          [](const auto &row) { return row.param.name; });
 
@@ -272,6 +308,7 @@
 const ClosedCase ClosedCases[] = {
         {"BeforeFirstByte", "", false},
         {"InsideTheHead", "HTTP/1.1 200 O", false},
+        {"BehindAnInterim", "HTTP/1.1 100 Continue\r\n\r\n", false},
         {"InsideTheBody", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", false},
         {"InsideTheChunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
          false},
@@ -321,7 +358,8 @@
                          testing::Values(BoundCase{"MaxChunkLineBytes", MaxChunkLineBytes},
                                          BoundCase{"MaxFramingBytes", MaxFramingBytes},
                                          BoundCase{"FramingBytesPerChunk", FramingBytesPerChunk},
-                                         BoundCase{"MaxEmptyLineBytes", MaxEmptyLineBytes}),
+                                         BoundCase{"MaxEmptyLineBytes", MaxEmptyLineBytes},
+                                         BoundCase{"MaxInterimBytes", MaxInterimBytes}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 TEST(HttpMessage, HopByHopFieldsAreRecognized)
--- a/unittests/Proxy/MalformedResponseTest.cpp
+++ b/unittests/Proxy/MalformedResponseTest.cpp
@@ -1,4 +1,4 @@
-/// Endpoints that send a malformed response.
+/// Endpoints that send a malformed response, or one that isn't final.
 
 #include <gtest/gtest.h>
 
@@ -104,4 +104,62 @@
                                     + std::get<1>(row.param).name;
                          });
 
+struct InterimCase
+{
+    const char *name;
+    std::string heads;
+};
+
+const InterimCase InterimCases[] = {
+        {"Continue", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"EarlyHints", "HTTP/1.1 103 Early Hints\r\nLink: </evil>\r\n\r\n"},
+        {"Several",
+         "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 100 Continue\r\nLink: </evil>\r\n\r\n"},
+};
+
+class InterimResponse : public testing::TestWithParam<std::tuple<InterimCase, Path, bool>>
+{};
+
+// Guards against an interim response that is taken for the final one, which is lost with it.
+TEST_P(InterimResponse, PrecedesTheFinalOne)
+{
+    const auto &[row, path, isInParts] = GetParam();
+    const std::string first = isInParts ? row.heads : row.heads + Sound;
+    Reply reply{path.isRelayed ? writeChunk(first) : first};
+    if (isInParts) {
+        reply.later = path.isRelayed ? writeChunk(Sound) : Sound;
+        reply.silence = std::chrono::milliseconds(20);
+    }
+    std::vector<Reply> script = {reply};
+    if (path.isRelayed) {
+        script.insert(script.begin(), {EstablishedFramed});
+    }
+    ProxyTestHarness harness({script});
+    if (path.isRelayed) {
+        harness.placement.endpoints[0].relay =
+                RelayRoute{HostId("other"), harness.endpoints[0]->address(), false};
+    }
+    harness.send(ProxyTestHarness::request("/once/a", "7"));
+    EXPECT_TRUE(harness.waitFor("good")) << harness.received();
+    EXPECT_EQ(harness.received().rfind("HTTP/1.1 200 OK", 0), 0U) << harness.received();
+    EXPECT_EQ(harness.received().find("evil"), std::string::npos) << harness.received();
+}
+
+INSTANTIATE_TEST_SUITE_P(Rows, InterimResponse,
+                         testing::Combine(testing::ValuesIn(InterimCases), testing::ValuesIn(Paths),
+                                          testing::Bool()),
+                         [](const auto &row) {
+                             return std::string(std::get<0>(row.param).name)
+                                    + std::get<1>(row.param).name
+                                    + (std::get<2>(row.param) ? "InParts" : "");
+                         });
+
+// Guards against a connection that is kept open by interim responses alone.
+TEST(InterimResponses, DoNotPutOffTheDeadline)
+{
+    ProxyTestHarness harness({{{"HTTP/1.1 100 Continue\r\n\r\n", AfterReply::Hang}}});
+    harness.send(ProxyTestHarness::request("/short/a", "7"));
+    EXPECT_TRUE(harness.waitFor("HTTP/1.1 504")) << harness.received();
+}
+
 } // namespace
