[Proxy] Reject responses with folded field lines

Cause: Boost.Beast joins such a line, an obsolete line folding, to the value before it. To the endpoint or another reader it may be a field of its own.

A blank before the first name was rejected already.

Why the fix works: a proxy may replace such a response by 502 (RFC 9112, 5.2). The reader looks at the byte behind each field's line, which the parser has seen when it reports the field. Trailers are dropped and aren't looked at.

--- a/include/sequoiagate/Proxy/HttpReader.h
+++ b/include/sequoiagate/Proxy/HttpReader.h
@@ -92,6 +92,9 @@
     std::size_t parse(std::string_view bytes);
     /// Gets ready for the response that follows an interim one.
     void skipInterim();
+    /// Whether a line that begins with a blank continues the value of the field \p name, which is
+    /// being parsed.
+    bool isFolded(Text name) const;
     /// Whether the message contains too much that is neither its head nor data of its body.
     bool isFramingTooLarge() const;
 
@@ -110,7 +113,8 @@
 
     Head head_;
     std::string body_;
-    std::string leftover_; ///< incomplete head, chunk line or trailers
+    std::string leftover_;         ///< incomplete head, chunk line or trailers
+    std::string_view parserInput_; ///< while the parser reads it
     std::uint64_t parsedBytes_ = 0;
     std::uint64_t bodyBytes_ = 0;
     std::uint64_t chunks_ = 0;
--- a/lib/Proxy/HttpReader.cpp
+++ b/lib/Proxy/HttpReader.cpp
@@ -92,8 +92,9 @@
     std::size_t used = 0;
     while (used < input.size() && !done_ && fault_ == HttpParseError::None) {
         ErrorCode error;
-        const std::string_view rest = input.substr(used);
-        const std::size_t parsed = this->put(boost::asio::buffer(rest.data(), rest.size()), error);
+        parserInput_ = input.substr(used);
+        const std::size_t parsed =
+                this->put(boost::asio::buffer(parserInput_.data(), parserInput_.size()), error);
         used += parsed;
         parsedBytes_ += parsed;
         const bool needsMore = error == http::error::need_more;
@@ -202,11 +203,17 @@
 }
 
 template <bool IsRequest>
-void HttpReader<IsRequest>::on_field_impl(http::field, Text name, Text value, ErrorCode &)
+void HttpReader<IsRequest>::on_field_impl(http::field, Text name, Text value, ErrorCode &error)
 {
     if (hasHead_) {
         return; // a trailer
     }
+    // A proxy may reject such a response (RFC 9112, 5.2). To another reader the line may be a field
+    // of its own, which may frame the body.
+    if (!IsRequest && isFolded(name)) {
+        error = http::error::bad_obs_fold;
+        return;
+    }
     head_.fields.push_back(
             {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
 }
@@ -235,6 +242,15 @@
     hasHead_ = !isInterim_;
 }
 
+template <bool IsRequest>
+bool HttpReader<IsRequest>::isFolded(Text name) const
+{
+    // The parser reports a field when it has seen the first byte of the next line.
+    const auto nameEnd = static_cast<std::size_t>(name.end() - parserInput_.data());
+    const std::size_t nextLine = parserInput_.find('\n', nameEnd) + 1;
+    return parserInput_[nextLine] == ' ' || parserInput_[nextLine] == '\t';
+}
+
 template <bool IsRequest>
 void HttpReader<IsRequest>::on_body_init_impl(const boost::optional<std::uint64_t> &, ErrorCode &)
 {}
--- a/test/Edge/MalformedResponseTest.cpp
+++ b/test/Edge/MalformedResponseTest.cpp
@@ -120,6 +120,7 @@
         {"BlankInAName", "HTTP/1.1 200 OK\r\n", "Fie ld: 1\r\n", 502},
         {"ControlByteInAName", "HTTP/1.1 200 OK\r\n", "Fie\001ld: 1\r\n", 502},
         {"BlankBeforeTheColon", "HTTP/1.1 200 OK\r\n", "Field : 1\r\n", 502},
+        {"BlankBeforeAName", "HTTP/1.1 200 OK\r\n", " Field: 1\r\n", 502},
 };
 
 class MalformedResponse : public RawEndpointFleet
--- a/unittests/Edge/RelayServerTest.cpp
+++ b/unittests/Edge/RelayServerTest.cpp
@@ -222,6 +222,7 @@
         {"SwitchOfProtocol", "HTTP/1.1 101 Switching Protocols\r\nServer-Leaving: 1\r\n\r\n"},
         {"Interim", "HTTP/1.1 103 Early Hints\r\nServer-Leaving: 1\r\n\r\n"},
         {"BlankInAName", "HTTP/1.1 503 Full\r\nServer-Leaving: 1\r\nFie ld: 1\r\n\r\n"},
+        {"BlankBeforeAName", "HTTP/1.1 503 Full\r\nField: 1\r\n Server-Leaving: 1\r\n\r\n"},
 };
 
 // Guards against an endpoint that is left out for what a malformed or interim response says.
--- a/unittests/PlatformAdapter/StoreTest.cpp
+++ b/unittests/PlatformAdapter/StoreTest.cpp
@@ -95,6 +95,8 @@
         {"StatusAboveTheRange", "HTTP/1.1 600 Trouble\r\n", StoreOutcome::Unreachable},
         {"SwitchOfProtocol", "HTTP/1.1 101 Switching Protocols\r\n", StoreOutcome::Unreachable},
         {"BlankInAName", "HTTP/1.1 200 OK\r\nFie ld: 1\r\n", StoreOutcome::Unreachable},
+        {"BlankBeforeAName", "HTTP/1.1 200 OK\r\nField: 1\r\n Other: 1\r\n",
+         StoreOutcome::Unreachable},
         {"AfterAnInterim", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n", StoreOutcome::Ok},
 };
 
--- a/unittests/Proxy/MalformedResponseTest.cpp
+++ b/unittests/Proxy/MalformedResponseTest.cpp
@@ -33,8 +33,11 @@
         {"BlankInAName", response("HTTP/1.1 200 OK", "Fie ld: 1\r\n")},
         {"ControlByteInAName", response("HTTP/1.1 200 OK", "Fie\001ld: 1\r\n")},
         {"BlankBeforeTheColon", response("HTTP/1.1 200 OK", "Field : 1\r\n")},
+        {"BlankBeforeAName", response("HTTP/1.1 200 OK", " Field: 1\r\n")},
         {"BlankInTheNameOfTheLength",
          "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nResponse-Stamp: s\r\nContent Length: 4\r\n\r\nevil"},
+        {"BlankBeforeTheNameOfTheLength",
+         "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\nResponse-Stamp: s\r\n Content-Length: 4\r\n\r\nevil"},
 };
 
 struct Path
