[Proxy] Count no malformed response as the loss of its endpoint

What callers saw, as reported: after three malformed responses to one request it was refused as request_quarantined for some nine seconds, though all its endpoints lived. With statuses rejected as malformed, more responses would have led there.

Cause: a response that can't be parsed was reported as a lost connection, and a request that loses its endpoint's connection is suspected of ending endpoints.

Why the fix works: an endpoint that has sent a malformed response lives. The attempt still fails, as with an unsigned response, so that placement avoids the endpoint as before. Nothing of such a response is delivered, so the prompt alone is charged; a stream that becomes malformed inside its body is charged as before. A response that ends too early is still a loss. All rows pass. response.malformed names the endpoint in the log.

--- a/include/sequoiagate/Ledger/Charge.h
+++ b/include/sequoiagate/Ledger/Charge.h
@@ -40,7 +40,8 @@
     Cancelled,      ///< the caller disconnected, before or during the response
     Stalled,        ///< abandoned because the endpoint sent nothing, before or during the response
     TimedOut,       ///< the request's deadline expired, before or during the response
-    ResponseRejected, ///< the response belonged to another request, or was not the endpoint's own
+    ResponseRejected, ///< the response belonged to another request, was malformed, or was not the
+                      ///< endpoint's own
     Failed,           ///< the endpoint's own response, not a success
     Completed,        ///< received in full
 };
--- a/include/sequoiagate/Proxy/Exchange.h
+++ b/include/sequoiagate/Proxy/Exchange.h
@@ -186,6 +186,7 @@
     bool mayRetry() const;
     void onNotConnected(const std::string &detail, Instant now);
     void onRelayFailed(RelayResult result, const std::string &detail, Instant now);
+    void onMalformedResponse(const std::string &detail);
     void retryOrFail(const std::string &detail);
     void retryElsewhere(const std::string &detail);
     void refuse(Verdict verdict);
--- a/include/sequoiagate/Proxy/HttpConnection.h
+++ b/include/sequoiagate/Proxy/HttpConnection.h
@@ -34,6 +34,7 @@
     RelayRefused,     ///< no byte was sent: the relay doesn't serve the request
     MaybeSent,        ///< a part of the request may have arrived
     RelayEnded,       ///< the same; the relay ended the connection, the server may not have
+    Malformed,        ///< the same; the server sent something that isn't a response
 };
 
 /// The host through which a connection is made, and the handshake that asks it to do so.
--- a/lib/Proxy/ExchangeFailures.cpp
+++ b/lib/Proxy/ExchangeFailures.cpp
@@ -82,6 +82,10 @@
         retryOrFail(detail);
         return;
     }
+    if (failure == CallFailure::Malformed) {
+        onMalformedResponse(detail);
+        return;
+    }
     if (failure != CallFailure::MaybeSent) {
         // No byte was sent, so this doesn't count as a sent attempt.
         --possibleExecutions_;
@@ -107,6 +111,23 @@
     retryOrFail(detail);
 }
 
+void Exchange::onMalformedResponse(const std::string &detail)
+{
+    // The endpoint has responded, so the request isn't reported as one that ends its endpoints.
+    log(Event("response.malformed")
+                .with("endpoint", attempt_->endpoint)
+                .with("relay", attempt_->relay)
+                .with("detail", detail)
+                .with("events", forwardedEvents_));
+    context_.metrics.count("proxy_malformed_responses_total");
+    const bool hasHead = attempt_->head.status != 0;
+    if (!hasHead) {
+        attempt_->outcome = AttemptOutcome::ResponseRejected;
+    }
+    endAttempt(false);
+    retryOrFail(detail);
+}
+
 bool Exchange::wasLeftUnread(Instant now) const
 {
     return attempt_->longestPause >= MinUnreadTime
--- a/lib/Proxy/HttpConnection.cpp
+++ b/lib/Proxy/HttpConnection.cpp
@@ -295,7 +295,7 @@
         return;
     }
     if (reader_->fault() != HttpParseError::None) {
-        failCall(CallFailure::MaybeSent,
+        failCall(CallFailure::Malformed,
                  std::string("unusable answer: ") + describeParseError(reader_->fault()));
         return;
     }
--- a/unittests/Proxy/MalformedResponseTest.cpp
+++ b/unittests/Proxy/MalformedResponseTest.cpp
@@ -99,6 +99,19 @@
     EXPECT_EQ(harness.received().rfind("HTTP/1.1 200 OK", 0), 0U);
 }
 
+// Guards against a sound request that is quarantined since live endpoints sent malformed responses.
+TEST_P(MalformedResponse, IsNoLossOfItsEndpoint)
+{
+    ProxyTestHarness harness(scripts({std::get<0>(GetParam()).bytes}));
+    setRelays(harness);
+    harness.send(ProxyTestHarness::request("/once/a", "7", "Prompt-Prefix: a1:10\r\n"));
+    EXPECT_TRUE(harness.waitFor("HTTP/1.1 502")) << harness.received();
+    EXPECT_TRUE(harness.requests.lost.empty());
+    EXPECT_TRUE(harness.prompts.lost.empty());
+    // Nothing was delivered, and the prompt may have been read.
+    EXPECT_EQ(harness.tokenReservations.spent, 100U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Rows, MalformedResponse,
                          testing::Combine(testing::ValuesIn(MalformedCases),
                                           testing::ValuesIn(Paths)),
