[Router] Reject malformed responses of endpoints

What callers would see (by tests and reading; the platform doesn't start this program): statuses 000 to 099 and 600 to 999 and an interim 103 as the answer, 000 as 200 to callers of plain services, and responses with malformed field names.

Cause: the HTTP library checks neither, and exchange() took each response for the endpoint's answer.

Why the fix works: exchange() is the one way to endpoints. What it rejects ends as a connection that broke behind the request: the caller is told that it may have run.

--- a/include/sequoiagate/Router/EndpointHttp.h
+++ b/include/sequoiagate/Router/EndpointHttp.h
@@ -26,10 +26,16 @@
 /// that the endpoint closes just then from one it closed after reading, and both
 /// would have to be told as "may have run". So each call has a fresh connection:
 /// refused before a byte left is then the one case of NotSent, and it is true.
+///
+/// A malformed response is no answer: its end is Cut.
 /// \pre address is IP:port. Thread safe.
 ConnectionResult exchange(const std::string &address, const EndpointTimeouts &timeouts,
                           httplib::Request &request, httplib::Response &response);
 
+/// Whether \p response has the status of a final response (RFC 9110, 15) and field names that are
+/// tokens, neither of which the library checks. Thread safe.
+bool isWellFormed(const httplib::Response &response);
+
 } // namespace sequoiagate
 
 #endif
--- a/lib/Router/EndpointHttp.cpp
+++ b/lib/Router/EndpointHttp.cpp
@@ -1,5 +1,9 @@
 #include "sequoiagate/Router/EndpointHttp.h"
 
+#include <algorithm>
+
+#include <absl/strings/ascii.h>
+
 #include "sequoiagate/Router/RouterSettings.h"
 
 namespace sequoiagate {
@@ -21,8 +25,27 @@
     }
 }
 
+/// Whether \p name is a token (RFC 9110, 5.6.2).
+bool isFieldName(std::string_view name)
+{
+    constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [Marks](char c) {
+        return absl::ascii_isalnum(static_cast<unsigned char>(c))
+               || Marks.find(c) != std::string_view::npos;
+    });
+}
+
 } // namespace
 
+bool isWellFormed(const httplib::Response &response)
+{
+    constexpr int LowestFinal = 200;
+    constexpr int HighestFinal = 599;
+    return response.status >= LowestFinal && response.status <= HighestFinal
+           && std::all_of(response.headers.begin(), response.headers.end(),
+                          [](const auto &field) { return isFieldName(field.first); });
+}
+
 ConnectionResult exchange(const std::string &address, const EndpointTimeouts &timeouts,
                           httplib::Request &request, httplib::Response &response)
 {
@@ -37,6 +60,11 @@
     httplib::Error error = httplib::Error::Success;
     ConnectionResult result;
     if (client.send(request, response, error)) {
+        if (!isWellFormed(response)) {
+            result.end = ConnectionEnd::Cut;
+            result.detail = "the response is malformed";
+            return result;
+        }
         result.end = ConnectionEnd::Closed;
         result.status = response.status;
         return result;
--- a/lib/Router/EngineClient.cpp
+++ b/lib/Router/EngineClient.cpp
@@ -46,7 +46,7 @@
     SseReader reader;
     int status = 0;
     request.response_handler = [&](const httplib::Response &response) {
-        status = response.status;
+        status = isWellFormed(response) ? response.status : 0;
         if (status == StatusOk && response.has_header("X-Stream-Id")) {
             handlers.onStreamId(response.get_header_value("X-Stream-Id"));
         }
