[Test] A malformed response that says Not-Executed isn't believed

What callers saw: a response with status 000 and Not-Executed was passed on as 503, not run, although it is no response, so that the request may have run. A test was missing.

A malformed name beside Not-Executed was rejected already.

--- a/unittests/Proxy/MalformedResponseTest.cpp
+++ b/unittests/Proxy/MalformedResponseTest.cpp
@@ -30,7 +30,10 @@
         {"StatusBelowAHundred", response("HTTP/1.1 020 Trouble")},
         {"StatusAboveTheRange", response("HTTP/1.1 600 Trouble")},
         {"SwitchOfProtocol", response("HTTP/1.1 101 Switching Protocols", "Upgrade: x\r\n")},
+        {"StatusZeroThatSaysNotExecuted", response("HTTP/1.1 000 Trouble", "Not-Executed: 1\r\n")},
         {"BlankInAName", response("HTTP/1.1 200 OK", "Fie ld: 1\r\n")},
+        {"BlankInANameThatSaysNotExecuted",
+         response("HTTP/1.1 503 Full", "Not-Executed: 1\r\nFie ld: 1\r\n")},
         {"ControlByteInAName", response("HTTP/1.1 200 OK", "Fie\001ld: 1\r\n")},
         {"BlankBeforeTheColon", response("HTTP/1.1 200 OK", "Field : 1\r\n")},
         {"BlankBeforeAName", response("HTTP/1.1 200 OK", " Field: 1\r\n")},
@@ -84,8 +87,8 @@
     EXPECT_TRUE(harness.waitFor("HTTP/1.1 502")) << harness.received();
     EXPECT_EQ(harness.received().find("evil"), std::string::npos) << harness.received();
     EXPECT_FALSE(harness.closed());
-    // The request may have run.
     EXPECT_EQ(harness.placement.sent, 1);
+    EXPECT_TRUE(harness.waitFor("may_have_run")) << harness.received();
     EXPECT_EQ(harness.received().find("Not-Executed"), std::string::npos);
 }
 
