--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -87,10 +87,10 @@
             config["tenants"] = tenants
         self.put("keyed.op", "config", config)
 
-    def start_server(self, name, service, address=None):
+    def start_server(self, name, service, address=None, announced=None):
         address = address or f"{IP}:{free_ports(1)[0]}"
         process = self.spawn([sys.executable, os.path.join(HERE, "server.py"), address, name, service,
-                              self.store, self.record_path])
+                              self.store, self.record_path] + ([announced] if announced else []))
         self.wait_for_port(address)
         return process, address
 
@@ -145,6 +145,57 @@
         self.folder.cleanup()
 
 
+class Link:
+    """The network between the edges and one server: a TCP proxy that can hold up all bytes and ends
+    of connections for a time, and then lets them through, as a cut does that heals."""
+
+    def __init__(self, target):
+        self.target = target
+        self.open = threading.Event()
+        self.open.set()
+        self.listener = socket.create_server((IP, 0), backlog=256)
+        self.address = f"{IP}:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            threading.Thread(target=self.carry, args=(near,), daemon=True).start()
+
+    def carry(self, near):
+        self.open.wait()
+        host, port = self.target.rsplit(":", 1)
+        try:
+            far = socket.create_connection((host, int(port)), 2)
+        except OSError:
+            # Nobody listens there: the connection is reset.
+            near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            near.close()
+            return
+        for one in (near, far):
+            one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        threading.Thread(target=self.pump, args=(near, far), daemon=True).start()
+        self.pump(far, near)
+
+    def pump(self, source, sink):
+        try:
+            while True:
+                data = source.recv(65536)
+                self.open.wait()
+                if not data:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
+                sink.sendall(data)
+        except OSError:
+            # A reset at one side is passed on to the other.
+            for one in (source, sink):
+                try:
+                    one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+                    one.close()
+                except OSError:
+                    pass
+
+
 class Answer:
     """What a client saw: status, fields, body, and whether the answer was complete."""
 
--- a/review/standins-2/server.py
+++ b/review/standins-2/server.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """A stand-in of a model server, by PROTOCOL.md.
 
-Usage: server.py ADDRESS:PORT ID SERVICE STORE RECORD
+Usage: server.py ADDRESS:PORT ID SERVICE STORE RECORD [ANNOUNCED-ADDRESS:PORT]
 
 It lists itself in the store and writes there every 1.2 s, answers only requests that name its id,
 and streams --- one event each `X-Gap-Ms`, `X-Events` in all. Each answer has its Response-Stamp and
@@ -23,6 +23,7 @@
 import urllib.request
 
 ADDRESS, ID, SERVICE, STORE, RECORD = sys.argv[1:6]
+ANNOUNCED = sys.argv[6] if len(sys.argv) > 6 else ADDRESS
 HOST, PORT = ADDRESS.rsplit(":", 1)
 BORN = int(time.time() * 1000)
 STATE = {"state": "ready", "seq": 0}
@@ -40,7 +41,7 @@
         STATE["seq"] += 1
         entry = {
             "backend": SERVICE,
-            "address": ADDRESS,
+            "address": ANNOUNCED,
             "zone": "z1",
             "version": "v1",
             "slots": 64,
