--- a/review/standins-2/platform2.py
+++ b/review/standins-2/platform2.py
@@ -16,6 +16,7 @@
 EDGE = os.path.join(TOP, "target", "bin", "sequoia-edge")
 IP = "127.0.0.1"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+LIMIT_S = 100  # for a whole case
 
 
 def free_ports(count, kind=socket.SOCK_STREAM):
@@ -352,6 +353,13 @@
         sys.exit(NOT_RUN)
     verdict = NOT_RUN
     deployment = None
+
+    def give_up(number, _):
+        raise CannotRun(f"ended by signal {number}")
+
+    signal.signal(signal.SIGALRM, give_up)
+    signal.signal(signal.SIGTERM, give_up)
+    signal.alarm(LIMIT_S)
     try:
         deployment = Deployment(record)
         deployment.note(f"case begins, trouble {'on' if trouble else 'off'}")
